--- /dev/null
+++ b/packages/common/tests/loadSettings.test.ts
@@ -0,0 +1,43 @@
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import test from "ava";
+import { z } from "zod";
+import { loadSettings, SettingsError } from "../src/index.js";
+
+const SCHEMA = z.strictObject({ listen: z.strictObject({ port: z.int() }) });
+
+const fileWith = (text: string): string => {
+  const path = join(mkdtempSync(join(tmpdir(), "settings-")), "entry.toml");
+  writeFileSync(path, text);
+  return path;
+};
+
+const errorOf = (text: string): SettingsError => {
+  try {
+    loadSettings(fileWith(text), SCHEMA);
+  } catch (error) {
+    if (error instanceof SettingsError) {
+      return error;
+    }
+  }
+  throw new Error("the settings were taken");
+};
+
+test("settings that match the schema are returned", (t) => {
+  t.deepEqual(loadSettings(fileWith("[listen]\nport = 80\n"), SCHEMA), { listen: { port: 80 } });
+});
+
+test("an unknown key is refused by its full name", (t) => {
+  const error = errorOf("[listen]\nport = 80\nprot = 1\n");
+  t.is(error.kind, "invalid");
+  t.regex(error.message, /entry\.toml: unknown key listen\.prot.*Correct or remove/);
+});
+
+test("a value of the wrong type is refused by its full name", (t) => {
+  t.regex(errorOf('[listen]\nport = "x"\n').message, /key listen\.port/);
+});
+
+test("a file that is not TOML is refused with the place", (t) => {
+  t.is(errorOf("[listen\n").kind, "notToml");
+});
--- /dev/null
+++ b/packages/coordination/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./fairQueue/types.js";
--- /dev/null
+++ b/packages/core/src/effect.ts
@@ -0,0 +1,17 @@
+import type { FleetEffect } from "./fleet/types.js";
+import type { NodeEffect } from "./node/types.js";
+import type { PeersEffect } from "./peers/types.js";
+import type { PlatformEffect } from "./platform/types.js";
+import type { RequestsEffect } from "./requests/types.js";
+import type { RevisionsEffect } from "./revisions/types.js";
+import type { TicketsEffect } from "./tickets/types.js";
+
+/** All that a node can do, as data. */
+export type Effect =
+  | NodeEffect
+  | PlatformEffect
+  | RequestsEffect
+  | RevisionsEffect
+  | TicketsEffect
+  | PeersEffect
+  | FleetEffect;
--- /dev/null
+++ b/packages/core/src/event.ts
@@ -0,0 +1,10 @@
+import type { FleetEvent } from "./fleet/types.js";
+import type { NodeEvent } from "./node/types.js";
+import type { PeersEvent } from "./peers/types.js";
+import type { PlatformEvent } from "./platform/types.js";
+import type { RequestsEvent } from "./requests/types.js";
+import type { TicketsEvent } from "./tickets/types.js";
+
+/** All that can happen to a node. Times are on the node's own monotonic clock. */
+export type Event =
+  NodeEvent | PlatformEvent | RequestsEvent | TicketsEvent | PeersEvent | FleetEvent;
--- /dev/null
+++ b/packages/core/src/node/constants.ts
@@ -0,0 +1,9 @@
+export const NODE_ROLE = {
+  ENTRY: "entry",
+  MAINTAINER: "maintainer",
+} as const;
+
+/** How often daemons turn the clock of the reducer. */
+export const CLOCK = {
+  TICK_MS: 100,
+} as const;
--- /dev/null
+++ b/packages/core/src/requests/constants.ts
@@ -0,0 +1,59 @@
+/** What a caller may conclude about its request. */
+export const OUTCOME = {
+  /** The target's whole answer follows. */
+  ANSWERED: "answered",
+  /** No target has seen the request; it may be sent again. */
+  NOT_RUN: "notRun",
+  /** A target may have run the request; only an idempotent one may be sent again. */
+  UNKNOWN: "unknown",
+} as const;
+
+/** Why a request was not answered by a target. */
+export const REFUSAL_KIND = {
+  NO_KEY: "noKey",
+  UNKNOWN_KEY: "unknownKey",
+  KEYS_TOO_OLD: "keysTooOld",
+  UNKNOWN_QUEUE: "unknownQueue",
+  NO_RULES: "noRules",
+  LEAVING: "leaving",
+  QUEUE_FULL: "queueFull",
+  DEADLINE: "deadline",
+  NO_TARGET: "noTarget",
+  TOO_LARGE: "tooLarge",
+  CLAIM_UNAVAILABLE: "claimUnavailable",
+  TICKET_INVALID: "ticketInvalid",
+  ISSUER_GONE: "issuerGone",
+  ANSWER_NOT_KEPT: "answerNotKept",
+  TARGET_UNREACHABLE: "targetUnreachable",
+  TARGET_BROKE_OFF: "targetBrokeOff",
+  TARGET_SILENT: "targetSilent",
+} as const;
+
+export const REQUEST_PHASE = {
+  /** Waiting for the claim of its idempotency key. */
+  CLAIMING: "claiming",
+  QUEUED: "queued",
+  RUNNING: "running",
+  /** The answer's first bytes went to the caller. */
+  ANSWERING: "answering",
+} as const;
+
+/** How far an attempt got before it failed. */
+export const ATTEMPT_STAGE = {
+  /** Not a byte was written, or the target said that it did not run it. */
+  NOT_SENT: "notSent",
+  /** At least one byte may have been written. */
+  SENT: "sent",
+  /** The answer had begun. */
+  ANSWERING: "answering",
+} as const;
+
+/** Bounds on single requests. */
+export const REQUEST = {
+  MAX_ATTEMPTS: 4,
+  /** Time without a byte of the answer before the connection is given up. */
+  SILENCE_TIMEOUT_MS: 30_000,
+  MAX_BODY_BYTES: 8_388_608,
+  /** Bodies up to this size are kept for another attempt. */
+  REPLAY_BODY_BYTES: 262_144,
+} as const;
--- /dev/null
+++ b/packages/core/src/revisions/types.ts
@@ -0,0 +1,39 @@
+import type { KeyHash, KeyId, Revision, TeamId } from "@heatherferry/common";
+import type { RuleSet } from "@heatherferry/rules";
+
+/** The rules in force, as operators wrote them. Key: `rules/head`. */
+export interface RulesHeadRow {
+  readonly type: "rulesHead";
+  readonly revision: Revision;
+  readonly text: string;
+  readonly appliedBy: string;
+  /** Wall-clock time of the operator's machine. */
+  readonly appliedAtMs: number;
+}
+
+/** One accepted change of the rules. Key: `audit/<revision, 10 digits>`. */
+export interface AuditRow {
+  readonly type: "audit";
+  readonly revision: Revision;
+  readonly fromRevision: Revision;
+  readonly appliedBy: string;
+  readonly appliedAtMs: number;
+  readonly added: readonly string[];
+  readonly removed: readonly string[];
+}
+
+export interface RevisionsState {
+  revision: Revision;
+  rules: RuleSet;
+  /** When this node asked for the newest rules it holds, on its own clock. */
+  confirmedAtMs: number | null;
+  keysByHash: Map<KeyHash, { readonly key: KeyId; readonly team: TeamId }>;
+  /** Revisions that could not be parsed by this build. */
+  unreadableRevisions: number;
+}
+
+/** The node now works under this revision. */
+export interface RevisionsEffect {
+  readonly type: "rules/inForce";
+  readonly revision: Revision;
+}
--- /dev/null
+++ b/packages/rules/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./constants.js";
+export * from "./emptyRuleSet.js";
+export * from "./types.js";
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./rows/decodeRows.js";
+export * from "./rows/rowSchemas.js";
