--- /dev/null
+++ b/packages/rules/src/grammar/valueTypes.ts
@@ -0,0 +1,52 @@
+import {
+  availabilityZoneId,
+  keyHash,
+  keyId,
+  poolId,
+  queueId,
+  teamId,
+  waveId,
+} from "@heatherferry/common";
+import { RULE_FIELD, RULE_KIND, RULE_PROBLEM_KIND, RULES } from "../constants.js";
+import type { FieldText, Reference } from "./ruleGrammar.js";
+import { HostPattern, Name, Sha256, WholeNumber, YesOrNo } from "./valueType.js";
+
+/** The value types that fields of the file have. */
+export const VALUE = {
+  COUNT: new WholeNumber(0, RULES.MAX_COUNT),
+  POSITIVE_COUNT: new WholeNumber(1, RULES.MAX_COUNT),
+  DURATION_MS: new WholeNumber(1, RULES.MAX_DURATION_MS),
+  YES_OR_NO: new YesOrNo(),
+  HOST_PATTERN: new HostPattern(),
+  KEY_HASH: new Sha256(keyHash),
+  TEAM: new Name(teamId),
+  KEY: new Name(keyId),
+  POOL: new Name(poolId),
+  QUEUE: new Name(queueId),
+  WAVE: new Name(waveId),
+  ZONE: new Name(availabilityZoneId),
+} as const;
+
+export const fieldText = (name: string, value: string | number | boolean): FieldText => ({
+  name,
+  value: typeof value === "boolean" ? (value ? "yes" : "no") : String(value),
+});
+
+export const optionalFieldText = (
+  name: string,
+  value: string | number | null,
+): readonly FieldText[] => (value === null ? [] : [fieldText(name, value)]);
+
+export const teamReference = (name: string): Reference => ({
+  kind: RULE_KIND.TEAM,
+  name,
+  field: RULE_FIELD.TEAM,
+  problemKind: RULE_PROBLEM_KIND.UNKNOWN_TEAM,
+});
+
+export const poolReference = (name: string): Reference => ({
+  kind: RULE_KIND.POOL,
+  name,
+  field: RULE_FIELD.POOL,
+  problemKind: RULE_PROBLEM_KIND.UNKNOWN_POOL,
+});
--- /dev/null
+++ b/packages/rules/src/grammar/waveGrammar.ts
@@ -0,0 +1,56 @@
+import { RULE_FIELD, RULE_KIND, RULES } from "../constants.js";
+import type { RuleBase, WaveRule } from "../types.js";
+import type { FieldReader } from "./fieldReader.js";
+import { type FieldText, type Reference, RuleGrammar } from "./ruleGrammar.js";
+import { fieldText, optionalFieldText, poolReference, VALUE } from "./valueTypes.js";
+
+/** `wave NAME pool=P zone=Z max-parallel=N max-failures=N paused=yes|no` */
+export class WaveGrammar extends RuleGrammar<WaveRule> {
+  override readonly kind = RULE_KIND.WAVE;
+  override readonly fields = [
+    RULE_FIELD.POOL,
+    RULE_FIELD.ZONE,
+    RULE_FIELD.MAX_PARALLEL,
+    RULE_FIELD.MAX_FAILURES,
+    RULE_FIELD.PAUSED,
+  ];
+
+  override read(reader: FieldReader, base: RuleBase): WaveRule {
+    return {
+      ...base,
+      kind: RULE_KIND.WAVE,
+      wave: reader.name(VALUE.WAVE),
+      pool: reader.required(RULE_FIELD.POOL, VALUE.POOL),
+      availabilityZone: reader.optional(RULE_FIELD.ZONE, VALUE.ZONE, null),
+      maxParallel: reader.optional(
+        RULE_FIELD.MAX_PARALLEL,
+        VALUE.POSITIVE_COUNT,
+        RULES.DEFAULT_MAX_PARALLEL,
+      ),
+      maxFailures: reader.optional(
+        RULE_FIELD.MAX_FAILURES,
+        VALUE.COUNT,
+        RULES.DEFAULT_MAX_FAILURES,
+      ),
+      paused: reader.optional(RULE_FIELD.PAUSED, VALUE.YES_OR_NO, false),
+    };
+  }
+
+  override nameOf(rule: WaveRule): string {
+    return rule.wave;
+  }
+
+  override write(rule: WaveRule): readonly FieldText[] {
+    return [
+      fieldText(RULE_FIELD.POOL, rule.pool),
+      ...optionalFieldText(RULE_FIELD.ZONE, rule.availabilityZone),
+      fieldText(RULE_FIELD.MAX_PARALLEL, rule.maxParallel),
+      fieldText(RULE_FIELD.MAX_FAILURES, rule.maxFailures),
+      fieldText(RULE_FIELD.PAUSED, rule.paused),
+    ];
+  }
+
+  override references(rule: WaveRule): readonly Reference[] {
+    return [poolReference(rule.pool)];
+  }
+}
--- a/packages/rules/src/types.ts
+++ b/packages/rules/src/types.ts
@@ -8,11 +8,25 @@
   ValueOf,
   WaveId,
 } from "@heatherferry/common";
-import type { RULE_KIND } from "./constants.js";
+import type { RULE_KIND, RULE_PROBLEM_KIND } from "./constants.js";
 
 export type RuleKind = ValueOf<typeof RULE_KIND>;
+export type RuleProblemKind = ValueOf<typeof RULE_PROBLEM_KIND>;
 
-interface RuleBase {
+/** Something wrong in a rules file. */
+export interface RuleProblem {
+  readonly kind: RuleProblemKind;
+  /** Line in the file, from 1. */
+  readonly line: number;
+  /** Column in the line, from 1. */
+  readonly column: number;
+  /** What is wrong, without a final stop. */
+  readonly problem: string;
+  /** What to do about it, without a final stop. */
+  readonly remedy: string;
+}
+
+export interface RuleBase {
   /** Line in the file, from 1. */
   readonly line: number;
   /** The comment: who asked, and why. */
@@ -52,7 +66,7 @@
   readonly spare: boolean;
 }
 
-/** `queue NAME pool=P open=yes|no team=T urgent=yes|no max-queued=N timeout-ms=N` */
+/** `queue NAME pool=P open=yes|no team=T urgent=yes|no max-queued=N timeout-ms=N max-view-age-ms=N` */
 export interface QueueRule extends RuleBase {
   readonly kind: typeof RULE_KIND.QUEUE;
   readonly queue: QueueId;
