Add the operators' command line

Of two racing operators one must win, the other must see what changed, and neither may be told something untrue.

Change: each command is an Operation (an abstract class: which rows it needs, and a pure decision on them). One reducer turns events of the table and of the timer into effects: read, write, wait, print, exit. A transaction is conditional on every row it writes; a lost reply is settled by sending the same transaction again and looking for its id in the conflicting rows. The audit row of a revision is in the same transaction and never written again, so the id is found however many revisions follow. After 8 sends without an answer the command says what is unknown and what to run.

apply names the revision it starts from, and shows the audit records since when others were first. Key grants, withdrawals and pauses are made anew on what is in force, since their lines do not clash. A drain takes its permit in the same transaction as the host row. Budgets larger than their pool are refused only for pool lines that change, so that a shrunken pool never holds up a withdrawn key. The audit trail is read by the few key prefixes that hold the span asked for, so that a long history costs nothing.

Ruled out: a loop of awaits for each command (retry and settling would stand in each, and could not be tested without timers); letting a grant fail on a lost race as apply does (an operator could only repeat it).

Left open: hosts that are down unplanned are not in the table's rows, so a drain counts planned absences only.

Tests: 29 against an in-memory table that loses replies before and after the effect, changes rows between read and write, and goes down; time is advanced.

--- /dev/null
+++ b/apps/cli/src/apply/showLostRace.ts
@@ -0,0 +1,35 @@
+import { type Revision, revision, type RowKey } from "@heatherferry/common";
+import { auditPrefixes } from "../audit/auditKey.js";
+import { formatAuditRow } from "../audit/formatAudit.js";
+import { failed } from "../operation/decisions.js";
+import { Operation } from "../operation/operation.js";
+import type { TableView } from "../operation/tableView.js";
+import type { Finish } from "../operation/types.js";
+
+/** Tells an operator what others changed since the revision that the file starts from. */
+export class ShowLostRace extends Operation {
+  override readonly prefixes: readonly RowKey[];
+
+  /**
+   * @param path - The operator's file.
+   * @param from - The revision that it starts from.
+   * @param inForce - The revision in force.
+   */
+  constructor(
+    private readonly path: string,
+    private readonly from: Revision,
+    private readonly inForce: Revision,
+  ) {
+    super();
+    this.prefixes = auditPrefixes(revision(from + 1), inForce);
+  }
+
+  override decide(view: TableView): Finish {
+    const changes = view.ofType("audit").map(({ body }) => formatAuditRow(body));
+    return failed(
+      `${this.path} starts from revision ${this.from}, and revision ${this.inForce} is in force. ` +
+        `Nothing was changed, and your file is as it was. Changed since:\n${changes.join("")}` +
+        "Run `heatherferry show > FILE`, put your own lines into that file, and apply it.",
+    );
+  }
+}
--- /dev/null
+++ b/apps/cli/src/commands/operatorCommand.ts
@@ -0,0 +1,73 @@
+import { EXIT_CODE, HeatherferryError } from "@heatherferry/common";
+import { Command, Option } from "clipanion";
+import type { Operation } from "../operation/operation.js";
+import type { ExitCode } from "../operation/types.js";
+import type { Author } from "../rulesChange/planRulesChange.js";
+import { CommandRunner } from "../runner/commandRunner.js";
+import { StreamTerminal } from "../runner/streamTerminal.js";
+import { operatorName, platformOrigin, type Sources } from "../settings/operatorSettings.js";
+import type { OperatorContext } from "./commandEnvironment.js";
+
+/** A command of operators: prints known errors with their remedy. */
+export abstract class OperatorCommand extends Command<OperatorContext> {
+  /** @returns The exit code, once all is done. */
+  protected abstract carryOut(): Promise<ExitCode> | ExitCode;
+
+  override async execute(): Promise<ExitCode> {
+    try {
+      return await this.carryOut();
+    } catch (error) {
+      if (error instanceof HeatherferryError) {
+        this.context.stderr.write(`${error.message}\n`);
+        return EXIT_CODE.BAD_INPUT;
+      }
+      throw error;
+    }
+  }
+}
+
+/** A command that reads the platform's table. */
+export abstract class PlatformCommand extends OperatorCommand {
+  platform = Option.String("--platform", {
+    description: "Origin of the platform's table service, http://HOST:PORT",
+  });
+
+  settings = Option.String("--settings", {
+    description: "TOML file with origin under [platform], and by",
+  });
+
+  /**
+   * @returns The command's first step.
+   * @throws HeatherferryError when the command line cannot be carried out.
+   */
+  protected abstract plan(): Operation;
+
+  protected sources(by?: string): Sources {
+    return { settingsPath: this.settings, platform: this.platform, by, env: this.context.env };
+  }
+
+  protected override async carryOut(): Promise<ExitCode> {
+    const { environment, stdout, stderr } = this.context;
+    const operation = this.plan();
+    const table = environment.openTable(platformOrigin(this.sources()), (key) => {
+      stderr.write(`Row ${key} cannot be read by this build and is left out.\n`);
+    });
+    const terminal = new StreamTerminal(stdout, stderr);
+    try {
+      return await new CommandRunner(table, terminal, environment.newInvocation()).run(operation);
+    } finally {
+      await table.close();
+    }
+  }
+}
+
+/** A command that changes the rules. */
+export abstract class RulesCommand extends PlatformCommand {
+  by = Option.String("--by", {
+    description: "Who makes the change; by default from the settings, or $USER",
+  });
+
+  protected author(): Author {
+    return { name: operatorName(this.sources(this.by)), atMs: Date.now() };
+  }
+}
--- /dev/null
+++ b/apps/cli/src/edit/editRules.ts
@@ -0,0 +1,45 @@
+import { checkedRules } from "@heatherferry/rules";
+import { done } from "../operation/decisions.js";
+import { Operation } from "../operation/operation.js";
+import type { TableView } from "../operation/tableView.js";
+import type { Finish, Write } from "../operation/types.js";
+import {
+  type Author,
+  describeUnknownChange,
+  planRulesChange,
+} from "../rulesChange/planRulesChange.js";
+import { parsedRulesInForce, RULES_HEAD_KEY, rulesInForce } from "../rulesChange/rulesInForce.js";
+import type { RulesEdit } from "./rulesEdit.js";
+
+/** Makes one edit in a new revision, anew on whatever is in force when others are first. */
+export class EditRules extends Operation {
+  override readonly prefixes = [RULES_HEAD_KEY];
+
+  /**
+   * @param edit - The edit.
+   * @param author - Who makes it.
+   */
+  constructor(
+    private readonly edit: RulesEdit,
+    private readonly author: Author,
+  ) {
+    super();
+  }
+
+  override decide(view: TableView): Finish | Write {
+    const inForce = rulesInForce(view);
+    const text = this.edit.apply(inForce.text, parsedRulesInForce(inForce));
+    if (text === inForce.text) {
+      return done(`It is so already in revision ${inForce.revision}; nothing to change.`);
+    }
+    checkedRules(text, "the new rules");
+    const change = planRulesChange(inForce, text, this.author);
+    return {
+      type: "write",
+      rows: change.rows,
+      committed: done(`${this.edit.report}\nRevision ${change.revision} is in force.`),
+      conflicted: this,
+      unknown: describeUnknownChange(change),
+    };
+  }
+}
--- /dev/null
+++ b/apps/cli/src/explain/explainHost.ts
@@ -0,0 +1,50 @@
+import { type HostId, poolId } from "@heatherferry/common";
+import { DRAIN_REASON, HOST_PHASE, type HostRow } from "@heatherferry/core";
+import { formatRule } from "@heatherferry/rules";
+import { findBudget, findHost, FLEET_PREFIXES } from "../drain/fleetView.js";
+import { done } from "../operation/decisions.js";
+import { Operation } from "../operation/operation.js";
+import type { TableView } from "../operation/tableView.js";
+import type { Finish } from "../operation/types.js";
+import { parsedRulesInForce, rulesInForce } from "../rulesChange/rulesInForce.js";
+
+const describeAbsence = (host: HostRow): string => {
+  if (host.phase === HOST_PHASE.IN_SERVICE) {
+    return "in service";
+  }
+  const why =
+    host.drainReason === DRAIN_REASON.WAVE
+      ? `wave ${host.waveId ?? "unknown"}`
+      : (host.drainReason ?? "unknown reason");
+  const next = host.moveTo === null ? "" : `, then joins pool ${host.moveTo}`;
+  const empty = host.phase === HOST_PHASE.STOPPED ? "nothing runs there" : "work may still run";
+  return `${host.phase} (${why}${next}): ${empty}`;
+};
+
+/** Prints a host's row, its permit and the line that bounds its pool. */
+export class ExplainHost extends Operation {
+  override readonly prefixes = FLEET_PREFIXES;
+
+  /** @param hostId - The host. */
+  constructor(private readonly hostId: HostId) {
+    super();
+  }
+
+  override decide(view: TableView): Finish {
+    const { body: host } = findHost(view, this.hostId);
+    const inForce = rulesInForce(view);
+    const rule = parsedRulesInForce(inForce).pools.get(poolId(host.pool));
+    const permits = findBudget(view, host.pool).body.permits.map(({ hostId }) => hostId);
+    const lines = [
+      `host ${host.hostId}, revision ${inForce.revision}`,
+      `  zone ${host.availabilityZone}, rack ${host.rack}, address ${host.address}, ` +
+        `${host.slots} slots`,
+      `  pool ${host.pool}, ${describeAbsence(host)}, drain ${host.drainEpoch}`,
+      `  permits of the pool: ${permits.length === 0 ? "none" : permits.join(" ")}`,
+      rule === undefined
+        ? "  the rules have no line for this pool"
+        : `  line ${rule.line}: ${formatRule(rule)}\n  asked by: ${rule.askedBy}`,
+    ];
+    return done(lines.join("\n"));
+  }
+}
--- /dev/null
+++ b/apps/cli/src/keys/withdrawKey.ts
@@ -0,0 +1,17 @@
+import { removeRule, RULE_KIND } from "@heatherferry/rules";
+import { RulesEdit } from "../edit/rulesEdit.js";
+
+/** Removes a key. */
+export class WithdrawKey extends RulesEdit {
+  override readonly report: string;
+
+  /** @param key - Name of the key. */
+  constructor(private readonly key: string) {
+    super();
+    this.report = `Key ${key} is withdrawn; entry hosts refuse it within seconds.`;
+  }
+
+  override apply(text: string): string {
+    return removeRule(text, RULE_KIND.KEY, this.key);
+  }
+}
--- /dev/null
+++ b/apps/cli/src/main.ts
@@ -0,0 +1,7 @@
+#!/usr/bin/env node
+import { ProcessEnvironment } from "./commands/processEnvironment.js";
+import { OperatorCli } from "./wire.js";
+
+const { stdin, stdout, stderr, env } = process;
+const cli = new OperatorCli(new ProcessEnvironment(), { stdin, stdout, stderr, env });
+process.exitCode = await cli.run(process.argv.slice(2));
--- /dev/null
+++ b/apps/cli/src/wire.ts
@@ -0,0 +1,87 @@
+import { EXIT_CODE } from "@heatherferry/common";
+import { Builtins, Cli, type Command } from "clipanion";
+import type { CommandEnvironment, OperatorContext } from "./commands/commandEnvironment.js";
+import {
+  DrainCommand,
+  ExplainCommand,
+  StatusCommand,
+  UndrainCommand,
+  WaveCommand,
+  WavePauseCommand,
+  WaveResumeCommand,
+} from "./commands/fleetCommands.js";
+import { KeysGrantCommand, KeysWithdrawCommand } from "./commands/keyCommands.js";
+import {
+  ApplyCommand,
+  AuditCommand,
+  CheckCommand,
+  DiffCommand,
+  ShowCommand,
+} from "./commands/rulesCommands.js";
+
+const COMMANDS = [
+  Builtins.HelpCommand,
+  CheckCommand,
+  DiffCommand,
+  ApplyCommand,
+  ShowCommand,
+  AuditCommand,
+  KeysGrantCommand,
+  KeysWithdrawCommand,
+  StatusCommand,
+  ExplainCommand,
+  DrainCommand,
+  UndrainCommand,
+  WaveCommand,
+  WavePauseCommand,
+  WaveResumeCommand,
+] as const;
+
+/** The operators' command line with all its parts. */
+export class OperatorCli {
+  private readonly cli = new Cli<OperatorContext>({
+    binaryLabel: "heatherferry: fleet capacity and maintenance",
+    binaryName: "heatherferry",
+    enableColors: false,
+  });
+
+  /**
+   * @param environment - What commands need of the world.
+   * @param streams - The process's streams and environment variables.
+   */
+  constructor(
+    private readonly environment: CommandEnvironment,
+    private readonly streams: Pick<OperatorContext, "stdin" | "stdout" | "stderr" | "env">,
+  ) {
+    for (const command of COMMANDS) {
+      this.cli.register(command);
+    }
+  }
+
+  /**
+   * @param input - The arguments, without the program's own name.
+   * @returns The exit code.
+   */
+  async run(input: readonly string[]): Promise<number> {
+    const context: OperatorContext = {
+      ...this.streams,
+      colorDepth: 1,
+      environment: this.environment,
+    };
+    const command = this.parse(input, context);
+    return command === null ? EXIT_CODE.BAD_INPUT : await this.cli.run(command, context);
+  }
+
+  private parse(
+    input: readonly string[],
+    context: OperatorContext,
+  ): Command<OperatorContext> | null {
+    try {
+      return this.cli.process([...input], context);
+    } catch (error) {
+      const shown = error instanceof Error ? error : new Error(String(error));
+      context.stderr.write(this.cli.error(shown, { colored: false }));
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/apps/cli/tests/rules.test.ts
@@ -0,0 +1,230 @@
+import { createHash } from "node:crypto";
+import { revision } from "@heatherferry/common";
+import test from "ava";
+import { MemoryTable } from "./memoryTable.js";
+import { contentOf, fileWith, operate, putHost, putRules, RULES, SECRET } from "./operator.js";
+
+const textInForce = (table: MemoryTable): string => table.body("rulesHead", "rules/head").text;
+
+const tableWithRules = (): MemoryTable => {
+  const table = new MemoryTable();
+  putRules(table);
+  return table;
+};
+
+const raised = (limit: number): string =>
+  `# revision 1\n${RULES.replace("limit=40", `limit=${limit}`)}`;
+
+test.serial("a malformed file reaches the table", async (t) => {
+  const table = tableWithRules();
+  const path = fileWith("team north share=1\nqueue q pool=none # Ana\n");
+  for (const command of ["check", "apply", "diff"]) {
+    const { exitCode, err } = await operate(table, [command, path]);
+    t.is(exitCode, 2);
+    t.true(err.includes(`${path}:1:19: The rule does not say who asked`));
+    t.true(err.includes(`${path}:2:14: There is no pool "none". Add a pool line`));
+  }
+  t.is(table.reads + table.writes, 0);
+});
+
+test.serial("a first file is refused, or leaves no trace of who applied it", async (t) => {
+  const table = new MemoryTable();
+  const { exitCode, out } = await operate(table, ["apply", fileWith(RULES), "--by", "luis"]);
+  t.is(exitCode, 0);
+  t.regex(out, /Revision 1 is in force/);
+  t.is(textInForce(table), `# revision 1\n${RULES}`);
+  t.like(table.body("audit", "audit/0000000001"), {
+    revision: 1,
+    fromRevision: 0,
+    appliedBy: "luis",
+    removed: [],
+  });
+  t.is(table.body("audit", "audit/0000000001").added.length, 5);
+});
+
+test.serial("of two racing operators both win, or the loser's text is harmed", async (t) => {
+  const table = tableWithRules();
+  const [winner, loser] = [fileWith(raised(50)), fileWith(raised(60))];
+  let first = 1;
+  table.beforeWrite = async () => {
+    first = (await operate(table, ["apply", winner, "--by", "luis"])).exitCode;
+  };
+  const second = await operate(table, ["apply", loser]);
+  t.is(first, 0);
+  t.is(second.exitCode, 1);
+  t.regex(second.err, /starts from revision 1, and revision 2 is in force\. Nothing was changed/);
+  t.regex(second.err, /revision 2 \(from 1\) by luis .*\n- team north .*limit=40.*\n\+ .*limit=50/);
+  t.regex(second.err, /heatherferry show > FILE/);
+  t.true(textInForce(table).includes("limit=50"));
+  t.is(contentOf(loser), raised(60));
+  t.deepEqual(table.keys("audit/"), ["audit/0000000002"]);
+});
+
+test.serial("a stale file without an overlap in time undoes another's change", async (t) => {
+  const table = tableWithRules();
+  t.is((await operate(table, ["apply", fileWith(raised(50))])).exitCode, 0);
+  t.is((await operate(table, ["apply", fileWith(raised(60))])).exitCode, 1);
+  const plain = fileWith(RULES);
+  t.is((await operate(table, ["apply", plain, "--from", "1"])).exitCode, 1);
+  t.is((await operate(table, ["apply", plain, "--from", "9"])).exitCode, 1);
+  t.is((await operate(table, ["apply", plain, "--from", "2"])).exitCode, 0);
+});
+
+test.serial("show, edit and apply do not fit together", async (t) => {
+  const table = tableWithRules();
+  const shown = await operate(table, ["show"]);
+  const edited = fileWith(shown.out.replace("limit=40", "limit=41"));
+  t.regex((await operate(table, ["diff", edited])).out, /revision 1:\n- team north.*\n\+ team/);
+  t.is((await operate(table, ["apply", edited])).exitCode, 0);
+  t.regex((await operate(table, ["show"])).out, /^# revision 2\n# the valley's fleet\n.*limit=41/);
+  const again = await operate(table, ["apply", edited]);
+  t.is(again.exitCode, 0);
+  t.regex(again.out, /in force as revision 2; nothing to change/);
+});
+
+test.serial("a reply lost after the write took effect makes the winner a loser", async (t) => {
+  const table = tableWithRules();
+  table.writeFaults = ["lostAfter", "lostBefore"];
+  const { exitCode, out } = await operate(table, ["apply", fileWith(raised(50))]);
+  t.is(exitCode, 0);
+  t.regex(out, /\+ team north .*limit=50.*\nRevision 2 is in force\./);
+  t.is(table.writes, 3);
+  t.is(table.body("rulesHead", "rules/head").revision, revision(2));
+});
+
+test.serial("a lost reply is forgotten once others changed the rules since", async (t) => {
+  const table = tableWithRules();
+  table.writeFaults = ["lostAfter"];
+  const others = async (): Promise<void> => {
+    for (let limit = 100; limit < 112; limit += 1) {
+      const text = RULES.replace("limit=20", `limit=${limit}`);
+      await operate(table, ["apply", fileWith(text)]);
+    }
+  };
+  table.beforeWrite = async () => {
+    await Promise.resolve();
+    table.beforeWrite = others;
+  };
+  const { exitCode, out } = await operate(table, ["apply", fileWith(raised(50))]);
+  t.is(exitCode, 0);
+  t.regex(out, /Revision 2 is in force/);
+  t.is(table.body("rulesHead", "rules/head").revision, revision(14));
+});
+
+test.serial("a write without any answer is reported as done or as not done", async (t) => {
+  const table = tableWithRules();
+  table.writeFaults = Array.from({ length: 100 }, () => "lostBefore");
+  const { exitCode, err } = await operate(table, ["apply", fileWith(raised(50))]);
+  t.is(exitCode, 1);
+  t.is(table.writes, 8);
+  t.regex(err, /unknown whether revision 2 was written\. Run `heatherferry audit --since 2`/);
+});
+
+test.serial(
+  "a table that is down is asked for ever, or a short outage ends a command",
+  async (t) => {
+    const table = tableWithRules();
+    table.readFaults = 4;
+    t.is((await operate(table, ["show"])).exitCode, 0);
+    table.readFaults = 100;
+    const { exitCode, err } = await operate(table, ["show"]);
+    t.is(exitCode, 1);
+    t.regex(err, /Nothing was changed\. Run the command again/);
+  },
+);
+
+test.serial("a granted key shows its secret twice, in the rules, or not at all", async (t) => {
+  const table = tableWithRules();
+  const { exitCode, out } = await operate(table, ["keys", "grant", "north", "--asked-by", "Eva"]);
+  t.is(exitCode, 0);
+  t.is(out.split(SECRET).length, 2);
+  t.false(textInForce(table).includes(SECRET));
+  const hash = createHash("sha256").update(SECRET).digest("hex");
+  t.regex(textInForce(table), new RegExp(`^key north-\\S+ team=north hash=${hash} # Eva$`, "m"));
+  t.is(table.body("audit", "audit/0000000002").added.length, 1);
+});
+
+test.serial("a lost reply grants a second key, or hides the secret", async (t) => {
+  const table = tableWithRules();
+  table.writeFaults = ["lostAfter"];
+  const { exitCode, out } = await operate(table, ["keys", "grant", "north", "--asked-by", "Eva"]);
+  t.is(exitCode, 0);
+  t.true(out.includes(SECRET));
+  t.deepEqual(table.keys("audit/"), ["audit/0000000002"]);
+});
+
+test.serial("a withdrawn key is in the next revision, or another line is lost", async (t) => {
+  const table = tableWithRules();
+  await operate(table, ["keys", "grant", "north", "--asked-by", "Eva"]);
+  const name = /key (\S+)/u.exec(textInForce(table))?.[1] ?? "";
+  const { exitCode } = await operate(table, ["keys", "withdraw", name]);
+  t.is(exitCode, 0);
+  t.is(textInForce(table), `# revision 3\n${RULES}`);
+  t.is((await operate(table, ["keys", "withdraw", name])).exitCode, 1);
+});
+
+test.serial("a grant that loses a race is lost, or undoes the winner's change", async (t) => {
+  const table = tableWithRules();
+  table.beforeWrite = async () => {
+    await operate(table, ["apply", fileWith(raised(50))]);
+  };
+  const { exitCode } = await operate(table, ["keys", "grant", "south", "--asked-by", "Eva"]);
+  t.is(exitCode, 0);
+  t.regex(textInForce(table), /^# revision 3\n[^]*limit=50[^]*key south-/);
+});
+
+test.serial("a key for an unknown team, or a comment with a rule in it, is taken", async (t) => {
+  const table = tableWithRules();
+  const injected = "Eva\nteam evil share=1 limit=1 # Eva";
+  const second = await operate(table, ["keys", "grant", "north", "--asked-by", injected]);
+  t.is(second.exitCode, 2);
+  const first = await operate(table, ["keys", "grant", "nort", "--asked-by", "Eva"]);
+  t.is(first.exitCode, 1);
+  t.regex(first.err, /no team "nort"\. Look the name up/);
+  t.is(table.writes, 0);
+});
+
+test.serial("a budget larger than its pool is put in force", async (t) => {
+  const table = tableWithRules();
+  ["die-1", "die-2"].forEach((name) => {
+    putHost(table, name);
+  });
+  const path = fileWith(`# revision 1\n${RULES.replace("max-unavailable=2", "max-unavailable=3")}`);
+  const { exitCode, err } = await operate(table, ["apply", path]);
+  t.is(exitCode, 2);
+  t.true(err.includes(`${path}:5:1: Pool dies has 2 hosts, and 3 may be unavailable.`));
+  t.is(table.writes, 0);
+});
+
+test.serial("a wave is paused without a trace, or twice", async (t) => {
+  const table = tableWithRules();
+  t.is((await operate(table, ["wave", "pause", "spring"])).exitCode, 0);
+  t.regex(textInForce(table), /^wave spring pool=dies max-parallel=1 paused=yes # Luis/m);
+  t.is(table.body("audit", "audit/0000000002").removed.length, 1);
+  t.is((await operate(table, ["wave", "pause", "spring"])).exitCode, 0);
+  t.is((await operate(table, ["wave", "resume", "spring"])).exitCode, 0);
+  t.regex(textInForce(table), /^# revision 3\n[^]*max-parallel=1 paused=no # Luis/);
+  t.is((await operate(table, ["wave", "pause", "autumn"])).exitCode, 1);
+});
+
+test.serial("a command without a platform, an operator or sound options goes ahead", async (t) => {
+  const table = tableWithRules();
+  const path = fileWith(raised(50));
+  const platform = ["--platform", "http://127.0.0.1:1"];
+  t.regex((await operate(table, ["show"], {})).err, /No platform is named\. Pass --platform/);
+  t.regex((await operate(table, ["apply", path, ...platform], {})).err, /Pass --by NAME/);
+  const wrong = [
+    ["show", "--platform", "nonsense"],
+    ["apply", path, "--from", "x"],
+    ["apply", "/nowhere.rules"],
+    ["explain", "rack", "r1"],
+    ["frobnicate"],
+    ["show", "--settings", "/nowhere.toml"],
+  ];
+  for (const input of wrong) {
+    const { exitCode, err } = await operate(table, input);
+    t.is(exitCode, 2);
+    t.not(err, "");
+  }
+  t.is(table.reads + table.writes, 0);
+});
