Build the reducer and its first slices

Every decision of a node is made in one function over State and Event; the slices are folders of small functions. The platform slice mirrors ranges of the table and settles writes whose reply was lost by sending the same conditional transaction again and looking for its id in the conflicting row. Requests go from admission through a start-time fair queue to a target's slot and to one true outcome.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,1 +1,2 @@
+export * from "./fairQueue/fairQueue.js";
 export * from "./fairQueue/types.js";
--- /dev/null
+++ b/packages/core/src/initialState.ts
@@ -0,0 +1,59 @@
+import { rowKey } from "@heatherferry/common";
+import { xoroshiro128plus } from "pure-rand";
+import { initialFleet } from "./fleet/rowsChangedFleet.js";
+import { initialLimits } from "./limits/holdings.js";
+import { initialMembership, zoneMembersPrefix } from "./membership/reduceMembership.js";
+import { NODE_ROLE } from "./node/constants.js";
+import type { NodeIdentity } from "./node/types.js";
+import { ROW_PREFIX } from "./platform/constants.js";
+import { mirrorPrefix } from "./platform/mirror.js";
+import { initialPlatform } from "./platform/reducePlatform.js";
+import { rowKeyOf } from "./platform/writes.js";
+import { initialQueues } from "./queues/poolQueues.js";
+import { initialRequests } from "./requests/reduceRequests.js";
+import { initialRevisions } from "./revisions/reduceRevisions.js";
+import { initialRouting } from "./routing/targets.js";
+import type { State } from "./state.js";
+
+const mirrorForRole = (state: State): void => {
+  const { role, availabilityZone } = state.node.identity;
+  mirrorPrefix(state, rowKey(ROW_PREFIX.RULES_HEAD));
+  if (role === NODE_ROLE.ENTRY) {
+    mirrorPrefix(state, zoneMembersPrefix(state));
+    mirrorPrefix(state, rowKeyOf(ROW_PREFIX.HOST, availabilityZone, "/"));
+    mirrorPrefix(state, rowKeyOf(ROW_PREFIX.ZONE_ESCROW, availabilityZone));
+  } else {
+    mirrorPrefix(state, rowKey(ROW_PREFIX.HOST));
+    mirrorPrefix(state, rowKey(ROW_PREFIX.MEMBER));
+    mirrorPrefix(state, rowKey(ROW_PREFIX.POOL_BUDGET));
+    mirrorPrefix(state, rowKey(ROW_PREFIX.MAINTAINER_LEASE));
+    mirrorPrefix(state, rowKey(ROW_PREFIX.WAVE));
+  }
+};
+
+/**
+ * @param identity - Who the node is.
+ * @param seed - Seed of the node's random numbers.
+ * @param nowMs - Present time on the node's clock.
+ * @returns The state of a node that knows nothing yet.
+ */
+export const initialState = (identity: NodeIdentity, seed: number, nowMs: number): State => {
+  const state: State = {
+    nowMs,
+    random: xoroshiro128plus(seed),
+    node: { identity, leavingSinceMs: null, supersededBy: null },
+    platform: initialPlatform(),
+    revisions: initialRevisions(),
+    membership: initialMembership(),
+    requests: initialRequests(),
+    queues: initialQueues(),
+    limits: initialLimits(),
+    tickets: { nextTicketSequence: 0, works: new Map() },
+    routing: initialRouting(),
+    peers: { nextDigestAtMs: 0, lastDigests: new Map() },
+    fleet: initialFleet(),
+    waves: { waves: new Map() },
+  };
+  mirrorForRole(state);
+  return state;
+};
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -46,8 +46,8 @@
   heartbeatInFlight: boolean;
   /** Until then this node's heartbeat stands, on its own clock. */
   sessionUntilMs: number;
+  /** The drains acknowledged in the last heartbeat, as JSON. */
+  acknowledged: string;
   /** The row says that this node left. */
   leftWritten: boolean;
 }
-
-export type MembershipEvent = never;
--- /dev/null
+++ b/packages/core/src/platform/reducePlatform.ts
@@ -0,0 +1,168 @@
+import type { Effect } from "../effect.js";
+import type { Event } from "../event.js";
+import type { State } from "../state.js";
+import { PLATFORM } from "./constants.js";
+import { confirmRanges, rangesToRead, takeRows } from "./mirror.js";
+import type {
+  PendingWrite,
+  PlatformEvent,
+  PlatformState,
+  TableRow,
+  WriteOutcome,
+} from "./types.js";
+import { resendDelayMs, tookEffect } from "./writes.js";
+
+/** What the other slices have to hear of. */
+export interface PlatformNews {
+  /** Rows that changed. */
+  readonly rows: readonly TableRow[];
+  /** Writes whose outcome is now known. */
+  readonly outcomes: readonly WriteOutcome[];
+}
+
+type EventOf<Type extends PlatformEvent["type"]> = Extract<PlatformEvent, { type: Type }>;
+
+const NO_NEWS: PlatformNews = { rows: [], outcomes: [] };
+
+export const initialPlatform = (): PlatformState => ({
+  mirror: new Map(),
+  ranges: new Map(),
+  pendingWrites: new Map(),
+  nextWriteSequence: 0,
+  readInFlight: false,
+  nextReadAtMs: 0,
+  consecutiveReadFailures: 0,
+  tableClockOffsetMs: null,
+});
+
+const settle = (
+  state: State,
+  pending: PendingWrite,
+  result: WriteOutcome["result"],
+  rows: readonly TableRow[],
+): WriteOutcome => {
+  const { write, purpose, firstSentAtMs } = pending;
+  state.platform.pendingWrites.delete(write.writeId);
+  return { write, purpose, result, firstSentAtMs, rows };
+};
+
+const readWhenDue = (state: State, effects: Effect[]): void => {
+  const { platform } = state;
+  if (platform.readInFlight || state.nowMs < platform.nextReadAtMs) {
+    return;
+  }
+  if (platform.ranges.size === 0) {
+    return;
+  }
+  platform.readInFlight = true;
+  effects.push({ type: "table/read", ranges: rangesToRead(state) });
+};
+
+const resendWhenDue = (state: State, effects: Effect[]): readonly WriteOutcome[] => {
+  const outcomes: WriteOutcome[] = [];
+  for (const pending of state.platform.pendingWrites.values()) {
+    if (pending.resendAtMs === null || state.nowMs < pending.resendAtMs) {
+      continue;
+    }
+    if (pending.giveUpAtMs !== null && state.nowMs >= pending.giveUpAtMs) {
+      outcomes.push(settle(state, pending, "unsettled", []));
+      continue;
+    }
+    pending.sends += 1;
+    pending.resendAtMs = null;
+    effects.push({ type: "table/write", write: pending.write });
+  }
+  return outcomes;
+};
+
+const onReadCompleted = (state: State, event: EventOf<"table/readCompleted">): PlatformNews => {
+  const { platform } = state;
+  if (event.tableTimeMs !== null) {
+    platform.readInFlight = false;
+    platform.consecutiveReadFailures = 0;
+    platform.nextReadAtMs = event.sentAtMs + PLATFORM.READ_INTERVAL_MS;
+    // The table answered after the read was sent: its clock is at least this far ahead.
+    platform.tableClockOffsetMs = event.tableTimeMs - event.atMs;
+  }
+  confirmRanges(state, event.ranges, event.upToVersion, event.sentAtMs - event.viewAgeMs);
+  return { rows: takeRows(state, event.rows), outcomes: [] };
+};
+
+const onReadFailed = (state: State): void => {
+  const { platform } = state;
+  platform.readInFlight = false;
+  platform.consecutiveReadFailures += 1;
+  platform.nextReadAtMs = state.nowMs + PLATFORM.READ_INTERVAL_MS;
+};
+
+const committedRows = (
+  state: State,
+  pending: PendingWrite,
+  event: EventOf<"table/writeCommitted">,
+): readonly TableRow[] =>
+  pending.write.puts.map((put) => ({
+    key: put.key,
+    version: event.version,
+    committedAtMs: state.nowMs + (state.platform.tableClockOffsetMs ?? 0),
+    writeIds: put.writeIds,
+    body: put.body,
+  }));
+
+const onCommitted = (state: State, event: EventOf<"table/writeCommitted">): PlatformNews => {
+  const pending = state.platform.pendingWrites.get(event.writeId);
+  if (pending === undefined) {
+    return NO_NEWS;
+  }
+  return {
+    rows: takeRows(state, committedRows(state, pending, event)),
+    outcomes: [settle(state, pending, "committed", [])],
+  };
+};
+
+const onConflicted = (state: State, event: EventOf<"table/writeConflicted">): PlatformNews => {
+  const pending = state.platform.pendingWrites.get(event.writeId);
+  const rows = takeRows(state, event.rows);
+  if (pending === undefined) {
+    return { rows, outcomes: [] };
+  }
+  const result = tookEffect(pending, event.rows) ? "committed" : "conflicted";
+  return { rows, outcomes: [settle(state, pending, result, event.rows)] };
+};
+
+const onUnanswered = (state: State, event: EventOf<"table/writeUnanswered">): void => {
+  const pending = state.platform.pendingWrites.get(event.writeId);
+  if (pending !== undefined) {
+    pending.resendAtMs = state.nowMs + resendDelayMs(pending.sends);
+  }
+};
+
+/**
+ * Keeps the mirror of the table fresh and finds out how each write ended.
+ *
+ * @param state - The state to change.
+ * @param event - Any event.
+ * @param effects - Receives reads and writes.
+ * @returns Changed rows and settled writes.
+ */
+export const reducePlatform = (state: State, event: Event, effects: Effect[]): PlatformNews => {
+  switch (event.type) {
+    case "clock/ticked": {
+      readWhenDue(state, effects);
+      return { rows: [], outcomes: resendWhenDue(state, effects) };
+    }
+    case "table/readCompleted":
+      return onReadCompleted(state, event);
+    case "table/readFailed":
+      onReadFailed(state);
+      return NO_NEWS;
+    case "table/writeCommitted":
+      return onCommitted(state, event);
+    case "table/writeConflicted":
+      return onConflicted(state, event);
+    case "table/writeUnanswered":
+      onUnanswered(state, event);
+      return NO_NEWS;
+    default:
+      return NO_NEWS;
+  }
+};
--- a/packages/core/src/platform/types.ts
+++ b/packages/core/src/platform/types.ts
@@ -117,7 +117,12 @@
       readonly tableTimeMs: number | null;
     }
   | { readonly type: "table/readFailed"; readonly atMs: number; readonly reason: string }
-  | { readonly type: "table/writeCommitted"; readonly atMs: number; readonly writeId: WriteId }
+  | {
+      readonly type: "table/writeCommitted";
+      readonly atMs: number;
+      readonly writeId: WriteId;
+      readonly version: TableVersion;
+    }
   | {
       readonly type: "table/writeConflicted";
       readonly atMs: number;
--- /dev/null
+++ b/packages/core/src/platform/writes.ts
@@ -0,0 +1,92 @@
+import { rowKey, tableVersion, writeId, type RowKey, type WriteId } from "@heatherferry/common";
+import type { Effect } from "../effect.js";
+import type { State } from "../state.js";
+import { PLATFORM } from "./constants.js";
+import type {
+  PendingWrite,
+  RowBody,
+  RowCondition,
+  RowPut,
+  TableRow,
+  TableWrite,
+  WritePurpose,
+} from "./types.js";
+
+/** A transaction that a slice asks for. */
+export interface WriteRequest {
+  readonly purpose: WritePurpose;
+  readonly puts: readonly { readonly key: RowKey; readonly body: RowBody }[];
+  /** Rows that must still be as mirrored, beside those that are put. */
+  readonly unchanged?: readonly RowKey[];
+  /** After this time the write is given up unsettled; null to resend until settled. */
+  readonly giveUpAtMs: number | null;
+}
+
+const nextWriteId = (state: State): WriteId => {
+  const { entryHostId, incarnation } = state.node.identity;
+  state.platform.nextWriteSequence += 1;
+  return writeId(`${entryHostId}/${incarnation}/${state.platform.nextWriteSequence}`);
+};
+
+const conditionOf = (state: State, key: RowKey): RowCondition => ({
+  key,
+  version: state.platform.mirror.get(key)?.version ?? tableVersion(0),
+});
+
+const putOf = (state: State, id: WriteId, key: RowKey, body: RowBody): RowPut => {
+  const earlier = state.platform.mirror.get(key)?.writeIds ?? [];
+  return { key, body, writeIds: [...earlier, id].slice(-PLATFORM.KEPT_WRITE_IDS) };
+};
+
+/**
+ * Sends a transaction that takes effect only while all its rows are as mirrored. It is resent
+ * until its outcome is known; the outcome comes back as a `WriteOutcome`.
+ *
+ * @param state - The state to change.
+ * @param request - What is to be written.
+ * @param effects - Receives the effect.
+ * @returns The id under which the outcome comes back.
+ */
+export const submitWrite = (state: State, request: WriteRequest, effects: Effect[]): WriteId => {
+  const id = nextWriteId(state);
+  const keys = new Set([...request.puts.map((put) => put.key), ...(request.unchanged ?? [])]);
+  const write: TableWrite = {
+    writeId: id,
+    conditions: [...keys].map((key) => conditionOf(state, key)),
+    puts: request.puts.map((put) => putOf(state, id, put.key, put.body)),
+  };
+  const pending: PendingWrite = {
+    write,
+    purpose: request.purpose,
+    firstSentAtMs: state.nowMs,
+    giveUpAtMs: request.giveUpAtMs,
+    sends: 1,
+    resendAtMs: null,
+  };
+  state.platform.pendingWrites.set(id, pending);
+  effects.push({ type: "table/write", write });
+  return id;
+};
+
+/**
+ * Whether a conflicting row shows that the write had taken effect before.
+ *
+ * @param pending - The write.
+ * @param rows - The rows as they are in the table.
+ * @returns True when one of the rows names the write.
+ */
+export const tookEffect = (pending: PendingWrite, rows: readonly TableRow[]): boolean =>
+  rows.some((row) => row.writeIds.includes(pending.write.writeId));
+
+/**
+ * @param sends - How often the write was sent so far.
+ * @returns Time until it is sent again, in ms.
+ */
+export const resendDelayMs = (sends: number): number =>
+  Math.min(PLATFORM.RESEND_MAX_MS, PLATFORM.RESEND_MIN_MS * 2 ** (sends - 1));
+
+/**
+ * @param parts - Parts of a row key.
+ * @returns The key.
+ */
+export const rowKeyOf = (...parts: readonly string[]): RowKey => rowKey(parts.join(""));
--- /dev/null
+++ b/packages/core/src/reducer.ts
@@ -0,0 +1,97 @@
+import { assertNever } from "@heatherferry/common";
+import type { Effect } from "./effect.js";
+import type { Event } from "./event.js";
+import { rowsChangedFleet } from "./fleet/rowsChangedFleet.js";
+import {
+  reduceMembership,
+  refreshMembers,
+  rowsChangedMembership,
+  writeSettledMembership,
+} from "./membership/reduceMembership.js";
+import { reducePlatform } from "./platform/reducePlatform.js";
+import type { TableRow, WriteOutcome } from "./platform/types.js";
+import { defaultPolicies, type Policies } from "./policies/policies.js";
+import { recheckWaitingPools, rulesChangedQueues } from "./queues/poolQueues.js";
+import { startReady } from "./requests/dispatch.js";
+import { reduceRequests } from "./requests/reduceRequests.js";
+import { rowsChangedRevisions } from "./revisions/reduceRevisions.js";
+import { divideSlots, endEjections, rowsChangedRouting } from "./routing/targets.js";
+import type { State } from "./state.js";
+
+/** Time never goes back, whatever order events are handed in. */
+const advanceClock = (state: State, event: Event): void => {
+  state.nowMs = Math.max(state.nowMs, event.atMs);
+};
+
+const reduceNode = (state: State, event: Event): void => {
+  if (event.type === "node/shutdownRequested") {
+    state.node.leavingSinceMs ??= state.nowMs;
+  }
+};
+
+const spreadRows = (state: State, rows: readonly TableRow[], effects: Effect[]): void => {
+  if (rows.length === 0) {
+    return;
+  }
+  if (rowsChangedRevisions(state, rows, effects)) {
+    rulesChangedQueues(state);
+  }
+  rowsChangedMembership(state, rows, effects);
+  rowsChangedFleet(state, rows);
+  rowsChangedRouting(state, rows);
+};
+
+const spreadOutcome = (state: State, outcome: WriteOutcome): void => {
+  switch (outcome.purpose) {
+    case "membership":
+      writeSettledMembership(state, outcome);
+      return;
+    case "escrow":
+    case "claim":
+    case "fleet":
+    case "wave":
+    case "lease":
+      return;
+    default:
+      assertNever(outcome.purpose);
+  }
+};
+
+const onTick = (state: State): void => {
+  if (refreshMembers(state)) {
+    divideSlots(state);
+  }
+  endEjections(state);
+  recheckWaitingPools(state);
+};
+
+/**
+ * The one reducer: every decision of a node is made here. The state is updated in place and
+ * belongs to the reducer alone; the same events from the same state give the same effects.
+ *
+ * @param state - The state to change.
+ * @param event - What happened.
+ * @param policies - The node's policies.
+ * @returns What is to be done now, in this order.
+ */
+export const reduce = (
+  state: State,
+  event: Event,
+  policies: Policies = defaultPolicies(),
+): readonly Effect[] => {
+  const effects: Effect[] = [];
+  advanceClock(state, event);
+  reduceNode(state, event);
+  const news = reducePlatform(state, event, effects);
+  spreadRows(state, news.rows, effects);
+  for (const outcome of news.outcomes) {
+    spreadOutcome(state, outcome);
+  }
+  if (event.type === "clock/ticked") {
+    onTick(state);
+  }
+  reduceMembership(state, event, effects);
+  reduceRequests(state, event, policies, effects);
+  startReady(state, policies, effects);
+  return effects;
+};
--- /dev/null
+++ b/packages/core/src/requests/admission.ts
@@ -0,0 +1,118 @@
+import type { TeamId } from "@heatherferry/common";
+import { enqueue, teamQueueOf } from "@heatherferry/coordination";
+import type { QueueRule } from "@heatherferry/rules";
+import { rowKey } from "@heatherferry/common";
+import type { Effect } from "../effect.js";
+import { ROW_PREFIX } from "../platform/constants.js";
+import { viewAgeMs } from "../platform/mirror.js";
+import { poolQueue } from "../queues/poolQueues.js";
+import { KEYS } from "../revisions/constants.js";
+import { targetsOf } from "../routing/targets.js";
+import type { State } from "../state.js";
+import { REFUSAL_KIND, REQUEST, REQUEST_PHASE } from "./constants.js";
+import { watchDeadline } from "./deadlines.js";
+import { expectedWaitMs, notRun, refuse } from "./refusals.js";
+import type { Refusal, RequestArrived, RequestRecord } from "./types.js";
+
+const RULES_HEAD = rowKey(ROW_PREFIX.RULES_HEAD);
+
+const isRefusal = (value: TeamId | Refusal): value is Refusal => typeof value !== "string";
+
+/** The team that the request is charged to, or why it is not taken. */
+const teamOf = (state: State, queue: QueueRule, event: RequestArrived): TeamId | Refusal => {
+  if (event.keyHash === null) {
+    return queue.openTeam ?? notRun(REFUSAL_KIND.NO_KEY, null);
+  }
+  const maxViewAgeMs = queue.maxViewAgeMs ?? KEYS.MAX_VIEW_AGE_MS;
+  if (viewAgeMs(state, RULES_HEAD) > maxViewAgeMs) {
+    return queue.openTeam ?? notRun(REFUSAL_KIND.KEYS_TOO_OLD, KEYS.MAX_VIEW_AGE_MS);
+  }
+  const holder = state.revisions.keysByHash.get(event.keyHash);
+  return holder?.team ?? notRun(REFUSAL_KIND.UNKNOWN_KEY, null);
+};
+
+const refusalBeforeQueueing = (state: State, rule: QueueRule, team: TeamId): Refusal | null => {
+  if (targetsOf(state, rule.pool).length === 0) {
+    return notRun(REFUSAL_KIND.NO_TARGET, REQUEST.MAX_RETRY_AFTER_MS);
+  }
+  const queue = poolQueue(state, rule.pool);
+  if (teamQueueOf(queue, team).length >= rule.maxQueued) {
+    return notRun(REFUSAL_KIND.QUEUE_FULL, expectedWaitMs(state, rule.pool, queue));
+  }
+  return null;
+};
+
+const newRecord = (
+  state: State,
+  event: RequestArrived,
+  rule: QueueRule,
+  team: TeamId,
+): RequestRecord => ({
+  requestId: event.requestId,
+  queue: rule.queue,
+  pool: rule.pool,
+  team,
+  urgent: rule.urgent,
+  idempotent: event.idempotent,
+  arrivedAtMs: state.nowMs,
+  deadlineAtMs: state.nowMs + Math.min(event.timeoutMs ?? rule.timeoutMs, REQUEST.MAX_TIMEOUT_MS),
+  workKey: null,
+  phase: REQUEST_PHASE.QUEUED,
+  attempts: 0,
+  attemptId: null,
+  triedHosts: [],
+  attached: [],
+});
+
+/**
+ * Has a request wait for its turn.
+ *
+ * @param state - The state to change.
+ * @param record - The request.
+ * @param first - Before the requests of its class that wait already.
+ */
+export const queueRequest = (state: State, record: RequestRecord, first = false): void => {
+  record.phase = REQUEST_PHASE.QUEUED;
+  const queue = poolQueue(state, record.pool);
+  enqueue(queue, record.team, record.requestId, record.urgent || first);
+  state.queues.changed.add(record.pool);
+};
+
+/**
+ * Takes a request in, or says why not.
+ *
+ * @param state - The state to change.
+ * @param event - The arrival.
+ * @param effects - Receives the effects.
+ */
+export const admitRequest = (state: State, event: RequestArrived, effects: Effect[]): void => {
+  state.requests.counters.arrived += 1;
+  const refuseAs = (refusal: Refusal): void => {
+    refuse(state, event.requestId, refusal, effects);
+  };
+  if (state.node.leavingSinceMs !== null) {
+    refuseAs(notRun(REFUSAL_KIND.LEAVING, REQUEST.MIN_RETRY_AFTER_MS));
+    return;
+  }
+  const rule = state.revisions.rules.queues.get(event.queue);
+  if (rule === undefined) {
+    const kind =
+      state.revisions.revision === 0 ? REFUSAL_KIND.NO_RULES : REFUSAL_KIND.UNKNOWN_QUEUE;
+    refuseAs(notRun(kind, null));
+    return;
+  }
+  const team = teamOf(state, rule, event);
+  if (isRefusal(team)) {
+    refuseAs(team);
+    return;
+  }
+  const refusal = refusalBeforeQueueing(state, rule, team);
+  if (refusal !== null) {
+    refuseAs(refusal);
+    return;
+  }
+  const record = newRecord(state, event, rule, team);
+  state.requests.records.set(record.requestId, record);
+  watchDeadline(state, record);
+  queueRequest(state, record);
+};
--- a/packages/core/src/requests/constants.ts
+++ b/packages/core/src/requests/constants.ts
@@ -56,4 +56,9 @@
   MAX_BODY_BYTES: 8_388_608,
   /** Bodies up to this size are kept for another attempt. */
   REPLAY_BODY_BYTES: 262_144,
+  /** Deadlines are looked at in spans of this length. */
+  DEADLINE_SPAN_MS: 50,
+  MIN_RETRY_AFTER_MS: 100,
+  MAX_RETRY_AFTER_MS: 30_000,
+  MAX_TIMEOUT_MS: 3_600_000,
 } as const;
--- /dev/null
+++ b/packages/core/src/requests/reduceRequests.ts
@@ -0,0 +1,104 @@
+import type { RequestId } from "@heatherferry/common";
+import { removeRequest } from "@heatherferry/coordination";
+import type { Effect } from "../effect.js";
+import type { Event } from "../event.js";
+import type { Policies } from "../policies/policies.js";
+import { poolQueue } from "../queues/poolQueues.js";
+import type { State } from "../state.js";
+import { admitRequest } from "./admission.js";
+import { reduceAttempts } from "./attempts.js";
+import { REFUSAL_KIND, REQUEST_PHASE } from "./constants.js";
+import { takeExpired } from "./deadlines.js";
+import { expectedWaitMs, notRun, refuse, unknown } from "./refusals.js";
+import type { RequestRecord, RequestsState } from "./types.js";
+
+export const initialRequests = (): RequestsState => ({
+  records: new Map(),
+  attempts: new Map(),
+  deadlines: new Map(),
+  nextDeadlineSpan: 0,
+  nextAttemptSequence: 0,
+  counters: {
+    arrived: 0,
+    answered: 0,
+    notRun: 0,
+    unknown: 0,
+    cancelled: 0,
+    lateAnswersDropped: 0,
+    retried: 0,
+  },
+});
+
+/** Ends a request here; a running attempt is told to stop and keeps its slot until it has. */
+const withdraw = (state: State, record: RequestRecord, effects: Effect[]): void => {
+  state.requests.records.delete(record.requestId);
+  removeRequest(poolQueue(state, record.pool), record.requestId);
+  if (record.attemptId !== null) {
+    const { requestId, attemptId } = record;
+    effects.push({ type: "attempt/abort", requestId, attemptId });
+  }
+};
+
+const expire = (state: State, record: RequestRecord, effects: Effect[]): void => {
+  if (record.phase === REQUEST_PHASE.ANSWERING) {
+    return;
+  }
+  const started = record.phase === REQUEST_PHASE.RUNNING;
+  withdraw(state, record, effects);
+  const queue = poolQueue(state, record.pool);
+  const refusal = started
+    ? unknown(REFUSAL_KIND.DEADLINE)
+    : notRun(REFUSAL_KIND.DEADLINE, expectedWaitMs(state, record.pool, queue));
+  refuse(state, record.requestId, refusal, effects);
+};
+
+const expireDue = (state: State, effects: Effect[]): void => {
+  for (const requestId of takeExpired(state)) {
+    const record = state.requests.records.get(requestId);
+    if (record !== undefined) {
+      expire(state, record, effects);
+    }
+  }
+};
+
+const cancel = (state: State, requestId: RequestId, effects: Effect[]): void => {
+  const record = state.requests.records.get(requestId);
+  if (record !== undefined) {
+    state.requests.counters.cancelled += 1;
+    withdraw(state, record, effects);
+  }
+};
+
+/**
+ * Follows requests from arrival to their one outcome.
+ *
+ * @param state - The state to change.
+ * @param event - Any event.
+ * @param policies - The node's policies.
+ * @param effects - Receives the effects.
+ */
+export const reduceRequests = (
+  state: State,
+  event: Event,
+  policies: Policies,
+  effects: Effect[],
+): void => {
+  switch (event.type) {
+    case "request/arrived":
+      admitRequest(state, event, effects);
+      return;
+    case "request/cancelled":
+      cancel(state, event.requestId, effects);
+      return;
+    case "attempt/answerBegan":
+    case "attempt/completed":
+    case "attempt/failed":
+      reduceAttempts(state, event, policies, effects);
+      return;
+    case "clock/ticked":
+      expireDue(state, effects);
+      return;
+    default:
+      return;
+  }
+};
--- a/packages/core/src/requests/types.ts
+++ b/packages/core/src/requests/types.ts
@@ -40,16 +40,31 @@
   attempts: number;
   /** The attempt whose events count; others are late and are dropped. */
   attemptId: AttemptId | null;
-  hostId: HostId | null;
-  dispatchedAtMs: number | null;
   /** Targets that already failed it. */
   triedHosts: HostId[];
   /** Repeats that wait for the same answer. */
   attached: RequestId[];
 }
 
+/** One try of a request on a target; holds a slot until the connection is done with. */
+export interface Attempt {
+  readonly attemptId: AttemptId;
+  readonly requestId: RequestId;
+  readonly hostId: HostId;
+  readonly pool: PoolId;
+  readonly team: TeamId;
+  readonly startedAtMs: number;
+  /** Slot time that the team was charged at the start. */
+  readonly chargedMs: number;
+}
+
 export interface RequestsState {
   records: Map<RequestId, RequestRecord>;
+  attempts: Map<AttemptId, Attempt>;
+  /** Requests whose deadline falls in a span of time, by the span's number. */
+  deadlines: Map<number, RequestId[]>;
+  /** The first span that was not looked at yet. */
+  nextDeadlineSpan: number;
   nextAttemptSequence: number;
   counters: {
     arrived: number;
@@ -90,12 +105,16 @@
       readonly requestId: RequestId;
       readonly attemptId: AttemptId;
       readonly statusCode: number;
+      /** Whether the body can be sent once more. */
+      readonly replayable: boolean;
     }
   | {
       readonly type: "attempt/completed";
       readonly atMs: number;
       readonly requestId: RequestId;
       readonly attemptId: AttemptId;
+      /** The target answered that it failed. */
+      readonly failed: boolean;
     }
   | {
       readonly type: "attempt/failed";
@@ -103,6 +122,8 @@
       readonly requestId: RequestId;
       readonly attemptId: AttemptId;
       readonly stage: AttemptStage;
+      /** This node stopped it; the target is not to blame. */
+      readonly aborted: boolean;
       /** The connection went silent, as opposed to being closed. */
       readonly silent: boolean;
       /** Whether the body can be sent once more. */
@@ -130,6 +151,8 @@
       readonly attached: readonly RequestId[];
       /** Whether the answer is to be kept for later repeats. */
       readonly keepAs: string | null;
+      /** Handed back with `attempt/completed`. */
+      readonly failed: boolean;
     }
   | { readonly type: "caller/refuse"; readonly requestId: RequestId; readonly refusal: Refusal }
   /** Answer with the answer kept under this name. */
--- /dev/null
+++ b/packages/core/src/revisions/reduceRevisions.ts
@@ -0,0 +1,65 @@
+import type { KeyHash } from "@heatherferry/common";
+import { EMPTY_RULE_SET, parseRules, type RuleSet } from "@heatherferry/rules";
+import type { Effect } from "../effect.js";
+import type { TableRow } from "../platform/types.js";
+import type { State } from "../state.js";
+import type { KeyHolder, RevisionsState, RulesHeadRow } from "./types.js";
+
+export const initialRevisions = (): RevisionsState => ({
+  revision: 0 as RevisionsState["revision"],
+  rules: EMPTY_RULE_SET,
+  keysByHash: new Map(),
+  unreadableRevisions: 0,
+});
+
+const indexKeys = (rules: RuleSet): Map<KeyHash, KeyHolder> => {
+  const index = new Map<KeyHash, KeyHolder>();
+  for (const { key, team, hash } of rules.keys.values()) {
+    index.set(hash, { key, team });
+  }
+  return index;
+};
+
+const takeRules = (state: State, head: RulesHeadRow, effects: Effect[]): void => {
+  const { revisions } = state;
+  if (head.revision <= revisions.revision) {
+    return;
+  }
+  const { rules, problems } = parseRules(head.text);
+  if (problems.length > 0) {
+    revisions.unreadableRevisions += 1;
+    effects.push({
+      type: "log/write",
+      level: "error",
+      event: "rules.unreadable",
+      fields: { revision: head.revision, problems: problems.length },
+    });
+    return;
+  }
+  revisions.revision = head.revision;
+  revisions.rules = rules;
+  revisions.keysByHash = indexKeys(rules);
+  effects.push({ type: "rules/inForce", revision: head.revision });
+};
+
+/**
+ * Puts newer rules in force. A lower revision is never taken, wherever it comes from.
+ *
+ * @param state - The state to change.
+ * @param rows - Rows that changed in the mirror.
+ * @param effects - Receives the effects.
+ * @returns Whether other rules are in force now.
+ */
+export const rowsChangedRevisions = (
+  state: State,
+  rows: readonly TableRow[],
+  effects: Effect[],
+): boolean => {
+  const before = state.revisions.revision;
+  for (const { body } of rows) {
+    if (body.type === "rulesHead") {
+      takeRules(state, body, effects);
+    }
+  }
+  return state.revisions.revision !== before;
+};
--- a/packages/core/src/revisions/types.ts
+++ b/packages/core/src/revisions/types.ts
@@ -22,12 +22,16 @@
   readonly removed: readonly string[];
 }
 
+/** Whom a key stands for. */
+export interface KeyHolder {
+  readonly key: KeyId;
+  readonly team: TeamId;
+}
+
 export interface RevisionsState {
   revision: Revision;
   rules: RuleSet;
-  /** When this node asked for the newest rules it holds, on its own clock. */
-  confirmedAtMs: number | null;
-  keysByHash: Map<KeyHash, { readonly key: KeyId; readonly team: TeamId }>;
+  keysByHash: Map<KeyHash, KeyHolder>;
   /** Revisions that could not be parsed by this build. */
   unreadableRevisions: number;
 }
--- /dev/null
+++ b/packages/core/src/routing/targets.ts
@@ -0,0 +1,176 @@
+import type { HostId, PoolId } from "@heatherferry/common";
+import { HOST_PHASE } from "../fleet/constants.js";
+import type { HostRow } from "../fleet/types.js";
+import type { TableRow } from "../platform/types.js";
+import type { Policies } from "../policies/policies.js";
+import type { State } from "../state.js";
+import { RETRY_BUDGET, ROUTING } from "./constants.js";
+import type { RoutingState, Target } from "./types.js";
+
+export const initialRouting = (): RoutingState => ({
+  targets: new Map(),
+  targetsByPool: new Map(),
+  retryTokens: RETRY_BUDGET.INITIAL_TOKENS,
+  ejections: 0,
+});
+
+/**
+ * @param state - The state to read.
+ * @param pool - A pool.
+ * @returns The pool's targets in this zone, leaving ones included.
+ */
+export const targetsOf = (state: State, pool: PoolId): readonly Target[] =>
+  state.routing.targetsByPool.get(pool) ?? [];
+
+const newTarget = (row: HostRow): Target => ({
+  hostId: row.hostId,
+  rack: row.rack,
+  pool: row.pool,
+  address: row.address,
+  slots: row.slots,
+  allowance: 0,
+  running: 0,
+  accepting: false,
+  consecutiveFailures: 0,
+  ejectedUntilMs: null,
+  probing: false,
+  meanServiceMs: ROUTING.INITIAL_SERVICE_MS,
+});
+
+/** Slots of one target that belong to the peer in this place, remainders spread over targets. */
+const slotsInPlace = (slots: number, place: number, peers: number, offset: number): number => {
+  const turn = (place + offset) % peers;
+  return Math.floor(slots / peers) + (turn < slots % peers ? 1 : 0);
+};
+
+/** Spreads remainders: targets of a pool start the round at different peers. */
+const assignAllowances = (state: State, targets: readonly Target[]): void => {
+  const peers = state.membership.zonePeers;
+  const place = peers.indexOf(state.node.identity.entryHostId);
+  const ordered = [...targets].sort((left, right) => (left.hostId < right.hostId ? -1 : 1));
+  ordered.forEach((target, offset) => {
+    target.allowance = place < 0 ? 0 : slotsInPlace(target.slots, place, peers.length, offset);
+  });
+};
+
+/**
+ * Divides the slots of each target among the live entry hosts of the zone.
+ *
+ * @param state - The state to change.
+ */
+export const divideSlots = (state: State): void => {
+  for (const [pool, targets] of state.routing.targetsByPool) {
+    assignAllowances(state, targets);
+    state.queues.changed.add(pool);
+  }
+};
+
+const takeHostRow = (state: State, row: HostRow): void => {
+  const target = state.routing.targets.get(row.hostId) ?? newTarget(row);
+  state.routing.targets.set(row.hostId, target);
+  target.pool = row.pool;
+  target.address = row.address;
+  target.slots = row.slots;
+  target.accepting = row.phase === HOST_PHASE.IN_SERVICE && target.ejectedUntilMs === null;
+};
+
+const groupByPool = (state: State): void => {
+  const groups = new Map<PoolId, Target[]>();
+  for (const target of state.routing.targets.values()) {
+    const group = groups.get(target.pool) ?? [];
+    group.push(target);
+    groups.set(target.pool, group);
+  }
+  state.routing.targetsByPool = groups;
+};
+
+/**
+ * @param state - The state to change.
+ * @param rows - Rows that changed in the mirror.
+ */
+export const rowsChangedRouting = (state: State, rows: readonly TableRow[]): void => {
+  const zone = state.node.identity.availabilityZone;
+  let changed = false;
+  for (const { body } of rows) {
+    if (body.type === "host" && body.availabilityZone === zone) {
+      takeHostRow(state, body);
+      changed = true;
+    }
+  }
+  if (changed) {
+    groupByPool(state);
+    divideSlots(state);
+  }
+};
+
+const inService = (state: State, hostId: HostId): boolean =>
+  state.fleet.hosts.get(hostId)?.phase === HOST_PHASE.IN_SERVICE;
+
+/**
+ * Notes that a target served a request.
+ *
+ * @param target - The target.
+ * @param serviceMs - Time from dispatch to the end of the answer.
+ */
+export const noteSuccess = (target: Target, serviceMs: number): void => {
+  target.consecutiveFailures = 0;
+  target.probing = false;
+  target.meanServiceMs += (serviceMs - target.meanServiceMs) * ROUTING.SERVICE_SMOOTHING;
+};
+
+/**
+ * Notes that a target failed a request, and leaves it out where the policy says so.
+ *
+ * @param state - The state to change.
+ * @param target - The target.
+ * @param policies - The node's policies.
+ */
+export const noteFailure = (state: State, target: Target, policies: Policies): void => {
+  target.consecutiveFailures += 1;
+  const forMs = policies.ejection.ejectForMs(target, targetsOf(state, target.pool));
+  if (forMs === null || target.ejectedUntilMs !== null) {
+    return;
+  }
+  target.ejectedUntilMs = state.nowMs + forMs;
+  target.probing = false;
+  target.accepting = false;
+  state.routing.ejections += 1;
+};
+
+/**
+ * Lets targets whose ejection ended take single requests again.
+ *
+ * @param state - The state to change.
+ */
+export const endEjections = (state: State): void => {
+  for (const target of state.routing.targets.values()) {
+    if (target.ejectedUntilMs !== null && state.nowMs >= target.ejectedUntilMs) {
+      target.ejectedUntilMs = null;
+      target.probing = true;
+      target.accepting = inService(state, target.hostId);
+      state.queues.changed.add(target.pool);
+    }
+  }
+};
+
+/**
+ * @param state - The state to change.
+ */
+export const earnRetryTokens = (state: State): void => {
+  state.routing.retryTokens = Math.min(
+    RETRY_BUDGET.MAX_TOKENS,
+    state.routing.retryTokens + RETRY_BUDGET.TOKENS_PER_REQUEST,
+  );
+};
+
+/**
+ * @param state - The state to change.
+ * @returns Whether a retry is paid for.
+ */
+export const spendRetryToken = (state: State): boolean => {
+  if (state.routing.retryTokens < 1) {
+    return false;
+  }
+  state.routing.retryTokens -= 1;
+  return true;
+};
--- /dev/null
+++ b/packages/runners/src/callers/parseArrival.ts
@@ -0,0 +1,120 @@
+import { createHash } from "node:crypto";
+import type { IncomingHttpHeaders } from "node:http";
+import { keyHash, queueId, type KeyHash, type QueueId, type RequestId } from "@heatherferry/common";
+import type { RequestArrived } from "@heatherferry/core";
+import { CALLER_HEADER } from "./headers.js";
+
+/** A header that cannot be understood: the request is not run. */
+export interface BadHeader {
+  readonly header: string;
+  readonly remedy: string;
+}
+
+/** What of the arrival comes out of the HTTP request. */
+export type ArrivalFields = Omit<RequestArrived, "type" | "atMs">;
+
+const IDEMPOTENT_METHODS = new Set(["GET", "HEAD", "PUT", "DELETE", "OPTIONS"]);
+const MAX_ID_LENGTH = 200;
+const BEARER = /^Bearer ([\x21-\x7e]{1,512})$/i;
+const PRINTABLE = /^[\x21-\x7e]+$/;
+
+const single = (value: string | string[] | undefined): string | null =>
+  typeof value === "string" ? value : null;
+
+const hashOf = (secret: string): KeyHash =>
+  keyHash(createHash("sha256").update(secret).digest("hex"));
+
+const readKey = (headers: IncomingHttpHeaders): KeyHash | BadHeader | null => {
+  const value = single(headers[CALLER_HEADER.AUTHORIZATION]);
+  if (value === null) {
+    return null;
+  }
+  const secret = BEARER.exec(value)?.[1];
+  return secret === undefined
+    ? { header: CALLER_HEADER.AUTHORIZATION, remedy: "Send 'Bearer <key>'" }
+    : hashOf(secret);
+};
+
+const readId = (headers: IncomingHttpHeaders, header: string): string | BadHeader | null => {
+  const value = single(headers[header]);
+  if (value === null) {
+    return null;
+  }
+  return value.length <= MAX_ID_LENGTH && PRINTABLE.test(value)
+    ? value
+    : { header, remedy: `Send at most ${MAX_ID_LENGTH} printable ASCII characters without spaces` };
+};
+
+const readIdempotent = (method: string, headers: IncomingHttpHeaders): boolean | BadHeader => {
+  const value = single(headers[CALLER_HEADER.IDEMPOTENT]);
+  if (value === null) {
+    return IDEMPOTENT_METHODS.has(method);
+  }
+  return value === "true" || value === "false"
+    ? value === "true"
+    : { header: CALLER_HEADER.IDEMPOTENT, remedy: "Send true or false" };
+};
+
+const readTimeoutMs = (headers: IncomingHttpHeaders): number | BadHeader | null => {
+  const value = single(headers[CALLER_HEADER.TIMEOUT_MS]);
+  if (value === null) {
+    return null;
+  }
+  return /^[1-9]\d{0,7}$/.test(value)
+    ? Number(value)
+    : { header: CALLER_HEADER.TIMEOUT_MS, remedy: "Send a whole number of milliseconds above 0" };
+};
+
+const isBad = (value: unknown): value is BadHeader =>
+  typeof value === "object" && value !== null && "remedy" in value;
+
+const decodeQueue = (raw: string): QueueId => queueId(raw);
+
+/**
+ * Reads the callers' headers.
+ *
+ * @param requestId - The id given to the request here.
+ * @param queue - Name of the queue out of the path.
+ * @param method - HTTP method.
+ * @param headers - Header fields as received.
+ * @returns The arrival, or the header that is wrong.
+ */
+export const parseArrival = (
+  requestId: RequestId,
+  queue: string,
+  method: string,
+  headers: IncomingHttpHeaders,
+): ArrivalFields | BadHeader => {
+  const key = readKey(headers);
+  const idempotencyKey = readId(headers, CALLER_HEADER.REQUEST_ID);
+  const ticket = readId(headers, CALLER_HEADER.TICKET);
+  const idempotent = readIdempotent(method, headers);
+  const timeoutMs = readTimeoutMs(headers);
+  if (isBad(key)) {
+    return key;
+  }
+  if (isBad(idempotencyKey)) {
+    return idempotencyKey;
+  }
+  if (isBad(ticket)) {
+    return ticket;
+  }
+  if (isBad(idempotent)) {
+    return idempotent;
+  }
+  if (isBad(timeoutMs)) {
+    return timeoutMs;
+  }
+  return {
+    requestId,
+    queue: decodeQueue(queue),
+    keyHash: key,
+    idempotent,
+    idempotencyKey,
+    ticket,
+    timeoutMs,
+    forwarded: false,
+  };
+};
+
+export const isBadHeader = isBad;
--- /dev/null
+++ b/packages/runners/src/callers/refusalText.ts
@@ -0,0 +1,110 @@
+import { OUTCOME, REFUSAL_KIND, type Refusal, type RefusalKind } from "@heatherferry/core";
+
+/** Status and words of a refusal. */
+interface RefusalWords {
+  readonly statusCode: number;
+  readonly message: string;
+}
+
+const words = (statusCode: number, message: string): RefusalWords => ({ statusCode, message });
+
+const WORDS: Readonly<Record<RefusalKind, RefusalWords>> = {
+  [REFUSAL_KIND.NO_KEY]: words(
+    401,
+    "This queue needs a key. Send it as 'authorization: Bearer <key>'.",
+  ),
+  [REFUSAL_KIND.UNKNOWN_KEY]: words(
+    403,
+    "The key is not known or was withdrawn. Ask the operators for a new one.",
+  ),
+  [REFUSAL_KIND.KEYS_TOO_OLD]: words(
+    503,
+    "Keys cannot be checked while the rules are out of reach. Send the request again later.",
+  ),
+  [REFUSAL_KIND.UNKNOWN_QUEUE]: words(
+    404,
+    "There is no such queue. Check the name in the path, or ask the operators to add it.",
+  ),
+  [REFUSAL_KIND.NO_RULES]: words(
+    503,
+    "This entry host has no rules yet. Send the request again later.",
+  ),
+  [REFUSAL_KIND.LEAVING]: words(
+    503,
+    "This entry host is shutting down. Send the request again over a new connection.",
+  ),
+  [REFUSAL_KIND.QUEUE_FULL]: words(
+    429,
+    "The queue of your team is full. Send the request again after the time in retry-after.",
+  ),
+  [REFUSAL_KIND.DEADLINE]: words(
+    504,
+    "The request's time ran out. Allow more with heatherferry-timeout-ms, or send it later.",
+  ),
+  [REFUSAL_KIND.NO_TARGET]: words(
+    503,
+    "No host of the pool is in service in this availability zone. Send the request to another.",
+  ),
+  [REFUSAL_KIND.TOO_LARGE]: words(413, "The request body is too large. Send less in one request."),
+  [REFUSAL_KIND.CLAIM_UNAVAILABLE]: words(
+    503,
+    "The request id cannot be claimed now. Send it again later, or use a ticket.",
+  ),
+  [REFUSAL_KIND.TICKET_INVALID]: words(
+    400,
+    "The ticket is not valid here or has expired. Ask for a new one with POST /tickets.",
+  ),
+  [REFUSAL_KIND.ISSUER_GONE]: words(
+    502,
+    "The entry host that issued the ticket is gone. Find out from the service whether it ran.",
+  ),
+  [REFUSAL_KIND.ANSWER_NOT_KEPT]: words(
+    409,
+    "This work was sent before and its answer is not kept. Find out from the service how it ended.",
+  ),
+  [REFUSAL_KIND.TARGET_UNREACHABLE]: words(
+    503,
+    "No target could be reached. Send the request again later.",
+  ),
+  [REFUSAL_KIND.TARGET_BROKE_OFF]: words(
+    502,
+    "The target broke off. Find out from the service whether the request ran.",
+  ),
+  [REFUSAL_KIND.TARGET_SILENT]: words(
+    504,
+    "The target went silent. Find out from the service whether the request ran.",
+  ),
+};
+
+const NOT_RUN_SUFFIX = "The request has not run.";
+const UNKNOWN_SUFFIX = "The request may have run.";
+
+/** A refusal as callers see it. */
+export interface RefusalAnswer {
+  readonly statusCode: number;
+  /** Value of the outcome header. */
+  readonly outcome: "not-run" | "unknown";
+  readonly body: {
+    readonly outcome: "not-run" | "unknown";
+    readonly kind: RefusalKind;
+    readonly message: string;
+    readonly retryAfterMs: number | null;
+  };
+}
+
+/**
+ * @param refusal - The decision.
+ * @returns Its status, header and body.
+ */
+export const refusalAnswer = (refusal: Refusal): RefusalAnswer => {
+  const { statusCode, message } = WORDS[refusal.kind];
+  const isNotRun = refusal.outcome === OUTCOME.NOT_RUN;
+  const outcome = isNotRun ? "not-run" : "unknown";
+  const body = {
+    outcome,
+    kind: refusal.kind,
+    message: `${message} ${isNotRun ? NOT_RUN_SUFFIX : UNKNOWN_SUFFIX}`,
+    retryAfterMs: refusal.retryAfterMs,
+  } as const;
+  return { statusCode, outcome, body };
+};
--- /dev/null
+++ b/packages/runners/src/callers/types.ts
@@ -0,0 +1,20 @@
+import type { Readable } from "node:stream";
+import type { RequestBody } from "./requestBody.js";
+
+/** Header fields as they go on the wire, names in lower case. */
+export type HeaderFields = Record<string, string | string[]>;
+
+/** A caller's request as it is passed to a target. */
+export interface OutgoingRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: HeaderFields;
+  readonly body: RequestBody;
+}
+
+/** A target's answer whose body has not been read yet. */
+export interface IncomingAnswer {
+  readonly statusCode: number;
+  readonly headers: HeaderFields;
+  readonly body: Readable;
+}
