--- /dev/null
+++ b/packages/core/tests/helpers/testNode.ts
@@ -0,0 +1,178 @@
+import {
+  address,
+  availabilityZoneId,
+  entryHostId,
+  hostId,
+  incarnation,
+  keyHash,
+  poolId,
+  queueId,
+  rackId,
+  requestId,
+  revision,
+  rowKey,
+  tableVersion,
+  type RequestId,
+} from "@heatherferry/common";
+import {
+  defaultPolicies,
+  initialState,
+  NODE_ROLE,
+  reduce,
+  type Effect,
+  type Event,
+  type HostRow,
+  type NodeIdentity,
+  type RequestArrived,
+  type RowBody,
+  type RulesHeadRow,
+  type State,
+  type TableRow,
+} from "../../src/index.js";
+
+export const HASH_A = keyHash("a".repeat(64));
+export const HASH_B = keyHash("b".repeat(64));
+
+export const RULES_TEXT = [
+  "team lots share=3 limit=60 # asked by San Vicente",
+  "team dies share=1 limit=60 # asked by San Vicente",
+  `key ka team=lots hash=${HASH_A} # asked by San Vicente`,
+  `key kb team=dies hash=${HASH_B} # asked by San Vicente`,
+  "pool register hosts=register-* max-unavailable=1 max-unavailable-per-rack=1 # asked by all",
+  "queue register pool=register max-queued=5 timeout-ms=5000 # asked by lots",
+  "queue public pool=register open=yes team=dies max-queued=5 timeout-ms=5000 # asked by dies",
+].join("\n");
+
+export const identityOf = (name: string): NodeIdentity => ({
+  role: NODE_ROLE.ENTRY,
+  entryHostId: entryHostId(name),
+  availabilityZone: availabilityZoneId("a"),
+  incarnation: incarnation(`${name}-1`),
+  callerAddress: address("127.0.0.1:1"),
+  peerAddress: address("127.0.0.1:2"),
+});
+
+export const rowOf = (key: string, version: number, body: RowBody): TableRow => ({
+  key: rowKey(key),
+  version: tableVersion(version),
+  committedAtMs: 0,
+  writeIds: [],
+  body,
+});
+
+export const rulesRow = (number: number, text = RULES_TEXT): TableRow => {
+  const body: RulesHeadRow = {
+    type: "rulesHead",
+    revision: revision(number),
+    text,
+    appliedBy: "operator",
+    appliedAtMs: 0,
+  };
+  return rowOf("rules/head", number, body);
+};
+
+export const hostRow = (name: string, version: number, change: Partial<HostRow> = {}): TableRow =>
+  rowOf(`host/a/${name}`, version, {
+    type: "host",
+    hostId: hostId(name),
+    availabilityZone: availabilityZoneId("a"),
+    rack: rackId("r1"),
+    pool: poolId("register"),
+    address: address(`127.0.0.1:${version}`),
+    slots: 2,
+    phase: "inService",
+    drainEpoch: 0,
+    drainReason: null,
+    moveTo: null,
+    waveId: null,
+    ...change,
+  });
+
+type Untimed = Event extends infer Each ? (Each extends Event ? Omit<Each, "atMs"> : never) : never;
+
+export type EffectOf<Type extends Effect["type"]> = Extract<Effect, { type: Type }>;
+
+/** One node's reducer under a clock that the test advances. */
+export class TestNode {
+  readonly state: State;
+  /** All effects so far, in order. */
+  readonly effects: Effect[] = [];
+  nowMs = 1_000;
+  private requestCount = 0;
+
+  constructor(name = "e1") {
+    this.state = initialState(identityOf(name), 7, this.nowMs);
+  }
+
+  handle(event: Untimed): readonly Effect[] {
+    const effects = reduce(this.state, { ...event, atMs: this.nowMs }, defaultPolicies());
+    this.effects.push(...effects);
+    return effects;
+  }
+
+  advance(byMs: number): readonly Effect[] {
+    this.nowMs += byMs;
+    return this.handle({ type: "clock/ticked" });
+  }
+
+  /** Answers a read of all ranges, as the table would. */
+  readRows(rows: readonly TableRow[], sentAtMs = this.nowMs): readonly Effect[] {
+    const ranges = [...this.state.platform.ranges.values()].map((range) => ({
+      prefix: range.prefix,
+      afterVersion: range.upToVersion,
+    }));
+    const upToVersion = tableVersion(
+      Math.max(0, ...rows.map((row) => row.version), ...ranges.map((range) => range.afterVersion)),
+    );
+    const tableTimeMs = this.nowMs;
+    return this.handle({
+      type: "table/readCompleted",
+      sentAtMs,
+      viewAgeMs: 0,
+      ranges,
+      rows,
+      upToVersion,
+      tableTimeMs,
+    });
+  }
+
+  arrive(change: Partial<RequestArrived> = {}): RequestId {
+    this.requestCount += 1;
+    const id = requestId(`q${this.requestCount}`);
+    this.handle({
+      type: "request/arrived",
+      requestId: id,
+      queue: queueId("register"),
+      keyHash: HASH_A,
+      idempotent: true,
+      idempotencyKey: null,
+      ticket: null,
+      timeoutMs: null,
+      forwarded: false,
+      ...change,
+    });
+    return id;
+  }
+
+  effectsOf<Type extends Effect["type"]>(type: Type): readonly EffectOf<Type>[] {
+    return this.effects.filter((effect): effect is EffectOf<Type> => effect.type === type);
+  }
+
+  dispatchesOf(id: RequestId): readonly EffectOf<"attempt/dispatch">[] {
+    return this.effectsOf("attempt/dispatch").filter((effect) => effect.requestId === id);
+  }
+
+  refusalOf(id: RequestId): EffectOf<"caller/refuse">["refusal"] | null {
+    const found = this.effectsOf("caller/refuse").find((effect) => effect.requestId === id);
+    return found?.refusal ?? null;
+  }
+}
+
+/** A node that knows the rules and has targets with two slots each. */
+export const readyNode = (...targets: readonly string[]): TestNode => {
+  const node = new TestNode();
+  const hosts = targets.map((name, index) => hostRow(name, 10 + index));
+  node.readRows([rulesRow(1), ...hosts]);
+  node.advance(0);
+  return node;
+};
--- /dev/null
+++ b/packages/runners/src/callers/httpCallerServer.ts
@@ -0,0 +1,254 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type OutgoingHttpHeaders,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { pipeline } from "node:stream/promises";
+import { requestId, type Incarnation, type RequestId } from "@heatherferry/common";
+import { REFUSAL_KIND, REQUEST, OUTCOME, type Refusal } from "@heatherferry/core";
+import findMyWay from "find-my-way";
+import { CallerServer, type RelayEnd } from "./callerServer.js";
+import { CALLER_HEADER, passedHeaders } from "./headers.js";
+import { isBadHeader, parseArrival, type ArrivalFields } from "./parseArrival.js";
+import { refusalAnswer } from "./refusalText.js";
+import { readRequestBody } from "./requestBody.js";
+import type { IncomingAnswer, OutgoingRequest } from "./types.js";
+
+/** Hears of callers' requests. */
+export abstract class ArrivalHandler {
+  /** @param arrival - A request whose headers and first body bytes are here. */
+  abstract arrived(arrival: ArrivalFields): void;
+
+  /** @param requestId - A request whose caller hung up. */
+  abstract cancelled(requestId: RequestId): void;
+}
+
+interface Exchange {
+  readonly outgoing: OutgoingRequest;
+  readonly response: ServerResponse;
+  /** An outcome is on its way to the caller. */
+  settled: boolean;
+}
+
+const MS_PER_SECOND = 1_000;
+const LISTEN_BACKLOG = 4_096;
+
+const targetPath = (url: string, queue: string): string => {
+  const rest = url.slice(`/queues/${queue}`.length);
+  return rest.startsWith("/") ? rest : `/${rest}`;
+};
+
+const sendJson = (
+  response: ServerResponse,
+  statusCode: number,
+  headers: OutgoingHttpHeaders,
+  body: unknown,
+): void => {
+  if (response.headersSent || response.destroyed) {
+    return;
+  }
+  const text = `${JSON.stringify(body)}\n`;
+  response.writeHead(statusCode, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(text),
+    ...headers,
+  });
+  response.end(text);
+};
+
+/** The callers' interface over HTTP/1.1. */
+export class HttpCallerServer extends CallerServer {
+  private readonly server: Server;
+  private readonly router = findMyWay({ ignoreTrailingSlash: true });
+  private readonly exchanges = new Map<RequestId, Exchange>();
+  private sequence = 0;
+  private leaving = false;
+
+  /**
+   * @param incarnation - Makes request ids unique over restarts.
+   * @param handler - Hears of requests.
+   */
+  constructor(
+    private readonly incarnation: Incarnation,
+    private readonly handler: ArrivalHandler,
+  ) {
+    super();
+    this.router.all("/queues/:queue", this.onQueueRequest.bind(this));
+    this.router.all("/queues/:queue/*", this.onQueueRequest.bind(this));
+    this.server = createServer((request, response) => {
+      this.router.lookup(request, response);
+    });
+    this.router.on("GET", "/", (_request, response) => {
+      sendJson(response, 200, {}, { service: "heatherferry", queues: "/queues/<queue>/<path>" });
+    });
+  }
+
+  /** Requests without an outcome. */
+  get openRequests(): number {
+    return this.exchanges.size;
+  }
+
+  /**
+   * @param host - IP address to listen on.
+   * @param port - Port; 0 for one that the operating system picks.
+   * @returns `host:port` as bound.
+   */
+  async listen(host: string, port: number): Promise<string> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once("error", reject);
+      this.server.listen(port, host, LISTEN_BACKLOG, resolve);
+    });
+    const bound = this.server.address();
+    return typeof bound === "object" && bound !== null ? `${bound.address}:${bound.port}` : host;
+  }
+
+  override outgoing(id: RequestId): OutgoingRequest | null {
+    return this.exchanges.get(id)?.outgoing ?? null;
+  }
+
+  override async relay(id: RequestId, answer: IncomingAnswer): Promise<RelayEnd> {
+    const exchange = this.exchanges.get(id);
+    if (exchange === undefined || exchange.response.destroyed) {
+      answer.body.destroy();
+      return "callerGone";
+    }
+    exchange.settled = true;
+    const { response } = exchange;
+    response.writeHead(answer.statusCode, {
+      ...answer.headers,
+      ...this.connectionHeaders(),
+      [CALLER_HEADER.OUTCOME]: "answered",
+    });
+    let answerError: unknown = null;
+    answer.body.once("error", (error) => {
+      answerError = error;
+    });
+    try {
+      await pipeline(answer.body, response);
+      return "whole";
+    } catch {
+      return answerError === null ? "callerGone" : "answerBrokeOff";
+    } finally {
+      this.exchanges.delete(id);
+    }
+  }
+
+  override refuse(id: RequestId, refusal: Refusal): void {
+    const exchange = this.exchanges.get(id);
+    if (exchange === undefined) {
+      return;
+    }
+    exchange.settled = true;
+    this.exchanges.delete(id);
+    this.sendRefusal(exchange.response, refusal);
+  }
+
+  override breakOff(id: RequestId): void {
+    const exchange = this.exchanges.get(id);
+    this.exchanges.delete(id);
+    exchange?.response.destroy();
+  }
+
+  /** Tells clients to reconnect elsewhere after their next answer. */
+  beginLeaving(): void {
+    this.leaving = true;
+    this.server.closeIdleConnections();
+  }
+
+  override async close(): Promise<void> {
+    this.leaving = true;
+    await new Promise<void>((resolve) => {
+      this.server.close(() => {
+        resolve();
+      });
+      this.server.closeIdleConnections();
+    });
+  }
+
+  private connectionHeaders(): OutgoingHttpHeaders {
+    return this.leaving ? { connection: "close" } : {};
+  }
+
+  private sendRefusal(response: ServerResponse, refusal: Refusal): void {
+    const { statusCode, outcome, body } = refusalAnswer(refusal);
+    const retryAfter =
+      refusal.retryAfterMs === null
+        ? {}
+        : { "retry-after": String(Math.ceil(refusal.retryAfterMs / MS_PER_SECOND)) };
+    const unread = response.req.complete ? {} : { connection: "close" };
+    const headers = {
+      [CALLER_HEADER.OUTCOME]: outcome,
+      ...retryAfter,
+      ...this.connectionHeaders(),
+      ...unread,
+    };
+    sendJson(response, statusCode, headers, body);
+  }
+
+  private onQueueRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+    params: Record<string, string | undefined>,
+  ): void {
+    this.sequence += 1;
+    const id = requestId(`${this.incarnation}-${this.sequence}`);
+    const queue = params.queue ?? "";
+    const arrival = parseArrival(id, queue, request.method ?? "GET", request.headers);
+    if (isBadHeader(arrival)) {
+      this.refuseBadHeader(response, arrival.header, arrival.remedy);
+      return;
+    }
+    if (Number(request.headers["content-length"] ?? 0) > REQUEST.MAX_BODY_BYTES) {
+      this.sendRefusal(response, {
+        outcome: OUTCOME.NOT_RUN,
+        kind: REFUSAL_KIND.TOO_LARGE,
+        retryAfterMs: null,
+      });
+      return;
+    }
+    void this.takeIn(request, response, arrival);
+  }
+
+  private refuseBadHeader(response: ServerResponse, header: string, remedy: string): void {
+    const message = `The header ${header} cannot be understood. ${remedy}. The request has not run.`;
+    const body = { outcome: "not-run", kind: "badHeader", message, retryAfterMs: null };
+    const headers = { [CALLER_HEADER.OUTCOME]: "not-run", connection: "close" };
+    sendJson(response, 400, headers, body);
+  }
+
+  private async takeIn(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrival: ArrivalFields,
+  ): Promise<void> {
+    try {
+      const body = await readRequestBody(
+        request,
+        REQUEST.REPLAY_BODY_BYTES,
+        REQUEST.MAX_BODY_BYTES,
+      );
+      const outgoing: OutgoingRequest = {
+        method: request.method ?? "GET",
+        path: targetPath(request.url ?? "/", arrival.queue),
+        headers: passedHeaders(request.headers),
+        body,
+      };
+      this.open(arrival, { outgoing, response, settled: false });
+    } catch {
+      response.destroy();
+    }
+  }
+
+  private open(arrival: ArrivalFields, exchange: Exchange): void {
+    this.exchanges.set(arrival.requestId, exchange);
+    exchange.response.once("close", () => {
+      this.exchanges.delete(arrival.requestId);
+      if (!exchange.settled) {
+        this.handler.cancelled(arrival.requestId);
+      }
+    });
+    this.handler.arrived(arrival);
+  }
+}
--- /dev/null
+++ b/packages/runners/src/loop/eventLoop.ts
@@ -0,0 +1,106 @@
+import { performance } from "node:perf_hooks";
+import {
+  CLOCK,
+  reduce,
+  type Effect,
+  type Event,
+  type Policies,
+  type State,
+} from "@heatherferry/core";
+
+/** An event before the loop gives it its time. */
+export type UntimedEvent = Event extends infer Each
+  ? Each extends Event
+    ? Omit<Each, "atMs">
+    : never
+  : never;
+
+/** Carries effects out. */
+export abstract class EffectRunner {
+  /**
+   * @param effect - What the reducer decided; the runner turns its result into events.
+   */
+  abstract run(effect: Effect): void;
+}
+
+/** Hears of every event and its effects, in order. */
+export abstract class EventObserver {
+  abstract observe(event: Event, effects: readonly Effect[], state: State): void;
+}
+
+/** Hands events to the reducer one at a time and its effects to the runner, in the same turn. */
+export class EventLoop {
+  private readonly waiting: UntimedEvent[] = [];
+  private running = false;
+  private timer: NodeJS.Timeout | null = null;
+
+  /**
+   * @param state - The node's state; from here on the loop's alone.
+   * @param policies - The node's policies.
+   * @param observers - Hear of each event after it was reduced.
+   */
+  constructor(
+    readonly state: State,
+    private readonly policies: Policies,
+    private readonly observers: readonly EventObserver[],
+  ) {}
+
+  /** Set once the parts that carry effects out are made. */
+  runner: EffectRunner | null = null;
+
+  /** @returns Present time on the node's monotonic clock, in ms. */
+  static nowMs(): number {
+    return performance.now();
+  }
+
+  /** Starts turning the clock. */
+  start(): void {
+    this.handle({ type: "clock/ticked" });
+    this.timer = setInterval(() => {
+      this.handle({ type: "clock/ticked" });
+    }, CLOCK.TICK_MS);
+  }
+
+  /** Stops turning the clock. */
+  stop(): void {
+    if (this.timer !== null) {
+      clearInterval(this.timer);
+    }
+  }
+
+  /**
+   * Takes an event. One that arises while another is being handled waits for its turn.
+   *
+   * @param event - What happened; it is given the present time.
+   */
+  handle(event: UntimedEvent): void {
+    this.waiting.push(event);
+    if (this.running) {
+      return;
+    }
+    this.running = true;
+    try {
+      this.drainWaiting();
+    } finally {
+      this.running = false;
+    }
+  }
+
+  private drainWaiting(): void {
+    let next = this.waiting.shift();
+    while (next !== undefined) {
+      this.handleOne({ ...next, atMs: EventLoop.nowMs() });
+      next = this.waiting.shift();
+    }
+  }
+
+  private handleOne(event: Event): void {
+    const effects = reduce(this.state, event, this.policies);
+    for (const effect of effects) {
+      this.runner?.run(effect);
+    }
+    for (const observer of this.observers) {
+      observer.observe(event, effects, this.state);
+    }
+  }
+}
--- /dev/null
+++ b/packages/runners/src/targets/attemptRunner.ts
@@ -0,0 +1,108 @@
+import type { AttemptId, RequestId } from "@heatherferry/common";
+import { ATTEMPT_STAGE, type RequestsEffect } from "@heatherferry/core";
+import type { CallerServer, RelayEnd } from "../callers/callerServer.js";
+import type { IncomingAnswer } from "../callers/types.js";
+import type { EventLoop } from "../loop/eventLoop.js";
+import type { TargetCallResult, TargetLink } from "./targetLink.js";
+
+type EffectOf<Type extends RequestsEffect["type"]> = Extract<RequestsEffect, { type: Type }>;
+
+/** Takes attempts to targets and their answers back to callers. */
+export class AttemptRunner {
+  private readonly answers = new Map<AttemptId, IncomingAnswer>();
+  private readonly aborted = new Set<AttemptId>();
+
+  constructor(
+    private readonly callers: CallerServer,
+    private readonly targets: TargetLink,
+    private readonly loop: EventLoop,
+  ) {}
+
+  /** @param effect - The attempt to make. */
+  dispatch(effect: EffectOf<"attempt/dispatch">): void {
+    const request = this.callers.outgoing(effect.requestId);
+    if (request === null) {
+      this.fail(effect, { stage: ATTEMPT_STAGE.NOT_SENT, silent: false, reason: "caller gone" });
+      return;
+    }
+    void this.targets.call({ ...effect, request }).then((result) => {
+      this.onResult(effect, result);
+    });
+  }
+
+  /** @param effect - The attempt to stop. */
+  abort(effect: EffectOf<"attempt/abort">): void {
+    const answer = this.answers.get(effect.attemptId);
+    this.answers.delete(effect.attemptId);
+    this.aborted.add(effect.attemptId);
+    this.targets.abort(effect.attemptId);
+    if (answer !== undefined) {
+      answer.body.once("error", () => undefined);
+      answer.body.destroy();
+      this.fail(effect, { stage: ATTEMPT_STAGE.ANSWERING, silent: false, reason: "stopped" });
+    }
+  }
+
+  /** @param effect - The answer to pass on. */
+  async relay(effect: EffectOf<"caller/relay">): Promise<void> {
+    const answer = this.answers.get(effect.attemptId);
+    this.answers.delete(effect.attemptId);
+    if (answer === undefined) {
+      return;
+    }
+    const end = await this.callers.relay(effect.requestId, answer);
+    this.onRelayed(effect, end);
+  }
+
+  private onResult(effect: EffectOf<"attempt/dispatch">, result: TargetCallResult): void {
+    if (result.type === "failed") {
+      if (result.failure.silent) {
+        this.targets.retire(effect.address);
+      }
+      this.fail(effect, result.failure);
+      return;
+    }
+    this.answers.set(effect.attemptId, result.answer);
+    // A body nobody reads yet may still break off: its error is reported when it is relayed.
+    result.answer.body.once("error", () => undefined);
+    this.loop.handle({
+      type: "attempt/answerBegan",
+      requestId: effect.requestId,
+      attemptId: effect.attemptId,
+      statusCode: result.answer.statusCode,
+      replayable: this.isReplayable(effect.requestId),
+    });
+  }
+
+  private onRelayed(effect: EffectOf<"caller/relay">, end: RelayEnd): void {
+    const { requestId, attemptId, failed } = effect;
+    if (end === "whole") {
+      this.loop.handle({ type: "attempt/completed", requestId, attemptId, failed });
+      return;
+    }
+    this.targets.abort(attemptId);
+    if (end === "callerGone") {
+      this.aborted.add(attemptId);
+    }
+    this.fail(effect, { stage: ATTEMPT_STAGE.ANSWERING, silent: false, reason: end });
+  }
+
+  private fail(
+    effect: { readonly requestId: RequestId; readonly attemptId: AttemptId },
+    failure: { stage: "notSent" | "sent" | "answering"; silent: boolean; reason: string },
+  ): void {
+    const { requestId, attemptId } = effect;
+    this.loop.handle({
+      type: "attempt/failed",
+      requestId,
+      attemptId,
+      ...failure,
+      aborted: this.aborted.delete(attemptId),
+      replayable: this.isReplayable(requestId),
+    });
+  }
+
+  private isReplayable(requestId: RequestId): boolean {
+    return this.callers.outgoing(requestId)?.body.replayable ?? false;
+  }
+}
--- /dev/null
+++ b/packages/runners/src/targets/httpTargetLink.ts
@@ -0,0 +1,113 @@
+import type { AttemptId } from "@heatherferry/common";
+import { ATTEMPT_STAGE, type AttemptStage } from "@heatherferry/core";
+import { messageOf } from "@heatherferry/common";
+import { Pool, type Dispatcher } from "undici";
+import { CALLER_HEADER, passedHeaders } from "../callers/headers.js";
+import { TARGET } from "./constants.js";
+import { TargetLink, type TargetCall, type TargetCallResult } from "./targetLink.js";
+
+/** Errors of a connection that never opened: not a byte of the request was written. */
+const NOT_CONNECTED = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "EHOSTDOWN",
+  "ENOTFOUND",
+  "EADDRNOTAVAIL",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+const SILENCE = new Set(["UND_ERR_HEADERS_TIMEOUT", "UND_ERR_BODY_TIMEOUT"]);
+
+const codeOf = (error: unknown): string => {
+  const code = error instanceof Error && "code" in error ? error.code : "";
+  return typeof code === "string" ? code : "";
+};
+
+/**
+ * @param error - What a call threw.
+ * @returns Whether it is the sign of a connection without a byte for too long.
+ */
+export const isSilence = (error: unknown): boolean => SILENCE.has(codeOf(error));
+
+const failed = (stage: AttemptStage, silent: boolean, reason: string): TargetCallResult => ({
+  type: "failed",
+  failure: { stage, silent, reason },
+});
+
+/** Targets over HTTP/1.1: one request at a time on a connection, so answers cannot cross. */
+export class HttpTargetLink extends TargetLink {
+  private readonly pools = new Map<string, Pool>();
+  private readonly calls = new Map<AttemptId, AbortController>();
+
+  override async call(call: TargetCall): Promise<TargetCallResult> {
+    const controller = new AbortController();
+    this.calls.set(call.attemptId, controller);
+    try {
+      const response = await this.send(call, controller.signal);
+      return await this.readHead(call, response);
+    } catch (error) {
+      this.calls.delete(call.attemptId);
+      const stage = NOT_CONNECTED.has(codeOf(error)) ? ATTEMPT_STAGE.NOT_SENT : ATTEMPT_STAGE.SENT;
+      return failed(stage, isSilence(error), messageOf(error));
+    }
+  }
+
+  override abort(attemptId: AttemptId): void {
+    this.calls.get(attemptId)?.abort();
+    this.calls.delete(attemptId);
+  }
+
+  override retire(address: string): void {
+    const pool = this.pools.get(address);
+    this.pools.delete(address);
+    void pool?.close();
+  }
+
+  override async close(): Promise<void> {
+    await Promise.all([...this.pools.values()].map((pool) => pool.destroy()));
+  }
+
+  private poolFor(address: string): Pool {
+    const known = this.pools.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const made = new Pool(`http://${address}`, {
+      connections: TARGET.MAX_CONNECTIONS,
+      pipelining: 1,
+      connectTimeout: TARGET.CONNECT_TIMEOUT_MS,
+      keepAliveTimeout: TARGET.KEEP_ALIVE_MS,
+    });
+    this.pools.set(address, made);
+    return made;
+  }
+
+  private async send(call: TargetCall, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
+    const { request } = call;
+    return this.poolFor(call.address).request({
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      body: request.body.open(),
+      headersTimeout: call.silenceTimeoutMs,
+      bodyTimeout: call.silenceTimeoutMs,
+      signal,
+    });
+  }
+
+  private async readHead(
+    call: TargetCall,
+    response: Dispatcher.ResponseData,
+  ): Promise<TargetCallResult> {
+    const notRun = response.headers[CALLER_HEADER.NOT_RUN];
+    if (notRun !== undefined) {
+      this.calls.delete(call.attemptId);
+      await response.body.dump();
+      return failed(ATTEMPT_STAGE.NOT_SENT, false, `The target did not run it: ${String(notRun)}`);
+    }
+    response.body.once("close", () => this.calls.delete(call.attemptId));
+    const { statusCode, headers, body } = response;
+    return { type: "answering", answer: { statusCode, headers: passedHeaders(headers), body } };
+  }
+}
