Never refuse as not run what a target may have seen

Cause: a request whose first attempt broke off and whose retry was never sent was refused as not run, because the refusal looked at the last attempt only; the same when its deadline passed while it waited for the retry. Ruled out: the queue (the record was right) and the target link (it told the stages apart). Change: the record remembers that a target may have run it. The invariant notRunIsTrue failed before and holds now; invariants follow every event in the tests.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -28,3 +28,7 @@
 export * from "./routing/constants.js";
 export * from "./platform/mirror.js";
 export * from "./platform/writes.js";
+export * from "./invariants/invariant.js";
+export * from "./invariants/nodeInvariants.js";
+export * from "./invariants/requestInvariants.js";
+export * from "./invariants/routingInvariants.js";
--- /dev/null
+++ b/packages/core/src/invariants/nodeInvariants.ts
@@ -0,0 +1,28 @@
+import type { Invariant } from "./invariant.js";
+import {
+  NonIdempotentOnce,
+  NotRunIsTrue,
+  OneOutcome,
+  WorkOnlyForKeyTeam,
+} from "./requestInvariants.js";
+import {
+  LeavingTargetGetsNothingNew,
+  RevisionNeverReverts,
+  SlotsAddUp,
+} from "./routingInvariants.js";
+
+/** @returns The invariants of one node that cost the same at any size. */
+export const cheapInvariants = (): Invariant[] => [
+  new NotRunIsTrue(),
+  new NonIdempotentOnce(),
+  new OneOutcome(),
+  new LeavingTargetGetsNothingNew(),
+  new RevisionNeverReverts(),
+];
+
+/** @returns All invariants of one node; some look through the whole state. */
+export const allInvariants = (): Invariant[] => [
+  ...cheapInvariants(),
+  new WorkOnlyForKeyTeam(),
+  new SlotsAddUp(),
+];
--- /dev/null
+++ b/packages/core/src/invariants/requestInvariants.ts
@@ -0,0 +1,121 @@
+import type { AttemptId, RequestId } from "@heatherferry/common";
+import type { Effect } from "../effect.js";
+import type { Event } from "../event.js";
+import { ATTEMPT_STAGE, OUTCOME } from "../requests/constants.js";
+import type { RequestArrived } from "../requests/types.js";
+import type { State } from "../state.js";
+import { Invariant } from "./invariant.js";
+
+/** Requests that ended are remembered up to this many, the oldest forgotten first. */
+const MAX_REMEMBERED = 50_000;
+
+const forgetOldest = (remembered: Map<unknown, unknown>): void => {
+  if (remembered.size > MAX_REMEMBERED) {
+    const [oldest] = remembered.keys();
+    remembered.delete(oldest);
+  }
+};
+
+/** A refusal that says "not run" is true: no attempt may have reached a target. */
+export class NotRunIsTrue extends Invariant {
+  override readonly name = "notRunIsTrue";
+  private readonly mayHaveRun = new Map<RequestId, AttemptId>();
+
+  override violation(event: Event, effects: readonly Effect[]): string | null {
+    this.follow(event);
+    for (const effect of effects) {
+      const isNotRun =
+        effect.type === "caller/refuse" && effect.refusal.outcome === OUTCOME.NOT_RUN;
+      if (isNotRun && this.mayHaveRun.has(effect.requestId)) {
+        return `${effect.requestId} is refused as not run after a target may have run it`;
+      }
+    }
+    return null;
+  }
+
+  private follow(event: Event): void {
+    const reached =
+      event.type === "attempt/answerBegan" ||
+      (event.type === "attempt/failed" && event.stage !== ATTEMPT_STAGE.NOT_SENT);
+    if (reached) {
+      this.mayHaveRun.set(event.requestId, event.attemptId);
+      forgetOldest(this.mayHaveRun);
+    }
+  }
+}
+
+/** A non-idempotent request is written to one target at most. */
+export class NonIdempotentOnce extends Invariant {
+  override readonly name = "nonIdempotentOnce";
+  private readonly openAttempts = new Map<RequestId, number>();
+
+  override violation(event: Event, effects: readonly Effect[]): string | null {
+    if (event.type === "request/arrived" && !event.idempotent) {
+      this.openAttempts.set(event.requestId, 0);
+      forgetOldest(this.openAttempts);
+    }
+    if (event.type === "attempt/failed" && event.stage === ATTEMPT_STAGE.NOT_SENT) {
+      this.count(event.requestId, -1);
+    }
+    for (const effect of effects) {
+      if (effect.type === "attempt/dispatch" && this.count(effect.requestId, 1) > 1) {
+        return `${effect.requestId} is not idempotent and is sent to a second target`;
+      }
+    }
+    return null;
+  }
+
+  private count(requestId: RequestId, change: number): number {
+    const attempts = this.openAttempts.get(requestId);
+    if (attempts === undefined) {
+      return 0;
+    }
+    this.openAttempts.set(requestId, attempts + change);
+    return attempts + change;
+  }
+}
+
+/** Every request gets one outcome, and none after its caller hung up. */
+export class OneOutcome extends Invariant {
+  override readonly name = "oneOutcome";
+  private readonly settled = new Map<RequestId, true>();
+
+  override violation(event: Event, effects: readonly Effect[]): string | null {
+    for (const effect of effects) {
+      if (effect.type !== "caller/relay" && effect.type !== "caller/refuse") {
+        continue;
+      }
+      if (this.settled.has(effect.requestId)) {
+        return `${effect.requestId} gets a second outcome`;
+      }
+      this.settled.set(effect.requestId, true);
+      forgetOldest(this.settled);
+    }
+    if (event.type === "request/cancelled") {
+      this.settled.set(event.requestId, true);
+    }
+    return null;
+  }
+}
+
+/** Work is taken only for the team of the key that came with it, but on open queues. */
+export class WorkOnlyForKeyTeam extends Invariant {
+  override readonly name = "workOnlyForKeyTeam";
+
+  override violation(event: Event, _effects: readonly Effect[], state: State): string | null {
+    if (event.type !== "request/arrived") {
+      return null;
+    }
+    const record = state.requests.records.get(event.requestId);
+    if (record === undefined || record.team === this.rightfulTeam(event, state)) {
+      return null;
+    }
+    return `${event.requestId} is charged to ${record.team} without its key`;
+  }
+
+  private rightfulTeam(event: RequestArrived, state: State): string | null {
+    const { rules } = state.revisions;
+    const holders = [...rules.keys.values()].filter((key) => key.hash === event.keyHash);
+    return holders[0]?.team ?? rules.queues.get(event.queue)?.openTeam ?? null;
+  }
+}
--- a/packages/core/src/requests/admission.ts
+++ b/packages/core/src/requests/admission.ts
@@ -59,6 +59,7 @@
   workKey: null,
   phase: REQUEST_PHASE.QUEUED,
   attempts: 0,
+  mayHaveRun: false,
   attemptId: null,
   triedHosts: [],
   attached: [],
--- a/packages/core/src/requests/attempts.ts
+++ b/packages/core/src/requests/attempts.ts
@@ -61,6 +61,7 @@
     effects.push({ type: "attempt/abort", requestId: event.requestId, attemptId: event.attemptId });
     return;
   }
+  record.mayHaveRun = true;
   const target = state.routing.targets.get(attempt.hostId);
   const failed = event.statusCode >= SERVER_ERROR_STATUS;
   if (failed && target !== undefined) {
@@ -101,8 +102,8 @@
 };
 
 /** What the caller is told when no further attempt is made. */
-const finalRefusal = (event: EventOf<"attempt/failed">): Refusal => {
-  if (event.stage === ATTEMPT_STAGE.NOT_SENT) {
+const finalRefusal = (record: RequestRecord, event: EventOf<"attempt/failed">): Refusal => {
+  if (!record.mayHaveRun) {
     return notRun(REFUSAL_KIND.TARGET_UNREACHABLE, REQUEST.MIN_RETRY_AFTER_MS);
   }
   return unknown(event.silent ? REFUSAL_KIND.TARGET_SILENT : REFUSAL_KIND.TARGET_BROKE_OFF);
@@ -129,6 +130,7 @@
   event: EventOf<"attempt/failed">,
   effects: Effect[],
 ): void => {
+  record.mayHaveRun ||= event.stage !== ATTEMPT_STAGE.NOT_SENT;
   if (record.phase === REQUEST_PHASE.ANSWERING) {
     endRequest(state, record);
     state.requests.counters.unknown += 1;
@@ -140,7 +142,7 @@
     return;
   }
   endRequest(state, record);
-  refuse(state, record.requestId, finalRefusal(event), effects);
+  refuse(state, record.requestId, finalRefusal(record, event), effects);
 };
 
 const onFailed = (
--- a/packages/core/src/requests/reduceRequests.ts
+++ b/packages/core/src/requests/reduceRequests.ts
@@ -43,10 +43,10 @@
   if (record.phase === REQUEST_PHASE.ANSWERING) {
     return;
   }
-  const started = record.phase === REQUEST_PHASE.RUNNING;
+  const mayHaveRun = record.mayHaveRun || record.phase === REQUEST_PHASE.RUNNING;
   withdraw(state, record, effects);
   const queue = poolQueue(state, record.pool);
-  const refusal = started
+  const refusal = mayHaveRun
     ? unknown(REFUSAL_KIND.DEADLINE)
     : notRun(REFUSAL_KIND.DEADLINE, expectedWaitMs(state, record.pool, queue));
   refuse(state, record.requestId, refusal, effects);
--- a/packages/core/src/requests/types.ts
+++ b/packages/core/src/requests/types.ts
@@ -38,6 +38,8 @@
   readonly workKey: string | null;
   phase: RequestPhase;
   attempts: number;
+  /** A target may have run it: it can no longer be refused as not run. */
+  mayHaveRun: boolean;
   /** The attempt whose events count; others are late and are dropped. */
   attemptId: AttemptId | null;
   /** Targets that already failed it. */
--- a/packages/core/tests/helpers/testNode.ts
+++ b/packages/core/tests/helpers/testNode.ts
@@ -15,6 +15,7 @@
   type RequestId,
 } from "@heatherferry/common";
 import {
+  allInvariants,
   defaultPolicies,
   initialState,
   NODE_ROLE,
@@ -99,14 +100,22 @@
   readonly effects: Effect[] = [];
   nowMs = 1_000;
   private requestCount = 0;
+  private readonly invariants = allInvariants();
 
   constructor(name = "e1") {
     this.state = initialState(identityOf(name), 7, this.nowMs);
   }
 
   handle(event: Untimed): readonly Effect[] {
-    const effects = reduce(this.state, { ...event, atMs: this.nowMs }, defaultPolicies());
+    const timed: Event = { ...event, atMs: this.nowMs };
+    const effects = reduce(this.state, timed, defaultPolicies());
     this.effects.push(...effects);
+    for (const invariant of this.invariants) {
+      const violation = invariant.violation(timed, effects, this.state);
+      if (violation !== null) {
+        throw new Error(`${invariant.name}: ${violation}`);
+      }
+    }
     return effects;
   }
 
--- a/packages/core/tests/requests.test.ts
+++ b/packages/core/tests/requests.test.ts
@@ -239,3 +239,22 @@
   t.is(node.state.requests.records.size, 2);
   t.is([...node.state.queues.pools.values()][0]?.length, 0);
 });
+
+test("a request that may have run before is never refused as not run", (t) => {
+  const unreachable = readyNode("register-1", "register-2");
+  const id = unreachable.arrive();
+  fail(unreachable, id, ATTEMPT_STAGE.SENT);
+  while (unreachable.refusalOf(id) === null) {
+    fail(unreachable, id, ATTEMPT_STAGE.NOT_SENT);
+  }
+  t.is(unreachable.refusalOf(id)?.outcome, "unknown");
+
+  const waiting = readyNode("register-1");
+  const first = waiting.arrive();
+  waiting.arrive();
+  waiting.arrive();
+  waiting.state.routing.targets.forEach((target) => (target.accepting = false));
+  fail(waiting, first, ATTEMPT_STAGE.SENT);
+  waiting.advance(6_000);
+  t.is(waiting.refusalOf(first)?.outcome, "unknown");
+});
