--- /dev/null
+++ b/bench/src/forwarding/bareForwarderProcess.ts
@@ -0,0 +1,32 @@
+import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import { pipeline } from "node:stream/promises";
+import { Pool, type Dispatcher } from "undici";
+import { FORWARDING } from "./constants.js";
+
+const origins = process.argv.slice(2);
+const pools = origins.map((origin) => new Pool(origin, { connections: FORWARDING.CONNECTIONS }));
+let next = 0;
+
+const forward = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+  next = (next + 1) % pools.length;
+  const answer = await pools[next]?.request({
+    method: (request.method ?? "GET") as Dispatcher.HttpMethod,
+    path: request.url ?? "/",
+    body: request.method === "GET" ? null : request,
+  });
+  if (answer !== undefined) {
+    const { connection: _connection, ...headers } = answer.headers;
+    response.writeHead(answer.statusCode, headers);
+    await pipeline(answer.body, response);
+  }
+};
+
+const server = createServer((request, response) => {
+  forward(request, response).catch(() => {
+    response.destroy();
+  });
+});
+
+server.listen(0, "127.0.0.1", () => {
+  process.send?.(server.address());
+});
--- /dev/null
+++ b/bench/src/forwarding/cpuTime.ts
@@ -0,0 +1,50 @@
+import { readFileSync } from "node:fs";
+import { performance } from "node:perf_hooks";
+
+const CLOCK_TICKS_PER_SECOND = 100;
+const USER_FIELD = 11;
+const SYSTEM_FIELD = 12;
+
+/** Processor time and memory of another process, as the operating system counts them. */
+export interface ProcessUse {
+  readonly cpuMs: number;
+  readonly residentBytes: number;
+}
+
+const residentBytesOf = (pid: number): number => {
+  const line = readFileSync(`/proc/${pid}/status`, "utf8")
+    .split("\n")
+    .find((one) => one.startsWith("VmRSS:"));
+  return Number(line?.replace(/\D/g, "") ?? 0) * 1_024;
+};
+
+/**
+ * @param pid - A process.
+ * @returns What it has used so far.
+ */
+export const processUse = (pid: number): ProcessUse => {
+  const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
+  const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+  const ticks = Number(fields[USER_FIELD]) + Number(fields[SYSTEM_FIELD]);
+  return {
+    cpuMs: (ticks * 1_000) / CLOCK_TICKS_PER_SECOND,
+    residentBytes: residentBytesOf(pid),
+  };
+};
+
+/** Says how much processor time a process took since this was made. */
+export class CpuTimeNote {
+  private readonly startedAtMs = performance.now();
+  private readonly before: ProcessUse;
+
+  constructor(private readonly pid: number) {
+    this.before = processUse(pid);
+  }
+
+  summary(): string {
+    const now = processUse(this.pid);
+    const cores = (now.cpuMs - this.before.cpuMs) / (performance.now() - this.startedAtMs);
+    const residentMb = now.residentBytes / 1e6;
+    return `entry host: ${cores.toFixed(2)} cores on average, ${residentMb.toFixed(0)} MB resident`;
+  }
+}
--- /dev/null
+++ b/bench/src/slopes/benchNode.ts
@@ -0,0 +1,95 @@
+import {
+  address,
+  availabilityZoneId,
+  entryHostId,
+  incarnation,
+  keyHash,
+  queueId,
+  requestId,
+  tableVersion,
+  type RequestId,
+} from "@heatherferry/common";
+import {
+  defaultPolicies,
+  initialState,
+  NODE_ROLE,
+  reduce,
+  type Effect,
+  type Event,
+  type State,
+  type TableRow,
+} from "@heatherferry/core";
+import type { UntimedEvent } from "@heatherferry/runners";
+import { designKeyHash } from "./designRows.js";
+
+const HASHES = Array.from({ length: 85 }, (_unused, index) => keyHash(designKeyHash(index)));
+
+/** One node's reducer, driven as fast as it goes. */
+export class BenchNode {
+  readonly state: State;
+  nowMs = 1_000;
+  private readonly policies = defaultPolicies();
+
+  constructor() {
+    const identity = {
+      role: NODE_ROLE.ENTRY,
+      entryHostId: entryHostId("e-4-0"),
+      availabilityZone: availabilityZoneId("z4"),
+      incarnation: incarnation("0123456789abcdef"),
+      callerAddress: address("127.0.9.0:8000"),
+      peerAddress: address("127.0.9.0:8001"),
+    };
+    this.state = initialState(identity, 1, this.nowMs);
+  }
+
+  handle(event: UntimedEvent): readonly Effect[] {
+    return reduce(this.state, { ...event, atMs: this.nowMs } as Event, this.policies);
+  }
+
+  readRows(rows: readonly TableRow[]): void {
+    const ranges = [...this.state.platform.ranges.values()].map((range) => ({
+      prefix: range.prefix,
+      afterVersion: range.upToVersion,
+    }));
+    const upToVersion = tableVersion(
+      Math.max(0, ...rows.map((row) => row.version), ...ranges.map((range) => range.afterVersion)),
+    );
+    this.handle({
+      type: "table/readCompleted",
+      sentAtMs: this.nowMs,
+      viewAgeMs: 0,
+      ranges,
+      rows,
+      upToVersion,
+      tableTimeMs: this.nowMs,
+    });
+  }
+
+  /** Takes a request in for the team and the queue of this number. */
+  arrive(index: number, team = index % HASHES.length): RequestId {
+    const id = requestId(`0123456789abcdef-${index}`);
+    this.handle({
+      type: "request/arrived",
+      requestId: id,
+      queue: queueId(`queue-${index % 52}`),
+      keyHash: HASHES[team] ?? null,
+      idempotent: true,
+      idempotencyKey: null,
+      ticket: null,
+      timeoutMs: null,
+      forwarded: false,
+    });
+    return id;
+  }
+
+  /** Has the running attempt of a request answered and completed. */
+  answer(id: RequestId): void {
+    const attemptId = this.state.requests.records.get(id)?.attemptId;
+    if (attemptId === null || attemptId === undefined) {
+      return;
+    }
+    const attempt = { requestId: id, attemptId };
+    this.handle({ type: "attempt/answerBegan", ...attempt, statusCode: 200, replayable: true });
+    this.handle({ type: "attempt/completed", ...attempt, failed: false });
+  }
+}
--- /dev/null
+++ b/bench/src/slopes/designRows.ts
@@ -0,0 +1,106 @@
+import { createHash } from "node:crypto";
+import { rowKey, tableVersion, writeId } from "@heatherferry/common";
+import type { RowBody, TableRow } from "@heatherferry/core";
+import { DESIGN_SIZE } from "./designSize.js";
+
+const hashOf = (text: string): string => createHash("sha256").update(text).digest("hex");
+
+const numbered = <T>(count: number, make: (index: number) => T): T[] =>
+  Array.from({ length: count }, (_unused, index) => make(index));
+
+/** @returns A rules file of the design size. */
+export const designRules = (): string =>
+  [
+    ...numbered(
+      DESIGN_SIZE.TEAMS,
+      (i) => `team team-${i} share=${(i % 7) + 1} limit=600 # asked by branch ${i}`,
+    ),
+    ...numbered(
+      DESIGN_SIZE.POOLS,
+      (i) =>
+        `pool pool-${i} hosts=p${i}-* max-unavailable=12 max-unavailable-per-rack=2 # asked by branch ${i}`,
+    ),
+    ...numbered(
+      DESIGN_SIZE.QUEUES,
+      (i) =>
+        `queue queue-${i} pool=pool-${i % DESIGN_SIZE.POOLS} max-queued=500 timeout-ms=10000 # asked by branch ${i}`,
+    ),
+    ...numbered(
+      DESIGN_SIZE.KEYS,
+      (i) =>
+        `key key-${i} team=team-${i % DESIGN_SIZE.TEAMS} hash=${hashOf(`secret ${i}`)} # asked by branch ${i}`,
+    ),
+  ].join("\n");
+
+/** Hash of the key numbered so in {@link designRules}. */
+export const designKeyHash = (index: number): string => hashOf(`secret ${index}`);
+
+const row = (key: string, version: number, body: object): TableRow => ({
+  key: rowKey(key),
+  version: tableVersion(version),
+  committedAtMs: 1_000,
+  writeIds: [writeId(`e-4-3/0123456789abcdef/${version}`)],
+  body: body as RowBody,
+});
+
+/**
+ * @param number - Revision of the rules.
+ * @param text - The rules file.
+ * @returns The head row of the rules.
+ */
+export const rulesHeadRow = (number: number, text: string): TableRow =>
+  row("rules/head", number, {
+    type: "rulesHead",
+    revision: number,
+    text,
+    appliedBy: "operator",
+    appliedAtMs: 0,
+  });
+
+/**
+ * @param index - Number of the host in its zone.
+ * @param version - Version of the row.
+ * @returns The row of a worker of zone z4.
+ */
+export const hostRowAt = (index: number, version: number): TableRow => {
+  const pool = index % DESIGN_SIZE.POOLS;
+  return row(`host/z4/p${pool}-z4-${index}`, version, {
+    type: "host",
+    hostId: `p${pool}-z4-${index}`,
+    availabilityZone: "z4",
+    rack: `z4-r${Math.floor(index / 16)}`,
+    pool: `pool-${pool}`,
+    address: `127.0.${Math.floor(index / 250)}.${index % 250}:9000`,
+    slots: DESIGN_SIZE.SLOTS_A_HOST,
+    phase: "inService",
+    drainEpoch: 0,
+    drainReason: null,
+    moveTo: null,
+    waveId: null,
+  });
+};
+
+/**
+ * @param index - Number of the entry host in its zone.
+ * @param version - Version of the row.
+ * @returns Its heartbeat.
+ */
+export const memberRowAt = (index: number, version: number): TableRow =>
+  row(`member/z4/e-4-${index}`, version, {
+    type: "member",
+    entryHostId: `e-4-${index}`,
+    availabilityZone: "z4",
+    incarnation: "0123456789abcdef",
+    callerAddress: `127.0.9.${index}:8000`,
+    peerAddress: `127.0.9.${index}:8001`,
+    revisionInForce: 1,
+    left: false,
+    drained: [],
+  });
+
+/** @returns All rows that an entry host of zone z4 mirrors. */
+export const zoneRows = (): TableRow[] => [
+  rulesHeadRow(1, designRules()),
+  ...numbered(DESIGN_SIZE.HOSTS_A_ZONE, (i) => hostRowAt(i, i + 2)),
+  ...numbered(DESIGN_SIZE.ENTRY_HOSTS_A_ZONE, (i) => memberRowAt(i, i + 2_000)),
+];
--- /dev/null
+++ b/bench/src/slopes/designSize.ts
@@ -0,0 +1,26 @@
+/** The fleet that the system is designed for, and what follows for one zone. */
+export const DESIGN_SIZE = {
+  WORKERS: 11_000,
+  POOLS: 52,
+  TEAMS: 85,
+  ZONES: 17,
+  REGIONS: 5,
+  ENTRY_HOSTS: 150,
+  QUEUES: 170,
+  KEYS: 255,
+  RULE_CHANGES_A_DAY: 5_500,
+  /** Hosts of one zone, rounded up. */
+  HOSTS_A_ZONE: 648,
+  /** Entry hosts of one zone, rounded up. */
+  ENTRY_HOSTS_A_ZONE: 9,
+  SLOTS_A_HOST: 8,
+} as const;
+
+/** What a node may spend on control. */
+export const CONTROL_BUDGET = {
+  CPU_FRACTION: 0.012,
+  MEMORY_MB: 128,
+  BYTES_A_SECOND: 28_000,
+  TABLE_WRITES_A_SECOND: 100,
+  TABLE_READS_A_SECOND: 2_000,
+} as const;
