Record events for a replay and watch invariants in the daemons

An entry host keeps its events within a bound and gives them out at /trace; hashes of keys are replaced by keyed hashes.

--- a/apps/entry/src/main.ts
+++ b/apps/entry/src/main.ts
@@ -15,6 +15,7 @@
   [admin]     host, port      /metrics, /livez, /readyz
   [platform]  origin          http://host:port of the platform's table
   [log]       level           debug, info, warn or error (optional)
+  [trace]     max_bytes       keep events for a replay, given out at /trace (optional)
 `;
 
 const settingsPath = (): string | null => {
--- a/apps/entry/src/settings.ts
+++ b/apps/entry/src/settings.ts
@@ -17,6 +17,7 @@
   admin: LISTENER,
   platform: z.strictObject({ origin: z.url({ protocol: /^https?$/ }) }),
   log: z.strictObject({ level: z.enum(["debug", "info", "warn", "error"]) }).optional(),
+  trace: z.strictObject({ max_bytes: z.int().min(0) }).optional(),
 });
 
 export type EntrySettings = z.output<typeof ENTRY_SETTINGS>;
--- a/apps/entry/src/wireEntry.ts
+++ b/apps/entry/src/wireEntry.ts
@@ -8,7 +8,13 @@
   type JsonLogger,
   type RequestId,
 } from "@heatherferry/common";
-import { defaultPolicies, initialState, NODE_ROLE, type State } from "@heatherferry/core";
+import {
+  cheapInvariants,
+  defaultPolicies,
+  initialState,
+  NODE_ROLE,
+  type State,
+} from "@heatherferry/core";
 import {
   AdminServer,
   ArrivalHandler,
@@ -18,8 +24,10 @@
   HttpCallerServer,
   HttpPlatformTable,
   HttpTargetLink,
+  InvariantWatch,
   NodeMetrics,
   TableRunner,
+  TraceRecorder,
   type ArrivalFields,
 } from "@heatherferry/runners";
 import { EntryEffects, ExitSwitch } from "./entryEffects.js";
@@ -115,12 +123,19 @@
     callerAddress: address(callerAddress),
     peerAddress: address(peerAddress),
   };
-  const state = initialState(identity, randomInt(SEED_BOUND), EventLoop.nowMs());
+  const seed = randomInt(SEED_BOUND);
+  const state = initialState(identity, seed, EventLoop.nowMs());
   const metrics = new NodeMetrics(state);
-  const loop = new EventLoop(state, defaultPolicies(), [metrics]);
+  const watch = new InvariantWatch(cheapInvariants(), metrics.registry, log);
+  const trace =
+    settings.trace === undefined
+      ? null
+      : new TraceRecorder(identity, seed, state.nowMs, settings.trace.max_bytes);
+  const observers = trace === null ? [metrics, watch] : [trace, metrics, watch];
+  const loop = new EventLoop(state, defaultPolicies(), observers);
   const table = new HttpPlatformTable(settings.platform.origin, logUnreadableRow(log));
   const targets = new HttpTargetLink();
-  const admin = new AdminServer(metrics.registry, new EntryHealth(state));
+  const admin = new AdminServer(metrics.registry, new EntryHealth(state), trace);
   const adminAddress = await admin.listen(settings.admin.host, settings.admin.port);
 
   const ended = new Promise<void>((resolve) => {
--- a/packages/runners/src/admin/adminServer.ts
+++ b/packages/runners/src/admin/adminServer.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server, type ServerResponse } from "node:http";
 import findMyWay from "find-my-way";
 import type { Registry } from "prom-client";
+import type { TraceRecorder } from "../trace/traceRecorder.js";
 
 /** Tells whether the process is fit to be used. */
 export abstract class HealthSource {
@@ -13,11 +14,16 @@
   response.end(`${text}\n`);
 };
 
-/** `/metrics`, `/livez` and `/readyz`. */
+/** `/metrics`, `/livez`, `/readyz`, and `/trace` where events are recorded. */
 export class AdminServer {
   private readonly server: Server;
 
-  constructor(registry: Registry, health: HealthSource) {
+  /**
+   * @param registry - The metrics.
+   * @param health - Tells whether the process is ready.
+   * @param trace - The recorded events; null where none are.
+   */
+  constructor(registry: Registry, health: HealthSource, trace: TraceRecorder | null = null) {
     const router = findMyWay();
     router.on("GET", "/livez", (_request, response) => {
       sendText(response, 200, "ok");
@@ -31,6 +37,11 @@
       response.writeHead(200, { "content-type": registry.contentType });
       response.end(text);
     });
+    if (trace !== null) {
+      router.on("GET", "/trace", (_request, response) => {
+        sendText(response, 200, trace.text().trimEnd());
+      });
+    }
     this.server = createServer((request, response) => {
       router.lookup(request, response);
     });
