Add the stand-in of the platform

Need: tests, the demo and the benchmarks want the table, host list, reboots and objects of docs/platform.md, with outages, slowness and lost replies on demand, and nothing to install.

Ways ruled out: a fake that subclasses PlatformTable would skip the HTTP client and its timeouts; scanning all rows for each read costs the size of the table, where a log of commits costs only what changed.

Change: reducePlatform(state, event) returns effects; the HTTP server turns calls into events and answers into JSON. Faults are part of the state, lost replies are drawn from a seeded generator. Hosts that reboot are left out of the host list, which lags; the power of hosts is an abstract class.

--- /dev/null
+++ b/apps/standins/src/http/httpStandIn.ts
@@ -0,0 +1,176 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { address, messageOf, type Address } from "@heatherferry/common";
+import findMyWay from "find-my-way";
+import type { z } from "zod";
+import { HTTP_STATUS, INTAKE, LOOPBACK } from "./constants.js";
+import { readBody } from "./readBody.js";
+
+/** Parameters that a route took out of the path. */
+export type PathParams = Readonly<Record<string, string | undefined>>;
+
+/** Answers one request of a route. */
+export type RouteHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  params: PathParams,
+) => void | Promise<void>;
+
+/** Answers one request whose JSON body was checked. */
+export type JsonHandler<Body> = (body: Body, response: ServerResponse, params: PathParams) => void;
+
+type Method = "GET" | "PUT" | "POST";
+
+/** A small HTTP server with probes, routes and a graceful end. */
+export abstract class HttpStandIn {
+  private readonly router = findMyWay({
+    defaultRoute: (request, response) => {
+      this.onOtherPath(request, response);
+    },
+  });
+  private readonly server: Server;
+  private readonly sockets = new Set<Socket>();
+  private closing = false;
+
+  constructor() {
+    this.server = createServer((request, response) => {
+      this.router.lookup(request, response);
+    });
+    this.server.keepAliveTimeout = INTAKE.KEEP_ALIVE_TIMEOUT_MS;
+    this.server.on("connection", (socket) => {
+      this.track(socket);
+    });
+    this.route("GET", "/livez", (_request, response) => {
+      this.sendJson(response, HTTP_STATUS.OK, { live: true });
+    });
+    this.route("GET", "/readyz", (_request, response) => {
+      const status = this.closing ? HTTP_STATUS.SERVICE_UNAVAILABLE : HTTP_STATUS.OK;
+      this.sendJson(response, status, { ready: !this.closing });
+    });
+  }
+
+  /** `host:port` that the server listens on. */
+  get address(): Address {
+    const { address: host, port } = this.server.address() as AddressInfo;
+    return address(`${host}:${port}`);
+  }
+
+  /** `http://host:port` that the server listens on. */
+  get origin(): string {
+    return `http://${this.address}`;
+  }
+
+  /**
+   * @param port - Port to listen on; 0 lets the operating system pick.
+   * @param host - IP address to listen on.
+   * @returns The address once the server listens.
+   * @throws Error when the port is taken.
+   */
+  async listen(port = 0, host: string = LOOPBACK): Promise<Address> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once("error", reject);
+      this.server.listen(port, host, () => {
+        this.server.off("error", reject);
+        resolve();
+      });
+    });
+    return this.address;
+  }
+
+  /**
+   * Takes no new connection and waits for the requests in flight.
+   *
+   * @param graceMs - Time for them; what is still open then is cut.
+   */
+  async close(graceMs = 0): Promise<void> {
+    this.closing = true;
+    const closed = new Promise<void>((resolve) => {
+      this.server.close(() => {
+        resolve();
+      });
+    });
+    this.server.closeIdleConnections();
+    if (graceMs === 0) {
+      this.destroySockets();
+    }
+    const cut = setTimeout(() => {
+      this.destroySockets();
+    }, graceMs);
+    await closed;
+    clearTimeout(cut);
+  }
+
+  /** Answers a request that no route matches. */
+  protected onOtherPath(_request: IncomingMessage, response: ServerResponse): void {
+    this.sendJson(response, HTTP_STATUS.NOT_FOUND, { error: "No such path" });
+  }
+
+  protected route(method: Method, path: string, handler: RouteHandler): void {
+    this.router.on(method, path, (request, response, params) => {
+      void this.guard(response, () => handler(request, response, params));
+    });
+  }
+
+  /** Adds a route that takes a JSON body; a body that the schema refuses is answered 400. */
+  protected jsonRoute<Schema extends z.ZodType>(
+    method: Method,
+    path: string,
+    schema: Schema,
+    handler: JsonHandler<z.output<Schema>>,
+  ): void {
+    this.route(method, path, async (request, response, params) => {
+      const text = (await readBody(request)).toString("utf8");
+      const body = schema.safeParse(JSON.parse(text));
+      if (body.success) {
+        handler(body.data, response, params);
+        return;
+      }
+      this.sendJson(response, HTTP_STATUS.BAD_REQUEST, { error: body.error.message });
+    });
+  }
+
+  protected sendJson(response: ServerResponse, statusCode: number, body: unknown): void {
+    this.sendText(response, statusCode, JSON.stringify(body));
+  }
+
+  /** Sends a body that is JSON text already. */
+  protected sendText(response: ServerResponse, statusCode: number, body: string): void {
+    response.writeHead(statusCode, {
+      "content-type": "application/json",
+      "content-length": Buffer.byteLength(body),
+      ...(this.closing ? { connection: "close" } : {}),
+    });
+    response.end(body);
+  }
+
+  /** Cuts all connections but one. */
+  protected destroySockets(except?: Socket): void {
+    for (const socket of [...this.sockets]) {
+      if (socket !== except) {
+        socket.destroy();
+      }
+    }
+  }
+
+  /** Connections open now. */
+  protected openSockets(): readonly Socket[] {
+    return [...this.sockets];
+  }
+
+  private track(socket: Socket): void {
+    this.sockets.add(socket);
+    socket.once("close", () => this.sockets.delete(socket));
+  }
+
+  private async guard(response: ServerResponse, work: () => void | Promise<void>): Promise<void> {
+    try {
+      await work();
+    } catch (error) {
+      if (response.headersSent || response.destroyed) {
+        response.destroy();
+        return;
+      }
+      this.sendJson(response, HTTP_STATUS.BAD_REQUEST, { error: messageOf(error) });
+    }
+  }
+}
--- /dev/null
+++ b/apps/standins/src/platform/instantHostPower.ts
@@ -0,0 +1,13 @@
+import type { ListedHost } from "@heatherferry/core";
+import { HostPower } from "./hostPower.js";
+
+/** Hosts without a process behind them: a reboot takes no time. */
+export class InstantHostPower extends HostPower {
+  override cycle(_host: ListedHost, comesBack: boolean): Promise<boolean> {
+    return Promise.resolve(comesBack);
+  }
+
+  override close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
--- /dev/null
+++ b/apps/standins/tests/platformStandIn.test.ts
@@ -0,0 +1,83 @@
+import { rowKey, tableVersion, writeId } from "@heatherferry/common";
+import type { MaintainerLeaseRow, TableWrite } from "@heatherferry/core";
+import { HttpPlatformTable, PlatformError } from "@heatherferry/runners";
+import test from "ava";
+import { InstantHostPower, PlatformStandIn } from "../src/index.js";
+
+const KEY = rowKey("lease/register");
+
+const leaseBody = (epoch: number): MaintainerLeaseRow => ({
+  type: "maintainerLease",
+  pool: "register" as MaintainerLeaseRow["pool"],
+  holder: "e-a-1" as MaintainerLeaseRow["holder"],
+  incarnation: "1" as MaintainerLeaseRow["incarnation"],
+  epoch,
+  termMs: 1_000,
+  released: false,
+});
+
+const leaseWrite = (id: string, version: number, epoch = 1): TableWrite => ({
+  writeId: writeId(id),
+  conditions: [{ key: KEY, version: tableVersion(version) }],
+  puts: [{ key: KEY, writeIds: [writeId(id)], body: leaseBody(epoch) }],
+});
+
+const allAfter = (version: number) => [
+  { prefix: rowKey("lease/"), afterVersion: tableVersion(version) },
+];
+
+const startTable = async () => {
+  const platform = new PlatformStandIn(new InstantHostPower());
+  await platform.listen();
+  const table = new HttpPlatformTable(platform.origin, () => undefined);
+  const close = async () => {
+    await table.close();
+    await platform.close();
+  };
+  return { platform, table, close };
+};
+
+test("of two writers that start from the same version the second one changes nothing", async (t) => {
+  const { table, close } = await startTable();
+  t.like(await table.write(leaseWrite("first", 0)), { type: "committed", version: 1 });
+
+  const second = await table.write(leaseWrite("second", 0, 2));
+
+  t.is(second.type, "conflicted");
+  const { rows, upToVersion } = await table.read(allAfter(0));
+  t.deepEqual([rows.length, rows[0]?.writeIds, upToVersion], [1, ["first"], 1]);
+  await close();
+});
+
+test("a reader that names its version is not sent what it has", async (t) => {
+  const { table, platform, close } = await startTable();
+  await table.write(leaseWrite("first", 0));
+  await table.write(leaseWrite("second", 1, 2));
+  await table.read(allAfter(1));
+  t.is(platform.counters.rowsRead, 1);
+  await table.read(allAfter(2));
+  t.is(platform.counters.rowsRead, 1);
+  await close();
+});
+
+test("a write whose reply is lost has taken effect", async (t) => {
+  const { table, platform, close } = await startTable();
+  platform.setFaults({ loseReplyFraction: 1 });
+  await t.throwsAsync(table.write(leaseWrite("lost", 0)), { instanceOf: PlatformError });
+
+  platform.setFaults({});
+  const again = await table.write(leaseWrite("lost", 0));
+
+  t.like(again, { type: "conflicted", rows: [{ writeIds: ["lost"] }] });
+  t.is(platform.counters.lostReplies, 1);
+  await close();
+});
+
+test("a write to a platform that is down has not taken effect", async (t) => {
+  const { table, platform, close } = await startTable();
+  platform.setFaults({ down: true });
+  await t.throwsAsync(table.write(leaseWrite("cut", 0)), { instanceOf: PlatformError });
+  platform.setFaults({});
+  t.is((await table.read(allAfter(0))).rows.length, 0);
+  await close();
+});
