End a leaving entry host though the platform is down

Cause: a leaving node waited for its farewell to be committed, without a bound; with the platform down it never ended.

--- a/packages/core/src/membership/reduceMembership.ts
+++ b/packages/core/src/membership/reduceMembership.ts
@@ -18,6 +18,7 @@
   heartbeatInFlight: false,
   sessionUntilMs: 0,
   acknowledged: "",
+  endedAtMs: null,
   leftWritten: false,
 });
 
@@ -207,6 +208,20 @@
   membership.leftWritten = written?.type === "member" && written.left;
 };
 
+/** The table is told first, so that others need not wait; without an answer it ends all the same. */
+const exitWhenEnded = (state: State, effects: Effect[]): void => {
+  const { membership, node } = state;
+  if (!hasEnded(state)) {
+    return;
+  }
+  membership.endedAtMs ??= state.nowMs;
+  const waitedMs = state.nowMs - membership.endedAtMs;
+  const needNotWait = membership.leftWritten || node.supersededBy !== null;
+  if (needNotWait || waitedMs >= MEMBERSHIP.FAREWELL_TIMEOUT_MS) {
+    effects.push({ type: "node/exit" });
+  }
+};
+
 /**
  * Keeps this node's heartbeat fresh.
  *
@@ -222,7 +237,5 @@
   if (node.supersededBy === null) {
     heartbeatWhenDue(state, effects);
   }
-  if (hasEnded(state) && (state.membership.leftWritten || node.supersededBy !== null)) {
-    effects.push({ type: "node/exit" });
-  }
+  exitWhenEnded(state, effects);
 };
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -48,6 +48,8 @@
   sessionUntilMs: number;
   /** The drains acknowledged in the last heartbeat, as JSON. */
   acknowledged: string;
+  /** When the last work of a leaving node ended. */
+  endedAtMs: number | null;
   /** The row says that this node left. */
   leftWritten: boolean;
 }
--- a/packages/core/tests/requests.test.ts
+++ b/packages/core/tests/requests.test.ts
@@ -1,6 +1,6 @@
 import { queueId, type RequestId } from "@heatherferry/common";
 import test from "ava";
-import { ATTEMPT_STAGE, type AttemptStage } from "../src/index.js";
+import { ATTEMPT_STAGE, MEMBERSHIP, type AttemptStage } from "../src/index.js";
 import { readyNode, type TestNode } from "./helpers/testNode.js";
 
 const lastAttempt = (node: TestNode, id: RequestId) => {
@@ -214,7 +214,7 @@
   t.is(node.refusalOf(node.arrive({ queue: queueId("nope") }))?.kind, "unknownQueue");
 });
 
-test("a node that shuts down takes nothing new and ends when nothing runs", (t) => {
+test("a node that shuts down takes nothing new, finishes, and ends though the platform is down", (t) => {
   const node = readyNode("register-1");
   const id = node.arrive();
   node.handle({ type: "node/shutdownRequested" });
@@ -223,6 +223,10 @@
   t.is(node.effectsOf("node/exit").length, 0);
   answer(node, id);
   t.is(node.refusalOf(id), null);
+  node.advance(100);
+  t.is(node.effectsOf("node/exit").length, 0);
+  node.advance(MEMBERSHIP.FAREWELL_TIMEOUT_MS);
+  t.is(node.effectsOf("node/exit").length, 1);
 });
 
 test("ten thousand waiting requests are cancelled without a look at the others", (t) => {
