--- a/bench/src/forwarding/bareForwarderProcess.ts
+++ b/bench/src/forwarding/bareForwarderProcess.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import { pipeline } from "node:stream/promises";
-import { Pool, type Dispatcher } from "undici";
+import { Pool } from "undici";
 import { FORWARDING } from "./constants.js";
 
 const origins = process.argv.slice(2);
@@ -10,12 +10,12 @@
 const forward = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
   next = (next + 1) % pools.length;
   const answer = await pools[next]?.request({
-    method: (request.method ?? "GET") as Dispatcher.HttpMethod,
+    method: (request.method ?? "GET"),
     path: request.url ?? "/",
     body: request.method === "GET" ? null : request,
   });
   if (answer !== undefined) {
-    const { connection: _connection, ...headers } = answer.headers;
+    const headers = { ...answer.headers, connection: "keep-alive" };
     response.writeHead(answer.statusCode, headers);
     await pipeline(answer.body, response);
   }
--- a/bench/src/slopes/benchNode.ts
+++ b/bench/src/slopes/benchNode.ts
@@ -15,7 +15,6 @@
   NODE_ROLE,
   reduce,
   type Effect,
-  type Event,
   type State,
   type TableRow,
 } from "@heatherferry/core";
@@ -43,7 +42,7 @@
   }
 
   handle(event: UntimedEvent): readonly Effect[] {
-    return reduce(this.state, { ...event, atMs: this.nowMs } as Event, this.policies);
+    return reduce(this.state, { ...event, atMs: this.nowMs }, this.policies);
   }
 
   readRows(rows: readonly TableRow[]): void {
