--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -46,8 +46,10 @@
   heartbeatInFlight: boolean;
   /** Until then this node's heartbeat stands, on its own clock. */
   sessionUntilMs: number;
+  /** The drains acknowledged in the last heartbeat, as JSON. */
+  acknowledged: string;
+  /** When the last work of a leaving node ended. */
+  endedAtMs: number | null;
   /** The row says that this node left. */
   leftWritten: boolean;
 }
-
-export type MembershipEvent = never;
