Wait for a roll-out until somebody is heard, and name who is silent

Change: without a live entry host the wait goes on to its timeout and fails. Entry hosts that fell silent within the last hour and did not leave are named by both commands. Messages about an unreachable platform no longer promise a repetition that a finished command does not make.

Without the new condition "a roll-out is called whole when no entry host is heard from" fails. The assertions on the report's wording follow the new wording, and now also require that a host that left is not named.

--- a/apps/cli/src/apply/awaitRollOut.ts
+++ b/apps/cli/src/apply/awaitRollOut.ts
@@ -5,7 +5,7 @@
 import { Operation } from "../operation/operation.js";
 import type { TableView } from "../operation/tableView.js";
 import type { Continue, Finish, Output } from "../operation/types.js";
-import { type RollOut, rollOutOf } from "./rollOut.js";
+import { describeEntryHost, type RollOut, rollOutOf } from "./rollOut.js";
 
 /** How long to wait for the entry hosts. */
 export interface WaitBounds {
@@ -21,8 +21,19 @@
 const describe = ({ live, lacking }: RollOut): string =>
   `${live - lacking.length} of ${live} live entry hosts have it`;
 
-const describeLacking = (member: MemberRow): string =>
-  `  ${member.availabilityZone}/${member.entryHostId} is at revision ${member.revisionInForce}`;
+const listed = (members: readonly MemberRow[]): string =>
+  members
+    .map(
+      (member) => `  ${describeEntryHost(member)}
+`,
+    )
+    .join("");
+
+const describeSilent = ({ silent }: RollOut): string =>
+  silent.length === 0
+    ? ""
+    : `Silent, and perhaps serving under an earlier revision:
+${listed(silent)}`;
 
 /**
  * @param operation - The wait.
@@ -55,8 +66,8 @@
 
   override decide(view: TableView, nowMs: number): Finish | Continue {
     const rollOut = rollOutOf(view, this.wanted);
-    if (rollOut.lacking.length === 0) {
-      return done(`Revision ${this.wanted}: ${describe(rollOut)}.`);
+    if (rollOut.live > 0 && rollOut.lacking.length === 0) {
+      return done(`Revision ${this.wanted}: ${describe(rollOut)}.\n${describeSilent(rollOut)}`);
     }
     const deadlineAtMs = this.progress?.deadlineAtMs ?? nowMs + this.bounds.timeoutMs;
     return nowMs >= deadlineAtMs ? this.timedOut(rollOut) : this.goOn(rollOut, deadlineAtMs);
@@ -80,10 +91,10 @@
   }
 
   private timedOut(rollOut: RollOut): Finish {
+    const lacking = rollOut.lacking.length === 0 ? "" : `Without it:\n${listed(rollOut.lacking)}`;
     return failed(
       `Revision ${this.wanted} is accepted and stays so, but after ${this.bounds.timeoutMs} ms ` +
-        `only ${describe(rollOut)}. Without it:\n` +
-        `${rollOut.lacking.map(describeLacking).join("\n")}\n` +
+        `${describe(rollOut)}.\n${lacking}${describeSilent(rollOut)}` +
         "Look whether these reach the platform or a peer; `heatherferry status` shows them.",
     );
   }
--- a/apps/cli/src/constants.ts
+++ b/apps/cli/src/constants.ts
@@ -14,6 +14,8 @@
 export const ROLL_OUT = {
   POLL_INTERVAL_MS: 500,
   DEFAULT_TIMEOUT_MS: 30_000,
+  /** A silent entry host is named for as long as it may still serve on its own. */
+  SILENT_SHOWN_FOR_MS: 3_600_000,
 } as const;
 
 export const KEY_SECRET = {
--- a/apps/cli/src/runner/commandRunner.ts
+++ b/apps/cli/src/runner/commandRunner.ts
@@ -1,4 +1,4 @@
-import { assertNever, messageOf } from "@heatherferry/common";
+import { assertNever } from "@heatherferry/common";
 import type { TableRange, TableWrite } from "@heatherferry/core";
 import { PlatformError, type PlatformTable } from "@heatherferry/runners";
 import type { Operation } from "../operation/operation.js";
@@ -24,7 +24,7 @@
 
 const reasonOf = (error: unknown): string => {
   if (error instanceof PlatformError) {
-    return messageOf(error);
+    return `${error.problem}.`;
   }
   throw error;
 };
--- a/apps/cli/src/status/showStatus.ts
+++ b/apps/cli/src/status/showStatus.ts
@@ -1,6 +1,6 @@
 import { rowKey } from "@heatherferry/common";
 import { type HostRow, ROW_PREFIX } from "@heatherferry/core";
-import { liveEntryHosts } from "../apply/rollOut.js";
+import { describeEntryHost, liveEntryHosts, silentEntryHosts } from "../apply/rollOut.js";
 import { done } from "../operation/decisions.js";
 import { Operation } from "../operation/operation.js";
 import type { TableView } from "../operation/tableView.js";
@@ -17,10 +17,16 @@
 const describeEntryHosts = (view: TableView, { revision }: RulesInForce): readonly string[] =>
   liveEntryHosts(view).map((member) => {
     const late = member.revisionInForce < revision ? " (behind)" : "";
-    const place = `${member.availabilityZone}/${member.entryHostId}`;
-    return `  ${place} revision ${member.revisionInForce}${late}`;
+    return `  ${describeEntryHost(member)}${late}`;
   });
 
+const describeSilent = (view: TableView): readonly string[] => {
+  const silent = silentEntryHosts(view);
+  return silent.length === 0
+    ? []
+    : ["silent entry hosts:", ...silent.map((member) => `  ${describeEntryHost(member)}`)];
+};
+
 const describePool = (pool: string, hosts: readonly HostRow[]): string => {
   const counts = new Map<string, number>();
   for (const { phase } of hosts) {
@@ -59,6 +65,7 @@
     const lines = [
       describeRules(inForce),
       ...section("live entry hosts", describeEntryHosts(view, inForce)),
+      ...describeSilent(view),
       ...section("hosts by pool", describeHosts(view)),
       ...section(
         "waves",
--- a/apps/cli/tests/fleet.test.ts
+++ b/apps/cli/tests/fleet.test.ts
@@ -129,7 +129,8 @@
   const { exitCode, out, err } = await operate(table, ["apply", path, "--wait"]);
   t.is(exitCode, 0);
   t.is(err, "1 of 2 live entry hosts have it\n");
-  t.regex(out, /Revision 2: 2 of 2 live entry hosts have it\.\n$/);
+  t.regex(out, /Revision 2: 2 of 2 live entry hosts have it\.\nSilent.*\n {2}a\/entry-lapsed rev/);
+  t.false(out.includes("entry-left"));
   t.true(table.reads > 6);
 });
 
@@ -144,10 +145,21 @@
     const input = ["apply", path, "--wait", "--timeout-ms", "3000"];
     const { exitCode, err } = await operate(table, input);
     t.is(exitCode, 1);
-    t.regex(err, /Revision 2 is accepted and stays so.*\n {2}a\/entry-b is at revision 1\n/);
+    t.regex(err, /Revision 2 is accepted and stays so.*\nWithout it:\n {2}a\/entry-b revision 1\n/);
   },
 );
 
+test.serial("a roll-out is called whole when no entry host is heard from", async (t) => {
+  const table = fleet();
+  table.put("member/a/entry-a", memberRow("entry-a", 1), table.nowMs - 20_000);
+  const path = fileWith(RULES.replace("limit=40", "limit=41"));
+  const input = ["apply", path, "--wait", "--timeout-ms", "3000"];
+  const { exitCode, err } = await operate(table, input);
+  t.is(exitCode, 1);
+  t.regex(err, /0 of 0 live entry hosts have it\.\nSilent.*\n {2}a\/entry-a revision 1\n/);
+  t.regex((await operate(table, ["status"])).out, /silent entry hosts:\n {2}a\/entry-a revision 1/);
+});
+
 test.serial(
   "status, explain, audit or wave hide what an operator needs in a dispute",
   async (t) => {
