--- a/apps/standins/src/index.ts
+++ b/apps/standins/src/index.ts
@@ -9,3 +9,4 @@
 export * from "./platform/targetHostPower.js";
 export * from "./platform/types.js";
 export * from "./target/constants.js";
+export * from "./processes/program.js";
--- a/bench/src/forwarding/bareForwarderProcess.ts
+++ b/bench/src/forwarding/bareForwarderProcess.ts
@@ -10,7 +10,7 @@
 const forward = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
   next = (next + 1) % pools.length;
   const answer = await pools[next]?.request({
-    method: (request.method ?? "GET"),
+    method: request.method ?? "GET",
     path: request.url ?? "/",
     body: request.method === "GET" ? null : request,
   });
--- a/bench/src/forwarding/processes.ts
+++ b/bench/src/forwarding/processes.ts
@@ -1,8 +1,10 @@
 import { fork, type ChildProcess } from "node:child_process";
 import type { AddressInfo } from "node:net";
 import { fileURLToPath } from "node:url";
+import { Program } from "@heatherferry/standins";
 
 const started: ChildProcess[] = [];
+const programs: Program[] = [];
 
 /**
  * Starts a program of this benchmark that sends its address when it listens.
@@ -26,40 +28,33 @@
   });
 };
 
+/** A running entry host. */
+export interface StartedEntry {
+  readonly callers: string;
+  readonly admin: string;
+  readonly pid: number;
+}
+
+const textOf = (value: unknown): string => (typeof value === "string" ? value : "");
+
 /**
  * Starts an entry host and waits until it listens.
  *
  * @param settingsPath - Its settings file.
- * @returns The callers' address, and the process.
+ * @returns Where it listens.
  */
-export const startEntry = async (
-  settingsPath: string,
-): Promise<{ callers: string; admin: string; pid: number }> => {
+export const startEntry = async (settingsPath: string): Promise<StartedEntry> => {
   const path = fileURLToPath(new URL("../../../../apps/entry/dist/src/main.js", import.meta.url));
-  const child = fork(path, ["--settings", settingsPath], {
-    stdio: ["ignore", "ignore", "pipe", "ipc"],
-  });
-  started.push(child);
-  return new Promise((resolve, reject) => {
-    child.once("exit", (code) => {
-      reject(new Error(`The entry host ended with code ${code ?? "none"}`));
-    });
-    child.stderr?.on("data", (chunk: Buffer) => {
-      for (const line of chunk.toString().split("\n").filter(Boolean)) {
-        const record = JSON.parse(line) as Record<string, string>;
-        if (record.event === "listening") {
-          resolve({
-            callers: record.callers ?? "",
-            admin: record.admin ?? "",
-            pid: child.pid ?? 0,
-          });
-        }
-      }
-    });
-  });
+  const program = new Program(path, ["--settings", settingsPath]);
+  programs.push(program);
+  const { callers, admin } = await program.logged("listening");
+  return { callers: textOf(callers), admin: textOf(admin), pid: program.pid };
 };
 
 /** Ends what was started here. */
 export const stopAll = (): void => {
   started.forEach((child) => child.kill("SIGKILL"));
+  programs.forEach((program) => {
+    program.signal("SIGKILL");
+  });
 };
