--- a/bench/src/forwarding/constants.ts
+++ b/bench/src/forwarding/constants.ts
@@ -6,6 +6,8 @@
   /** Requests under way at once while throughput is measured. */
   CONCURRENCY: 48,
   CONNECTIONS: 64,
+  /** Threads that send. */
+  LOAD_WORKERS: 2,
   /** Part of the entry host's throughput at which latency is measured. */
   LATENCY_LOAD: 0.7,
   TARGETS: 4,
--- a/bench/src/forwarding/cpuTime.ts
+++ b/bench/src/forwarding/cpuTime.ts
@@ -1,5 +1,4 @@
 import { readFileSync } from "node:fs";
-import { performance } from "node:perf_hooks";
 
 const CLOCK_TICKS_PER_SECOND = 100;
 const USER_FIELD = 11;
@@ -31,20 +30,3 @@
     residentBytes: residentBytesOf(pid),
   };
 };
-
-/** Says how much processor time a process took since this was made. */
-export class CpuTimeNote {
-  private readonly startedAtMs = performance.now();
-  private readonly before: ProcessUse;
-
-  constructor(private readonly pid: number) {
-    this.before = processUse(pid);
-  }
-
-  summary(): string {
-    const now = processUse(this.pid);
-    const cores = (now.cpuMs - this.before.cpuMs) / (performance.now() - this.startedAtMs);
-    const residentMb = now.residentBytes / 1e6;
-    return `entry host: ${cores.toFixed(2)} cores on average, ${residentMb.toFixed(0)} MB resident`;
-  }
-}
--- a/bench/src/forwarding/load.ts
+++ b/bench/src/forwarding/load.ts
@@ -14,27 +14,25 @@
   failures = 0;
 
   /**
-   * @param name - Name in the report.
    * @param origin - `http://host:port`.
    * @param path - Path of each request.
    * @param headers - Headers of each request.
    */
   constructor(
-    readonly name: string,
     origin: string,
     private readonly path: string,
     private readonly headers: Record<string, string>,
   ) {
-    this.pool = new Pool(origin, { connections: FORWARDING.CONNECTIONS });
+    this.pool = new Pool(origin, { connections: FORWARDING.CONNECTIONS / FORWARDING.LOAD_WORKERS });
   }
 
   /**
    * Keeps a fixed number of requests under way.
    *
    * @param forMs - How long.
-   * @returns Requests answered a second.
+   * @returns Requests answered.
    */
-  async measureThroughput(forMs: number): Promise<number> {
+  async keepBusy(forMs: number): Promise<number> {
     const startMs = performance.now();
     let answered = 0;
     const worker = async (): Promise<void> => {
@@ -43,8 +41,10 @@
         answered += 1;
       }
     };
-    await Promise.all(Array.from({ length: FORWARDING.CONCURRENCY }, worker));
-    return (answered / (performance.now() - startMs)) * MS_PER_SECOND;
+    await Promise.all(
+      Array.from({ length: FORWARDING.CONCURRENCY / FORWARDING.LOAD_WORKERS }, worker),
+    );
+    return answered;
   }
 
   /**
@@ -54,7 +54,7 @@
    * @param forMs - How long.
    * @param into - Receives latencies in microseconds.
    */
-  async measureLatency(perSecond: number, forMs: number, into: Histogram): Promise<void> {
+  async sendAtRate(perSecond: number, forMs: number, into: Histogram): Promise<void> {
     const startMs = performance.now();
     const gapMs = MS_PER_SECOND / perSecond;
     const total = Math.floor(forMs / gapMs);
--- a/bench/src/forwarding/processes.ts
+++ b/bench/src/forwarding/processes.ts
@@ -11,16 +11,19 @@
  *
  * @param name - File name beside this one.
  * @param args - Its arguments.
- * @returns `host:port`.
+ * @returns Where it listens, and its process.
  */
-export const startListening = async (name: string, args: readonly string[]): Promise<string> => {
+export const startListening = async (
+  name: string,
+  args: readonly string[],
+): Promise<{ address: string; pid: number }> => {
   const path = fileURLToPath(new URL(name, import.meta.url));
   const child = fork(path, [...args]);
   started.push(child);
   return new Promise((resolve, reject) => {
     child.once("message", (message) => {
       const bound = message as AddressInfo;
-      resolve(`${bound.address}:${bound.port}`);
+      resolve({ address: `${bound.address}:${bound.port}`, pid: child.pid ?? 0 });
     });
     child.once("exit", () => {
       reject(new Error(`${name} ended before it listened`));
--- /dev/null
+++ b/bench/src/forwarding/subject.ts
@@ -0,0 +1,100 @@
+import { once } from "node:events";
+import { performance } from "node:perf_hooks";
+import { Worker } from "node:worker_threads";
+import { decodeFromCompressedBase64, type Histogram } from "hdr-histogram-js";
+import { FORWARDING } from "./constants.js";
+import { processUse } from "./cpuTime.js";
+import { latencyHistogram } from "./load.js";
+import type { LoadOrder, LoadReport, LoadWorkerData } from "./loadMessages.js";
+
+const MS_PER_SECOND = 1_000;
+const US_PER_MS = 1_000;
+
+const median = (values: readonly number[]): number =>
+  [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? 0;
+
+/** A forwarder under measurement, with the threads that send to it. */
+export class Subject {
+  private readonly workers: readonly Worker[];
+  private readonly throughputs: number[] = [];
+  private readonly cpuUsPerRequest: number[] = [];
+  private readonly latencies: Histogram = latencyHistogram();
+  failures = 0;
+
+  /**
+   * @param name - Name in the report.
+   * @param pid - Process of the forwarder.
+   * @param data - Where and what to send.
+   */
+  constructor(
+    readonly name: string,
+    private readonly pid: number,
+    data: LoadWorkerData,
+  ) {
+    const path = new URL("loadWorker.js", import.meta.url);
+    this.workers = Array.from(
+      { length: FORWARDING.LOAD_WORKERS },
+      () => new Worker(path, { workerData: data }),
+    );
+  }
+
+  /** Median over the rounds, in requests a second. */
+  get throughput(): number {
+    return median(this.throughputs);
+  }
+
+  /** Median processor time of the forwarder, in microseconds a request. */
+  get cpuUs(): number {
+    return median(this.cpuUsPerRequest);
+  }
+
+  /**
+   * @param percentile - From 0 to 100.
+   * @returns Latency in ms.
+   */
+  latencyMs(percentile: number): number {
+    return this.latencies.getValueAtPercentile(percentile) / US_PER_MS;
+  }
+
+  async warmUp(): Promise<void> {
+    await this.order({ type: "keepBusy", forMs: FORWARDING.WARM_UP_MS });
+  }
+
+  async measureThroughput(): Promise<void> {
+    const startMs = performance.now();
+    const cpuBeforeMs = processUse(this.pid).cpuMs;
+    const reports = await this.order({ type: "keepBusy", forMs: FORWARDING.ROUND_MS });
+    const answered = reports.reduce((sum, report) => sum + report.answered, 0);
+    const cpuMs = processUse(this.pid).cpuMs - cpuBeforeMs;
+    this.throughputs.push((answered / (performance.now() - startMs)) * MS_PER_SECOND);
+    this.cpuUsPerRequest.push((cpuMs * US_PER_MS) / answered);
+  }
+
+  /** @param perSecond - Rate of all threads together. */
+  async measureLatency(perSecond: number): Promise<void> {
+    const reports = await this.order({
+      type: "sendAtRate",
+      perSecond: perSecond / FORWARDING.LOAD_WORKERS,
+      forMs: FORWARDING.ROUND_MS,
+    });
+    reports.forEach((report) => {
+      this.latencies.add(decodeFromCompressedBase64(report.latencies));
+    });
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.workers.map(async (worker) => worker.terminate()));
+  }
+
+  private async order(order: LoadOrder): Promise<readonly LoadReport[]> {
+    const reports = await Promise.all(this.workers.map(async (worker) => this.ask(worker, order)));
+    this.failures = reports.reduce((sum, report) => sum + report.failures, 0);
+    return reports;
+  }
+
+  private async ask(worker: Worker, order: LoadOrder): Promise<LoadReport> {
+    worker.postMessage(order);
+    const [report] = (await once(worker, "message")) as [LoadReport];
+    return report;
+  }
+}
--- a/packages/runners/src/callers/httpCallerServer.ts
+++ b/packages/runners/src/callers/httpCallerServer.ts
@@ -5,7 +5,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { pipeline } from "node:stream/promises";
+import type { Readable } from "node:stream";
 import { requestId, type Incarnation, type RequestId } from "@heatherferry/common";
 import { REFUSAL_KIND, REQUEST, OUTCOME, type Refusal } from "@heatherferry/core";
 import findMyWay from "find-my-way";
@@ -58,6 +58,25 @@
   response.end(text);
 };
 
+/** Pipes by hand: a pipeline makes an abort signal and an error object for every answer. */
+const passOn = async (body: Readable, response: ServerResponse): Promise<RelayEnd> =>
+  new Promise((resolve) => {
+    body.once("error", () => {
+      response.destroy();
+      resolve("answerBrokeOff");
+    });
+    response.once("finish", () => {
+      resolve("whole");
+    });
+    response.once("close", () => {
+      if (!response.writableFinished) {
+        body.destroy();
+      }
+      resolve("callerGone");
+    });
+    body.pipe(response);
+  });
+
 /** The callers' interface over HTTP/1.1. */
 export class HttpCallerServer extends CallerServer {
   private readonly server: Server;
@@ -121,18 +140,9 @@
       ...this.connectionHeaders(),
       [CALLER_HEADER.OUTCOME]: "answered",
     });
-    let answerError: unknown = null;
-    answer.body.once("error", (error) => {
-      answerError = error;
-    });
-    try {
-      await pipeline(answer.body, response);
-      return "whole";
-    } catch {
-      return answerError === null ? "callerGone" : "answerBrokeOff";
-    } finally {
-      this.exchanges.delete(id);
-    }
+    const end = await passOn(answer.body, response);
+    this.exchanges.delete(id);
+    return end;
   }
 
   override refuse(id: RequestId, refusal: Refusal): void {
--- a/packages/runners/src/metrics/nodeMetrics.ts
+++ b/packages/runners/src/metrics/nodeMetrics.ts
@@ -2,6 +2,9 @@
 import { collectDefaultMetrics, Counter, Gauge, Registry } from "prom-client";
 import { EventObserver } from "../loop/eventLoop.js";
 
+/** A finer sample wakes the process more often than its own work does. */
+const EVENT_LOOP_SAMPLE_MS = 500;
+
 /** Counts what a node does; gauges are read from the state when asked for. */
 export class NodeMetrics extends EventObserver {
   readonly registry = new Registry();
@@ -11,7 +14,10 @@
   /** @param state - The node's state, read when metrics are collected. */
   constructor(state: State) {
     super();
-    collectDefaultMetrics({ register: this.registry });
+    collectDefaultMetrics({
+      register: this.registry,
+      eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_MS,
+    });
     this.events = this.counter("heatherferry_events_total", "Events handed to the reducer");
     this.effects = this.counter("heatherferry_effects_total", "Effects carried out");
     this.gauge("heatherferry_rules_revision", "Revision of the rules in force", () =>
--- a/packages/runners/src/targets/httpTargetLink.ts
+++ b/packages/runners/src/targets/httpTargetLink.ts
@@ -1,3 +1,4 @@
+import { EventEmitter } from "node:events";
 import type { AttemptId } from "@heatherferry/common";
 import { ATTEMPT_STAGE, type AttemptStage } from "@heatherferry/core";
 import { messageOf } from "@heatherferry/common";
@@ -38,13 +39,13 @@
 /** Targets over HTTP/1.1: one request at a time on a connection, so answers cannot cross. */
 export class HttpTargetLink extends TargetLink {
   private readonly pools = new Map<string, Pool>();
-  private readonly calls = new Map<AttemptId, AbortController>();
+  private readonly calls = new Map<AttemptId, EventEmitter>();
 
   override async call(call: TargetCall): Promise<TargetCallResult> {
-    const controller = new AbortController();
-    this.calls.set(call.attemptId, controller);
+    const stopSwitch = new EventEmitter();
+    this.calls.set(call.attemptId, stopSwitch);
     try {
-      const response = await this.send(call, controller.signal);
+      const response = await this.send(call, stopSwitch);
       return await this.readHead(call, response);
     } catch (error) {
       this.calls.delete(call.attemptId);
@@ -54,7 +55,7 @@
   }
 
   override abort(attemptId: AttemptId): void {
-    this.calls.get(attemptId)?.abort();
+    this.calls.get(attemptId)?.emit("abort");
     this.calls.delete(attemptId);
   }
 
@@ -83,7 +84,7 @@
     return made;
   }
 
-  private async send(call: TargetCall, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
+  private async send(call: TargetCall, signal: EventEmitter): Promise<Dispatcher.ResponseData> {
     const { request } = call;
     return this.poolFor(call.address).request({
       method: request.method,
