Hold upper limits across the fleet by escrow in the table

Need: entry hosts took the whole limit each. The fleet must stay within it through kills, pauses, cuts, lost replies and changed limits.

Change: the limits slice. Grants are taken from the mirrored row alone, so that an outcome lost or misjudged changes nothing; while a write is under way the lower of both grants counts. A holder measures its terms by the latest that the table's clock may show, all others by the earliest. Grants lapsed by skew and tail are taken back; work beyond that is stopped by its holder. Zones and hosts that hoard give way at renewal to those that wait. A node exits only when its grants are returned (one condition in membership).

--- a/packages/coordination/src/escrow/caps.ts
+++ b/packages/coordination/src/escrow/caps.ts
@@ -1,5 +1,6 @@
 import type { AvailabilityZoneId } from "@heatherferry/common";
 import { ESCROW } from "./constants.js";
+import { fairSplit } from "./fairSplit.js";
 import { grantedSum, restOf } from "./grants.js";
 import { sameStamp, scaledCount } from "./scale.js";
 import type {
@@ -8,6 +9,7 @@
   LimitStamp,
   StatedLimit,
   TeamEscrow,
+  ZoneCap,
   ZoneEscrow,
 } from "./types.js";
 
@@ -18,11 +20,15 @@
   readonly stated: StatedLimit;
   /** Count to take, or to give back where below 0. */
   readonly change: number;
+  /** What the zone's holders want together. */
+  readonly wanted: number;
 }
 
 export interface SettledCaps {
   readonly team: TeamEscrow;
   readonly zone: ZoneEscrow;
+  /** The zone's fair part of the limit; infinite while no other zone waits. */
+  readonly zoneShare: number;
 }
 
 /**
@@ -74,7 +80,16 @@
   zone: ZoneEscrow,
 ): TeamEscrow => ({
   ...team,
-  zones: { ...team.zones, [id]: { cap: zone.cap, limit: zone.limit, above: zone.above } },
+  zones: {
+    ...team.zones,
+    [id]: {
+      cap: zone.cap,
+      limit: zone.limit,
+      above: zone.above,
+      wanted: team.zones[id]?.wanted ?? 0,
+      wantedUntilMs: team.zones[id]?.wantedUntilMs ?? 0,
+    },
+  },
 });
 
 const stampsInUse = (team: TeamEscrow): readonly number[] => [
@@ -118,8 +133,26 @@
   };
 };
 
+/** The zone's fair part of the limit where others wait for theirs. */
+const shareOf = (team: TeamEscrow, request: CapRequest, tableEarliestMs: number): number => {
+  const others = Object.entries(team.zones).filter(([id]) => id !== request.availabilityZone);
+  const waits = (zone: ZoneCap): boolean => zone.wantedUntilMs > tableEarliestMs;
+  if (!others.some(([, zone]) => waits(zone))) {
+    return Number.POSITIVE_INFINITY;
+  }
+  const wants = others.map(([, zone]) =>
+    waits(zone) ? Math.max(zone.wanted, zone.cap) : zone.cap,
+  );
+  return fairSplit(team.limit, [request.wanted, ...wants])[0] ?? 0;
+};
+
 /** Takes or gives back, and puts the present limit on the zone where all caps fit under it. */
-const changeCap = (team: TeamEscrow, zone: ZoneEscrow, change: number): ZoneEscrow => {
+const changeCap = (
+  team: TeamEscrow,
+  zone: ZoneEscrow,
+  change: number,
+  zoneShare: number,
+): ZoneEscrow => {
   if (change < 0) {
     return { ...zone, cap: zone.cap - Math.min(-change, restOf(zone)) };
   }
@@ -127,7 +160,40 @@
   if (unassigned < 0 || team.earlier.length >= ESCROW.MAX_EARLIER_LIMITS) {
     return zone;
   }
-  return { ...zone, cap: zone.cap + Math.min(change, unassigned), ...stampNow(team) };
+  const mayGrow = Math.max(0, zoneShare - zone.cap);
+  return { ...zone, cap: zone.cap + Math.min(change, unassigned, mayGrow), ...stampNow(team) };
+};
+
+/** Lets other zones know that this one waits; said again before it lapses, and only then. */
+const withWanted = (
+  team: TeamEscrow,
+  request: CapRequest,
+  terms: EscrowTerms,
+  tableEarliestMs: number,
+): TeamEscrow => {
+  const zone = team.zones[request.availabilityZone];
+  if (zone === undefined) {
+    return team;
+  }
+  const stands = zone.wantedUntilMs - tableEarliestMs > terms.burstTermMs;
+  if (zone.cap >= request.wanted || stands) {
+    return team;
+  }
+  const wantedUntilMs = tableEarliestMs + 2 * terms.burstTermMs;
+  const said = { ...zone, wanted: request.wanted, wantedUntilMs };
+  return { ...team, zones: { ...team.zones, [request.availabilityZone]: said } };
+};
+
+/**
+ * Gives back what a zone holds free beyond its fair part.
+ *
+ * @param zone - A zone's part.
+ * @param zoneShare - Its fair part of the limit.
+ * @returns The zone's part without it.
+ */
+export const trimToShare = (zone: ZoneEscrow, zoneShare: number): ZoneEscrow => {
+  const beyond = Math.min(restOf(zone), zone.cap - zoneShare);
+  return beyond > 0 ? { ...zone, cap: zone.cap - beyond } : zone;
 };
 
 /**
@@ -161,10 +227,10 @@
   const settled = withZone(known, id, shrunk);
   const before = sameStamp(shrunk, zone) ? [] : [zone];
   const mindful = rememberStamps(settled, before, terms, tableEarliestMs);
-  const changed = changeCap(mindful, shrunk, request.change);
+  const zoneShare = shareOf(mindful, request, tableEarliestMs);
+  const changed = changeCap(mindful, shrunk, request.change, zoneShare);
   const left = sameStamp(changed, shrunk) ? [] : [shrunk];
-  return {
-    team: rememberStamps(withZone(mindful, id, changed), left, terms, tableEarliestMs),
-    zone: changed,
-  };
+  const remembering = rememberStamps(withZone(mindful, id, changed), left, terms, tableEarliestMs);
+  const saying = withWanted(remembering, request, terms, tableEarliestMs);
+  return { team: saying, zone: changed, zoneShare };
 };
--- a/packages/coordination/src/escrow/grants.ts
+++ b/packages/coordination/src/escrow/grants.ts
@@ -81,15 +81,12 @@
   tableEarliestMs: number,
 ): EscrowGrant | null => {
   const lapsedBefore = tableEarliestMs - terms.skewMs - terms.runTailMs;
-  const baseLapsed = grant.baseUntilMs <= lapsedBefore;
-  const burstLapsed = grant.burstUntilMs <= lapsedBefore;
-  if (baseLapsed && burstLapsed) {
+  const base = grant.baseUntilMs <= lapsedBefore ? 0 : grant.base;
+  const burst = grant.burstUntilMs <= lapsedBefore ? 0 : grant.burst;
+  if (Math.max(grant.baseUntilMs, grant.burstUntilMs) <= lapsedBefore) {
     return null;
   }
-  if (!baseLapsed && !burstLapsed) {
-    return grant;
-  }
-  return { ...grant, base: baseLapsed ? 0 : grant.base, burst: burstLapsed ? 0 : grant.burst };
+  return base === grant.base && burst === grant.burst ? grant : { ...grant, base, burst };
 };
 
 const countsOf = (grant: EscrowGrant | null): number => (grant === null ? 0 : countedOf(grant));
@@ -130,11 +127,33 @@
   return { limit: zone.limit, above: Math.min(above, zone.limit) };
 };
 
+/** A holder that did not renew wants no more than it still counts for. */
+const wantOf = (grant: EscrowGrant, tableEarliestMs: number): number =>
+  grant.burstUntilMs > tableEarliestMs ? Math.max(grant.wanted, grant.base) : countedOf(grant);
+
+/**
+ * @param zone - A zone's escrow.
+ * @param request - What one holder asks for now.
+ * @param tableEarliestMs - The earliest that the table's clock may show now.
+ * @returns What all holders of the zone want together.
+ */
+export const zoneWanted = (
+  zone: ZoneEscrow,
+  request: GrantRequest,
+  tableEarliestMs: number,
+): number =>
+  zone.grants
+    .filter((grant) => grant.holder !== request.holder)
+    .reduce((sum, grant) => sum + wantOf(grant, tableEarliestMs), request.target);
+
 /** The part of the cap that is this holder's when all want more than there is. */
-const fairPart = (zone: ZoneEscrow, request: GrantRequest, available: number): number => {
-  const others = zone.grants.filter((grant) => grant.holder !== request.holder);
-  const total = available + grantedSum(others);
-  const wants = [request.target, ...others.map((grant) => Math.max(grant.wanted, grant.base))];
+const fairPart = (
+  request: GrantRequest,
+  others: readonly EscrowGrant[],
+  total: number,
+  tableEarliestMs: number,
+): number => {
+  const wants = [request.target, ...others.map((grant) => wantOf(grant, tableEarliestMs))];
   return wants.reduce((sum, want) => sum + want, 0) <= total
     ? request.target
     : (fairSplit(total, wants)[0] ?? 0);
@@ -181,14 +200,15 @@
   tableEarliestMs: number,
 ): ZoneEscrow => {
   const own = grantOf(zone, request.holder);
+  const others = zone.grants.filter((grant) => grant.holder !== request.holder);
   const available = availableTo(zone, own);
-  const fair = Math.min(request.target, fairPart(zone, request, available));
+  const total = Math.min(request.zoneShare, available + grantedSum(others));
+  const fair = fairPart(request, others, total, tableEarliestMs);
   const count = Math.min(available, Math.max(fair, request.running));
   const mostHeld =
     own === null ? 0 : countedOf(own) - restampedCount(own.base + own.burst, own, zone);
   const held = Math.max(0, Math.min(request.running - count, mostHeld));
   const base = Math.min(request.base, count);
-  const others = zone.grants.filter((grant) => grant.holder !== request.holder);
   const made: EscrowGrant = {
     ...stampUnder(zone, own),
     holder: request.holder,
--- a/packages/coordination/src/escrow/types.ts
+++ b/packages/coordination/src/escrow/types.ts
@@ -35,6 +35,10 @@
 /** A zone's part of the limit in the team's own row. */
 export interface ZoneCap extends LimitStamp {
   readonly cap: number;
+  /** What the zone wants while it cannot have it; 0 for no more than its cap. */
+  readonly wanted: number;
+  /** Until when that counts, on the table's clock. */
+  readonly wantedUntilMs: number;
 }
 
 /** A limit that a grant may still be stamped with. */
@@ -82,4 +86,6 @@
   readonly wanted: number;
   /** What it runs now. */
   readonly running: number;
+  /** The zone's fair part of the limit; infinite while no other zone waits. */
+  readonly zoneShare: number;
 }
--- a/packages/coordination/tests/escrow.test.ts
+++ b/packages/coordination/tests/escrow.test.ts
@@ -14,6 +14,7 @@
   returnGrant,
   settleCaps,
   startableOf,
+  trimToShare,
   withZone,
   zoneCapsWithinLimit,
   zoneGrantsWithinCap,
@@ -26,6 +27,7 @@
 const ZONES = ["a", "b", "c"].map(availabilityZoneId);
 const HOLDERS = ["h1/1", "h2/1"];
 const MAX_LIMIT = 40;
+const ALONE = { zoneShare: Number.POSITIVE_INFINITY };
 
 interface World {
   nowMs: number;
@@ -64,6 +66,7 @@
       availabilityZone: idAt(step.zone),
       stated: { limit: world.limit, revision: revision(world.revision) },
       change: step.count - MAX_LIMIT / 2,
+      wanted: step.running,
     },
     TERMS,
     world.nowMs,
@@ -77,13 +80,8 @@
   const zone = zoneAt(world, step.zone);
   const own = grantOf(zone, holder);
   const running = Math.min(step.running, own === null ? 0 : countedOf(own));
-  const request = {
-    holder,
-    target: step.count,
-    base: step.count >> 2,
-    wanted: step.count,
-    running,
-  };
+  const asked = { target: step.count, base: step.count >> 2, wanted: step.count };
+  const request = { holder, running, ...asked, ...ALONE };
   const reclaimed = reclaimLapsed(zone, TERMS, world.nowMs, holder);
   world.zones[step.zone] = regrant(reclaimed, request, TERMS, world.nowMs);
 };
@@ -182,7 +180,7 @@
 
 test("a holder that shrinks below what it runs keeps the excess counted", (t) => {
   const before = { ...zoneOf(10, [grant("h/1", 0, 10)]), limit: 4 };
-  const request = { holder: "h/1", target: 4, base: 0, wanted: 9, running: 9 };
+  const request = { holder: "h/1", target: 4, base: 0, wanted: 9, running: 9, ...ALONE };
   const after = regrant(before, request, TERMS, 0);
   const own = grantOf(after, "h/1");
   t.is(own?.burst, 4);
@@ -194,7 +192,7 @@
 test("a holder that hoards gives way at its next renewal to one that waits", (t) => {
   const waiting: EscrowGrant = { ...grant("late/1", 0, 0), wanted: 10 };
   const zone = zoneOf(10, [grant("early/1", 0, 10), waiting]);
-  const request = { holder: "early/1", target: 10, base: 0, wanted: 10, running: 3 };
+  const request = { holder: "early/1", target: 10, base: 0, wanted: 10, running: 3, ...ALONE };
   t.is(grantOf(regrant(zone, request, TERMS, 0), "early/1")?.burst, 5);
 });
 
@@ -210,3 +208,17 @@
   const shrunk = { ...zoneAt(world, 0), cap: 3 };
   t.is(withZone(world.team, idAt(0), shrunk).zones[idAt(0)]?.cap, 3);
 });
+
+test("a zone that took all gives way to one that waits", (t) => {
+  const world = newWorld(10);
+  const all = { kind: "settle", holder: 0, count: MAX_LIMIT, running: 10 } as const;
+  settle(world, { ...all, zone: 0 });
+  t.is(zoneAt(world, 0).cap, 10);
+  settle(world, { ...all, zone: 1 });
+  t.is(zoneAt(world, 1).cap, 0);
+  const stated = { limit: 10, revision: revision(1) };
+  const request = { availabilityZone: idAt(0), stated, change: 0, wanted: 10 };
+  const { zoneShare, zone } = settleCaps(world.team, zoneAt(world, 0), request, TERMS, 1);
+  t.is(zoneShare, 5);
+  t.is(trimToShare(zone, zoneShare).cap, 5);
+});
--- a/packages/core/src/initialState.ts
+++ b/packages/core/src/initialState.ts
@@ -2,6 +2,7 @@
 import { xoroshiro128plus } from "pure-rand";
 import { initialFleet } from "./fleet/rowsChangedFleet.js";
 import { initialLimits } from "./limits/holdings.js";
+import { zoneEscrowPrefix } from "./limits/rows.js";
 import { initialMembership, zoneMembersPrefix } from "./membership/reduceMembership.js";
 import { NODE_ROLE } from "./node/constants.js";
 import type { NodeIdentity } from "./node/types.js";
@@ -21,7 +22,7 @@
   if (role === NODE_ROLE.ENTRY) {
     mirrorPrefix(state, zoneMembersPrefix(state));
     mirrorPrefix(state, rowKeyOf(ROW_PREFIX.HOST, availabilityZone, "/"));
-    mirrorPrefix(state, rowKeyOf(ROW_PREFIX.ZONE_ESCROW, availabilityZone));
+    mirrorPrefix(state, zoneEscrowPrefix(state));
   } else {
     mirrorPrefix(state, rowKey(ROW_PREFIX.HOST));
     mirrorPrefix(state, rowKey(ROW_PREFIX.MEMBER));
--- /dev/null
+++ b/packages/core/src/limits/constants.ts
@@ -0,0 +1,17 @@
+/** Pace of an entry host's escrow writes. */
+export const LIMITS = {
+  /** Between two escrow writes of one entry host. */
+  WRITE_INTERVAL_MS: 4_000,
+  /** The same while it is leaving. */
+  LEAVING_INTERVAL_MS: 500,
+  /** After a conflict the next try waits for a random time up to this. */
+  CONFLICT_BACKOFF_MS: 400,
+  MAX_TEAMS_PER_WRITE: 32,
+  MIN_TEAMS_PER_WRITE: 4,
+  /** A grant is asked for with this much more than is wanted. */
+  HEADROOM_FACTOR: 1.25,
+  /** Demand counts at its peak for this long. */
+  DEMAND_HOLD_MS: 10_000,
+  /** A zone gives back what it has not used for this long. */
+  GIVE_BACK_AFTER_MS: 20_000,
+} as const;
--- /dev/null
+++ b/packages/core/src/limits/coverage.ts
@@ -0,0 +1,62 @@
+import type { AttemptId } from "@heatherferry/common";
+import { coveredOf } from "@heatherferry/coordination";
+import type { Effect } from "../effect.js";
+import type { State } from "../state.js";
+import { tableLatestMs } from "./holdings.js";
+import type { TeamHolding } from "./types.js";
+
+const stop = (state: State, attemptId: AttemptId, effects: Effect[]): void => {
+  const attempt = state.requests.attempts.get(attemptId);
+  if (attempt === undefined || state.limits.stopped.has(attemptId)) {
+    return;
+  }
+  state.limits.stopped.add(attemptId);
+  state.limits.counters.stopped += 1;
+  effects.push({ type: "attempt/abort", requestId: attempt.requestId, attemptId });
+};
+
+const stopUncovered = (
+  state: State,
+  holding: TeamHolding,
+  latestMs: number,
+  effects: Effect[],
+): void => {
+  const covered = coveredOf(holding.grant, state.limits.terms, latestMs);
+  if (holding.running <= covered) {
+    return;
+  }
+  const running = [...state.requests.attempts.values()].filter(
+    (attempt) => attempt.team === holding.team,
+  );
+  for (const attempt of running.slice(covered)) {
+    stop(state, attempt.attemptId, effects);
+  }
+};
+
+const forgetEnded = (state: State): void => {
+  for (const attemptId of state.limits.stopped) {
+    if (!state.requests.attempts.has(attemptId)) {
+      state.limits.stopped.delete(attemptId);
+    }
+  }
+};
+
+/**
+ * Stops what still runs so long after its grant lapsed that others may have taken the count:
+ * the latest started first.
+ *
+ * @param state - The state to change.
+ * @param effects - Receives the effects.
+ */
+export const enforceCoverage = (state: State, effects: Effect[]): void => {
+  const latestMs = tableLatestMs(state);
+  if (latestMs === null) {
+    return;
+  }
+  forgetEnded(state);
+  for (const holding of state.limits.holdings.values()) {
+    if (holding.running > 0) {
+      stopUncovered(state, holding, latestMs, effects);
+    }
+  }
+};
--- /dev/null
+++ b/packages/core/src/limits/demand.ts
@@ -0,0 +1,50 @@
+import type { PoolId, TeamId } from "@heatherferry/common";
+import { targetsOf } from "../routing/targets.js";
+import type { State } from "../state.js";
+import { LIMITS } from "./constants.js";
+import { holdingOf } from "./holdings.js";
+import type { TeamHolding } from "./types.js";
+
+const slotsOf = (state: State, pool: PoolId): number =>
+  targetsOf(state, pool).reduce(
+    (sum, { accepting, allowance }) => sum + (accepting ? allowance : 0),
+    0,
+  );
+
+/** Requests that wait, no more of a pool than its slots could run. */
+const waitingByTeam = (state: State): Map<TeamId, number> => {
+  const waiting = new Map<TeamId, number>();
+  for (const [pool, queue] of state.queues.pools) {
+    if (queue.length === 0) {
+      continue;
+    }
+    const slots = slotsOf(state, pool);
+    for (const { team, length } of queue.teams.values()) {
+      waiting.set(team, (waiting.get(team) ?? 0) + Math.min(length, slots));
+    }
+  }
+  return waiting;
+};
+
+const noteDemand = (state: State, holding: TeamHolding, demand: number): void => {
+  const heldLongEnough = state.nowMs - holding.wantedAtMs > LIMITS.DEMAND_HOLD_MS;
+  if (demand >= holding.wanted || heldLongEnough) {
+    holding.wanted = demand;
+    holding.wantedAtMs = state.nowMs;
+  }
+};
+
+/**
+ * Notes how much of each team could run here now.
+ *
+ * @param state - The state to change.
+ */
+export const refreshDemand = (state: State): void => {
+  const waiting = waitingByTeam(state);
+  for (const team of waiting.keys()) {
+    holdingOf(state, team);
+  }
+  for (const holding of state.limits.holdings.values()) {
+    noteDemand(state, holding, holding.running + (waiting.get(holding.team) ?? 0));
+  }
+};
--- a/packages/core/src/limits/holdings.ts
+++ b/packages/core/src/limits/holdings.ts
@@ -1,11 +1,26 @@
 import type { TeamId } from "@heatherferry/common";
+import {
+  DEFAULT_ESCROW_TERMS,
+  grantOf,
+  startableOf,
+  type EscrowGrant,
+} from "@heatherferry/coordination";
+import type { TableRow } from "../platform/types.js";
 import type { State } from "../state.js";
-import type { LimitsState, TeamHolding } from "./types.js";
+import { LIMITS } from "./constants.js";
+import type { LimitsState, TeamHolding, ZoneEscrowRow } from "./types.js";
 
 export const initialLimits = (): LimitsState => ({
+  terms: DEFAULT_ESCROW_TERMS,
   holdings: new Map(),
   writeInFlight: false,
   nextWriteAtMs: 0,
+  readingSinceMs: null,
+  readingTeams: new Set(),
+  batchSize: LIMITS.MAX_TEAMS_PER_WRITE,
+  tableLatestOffsetMs: null,
+  stopped: new Set(),
+  counters: { writes: 0, conflicts: 0, stopped: 0 },
 });
 
 /**
@@ -19,24 +34,95 @@
     return known;
   }
   const made: TeamHolding = {
+    team,
     running: 0,
-    base: 0,
-    burst: 0,
-    baseUntilMs: 0,
-    burstUntilMs: 0,
-    grantedLimit: 0,
+    grant: null,
+    changing: false,
+    changedGrant: null,
     wanted: 0,
+    wantedAtMs: 0,
+    unusedSinceMs: null,
   };
   state.limits.holdings.set(team, made);
   return made;
 };
 
+/**
+ * @param state - The state to read.
+ * @returns The name under which this process holds grants; a restart has another.
+ */
+export const holderOf = (state: State): string =>
+  `${state.node.identity.entryHostId}/${state.node.identity.incarnation}`;
+
+/**
+ * @param state - The state to read.
+ * @param team - The team.
+ * @returns Its limit as the rules in force state it; 0 for a team that they do not have.
+ */
+export const statedLimitOf = (state: State, team: TeamId): number =>
+  state.revisions.rules.teams.get(team)?.limit ?? 0;
+
+/**
+ * A holder counts its terms by the latest that the table's clock may show, all others by the
+ * earliest, so that a grant ends for its holder first.
+ *
+ * @param state - The state to read.
+ * @returns The latest that the table's clock may show now, in ms; null before the first read.
+ */
+export const tableLatestMs = (state: State): number | null =>
+  state.limits.tableLatestOffsetMs === null ? null : state.nowMs + state.limits.tableLatestOffsetMs;
+
+/**
+ * @param state - The state to read.
+ * @param team - The team.
+ * @returns How much of the team this entry host may have running when it starts one more.
+ */
+export const startableNow = (state: State, team: TeamId): number => {
+  const holding = state.limits.holdings.get(team);
+  const latestMs = tableLatestMs(state);
+  if (holding === undefined || latestMs === null) {
+    return 0;
+  }
+  const limit = statedLimitOf(state, team);
+  const startable = (grant: EscrowGrant | null): number =>
+    grant === null ? 0 : startableOf(grant, limit, latestMs);
+  const held = startable(holding.grant);
+  return holding.changing ? Math.min(held, startable(holding.changedGrant)) : held;
+};
+
 /**
  * @param state - The state to read.
  * @param team - The team.
  * @returns Whether this entry host may start one more request of the team now.
  */
-export const mayStart = (state: State, team: TeamId): boolean => {
-  const limit = state.revisions.rules.teams.get(team)?.limit ?? 0;
-  return holdingOf(state, team).running < limit;
+export const mayStart = (state: State, team: TeamId): boolean =>
+  holdingOf(state, team).running < startableNow(state, team);
+
+const recheckPools = (state: State, team: TeamId): void => {
+  for (const [pool, queue] of state.queues.pools) {
+    if ((queue.teams.get(team)?.length ?? 0) > 0) {
+      state.queues.changed.add(pool);
+    }
+  }
+};
+
+const takeZoneRow = (state: State, row: ZoneEscrowRow): void => {
+  const holding = holdingOf(state, row.team);
+  holding.grant = grantOf(row, holderOf(state));
+  recheckPools(state, row.team);
+};
+
+/**
+ * Takes over this node's grants.
+ *
+ * @param state - The state to change.
+ * @param rows - Rows that changed in the mirror.
+ */
+export const rowsChangedLimits = (state: State, rows: readonly TableRow[]): void => {
+  const zone = state.node.identity.availabilityZone;
+  for (const { body } of rows) {
+    if (body.type === "zoneEscrow" && body.availabilityZone === zone) {
+      takeZoneRow(state, body);
+    }
+  }
 };
--- a/packages/core/src/limits/types.ts
+++ b/packages/core/src/limits/types.ts
@@ -1,58 +1,50 @@
-import type { AvailabilityZoneId, Revision, TeamId } from "@heatherferry/common";
+import type { AttemptId, AvailabilityZoneId, TeamId } from "@heatherferry/common";
+import type { EscrowGrant, EscrowTerms, TeamEscrow, ZoneEscrow } from "@heatherferry/coordination";
 
-/** The team's limit split into zone caps; the sum of caps never exceeds the limit. Key: `escrow/team/<team>`. */
-export interface TeamEscrowRow {
+/** The team's limit split into zone caps. Key: `escrow/team/<team>`. */
+export interface TeamEscrowRow extends TeamEscrow {
   readonly type: "teamEscrow";
   readonly team: TeamId;
-  readonly limit: number;
-  /** Revision of the rules that stated the limit. */
-  readonly revision: Revision;
-  readonly zoneCaps: Readonly<Record<AvailabilityZoneId, number>>;
 }
 
-/** Grants of one team in a zone. */
-export interface ZoneTeamEscrow {
-  readonly cap: number;
-  /** The team's limit when the cap was given. */
-  readonly limit: number;
-  readonly grants: readonly EscrowGrant[];
-}
-
-/** A count that one incarnation of an entry host may run at once. */
-export interface EscrowGrant {
-  /** `<entry host>/<incarnation>` */
-  readonly holder: string;
-  readonly base: number;
-  readonly burst: number;
-  /** End of the base grant, on the table's clock. */
-  readonly baseUntilMs: number;
-  /** End of the burst grant, on the table's clock. */
-  readonly burstUntilMs: number;
-}
-
-/** The zone's caps split into grants. Key: `escrow/zone/<zone>`. */
-export interface ZoneEscrowRow {
+/** A zone's cap of one team's limit, split into grants. Key: `escrow/zone/<zone>/<team>`. */
+export interface ZoneEscrowRow extends ZoneEscrow {
   readonly type: "zoneEscrow";
   readonly availabilityZone: AvailabilityZoneId;
-  readonly teams: Readonly<Record<TeamId, ZoneTeamEscrow>>;
+  readonly team: TeamId;
 }
 
 /** What this entry host holds for one team. */
 export interface TeamHolding {
+  readonly team: TeamId;
   running: number;
-  base: number;
-  burst: number;
-  /** Ends on this node's own clock, counted from before the request was sent. */
-  baseUntilMs: number;
-  burstUntilMs: number;
-  /** The team's limit when the grant was given. */
-  grantedLimit: number;
-  /** Requests that could start if the holding were larger. */
+  /** This incarnation's grant as the mirrored row has it. */
+  grant: EscrowGrant | null;
+  /** A write under way changes the grant: until it is settled the lower of both counts. */
+  changing: boolean;
+  /** The grant as that write has it. */
+  changedGrant: EscrowGrant | null;
+  /** What could run at once, were there no limit; falls only after a while. */
   wanted: number;
+  wantedAtMs: number;
+  /** Since when the zone has had more of the limit than it uses. */
+  unusedSinceMs: number | null;
 }
 
 export interface LimitsState {
+  terms: EscrowTerms;
   holdings: Map<TeamId, TeamHolding>;
   writeInFlight: boolean;
   nextWriteAtMs: number;
+  /** Set while rows are read anew for the next write; only a read sent later counts. */
+  readingSinceMs: number | null;
+  /** Teams whose own rows that read asked for. */
+  readingTeams: Set<TeamId>;
+  /** Teams that the next write may change; falls with conflicts. */
+  batchSize: number;
+  /** The table's clock is at most this far ahead of this node's. */
+  tableLatestOffsetMs: number | null;
+  /** Attempts that were told to stop because no grant covers them any more. */
+  stopped: Set<AttemptId>;
+  counters: { writes: number; conflicts: number; stopped: number };
 }
--- a/packages/core/src/membership/reduceMembership.ts
+++ b/packages/core/src/membership/reduceMembership.ts
@@ -2,6 +2,7 @@
 import type { Effect } from "../effect.js";
 import type { Event } from "../event.js";
 import { drainAcknowledgements } from "../fleet/acknowledgements.js";
+import { hasReturnedGrants } from "../limits/escrowWrites.js";
 import { NODE_ROLE } from "../node/constants.js";
 import { ROW_PREFIX } from "../platform/constants.js";
 import { tableNowMs, viewAgeMs } from "../platform/mirror.js";
@@ -56,7 +57,8 @@
 const hasEnded = (state: State): boolean =>
   state.node.leavingSinceMs !== null &&
   state.requests.records.size === 0 &&
-  state.requests.attempts.size === 0;
+  state.requests.attempts.size === 0 &&
+  hasReturnedGrants(state);
 
 const sendHeartbeat = (
   state: State,
--- a/packages/core/src/reducer.ts
+++ b/packages/core/src/reducer.ts
@@ -2,6 +2,9 @@
 import type { Effect } from "./effect.js";
 import type { Event } from "./event.js";
 import { rowsChangedFleet } from "./fleet/rowsChangedFleet.js";
+import { writeSettledLimits } from "./limits/escrowWrites.js";
+import { rowsChangedLimits } from "./limits/holdings.js";
+import { reduceLimits } from "./limits/reduceLimits.js";
 import {
   reduceMembership,
   refreshMembers,
@@ -39,6 +42,7 @@
   rowsChangedMembership(state, rows, effects);
   rowsChangedFleet(state, rows);
   rowsChangedRouting(state, rows);
+  rowsChangedLimits(state, rows);
 };
 
 const spreadOutcome = (state: State, outcome: WriteOutcome): void => {
@@ -47,6 +51,8 @@
       writeSettledMembership(state, outcome);
       return;
     case "escrow":
+      writeSettledLimits(state, outcome);
+      return;
     case "claim":
     case "fleet":
     case "wave":
@@ -92,6 +98,7 @@
   }
   reduceMembership(state, event, effects);
   reduceRequests(state, event, policies, effects);
+  reduceLimits(state, event, effects);
   startReady(state, policies, effects);
   return effects;
 };
--- /dev/null
+++ b/packages/core/tests/helpers/limitChecks.ts
@@ -0,0 +1,99 @@
+import { TIME, type TeamId } from "@heatherferry/common";
+import type { RuleSet, TeamRule } from "@heatherferry/rules";
+import { escrowRowBreach, teamNeverAboveLimit, type State } from "../../src/index.js";
+import type { TestFleet } from "./testFleet.js";
+
+/** Work that began under an earlier limit may still run. */
+const LONGEST_WORK_MS = 2 * TIME.MINUTE_MS;
+
+/** Checks the limits' invariants over a whole fleet, after each event. */
+export class LimitChecks {
+  /** When each limit of a team was last in force somewhere. */
+  private readonly inForce = new Map<TeamId, Map<number, number>>();
+  private checkedCommits = -1;
+
+  constructor(private readonly fleet: TestFleet) {
+    fleet.check = () => {
+      this.check();
+    };
+  }
+
+  private check(): void {
+    const states = this.fleet
+      .liveNodes()
+      .filter((node) => !node.paused)
+      .map((node) => node.state);
+    const rules = this.highest(states);
+    this.noteLimits(rules);
+    const breaches = teamNeverAboveLimit(states, rules);
+    if (breaches.length > 0) {
+      throw new Error(`At ${this.fleet.time.nowMs} ms: ${JSON.stringify(breaches)}`);
+    }
+    this.checkRunning();
+    this.checkRows();
+  }
+
+  /** While hosts differ in their rules, the highest limit of each team. */
+  private highest(states: readonly State[]): RuleSet {
+    const teams = new Map<TeamId, TeamRule>();
+    for (const state of states) {
+      for (const [team, rule] of state.revisions.rules.teams) {
+        if (rule.limit > (teams.get(team)?.limit ?? -1)) {
+          teams.set(team, rule);
+        }
+      }
+    }
+    const [first] = states;
+    const rules = first?.revisions.rules;
+    return {
+      keys: new Map(),
+      pools: new Map(),
+      queues: new Map(),
+      waves: new Map(),
+      ...rules,
+      teams,
+    };
+  }
+
+  private noteLimits(rules: RuleSet): void {
+    for (const { team, limit } of rules.teams.values()) {
+      const seen = this.inForce.get(team) ?? new Map<number, number>();
+      this.inForce.set(team, seen.set(limit, this.fleet.time.nowMs));
+    }
+  }
+
+  /** The highest limit under which work that still runs may have begun. */
+  private limitOfRunning(team: TeamId): number {
+    const sinceMs = this.fleet.time.nowMs - LONGEST_WORK_MS;
+    const seen = [...(this.inForce.get(team) ?? [])];
+    return Math.max(0, ...seen.map(([limit, atMs]) => (atMs >= sinceMs ? limit : 0)));
+  }
+
+  private checkRunning(): void {
+    const running = new Map<TeamId, number>();
+    for (const { team } of this.fleet.works.values()) {
+      running.set(team, (running.get(team) ?? 0) + 1);
+    }
+    for (const [team, count] of running) {
+      const limit = this.limitOfRunning(team);
+      if (count > limit) {
+        throw new Error(`At ${this.fleet.time.nowMs} ms: ${count} of ${team} run, limit ${limit}`);
+      }
+    }
+  }
+
+  private checkRows(): void {
+    const { table } = this.fleet;
+    if (table.commits === this.checkedCommits) {
+      return;
+    }
+    this.checkedCommits = table.commits;
+    const breach = table
+      .all()
+      .map(escrowRowBreach)
+      .find((found) => found !== null);
+    if (breach !== undefined) {
+      throw new Error(`At ${this.fleet.time.nowMs} ms: ${JSON.stringify(breach)}`);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/tests/helpers/testFleet.ts
@@ -0,0 +1,321 @@
+import { queueId, requestId, revision, rowKey, type AttemptId } from "@heatherferry/common";
+import { unsafeUniformIntDistribution, xoroshiro128plus, type RandomGenerator } from "pure-rand";
+import {
+  PLATFORM,
+  reduce,
+  type Effect,
+  type Event,
+  type TableRange,
+  type TableWrite,
+} from "../../src/index.js";
+import { FakeTable } from "./fakeTable.js";
+import { hostRow, makeNode, type RunningWork, type TestNode } from "./testNode.js";
+import { VirtualTime } from "./virtualTime.js";
+
+export interface TestFleetOptions {
+  readonly zones: Readonly<Record<string, number>>;
+  readonly rules: string;
+  readonly seed: number;
+  readonly slotsPerZone?: number;
+  readonly latencyMs?: number;
+}
+
+const TICK_MS = 100;
+const TABLE_CLOCK_AHEAD_MS = 1_000_000;
+
+/** Real reducers of several entry hosts before one fake table, under virtual time. */
+export class TestFleet {
+  readonly table = new FakeTable();
+  readonly time = new VirtualTime();
+  readonly nodes = new Map<string, TestNode>();
+  readonly works = new Map<AttemptId, RunningWork>();
+  tableDown = false;
+  /** Part of the writes whose reply is lost after they took effect. */
+  lostReplies = 0;
+  /** Called after each event of a node. */
+  check: (() => void) | null = null;
+  writesSent = 0;
+  served = 0;
+  private readonly random: RandomGenerator;
+  private readonly latencyMs: number;
+  private readonly serviceMs = new Map<string, number>();
+  private revision = 0;
+  private requests = 0;
+
+  constructor(options: TestFleetOptions) {
+    this.random = xoroshiro128plus(options.seed);
+    this.latencyMs = options.latencyMs ?? 2;
+    this.applyRules(options.rules);
+    for (const [zone, count] of Object.entries(options.zones)) {
+      const host = hostRow(zone, options.slotsPerZone ?? 256);
+      this.table.put(rowKey(`host/${zone}/${host.hostId}`), host);
+      for (let place = 1; place <= count; place += 1) {
+        this.start(`${zone}${place}`, zone, 1);
+      }
+    }
+  }
+
+  applyRules(text: string): void {
+    this.revision += 1;
+    this.table.put(rowKey("rules/head"), {
+      type: "rulesHead",
+      revision: revision(this.revision),
+      text,
+      appliedBy: "test",
+      appliedAtMs: 0,
+    });
+  }
+
+  node(name: string): TestNode {
+    const node = this.nodes.get(name);
+    if (node === undefined) {
+      throw new Error(`No node ${name}`);
+    }
+    return node;
+  }
+
+  liveNodes(): readonly TestNode[] {
+    return [...this.nodes.values()].filter((node) => node.alive);
+  }
+
+  run(forMs: number): void {
+    this.time.advance(forMs);
+  }
+
+  pick(below: number): number {
+    return unsafeUniformIntDistribution(0, below - 1, this.random);
+  }
+
+  /** Sends requests to an entry host. */
+  offer(name: string, queue: string, count: number, serviceMs: number): void {
+    for (let index = 0; index < count; index += 1) {
+      this.requests += 1;
+      const id = requestId(`r${this.requests}`);
+      this.serviceMs.set(id, serviceMs);
+      this.deliver(this.node(name), (atMs) => ({
+        type: "request/arrived",
+        atMs,
+        requestId: id,
+        queue: queueId(queue),
+        keyHash: null,
+        idempotent: false,
+        idempotencyKey: null,
+        ticket: null,
+        timeoutMs: null,
+        forwarded: false,
+      }));
+    }
+  }
+
+  kill(name: string): void {
+    this.node(name).alive = false;
+  }
+
+  /** A new process takes the place of the old one, which may still be there. */
+  replace(name: string): void {
+    const old = this.node(name);
+    this.nodes.set(`${name}#${old.life}`, old);
+    this.start(name, old.zone, old.life + 1);
+  }
+
+  pause(name: string, forMs: number): void {
+    const node = this.node(name);
+    node.paused = true;
+    this.time.after(forMs, () => {
+      this.resume(node);
+    });
+  }
+
+  shutdown(name: string): void {
+    this.deliver(this.node(name), (atMs) => ({ type: "node/shutdownRequested", atMs }));
+  }
+
+  cutZone(zone: string, cut: boolean): void {
+    for (const node of this.nodes.values()) {
+      if (node.zone === zone) {
+        node.cut = cut;
+      }
+    }
+  }
+
+  heal(): void {
+    this.tableDown = false;
+    this.lostReplies = 0;
+    for (const node of this.nodes.values()) {
+      node.cut = false;
+    }
+  }
+
+  runningOf(team: string): number {
+    return [...this.works.values()].filter((work) => work.team === team).length;
+  }
+
+  private start(name: string, zone: string, life: number): void {
+    const clockOffsetMs = this.pick(1_000_000);
+    const place = { name, zone, life, clockOffsetMs };
+    const node = makeNode(place, this.pick(1_000_000), this.time.nowMs + clockOffsetMs);
+    this.nodes.set(name, node);
+    this.time.after(this.pick(TICK_MS), () => {
+      this.tick(node);
+    });
+  }
+
+  private tick(node: TestNode): void {
+    if (!node.alive) {
+      return;
+    }
+    if (!node.paused) {
+      this.deliver(node, (atMs) => ({ type: "clock/ticked", atMs }));
+    }
+    this.time.after(TICK_MS, () => {
+      this.tick(node);
+    });
+  }
+
+  private resume(node: TestNode): void {
+    node.paused = false;
+    const inbox = node.inbox;
+    node.inbox = [];
+    for (const event of inbox) {
+      this.deliver(node, event);
+    }
+  }
+
+  private deliver(node: TestNode, event: (atMs: number) => Event): void {
+    if (!node.alive) {
+      return;
+    }
+    if (node.paused) {
+      node.inbox.push(event);
+      return;
+    }
+    const effects = reduce(node.state, event(this.time.nowMs + node.clockOffsetMs));
+    for (const effect of effects) {
+      this.carryOut(node, effect);
+    }
+    this.check?.();
+  }
+
+  private carryOut(node: TestNode, effect: Effect): void {
+    switch (effect.type) {
+      case "table/read":
+        this.read(node, effect.ranges);
+        return;
+      case "table/write":
+        this.write(node, effect.write);
+        return;
+      case "attempt/dispatch":
+        this.startWork(node, effect.requestId, effect.attemptId);
+        return;
+      case "attempt/abort":
+        this.abortWork(node, effect.requestId, effect.attemptId);
+        return;
+      case "node/exit":
+        node.alive = false;
+        return;
+      default:
+        return;
+    }
+  }
+
+  private reaches(node: TestNode): boolean {
+    return !node.cut && !this.tableDown;
+  }
+
+  private read(node: TestNode, ranges: readonly TableRange[]): void {
+    const sentAtMs = this.time.nowMs + node.clockOffsetMs;
+    this.time.after(this.latencyMs, () => {
+      if (!this.reaches(node)) {
+        this.replyAfter(node, PLATFORM.READ_TIMEOUT_MS, (atMs) => ({
+          type: "table/readFailed",
+          atMs,
+          reason: "no reply",
+        }));
+        return;
+      }
+      this.table.nowMs = this.time.nowMs + TABLE_CLOCK_AHEAD_MS;
+      const answer = this.table.read(ranges);
+      this.replyAfter(node, this.latencyMs, (atMs) => ({
+        type: "table/readCompleted",
+        atMs,
+        sentAtMs,
+        viewAgeMs: 0,
+        ranges,
+        ...answer,
+      }));
+    });
+  }
+
+  private write(node: TestNode, write: TableWrite): void {
+    this.writesSent += 1;
+    const { writeId } = write;
+    const unanswered = (): void => {
+      this.replyAfter(node, PLATFORM.WRITE_TIMEOUT_MS, (atMs) => ({
+        type: "table/writeUnanswered",
+        atMs,
+        writeId,
+        reason: "no reply",
+      }));
+    };
+    this.time.after(this.latencyMs, () => {
+      if (!this.reaches(node)) {
+        unanswered();
+        return;
+      }
+      this.table.nowMs = this.time.nowMs + TABLE_CLOCK_AHEAD_MS;
+      const answer = this.table.write(write);
+      if (this.pick(1_000) < this.lostReplies * 1_000) {
+        unanswered();
+        return;
+      }
+      this.replyAfter(node, this.latencyMs, (atMs) =>
+        answer.committed
+          ? { type: "table/writeCommitted", atMs, writeId, version: answer.version }
+          : { type: "table/writeConflicted", atMs, writeId, rows: answer.rows },
+      );
+    });
+  }
+
+  private replyAfter(node: TestNode, delayMs: number, event: (atMs: number) => Event): void {
+    this.time.after(delayMs, () => {
+      this.deliver(node, event);
+    });
+  }
+
+  private startWork(node: TestNode, id: ReturnType<typeof requestId>, attemptId: AttemptId): void {
+    const team = node.state.requests.attempts.get(attemptId)?.team;
+    if (team === undefined) {
+      throw new Error(`No attempt ${attemptId}`);
+    }
+    this.works.set(attemptId, { node: node.name, team, attemptId });
+    this.time.after(this.serviceMs.get(id) ?? 0, () => {
+      if (this.works.delete(attemptId)) {
+        this.served += 1;
+        this.deliver(node, (atMs) => ({
+          type: "attempt/completed",
+          atMs,
+          requestId: id,
+          attemptId,
+          failed: false,
+        }));
+      }
+    });
+  }
+
+  private abortWork(node: TestNode, id: ReturnType<typeof requestId>, attemptId: AttemptId): void {
+    if (!this.works.delete(attemptId)) {
+      return;
+    }
+    this.replyAfter(node, 1, (atMs) => ({
+      type: "attempt/failed",
+      atMs,
+      requestId: id,
+      attemptId,
+      stage: "sent",
+      aborted: true,
+      silent: false,
+      replayable: false,
+      reason: "aborted",
+    }));
+  }
+}
--- /dev/null
+++ b/packages/core/tests/helpers/testRules.ts
@@ -0,0 +1,16 @@
+/** Limits by team. */
+export type TeamLimits = Readonly<Record<string, number>>;
+
+/**
+ * @param limits - Limits by team.
+ * @returns Rules with one open queue a team, all on one pool.
+ */
+export const rulesWithLimits = (limits: TeamLimits): string =>
+  [
+    "pool p hosts=t-* max-unavailable=1 max-unavailable-per-rack=1 spare=no # ops: test",
+    ...Object.entries(limits).flatMap(([team, limit]) => [
+      `team ${team} share=1 limit=${limit} # ops: test`,
+      `queue q-${team} pool=p open=yes team=${team} urgent=no max-queued=500 timeout-ms=600000 # ops: test`,
+    ]),
+    "",
+  ].join("\n");
--- a/packages/wire/src/rows/rowSchemas.ts
+++ b/packages/wire/src/rows/rowSchemas.ts
@@ -76,26 +76,38 @@
   startedAtMs: z.number().nullable(),
 });
 
+const limitStamp = { limit: count, above: count };
+
 const teamEscrow = z.object({
   type: z.literal("teamEscrow"),
   team: name,
   limit: count,
   revision: count,
-  zoneCaps: z.record(name, count),
+  zones: z.record(
+    name,
+    z.object({ ...limitStamp, cap: count, wanted: count, wantedUntilMs: z.number() }),
+  ),
+  earlier: z.array(z.object({ limit: count, untilMs: z.number() })),
 });
 
 const grant = z.object({
+  ...limitStamp,
   holder: name,
   base: count,
   burst: count,
+  held: count,
+  wanted: count,
   baseUntilMs: z.number(),
   burstUntilMs: z.number(),
 });
 
 const zoneEscrow = z.object({
+  ...limitStamp,
   type: z.literal("zoneEscrow"),
   availabilityZone: name,
-  teams: z.record(name, z.object({ cap: count, limit: count, grants: z.array(grant) })),
+  team: name,
+  cap: count,
+  grants: z.array(grant),
 });
 
 const claim = z.object({
