--- /dev/null
+++ b/bench/src/forwarding/processes.ts
@@ -0,0 +1,60 @@
+import { fork, type ChildProcess } from "node:child_process";
+import type { AddressInfo } from "node:net";
+import { fileURLToPath } from "node:url";
+import { Program } from "@heatherferry/standins";
+
+const started: ChildProcess[] = [];
+const programs: Program[] = [];
+
+/**
+ * Starts a program of this benchmark that sends its address when it listens.
+ *
+ * @param name - File name beside this one.
+ * @param args - Its arguments.
+ * @returns `host:port`.
+ */
+export const startListening = async (name: string, args: readonly string[]): Promise<string> => {
+  const path = fileURLToPath(new URL(name, import.meta.url));
+  const child = fork(path, [...args]);
+  started.push(child);
+  return new Promise((resolve, reject) => {
+    child.once("message", (message) => {
+      const bound = message as AddressInfo;
+      resolve(`${bound.address}:${bound.port}`);
+    });
+    child.once("exit", () => {
+      reject(new Error(`${name} ended before it listened`));
+    });
+  });
+};
+
+/** A running entry host. */
+export interface StartedEntry {
+  readonly callers: string;
+  readonly admin: string;
+  readonly pid: number;
+}
+
+const textOf = (value: unknown): string => (typeof value === "string" ? value : "");
+
+/**
+ * Starts an entry host and waits until it listens.
+ *
+ * @param settingsPath - Its settings file.
+ * @returns Where it listens.
+ */
+export const startEntry = async (settingsPath: string): Promise<StartedEntry> => {
+  const path = fileURLToPath(new URL("../../../../apps/entry/dist/src/main.js", import.meta.url));
+  const program = new Program(path, ["--settings", settingsPath]);
+  programs.push(program);
+  const { callers, admin } = await program.logged("listening");
+  return { callers: textOf(callers), admin: textOf(admin), pid: program.pid };
+};
+
+/** Ends what was started here. */
+export const stopAll = (): void => {
+  started.forEach((child) => child.kill("SIGKILL"));
+  programs.forEach((program) => {
+    program.signal("SIGKILL");
+  });
+};
--- a/packages/core/tests/helpers/testFleet.ts
+++ b/packages/core/tests/helpers/testFleet.ts
@@ -9,7 +9,7 @@
   type TableWrite,
 } from "../../src/index.js";
 import { FakeTable } from "./fakeTable.js";
-import { hostRow, makeNode, type RunningWork, type TestNode } from "./testNode.js";
+import { hostRow, makeNode, type RunningWork, type FleetNode } from "./fleetNode.js";
 import { VirtualTime } from "./virtualTime.js";
 
 export interface TestFleetOptions {
@@ -27,7 +27,7 @@
 export class TestFleet {
   readonly table = new FakeTable();
   readonly time = new VirtualTime();
-  readonly nodes = new Map<string, TestNode>();
+  readonly nodes = new Map<string, FleetNode>();
   readonly works = new Map<AttemptId, RunningWork>();
   tableDown = false;
   /** Part of the writes whose reply is lost after they took effect. */
@@ -66,7 +66,7 @@
     });
   }
 
-  node(name: string): TestNode {
+  node(name: string): FleetNode {
     const node = this.nodes.get(name);
     if (node === undefined) {
       throw new Error(`No node ${name}`);
@@ -74,7 +74,7 @@
     return node;
   }
 
-  liveNodes(): readonly TestNode[] {
+  liveNodes(): readonly FleetNode[] {
     return [...this.nodes.values()].filter((node) => node.alive);
   }
 
@@ -160,7 +160,7 @@
     });
   }
 
-  private tick(node: TestNode): void {
+  private tick(node: FleetNode): void {
     if (!node.alive) {
       return;
     }
@@ -172,7 +172,7 @@
     });
   }
 
-  private resume(node: TestNode): void {
+  private resume(node: FleetNode): void {
     node.paused = false;
     const inbox = node.inbox;
     node.inbox = [];
@@ -181,7 +181,7 @@
     }
   }
 
-  private deliver(node: TestNode, event: (atMs: number) => Event): void {
+  private deliver(node: FleetNode, event: (atMs: number) => Event): void {
     if (!node.alive) {
       return;
     }
@@ -189,14 +189,21 @@
       node.inbox.push(event);
       return;
     }
-    const effects = reduce(node.state, event(this.time.nowMs + node.clockOffsetMs));
+    const happened = event(this.time.nowMs + node.clockOffsetMs);
+    const effects = reduce(node.state, happened);
+    for (const invariant of node.invariants) {
+      const violation = invariant.violation(happened, effects, node.state);
+      if (violation !== null) {
+        throw new Error(`${node.name}: ${invariant.name}: ${violation}`);
+      }
+    }
     for (const effect of effects) {
       this.carryOut(node, effect);
     }
     this.check?.();
   }
 
-  private carryOut(node: TestNode, effect: Effect): void {
+  private carryOut(node: FleetNode, effect: Effect): void {
     switch (effect.type) {
       case "table/read":
         this.read(node, effect.ranges);
@@ -218,11 +225,11 @@
     }
   }
 
-  private reaches(node: TestNode): boolean {
+  private reaches(node: FleetNode): boolean {
     return !node.cut && !this.tableDown;
   }
 
-  private read(node: TestNode, ranges: readonly TableRange[]): void {
+  private read(node: FleetNode, ranges: readonly TableRange[]): void {
     const sentAtMs = this.time.nowMs + node.clockOffsetMs;
     this.time.after(this.latencyMs, () => {
       if (!this.reaches(node)) {
@@ -246,7 +253,7 @@
     });
   }
 
-  private write(node: TestNode, write: TableWrite): void {
+  private write(node: FleetNode, write: TableWrite): void {
     this.writesSent += 1;
     const { writeId } = write;
     const unanswered = (): void => {
@@ -276,13 +283,13 @@
     });
   }
 
-  private replyAfter(node: TestNode, delayMs: number, event: (atMs: number) => Event): void {
+  private replyAfter(node: FleetNode, delayMs: number, event: (atMs: number) => Event): void {
     this.time.after(delayMs, () => {
       this.deliver(node, event);
     });
   }
 
-  private startWork(node: TestNode, id: ReturnType<typeof requestId>, attemptId: AttemptId): void {
+  private startWork(node: FleetNode, id: ReturnType<typeof requestId>, attemptId: AttemptId): void {
     const team = node.state.requests.attempts.get(attemptId)?.team;
     if (team === undefined) {
       throw new Error(`No attempt ${attemptId}`);
@@ -302,7 +309,7 @@
     });
   }
 
-  private abortWork(node: TestNode, id: ReturnType<typeof requestId>, attemptId: AttemptId): void {
+  private abortWork(node: FleetNode, id: ReturnType<typeof requestId>, attemptId: AttemptId): void {
     if (!this.works.delete(attemptId)) {
       return;
     }
