--- a/packages/core/src/invariants/nodeInvariants.ts
+++ b/packages/core/src/invariants/nodeInvariants.ts
@@ -1,3 +1,4 @@
+import { EscrowRowsAddUp, StartsWithinGrant } from "../limits/limitInvariants.js";
 import type { Invariant } from "./invariant.js";
 import {
   NonIdempotentOnce,
@@ -18,6 +19,8 @@
   new OneOutcome(),
   new LeavingTargetGetsNothingNew(),
   new RevisionNeverReverts(),
+  new StartsWithinGrant(),
+  new EscrowRowsAddUp(),
 ];
 
 /** @returns All invariants of one node; some look through the whole state. */
