--- a/packages/core/src/membership/reduceMembership.ts
+++ b/packages/core/src/membership/reduceMembership.ts
@@ -2,6 +2,7 @@
 import type { Effect } from "../effect.js";
 import type { Event } from "../event.js";
 import { drainAcknowledgements } from "../fleet/acknowledgements.js";
+import { hasReturnedGrants } from "../limits/escrowWrites.js";
 import { NODE_ROLE } from "../node/constants.js";
 import { ROW_PREFIX } from "../platform/constants.js";
 import { tableNowMs, viewAgeMs } from "../platform/mirror.js";
@@ -216,7 +217,8 @@
   }
   membership.endedAtMs ??= state.nowMs;
   const waitedMs = state.nowMs - membership.endedAtMs;
-  const needNotWait = membership.leftWritten || node.supersededBy !== null;
+  const tookLeave = membership.leftWritten && hasReturnedGrants(state);
+  const needNotWait = tookLeave || node.supersededBy !== null;
   if (needNotWait || waitedMs >= MEMBERSHIP.FAREWELL_TIMEOUT_MS) {
     effects.push({ type: "node/exit" });
   }
