--- a/apps/cli/src/commands/fleetCommands.ts
+++ b/apps/cli/src/commands/fleetCommands.ts
@@ -15,6 +15,7 @@
 
 const CATEGORY = "Fleet";
 
+/** Shows the state of the whole system. */
 export class StatusCommand extends PlatformCommand {
   static override paths = [["status"]];
   static override usage = Command.Usage({
@@ -28,6 +29,7 @@
   }
 }
 
+/** Shows what decides for one subject. */
 export class ExplainCommand extends PlatformCommand {
   static override paths = [["explain"]];
   static override usage = Command.Usage({
@@ -60,6 +62,7 @@
   }
 }
 
+/** Takes a host out of service. */
 export class DrainCommand extends PlatformCommand {
   static override paths = [["drain"]];
   static override usage = Command.Usage({
@@ -76,6 +79,7 @@
   }
 }
 
+/** Puts a host back in service. */
 export class UndrainCommand extends PlatformCommand {
   static override paths = [["undrain"]];
   static override usage = Command.Usage({
@@ -91,6 +95,7 @@
   }
 }
 
+/** Shows a wave's progress. */
 export class WaveCommand extends PlatformCommand {
   static override paths = [["wave"]];
   static override usage = Command.Usage({
@@ -106,6 +111,7 @@
   }
 }
 
+/** Pauses a wave. */
 export class WavePauseCommand extends RulesCommand {
   static override paths = [["wave", "pause"]];
   static override usage = Command.Usage({
@@ -121,6 +127,7 @@
   }
 }
 
+/** Lets a wave go on. */
 export class WaveResumeCommand extends RulesCommand {
   static override paths = [["wave", "resume"]];
   static override usage = Command.Usage({
--- a/apps/cli/src/commands/keyCommands.ts
+++ b/apps/cli/src/commands/keyCommands.ts
@@ -9,6 +9,7 @@
 
 const CATEGORY = "Keys";
 
+/** Grants a key. */
 export class KeysGrantCommand extends RulesCommand {
   static override paths = [["keys", "grant"]];
   static override usage = Command.Usage({
@@ -31,6 +32,7 @@
   }
 }
 
+/** Withdraws a key. */
 export class KeysWithdrawCommand extends RulesCommand {
   static override paths = [["keys", "withdraw"]];
   static override usage = Command.Usage({
--- a/apps/cli/src/commands/rulesCommands.ts
+++ b/apps/cli/src/commands/rulesCommands.ts
@@ -19,6 +19,7 @@
   return text;
 };
 
+/** Checks a file without the platform. */
 export class CheckCommand extends OperatorCommand {
   static override paths = [["check"]];
   static override usage = Command.Usage({
@@ -37,6 +38,7 @@
   }
 }
 
+/** Compares a file with the rules in force. */
 export class DiffCommand extends PlatformCommand {
   static override paths = [["diff"]];
   static override usage = Command.Usage({
@@ -52,6 +54,7 @@
   }
 }
 
+/** Puts a file in force. */
 export class ApplyCommand extends RulesCommand {
   static override paths = [["apply"]];
   static override usage = Command.Usage({
@@ -85,6 +88,7 @@
   }
 }
 
+/** Prints the rules in force. */
 export class ShowCommand extends PlatformCommand {
   static override paths = [["show"]];
   static override usage = Command.Usage({
@@ -98,6 +102,7 @@
   }
 }
 
+/** Lists accepted changes. */
 export class AuditCommand extends PlatformCommand {
   static override paths = [["audit"]];
   static override usage = Command.Usage({
--- a/apps/cli/src/constants.ts
+++ b/apps/cli/src/constants.ts
@@ -18,11 +18,13 @@
   SILENT_SHOWN_FOR_MS: 3_600_000,
 } as const;
 
+/** Shape of new keys. */
 export const KEY_SECRET = {
   BYTES: 32,
   NAME_HASH_DIGITS: 8,
 } as const;
 
+/** Shape and size of the audit trail as shown. */
 export const AUDIT = {
   REVISION_DIGITS: 10,
   DEFAULT_SHOWN: 20,
--- a/apps/cli/src/errors.ts
+++ b/apps/cli/src/errors.ts
@@ -1,5 +1,6 @@
 import { HeatherferryError, type ValueOf } from "@heatherferry/common";
 
+/** Why a command line is refused. */
 export const COMMAND_ERROR_KIND = {
   NO_PLATFORM: "noPlatform",
   BAD_PLATFORM: "badPlatform",
--- a/apps/cli/src/operation/decisions.ts
+++ b/apps/cli/src/operation/decisions.ts
@@ -5,8 +5,16 @@
 const withLineEnd = (text: string): string =>
   text === "" || text.endsWith("\n") ? text : `${text}\n`;
 
+/**
+ * @param text - A result.
+ * @returns It, in whole lines on standard output.
+ */
 export const out = (text: string): Output => ({ stream: STREAM.OUT, text: withLineEnd(text) });
 
+/**
+ * @param text - A message about the command itself.
+ * @returns It, in whole lines on standard error.
+ */
 export const err = (text: string): Output => ({ stream: STREAM.ERR, text: withLineEnd(text) });
 
 /**
--- a/apps/cli/src/rulesChange/rulesInForce.ts
+++ b/apps/cli/src/rulesChange/rulesInForce.ts
@@ -3,6 +3,7 @@
 import { checkedRules, type RuleSet, withRevisionLine } from "@heatherferry/rules";
 import type { TableView } from "../operation/tableView.js";
 
+/** Key of the row with the rules in force. */
 export const RULES_HEAD_KEY = rowKey(ROW_PREFIX.RULES_HEAD);
 
 /** The rules as the table has them. */
--- a/packages/rules/src/constants.ts
+++ b/packages/rules/src/constants.ts
@@ -1,3 +1,4 @@
+/** First words of rule lines. */
 export const RULE_KIND = {
   TEAM: "team",
   KEY: "key",
--- a/packages/rules/src/errors.ts
+++ b/packages/rules/src/errors.ts
@@ -2,6 +2,7 @@
 import { formatProblem } from "./formatProblem.js";
 import type { RuleProblem } from "./types.js";
 
+/** Why rules, or an edit of them, are refused. */
 export const RULES_ERROR_KIND = {
   PROBLEMS: "problems",
   NO_SUCH_RULE: "noSuchRule",
--- a/packages/rules/src/grammar/keyGrammar.ts
+++ b/packages/rules/src/grammar/keyGrammar.ts
@@ -11,7 +11,8 @@
 
   override read(reader: FieldReader, base: RuleBase): KeyRule {
     return {
-      ...base,
+      line: base.line,
+      askedBy: base.askedBy,
       kind: RULE_KIND.KEY,
       key: reader.name(VALUE.KEY),
       team: reader.required(RULE_FIELD.TEAM, VALUE.TEAM),
--- a/packages/rules/src/grammar/poolGrammar.ts
+++ b/packages/rules/src/grammar/poolGrammar.ts
@@ -17,7 +17,8 @@
   override read(reader: FieldReader, base: RuleBase): PoolRule {
     const maxUnavailable = reader.required(RULE_FIELD.MAX_UNAVAILABLE, VALUE.COUNT);
     return {
-      ...base,
+      line: base.line,
+      askedBy: base.askedBy,
       kind: RULE_KIND.POOL,
       pool: reader.name(VALUE.POOL),
       hosts: reader.required(RULE_FIELD.HOSTS, VALUE.HOST_PATTERN),
--- a/packages/rules/src/grammar/queueGrammar.ts
+++ b/packages/rules/src/grammar/queueGrammar.ts
@@ -35,7 +35,8 @@
 
   override read(reader: FieldReader, base: RuleBase): QueueRule {
     return {
-      ...base,
+      line: base.line,
+      askedBy: base.askedBy,
       kind: RULE_KIND.QUEUE,
       queue: reader.name(VALUE.QUEUE),
       pool: reader.required(RULE_FIELD.POOL, VALUE.POOL),
--- a/packages/rules/src/grammar/teamGrammar.ts
+++ b/packages/rules/src/grammar/teamGrammar.ts
@@ -11,7 +11,8 @@
 
   override read(reader: FieldReader, base: RuleBase): TeamRule {
     return {
-      ...base,
+      line: base.line,
+      askedBy: base.askedBy,
       kind: RULE_KIND.TEAM,
       team: reader.name(VALUE.TEAM),
       share: reader.required(RULE_FIELD.SHARE, VALUE.POSITIVE_COUNT),
--- a/packages/rules/src/grammar/valueTypes.ts
+++ b/packages/rules/src/grammar/valueTypes.ts
@@ -27,16 +27,30 @@
   ZONE: new Name(availabilityZoneId),
 } as const;
 
+/**
+ * @param name - Name of a field.
+ * @param value - Its value.
+ * @returns The field as it is written.
+ */
 export const fieldText = (name: string, value: string | number | boolean): FieldText => ({
   name,
   value: typeof value === "boolean" ? (value ? "yes" : "no") : String(value),
 });
 
+/**
+ * @param name - Name of a field.
+ * @param value - Its value; null where it is left out.
+ * @returns The field as it is written, or nothing.
+ */
 export const optionalFieldText = (
   name: string,
   value: string | number | null,
 ): readonly FieldText[] => (value === null ? [] : [fieldText(name, value)]);
 
+/**
+ * @param name - A team named in a rule.
+ * @returns What must declare it.
+ */
 export const teamReference = (name: string): Reference => ({
   kind: RULE_KIND.TEAM,
   name,
@@ -44,6 +58,10 @@
   problemKind: RULE_PROBLEM_KIND.UNKNOWN_TEAM,
 });
 
+/**
+ * @param name - A pool named in a rule.
+ * @returns What must declare it.
+ */
 export const poolReference = (name: string): Reference => ({
   kind: RULE_KIND.POOL,
   name,
--- a/packages/rules/src/grammar/waveGrammar.ts
+++ b/packages/rules/src/grammar/waveGrammar.ts
@@ -17,7 +17,8 @@
 
   override read(reader: FieldReader, base: RuleBase): WaveRule {
     return {
-      ...base,
+      line: base.line,
+      askedBy: base.askedBy,
       kind: RULE_KIND.WAVE,
       wave: reader.name(VALUE.WAVE),
       pool: reader.required(RULE_FIELD.POOL, VALUE.POOL),
