Drain hosts, place them in pools and run waves under maintainer leases

Need: a planned stop must cut off no request, also when an entry host is cut off, paused, late or unknown to the maintainer.

Change: any maintainer works on any pool under a lease row whose version every fleet write is conditional on; a term counts from before the request was sent, and another takes over when the row was unchanged for the term and the skew on the table's clock. Hosts get their one row from the platform's list by conditional insert. All absences of a pool, planned and unplanned, stand in its budget row, so that whatever raises their number conflicts with a permit decided on an older view. A stop is written once every entry host of the zone acknowledged the drain or left, or was silent until its view must have lapsed. An entry host starts work only by a view of the hosts that is newer than its own first heartbeat: who is not in the maintainer's mirror past the drain's commit has then seen the drain.

Ruled out: a transaction over all heartbeat rows of the zone (heartbeats every 3 s would make it conflict), and a lapse after 1 h (an outage of the table that lasts longer would end all service; 12 h costs only delay of planned stops after an entry host died for good).

A reboot order that an earlier holder may have given is waited out before the host comes back: the platform's order has no fencing token.

Tests: fleetDrain.test.ts runs real reducers under a virtual clock. Seen to fail: without the view's bound on dispatch (3 tests), with acknowledgements that ignore work in flight (1, noWorkCutOff), with stops that wait for nobody (5), with silent members taken for dead after 10 s (4), with a second row for a host listed in two zones (1, hostInOnePool). The node of the request tests now joins before it starts work; the platform tests, which need its heartbeat unanswered, keep a node that has not joined.

--- /dev/null
+++ b/packages/core/src/fleet/poolSteps.ts
@@ -0,0 +1,56 @@
+import type { PoolId } from "@heatherferry/common";
+import type { Effect } from "../effect.js";
+import type { Policies } from "../policies/policies.js";
+import type { State } from "../state.js";
+import { hostDone, hostFailed, nextWaveWrite } from "../waves/waveSteps.js";
+import { HOST_PHASE } from "./constants.js";
+import type { FleetWrite } from "./fleetWrites.js";
+import { hostKey } from "./keys.js";
+import { hostsOfPool } from "./permits.js";
+import { rebootResult } from "./reboots.js";
+import { mayStop } from "./stops.js";
+import type { HostRow } from "./types.js";
+
+const stopHost = (host: HostRow, effects: Effect[]): FleetWrite => {
+  const { hostId, pool, drainEpoch } = host;
+  const fields = { hostId, pool, drainEpoch };
+  effects.push({ type: "log/write", level: "info", event: "host.stopOrdered", fields });
+  const key = hostKey(host.availabilityZone, hostId);
+  return { puts: [{ key, body: { ...host, phase: HOST_PHASE.STOPPED } }] };
+};
+
+const nextHostWrite = (state: State, host: HostRow, effects: Effect[]): FleetWrite | null => {
+  if (host.phase === HOST_PHASE.LEAVING) {
+    return mayStop(state, host) ? stopHost(host, effects) : null;
+  }
+  const result = rebootResult(state, host);
+  if (result === "rebooted") {
+    return hostDone(state, host);
+  }
+  return result === "failed" ? hostFailed(state, host, effects) : null;
+};
+
+/**
+ * Decides the next change of a pool; one at a time, so that each is decided on the outcome of
+ * the one before.
+ *
+ * @param state - The state to read.
+ * @param pool - A pool whose lease is held.
+ * @param policies - The node's policies.
+ * @param effects - Receives log lines.
+ * @returns The change, or null when there is nothing to do.
+ */
+export const nextPoolWrite = (
+  state: State,
+  pool: PoolId,
+  policies: Policies,
+  effects: Effect[],
+): FleetWrite | null => {
+  for (const host of hostsOfPool(state, pool)) {
+    const write = nextHostWrite(state, host, effects);
+    if (write !== null) {
+      return write;
+    }
+  }
+  return nextWaveWrite(state, pool, policies.waveOrder, effects);
+};
--- /dev/null
+++ b/packages/core/src/fleet/reduceFleet.ts
@@ -0,0 +1,112 @@
+import type { PoolId } from "@heatherferry/common";
+import type { Effect } from "../effect.js";
+import type { Event } from "../event.js";
+import { NODE_ROLE } from "../node/constants.js";
+import type { WriteOutcome } from "../platform/types.js";
+import type { Policies } from "../policies/policies.js";
+import type { State } from "../state.js";
+import { FLEET, FLEET_LEASE } from "./constants.js";
+import { submitFleetWrite } from "./fleetWrites.js";
+import { listWhenDue, nextListWrite, onListed } from "./hostList.js";
+import { holdsLease, isBusy, releaseLeases, stepLeases, writeSettledLease } from "./leases.js";
+import { nextPoolWrite } from "./poolSteps.js";
+import { distrustOrders, onRebootEnded, rebootInherited, rebootStopped } from "./reboots.js";
+
+const stepPool = (state: State, pool: PoolId, policies: Policies, effects: Effect[]): void => {
+  if (isBusy(state, pool) || !holdsLease(state, pool)) {
+    return;
+  }
+  if (pool !== FLEET_LEASE) {
+    rebootInherited(state, pool, effects);
+  }
+  const write =
+    pool === FLEET_LEASE
+      ? nextListWrite(state, effects)
+      : nextPoolWrite(state, pool, policies, effects);
+  if (write !== null) {
+    submitFleetWrite(state, pool, write, effects);
+  }
+};
+
+const step = (state: State, policies: Policies, effects: Effect[]): void => {
+  state.fleet.nextStepAtMs = state.nowMs + FLEET.STEP_INTERVAL_MS;
+  stepLeases(state, effects);
+  for (const pool of state.fleet.leases.keys()) {
+    stepPool(state, pool, policies, effects);
+  }
+  listWhenDue(state, effects);
+};
+
+const shutDown = (state: State, leavingSinceMs: number, effects: Effect[]): void => {
+  const { fleet } = state;
+  releaseLeases(state, effects);
+  const allReleased = fleet.leases.size === 0 && fleet.writesInFlight.size === 0;
+  if (allReleased || state.nowMs - leavingSinceMs >= FLEET.SHUTDOWN_MAX_MS) {
+    effects.push({ type: "node/exit" });
+  }
+};
+
+const onTick = (state: State, policies: Policies, effects: Effect[]): void => {
+  const { leavingSinceMs } = state.node;
+  if (leavingSinceMs !== null) {
+    shutDown(state, leavingSinceMs, effects);
+  } else if (state.nowMs >= state.fleet.nextStepAtMs) {
+    step(state, policies, effects);
+  }
+};
+
+/**
+ * Does a maintainer's work: leases, the platform's list, drains, reboots and waves.
+ *
+ * @param state - The state to change.
+ * @param event - Any event.
+ * @param policies - The node's policies.
+ * @param effects - Receives the effects.
+ */
+export const reduceFleet = (
+  state: State,
+  event: Event,
+  policies: Policies,
+  effects: Effect[],
+): void => {
+  if (state.node.identity.role !== NODE_ROLE.MAINTAINER) {
+    return;
+  }
+  switch (event.type) {
+    case "clock/ticked":
+      onTick(state, policies, effects);
+      return;
+    case "hosts/listed":
+    case "hosts/listFailed":
+      onListed(state, event);
+      return;
+    case "host/rebooted":
+    case "host/rebootFailed":
+      onRebootEnded(state, event, effects);
+      return;
+    default:
+      return;
+  }
+};
+
+/**
+ * @param state - The state to change.
+ * @param outcome - How a write of a lease or of fleet rows ended.
+ * @param effects - Receives the effects.
+ */
+export const writeSettledFleet = (state: State, outcome: WriteOutcome, effects: Effect[]): void => {
+  const { fleet } = state;
+  const pool = fleet.writesInFlight.get(outcome.write.writeId);
+  fleet.writesInFlight.delete(outcome.write.writeId);
+  // What comes next is decided on this outcome at once.
+  fleet.nextStepAtMs = state.nowMs;
+  if (outcome.purpose === "lease") {
+    const epochBefore = pool === undefined ? undefined : fleet.leases.get(pool)?.epoch;
+    writeSettledLease(state, outcome, effects);
+    if (pool !== undefined && fleet.leases.get(pool)?.epoch !== epochBefore) {
+      distrustOrders(state, pool);
+    }
+  } else if (outcome.result === "committed") {
+    rebootStopped(state, outcome, effects);
+  }
+};
--- a/packages/core/src/fleet/types.ts
+++ b/packages/core/src/fleet/types.ts
@@ -6,13 +6,17 @@
   Incarnation,
   PoolId,
   RackId,
+  TableVersion,
   ValueOf,
   WaveId,
+  WriteId,
 } from "@heatherferry/common";
-import type { DRAIN_REASON, HOST_PHASE } from "./constants.js";
+import type { DRAIN_REASON, HOST_PHASE, PERMIT_REFUSAL, UNDRAIN_REFUSAL } from "./constants.js";
 
 export type HostPhase = ValueOf<typeof HOST_PHASE>;
 export type DrainReason = ValueOf<typeof DRAIN_REASON>;
+export type PermitRefusal = ValueOf<typeof PERMIT_REFUSAL>;
+export type UndrainRefusal = ValueOf<typeof UNDRAIN_REFUSAL>;
 
 /** A host and the one pool it belongs to. Key: `host/<zone>/<host>`. */
 export interface HostRow {
@@ -39,11 +43,27 @@
   readonly waveId: WaveId | null;
 }
 
-/** Planned absences of a pool. Key: `budget/<pool>`. */
+/** A host that the platform's list does not name live. */
+export interface AbsentHost {
+  readonly hostId: HostId;
+  readonly rack: RackId;
+}
+
+/**
+ * Absences of a pool, planned and unplanned. Whatever raises their number writes this row, so
+ * that a permit decided on an older view conflicts. Key: `budget/<pool>`.
+ */
 export interface PoolBudgetRow {
   readonly type: "poolBudget";
   readonly pool: PoolId;
   readonly permits: readonly MaintenancePermit[];
+  readonly absent: readonly AbsentHost[];
+}
+
+/** The two rows that change together when a host leaves or comes back. */
+export interface DrainRows {
+  readonly host: HostRow;
+  readonly budget: PoolBudgetRow;
 }
 
 /** The maintainer that works on a pool. Key: `lease/<pool>`. */
@@ -68,18 +88,49 @@
   readonly state: "live" | "leaving";
 }
 
+/** A lease that this maintainer holds, on its own clock. */
+export interface HeldLease {
+  readonly epoch: number;
+  /** When this holder got it: orders of earlier holders were given before. */
+  readonly acquiredAtMs: number;
+  /** End of the term, counted from before the request was sent. */
+  readonly untilMs: number;
+}
+
+/** A reboot ordered by this maintainer. */
+export interface RebootOrder {
+  readonly drainEpoch: number;
+  attempts: number;
+  result: "awaited" | "rebooted" | "failed";
+  /** Until then an earlier order may still reach the host. */
+  settledAtMs: number;
+}
+
 export interface FleetState {
   /** Hosts by id, as the table has them. */
   hosts: Map<HostId, HostRow>;
+  hostsByPool: Map<PoolId, Set<HostId>>;
   /** The platform's list as last read. */
   listed: Map<HostId, ListedHost>;
   listedAtMs: number | null;
-  /** Pools whose lease this maintainer holds. */
-  leases: Map<PoolId, { epoch: number; untilMs: number }>;
-  nextStepAtMs: number;
   listInFlight: boolean;
-  /** Orders given to the platform and not yet answered. */
-  ordersInFlight: Set<HostId>;
+  nextListAtMs: number;
+  /** Whether the list may still differ from the rows. */
+  listToCompare: boolean;
+  /** Listed hosts that fit no pool, already logged. */
+  unplaced: Set<HostId>;
+  /** Leases that this maintainer holds. */
+  leases: Map<PoolId, HeldLease>;
+  /** When each lease was first seen free. */
+  leaseFreeSinceMs: Map<PoolId, number>;
+  /** The lease that each unsettled write is made under: one write a lease at a time. */
+  writesInFlight: Map<WriteId, PoolId>;
+  nextStepAtMs: number;
+  orders: Map<HostId, RebootOrder>;
+  /** Version of the first heartbeat of this incarnation; null before it is known. */
+  joinedAtVersion: TableVersion | null;
+  /** Until then an entry host may start work by its view of the hosts. */
+  viewUsableUntilMs: number;
 }
 
 export type FleetEvent =
--- a/packages/core/src/initialState.ts
+++ b/packages/core/src/initialState.ts
@@ -14,6 +14,7 @@
 import { initialRevisions } from "./revisions/reduceRevisions.js";
 import { initialRouting } from "./routing/targets.js";
 import type { State } from "./state.js";
+import { initialWaves } from "./waves/rowsChangedWaves.js";
 
 const mirrorForRole = (state: State): void => {
   const { role, availabilityZone } = state.node.identity;
@@ -52,7 +53,7 @@
     routing: initialRouting(),
     peers: { nextDigestAtMs: 0, lastDigests: new Map() },
     fleet: initialFleet(),
-    waves: { waves: new Map() },
+    waves: initialWaves(),
   };
   mirrorForRole(state);
   return state;
--- a/packages/core/src/reducer.ts
+++ b/packages/core/src/reducer.ts
@@ -1,6 +1,8 @@
 import { assertNever } from "@heatherferry/common";
 import type { Effect } from "./effect.js";
 import type { Event } from "./event.js";
+import { refreshHostView } from "./fleet/hostView.js";
+import { reduceFleet, writeSettledFleet } from "./fleet/reduceFleet.js";
 import { rowsChangedFleet } from "./fleet/rowsChangedFleet.js";
 import {
   reduceMembership,
@@ -17,6 +19,7 @@
 import { rowsChangedRevisions } from "./revisions/reduceRevisions.js";
 import { divideSlots, endEjections, rowsChangedRouting } from "./routing/targets.js";
 import type { State } from "./state.js";
+import { rowsChangedWaves } from "./waves/rowsChangedWaves.js";
 
 /** Time never goes back, whatever order events are handed in. */
 const advanceClock = (state: State, event: Event): void => {
@@ -38,19 +41,22 @@
   }
   rowsChangedMembership(state, rows, effects);
   rowsChangedFleet(state, rows);
+  rowsChangedWaves(state, rows);
   rowsChangedRouting(state, rows);
 };
 
-const spreadOutcome = (state: State, outcome: WriteOutcome): void => {
+const spreadOutcome = (state: State, outcome: WriteOutcome, effects: Effect[]): void => {
   switch (outcome.purpose) {
     case "membership":
       writeSettledMembership(state, outcome);
       return;
     case "escrow":
     case "claim":
+      return;
     case "fleet":
     case "wave":
     case "lease":
+      writeSettledFleet(state, outcome, effects);
       return;
     default:
       assertNever(outcome.purpose);
@@ -62,6 +68,7 @@
     divideSlots(state);
   }
   endEjections(state);
+  refreshHostView(state);
   recheckWaitingPools(state);
 };
 
@@ -85,12 +92,13 @@
   const news = reducePlatform(state, event, effects);
   spreadRows(state, news.rows, effects);
   for (const outcome of news.outcomes) {
-    spreadOutcome(state, outcome);
+    spreadOutcome(state, outcome, effects);
   }
   if (event.type === "clock/ticked") {
     onTick(state);
   }
   reduceMembership(state, event, effects);
+  reduceFleet(state, event, policies, effects);
   reduceRequests(state, event, policies, effects);
   startReady(state, policies, effects);
   return effects;
--- a/packages/core/src/requests/dispatch.ts
+++ b/packages/core/src/requests/dispatch.ts
@@ -6,6 +6,7 @@
   type PickedRequest,
 } from "@heatherferry/coordination";
 import type { Effect } from "../effect.js";
+import { hostViewHolds } from "../fleet/hostView.js";
 import { holdingOf, mayStart } from "../limits/holdings.js";
 import type { Policies } from "../policies/policies.js";
 import { hasRoom } from "../policies/placementPolicy.js";
@@ -99,7 +100,7 @@
  */
 export const startReady = (state: State, policies: Policies, effects: Effect[]): void => {
   const { changed } = state.queues;
-  if (changed.size === 0) {
+  if (changed.size === 0 || !hostViewHolds(state)) {
     return;
   }
   const pools = [...changed];
--- /dev/null
+++ b/packages/core/src/waves/rowsChangedWaves.ts
@@ -0,0 +1,17 @@
+import type { TableRow } from "../platform/types.js";
+import type { State } from "../state.js";
+import type { WavesState } from "./types.js";
+
+export const initialWaves = (): WavesState => ({ waves: new Map(), lastRefusals: new Map() });
+
+/**
+ * @param state - The state to change.
+ * @param rows - Rows that changed in the mirror.
+ */
+export const rowsChangedWaves = (state: State, rows: readonly TableRow[]): void => {
+  for (const { body } of rows) {
+    if (body.type === "wave") {
+      state.waves.waves.set(body.waveId, body);
+    }
+  }
+};
--- a/packages/core/src/waves/types.ts
+++ b/packages/core/src/waves/types.ts
@@ -1,4 +1,5 @@
 import type { HostId, ValueOf, WaveId } from "@heatherferry/common";
+import type { PermitRefusal } from "../fleet/types.js";
 import type { WAVE_STATUS } from "./constants.js";
 
 export type WaveStatus = ValueOf<typeof WAVE_STATUS>;
@@ -15,6 +16,17 @@
   readonly startedAtMs: number | null;
 }
 
+/** A wave as operators see it. */
+export interface WaveProgress {
+  readonly done: number;
+  readonly remaining: number;
+  readonly failed: number;
+  /** Table clock at the expected end; null while there is no pace to go by. */
+  readonly expectedEndMs: number | null;
+}
+
 export interface WavesState {
   waves: Map<WaveId, WaveRow>;
+  /** Why each wave got no permit when it last asked; to log changes alone. */
+  lastRefusals: Map<WaveId, PermitRefusal | null>;
 }
--- /dev/null
+++ b/packages/core/src/waves/waveSteps.ts
@@ -0,0 +1,225 @@
+import type { HostId, PoolId } from "@heatherferry/common";
+import type { WaveRule } from "@heatherferry/rules";
+import type { Effect } from "../effect.js";
+import { DRAIN_REASON, HOST_PHASE } from "../fleet/constants.js";
+import { drainWrite, type FleetWrite } from "../fleet/fleetWrites.js";
+import { waveKey } from "../fleet/keys.js";
+import {
+  absentHosts,
+  beginDrain,
+  budgetOf,
+  endDrain,
+  permitRefusal,
+  poolViewOf,
+  type PoolView,
+} from "../fleet/permits.js";
+import type { HostRow, PermitRefusal } from "../fleet/types.js";
+import { tableNowMs } from "../platform/mirror.js";
+import type { State } from "../state.js";
+import { WAVE_STATUS } from "./constants.js";
+import type { WaveOrder } from "./waveOrder.js";
+import type { WaveRow, WaveStatus } from "./types.js";
+
+const waveWrite = (wave: WaveRow): FleetWrite => ({
+  puts: [{ key: waveKey(wave.waveId), body: wave }],
+});
+
+const log = (
+  effects: Effect[],
+  level: "info" | "warn" | "error",
+  event: string,
+  wave: WaveRow,
+  more: Readonly<Record<string, string | number>> = {},
+): void => {
+  const { waveId, planned, done, failed } = wave;
+  const counts = { planned: planned.length, done: done.length, failed: failed.length };
+  effects.push({ type: "log/write", level, event, fields: { wave: waveId, ...counts, ...more } });
+};
+
+const createWave = (rule: WaveRule, view: PoolView): FleetWrite | null => {
+  const { availabilityZone: zone } = rule;
+  const hosts = view.hosts.filter((host) => zone === null || host.availabilityZone === zone);
+  if (hosts.length === 0) {
+    return null;
+  }
+  return waveWrite({
+    type: "wave",
+    waveId: rule.wave,
+    status: rule.paused ? WAVE_STATUS.PAUSED : WAVE_STATUS.RUNNING,
+    planned: hosts.map(({ hostId }) => hostId).sort(),
+    done: [],
+    failed: [],
+    startedAtMs: null,
+  });
+};
+
+/** The status that the operators' rule asks for: a halted wave goes on after a pause. */
+const askedStatus = (wave: WaveRow, rule: WaveRule): WaveStatus => {
+  if (wave.status === WAVE_STATUS.DONE) {
+    return wave.status;
+  }
+  if (rule.paused) {
+    return WAVE_STATUS.PAUSED;
+  }
+  return wave.status === WAVE_STATUS.PAUSED ? WAVE_STATUS.RUNNING : wave.status;
+};
+
+const remainingOf = (wave: WaveRow, view: PoolView): readonly HostRow[] => {
+  const ended = new Set([...wave.done, ...wave.failed]);
+  const planned = new Set(wave.planned);
+  return view.hosts.filter(({ hostId }) => planned.has(hostId) && !ended.has(hostId));
+};
+
+const grant = (state: State, wave: WaveRow, view: PoolView, host: HostRow): FleetWrite => {
+  const rows = beginDrain(host, view.budget, DRAIN_REASON.WAVE, wave.waveId);
+  const started = { ...wave, startedAtMs: wave.startedAtMs ?? tableNowMs(state) };
+  return { puts: [...drainWrite(rows).puts, ...waveWrite(started).puts] };
+};
+
+const noteRefusal = (
+  state: State,
+  wave: WaveRow,
+  refusal: PermitRefusal | null,
+  effects: Effect[],
+): void => {
+  const { lastRefusals } = state.waves;
+  if (refusal !== null && lastRefusals.get(wave.waveId) !== refusal) {
+    log(effects, "info", "wave.permitRefused", wave, { reason: refusal });
+  }
+  lastRefusals.set(wave.waveId, refusal);
+};
+
+const grantNext = (
+  state: State,
+  wave: WaveRow,
+  view: PoolView,
+  order: WaveOrder,
+  effects: Effect[],
+): FleetWrite | null => {
+  const absent = absentHosts(view.budget);
+  const present = remainingOf(wave, view).filter(({ hostId }) => !absent.has(hostId));
+  let refusal: PermitRefusal | null = null;
+  for (const host of order.arrange(present)) {
+    refusal = permitRefusal(view, host);
+    if (refusal === null) {
+      return grant(state, wave, view, host);
+    }
+  }
+  noteRefusal(state, wave, refusal, effects);
+  return null;
+};
+
+/** Hosts that are down of themselves are not waited for: they are named as failed. */
+const finish = (wave: WaveRow, left: readonly HostRow[], effects: Effect[]): FleetWrite => {
+  const failed = [...wave.failed, ...left.map(({ hostId }) => hostId)];
+  const done: WaveRow = { ...wave, status: WAVE_STATUS.DONE, failed };
+  log(effects, failed.length === 0 ? "info" : "warn", "wave.done", done);
+  return waveWrite(done);
+};
+
+const runWave = (
+  state: State,
+  rule: WaveRule,
+  wave: WaveRow,
+  view: PoolView,
+  order: WaveOrder,
+  effects: Effect[],
+): FleetWrite | null => {
+  const underWay = view.budget.permits.filter(
+    ({ hostId, waveId }) => waveId === wave.waveId && !wave.failed.includes(hostId),
+  ).length;
+  const left = remainingOf(wave, view);
+  const down = new Set(view.budget.absent.map(({ hostId }) => hostId));
+  const allDown = left.every(
+    ({ hostId, phase }) => down.has(hostId) && phase === HOST_PHASE.IN_SERVICE,
+  );
+  if (underWay === 0 && allDown) {
+    return finish(wave, left, effects);
+  }
+  return underWay < rule.maxParallel ? grantNext(state, wave, view, order, effects) : null;
+};
+
+const nextWriteOf = (
+  state: State,
+  rule: WaveRule,
+  order: WaveOrder,
+  effects: Effect[],
+): FleetWrite | null => {
+  const view = poolViewOf(state, rule.pool);
+  const wave = state.waves.waves.get(rule.wave);
+  if (wave === undefined) {
+    return createWave(rule, view);
+  }
+  const status = askedStatus(wave, rule);
+  if (status !== wave.status) {
+    return waveWrite({ ...wave, status });
+  }
+  const running = status === WAVE_STATUS.RUNNING;
+  return running ? runWave(state, rule, wave, view, order, effects) : null;
+};
+
+/**
+ * @param state - The state to read.
+ * @param pool - A pool whose lease is held.
+ * @param order - The order of hosts.
+ * @param effects - Receives log lines.
+ * @returns The next change of the pool's waves, or null.
+ */
+export const nextWaveWrite = (
+  state: State,
+  pool: PoolId,
+  order: WaveOrder,
+  effects: Effect[],
+): FleetWrite | null => {
+  for (const rule of state.revisions.rules.waves.values()) {
+    const write = rule.pool === pool ? nextWriteOf(state, rule, order, effects) : null;
+    if (write !== null) {
+      return write;
+    }
+  }
+  return null;
+};
+
+const waveOf = (state: State, host: HostRow): WaveRow | undefined =>
+  host.waveId === null ? undefined : state.waves.waves.get(host.waveId);
+
+const withHost = (hosts: readonly HostId[], hostId: HostId): readonly HostId[] =>
+  hosts.includes(hostId) ? hosts : [...hosts, hostId];
+
+/**
+ * @param state - The state to read.
+ * @param host - A host that is back from its reboot.
+ * @returns The host in service, its permit returned and the wave's progress, in one change.
+ */
+export const hostDone = (state: State, host: HostRow): FleetWrite => {
+  const wave = waveOf(state, host);
+  const { puts } = drainWrite(endDrain(host, budgetOf(state, host.pool)));
+  if (wave === undefined) {
+    return { puts };
+  }
+  const failed = wave.failed.filter((hostId) => hostId !== host.hostId);
+  const advanced = { ...wave, failed, done: withHost(wave.done, host.hostId) };
+  return { puts: [...puts, ...waveWrite(advanced).puts] };
+};
+
+/**
+ * @param state - The state to read.
+ * @param host - A host that did not come back from its reboot.
+ * @param effects - Receives log lines.
+ * @returns The wave with the failure, halted when there are too many; null when noted before.
+ */
+export const hostFailed = (state: State, host: HostRow, effects: Effect[]): FleetWrite | null => {
+  const wave = waveOf(state, host);
+  if (wave === undefined || wave.failed.includes(host.hostId)) {
+    return null;
+  }
+  const failed = withHost(wave.failed, host.hostId);
+  const allowed = state.revisions.rules.waves.get(wave.waveId)?.maxFailures ?? 0;
+  const halts = failed.length > allowed && wave.status === WAVE_STATUS.RUNNING;
+  const status = halts ? WAVE_STATUS.HALTED : wave.status;
+  const next: WaveRow = { ...wave, failed, status };
+  if (halts) {
+    log(effects, "error", "wave.halted", next, { lastFailed: host.hostId });
+  }
+  return waveWrite(next);
+};
--- /dev/null
+++ b/packages/core/tests/fleetDrain.test.ts
@@ -0,0 +1,176 @@
+import test from "ava";
+import { VIEW_GONE_AFTER_MS } from "../src/fleet/stops.js";
+import { TestFleet } from "./fleetHelpers/testFleet.js";
+
+const RULES = [
+  "team lots share=1 limit=100 # asked by San Vicente",
+  "pool dies hosts=dies-* max-unavailable=2 max-unavailable-per-rack=1 # asked by San Vicente",
+  "queue open pool=dies open=yes team=lots timeout-ms=60000 # asked by San Vicente",
+].join("\n");
+
+const HOSTS = ["dies-1", "dies-2", "dies-3"];
+
+const twoEntryHosts = () => {
+  const fleet = new TestFleet(RULES);
+  fleet.addHosts("a", "r1", "dies-1", "dies-3");
+  fleet.addHosts("a", "r2", "dies-2");
+  const first = fleet.entry("e1");
+  const second = fleet.entry("e2");
+  const maintainer = fleet.maintainer("e1");
+  const placed = fleet.advanceUntil(() => HOSTS.every((name) => fleet.knows(name)));
+  if (!placed) {
+    throw new Error("The hosts got no rows");
+  }
+  fleet.advance(5_000);
+  return { fleet, first, second, maintainer };
+};
+
+/** Starts work until each host has some; returns nothing when a host gets none. */
+const workEverywhere = (node: ReturnType<TestFleet["entry"]>): void => {
+  HOSTS.forEach(() => node.startWork());
+};
+
+test("a host with work in flight is stopped only after the work has ended", (t) => {
+  const { fleet, first } = twoEntryHosts();
+  workEverywhere(first);
+  t.true(first.worksOn("dies-1"));
+  fleet.drain("dies-1");
+  fleet.advance(60_000);
+  t.is(fleet.host("dies-1").phase, "leaving");
+  first.finishWork();
+  t.true(fleet.advanceUntil(() => fleet.host("dies-1").phase === "stopped", 10_000));
+  t.deepEqual(fleet.violations, []);
+});
+
+test("a leaving host gets no new work from any entry host after a few seconds", (t) => {
+  const { fleet, first, second } = twoEntryHosts();
+  fleet.drain("dies-1");
+  fleet.advance(3_000);
+  for (const node of [first, second]) {
+    const hosts = Array.from({ length: 6 }, () => node.startWork());
+    t.false(hosts.some((host) => host === "dies-1"));
+    t.true(hosts.some((host) => host === "dies-2"));
+  }
+});
+
+test("a cut-off entry host delays the stop for as long as its view may last", (t) => {
+  const { fleet, first, second } = twoEntryHosts();
+  workEverywhere(first);
+  first.cutOff = true;
+  fleet.drain("dies-1");
+  fleet.advance(60_000);
+  t.is(fleet.host("dies-1").phase, "leaving");
+  t.true(second.state.fleet.hosts.size > 0);
+  first.finishWork();
+  first.startWork();
+  fleet.advance(60_000);
+  t.is(fleet.host("dies-1").phase, "leaving");
+  first.finishWork();
+  first.cutOff = false;
+  t.true(fleet.advanceUntil(() => fleet.host("dies-1").phase === "stopped", 15_000));
+  t.deepEqual(fleet.violations, []);
+});
+
+test("an entry host that died holds a stop up until its view must have lapsed", (t) => {
+  const { fleet, second } = twoEntryHosts();
+  fleet.kill(second);
+  fleet.drain("dies-1");
+  fleet.tickMs = 4_000;
+  fleet.advance(3_600_000);
+  t.is(fleet.host("dies-1").phase, "leaving");
+  const stopped = () => fleet.host("dies-1").phase === "stopped";
+  t.true(fleet.advanceUntil(stopped, VIEW_GONE_AFTER_MS));
+});
+
+test("an entry host restarted under its name releases the drain that its past life held up", (t) => {
+  const { fleet, second } = twoEntryHosts();
+  fleet.kill(second);
+  fleet.drain("dies-1");
+  fleet.advance(30_000);
+  t.is(fleet.host("dies-1").phase, "leaving");
+  fleet.entry("e2");
+  t.true(fleet.advanceUntil(() => fleet.host("dies-1").phase === "stopped", 15_000));
+});
+
+test("an entry host paused in mid-drain is waited for, and starts nothing there on waking", (t) => {
+  const { fleet, first } = twoEntryHosts();
+  workEverywhere(first);
+  first.paused = true;
+  fleet.drain("dies-1");
+  fleet.advance(600_000);
+  t.is(fleet.host("dies-1").phase, "leaving");
+  fleet.resume(first);
+  first.finishWork();
+  t.true(fleet.advanceUntil(() => fleet.host("dies-1").phase === "stopped", 15_000));
+  t.deepEqual(fleet.violations, []);
+});
+
+test("an entry host that joins after the drain began has to see it before the stop", (t) => {
+  const { fleet } = twoEntryHosts();
+  fleet.drain("dies-1");
+  const late = fleet.entry("e3");
+  fleet.advance(100);
+  late.cutOff = true;
+  fleet.advance(2_000);
+  t.is(late.startWork(), null);
+  fleet.advance(30_000);
+  t.not(late.startWork(), "dies-1");
+  t.deepEqual(fleet.violations, []);
+});
+
+test("an entry host whose heartbeat never got through starts no work", (t) => {
+  const { fleet } = twoEntryHosts();
+  const mute = fleet.entry("e4");
+  mute.dropWrites = true;
+  fleet.advance(10_000);
+  t.true(mute.state.fleet.hosts.size > 0);
+  t.is(mute.startWork(), null);
+});
+
+test("an entry host whose view has lapsed starts no work", (t) => {
+  const { fleet, first } = twoEntryHosts();
+  t.truthy(first.startWork());
+  first.cutOff = true;
+  fleet.advance(1_000);
+  t.truthy(first.startWork());
+  first.lapseView();
+  t.is(first.startWork(), null);
+});
+
+test("a list that names a dead host live does not bring a stopped host back", (t) => {
+  const { fleet } = twoEntryHosts();
+  fleet.drain("dies-1");
+  t.true(fleet.advanceUntil(() => fleet.host("dies-1").phase === "stopped", 15_000));
+  fleet.advance(120_000);
+  t.is(fleet.host("dies-1").phase, "stopped");
+});
+
+test("a host whose stop was ordered by a lost reply is stopped once and stays so", (t) => {
+  const { fleet, maintainer } = twoEntryHosts();
+  maintainer.loseReplies = 2;
+  fleet.drain("dies-1");
+  t.true(fleet.advanceUntil(() => fleet.host("dies-1").phase === "stopped", 30_000));
+  t.is(fleet.host("dies-1").drainEpoch, 1);
+  t.is(fleet.reboots.length, 0);
+});
+
+test("a host that the platform takes away is drained, and is back when it is live again", (t) => {
+  const { fleet } = twoEntryHosts();
+  fleet.setListed("dies-1", "leaving");
+  t.true(fleet.advanceUntil(() => fleet.host("dies-1").phase === "stopped", 30_000));
+  t.is(fleet.host("dies-1").drainReason, "platform");
+  fleet.advance(60_000);
+  fleet.setListed("dies-1", "live");
+  t.true(fleet.advanceUntil(() => fleet.host("dies-1").phase === "inService", 60_000));
+  t.is(fleet.budget("dies").absent.length, 0);
+});
+
+test("a host listed by two zones or fitting no pool gets no second row", (t) => {
+  const { fleet, maintainer } = twoEntryHosts();
+  fleet.addHosts("b", "r9", "dies-1", "strange-1");
+  fleet.advance(30_000);
+  t.false(fleet.knows("dies-1", "b"));
+  t.false(fleet.knows("strange-1", "b"));
+  t.true(maintainer.logged("host.fitsNoPool"));
+  t.deepEqual(fleet.violations, []);
+});
--- a/packages/core/tests/helpers/testNode.ts
+++ b/packages/core/tests/helpers/testNode.ts
@@ -30,6 +30,9 @@
   type TableRow,
 } from "../../src/index.js";
 
+/** Above the versions that tests give to rows at the start. */
+const JOINED_AT_VERSION = 50;
+
 export const HASH_A = keyHash("a".repeat(64));
 export const HASH_B = keyHash("b".repeat(64));
 
@@ -116,13 +119,21 @@
   }
 
   /** Answers a read of all ranges, as the table would. */
-  readRows(rows: readonly TableRow[], sentAtMs = this.nowMs): readonly Effect[] {
+  readRows(
+    rows: readonly TableRow[],
+    sentAtMs = this.nowMs,
+    atLeastVersion = 0,
+  ): readonly Effect[] {
     const ranges = [...this.state.platform.ranges.values()].map((range) => ({
       prefix: range.prefix,
       afterVersion: range.upToVersion,
     }));
     const upToVersion = tableVersion(
-      Math.max(0, ...rows.map((row) => row.version), ...ranges.map((range) => range.afterVersion)),
+      Math.max(
+        atLeastVersion,
+        ...rows.map((row) => row.version),
+        ...ranges.map((range) => range.afterVersion),
+      ),
     );
     const tableTimeMs = this.nowMs;
     return this.handle({
@@ -136,6 +147,19 @@
     });
   }
 
+  /** Writes the node's heartbeat and reads past it: from then on it may start work. */
+  join(): void {
+    const heartbeat = this.effectsOf("table/write").at(-1);
+    if (heartbeat === undefined) {
+      throw new Error("The node sent no heartbeat");
+    }
+    const version = tableVersion(JOINED_AT_VERSION);
+    const { writeId } = heartbeat.write;
+    this.handle({ type: "table/writeCommitted", writeId, version });
+    this.readRows([], this.nowMs, version);
+    this.advance(0);
+  }
+
   arrive(change: Partial<RequestArrived> = {}): RequestId {
     this.requestCount += 1;
     const id = requestId(`q${this.requestCount}`);
@@ -168,11 +192,18 @@
   }
 }
 
-/** A node that knows the rules and has targets with two slots each. */
-export const readyNode = (...targets: readonly string[]): TestNode => {
+/** A node that knows the rules and targets, and whose first heartbeat is on its way. */
+export const joiningNode = (...targets: readonly string[]): TestNode => {
   const node = new TestNode();
   const hosts = targets.map((name, index) => hostRow(name, 10 + index));
   node.readRows([rulesRow(1), ...hosts]);
   node.advance(0);
   return node;
 };
+
+/** A node that knows the rules, has targets with two slots each and may start work. */
+export const readyNode = (...targets: readonly string[]): TestNode => {
+  const node = joiningNode(...targets);
+  node.join();
+  return node;
+};
--- a/packages/core/tests/platform.test.ts
+++ b/packages/core/tests/platform.test.ts
@@ -1,7 +1,7 @@
 import { tableVersion } from "@heatherferry/common";
 import test from "ava";
 import { MEMBERSHIP, type TableRow, type TableWrite } from "../src/index.js";
-import { hostRow, readyNode, type TestNode } from "./helpers/testNode.js";
+import { hostRow, joiningNode, type TestNode } from "./helpers/testNode.js";
 
 const lastWrite = (node: TestNode): TableWrite => {
   const effect = node.effectsOf("table/write").at(-1);
@@ -20,7 +20,7 @@
 };
 
 test("a write whose reply was lost is sent again unchanged, and its id in the row settles it", (t) => {
-  const node = readyNode("register-1");
+  const node = joiningNode("register-1");
   const write = lastWrite(node);
   node.handle({ type: "table/writeUnanswered", writeId: write.writeId, reason: "lost" });
   node.advance(1_000);
@@ -32,7 +32,7 @@
 });
 
 test("a session is counted from before the first send, however late the reply", (t) => {
-  const node = readyNode("register-1");
+  const node = joiningNode("register-1");
   const sentAtMs = node.nowMs;
   const { writeId } = lastWrite(node);
   node.nowMs += 5_000;
@@ -41,7 +41,7 @@
 });
 
 test("a write that lost a race is not taken for done", (t) => {
-  const node = readyNode("register-1");
+  const node = joiningNode("register-1");
   const write = lastWrite(node);
   const rows = [{ ...rowAsWritten(write, 50), writeIds: [] }];
   node.handle({ type: "table/writeConflicted", writeId: write.writeId, rows });
@@ -49,7 +49,7 @@
 });
 
 test("an older row that arrives late does not replace a newer one", (t) => {
-  const node = readyNode("register-1");
+  const node = joiningNode("register-1");
   const row = hostRow("register-1", 10);
   node.readRows([{ ...row, version: tableVersion(90) }]);
   node.readRows([row]);
@@ -57,7 +57,7 @@
 });
 
 test("an answer that starts beyond the mirror's end confirms nothing", (t) => {
-  const node = readyNode("register-1");
+  const node = joiningNode("register-1");
   const before = [...node.state.platform.ranges.values()].map((range) => ({ ...range }));
   node.advance(1_000);
   node.handle({
@@ -73,7 +73,7 @@
 });
 
 test("a node that wakes to find a successor at its place stops", (t) => {
-  const node = readyNode("register-1");
+  const node = joiningNode("register-1");
   const write = lastWrite(node);
   node.handle({ type: "table/writeCommitted", writeId: write.writeId, version: tableVersion(50) });
   const own = rowAsWritten(write, 60);
--- a/packages/runners/src/index.ts
+++ b/packages/runners/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./platform/constants.js";
 export * from "./platform/errors.js";
 export * from "./platform/hostDirectory.js";
+export * from "./platform/httpHostDirectory.js";
 export * from "./platform/httpPlatformTable.js";
 export * from "./platform/platformTable.js";
 export * from "./platform/types.js";
@@ -12,6 +13,7 @@
 export * from "./callers/refusalText.js";
 export * from "./callers/requestBody.js";
 export * from "./callers/types.js";
+export * from "./fleet/fleetRunner.js";
 export * from "./loop/eventLoop.js";
 export * from "./metrics/nodeMetrics.js";
 export * from "./platform/tableRunner.js";
--- a/packages/wire/src/rows/rowSchemas.ts
+++ b/packages/wire/src/rows/rowSchemas.ts
@@ -43,7 +43,7 @@
   slots: count,
   phase: z.enum(["inService", "leaving", "stopped"]),
   drainEpoch: count,
-  drainReason: z.enum(["operator", "wave", "move"]).nullable(),
+  drainReason: z.enum(["operator", "wave", "move", "platform"]).nullable(),
   moveTo: name.nullable(),
   waveId: name.nullable(),
 });
@@ -54,6 +54,7 @@
   type: z.literal("poolBudget"),
   pool: name,
   permits: z.array(permit),
+  absent: z.array(z.object({ hostId: name, rack: name })),
 });
 
 const maintainerLease = z.object({
