--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -34,3 +34,7 @@
 export * from "./fleet/permits.js";
 export * from "./waves/progress.js";
 export * from "./waves/waveOrder.js";
+export * from "./invariants/invariant.js";
+export * from "./invariants/nodeInvariants.js";
+export * from "./invariants/requestInvariants.js";
+export * from "./invariants/routingInvariants.js";
