Test waves and maintainer leases under failures; let waves wait for hosts that are down

Need: waves have to survive the death, pause and races of maintainers, lost replies and racks that fail in mid-wave, and stay within the budget.

--- a/packages/core/src/waves/waveSteps.ts
+++ b/packages/core/src/waves/waveSteps.ts
@@ -14,9 +14,9 @@
   type PoolView,
 } from "../fleet/permits.js";
 import type { HostRow, PermitRefusal } from "../fleet/types.js";
-import { tableNowMs } from "../platform/mirror.js";
+import { mirroredRow, tableNowMs } from "../platform/mirror.js";
 import type { State } from "../state.js";
-import { WAVE_STATUS } from "./constants.js";
+import { WAVE, WAVE_STATUS } from "./constants.js";
 import type { WaveOrder } from "./waveOrder.js";
 import type { WaveRow, WaveStatus } from "./types.js";
 
@@ -109,7 +109,16 @@
   return null;
 };
 
-/** Hosts that are down of themselves are not waited for: they are named as failed. */
+const waitedLong = (state: State, wave: WaveRow): boolean => {
+  const row = mirroredRow(state, waveKey(wave.waveId), "wave");
+  const tableTimeMs = tableNowMs(state);
+  if (row === null || tableTimeMs === null) {
+    return false;
+  }
+  return tableTimeMs - row.committedAtMs >= WAVE.DOWN_WAIT_MS;
+};
+
+/** Hosts that stayed down of themselves are named as failed. */
 const finish = (wave: WaveRow, left: readonly HostRow[], effects: Effect[]): FleetWrite => {
   const failed = [...wave.failed, ...left.map(({ hostId }) => hostId)];
   const done: WaveRow = { ...wave, status: WAVE_STATUS.DONE, failed };
@@ -133,7 +142,7 @@
   const allDown = left.every(
     ({ hostId, phase }) => down.has(hostId) && phase === HOST_PHASE.IN_SERVICE,
   );
-  if (underWay === 0 && allDown) {
+  if (underWay === 0 && allDown && (left.length === 0 || waitedLong(state, wave))) {
     return finish(wave, left, effects);
   }
   return underWay < rule.maxParallel ? grantNext(state, wave, view, order, effects) : null;
--- a/packages/core/tests/fleetHelpers/fleetNode.ts
+++ b/packages/core/tests/fleetHelpers/fleetNode.ts
@@ -37,7 +37,11 @@
   cutOff = false;
   /** Its reads go through, its writes do not. */
   dropWrites = false;
+  /** Its writes go through, its reads do not. */
+  dropReads = false;
   paused = false;
+  /** Time its writes spend on the way. */
+  delayWritesMs = 0;
   dead = false;
   /** Replies to writes that are lost after the write took effect. */
   loseReplies = 0;
--- a/packages/core/tests/fleetHelpers/testFleet.ts
+++ b/packages/core/tests/fleetHelpers/testFleet.ts
@@ -208,7 +208,7 @@
 
   private read(node: FleetNode, { ranges }: Extract<Effect, { type: "table/read" }>): void {
     const sentAtMs = this.nowMs;
-    if (node.cutOff) {
+    if (node.cutOff || node.dropReads) {
       this.after(TIMEOUT_MS, () => {
         this.handle(node, { type: "table/readFailed", reason: "cut off" });
       });
@@ -243,7 +243,7 @@
       unanswered();
       return;
     }
-    this.after(LATENCY_MS, () => {
+    this.after(LATENCY_MS + node.delayWritesMs, () => {
       const result = this.table.write(write, this.nowMs);
       if (node.loseReplies > 0) {
         node.loseReplies -= 1;
