--- a/packages/core/src/fleet/reduceFleet.ts
+++ b/packages/core/src/fleet/reduceFleet.ts
@@ -28,8 +28,17 @@
   }
 };
 
-const step = (state: State, policies: Policies, effects: Effect[]): void => {
+const stepSettled = (state: State, policies: Policies, effects: Effect[]): void => {
+  const settled = [...state.fleet.settled];
+  state.fleet.settled.clear();
+  for (const pool of settled) {
+    stepPool(state, pool, policies, effects);
+  }
+};
+
+const stepAll = (state: State, policies: Policies, effects: Effect[]): void => {
   state.fleet.nextStepAtMs = state.nowMs + FLEET.STEP_INTERVAL_MS;
+  state.fleet.settled.clear();
   stepLeases(state, effects);
   for (const pool of state.fleet.leases.keys()) {
     stepPool(state, pool, policies, effects);
@@ -51,7 +60,9 @@
   if (leavingSinceMs !== null) {
     shutDown(state, leavingSinceMs, effects);
   } else if (state.nowMs >= state.fleet.nextStepAtMs) {
-    step(state, policies, effects);
+    stepAll(state, policies, effects);
+  } else {
+    stepSettled(state, policies, effects);
   }
 };
 
@@ -98,8 +109,9 @@
   const { fleet } = state;
   const pool = fleet.writesInFlight.get(outcome.write.writeId);
   fleet.writesInFlight.delete(outcome.write.writeId);
-  // What comes next is decided on this outcome at once.
-  fleet.nextStepAtMs = state.nowMs;
+  if (pool !== undefined) {
+    fleet.settled.add(pool);
+  }
   if (outcome.purpose === "lease") {
     const epochBefore = pool === undefined ? undefined : fleet.leases.get(pool)?.epoch;
     writeSettledLease(state, outcome, effects);
--- a/packages/core/src/fleet/rowsChangedFleet.ts
+++ b/packages/core/src/fleet/rowsChangedFleet.ts
@@ -16,6 +16,7 @@
   leaseFreeSinceMs: new Map(),
   writesInFlight: new Map(),
   nextStepAtMs: 0,
+  settled: new Set(),
   orders: new Map(),
   joinedAtVersion: null,
   viewUsableUntilMs: 0,
--- a/packages/core/src/fleet/types.ts
+++ b/packages/core/src/fleet/types.ts
@@ -126,6 +126,8 @@
   /** The lease that each unsettled write is made under: one write a lease at a time. */
   writesInFlight: Map<WriteId, PoolId>;
   nextStepAtMs: number;
+  /** Leases whose last write was settled: what comes next is decided at the next tick. */
+  settled: Set<PoolId>;
   orders: Map<HostId, RebootOrder>;
   /** Version of the first heartbeat of this incarnation; null before it is known. */
   joinedAtVersion: TableVersion | null;
--- a/packages/core/src/waves/waveSteps.ts
+++ b/packages/core/src/waves/waveSteps.ts
@@ -1,7 +1,7 @@
 import type { HostId, PoolId } from "@heatherferry/common";
 import type { WaveRule } from "@heatherferry/rules";
 import type { Effect } from "../effect.js";
-import { DRAIN_REASON, HOST_PHASE } from "../fleet/constants.js";
+import { DRAIN_REASON, HOST_PHASE, PERMIT_REFUSAL } from "../fleet/constants.js";
 import { drainWrite, type FleetWrite } from "../fleet/fleetWrites.js";
 import { waveKey } from "../fleet/keys.js";
 import {
@@ -97,6 +97,11 @@
   effects: Effect[],
 ): FleetWrite | null => {
   const absent = absentHosts(view.budget);
+  // A spent budget is the common case: no host is looked at.
+  if (view.rule !== undefined && absent.size >= view.rule.maxUnavailable) {
+    noteRefusal(state, wave, PERMIT_REFUSAL.POOL_BUDGET_SPENT, effects);
+    return null;
+  }
   const present = remainingOf(wave, view).filter(({ hostId }) => !absent.has(hostId));
   let refusal: PermitRefusal | null = null;
   for (const host of order.arrange(present)) {
