--- a/apps/cli/src/drain/checkBudget.ts
+++ b/apps/cli/src/drain/checkBudget.ts
@@ -1,5 +1,5 @@
 import type { HostId, RackId } from "@heatherferry/common";
-import { HOST_PHASE, type HostRow, type MaintenancePermit } from "@heatherferry/core";
+import { HOST_PHASE, type AbsentHost, type HostRow } from "@heatherferry/core";
 import type { PoolRule } from "@heatherferry/rules";
 import { DRAIN_ERROR_KIND, DrainError } from "./errors.js";
 
@@ -8,16 +8,16 @@
   readonly rule: PoolRule;
   /** All hosts of the pool. */
   readonly hosts: readonly HostRow[];
-  /** Planned absences, those included whose host row does not show it yet. */
-  readonly permits: readonly MaintenancePermit[];
+  /** Absences, planned or not, those included whose host row does not show it. */
+  readonly absences: readonly AbsentHost[];
 }
 
 const unavailableRacks = (
-  { hosts, permits }: PoolAvailability,
+  { hosts, absences }: PoolAvailability,
   except: HostId,
 ): ReadonlyMap<HostId, RackId> => {
   const absent = hosts.filter(({ phase }) => phase !== HOST_PHASE.IN_SERVICE);
-  const racks = new Map([...absent, ...permits].map(({ hostId, rack }) => [hostId, rack]));
+  const racks = new Map([...absent, ...absences].map(({ hostId, rack }) => [hostId, rack]));
   racks.delete(except);
   return racks;
 };
--- a/apps/cli/src/drain/fleetView.ts
+++ b/apps/cli/src/drain/fleetView.ts
@@ -1,7 +1,12 @@
 import { type HostId, type PoolId, type RowKey, rowKey } from "@heatherferry/common";
-import { type HostRow, type PoolBudgetRow, ROW_PREFIX, type TableRow } from "@heatherferry/core";
+import {
+  emptyBudget,
+  type HostRow,
+  type PoolBudgetRow,
+  ROW_PREFIX,
+  type TableRow,
+} from "@heatherferry/core";
 import type { TableView } from "../operation/tableView.js";
-import type { PlannedRow } from "../operation/types.js";
 import { RULES_HEAD_KEY } from "../rulesChange/rulesInForce.js";
 import { DRAIN_ERROR_KIND, DrainError } from "./errors.js";
 
@@ -47,16 +52,5 @@
 export const findBudget = (view: TableView, pool: PoolId): Budget => {
   const key = budgetKey(pool);
   const previous = view.find("poolBudget", key);
-  return { key, previous, body: previous?.body ?? { type: "poolBudget", pool, permits: [] } };
+  return { key, previous, body: previous?.body ?? emptyBudget(pool) };
 };
-
-/**
- * @param budget - A budget row.
- * @param permits - Its new permits.
- * @returns The row to write.
- */
-export const withPermits = (budget: Budget, permits: PoolBudgetRow["permits"]): PlannedRow => ({
-  key: budget.key,
-  previous: budget.previous,
-  body: { ...budget.body, permits },
-});
--- a/apps/cli/tests/fleet.test.ts
+++ b/apps/cli/tests/fleet.test.ts
@@ -52,6 +52,7 @@
       type: "poolBudget",
       pool: table.body("host", "host/a/die-1").pool,
       permits: [{ hostId: hostId("die-3"), rack: rackId("r2"), waveId: waveId("spring") }],
+      absent: [],
     });
     putHost(table, "die-1", { phase: "stopped", drainReason: "wave" });
     const { exitCode, err } = await operate(table, ["drain", "die-4"]);
