--- a/apps/standins/tests/platformStandIn.test.ts
+++ b/apps/standins/tests/platformStandIn.test.ts
@@ -1,7 +1,7 @@
 import { rowKey, tableVersion, writeId } from "@heatherferry/common";
 import type { MaintainerLeaseRow, TableWrite } from "@heatherferry/core";
 import { HttpPlatformTable, PlatformError } from "@heatherferry/runners";
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { InstantHostPower, PlatformStandIn } from "../src/index.js";
 
 const KEY = rowKey("lease/register");
@@ -26,19 +26,19 @@
   { prefix: rowKey("lease/"), afterVersion: tableVersion(version) },
 ];
 
-const startTable = async () => {
+const startTable = async (t: ExecutionContext) => {
   const platform = new PlatformStandIn(new InstantHostPower());
   await platform.listen();
   const table = new HttpPlatformTable(platform.origin, () => undefined);
-  const close = async () => {
+  t.teardown(async () => {
     await table.close();
     await platform.close();
-  };
-  return { platform, table, close };
+  });
+  return { platform, table };
 };
 
 test("of two writers that start from the same version the second one changes nothing", async (t) => {
-  const { table, close } = await startTable();
+  const { table } = await startTable(t);
   t.like(await table.write(leaseWrite("first", 0)), { type: "committed", version: 1 });
 
   const second = await table.write(leaseWrite("second", 0, 2));
@@ -46,22 +46,21 @@
   t.is(second.type, "conflicted");
   const { rows, upToVersion } = await table.read(allAfter(0));
   t.deepEqual([rows.length, rows[0]?.writeIds, upToVersion], [1, ["first"], 1]);
-  await close();
 });
 
-test("a reader that names its version is not sent what it has", async (t) => {
-  const { table, platform, close } = await startTable();
+test("a reader that names its versions is sent what it lacks of each range, and no more", async (t) => {
+  const { table, platform } = await startTable(t);
   await table.write(leaseWrite("first", 0));
   await table.write(leaseWrite("second", 1, 2));
   await table.read(allAfter(1));
   t.is(platform.counters.rowsRead, 1);
-  await table.read(allAfter(2));
+  const otherRange = { prefix: rowKey("member/"), afterVersion: tableVersion(0) };
+  await table.read([...allAfter(2), otherRange]);
   t.is(platform.counters.rowsRead, 1);
-  await close();
 });
 
 test("a write whose reply is lost has taken effect", async (t) => {
-  const { table, platform, close } = await startTable();
+  const { table, platform } = await startTable(t);
   platform.setFaults({ loseReplyFraction: 1 });
   await t.throwsAsync(table.write(leaseWrite("lost", 0)), { instanceOf: PlatformError });
 
@@ -70,14 +69,12 @@
 
   t.like(again, { type: "conflicted", rows: [{ writeIds: ["lost"] }] });
   t.is(platform.counters.lostReplies, 1);
-  await close();
 });
 
 test("a write to a platform that is down has not taken effect", async (t) => {
-  const { table, platform, close } = await startTable();
+  const { table, platform } = await startTable(t);
   platform.setFaults({ down: true });
   await t.throwsAsync(table.write(leaseWrite("cut", 0)), { instanceOf: PlatformError });
   platform.setFaults({});
   t.is((await table.read(allAfter(0))).rows.length, 0);
-  await close();
 });
