Add the target stand-in and fleets of targets

Need: tests and the demo have to tell whether a request ran at most once, whether a refusal "not run" was true, and whether a stop cut off a request.

Ways ruled out: one process per target needs more processes than a laptop should run; a target that frees its slot when the caller hangs up hides what real workers do, which is to work on.

Change: reduceTarget(state, event) keeps slots, runs of each tag and counters; how requests are treated is a subclass of TargetBehaviour. A reboot cuts all connections and counts what it cut. Open connections can be silenced while new ones work. TargetFleet hosts many targets in one process and sums their counts.

The failing, slow, silent and late behaviours have no test of their own.

--- /dev/null
+++ b/apps/standins/src/target/behaviours/behaviourOf.ts
@@ -0,0 +1,29 @@
+import type { TargetBehaviourName } from "../types.js";
+import {
+  FailingBehaviour,
+  LateBehaviour,
+  NonsenseBehaviour,
+  NormalBehaviour,
+  ResettingBehaviour,
+  SilentBehaviour,
+  SlowBehaviour,
+  TruncatingBehaviour,
+} from "./behaviours.js";
+import type { TargetBehaviour } from "./targetBehaviour.js";
+
+const BEHAVIOURS: Readonly<Record<TargetBehaviourName, TargetBehaviour>> = {
+  normal: new NormalBehaviour(),
+  failing: new FailingBehaviour(),
+  slow: new SlowBehaviour(),
+  silent: new SilentBehaviour(),
+  truncating: new TruncatingBehaviour(),
+  nonsense: new NonsenseBehaviour(),
+  resetting: new ResettingBehaviour(),
+  late: new LateBehaviour(),
+};
+
+/**
+ * @param name - Name of the behaviour.
+ * @returns The behaviour; it keeps no state.
+ */
+export const behaviourOf = (name: TargetBehaviourName): TargetBehaviour => BEHAVIOURS[name];
--- /dev/null
+++ b/apps/standins/src/target/behaviours/behaviours.ts
@@ -0,0 +1,93 @@
+import type { ServerResponse } from "node:http";
+import { HTTP_STATUS } from "../../http/constants.js";
+import { TARGET, TARGET_BEHAVIOUR } from "../constants.js";
+import type { Work } from "../types.js";
+import { TargetBehaviour } from "./targetBehaviour.js";
+
+/** Answers whole and in time. */
+export class NormalBehaviour extends TargetBehaviour {
+  override readonly name = TARGET_BEHAVIOUR.NORMAL;
+
+  override answer(response: ServerResponse, work: Work): void {
+    this.answerWhole(response, work);
+  }
+}
+
+/** Answers 500 at once. */
+export class FailingBehaviour extends TargetBehaviour {
+  override readonly name = TARGET_BEHAVIOUR.FAILING;
+
+  override delayMs(): number {
+    return 0;
+  }
+
+  override answer(response: ServerResponse, work: Work): void {
+    this.answerWhole(response, work, HTTP_STATUS.INTERNAL_SERVER_ERROR);
+  }
+}
+
+/** Takes many times as long. */
+export class SlowBehaviour extends TargetBehaviour {
+  override readonly name = TARGET_BEHAVIOUR.SLOW;
+
+  override delayMs(workMs: number): number {
+    return workMs * TARGET.SLOW_FACTOR;
+  }
+
+  override answer(response: ServerResponse, work: Work): void {
+    this.answerWhole(response, work);
+  }
+}
+
+/** Never answers; the slot is held until the caller hangs up. */
+export class SilentBehaviour extends TargetBehaviour {
+  override readonly name = TARGET_BEHAVIOUR.SILENT;
+
+  override delayMs(): null {
+    return null;
+  }
+
+  override answer(): void {
+    // Silence is the whole behaviour.
+  }
+}
+
+/** Ends the stream properly, though the body is shorter than announced. */
+export class TruncatingBehaviour extends TargetBehaviour {
+  override readonly name = TARGET_BEHAVIOUR.TRUNCATING;
+
+  override answer(response: ServerResponse, work: Work): void {
+    this.answerHalf(response, work, () => response.socket?.destroy());
+  }
+}
+
+/** Sends bytes that are not HTTP. */
+export class NonsenseBehaviour extends TargetBehaviour {
+  override readonly name = TARGET_BEHAVIOUR.NONSENSE;
+
+  override answer(response: ServerResponse): void {
+    response.socket?.end(Buffer.from([0, 1, 2, 0xff, 0x0d, 0x0a, 0x7f, 0x0d, 0x0a]));
+  }
+}
+
+/** Resets the connection in the middle of the answer. */
+export class ResettingBehaviour extends TargetBehaviour {
+  override readonly name = TARGET_BEHAVIOUR.RESETTING;
+
+  override answer(response: ServerResponse, work: Work): void {
+    this.answerHalf(response, work, () => response.socket?.resetAndDestroy());
+  }
+}
+
+/** Answers whole, long after the work was due. */
+export class LateBehaviour extends TargetBehaviour {
+  override readonly name = TARGET_BEHAVIOUR.LATE;
+
+  override delayMs(workMs: number): number {
+    return workMs + TARGET.LATE_MS;
+  }
+
+  override answer(response: ServerResponse, work: Work): void {
+    this.answerWhole(response, work);
+  }
+}
--- /dev/null
+++ b/apps/standins/src/target/reduceTarget.ts
@@ -0,0 +1,101 @@
+import { assertNever } from "@heatherferry/common";
+import type { ExchangeId } from "../http/types.js";
+import { TARGET_BEHAVIOUR } from "./constants.js";
+import type { TargetEffect, TargetEvent, TargetState } from "./types.js";
+
+type Effects = readonly TargetEffect[];
+
+/**
+ * @param slots - Requests that run at once.
+ * @returns The state of an idle target.
+ */
+export const initialTargetState = (slots: number): TargetState => ({
+  slots,
+  behaviour: TARGET_BEHAVIOUR.NORMAL,
+  powered: true,
+  running: new Map(),
+  runsByTag: new Map(),
+  counters: { refusedFull: 0, cutOff: 0, hungUp: 0, peakRunning: 0, reboots: 0 },
+});
+
+const reduceArrival = (
+  state: TargetState,
+  event: TargetEvent & { type: "request/arrived" },
+): Effects => {
+  const { exchangeId, work, jitterFraction } = event;
+  if (!state.powered) {
+    return [{ type: "request/destroy", exchangeId }];
+  }
+  if (state.running.size >= state.slots) {
+    state.counters.refusedFull += 1;
+    return [{ type: "request/refuse", exchangeId, tag: work.tag }];
+  }
+  state.running.set(exchangeId, { tag: work.tag, connected: true });
+  state.runsByTag.set(work.tag, (state.runsByTag.get(work.tag) ?? 0) + 1);
+  state.counters.peakRunning = Math.max(state.counters.peakRunning, state.running.size);
+  const workMs = work.workMs + Math.round(work.workJitterMs * jitterFraction);
+  return [{ type: "request/run", exchangeId, work, workMs, behaviour: state.behaviour }];
+};
+
+/** A request whose caller hung up holds its slot until its work ends, as on a real worker. */
+const reduceConnectionLost = (state: TargetState, exchangeId: ExchangeId): Effects => {
+  const running = state.running.get(exchangeId);
+  if (running?.connected === true) {
+    running.connected = false;
+    state.counters.hungUp += 1;
+  }
+  return [];
+};
+
+/** Counts what the loss of power cuts off; nothing runs after it. */
+const cutOffAll = (state: TargetState): void => {
+  const waiting = [...state.running.values()].filter((running) => running.connected);
+  state.counters.cutOff += waiting.length;
+  state.running.clear();
+};
+
+const reduceReboot = (
+  state: TargetState,
+  event: TargetEvent & { type: "reboot/requested" },
+): Effects => {
+  const { exchangeId, comesBack } = event;
+  cutOffAll(state);
+  state.powered = false;
+  state.counters.reboots += 1;
+  return [
+    { type: "connections/destroy", exceptExchangeId: exchangeId },
+    { type: "reboot/wait", exchangeId, comesBack },
+  ];
+};
+
+/**
+ * Decides what a target does about one event.
+ *
+ * @param state - The target's state, updated in place.
+ * @param event - What happened.
+ * @returns What is to be done, as data.
+ */
+export const reduceTarget = (state: TargetState, event: TargetEvent): Effects => {
+  switch (event.type) {
+    case "request/arrived":
+      return reduceArrival(state, event);
+    case "request/ended":
+      state.running.delete(event.exchangeId);
+      return [];
+    case "request/connectionLost":
+      return reduceConnectionLost(state, event.exchangeId);
+    case "behaviour/set":
+      state.behaviour = event.behaviour;
+      return [];
+    case "reboot/requested":
+      return reduceReboot(state, event);
+    case "reboot/elapsed":
+      state.powered = event.comesBack;
+      return [{ type: "reboot/answer", exchangeId: event.exchangeId, cameBack: event.comesBack }];
+    case "stop/elapsed":
+      cutOffAll(state);
+      return [{ type: "connections/destroy", exceptExchangeId: null }];
+    default:
+      return assertNever(event);
+  }
+};
--- /dev/null
+++ b/apps/standins/tests/targetStandIn.test.ts
@@ -0,0 +1,122 @@
+import { hostId } from "@heatherferry/common";
+import test, { type ExecutionContext } from "ava";
+import { Client } from "undici";
+import {
+  answerBody,
+  PlatformStandIn,
+  TARGET_BEHAVIOUR,
+  TargetFleet,
+  TargetHostPower,
+  TargetStandIn,
+} from "../src/index.js";
+
+/** Work that holds its slot for far longer than a test. */
+const LONG_MS = 3_600_000;
+
+const start = async (t: ExecutionContext, slots = 1) => {
+  const target = new TargetStandIn(slots, 1);
+  await target.listen();
+  const client = clientOf(t, target);
+  t.teardown(() => target.close());
+  return { target, client };
+};
+
+const clientOf = (t: ExecutionContext, target: TargetStandIn): Client => {
+  const client = new Client(target.origin, { pipelining: 1 });
+  t.teardown(() => client.destroy());
+  return client;
+};
+
+const send = async (client: Client, tag: string, workMs = 0) => {
+  const headers = { "x-request-tag": tag, "x-work-ms": String(workMs), "x-answer-bytes": "64" };
+  const answer = await client.request({ method: "POST", path: "/lots", headers, body: "b" });
+  return { status: answer.statusCode, headers: answer.headers, text: await answer.body.text() };
+};
+
+const untilRunning = async (target: TargetStandIn): Promise<void> => {
+  while (target.running === 0) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+};
+
+test("a request beyond the slots is refused as not run, and is not counted as a run", async (t) => {
+  const { target, client } = await start(t);
+  send(client, "first", LONG_MS).catch(() => undefined);
+  await untilRunning(target);
+  const refused = await send(clientOf(t, target), "second");
+  t.is(refused.status, 503);
+  t.is(refused.headers["heatherferry-not-run"], "full");
+  t.deepEqual([...target.runsByTag], [["first", 1]]);
+});
+
+test("the same request sent twice counts as two runs", async (t) => {
+  const { target, client } = await start(t);
+  await send(client, "twice");
+  const again = await send(client, "twice");
+  t.is(again.text, answerBody("twice", 64));
+  t.is(target.runsByTag.get("twice"), 2);
+});
+
+test("a reboot ordered of the platform cuts off what is in flight, and counts it", async (t) => {
+  const fleet = new TargetFleet({
+    availabilityZone: "a",
+    services: ["lots"],
+    targetsPerService: 1,
+    slots: 2,
+    hostsPerRack: 4,
+  });
+  const platform = new PlatformStandIn(new TargetHostPower());
+  await Promise.all([fleet.listen(), platform.listen()]);
+  platform.setHosts(fleet.listedHosts());
+  const target = fleet.target(hostId("lots-a-1"));
+  if (target === undefined) {
+    throw new Error("no such target");
+  }
+  const client = clientOf(t, target);
+  t.teardown(async () => {
+    await platform.close();
+    await fleet.close();
+  });
+  const cut = t.throwsAsync(send(client, "cut", LONG_MS));
+  await untilRunning(target);
+
+  const ordered = await fetch(`${platform.origin}/v1/hosts/lots-a-1/reboot`, { method: "POST" });
+
+  t.is(ordered.status, 200);
+  await cut;
+  t.is(fleet.runs().cutOff, 1);
+  t.is((await send(client, "after")).status, 200);
+});
+
+test("a caller that hangs up does not free the slot before the work ends", async (t) => {
+  const { target, client } = await start(t);
+  const answer = t.throwsAsync(send(client, "hungUp", LONG_MS));
+  await untilRunning(target);
+  await client.destroy();
+  await answer;
+  t.is((await send(clientOf(t, target), "next")).status, 503);
+  t.like(target.counters, { hungUp: 1, cutOff: 0 });
+});
+
+for (const behaviour of [
+  TARGET_BEHAVIOUR.TRUNCATING,
+  TARGET_BEHAVIOUR.NONSENSE,
+  TARGET_BEHAVIOUR.RESETTING,
+]) {
+  test(`the answer of a ${behaviour} target does not pass for a whole one`, async (t) => {
+    const { target, client } = await start(t);
+    target.setBehaviour(behaviour);
+    await t.throwsAsync(send(client, "broken"));
+    t.is(target.runsByTag.get("broken"), 1);
+  });
+}
+
+test("an open connection that goes silent stays silent while a new one is answered", async (t) => {
+  const { target, client } = await start(t);
+  await send(client, "before");
+  target.silenceOpenConnections();
+  const silent = send(client, "silent");
+  silent.catch(() => undefined);
+  t.is((await send(clientOf(t, target), "new")).status, 200);
+  t.false(target.runsByTag.has("silent"));
+});
