--- a/apps/standins/src/index.ts
+++ b/apps/standins/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./platform/targetHostPower.js";
 export * from "./platform/types.js";
 export * from "./target/constants.js";
+export * from "./processes/program.js";
 export * from "./target/answerBody.js";
 export * from "./target/behaviours/targetBehaviour.js";
 export * from "./target/reduceTarget.js";
--- a/apps/standins/src/target/types.ts
+++ b/apps/standins/src/target/types.ts
@@ -31,7 +31,7 @@
   /** Off: nothing is answered. */
   powered: boolean;
   /** Requests that hold a slot. */
-  running: Map<ExchangeId, { readonly tag: string; connected: boolean }>;
+  running: Map<ExchangeId, { readonly tag: string }>;
   runsByTag: Map<string, number>;
   counters: TargetCounters;
 }
@@ -71,6 +71,8 @@
     }
   /** All slots are taken: the request is not run. */
   | { readonly type: "request/refuse"; readonly exchangeId: ExchangeId; readonly tag: string }
+  /** The caller hung up: stop the work. */
+  | { readonly type: "request/abandon"; readonly exchangeId: ExchangeId }
   /** The power is off. */
   | { readonly type: "request/destroy"; readonly exchangeId: ExchangeId }
   /** Cut all connections but that of the order itself. */
