--- a/apps/standins/src/http/httpStandIn.ts
+++ b/apps/standins/src/http/httpStandIn.ts
@@ -34,6 +34,9 @@
 
   constructor() {
     this.server = createServer((request, response) => {
+      response.once("finish", () => {
+        this.closeIfLast();
+      });
       this.router.lookup(request, response);
     });
     this.server.keepAliveTimeout = INTAKE.KEEP_ALIVE_TIMEOUT_MS;
@@ -157,6 +160,15 @@
     return [...this.sockets];
   }
 
+  /** A connection that is kept alive would hold up the end of the server. */
+  private closeIfLast(): void {
+    if (this.closing) {
+      setImmediate(() => {
+        this.server.closeIdleConnections();
+      });
+    }
+  }
+
   private track(socket: Socket): void {
     this.sockets.add(socket);
     socket.once("close", () => this.sockets.delete(socket));
--- a/apps/standins/src/index.ts
+++ b/apps/standins/src/index.ts
@@ -16,3 +16,6 @@
 export * from "./target/targetFleet.js";
 export * from "./target/targetStandIn.js";
 export * from "./target/types.js";
+export * from "./load/callerLoad.js";
+export * from "./load/constants.js";
+export * from "./load/types.js";
--- /dev/null
+++ b/apps/standins/src/load/callerLoad.ts
@@ -0,0 +1,101 @@
+import { assertNever } from "@heatherferry/common";
+import { CALLER_HEADER } from "@heatherferry/runners";
+import { Agent } from "undici";
+import { WORK_HEADER } from "../target/constants.js";
+import { LOAD } from "./constants.js";
+import { initialLoadState } from "./initialLoadState.js";
+import { broken, readResult } from "./readResult.js";
+import { reduceLoad } from "./reduceLoad.js";
+import { reportOf } from "./reportOf.js";
+import type { LoadEffect, LoadEvent, LoadPlan, LoadReport, LoadRequest } from "./types.js";
+
+const headersOf = ({ tag, stream, idempotent }: LoadRequest): Record<string, string> => ({
+  [WORK_HEADER.TAG]: tag,
+  [WORK_HEADER.WORK_MS]: String(stream.workMs),
+  [WORK_HEADER.WORK_JITTER_MS]: String(stream.workJitterMs),
+  [WORK_HEADER.ANSWER_BYTES]: String(stream.answerBytes),
+  [CALLER_HEADER.IDEMPOTENT]: String(idempotent),
+  ...(stream.secret === null ? {} : { [CALLER_HEADER.AUTHORIZATION]: `Bearer ${stream.secret}` }),
+  ...(stream.timeoutMs === null ? {} : { [CALLER_HEADER.TIMEOUT_MS]: String(stream.timeoutMs) }),
+});
+
+/** Sends the requests of several teams and checks every answer. */
+export class CallerLoad {
+  private readonly state;
+  private readonly agent = new Agent({ connections: LOAD.CONNECTIONS });
+  private timer: NodeJS.Timeout | null = null;
+  private onFinished: () => void = () => undefined;
+
+  /** @param plan - What to send, and to whom. */
+  constructor(plan: LoadPlan) {
+    this.state = initialLoadState(plan, performance.now());
+  }
+
+  /**
+   * Sends all that is planned.
+   *
+   * @returns What was seen, once every request has ended.
+   */
+  async run(): Promise<LoadReport> {
+    const finished = new Promise<void>((resolve) => {
+      this.onFinished = resolve;
+    });
+    this.timer = setInterval(() => {
+      this.dispatch({ type: "clock/ticked", atMs: performance.now() });
+    }, LOAD.TICK_MS);
+    await finished;
+    await this.agent.destroy();
+    return this.report();
+  }
+
+  /** Sends nothing more; `run` returns when all in flight has ended. */
+  stop(): void {
+    this.dispatch({ type: "load/stopRequested", atMs: performance.now() });
+  }
+
+  /** What was seen so far. */
+  report(): LoadReport {
+    return reportOf(this.state);
+  }
+
+  private dispatch(event: LoadEvent): void {
+    for (const effect of reduceLoad(this.state, event)) {
+      this.perform(effect);
+    }
+  }
+
+  private perform(effect: LoadEffect): void {
+    switch (effect.type) {
+      case "request/send":
+        void this.send(effect.request);
+        return;
+      case "load/finished":
+        clearInterval(this.timer ?? undefined);
+        this.onFinished();
+        return;
+      default:
+        assertNever(effect);
+    }
+  }
+
+  private async send(request: LoadRequest): Promise<void> {
+    const result = await this.ask(request);
+    this.dispatch({ type: "request/ended", atMs: performance.now(), tag: request.tag, result });
+  }
+
+  private async ask(request: LoadRequest): ReturnType<typeof readResult> {
+    try {
+      const response = await this.agent.request({
+        origin: `http://${request.entryHost}`,
+        path: `/queues/${request.stream.queue}/work`,
+        method: "POST",
+        headers: headersOf(request),
+        body: "x".repeat(request.stream.bodyBytes),
+        signal: AbortSignal.timeout(LOAD.GIVE_UP_MS),
+      });
+      return await readResult(request, response);
+    } catch (error) {
+      return broken(error instanceof Error ? error.name : "unreadable");
+    }
+  }
+}
