--- a/packages/core/tests/helpers/testNode.ts
+++ b/packages/core/tests/helpers/testNode.ts
@@ -12,6 +12,8 @@
   revision,
   rowKey,
   tableVersion,
+  teamId,
+  TIME,
   type RequestId,
 } from "@heatherferry/common";
 import {
@@ -89,6 +91,24 @@
     ...change,
   });
 
+/** The whole limit of the team is this node's, for an hour. */
+export const grantRow = (team: string, version: number, limit = 60): TableRow =>
+  rowOf(`escrow/zone/a/${team}`, version, {
+    type: "zoneEscrow",
+    availabilityZone: availabilityZoneId("a"),
+    team: teamId(team),
+    cap: limit,
+    limit,
+    above: 0,
+    grants: [
+      {
+        holder: "e1/e1-1",
+        ...{ limit, above: 0, base: limit, burst: 0, held: 0, wanted: 0 },
+        ...{ baseUntilMs: TIME.HOUR_MS, burstUntilMs: 0 },
+      },
+    ],
+  });
+
 type Untimed = Event extends infer Each ? (Each extends Event ? Omit<Each, "atMs"> : never) : never;
 
 export type EffectOf<Type extends Effect["type"]> = Extract<Effect, { type: Type }>;
@@ -177,11 +197,11 @@
   }
 }
 
-/** A node that knows the rules and has targets with two slots each. */
+/** A node that knows the rules, holds both teams' limits and has targets with two slots each. */
 export const readyNode = (...targets: readonly string[]): TestNode => {
   const node = new TestNode();
   const hosts = targets.map((name, index) => hostRow(name, 10 + index));
-  node.readRows([rulesRow(1), ...hosts]);
+  node.readRows([rulesRow(1), grantRow("lots", 2), grantRow("dies", 3), ...hosts]);
   node.advance(0);
   return node;
 };
