--- a/apps/cli/src/drain/drain.ts
+++ b/apps/cli/src/drain/drain.ts
@@ -1,9 +1,9 @@
 import { type HostId, poolId } from "@heatherferry/common";
 import {
+  beginDrain,
   DRAIN_REASON,
   HOST_PHASE,
   type HostRow,
-  type MaintenancePermit,
   type TableRow,
 } from "@heatherferry/core";
 import type { PoolRule } from "@heatherferry/rules";
@@ -14,7 +14,7 @@
 import { parsedRulesInForce, rulesInForce } from "../rulesChange/rulesInForce.js";
 import { checkBudget } from "./checkBudget.js";
 import { DRAIN_ERROR_KIND, DrainError } from "./errors.js";
-import { type Budget, findBudget, findHost, FLEET_PREFIXES, withPermits } from "./fleetView.js";
+import { type Budget, findBudget, findHost, FLEET_PREFIXES } from "./fleetView.js";
 
 const poolRuleOf = (view: TableView, { pool, hostId }: HostRow): PoolRule => {
   const inForce = rulesInForce(view);
@@ -41,15 +41,6 @@
   );
 };
 
-const leaving = (host: HostRow): HostRow => ({
-  ...host,
-  phase: HOST_PHASE.LEAVING,
-  drainEpoch: host.drainEpoch + 1,
-  drainReason: DRAIN_REASON.OPERATOR,
-  moveTo: null,
-  waveId: null,
-});
-
 /** Takes a host out of service, within its pool's availability budget. */
 export class Drain extends Operation {
   override readonly prefixes = FLEET_PREFIXES;
@@ -70,19 +61,19 @@
       .ofType("host")
       .map(({ body }) => body)
       .filter(({ pool }) => pool === host.pool);
-    checkBudget({ rule: poolRuleOf(view, host), hosts, permits: budget.body.permits }, host);
+    const absences = [...budget.body.permits, ...budget.body.absent];
+    checkBudget({ rule: poolRuleOf(view, host), hosts, absences }, host);
     return this.write(row, budget);
   }
 
   private write(row: TableRow<HostRow>, budget: Budget): Write {
-    const { hostId, rack, pool } = row.body;
-    const others = budget.body.permits.filter((permit) => permit.hostId !== hostId);
-    const permit: MaintenancePermit = { hostId, rack, waveId: null };
+    const { hostId, pool } = row.body;
+    const changed = beginDrain(row.body, budget.body, DRAIN_REASON.OPERATOR);
     return {
       type: "write",
       rows: [
-        { key: row.key, previous: row, body: leaving(row.body) },
-        withPermits(budget, [...others, permit]),
+        { key: row.key, previous: row, body: changed.host },
+        { key: budget.key, previous: budget.previous, body: changed.budget },
       ],
       committed: done(
         `Host ${hostId} of pool ${pool} is leaving: it gets no new work after a few seconds, ` +
