Drain and undrain by the fleet's own decisions

Cause: whether a host may leave was decided twice, by the maintainers and by the command line, and differently: only the maintainers kept the last host of a zone in service and counted hosts that are down unplanned by the budget's row. A host that a wave gave up on could not be put back by any command.

Change: drain asks permitRefusal and undrain undrainRefusal; the command line only words the refusals. Hosts out of service that the budget's row does not show still count. A host that the platform's list names as leaving is not put back by undrain.

The case of undrain on a host that leaves for a wave was wrong: the fleet allows it until the reboot is ordered; it is replaced by the refusal while the reboot runs. New: unplanned absences, the last host of a zone, a host without a pool rule, a host given up by its wave, a host taken by the platform.

--- a/apps/cli/src/drain/errors.ts
+++ b/apps/cli/src/drain/errors.ts
@@ -1,12 +1,12 @@
 import { HeatherferryError, type ValueOf } from "@heatherferry/common";
+import { PERMIT_REFUSAL, UNDRAIN_REFUSAL } from "@heatherferry/core";
 
+/** Why a drain is refused, or the end of one. */
 export const DRAIN_ERROR_KIND = {
+  ...PERMIT_REFUSAL,
+  ...UNDRAIN_REFUSAL,
   UNKNOWN_HOST: "unknownHost",
-  UNKNOWN_POOL: "unknownPool",
-  POOL_BUDGET: "poolBudget",
-  RACK_BUDGET: "rackBudget",
-  LAST_HOST: "lastHost",
-  OTHER_OWNER: "otherOwner",
+  TAKEN_BY_PLATFORM: "takenByPlatform",
 } as const;
 
 export type DrainErrorKind = ValueOf<typeof DRAIN_ERROR_KIND>;
--- a/apps/cli/src/drain/fleetView.ts
+++ b/apps/cli/src/drain/fleetView.ts
@@ -1,5 +1,7 @@
 import { type HostId, type PoolId, type RowKey, rowKey } from "@heatherferry/common";
 import {
+  budgetKey,
+  type DrainRows,
   emptyBudget,
   type HostRow,
   type PoolBudgetRow,
@@ -7,6 +9,7 @@
   type TableRow,
 } from "@heatherferry/core";
 import type { TableView } from "../operation/tableView.js";
+import type { PlannedRow } from "../operation/types.js";
 import { RULES_HEAD_KEY } from "../rulesChange/rulesInForce.js";
 import { DRAIN_ERROR_KIND, DrainError } from "./errors.js";
 
@@ -35,8 +38,6 @@
   return row;
 };
 
-const budgetKey = (pool: PoolId): RowKey => rowKey(ROW_PREFIX.POOL_BUDGET + pool);
-
 /** A pool's budget row as it was read, or the one to make. */
 export interface Budget {
   readonly key: RowKey;
@@ -54,3 +55,18 @@
   const previous = view.find("poolBudget", key);
   return { key, previous, body: previous?.body ?? emptyBudget(pool) };
 };
+
+/**
+ * @param host - The host's row as it was read.
+ * @param budget - The pool's budget as it was read.
+ * @param rows - Both rows with the drain begun or ended.
+ * @returns The rows of one transaction.
+ */
+export const plannedDrainRows = (
+  host: TableRow<HostRow>,
+  budget: Budget,
+  rows: DrainRows,
+): readonly PlannedRow[] => [
+  { key: host.key, previous: host, body: rows.host },
+  { key: budget.key, previous: budget.previous, body: rows.budget },
+];
--- /dev/null
+++ b/apps/cli/src/drain/permitError.ts
@@ -0,0 +1,67 @@
+import { assertNever } from "@heatherferry/common";
+import {
+  absentHosts,
+  type HostRow,
+  PERMIT_REFUSAL,
+  type PermitRefusal,
+  type PoolView,
+} from "@heatherferry/core";
+import { DRAIN_ERROR_KIND, DrainError } from "./errors.js";
+
+const bound = ({ rule }: PoolView, count: number | undefined): string =>
+  `may have ${count ?? 0} (line ${rule?.line ?? 0} of the rules, asked by ${rule?.askedBy ?? ""})`;
+
+const absentNames = ({ budget }: PoolView): string => [...absentHosts(budget)].join(", ");
+
+const poolBudgetSpent = (view: PoolView, { pool }: HostRow): DrainError =>
+  new DrainError(
+    DRAIN_ERROR_KIND.POOL_BUDGET_SPENT,
+    `Pool ${pool} has ${absentHosts(view.budget).size} host(s) out of service, planned and ` +
+      `unplanned, and ${bound(view, view.rule?.maxUnavailable)}`,
+    `Wait until one is back: ${absentNames(view)}`,
+  );
+
+const rackBudgetSpent = (view: PoolView, { pool, rack }: HostRow): DrainError =>
+  new DrainError(
+    DRAIN_ERROR_KIND.RACK_BUDGET_SPENT,
+    `Rack ${rack} has as many hosts of pool ${pool} out of service as it ` +
+      bound(view, view.rule?.maxUnavailablePerRack),
+    `Wait until one is back, or drain a host of another rack; out are ${absentNames(view)}`,
+  );
+
+/**
+ * @param refusal - Why a host may not leave.
+ * @param view - The pool as it stands.
+ * @param host - The host.
+ * @returns The error that says so, with who bounds it and the remedy.
+ */
+export const permitError = (refusal: PermitRefusal, view: PoolView, host: HostRow): DrainError => {
+  switch (refusal) {
+    case PERMIT_REFUSAL.ALREADY_OUT:
+      return new DrainError(
+        refusal,
+        `Host ${host.hostId} is ${host.phase} for a ${host.drainReason ?? "reboot"} ` +
+          "and comes back by itself",
+        "Drain it once it is in service again; `heatherferry explain host` shows when",
+      );
+    case PERMIT_REFUSAL.NO_POOL_RULE:
+      return new DrainError(
+        refusal,
+        `Host ${host.hostId} is in pool ${host.pool}, which the rules do not have`,
+        "Add a pool line that says how many of its hosts may be unavailable",
+      );
+    case PERMIT_REFUSAL.POOL_BUDGET_SPENT:
+      return poolBudgetSpent(view, host);
+    case PERMIT_REFUSAL.RACK_BUDGET_SPENT:
+      return rackBudgetSpent(view, host);
+    case PERMIT_REFUSAL.LAST_IN_ZONE:
+      return new DrainError(
+        refusal,
+        `Host ${host.hostId} is the last one in service of pool ${host.pool} in zone ` +
+          host.availabilityZone,
+        "Put another host of the pool back in service there first",
+      );
+    default:
+      return assertNever(refusal);
+  }
+};
--- a/apps/cli/src/drain/undrain.ts
+++ b/apps/cli/src/drain/undrain.ts
@@ -1,21 +1,47 @@
-import type { HostId } from "@heatherferry/common";
+import { type HostId, rowKey } from "@heatherferry/common";
 import {
   DRAIN_REASON,
   endDrain,
-  HOST_PHASE,
   type HostRow,
+  ROW_PREFIX,
   type TableRow,
+  UNDRAIN_REFUSAL,
+  undrainRefusal,
+  type WaveRow,
 } from "@heatherferry/core";
 import { done } from "../operation/decisions.js";
 import { Operation } from "../operation/operation.js";
 import type { TableView } from "../operation/tableView.js";
 import type { Finish, Write } from "../operation/types.js";
 import { DRAIN_ERROR_KIND, DrainError } from "./errors.js";
-import { type Budget, findBudget, findHost, FLEET_PREFIXES } from "./fleetView.js";
+import {
+  type Budget,
+  findBudget,
+  findHost,
+  FLEET_PREFIXES,
+  plannedDrainRows,
+} from "./fleetView.js";
+
+const waveOf = (view: TableView, { waveId }: HostRow): WaveRow | null =>
+  view.ofType("wave").find(({ body }) => body.waveId === waveId)?.body ?? null;
+
+const maintained = (host: HostRow): DrainError =>
+  new DrainError(
+    DRAIN_ERROR_KIND.BEING_MAINTAINED,
+    `Host ${host.hostId} is being rebooted for wave ${host.waveId ?? "unknown"}`,
+    "Wait until it is back; `heatherferry wave` shows the progress",
+  );
 
-/** Puts a host that an operator drained back in service, and frees its permit. */
+const takenByPlatform = (host: HostRow): DrainError =>
+  new DrainError(
+    DRAIN_ERROR_KIND.TAKEN_BY_PLATFORM,
+    `Host ${host.hostId} is ${host.phase} because the platform's list names it as leaving`,
+    "It comes back by itself once the list names it live",
+  );
+
+/** Puts a drained host back in service, and frees its permit. */
 export class Undrain extends Operation {
-  override readonly prefixes = FLEET_PREFIXES;
+  override readonly prefixes = [...FLEET_PREFIXES, rowKey(ROW_PREFIX.WAVE)];
 
   /** @param hostId - The host. */
   constructor(private readonly hostId: HostId) {
@@ -25,29 +51,24 @@
   override decide(view: TableView): Finish | Write {
     const row = findHost(view, this.hostId);
     const host = row.body;
-    if (host.phase === HOST_PHASE.IN_SERVICE) {
+    const refusal = undrainRefusal(host, waveOf(view, host));
+    if (refusal === UNDRAIN_REFUSAL.IN_SERVICE) {
       return done(`Host ${host.hostId} is in service already; nothing to change.`);
     }
-    if (host.drainReason !== DRAIN_REASON.OPERATOR) {
-      throw new DrainError(
-        DRAIN_ERROR_KIND.OTHER_OWNER,
-        `Host ${host.hostId} is ${host.phase} for a ${host.drainReason ?? "reboot"}, ` +
-          "not by an operator",
-        "Wait until it is back, or pause the wave with `heatherferry wave pause`",
-      );
+    if (refusal === UNDRAIN_REFUSAL.BEING_MAINTAINED) {
+      throw maintained(host);
+    }
+    if (host.drainReason === DRAIN_REASON.PLATFORM) {
+      throw takenByPlatform(host);
     }
     return this.write(row, findBudget(view, host.pool));
   }
 
   private write(row: TableRow<HostRow>, budget: Budget): Write {
     const { hostId, pool } = row.body;
-    const changed = endDrain(row.body, budget.body);
     return {
       type: "write",
-      rows: [
-        { key: row.key, previous: row, body: changed.host },
-        { key: budget.key, previous: budget.previous, body: changed.budget },
-      ],
+      rows: plannedDrainRows(row, budget, endDrain(row.body, budget.body)),
       committed: done(`Host ${hostId} of pool ${pool} is in service.`),
       conflicted: this,
       unknown:
--- a/apps/cli/src/explain/explainHost.ts
+++ b/apps/cli/src/explain/explainHost.ts
@@ -1,5 +1,5 @@
 import { type HostId, poolId } from "@heatherferry/common";
-import { DRAIN_REASON, HOST_PHASE, type HostRow } from "@heatherferry/core";
+import { type AbsentHost, DRAIN_REASON, HOST_PHASE, type HostRow } from "@heatherferry/core";
 import { formatRule } from "@heatherferry/rules";
 import { findBudget, findHost, FLEET_PREFIXES } from "../drain/fleetView.js";
 import { done } from "../operation/decisions.js";
@@ -21,6 +21,9 @@
   return `${host.phase} (${why}${next}): ${empty}`;
 };
 
+const namesOf = (absences: readonly AbsentHost[]): string =>
+  absences.length === 0 ? "none" : absences.map(({ hostId }) => hostId).join(" ");
+
 /** Prints a host's row, its permit and the line that bounds its pool. */
 export class ExplainHost extends Operation {
   override readonly prefixes = FLEET_PREFIXES;
@@ -34,13 +37,13 @@
     const { body: host } = findHost(view, this.hostId);
     const inForce = rulesInForce(view);
     const rule = parsedRulesInForce(inForce).pools.get(poolId(host.pool));
-    const permits = findBudget(view, host.pool).body.permits.map(({ hostId }) => hostId);
+    const { permits, absent } = findBudget(view, host.pool).body;
     const lines = [
       `host ${host.hostId}, revision ${inForce.revision}`,
       `  zone ${host.availabilityZone}, rack ${host.rack}, address ${host.address}, ` +
         `${host.slots} slots`,
       `  pool ${host.pool}, ${describeAbsence(host)}, drain ${host.drainEpoch}`,
-      `  permits of the pool: ${permits.length === 0 ? "none" : permits.join(" ")}`,
+      `  out of the pool: by plan ${namesOf(permits)}; unplanned ${namesOf(absent)}`,
       rule === undefined
         ? "  the rules have no line for this pool"
         : `  line ${rule.line}: ${formatRule(rule)}\n  asked by: ${rule.askedBy}`,
