Link the entry hosts of a zone and read views from peers

Need: an entry host that loses the platform must go on honouring keys while a peer still has a fresh view, and a withdrawn key must stop everywhere within seconds.

Ruled out: pushing rows to all peers (every node would pay for an outage of one); rows served only up to the stated version (a row overwritten by the peer's own newer commit would be missing until the next read, so the newer row is served in its place); seeds as an argument of the first state (a trace would not replay them, so they come as an event).

Change: PeerService over connect-es with unary calls and bounded bodies, generated code committed; codecs for messages, views and forwarded requests; ConnectPeerLink with one HTTP/2 connection a peer, replaced when a call gets no answer; a peers slice that sends digests with the age of the own view and asks the freshest peers by turn once its view is 1.5 s old. settings: [peers] seeds for a start without the platform.

Conclusion: with the platform cut from one host, keys are honoured for the whole 60 s of the test; cut from all, keys are refused as not run after 4 s and open queues go on.

--- a/apps/entry/src/entryEffects.ts
+++ b/apps/entry/src/entryEffects.ts
@@ -4,6 +4,7 @@
   EffectRunner,
   type AttemptRunner,
   type CallerServer,
+  type PeerRunner,
   type TableRunner,
 } from "@heatherferry/runners";
 
@@ -18,6 +19,7 @@
   readonly table: TableRunner;
   readonly attempts: AttemptRunner;
   readonly callers: CallerServer;
+  readonly peers: PeerRunner;
   readonly exitSwitch: ExitSwitch;
 }
 
@@ -28,7 +30,7 @@
   }
 
   override run(effect: Effect): void {
-    const { log, table, attempts, callers, exitSwitch } = this.parts;
+    const { log, table, attempts, callers, peers, exitSwitch } = this.parts;
     switch (effect.type) {
       case "table/read":
         void table.read(effect.ranges);
@@ -51,6 +53,15 @@
       case "caller/breakOff":
         callers.breakOff(effect.requestId);
         return;
+      case "peer/send":
+        void peers.send(effect);
+        return;
+      case "peer/readView":
+        void peers.readView(effect);
+        return;
+      case "peer/answerView":
+        peers.answerView(effect);
+        return;
       case "rules/inForce":
         log("info", "rules.inForce", { revision: effect.revision });
         return;
@@ -64,8 +75,6 @@
       case "caller/forgetKept":
       case "tickets/issue":
       case "peer/forwardRequest":
-      case "peer/send":
-      case "peer/readView":
       case "hosts/list":
       case "host/reboot":
         log("error", "effect.notCarriedOut", { type: effect.type });
--- a/apps/entry/src/main.ts
+++ b/apps/entry/src/main.ts
@@ -12,6 +12,8 @@
   [node]      id, availability_zone
   [callers]   host, port      where callers connect; port 0 for any
   [peers]     host, port      where other entry hosts connect
+              seeds           [{id, address}]: entry hosts of the zone, asked for the rules at a
+                              start without the platform (optional)
   [admin]     host, port      /metrics, /livez, /readyz
   [platform]  origin          http://host:port of the platform's table
   [log]       level           debug, info, warn or error (optional)
--- a/apps/entry/src/settings.ts
+++ b/apps/entry/src/settings.ts
@@ -6,6 +6,8 @@
   port: z.int().min(0).max(65_535),
 });
 
+const PEER_SEED = z.strictObject({ id: z.string().min(1), address: z.string().min(1) });
+
 /** What the settings file of an entry host may and must hold. */
 export const ENTRY_SETTINGS = z.strictObject({
   node: z.strictObject({
@@ -13,7 +15,7 @@
     availability_zone: z.string().min(1),
   }),
   callers: LISTENER,
-  peers: LISTENER,
+  peers: LISTENER.extend({ seeds: z.array(PEER_SEED).optional() }),
   admin: LISTENER,
   platform: z.strictObject({ origin: z.url({ protocol: /^https?$/ }) }),
   log: z.strictObject({ level: z.enum(["debug", "info", "warn", "error"]) }).optional(),
--- a/apps/entry/src/wireEntry.ts
+++ b/apps/entry/src/wireEntry.ts
@@ -13,19 +13,24 @@
   defaultPolicies,
   initialState,
   NODE_ROLE,
+  type PeerSeed,
   type State,
 } from "@heatherferry/core";
 import {
   AdminServer,
   ArrivalHandler,
   AttemptRunner,
+  ConnectPeerLink,
+  ConnectPeerServer,
   EventLoop,
   HealthSource,
   HttpCallerServer,
   HttpPlatformTable,
   HttpTargetLink,
   InvariantWatch,
+  LoopPeerHandler,
   NodeMetrics,
+  PeerRunner,
   TableRunner,
   TraceRecorder,
   type ArrivalFields,
@@ -101,6 +106,12 @@
     log("warn", "table.rowUnreadable", { key });
   };
 
+const peerSeeds = (settings: EntrySettings): readonly PeerSeed[] =>
+  (settings.peers.seeds ?? []).map((seed) => ({
+    entryHostId: entryHostId(seed.id),
+    peerAddress: address(seed.address),
+  }));
+
 /**
  * Makes the parts of an entry host, joins them and starts them.
  *
@@ -113,7 +124,9 @@
   const arrivals = new LoopArrivals();
   const callers = new HttpCallerServer(life, arrivals);
   const callerAddress = await callers.listen(settings.callers.host, settings.callers.port);
-  const peerAddress = `${settings.peers.host}:${settings.peers.port}`;
+  const peerHandler = new LoopPeerHandler();
+  const peerServer = new ConnectPeerServer(peerHandler);
+  const peerAddress = await peerServer.listen(settings.peers.host, settings.peers.port);
 
   const identity = {
     role: NODE_ROLE.ENTRY,
@@ -121,7 +134,7 @@
     availabilityZone: availabilityZoneId(settings.node.availability_zone),
     incarnation: life,
     callerAddress: address(callerAddress),
-    peerAddress: address(peerAddress),
+    peerAddress,
   };
   const seed = randomInt(SEED_BOUND);
   const state = initialState(identity, seed, EventLoop.nowMs());
@@ -135,6 +148,8 @@
   const loop = new EventLoop(state, defaultPolicies(), observers);
   const table = new HttpPlatformTable(settings.platform.origin, logUnreadableRow(log));
   const targets = new HttpTargetLink();
+  const peerLink = new ConnectPeerLink(identity);
+  const peers = new PeerRunner(peerLink, loop);
   const admin = new AdminServer(metrics.registry, new EntryHealth(state), trace);
   const adminAddress = await admin.listen(settings.admin.host, settings.admin.port);
 
@@ -146,6 +161,8 @@
           await callers.close();
         },
         async () => targets.close(),
+        async () => peerLink.close(),
+        async () => peerServer.close(),
         async () => table.close(),
         async () => admin.close(),
       ],
@@ -156,10 +173,13 @@
       table: new TableRunner(table, loop),
       attempts: new AttemptRunner(callers, targets, loop),
       callers,
+      peers,
       exitSwitch,
     });
   });
   arrivals.loop = loop;
+  peerHandler.begin(loop, peers);
+  loop.handle({ type: "peers/seeded", seeds: peerSeeds(settings) });
   loop.start();
   log("info", "listening", { callers: callerAddress, peers: peerAddress, admin: adminAddress });
   return {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./membership/types.js";
 export * from "./node/constants.js";
 export * from "./node/types.js";
+export * from "./peers/constants.js";
 export * from "./peers/types.js";
 export * from "./platform/constants.js";
 export * from "./platform/types.js";
--- a/packages/core/src/initialState.ts
+++ b/packages/core/src/initialState.ts
@@ -5,6 +5,7 @@
 import { initialMembership, zoneMembersPrefix } from "./membership/reduceMembership.js";
 import { NODE_ROLE } from "./node/constants.js";
 import type { NodeIdentity } from "./node/types.js";
+import { initialPeers } from "./peers/knownPeers.js";
 import { ROW_PREFIX } from "./platform/constants.js";
 import { mirrorPrefix } from "./platform/mirror.js";
 import { initialPlatform } from "./platform/reducePlatform.js";
@@ -50,7 +51,7 @@
     limits: initialLimits(),
     tickets: { nextTicketSequence: 0, works: new Map() },
     routing: initialRouting(),
-    peers: { nextDigestAtMs: 0, lastDigests: new Map() },
+    peers: initialPeers(),
     fleet: initialFleet(),
     waves: { waves: new Map() },
   };
--- /dev/null
+++ b/packages/core/src/peers/reducePeers.ts
@@ -0,0 +1,51 @@
+import type { Effect } from "../effect.js";
+import type { Event } from "../event.js";
+import { NODE_ROLE } from "../node/constants.js";
+import type { State } from "../state.js";
+import { sendDigestsWhenDue } from "./digests.js";
+import { notePeerHeard, notePeerUnreachable, refreshPeers } from "./knownPeers.js";
+import { answerView, readViewWhenDue, viewReadCompleted, viewReadFailed } from "./peerView.js";
+
+const onTick = (state: State, effects: Effect[]): void => {
+  if (state.node.identity.role !== NODE_ROLE.ENTRY) {
+    return;
+  }
+  refreshPeers(state);
+  sendDigestsWhenDue(state, effects);
+  readViewWhenDue(state, effects);
+};
+
+/**
+ * Keeps in touch with the other entry hosts of the zone.
+ *
+ * @param state - The state to change.
+ * @param event - Any event.
+ * @param effects - Receives the effects.
+ */
+export const reducePeers = (state: State, event: Event, effects: Effect[]): void => {
+  switch (event.type) {
+    case "clock/ticked":
+      onTick(state, effects);
+      return;
+    case "peers/seeded":
+      state.peers.seeds = event.seeds;
+      return;
+    case "peer/received":
+      notePeerHeard(state, event);
+      return;
+    case "peer/unreachable":
+      notePeerUnreachable(state, event.to);
+      viewReadFailed(state, event.to);
+      return;
+    case "peer/viewAsked":
+      answerView(state, event.callId, event.ranges, effects);
+      return;
+    case "table/readCompleted":
+      if (event.tableTimeMs === null) {
+        viewReadCompleted(state);
+      }
+      return;
+    default:
+      return;
+  }
+};
--- a/packages/core/src/reducer.ts
+++ b/packages/core/src/reducer.ts
@@ -8,6 +8,7 @@
   rowsChangedMembership,
   writeSettledMembership,
 } from "./membership/reduceMembership.js";
+import { reducePeers } from "./peers/reducePeers.js";
 import { reducePlatform } from "./platform/reducePlatform.js";
 import type { TableRow, WriteOutcome } from "./platform/types.js";
 import { defaultPolicies, type Policies } from "./policies/policies.js";
@@ -91,6 +92,7 @@
     onTick(state);
   }
   reduceMembership(state, event, effects);
+  reducePeers(state, event, effects);
   reduceRequests(state, event, policies, effects);
   startReady(state, policies, effects);
   return effects;
--- /dev/null
+++ b/packages/core/tests/peersView.test.ts
@@ -0,0 +1,142 @@
+import test from "ava";
+import { entryHostId, rowKey, tableVersion } from "@heatherferry/common";
+import { takeRows, viewAgeMs } from "../src/index.js";
+import { PeersCluster, SECRET, type Node } from "./peersCluster.js";
+
+const HEAD = rowKey("rules/head");
+const QUEUE = "queue dies pool=press # Ana: dies\n";
+const OPEN = "queue walk-in pool=press open=yes team=cork # Ana: open counter\n";
+const POOL_LINE = "pool press hosts=* max-unavailable=1 # Ana: presses\n";
+const TEAM = "team cork share=1 limit=100 # Ana: cork\n";
+const KEY = `key main team=cork hash=${SECRET} # Ana: first key\n`;
+const WITH_KEY = `${TEAM}${POOL_LINE}${QUEUE}${OPEN}${KEY}`;
+const WITHOUT_KEY = `${TEAM}${POOL_LINE}${QUEUE}${OPEN}`;
+
+const zone = (): { cluster: PeersCluster; nodes: [Node, Node, Node] } => {
+  const cluster = new PeersCluster();
+  cluster.rules(WITH_KEY, 1);
+  cluster.target("t1", 9);
+  const nodes: [Node, Node, Node] = [cluster.start("a"), cluster.start("b"), cluster.start("c")];
+  cluster.advance(4_000);
+  return { cluster, nodes };
+};
+
+const endingOf = (cluster: PeersCluster, node: Node): string | undefined => {
+  const id = cluster.send(node, "probe");
+  cluster.advance(200);
+  return cluster.endings.get(id);
+};
+
+test("an entry host that loses the platform goes on honouring keys through its peers", (t) => {
+  const { cluster, nodes } = zone();
+  const [a] = nodes;
+  cluster.cutFromTable.add(a.id);
+  for (let second = 0; second < 60; second += 1) {
+    cluster.advance(800);
+    t.is(endingOf(cluster, a), "answered", `second ${second}`);
+  }
+  t.true(a.state.peers.viewsTaken > 0);
+});
+
+test("a key withdrawn while one entry host lost the platform stops there within 5 s", (t) => {
+  const { cluster, nodes } = zone();
+  const [a, b, c] = nodes;
+  cluster.cutFromTable.add(a.id);
+  cluster.advance(10_000);
+  cluster.rules(WITHOUT_KEY, 2);
+  cluster.advance(5_000);
+  for (const node of [a, b, c]) {
+    t.is(endingOf(cluster, node), "notRun:unknownKey");
+    t.is(Number(node.state.revisions.revision), 2);
+  }
+});
+
+test("once all entry hosts lost the platform, no key is honoured after 4 s, open queues are", (t) => {
+  const { cluster, nodes } = zone();
+  nodes.forEach(({ id }) => cluster.cutFromTable.add(id));
+  cluster.advance(4_200);
+  for (const node of nodes) {
+    t.is(endingOf(cluster, node), "notRun:keysTooOld");
+    const open = cluster.send(node, "open", { queue: "walk-in" as never, keyHash: null });
+    cluster.advance(200);
+    t.is(cluster.endings.get(open), "answered");
+  }
+});
+
+test("a peer with a stale view takes nobody back to older rules or an older view", (t) => {
+  const { cluster, nodes } = zone();
+  const [a, b] = nodes;
+  cluster.cutFromTable.add(b.id);
+  cluster.loses = () => true;
+  const stale = [...b.state.platform.mirror.values()];
+  const upToVersion = b.state.platform.ranges.get(HEAD)?.upToVersion ?? tableVersion(0);
+  cluster.rules(WITHOUT_KEY, 2);
+  cluster.advance(3_000);
+  const confirmedAtMs = a.state.platform.ranges.get(HEAD)?.confirmedAtMs;
+  cluster.hand(a, {
+    type: "table/readCompleted",
+    sentAtMs: cluster.nowMs,
+    viewAgeMs: 0,
+    ranges: [{ prefix: HEAD, afterVersion: tableVersion(0) }],
+    rows: stale,
+    upToVersion,
+    tableTimeMs: null,
+  });
+  t.is(Number(a.state.revisions.revision), 2);
+  t.is(a.state.platform.ranges.get(HEAD)?.confirmedAtMs, confirmedAtMs);
+  t.deepEqual(takeRows(a.state, stale), []);
+  t.is(endingOf(cluster, a), "notRun:unknownKey");
+});
+
+test("a view passed on by a peer is not taken for younger than it was there", (t) => {
+  const { cluster, nodes } = zone();
+  const [a, b, c] = nodes;
+  cluster.cutFromTable.add(a.id);
+  cluster.loses = (from, to) => [from, to].includes(a.id);
+  cluster.advance(3_000);
+  [b, c].forEach(({ id }) => cluster.cutFromTable.add(id));
+  cluster.loses = () => false;
+  cluster.advance(3_000);
+  t.true(a.state.peers.viewsTaken > 0);
+  cluster.advance(1_200);
+  for (const node of nodes) {
+    t.is(endingOf(cluster, node), "notRun:keysTooOld");
+  }
+});
+
+test("an entry host restarted while it cannot reach the platform learns the rules", (t) => {
+  const { cluster, nodes } = zone();
+  const [a] = nodes;
+  cluster.kill(a);
+  cluster.cutFromTable.add(a.id);
+  cluster.advance(500);
+  const again = cluster.start("a", "2");
+  cluster.advance(1_500);
+  t.is(Number(again.state.revisions.revision), 1);
+  t.true(viewAgeMs(again.state, HEAD) < 4_000);
+});
+
+test("a new entry host that never reached the platform learns the rules from a seed", (t) => {
+  const { cluster } = zone();
+  cluster.cutFromTable.add(entryHostId("d"));
+  const d = cluster.start("d", "1", ["b"]);
+  cluster.advance(1_500);
+  t.is(Number(d.state.revisions.revision), 1);
+  t.deepEqual(d.state.membership.zonePeers, ["a", "b", "c", "d"].map(entryHostId));
+});
+
+test("an entry host whose fresher peer is silent asks the other one", (t) => {
+  const { cluster, nodes } = zone();
+  const [a, b] = nodes;
+  cluster.cutFromTable.add(a.id);
+  cluster.loses = (from, to) => from === a.id && to === b.id;
+  let asked = 0;
+  cluster.onEffect = (_node, effect) => {
+    asked += effect.type === "peer/readView" && effect.to === b.id ? 1 : 0;
+  };
+  for (let second = 0; second < 20; second += 1) {
+    cluster.advance(800);
+    t.is(endingOf(cluster, a), "answered", `second ${second}`);
+  }
+  t.true(asked <= 7, `asked the silent peer ${asked} times`);
+});
