--- /dev/null
+++ b/packages/core/src/limits/limitInvariants.ts
@@ -0,0 +1,47 @@
+import type { Effect } from "../effect.js";
+import type { Event } from "../event.js";
+import { Invariant } from "../invariants/invariant.js";
+import type { TableRow } from "../platform/types.js";
+import type { State } from "../state.js";
+import { startableNow } from "./holdings.js";
+import { escrowRowBreach } from "./invariants.js";
+
+/** Work starts only under an unexpired grant that has room for it. */
+export class StartsWithinGrant extends Invariant {
+  override readonly name = "startsWithinGrant";
+
+  override violation(_event: Event, effects: readonly Effect[], state: State): string | null {
+    for (const effect of effects) {
+      const team =
+        effect.type === "attempt/dispatch"
+          ? state.requests.attempts.get(effect.attemptId)?.team
+          : undefined;
+      if (team === undefined) {
+        continue;
+      }
+      const running = state.limits.holdings.get(team)?.running ?? 0;
+      if (running > startableNow(state, team)) {
+        return `${running} of ${team} run, ${startableNow(state, team)} may be started`;
+      }
+    }
+    return null;
+  }
+}
+
+const rowsIn = (event: Event): readonly TableRow[] =>
+  event.type === "table/readCompleted" || event.type === "table/writeConflicted" ? event.rows : [];
+
+/** In the table's rows, grants stay within caps and caps within limits. */
+export class EscrowRowsAddUp extends Invariant {
+  override readonly name = "escrowRowsAddUp";
+
+  override violation(event: Event): string | null {
+    for (const row of rowsIn(event)) {
+      const breach = escrowRowBreach(row);
+      if (breach !== null) {
+        return `${row.key}: ${breach.invariant}`;
+      }
+    }
+    return null;
+  }
+}
--- a/packages/core/src/membership/reduceMembership.ts
+++ b/packages/core/src/membership/reduceMembership.ts
@@ -2,6 +2,7 @@
 import type { Effect } from "../effect.js";
 import type { Event } from "../event.js";
 import { drainAcknowledgements } from "../fleet/acknowledgements.js";
+import { hasReturnedGrants } from "../limits/escrowWrites.js";
 import { NODE_ROLE } from "../node/constants.js";
 import { ROW_PREFIX } from "../platform/constants.js";
 import { tableNowMs, viewAgeMs } from "../platform/mirror.js";
@@ -18,6 +19,7 @@
   heartbeatInFlight: false,
   sessionUntilMs: 0,
   acknowledged: "",
+  endedAtMs: null,
   leftWritten: false,
 });
 
@@ -207,6 +209,21 @@
   membership.leftWritten = written?.type === "member" && written.left;
 };
 
+/** The table is told first, so that others need not wait; without an answer it ends all the same. */
+const exitWhenEnded = (state: State, effects: Effect[]): void => {
+  const { membership, node } = state;
+  if (!hasEnded(state)) {
+    return;
+  }
+  membership.endedAtMs ??= state.nowMs;
+  const waitedMs = state.nowMs - membership.endedAtMs;
+  const tookLeave = membership.leftWritten && hasReturnedGrants(state);
+  const needNotWait = tookLeave || node.supersededBy !== null;
+  if (needNotWait || waitedMs >= MEMBERSHIP.FAREWELL_TIMEOUT_MS) {
+    effects.push({ type: "node/exit" });
+  }
+};
+
 /**
  * Keeps this node's heartbeat fresh.
  *
@@ -222,7 +239,5 @@
   if (node.supersededBy === null) {
     heartbeatWhenDue(state, effects);
   }
-  if (hasEnded(state) && (state.membership.leftWritten || node.supersededBy !== null)) {
-    effects.push({ type: "node/exit" });
-  }
+  exitWhenEnded(state, effects);
 };
