--- a/packages/core/src/reducer.ts
+++ b/packages/core/src/reducer.ts
@@ -13,6 +13,7 @@
   rowsChangedMembership,
   writeSettledMembership,
 } from "./membership/reduceMembership.js";
+import { reducePeers } from "./peers/reducePeers.js";
 import { reducePlatform } from "./platform/reducePlatform.js";
 import type { TableRow, WriteOutcome } from "./platform/types.js";
 import { defaultPolicies, type Policies } from "./policies/policies.js";
@@ -105,6 +106,7 @@
   }
   reduceMembership(state, event, effects);
   reduceFleet(state, event, policies, effects);
+  reducePeers(state, event, effects);
   reduceRequests(state, event, policies, effects);
   reduceLimits(state, event, effects);
   startReady(state, policies, effects);
