Word the refusal of a spent rack budget as one sentence

Cause: "out of service as it may have 1" read as a slip. Conclusion: the bound follows a colon; the test's pattern follows the new wording, as strict as it was.

--- a/apps/cli/src/drain/permitError.ts
+++ b/apps/cli/src/drain/permitError.ts
@@ -9,7 +9,7 @@
 import { DRAIN_ERROR_KIND, DrainError } from "./errors.js";
 
 const bound = ({ rule }: PoolView, count: number | undefined): string =>
-  `may have ${count ?? 0} (line ${rule?.line ?? 0} of the rules, asked by ${rule?.askedBy ?? ""})`;
+  `${count ?? 0} (line ${rule?.line ?? 0} of the rules, asked by ${rule?.askedBy ?? ""})`;
 
 const absentNames = ({ budget }: PoolView): string => [...absentHosts(budget)].join(", ");
 
@@ -17,14 +17,14 @@
   new DrainError(
     DRAIN_ERROR_KIND.POOL_BUDGET_SPENT,
     `Pool ${pool} has ${absentHosts(view.budget).size} host(s) out of service, planned and ` +
-      `unplanned, and ${bound(view, view.rule?.maxUnavailable)}`,
+      `unplanned, and may have ${bound(view, view.rule?.maxUnavailable)}`,
     `Wait until one is back: ${absentNames(view)}`,
   );
 
 const rackBudgetSpent = (view: PoolView, { pool, rack }: HostRow): DrainError =>
   new DrainError(
     DRAIN_ERROR_KIND.RACK_BUDGET_SPENT,
-    `Rack ${rack} has as many hosts of pool ${pool} out of service as it ` +
+    `Rack ${rack} has as many hosts of pool ${pool} out of service as it may have: ` +
       bound(view, view.rule?.maxUnavailablePerRack),
     `Wait until one is back, or drain a host of another rack; out are ${absentNames(view)}`,
   );
--- a/apps/cli/tests/fleet.test.ts
+++ b/apps/cli/tests/fleet.test.ts
@@ -36,7 +36,7 @@
   await operate(table, ["drain", "die-1"]);
   const rack = await operate(table, ["drain", "die-2"]);
   t.is(rack.exitCode, 1);
-  t.regex(rack.err, /Rack r1 has as many .* may have 1 \(line 5.*asked by Luis\)\. Wait.*die-1\./);
+  t.regex(rack.err, /Rack r1 has as many .* may have: 1 \(line 5.*asked by Luis\)\. Wait.*die-1\./);
   t.is((await operate(table, ["drain", "die-3"])).exitCode, 0);
   const pool = await operate(table, ["drain", "die-4"]);
   t.is(pool.exitCode, 1);
