Blame targets that go silent, and prove failures over real processes

Cause: a request whose deadline passed was withdrawn without a word to the target's record, so a silent target with short deadlines was never left out. Ruled out: the link's silence timeout (30 s, longer than most deadlines). Change: a target that was quiet for eight times its usual time counts a failure, and its connections are replaced.

Also: keys are not honoured while a higher revision is known that this build cannot read; a key withdrawn in it went on working.

--- a/apps/entry/tests/helpers/fixture.ts
+++ b/apps/entry/tests/helpers/fixture.ts
@@ -100,3 +100,22 @@
   await table.write({ writeId: id, conditions, puts });
   await table.close();
 };
+
+/** Puts another revision of the rules in force, as the operators' command would. */
+export const changeRules = async (
+  origin: string,
+  revision: number,
+  text: string,
+): Promise<void> => {
+  const table = new HttpPlatformTable(origin, () => undefined);
+  const key = rowKey("rules/head");
+  const { rows } = await table.read([{ prefix: key, afterVersion: tableVersion(0) }]);
+  const id = writeId(`fixture-${revision}`);
+  const body = { type: "rulesHead", revision, text, appliedBy: "me", appliedAtMs: 0 };
+  await table.write({
+    writeId: id,
+    conditions: [{ key, version: rows[0]?.version ?? tableVersion(0) }],
+    puts: [{ key, writeIds: [id], body: body as unknown as RowBody }],
+  });
+  await table.close();
+};
--- /dev/null
+++ b/apps/entry/tests/helpers/site.ts
@@ -0,0 +1,112 @@
+import { createServer, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { InstantHostPower, PlatformStandIn, type Program } from "@heatherferry/standins";
+import {
+  addressIn,
+  fillTable,
+  isReady,
+  SECRET,
+  settingsText,
+  startEntryProgram,
+  until,
+} from "./fixture.js";
+
+/** A target that holds back, cuts short or ignores requests by their path. */
+export interface TestTarget {
+  readonly server: Server;
+  readonly address: string;
+  readonly paths: string[];
+  /** Requests held back until the test lets them go. */
+  readonly held: ServerResponse[];
+}
+
+export const startTarget = async (): Promise<TestTarget> => {
+  const paths: string[] = [];
+  const held: ServerResponse[] = [];
+  const server = createServer((request, response) => {
+    paths.push(request.url ?? "");
+    request.resume();
+    if (request.url === "/held") {
+      held.push(response);
+      return;
+    }
+    if (request.url === "/forgotten") {
+      return;
+    }
+    if (request.url === "/cut") {
+      response.writeHead(200, { "content-length": "100" });
+      response.write("short", () => response.destroy());
+      return;
+    }
+    response.end(`answer to ${request.url ?? ""}`);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { address, port } = server.address() as AddressInfo;
+  return { server, address: `${address}:${port}`, paths, held };
+};
+
+/** Two zones, each with an entry host and targets. */
+export interface Site {
+  readonly platform: PlatformStandIn;
+  readonly targets: readonly TestTarget[];
+  readonly entries: readonly Program[];
+  readonly callers: readonly string[];
+  readonly admins: readonly string[];
+  /** Starts one more entry host in a zone, under the id of its first. */
+  readonly startEntry: (zone: string) => Promise<string>;
+}
+
+export const startSite = async (targetsPerZone = 1): Promise<Site> => {
+  const platform = new PlatformStandIn(new InstantHostPower());
+  await platform.listen();
+  const zones = ["a", "b"];
+  const places = zones.flatMap((zone) => Array.from({ length: targetsPerZone }, () => zone));
+  const targets = await Promise.all(places.map(async () => startTarget()));
+  await fillTable(
+    platform.origin,
+    targets.map(({ address }, index) => {
+      const zone = places[index] ?? "a";
+      return { name: `register-${zone}${index}`, zone, address };
+    }),
+  );
+  const entries: Program[] = [];
+  const start = async (zone: string): Promise<{ callers: string; admin: string }> => {
+    const entry = startEntryProgram(settingsText(`e-${zone}1`, zone, platform.origin));
+    entries.push(entry);
+    const record = await entry.logged("listening");
+    const admin = addressIn(record, "admin");
+    await until(() => isReady(admin), "the entry host to be ready");
+    return { callers: addressIn(record, "callers"), admin };
+  };
+  const started = await Promise.all(zones.map(start));
+  return {
+    platform,
+    targets,
+    entries,
+    callers: started.map(({ callers }) => callers),
+    admins: started.map(({ admin }) => admin),
+    startEntry: async (zone) => (await start(zone)).callers,
+  };
+};
+
+export const stopSite = async (site: Site): Promise<void> => {
+  await Promise.all(site.entries.map(async (entry) => entry.kill()));
+  site.targets.forEach(({ server }) => {
+    server.closeAllConnections();
+    server.close();
+  });
+  await site.platform.close();
+};
+
+/** Sends a request with the key. */
+export const ask = async (
+  callers: string | undefined,
+  path: string,
+  key = SECRET,
+  headers: Record<string, string> = {},
+): Promise<Response> =>
+  fetch(`http://${callers ?? ""}/queues/register${path}`, {
+    headers: { authorization: `Bearer ${key}`, ...headers },
+  });
--- a/packages/core/src/limits/coverage.ts
+++ b/packages/core/src/limits/coverage.ts
@@ -12,7 +12,7 @@
   }
   state.limits.stopped.add(attemptId);
   state.limits.counters.stopped += 1;
-  effects.push({ type: "attempt/abort", requestId: attempt.requestId, attemptId });
+  effects.push({ type: "attempt/abort", requestId: attempt.requestId, attemptId, silent: false });
 };
 
 const stopUncovered = (
--- a/packages/core/src/requests/admission.ts
+++ b/packages/core/src/requests/admission.ts
@@ -18,13 +18,19 @@
 
 const isRefusal = (value: TeamId | Refusal): value is Refusal => typeof value !== "string";
 
+/** Keys are honoured under the newest rules only, seen lately, and readable to this build. */
+const mayHonourKeys = (state: State, queue: QueueRule): boolean => {
+  const maxViewAgeMs = queue.maxViewAgeMs ?? KEYS.MAX_VIEW_AGE_MS;
+  const { revision, newestSeen } = state.revisions;
+  return viewAgeMs(state, RULES_HEAD) <= maxViewAgeMs && revision === newestSeen;
+};
+
 /** The team that the request is charged to, or why it is not taken. */
 const teamOf = (state: State, queue: QueueRule, event: RequestArrived): TeamId | Refusal => {
   if (event.keyHash === null) {
     return queue.openTeam ?? notRun(REFUSAL_KIND.NO_KEY, null);
   }
-  const maxViewAgeMs = queue.maxViewAgeMs ?? KEYS.MAX_VIEW_AGE_MS;
-  if (viewAgeMs(state, RULES_HEAD) > maxViewAgeMs) {
+  if (!mayHonourKeys(state, queue)) {
     return queue.openTeam ?? notRun(REFUSAL_KIND.KEYS_TOO_OLD, KEYS.MAX_VIEW_AGE_MS);
   }
   const holder = state.revisions.keysByHash.get(event.keyHash);
--- a/packages/core/src/requests/attempts.ts
+++ b/packages/core/src/requests/attempts.ts
@@ -48,6 +48,13 @@
   queueRequest(state, record, true);
 };
 
+const stopAttempt = (
+  { requestId, attemptId }: EventOf<"attempt/answerBegan">,
+  effects: Effect[],
+): void => {
+  effects.push({ type: "attempt/abort", requestId, attemptId, silent: false });
+};
+
 const onAnswerBegan = (
   state: State,
   event: EventOf<"attempt/answerBegan">,
@@ -58,7 +65,7 @@
   const record = attempt === undefined ? null : currentRecord(state, attempt);
   if (attempt === undefined || record === null) {
     state.requests.counters.lateAnswersDropped += 1;
-    effects.push({ type: "attempt/abort", requestId: event.requestId, attemptId: event.attemptId });
+    stopAttempt(event, effects);
     return;
   }
   record.mayHaveRun = true;
@@ -70,7 +77,7 @@
   const retryable = record.idempotent && mayRetry(state, record, event.replayable);
   if (failed && retryable && spendRetryToken(state)) {
     retry(state, record, attempt);
-    effects.push({ type: "attempt/abort", requestId: event.requestId, attemptId: event.attemptId });
+    stopAttempt(event, effects);
     return;
   }
   record.phase = REQUEST_PHASE.ANSWERING;
--- a/packages/core/src/requests/reduceRequests.ts
+++ b/packages/core/src/requests/reduceRequests.ts
@@ -1,9 +1,11 @@
-import type { RequestId } from "@heatherferry/common";
+import { hostId, type RequestId } from "@heatherferry/common";
 import { removeRequest } from "@heatherferry/coordination";
 import type { Effect } from "../effect.js";
 import type { Event } from "../event.js";
 import type { Policies } from "../policies/policies.js";
 import { poolQueue } from "../queues/poolQueues.js";
+import { ROUTING } from "../routing/constants.js";
+import { noteFailure } from "../routing/targets.js";
 import type { State } from "../state.js";
 import { admitRequest } from "./admission.js";
 import { reduceAttempts } from "./attempts.js";
@@ -30,21 +32,51 @@
 });
 
 /** Ends a request here; a running attempt is told to stop and keeps its slot until it has. */
-const withdraw = (state: State, record: RequestRecord, effects: Effect[]): void => {
+const withdraw = (
+  state: State,
+  record: RequestRecord,
+  silent: boolean,
+  effects: Effect[],
+): void => {
   state.requests.records.delete(record.requestId);
   removeRequest(poolQueue(state, record.pool), record.requestId);
   if (record.attemptId !== null) {
     const { requestId, attemptId } = record;
-    effects.push({ type: "attempt/abort", requestId, attemptId });
+    effects.push({ type: "attempt/abort", requestId, attemptId, silent });
   }
 };
 
-const expire = (state: State, record: RequestRecord, effects: Effect[]): void => {
+/** Blames a target that was quiet for far longer than it takes for others. */
+const blameSilence = (state: State, record: RequestRecord, policies: Policies): boolean => {
+  const attempt = record.attemptId === null ? null : state.requests.attempts.get(record.attemptId);
+  const target = state.routing.targets.get(attempt?.hostId ?? hostId(""));
+  if (attempt === null || attempt === undefined || target === undefined) {
+    return false;
+  }
+  const quietMs = state.nowMs - attempt.startedAtMs;
+  const suspectMs = Math.max(
+    ROUTING.MIN_SUSPECT_SILENCE_MS,
+    target.meanServiceMs * ROUTING.SUSPECT_SILENCE_FACTOR,
+  );
+  if (quietMs < suspectMs) {
+    return false;
+  }
+  noteFailure(state, target, policies);
+  return true;
+};
+
+const expire = (
+  state: State,
+  record: RequestRecord,
+  policies: Policies,
+  effects: Effect[],
+): void => {
   if (record.phase === REQUEST_PHASE.ANSWERING) {
     return;
   }
   const mayHaveRun = record.mayHaveRun || record.phase === REQUEST_PHASE.RUNNING;
-  withdraw(state, record, effects);
+  const silent = blameSilence(state, record, policies);
+  withdraw(state, record, silent, effects);
   const queue = poolQueue(state, record.pool);
   const refusal = mayHaveRun
     ? unknown(REFUSAL_KIND.DEADLINE)
@@ -52,11 +84,11 @@
   refuse(state, record.requestId, refusal, effects);
 };
 
-const expireDue = (state: State, effects: Effect[]): void => {
+const expireDue = (state: State, policies: Policies, effects: Effect[]): void => {
   for (const requestId of takeExpired(state)) {
     const record = state.requests.records.get(requestId);
     if (record !== undefined) {
-      expire(state, record, effects);
+      expire(state, record, policies, effects);
     }
   }
 };
@@ -65,7 +97,7 @@
   const record = state.requests.records.get(requestId);
   if (record !== undefined) {
     state.requests.counters.cancelled += 1;
-    withdraw(state, record, effects);
+    withdraw(state, record, false, effects);
   }
 };
 
@@ -96,7 +128,7 @@
       reduceAttempts(state, event, policies, effects);
       return;
     case "clock/ticked":
-      expireDue(state, effects);
+      expireDue(state, policies, effects);
       return;
     default:
       return;
--- a/packages/core/src/requests/types.ts
+++ b/packages/core/src/requests/types.ts
@@ -144,7 +144,13 @@
       readonly silenceTimeoutMs: number;
     }
   /** Stop an attempt whose result no longer counts. */
-  | { readonly type: "attempt/abort"; readonly requestId: RequestId; readonly attemptId: AttemptId }
+  | {
+      readonly type: "attempt/abort";
+      readonly requestId: RequestId;
+      readonly attemptId: AttemptId;
+      /** The target was quiet for so long that its other open connections are not trusted either. */
+      readonly silent: boolean;
+    }
   /** Pass the answer of this attempt to the caller and to attached repeats. */
   | {
       readonly type: "caller/relay";
--- a/packages/core/src/revisions/reduceRevisions.ts
+++ b/packages/core/src/revisions/reduceRevisions.ts
@@ -1,4 +1,4 @@
-import type { KeyHash } from "@heatherferry/common";
+import { revision, type KeyHash } from "@heatherferry/common";
 import { EMPTY_RULE_SET, parseRules, type RuleSet } from "@heatherferry/rules";
 import type { Effect } from "../effect.js";
 import type { TableRow } from "../platform/types.js";
@@ -6,7 +6,8 @@
 import type { KeyHolder, RevisionsState, RulesHeadRow } from "./types.js";
 
 export const initialRevisions = (): RevisionsState => ({
-  revision: 0 as RevisionsState["revision"],
+  revision: revision(0),
+  newestSeen: revision(0),
   rules: EMPTY_RULE_SET,
   keysByHash: new Map(),
   unreadableRevisions: 0,
@@ -22,9 +23,10 @@
 
 const takeRules = (state: State, head: RulesHeadRow, effects: Effect[]): void => {
   const { revisions } = state;
-  if (head.revision <= revisions.revision) {
+  if (head.revision <= revisions.newestSeen) {
     return;
   }
+  revisions.newestSeen = head.revision;
   const { rules, problems } = parseRules(head.text);
   if (problems.length > 0) {
     revisions.unreadableRevisions += 1;
--- a/packages/core/src/revisions/types.ts
+++ b/packages/core/src/revisions/types.ts
@@ -32,6 +32,8 @@
   revision: Revision;
   rules: RuleSet;
   keysByHash: Map<KeyHash, KeyHolder>;
+  /** The highest revision seen, also when this build could not read it. */
+  newestSeen: Revision;
   /** Revisions that could not be parsed by this build. */
   unreadableRevisions: number;
 }
--- a/packages/core/src/routing/constants.ts
+++ b/packages/core/src/routing/constants.ts
@@ -1,6 +1,10 @@
 export const ROUTING = {
   EJECT_AFTER_FAILURES: 3,
   EJECTION_MS: 5_000,
+  /** A target is not suspected of silence sooner, however fast it usually is. */
+  MIN_SUSPECT_SILENCE_MS: 250,
+  /** Nor before this multiple of its usual time. */
+  SUSPECT_SILENCE_FACTOR: 8,
   MAX_EJECTED_FRACTION: 0.5,
   /** Assumed until answers were seen. */
   INITIAL_SERVICE_MS: 50,
--- a/packages/core/tests/keys.test.ts
+++ b/packages/core/tests/keys.test.ts
@@ -55,10 +55,14 @@
   t.is(node.refusalOf(node.arrive())?.kind, "unknownKey");
 });
 
-test("rules that cannot be read leave the earlier ones in force", (t) => {
+test("rules that cannot be read leave the earlier ones in force, but keys are not trusted", (t) => {
   const node = readyNode("register-1");
   node.readRows([rulesRow(20, "tem lots share=1 # asked by nobody")]);
   t.is(node.state.revisions.revision, 1 as never);
   t.is(node.state.revisions.unreadableRevisions, 1);
+  t.is(node.refusalOf(node.arrive())?.kind, "keysTooOld");
+  const open = node.arrive({ queue: queueId("public"), keyHash: null });
+  t.is(node.refusalOf(open), null);
+  node.readRows([rulesRow(21)]);
   t.is(node.refusalOf(node.arrive()), null);
 });
--- a/packages/runners/src/metrics/nodeMetrics.ts
+++ b/packages/runners/src/metrics/nodeMetrics.ts
@@ -38,6 +38,11 @@
       "Rows of the table held in memory",
       () => state.platform.mirror.size,
     );
+    this.gauge(
+      "heatherferry_target_ejections",
+      "Targets left out since the start",
+      () => state.routing.ejections,
+    );
     this.outcomeGauges(state);
   }
 
--- a/packages/runners/src/targets/attemptRunner.ts
+++ b/packages/runners/src/targets/attemptRunner.ts
@@ -11,6 +11,8 @@
 export class AttemptRunner {
   private readonly answers = new Map<AttemptId, IncomingAnswer>();
   private readonly aborted = new Set<AttemptId>();
+  /** Where attempts went whose answer has not begun. */
+  private readonly addresses = new Map<AttemptId, string>();
 
   constructor(
     private readonly callers: CallerServer,
@@ -25,13 +27,19 @@
       this.fail(effect, { stage: ATTEMPT_STAGE.NOT_SENT, silent: false, reason: "caller gone" });
       return;
     }
+    this.addresses.set(effect.attemptId, effect.address);
     void this.targets.call({ ...effect, request }).then((result) => {
+      this.addresses.delete(effect.attemptId);
       this.onResult(effect, result);
     });
   }
 
   /** @param effect - The attempt to stop. */
   abort(effect: EffectOf<"attempt/abort">): void {
+    const address = this.addresses.get(effect.attemptId);
+    if (effect.silent && address !== undefined) {
+      this.targets.retire(address);
+    }
     const answer = this.answers.get(effect.attemptId);
     this.answers.delete(effect.attemptId);
     this.aborted.add(effect.attemptId);
