--- a/packages/core/src/fleet/permits.ts
+++ b/packages/core/src/fleet/permits.ts
@@ -36,14 +36,9 @@
 export const budgetOf = (state: State, pool: PoolId): PoolBudgetRow =>
   mirroredRow(state, budgetKey(pool), "poolBudget")?.body ?? emptyBudget(pool);
 
-/**
- * @param state - The state to read.
- * @param pool - A pool.
- * @returns The rows of the pool's hosts.
- */
-export const hostsOfPool = (state: State, pool: PoolId): readonly HostRow[] => {
+const rowsOf = (state: State, hostIds: Iterable<HostId>): readonly HostRow[] => {
   const hosts: HostRow[] = [];
-  for (const hostId of state.fleet.hostsByPool.get(pool) ?? []) {
+  for (const hostId of hostIds) {
     const host = state.fleet.hosts.get(hostId);
     if (host !== undefined) {
       hosts.push(host);
@@ -52,6 +47,22 @@
   return hosts;
 };
 
+/**
+ * @param state - The state to read.
+ * @param pool - A pool.
+ * @returns The rows of the pool's hosts.
+ */
+export const hostsOfPool = (state: State, pool: PoolId): readonly HostRow[] =>
+  rowsOf(state, state.fleet.hostsByPool.get(pool) ?? []);
+
+/**
+ * @param state - The state to read.
+ * @param pool - A pool.
+ * @returns The rows of those of the pool's hosts that are leaving or stopped.
+ */
+export const hostsOutOfService = (state: State, pool: PoolId): readonly HostRow[] =>
+  rowsOf(state, state.fleet.outByPool.get(pool) ?? []);
+
 /**
  * @param state - The state to read.
  * @param pool - A pool.
--- a/packages/core/src/fleet/poolSteps.ts
+++ b/packages/core/src/fleet/poolSteps.ts
@@ -6,7 +6,7 @@
 import { HOST_PHASE } from "./constants.js";
 import type { FleetWrite } from "./fleetWrites.js";
 import { hostKey } from "./keys.js";
-import { hostsOfPool } from "./permits.js";
+import { hostsOutOfService } from "./permits.js";
 import { rebootResult } from "./reboots.js";
 import { mayStop } from "./stops.js";
 import type { HostRow } from "./types.js";
@@ -46,7 +46,7 @@
   policies: Policies,
   effects: Effect[],
 ): FleetWrite | null => {
-  for (const host of hostsOfPool(state, pool)) {
+  for (const host of hostsOutOfService(state, pool)) {
     const write = nextHostWrite(state, host, effects);
     if (write !== null) {
       return write;
--- a/packages/core/src/fleet/reboots.ts
+++ b/packages/core/src/fleet/reboots.ts
@@ -4,7 +4,7 @@
 import type { State } from "../state.js";
 import { DRAIN_REASON, FLEET, HOST_PHASE } from "./constants.js";
 import { holdsLease } from "./leases.js";
-import { hostsOfPool } from "./permits.js";
+import { hostsOutOfService } from "./permits.js";
 import type { FleetEvent, HostRow, RebootOrder } from "./types.js";
 
 const isToReboot = (host: HostRow): boolean =>
@@ -52,7 +52,7 @@
  * @param effects - Receives the effects.
  */
 export const rebootInherited = (state: State, pool: PoolId, effects: Effect[]): void => {
-  for (const host of hostsOfPool(state, pool)) {
+  for (const host of hostsOutOfService(state, pool)) {
     const order = state.fleet.orders.get(host.hostId);
     const known = order?.drainEpoch === host.drainEpoch;
     const open = !known && order?.result !== "awaited" && !wasGivenUp(state, host);
@@ -69,7 +69,7 @@
  * @param pool - The pool whose lease was taken anew.
  */
 export const distrustOrders = (state: State, pool: PoolId): void => {
-  for (const { hostId } of hostsOfPool(state, pool)) {
+  for (const { hostId } of hostsOutOfService(state, pool)) {
     const order = state.fleet.orders.get(hostId);
     if (order !== undefined) {
       order.settledAtMs = state.nowMs + FLEET.ORDER_SETTLE_MS;
--- a/packages/core/src/fleet/rowsChangedFleet.ts
+++ b/packages/core/src/fleet/rowsChangedFleet.ts
@@ -1,11 +1,13 @@
-import type { PoolId } from "@heatherferry/common";
+import type { HostId, PoolId } from "@heatherferry/common";
 import type { TableRow } from "../platform/types.js";
 import type { State } from "../state.js";
+import { HOST_PHASE } from "./constants.js";
 import type { FleetState, HostRow, MaintainerLeaseRow } from "./types.js";
 
 export const initialFleet = (): FleetState => ({
   hosts: new Map(),
   hostsByPool: new Map(),
+  outByPool: new Map(),
   listed: new Map(),
   listedAtMs: null,
   listInFlight: false,
@@ -22,19 +24,22 @@
   viewUsableUntilMs: 0,
 });
 
-const hostIdsOf = (state: State, pool: PoolId): Set<HostRow["hostId"]> => {
-  const known = state.fleet.hostsByPool.get(pool) ?? new Set();
-  state.fleet.hostsByPool.set(pool, known);
+const hostIdsOf = (index: Map<PoolId, Set<HostId>>, pool: PoolId): Set<HostId> => {
+  const known = index.get(pool) ?? new Set();
+  index.set(pool, known);
   return known;
 };
 
 const takeHost = (state: State, host: HostRow): void => {
-  const before = state.fleet.hosts.get(host.hostId);
-  if (before !== undefined && before.pool !== host.pool) {
-    hostIdsOf(state, before.pool).delete(host.hostId);
+  const { hosts, hostsByPool, outByPool } = state.fleet;
+  const poolBefore = hosts.get(host.hostId)?.pool ?? host.pool;
+  hostIdsOf(hostsByPool, poolBefore).delete(host.hostId);
+  hostIdsOf(outByPool, poolBefore).delete(host.hostId);
+  hostIdsOf(hostsByPool, host.pool).add(host.hostId);
+  if (host.phase !== HOST_PHASE.IN_SERVICE) {
+    hostIdsOf(outByPool, host.pool).add(host.hostId);
   }
-  hostIdsOf(state, host.pool).add(host.hostId);
-  state.fleet.hosts.set(host.hostId, host);
+  hosts.set(host.hostId, host);
 };
 
 /** A lease that another one holds by now is lost, whatever remains of its term here. */
--- a/packages/core/src/fleet/types.ts
+++ b/packages/core/src/fleet/types.ts
@@ -110,6 +110,8 @@
   /** Hosts by id, as the table has them. */
   hosts: Map<HostId, HostRow>;
   hostsByPool: Map<PoolId, Set<HostId>>;
+  /** Those of them that are leaving or stopped. */
+  outByPool: Map<PoolId, Set<HostId>>;
   /** The platform's list as last read. */
   listed: Map<HostId, ListedHost>;
   listedAtMs: number | null;
--- a/packages/core/src/waves/waveSteps.ts
+++ b/packages/core/src/waves/waveSteps.ts
@@ -13,7 +13,7 @@
   poolViewOf,
   type PoolView,
 } from "../fleet/permits.js";
-import type { HostRow, PermitRefusal } from "../fleet/types.js";
+import type { HostRow, PermitRefusal, PoolBudgetRow } from "../fleet/types.js";
 import { mirroredRow, tableNowMs } from "../platform/mirror.js";
 import type { State } from "../state.js";
 import { WAVE, WAVE_STATUS } from "./constants.js";
@@ -97,11 +97,6 @@
   effects: Effect[],
 ): FleetWrite | null => {
   const absent = absentHosts(view.budget);
-  // A spent budget is the common case: no host is looked at.
-  if (view.rule !== undefined && absent.size >= view.rule.maxUnavailable) {
-    noteRefusal(state, wave, PERMIT_REFUSAL.POOL_BUDGET_SPENT, effects);
-    return null;
-  }
   const present = remainingOf(wave, view).filter(({ hostId }) => !absent.has(hostId));
   let refusal: PermitRefusal | null = null;
   for (const host of order.arrange(present)) {
@@ -123,6 +118,19 @@
   return tableTimeMs - row.committedAtMs >= WAVE.DOWN_WAIT_MS;
 };
 
+const mayFinish = (
+  state: State,
+  wave: WaveRow,
+  left: readonly HostRow[],
+  budget: PoolBudgetRow,
+): boolean => {
+  const down = new Set(budget.absent.map(({ hostId }) => hostId));
+  const allDown = left.every(
+    ({ hostId, phase }) => down.has(hostId) && phase === HOST_PHASE.IN_SERVICE,
+  );
+  return allDown && (left.length === 0 || waitedLong(state, wave));
+};
+
 /** Hosts that stayed down of themselves are named as failed. */
 const finish = (wave: WaveRow, left: readonly HostRow[], effects: Effect[]): FleetWrite => {
   const failed = [...wave.failed, ...left.map(({ hostId }) => hostId)];
@@ -135,22 +143,28 @@
   state: State,
   rule: WaveRule,
   wave: WaveRow,
-  view: PoolView,
   order: WaveOrder,
   effects: Effect[],
 ): FleetWrite | null => {
-  const underWay = view.budget.permits.filter(
+  const budget = budgetOf(state, rule.pool);
+  const underWay = budget.permits.filter(
     ({ hostId, waveId }) => waveId === wave.waveId && !wave.failed.includes(hostId),
   ).length;
+  if (underWay >= rule.maxParallel) {
+    return null;
+  }
+  // A spent budget is the common case: no host is looked at.
+  const bound = state.revisions.rules.pools.get(rule.pool)?.maxUnavailable ?? 0;
+  if (underWay > 0 && absentHosts(budget).size >= bound) {
+    noteRefusal(state, wave, PERMIT_REFUSAL.POOL_BUDGET_SPENT, effects);
+    return null;
+  }
+  const view = poolViewOf(state, rule.pool);
   const left = remainingOf(wave, view);
-  const down = new Set(view.budget.absent.map(({ hostId }) => hostId));
-  const allDown = left.every(
-    ({ hostId, phase }) => down.has(hostId) && phase === HOST_PHASE.IN_SERVICE,
-  );
-  if (underWay === 0 && allDown && (left.length === 0 || waitedLong(state, wave))) {
+  if (underWay === 0 && mayFinish(state, wave, left, budget)) {
     return finish(wave, left, effects);
   }
-  return underWay < rule.maxParallel ? grantNext(state, wave, view, order, effects) : null;
+  return grantNext(state, wave, view, order, effects);
 };
 
 const nextWriteOf = (
@@ -159,17 +173,16 @@
   order: WaveOrder,
   effects: Effect[],
 ): FleetWrite | null => {
-  const view = poolViewOf(state, rule.pool);
   const wave = state.waves.waves.get(rule.wave);
   if (wave === undefined) {
-    return createWave(rule, view);
+    return createWave(rule, poolViewOf(state, rule.pool));
   }
   const status = askedStatus(wave, rule);
   if (status !== wave.status) {
     return waveWrite({ ...wave, status });
   }
   const running = status === WAVE_STATUS.RUNNING;
-  return running ? runWave(state, rule, wave, view, order, effects) : null;
+  return running ? runWave(state, rule, wave, order, effects) : null;
 };
 
 /**
--- a/packages/core/tests/fleetHelpers/testFleet.ts
+++ b/packages/core/tests/fleetHelpers/testFleet.ts
@@ -6,21 +6,21 @@
   rackId,
   revision,
   type HostId,
+  type PoolId,
 } from "@heatherferry/common";
+import { EMPTY_RULE_SET, parseRules, type PoolRule } from "@heatherferry/rules";
 import {
   beginDrain,
-  budgetHolds,
-  hostInOnePool,
-  noWorkCutOff,
   NODE_ROLE,
+  permitRefusal,
   type Effect,
   type HostRow,
   type ListedHost,
   type PoolBudgetRow,
   type RowBody,
-  type TableRow,
 } from "../../src/index.js";
 import { FakeTable } from "./fakeTable.js";
+import { budgetViolations, rowViolations } from "./fleetChecks.js";
 import { FleetNode, type Untimed } from "./fleetNode.js";
 
 const LATENCY_MS = 2;
@@ -45,10 +45,11 @@
   tickMs = 100;
   nowMs = 1_000;
   private due: Due[] = [];
+  private rules = EMPTY_RULE_SET;
 
   constructor(rules: string) {
     this.table.onCommit = (before, after) => {
-      this.checkBudgets(before, after);
+      this.violations.push(...budgetViolations(before, after, this.rules));
     };
     this.applyRules(rules);
   }
@@ -56,6 +57,7 @@
   private revisionCount = 0;
 
   applyRules(text: string): void {
+    this.rules = parseRules(text).rules;
     this.revisionCount += 1;
     const body = {
       type: "rulesHead",
@@ -155,6 +157,18 @@
     this.table.put(this.nowMs, [`host/${zone}/${name}`, host], [`budget/${before.pool}`, budget]);
   }
 
+  /** Whether the budget, as the table has it, allows the drain. */
+  mayDrain(name: string, zone = "a"): boolean {
+    const host = this.host(name, zone);
+    const rule = this.rule(host.pool);
+    const hosts = this.bodies("host").filter(({ pool }) => pool === host.pool);
+    return permitRefusal({ rule, hosts, budget: this.budget(host.pool) }, host) === null;
+  }
+
+  private rule(pool: PoolId): PoolRule | undefined {
+    return this.rules.pools.get(pool);
+  }
+
   private join(node: FleetNode): FleetNode {
     this.nodes.push(node);
     return node;
@@ -173,7 +187,8 @@
     for (const effect of node.handle(event, this.nowMs)) {
       this.run(node, effect);
     }
-    this.checkRows();
+    const states = this.nodes.map(({ state }) => state);
+    this.violations.push(...rowViolations([...this.table.rows.values()], states));
   }
 
   private after(delayMs: number, act: () => void): void {
@@ -282,28 +297,4 @@
       body.type === type ? [body as Extract<RowBody, { type: Type }>] : [],
     );
   }
-
-  private checkRows(): void {
-    const states = this.nodes.map(({ state }) => state);
-    noWorkCutOff(this.bodies("host"), states).forEach((id) =>
-      this.violations.push(`${id} stopped with work`),
-    );
-    hostInOnePool(this.table.rows.values()).forEach((id) =>
-      this.violations.push(`${id} in two pools`),
-    );
-  }
-
-  private checkBudgets(before: ReadonlyMap<string, TableRow>, after: readonly TableRow[]): void {
-    const rules = this.nodes.find(({ state }) => state.revisions.revision > 0)?.state.revisions
-      .rules;
-    for (const { key, body } of after) {
-      const rule = body.type === "poolBudget" ? rules?.pools.get(body.pool) : undefined;
-      if (body.type === "poolBudget" && rule !== undefined) {
-        const old = before.get(key)?.body;
-        if (!budgetHolds(old?.type === "poolBudget" ? old : null, body, rule)) {
-          this.violations.push(`${body.pool} over its budget`);
-        }
-      }
-    }
-  }
 }
--- /dev/null
+++ b/packages/core/tests/fleetHelpers/waveFleet.ts
@@ -0,0 +1,48 @@
+import { TestFleet } from "./testFleet.js";
+
+export interface WaveOptions {
+  readonly maxUnavailable?: number;
+  readonly perRack?: number;
+  readonly maxFailures?: number;
+  readonly paused?: boolean;
+}
+
+export const rulesOf = (options: WaveOptions, withWave = true): string => {
+  const { maxUnavailable = 2, perRack = 1, maxFailures = 0, paused = false } = options;
+  const wave = `wave spring pool=dies max-failures=${maxFailures} paused=${paused ? "yes" : "no"}`;
+  return [
+    "team lots share=1 limit=100 # asked by San Vicente",
+    `pool dies hosts=dies-* max-unavailable=${maxUnavailable} max-unavailable-per-rack=${perRack} # asked by lots`,
+    "queue open pool=dies open=yes team=lots timeout-ms=60000 # asked by lots",
+    ...(withWave ? [`${wave} # asked by San Vicente`] : []),
+  ].join("\n");
+};
+
+export const HOSTS = ["dies-1", "dies-2", "dies-3", "dies-4", "dies-5", "dies-6"];
+
+export const fleetWith = (options: WaveOptions = {}) => {
+  const fleet = new TestFleet(rulesOf(options, false));
+  fleet.addHosts("a", "r1", "dies-1", "dies-2", "dies-3");
+  fleet.addHosts("a", "r2", "dies-4", "dies-5", "dies-6");
+  const entry = fleet.entry("e1");
+  const maintainers = [fleet.maintainer("e1"), fleet.maintainer("e2")];
+  fleet.advance(10_000);
+  const startWave = (): void => {
+    fleet.applyRules(rulesOf(options));
+  };
+  return { fleet, entry, maintainers, startWave };
+};
+
+export const wave = (fleet: TestFleet) => fleet.table.body("wave/spring", "wave");
+
+export const holder = (fleet: TestFleet, pool = "dies") => {
+  const { incarnation } = fleet.table.body(`lease/${pool}`, "maintainerLease");
+  const found = fleet.nodes.find(({ state }) => state.node.identity.incarnation === incarnation);
+  if (found === undefined) {
+    throw new Error(`Nobody holds the lease of ${pool}`);
+  }
+  return found;
+};
+
+export const isDone = (fleet: TestFleet) => (): boolean =>
+  [...fleet.table.rows.values()].some(({ body }) => body.type === "wave" && body.status === "done");
