Weigh the order of waves by measured roll-out; let maintainers check themselves

Need: operators have to know when a host is stopped, what a cut-off entry host delays and which order of hosts a wave takes.

Maintainers count and log two invariants, and the tests assert them and the nodes' own after each event.

Tests: seen to fail with reboots ordered without a look at the lease, and with an invariant that always reports.

--- a/apps/maintainer/src/wireMaintainer.ts
+++ b/apps/maintainer/src/wireMaintainer.ts
@@ -10,6 +10,7 @@
 import {
   defaultPolicies,
   initialState,
+  maintainerInvariants,
   NODE_ROLE,
   type NodeIdentity,
   type State,
@@ -21,6 +22,7 @@
   HealthSource,
   HttpHostDirectory,
   HttpPlatformTable,
+  InvariantWatch,
   NodeMetrics,
   TableRunner,
 } from "@heatherferry/runners";
@@ -103,7 +105,8 @@
   const log = createLogger("heatherferry-maintainer", settings.log?.level);
   const state = initialState(identityOf(settings), randomInt(SEED_BOUND), EventLoop.nowMs());
   const metrics = new NodeMetrics(state);
-  const loop = new EventLoop(state, defaultPolicies(), [metrics]);
+  const watch = new InvariantWatch(maintainerInvariants(), metrics.registry, log);
+  const loop = new EventLoop(state, defaultPolicies(), [metrics, watch]);
   const table = new HttpPlatformTable(settings.platform.origin, logUnreadableRow(log));
   const directory = new HttpHostDirectory(settings.platform.origin);
   const admin = new AdminServer(metrics.registry, new MaintainerHealth(state));
--- a/bench/src/waves/main.ts
+++ b/bench/src/waves/main.ts
@@ -22,7 +22,10 @@
   "reducer ms per host",
 );
 print(...Array.from({ length: 10 }, () => "---"));
-for (const shape of SHAPES) {
+/** Part of the names of the fleets to run; all without one. */
+const wanted = process.argv[2] ?? "";
+
+for (const shape of SHAPES.filter(({ name }) => name.includes(wanted))) {
   for (const maxPerRack of [1, shape.maxUnavailable]) {
     for (const order of orders) {
       const result = new WaveRun(shape, maxPerRack, order).run();
--- a/bench/src/waves/shapes.ts
+++ b/bench/src/waves/shapes.ts
@@ -15,6 +15,8 @@
   readonly hosts: number;
   readonly availabilityZones: number;
   readonly hostsPerRack: number;
+  /** Whether a rack holds hosts of one pool alone. */
+  readonly racksOfOnePool: boolean;
   readonly maxUnavailable: number;
 }
 
@@ -25,6 +27,7 @@
     hosts: 45,
     availabilityZones: 3,
     hostsPerRack: 4,
+    racksOfOnePool: false,
     maxUnavailable: 2,
   },
   {
@@ -33,6 +36,7 @@
     hosts: 40,
     availabilityZones: 4,
     hostsPerRack: 4,
+    racksOfOnePool: false,
     maxUnavailable: 2,
   },
   {
@@ -41,8 +45,27 @@
     hosts: 11_000,
     availabilityZones: 17,
     hostsPerRack: 16,
+    racksOfOnePool: false,
     maxUnavailable: 8,
   },
+  {
+    name: "one pool of 212, racks of its own",
+    pools: 1,
+    hosts: 212,
+    availabilityZones: 3,
+    hostsPerRack: 16,
+    racksOfOnePool: true,
+    maxUnavailable: 8,
+  },
+  {
+    name: "one pool of 40, two racks",
+    pools: 1,
+    hosts: 40,
+    availabilityZones: 2,
+    hostsPerRack: 30,
+    racksOfOnePool: true,
+    maxUnavailable: 4,
+  },
 ];
 
 const poolOf = (shape: Shape, index: number): PoolId => poolId(`pool-${index % shape.pools}`);
@@ -55,13 +78,15 @@
   Array.from({ length: shape.hosts }, (_, index) => {
     const round = Math.floor(index / shape.pools);
     const zone = round % shape.availabilityZones;
-    const placeInZone =
-      Math.floor(round / shape.availabilityZones) * shape.pools + (index % shape.pools);
+    const inZone = Math.floor(round / shape.availabilityZones);
+    const row = shape.racksOfOnePool ? `${poolOf(shape, index)}-` : "";
+    const place = shape.racksOfOnePool ? inZone : inZone * shape.pools + (index % shape.pools);
+    const rack = `zone-${zone}-${row}rack-${Math.floor(place / shape.hostsPerRack)}`;
     return {
       type: "host",
       hostId: hostId(`host-${index}`),
       availabilityZone: availabilityZoneId(`zone-${zone}`),
-      rack: rackId(`zone-${zone}-rack-${Math.floor(placeInZone / shape.hostsPerRack)}`),
+      rack: rackId(rack),
       pool: poolOf(shape, index),
       address: address("127.0.0.1:1"),
       slots: 8,
--- /dev/null
+++ b/packages/core/src/fleet/maintainerInvariants.ts
@@ -0,0 +1,58 @@
+import type { Effect } from "../effect.js";
+import type { Event } from "../event.js";
+import { Invariant } from "../invariants/invariant.js";
+import { mirroredRow } from "../platform/mirror.js";
+import type { State } from "../state.js";
+import { DRAIN_REASON, HOST_PHASE } from "./constants.js";
+import { budgetHolds } from "./invariants.js";
+import { holdsLease } from "./leases.js";
+import type { PoolBudgetRow } from "./types.js";
+
+/** A reboot is ordered only for a stopped host of a wave, and only under the pool's lease. */
+export class RebootOnlyWhenStopped extends Invariant {
+  override readonly name = "rebootOnlyWhenStopped";
+
+  override violation(_event: Event, effects: readonly Effect[], state: State): string | null {
+    for (const effect of effects) {
+      if (effect.type === "host/reboot" && !this.mayReboot(state, effect)) {
+        return `${effect.hostId} is rebooted without a stop under a held lease`;
+      }
+    }
+    return null;
+  }
+
+  private mayReboot(state: State, { hostId }: Extract<Effect, { type: "host/reboot" }>): boolean {
+    const host = state.fleet.hosts.get(hostId);
+    const stopped = host?.phase === HOST_PHASE.STOPPED && host.drainReason === DRAIN_REASON.WAVE;
+    return stopped && holdsLease(state, host.pool);
+  }
+}
+
+/** A permit that is asked for is within the budget, as far as this maintainer knows. */
+export class PermitsWithinBudget extends Invariant {
+  override readonly name = "permitsWithinBudget";
+
+  override violation(_event: Event, effects: readonly Effect[], state: State): string | null {
+    for (const effect of effects) {
+      const puts = effect.type === "table/write" ? effect.write.puts : [];
+      for (const { key, body } of puts) {
+        if (body.type === "poolBudget" && !this.holds(state, key, body)) {
+          return `a write takes ${body.pool} over its budget`;
+        }
+      }
+    }
+    return null;
+  }
+
+  private holds(state: State, key: Parameters<typeof mirroredRow>[1], after: PoolBudgetRow) {
+    const rule = state.revisions.rules.pools.get(after.pool);
+    const before = mirroredRow(state, key, "poolBudget")?.body ?? null;
+    return rule === undefined || budgetHolds(before, after, rule);
+  }
+}
+
+/** @returns The invariants of a maintainer that cost the same at any size. */
+export const maintainerInvariants = (): Invariant[] => [
+  new RebootOnlyWhenStopped(),
+  new PermitsWithinBudget(),
+];
--- a/packages/core/tests/fleetHelpers/fleetNode.ts
+++ b/packages/core/tests/fleetHelpers/fleetNode.ts
@@ -11,6 +11,8 @@
 import {
   defaultPolicies,
   initialState,
+  allInvariants,
+  maintainerInvariants,
   reduce,
   VIEW,
   type Effect,
@@ -45,6 +47,9 @@
   dead = false;
   /** Replies to writes that are lost after the write took effect. */
   loseReplies = 0;
+  /** What broke an invariant of this node. */
+  readonly violations: string[] = [];
+  private readonly invariants = [...maintainerInvariants(), ...allInvariants()];
   policies: Policies = defaultPolicies();
   private requestCount = 0;
   private nowMs: number;
@@ -70,8 +75,15 @@
 
   handle(event: Untimed, nowMs: number): readonly Effect[] {
     this.nowMs = nowMs;
-    const effects = reduce(this.state, { ...event, atMs: nowMs }, this.policies);
+    const timed = { ...event, atMs: nowMs };
+    const effects = reduce(this.state, timed, this.policies);
     this.effects.push(...effects);
+    for (const invariant of this.invariants) {
+      const violation = invariant.violation(timed, effects, this.state);
+      if (violation !== null) {
+        this.violations.push(`${this.name}: ${violation}`);
+      }
+    }
     return effects;
   }
 
--- a/packages/core/tests/fleetHelpers/testFleet.ts
+++ b/packages/core/tests/fleetHelpers/testFleet.ts
@@ -187,6 +187,7 @@
     for (const effect of node.handle(event, this.nowMs)) {
       this.run(node, effect);
     }
+    this.violations.push(...node.violations.splice(0));
     const states = this.nodes.map(({ state }) => state);
     this.violations.push(...rowViolations([...this.table.rows.values()], states));
   }
