--- a/packages/core/src/initialState.ts
+++ b/packages/core/src/initialState.ts
@@ -2,9 +2,11 @@
 import { xoroshiro128plus } from "pure-rand";
 import { initialFleet } from "./fleet/rowsChangedFleet.js";
 import { initialLimits } from "./limits/holdings.js";
+import { zoneEscrowPrefix } from "./limits/rows.js";
 import { initialMembership, zoneMembersPrefix } from "./membership/reduceMembership.js";
 import { NODE_ROLE } from "./node/constants.js";
 import type { NodeIdentity } from "./node/types.js";
+import { initialPeers } from "./peers/knownPeers.js";
 import { ROW_PREFIX } from "./platform/constants.js";
 import { mirrorPrefix } from "./platform/mirror.js";
 import { initialPlatform } from "./platform/reducePlatform.js";
@@ -22,7 +24,7 @@
   if (role === NODE_ROLE.ENTRY) {
     mirrorPrefix(state, zoneMembersPrefix(state));
     mirrorPrefix(state, rowKeyOf(ROW_PREFIX.HOST, availabilityZone, "/"));
-    mirrorPrefix(state, rowKeyOf(ROW_PREFIX.ZONE_ESCROW, availabilityZone));
+    mirrorPrefix(state, zoneEscrowPrefix(state));
   } else {
     mirrorPrefix(state, rowKey(ROW_PREFIX.HOST));
     mirrorPrefix(state, rowKey(ROW_PREFIX.MEMBER));
@@ -51,7 +53,7 @@
     limits: initialLimits(),
     tickets: { nextTicketSequence: 0, works: new Map() },
     routing: initialRouting(),
-    peers: { nextDigestAtMs: 0, lastDigests: new Map() },
+    peers: initialPeers(),
     fleet: initialFleet(),
     waves: initialWaves(),
   };
--- a/packages/core/src/reducer.ts
+++ b/packages/core/src/reducer.ts
@@ -4,12 +4,16 @@
 import { refreshHostView } from "./fleet/hostView.js";
 import { reduceFleet, writeSettledFleet } from "./fleet/reduceFleet.js";
 import { rowsChangedFleet } from "./fleet/rowsChangedFleet.js";
+import { writeSettledLimits } from "./limits/escrowWrites.js";
+import { rowsChangedLimits } from "./limits/holdings.js";
+import { reduceLimits } from "./limits/reduceLimits.js";
 import {
   reduceMembership,
   refreshMembers,
   rowsChangedMembership,
   writeSettledMembership,
 } from "./membership/reduceMembership.js";
+import { reducePeers } from "./peers/reducePeers.js";
 import { reducePlatform } from "./platform/reducePlatform.js";
 import type { TableRow, WriteOutcome } from "./platform/types.js";
 import { defaultPolicies, type Policies } from "./policies/policies.js";
@@ -43,6 +47,7 @@
   rowsChangedFleet(state, rows);
   rowsChangedWaves(state, rows);
   rowsChangedRouting(state, rows);
+  rowsChangedLimits(state, rows);
 };
 
 const spreadOutcome = (state: State, outcome: WriteOutcome, effects: Effect[]): void => {
@@ -51,6 +56,8 @@
       writeSettledMembership(state, outcome);
       return;
     case "escrow":
+      writeSettledLimits(state, outcome);
+      return;
     case "claim":
       return;
     case "fleet":
@@ -99,7 +106,9 @@
   }
   reduceMembership(state, event, effects);
   reduceFleet(state, event, policies, effects);
+  reducePeers(state, event, effects);
   reduceRequests(state, event, policies, effects);
+  reduceLimits(state, event, effects);
   startReady(state, policies, effects);
   return effects;
 };
