Give the daemons one module for what they share

Settings fragments, the main program, health, exit and the effects that every daemon carries out stood twice; they are now abstract classes under runners/daemon. An entry host is ready only once it may dispatch.

--- a/apps/entry/src/entryEffects.ts
+++ b/apps/entry/src/entryEffects.ts
@@ -1,43 +1,29 @@
-import { assertNever, type JsonLogger } from "@heatherferry/common";
-import type { Effect } from "@heatherferry/core";
+import { assertNever } from "@heatherferry/common";
 import {
-  EffectRunner,
+  DaemonEffects,
   type AttemptRunner,
   type CallerServer,
+  type DaemonParts,
+  type OwnEffect,
   type PeerRunner,
-  type TableRunner,
 } from "@heatherferry/runners";
 
-/** Ends the process once nothing is left to do. */
-export abstract class ExitSwitch {
-  abstract exit(): void;
-}
-
 /** The parts that carry out an entry host's effects. */
-export interface EntryParts {
-  readonly log: JsonLogger;
-  readonly table: TableRunner;
+export interface EntryParts extends DaemonParts {
   readonly attempts: AttemptRunner;
   readonly callers: CallerServer;
   readonly peers: PeerRunner;
-  readonly exitSwitch: ExitSwitch;
 }
 
 /** Hands each effect to the part that carries it out. */
-export class EntryEffects extends EffectRunner {
+export class EntryEffects extends DaemonEffects {
   constructor(private readonly parts: EntryParts) {
-    super();
+    super(parts);
   }
 
-  override run(effect: Effect): void {
-    const { log, table, attempts, callers, peers, exitSwitch } = this.parts;
+  protected override runOwn(effect: OwnEffect): void {
+    const { attempts, callers, peers } = this.parts;
     switch (effect.type) {
-      case "table/read":
-        void table.read(effect.ranges);
-        return;
-      case "table/write":
-        void table.write(effect.write);
-        return;
       case "attempt/dispatch":
         attempts.dispatch(effect);
         return;
@@ -62,22 +48,13 @@
       case "peer/answerView":
         peers.answerView(effect);
         return;
-      case "rules/inForce":
-        log("info", "rules.inForce", { revision: effect.revision });
-        return;
-      case "log/write":
-        log(effect.level, effect.event, effect.fields);
-        return;
-      case "node/exit":
-        exitSwitch.exit();
-        return;
       case "caller/replayKept":
       case "caller/forgetKept":
       case "tickets/issue":
       case "peer/forwardRequest":
       case "hosts/list":
       case "host/reboot":
-        log("error", "effect.notCarriedOut", { type: effect.type });
+        this.notOfThisRole(effect);
         return;
       default:
         assertNever(effect);
--- a/apps/entry/src/main.ts
+++ b/apps/entry/src/main.ts
@@ -1,6 +1,5 @@
 #!/usr/bin/env node
-import { parseArgs } from "node:util";
-import { EXIT_CODE, messageOf, SettingsError } from "@heatherferry/common";
+import { DaemonProgram, type RunningDaemon } from "@heatherferry/runners";
 import { loadEntrySettings, type EntrySettings } from "./settings.js";
 import { wireEntry } from "./wireEntry.js";
 
@@ -20,33 +19,17 @@
   [trace]     max_bytes       keep events for a replay, given out at /trace (optional)
 `;
 
-const settingsPath = (): string | null => {
-  const { values } = parseArgs({
-    options: { settings: { type: "string" }, help: { type: "boolean", short: "h" } },
-  });
-  if (values.help === true) {
-    process.stdout.write(USAGE);
-    process.exit(EXIT_CODE.OK);
+class EntryProgram extends DaemonProgram<EntrySettings> {
+  override readonly name = "heatherferry-entry";
+  override readonly usage = USAGE;
+
+  override load(path: string): EntrySettings {
+    return loadEntrySettings(path);
   }
-  return values.settings ?? null;
-};
 
-const readSettings = (): EntrySettings => {
-  try {
-    const path = settingsPath();
-    if (path !== null) {
-      return loadEntrySettings(path);
-    }
-    process.stderr.write(`No settings file was named. Pass one with --settings.\n\n${USAGE}`);
-  } catch (error) {
-    const prefix = error instanceof SettingsError ? "" : "heatherferry-entry: ";
-    process.stderr.write(`${prefix}${messageOf(error)}\n`);
+  override async start(settings: EntrySettings): Promise<RunningDaemon> {
+    return wireEntry(settings);
   }
-  process.exit(EXIT_CODE.BAD_INPUT);
-};
+}
 
-const entry = await wireEntry(readSettings());
-process.once("SIGTERM", entry.shutDown);
-process.once("SIGINT", entry.shutDown);
-await entry.ended;
-process.exit(EXIT_CODE.OK);
+await new EntryProgram().run();
--- a/apps/entry/src/settings.ts
+++ b/apps/entry/src/settings.ts
@@ -1,24 +1,17 @@
 import { loadSettings } from "@heatherferry/common";
+import { SETTINGS } from "@heatherferry/runners";
 import { z } from "zod";
 
-const LISTENER = z.strictObject({
-  host: z.string().min(1),
-  port: z.int().min(0).max(65_535),
-});
-
 const PEER_SEED = z.strictObject({ id: z.string().min(1), address: z.string().min(1) });
 
 /** What the settings file of an entry host may and must hold. */
 export const ENTRY_SETTINGS = z.strictObject({
-  node: z.strictObject({
-    id: z.string().min(1),
-    availability_zone: z.string().min(1),
-  }),
-  callers: LISTENER,
-  peers: LISTENER.extend({ seeds: z.array(PEER_SEED).optional() }),
-  admin: LISTENER,
-  platform: z.strictObject({ origin: z.url({ protocol: /^https?$/ }) }),
-  log: z.strictObject({ level: z.enum(["debug", "info", "warn", "error"]) }).optional(),
+  node: SETTINGS.NODE,
+  callers: SETTINGS.LISTENER,
+  peers: SETTINGS.LISTENER.extend({ seeds: z.array(PEER_SEED).optional() }),
+  admin: SETTINGS.LISTENER,
+  platform: SETTINGS.PLATFORM,
+  log: SETTINGS.LOG.optional(),
   trace: z.strictObject({ max_bytes: z.int().min(0) }).optional(),
 });
 
--- a/apps/entry/src/wireEntry.ts
+++ b/apps/entry/src/wireEntry.ts
@@ -1,11 +1,8 @@
-import { randomBytes, randomInt } from "node:crypto";
 import {
   address,
   availabilityZoneId,
   createLogger,
   entryHostId,
-  incarnation,
-  type JsonLogger,
   type RequestId,
 } from "@heatherferry/common";
 import {
@@ -14,33 +11,34 @@
   initialState,
   NODE_ROLE,
   type PeerSeed,
-  type State,
 } from "@heatherferry/core";
 import {
   AdminServer,
   ArrivalHandler,
   AttemptRunner,
+  ClosingExit,
   ConnectPeerLink,
   ConnectPeerServer,
   EventLoop,
-  HealthSource,
   HttpCallerServer,
   HttpPlatformTable,
   HttpTargetLink,
   InvariantWatch,
+  logUnreadableRow,
   LoopPeerHandler,
+  newIncarnation,
+  newSeed,
+  NodeHealth,
   NodeMetrics,
   PeerRunner,
   TableRunner,
   TraceRecorder,
   type ArrivalFields,
+  type RunningDaemon,
 } from "@heatherferry/runners";
-import { EntryEffects, ExitSwitch } from "./entryEffects.js";
+import { EntryEffects } from "./entryEffects.js";
 import type { EntrySettings } from "./settings.js";
 
-const SEED_BOUND = 2 ** 31;
-const INCARNATION_BYTES = 8;
-
 class LoopArrivals extends ArrivalHandler {
   loop: EventLoop | null = null;
 
@@ -53,59 +51,6 @@
   }
 }
 
-class EntryHealth extends HealthSource {
-  constructor(private readonly state: State) {
-    super();
-  }
-
-  override notReadyBecause(): string | null {
-    if (this.state.node.leavingSinceMs !== null) {
-      return "shutting down";
-    }
-    return this.state.revisions.revision === 0 ? "no rules yet" : null;
-  }
-}
-
-/** A running entry host. */
-export interface EntryHost {
-  /** Begins a graceful shutdown; the process exits when nothing is in flight. */
-  readonly shutDown: () => void;
-  /** Resolves when the entry host has ended. */
-  readonly ended: Promise<void>;
-}
-
-/** Closes what was opened, in the order in which others depend on it. */
-class ClosingExit extends ExitSwitch {
-  private closing = false;
-
-  constructor(
-    private readonly closers: readonly (() => Promise<void>)[],
-    private readonly onClosed: () => void,
-  ) {
-    super();
-  }
-
-  override exit(): void {
-    if (!this.closing) {
-      this.closing = true;
-      void this.closeAll();
-    }
-  }
-
-  private async closeAll(): Promise<void> {
-    for (const close of this.closers) {
-      await close();
-    }
-    this.onClosed();
-  }
-}
-
-const logUnreadableRow =
-  (log: JsonLogger) =>
-  (key: string): void => {
-    log("warn", "table.rowUnreadable", { key });
-  };
-
 const peerSeeds = (settings: EntrySettings): readonly PeerSeed[] =>
   (settings.peers.seeds ?? []).map((seed) => ({
     entryHostId: entryHostId(seed.id),
@@ -118,9 +63,9 @@
  * @param settings - Checked settings.
  * @returns The running entry host.
  */
-export const wireEntry = async (settings: EntrySettings): Promise<EntryHost> => {
+export const wireEntry = async (settings: EntrySettings): Promise<RunningDaemon> => {
   const log = createLogger("heatherferry-entry", settings.log?.level);
-  const life = incarnation(randomBytes(INCARNATION_BYTES).toString("hex"));
+  const life = newIncarnation();
   const arrivals = new LoopArrivals();
   const callers = new HttpCallerServer(life, arrivals);
   const callerAddress = await callers.listen(settings.callers.host, settings.callers.port);
@@ -136,7 +81,7 @@
     callerAddress: address(callerAddress),
     peerAddress,
   };
-  const seed = randomInt(SEED_BOUND);
+  const seed = newSeed();
   const state = initialState(identity, seed, EventLoop.nowMs());
   const metrics = new NodeMetrics(state);
   const watch = new InvariantWatch(cheapInvariants(), metrics.registry, log);
@@ -150,7 +95,7 @@
   const targets = new HttpTargetLink();
   const peerLink = new ConnectPeerLink(identity);
   const peers = new PeerRunner(peerLink, loop);
-  const admin = new AdminServer(metrics.registry, new EntryHealth(state), trace);
+  const admin = new AdminServer(metrics.registry, new NodeHealth(state), trace);
   const adminAddress = await admin.listen(settings.admin.host, settings.admin.port);
 
   const ended = new Promise<void>((resolve) => {
--- a/apps/entry/tests/failures.test.ts
+++ b/apps/entry/tests/failures.test.ts
@@ -83,7 +83,7 @@
   await until(async () => {
     await Promise.all([sendOnce(), sendOnce(), sendOnce(), sendOnce()]);
     const metrics = await (await fetch(`http://${site.admins[0] ?? ""}/metrics`)).text();
-    return /heatherferry_target_ejections 1\n/.test(metrics);
+    return metrics.includes('heatherferry_target_ejections 1\n');
   }, "the silent target to be left out");
   t.true([...outcomes.values()].includes("unknown"));
   const notRun = [...outcomes].filter(([, outcome]) => outcome === "not-run");
--- a/apps/maintainer/src/main.ts
+++ b/apps/maintainer/src/main.ts
@@ -1,6 +1,5 @@
 #!/usr/bin/env node
-import { parseArgs } from "node:util";
-import { EXIT_CODE, messageOf, SettingsError } from "@heatherferry/common";
+import { DaemonProgram, type RunningDaemon } from "@heatherferry/runners";
 import { loadMaintainerSettings, type MaintainerSettings } from "./settings.js";
 import { wireMaintainer } from "./wireMaintainer.js";
 
@@ -15,33 +14,17 @@
   [log]       level                   debug, info, warn or error (optional)
 `;
 
-const settingsPath = (): string | null => {
-  const { values } = parseArgs({
-    options: { settings: { type: "string" }, help: { type: "boolean", short: "h" } },
-  });
-  if (values.help === true) {
-    process.stdout.write(USAGE);
-    process.exit(EXIT_CODE.OK);
+class MaintainerProgram extends DaemonProgram<MaintainerSettings> {
+  override readonly name = "heatherferry-maintainer";
+  override readonly usage = USAGE;
+
+  override load(path: string): MaintainerSettings {
+    return loadMaintainerSettings(path);
   }
-  return values.settings ?? null;
-};
 
-const readSettings = (): MaintainerSettings => {
-  try {
-    const path = settingsPath();
-    if (path !== null) {
-      return loadMaintainerSettings(path);
-    }
-    process.stderr.write(`No settings file was named. Pass one with --settings.\n\n${USAGE}`);
-  } catch (error) {
-    const prefix = error instanceof SettingsError ? "" : "heatherferry-maintainer: ";
-    process.stderr.write(`${prefix}${messageOf(error)}\n`);
+  override async start(settings: MaintainerSettings): Promise<RunningDaemon> {
+    return wireMaintainer(settings);
   }
-  process.exit(EXIT_CODE.BAD_INPUT);
-};
+}
 
-const maintainer = await wireMaintainer(readSettings());
-process.once("SIGTERM", maintainer.shutDown);
-process.once("SIGINT", maintainer.shutDown);
-await maintainer.ended;
-process.exit(EXIT_CODE.OK);
+await new MaintainerProgram().run();
--- /dev/null
+++ b/packages/runners/src/daemon/daemonEffects.ts
@@ -0,0 +1,59 @@
+import type { JsonLogger } from "@heatherferry/common";
+import type { Effect } from "@heatherferry/core";
+import { EffectRunner } from "../loop/eventLoop.js";
+import type { TableRunner } from "../platform/tableRunner.js";
+import type { ExitSwitch } from "./closingExit.js";
+
+/** The parts that every daemon has. */
+export interface DaemonParts {
+  readonly log: JsonLogger;
+  readonly table: TableRunner;
+  readonly exitSwitch: ExitSwitch;
+}
+
+/** Effects that every daemon carries out in the same way. */
+type SharedEffect = Extract<
+  Effect,
+  { type: "table/read" | "table/write" | "rules/inForce" | "log/write" | "node/exit" }
+>;
+
+/** Effects that only some daemons carry out. */
+export type OwnEffect = Exclude<Effect, SharedEffect>;
+
+/** Carries out what all daemons share, and leaves the rest to the daemon. */
+export abstract class DaemonEffects extends EffectRunner {
+  constructor(private readonly shared: DaemonParts) {
+    super();
+  }
+
+  /** @param effect - An effect of the daemon's own. */
+  protected abstract runOwn(effect: OwnEffect): void;
+
+  override run(effect: Effect): void {
+    const { log, table, exitSwitch } = this.shared;
+    switch (effect.type) {
+      case "table/read":
+        void table.read(effect.ranges);
+        return;
+      case "table/write":
+        void table.write(effect.write);
+        return;
+      case "rules/inForce":
+        log("info", "rules.inForce", { revision: effect.revision });
+        return;
+      case "log/write":
+        log(effect.level, effect.event, effect.fields);
+        return;
+      case "node/exit":
+        exitSwitch.exit();
+        return;
+      default:
+        this.runOwn(effect);
+    }
+  }
+
+  /** @param effect - An effect that the daemon's role never asks for. */
+  protected notOfThisRole(effect: OwnEffect): void {
+    this.shared.log("error", "effect.notOfThisRole", { type: effect.type });
+  }
+}
--- /dev/null
+++ b/packages/runners/src/daemon/nodeHealth.ts
@@ -0,0 +1,22 @@
+import { hostViewHolds, NODE_ROLE, type State } from "@heatherferry/core";
+import { HealthSource } from "../admin/adminServer.js";
+
+/** A daemon is ready once it has rules and, where it dispatches, a view of the hosts. */
+export class NodeHealth extends HealthSource {
+  /** @param state - The node's state, only read. */
+  constructor(private readonly state: State) {
+    super();
+  }
+
+  override notReadyBecause(): string | null {
+    const { node, revisions } = this.state;
+    if (node.leavingSinceMs !== null) {
+      return "shutting down";
+    }
+    if (revisions.revision === 0) {
+      return "no rules yet";
+    }
+    const dispatches = node.identity.role === NODE_ROLE.ENTRY;
+    return dispatches && !hostViewHolds(this.state) ? "no view of the hosts yet" : null;
+  }
+}
