Add the demo's site, load and judge, not yet run as a whole

Need: one command that shows the system at work: a surge of several teams, a target drained and rebooted meanwhile, and each promise judged from what callers were told and what targets ran.

Ways ruled out: judging from the daemons' own counters, which would agree with their own mistakes.

Change: DemoSite starts the processes on ports that the system picks; the judge is a function of the callers' report and the targets' runs.

The demo itself needs the maintainer and was not run.

--- /dev/null
+++ b/apps/standins/src/demo/demoLoad.ts
@@ -0,0 +1,48 @@
+import type { LoadPlan, LoadStream } from "../load/types.js";
+import {
+  DEMO_FLEET,
+  DEMO_LOAD,
+  DEMO_RATE,
+  DEMO_SURGE,
+  DEMO_TEAMS,
+  DEMO_TIMES,
+} from "./constants.js";
+import { secretOf } from "./rulesText.js";
+
+type Team = (typeof DEMO_TEAMS)[number];
+
+const SURGE_PHASES = [
+  { durationMs: DEMO_TIMES.SURGE_AT_MS, factor: 1 },
+  { durationMs: DEMO_TIMES.SURGE_MS, factor: DEMO_RATE.SURGE },
+  { durationMs: DEMO_TIMES.AFTER_MS, factor: DEMO_RATE.AFTER },
+];
+
+const streamOf = ({ team, meanPerSecond, workMs }: Team, queue: string): LoadStream => {
+  const surges = queue === DEMO_SURGE.SERVICE;
+  return {
+    team,
+    secret: secretOf(team),
+    queue,
+    meanPerSecond: surges ? meanPerSecond : DEMO_LOAD.BACKGROUND_PER_SECOND,
+    phases: surges ? SURGE_PHASES : [],
+    idempotentFraction: 0.5,
+    workMs: surges ? workMs : DEMO_LOAD.BACKGROUND_WORK_MS,
+    workJitterMs: 0,
+    bodyBytes: DEMO_LOAD.BODY_BYTES,
+    answerBytes: DEMO_LOAD.ANSWER_BYTES,
+    timeoutMs: null,
+  };
+};
+
+/**
+ * @param entryHosts - `host:port` of each entry host.
+ * @returns Mixed traffic of all teams, with a surge on one service.
+ */
+export const demoLoad = (entryHosts: readonly string[]): LoadPlan => ({
+  entryHosts,
+  streams: DEMO_TEAMS.flatMap((team) =>
+    DEMO_FLEET.SERVICES.map((service) => streamOf(team, service)),
+  ),
+  durationMs: DEMO_TIMES.SURGE_AT_MS + DEMO_TIMES.SURGE_MS + DEMO_TIMES.AFTER_MS,
+  seed: DEMO_LOAD.SEED,
+});
--- /dev/null
+++ b/apps/standins/src/demo/demoSite.ts
@@ -0,0 +1,139 @@
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { rowKey, tableVersion } from "@heatherferry/common";
+import type { HostRow } from "@heatherferry/core";
+import { HttpPlatformTable } from "@heatherferry/runners";
+import { Program } from "../processes/program.js";
+import type { FleetRuns } from "../target/targetFleet.js";
+import { DEMO_FLEET } from "./constants.js";
+
+const mainOf = (app: string): string =>
+  fileURLToPath(new URL(`../../../../${app}/dist/src/main.js`, import.meta.url));
+
+const getJson = async (url: string, init?: RequestInit): Promise<unknown> => {
+  const response = await fetch(url, init);
+  if (!response.ok) {
+    throw new Error(`${url} answered ${response.status}`);
+  }
+  return response.json();
+};
+
+const listener = (name: string): string => `[${name}]\nhost = "127.0.0.1"\nport = 0\n`;
+
+/** All processes of the demo. */
+export class DemoSite {
+  /** `host:port` where callers reach each entry host. */
+  readonly callers: string[] = [];
+  private readonly folder = mkdtempSync(join(tmpdir(), "heatherferry-demo-"));
+  private readonly programs: Program[] = [];
+  private readonly fleets: string[] = [];
+  private origin = "";
+
+  /** Starts the platform, then the targets, and tells the platform of them. */
+  async startPlatform(): Promise<void> {
+    const platform = this.start("standins", ["platform"]);
+    this.origin = `http://${await this.addressOf(platform, "address")}`;
+    const hosts = await Promise.all(DEMO_FLEET.ZONES.map(async (zone) => this.startTargets(zone)));
+    const body = JSON.stringify({ hosts: hosts.flat() });
+    await getJson(`${this.origin}/control/hosts`, { method: "POST", body });
+  }
+
+  /** Starts the entry hosts of all zones, and a maintainer in each. */
+  async startDaemons(): Promise<void> {
+    const entries = DEMO_FLEET.ZONES.flatMap((zone) =>
+      Array.from({ length: DEMO_FLEET.ENTRY_HOSTS_PER_ZONE }, (_, index) => {
+        const sections = [listener("callers"), listener("peers")];
+        return this.startDaemon("entry", `entry-${zone}-${index + 1}`, zone, sections);
+      }),
+    );
+    const maintainers = DEMO_FLEET.ZONES.map((zone) =>
+      this.startDaemon("maintainer", `entry-${zone}-1`, zone, []),
+    );
+    await Promise.all(maintainers.map(async (program) => program.logged("listening")));
+    for (const entry of entries) {
+      this.callers.push(await this.addressOf(entry, "callers"));
+    }
+  }
+
+  /**
+   * Runs an operator's command.
+   *
+   * @param args - The command and its arguments.
+   * @throws Error with what it wrote when it does not end with 0.
+   */
+  async operate(...args: readonly string[]): Promise<void> {
+    const program = new Program(mainOf("cli"), [...args, "--platform", this.origin]);
+    const exitCode = await program.ended();
+    if (exitCode !== 0) {
+      const said = program.records.map((record) => JSON.stringify(record)).join("\n");
+      throw new Error(`heatherferry ${args.join(" ")} ended with ${exitCode}: ${said}`);
+    }
+  }
+
+  /** @returns The path of a file with this text. */
+  file(name: string, text: string): string {
+    const path = join(this.folder, name);
+    writeFileSync(path, text);
+    return path;
+  }
+
+  /** @returns The hosts as the table has them. */
+  async hosts(): Promise<readonly HostRow[]> {
+    const table = new HttpPlatformTable(this.origin, () => undefined);
+    const range = { prefix: rowKey("host/"), afterVersion: tableVersion(0) };
+    const { rows } = await table.read([range]).finally(async () => table.close());
+    return rows.map(({ body }) => body).filter((body) => body.type === "host");
+  }
+
+  /** Has the platform reboot a host, whatever runs on it. */
+  async reboot(hostId: string): Promise<void> {
+    await getJson(`${this.origin}/v1/hosts/${hostId}/reboot`, { method: "POST" });
+  }
+
+  /** @returns What the targets counted, by availability zone. */
+  async runs(): Promise<readonly FleetRuns[]> {
+    const answers = this.fleets.map(async (origin) => getJson(`${origin}/control/runs`));
+    return (await Promise.all(answers)) as FleetRuns[];
+  }
+
+  /** Stops all processes, the last started first. */
+  async stop(): Promise<void> {
+    for (const program of [...this.programs].reverse()) {
+      await program.kill();
+    }
+  }
+
+  private async startTargets(zone: string): Promise<readonly unknown[]> {
+    const settings = [
+      `[targets]\navailability_zone = "${zone}"`,
+      `services = ${JSON.stringify(DEMO_FLEET.SERVICES)}`,
+      `per_service = ${DEMO_FLEET.TARGETS_PER_SERVICE}\nslots = ${DEMO_FLEET.SLOTS}\n`,
+    ].join("\n");
+    const path = this.file(`targets-${zone}.toml`, settings);
+    const program = this.start("standins", ["target", "--settings", path]);
+    const origin = `http://${await this.addressOf(program, "address")}`;
+    this.fleets.push(origin);
+    const { hosts } = (await getJson(`${origin}/control/hosts`)) as { hosts: unknown[] };
+    return hosts;
+  }
+
+  private startDaemon(app: string, id: string, zone: string, sections: readonly string[]): Program {
+    const node = `[node]\nid = "${id}"\navailability_zone = "${zone}"\n`;
+    const platform = `[platform]\norigin = "${this.origin}"\n`;
+    const text = [node, listener("admin"), platform, ...sections].join("\n");
+    return this.start(app, ["--settings", this.file(`${app}-${id}.toml`, text)]);
+  }
+
+  private start(app: string, args: readonly string[]): Program {
+    const program = new Program(mainOf(app), args);
+    this.programs.push(program);
+    return program;
+  }
+
+  private async addressOf(program: Program, field: string): Promise<string> {
+    const record = await program.logged("listening");
+    return String(record[field]);
+  }
+}
--- /dev/null
+++ b/apps/standins/src/demo/main.ts
@@ -0,0 +1,116 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { EXIT_CODE, messageOf } from "@heatherferry/common";
+import { HOST_PHASE } from "@heatherferry/core";
+import { CallerLoad } from "../load/callerLoad.js";
+import type { LoadReport } from "../load/types.js";
+import { DEMO_FLEET, DEMO_SURGE, DEMO_TEAMS, DEMO_TIMES } from "./constants.js";
+import { demoLoad } from "./demoLoad.js";
+import { DemoSite } from "./demoSite.js";
+import { formatPromises, formatTeams, isKept } from "./formatVerdict.js";
+import { rulesText } from "./rulesText.js";
+import { judgePromises, judgeTeams } from "./verdict.js";
+import { waitUntil } from "./waitUntil.js";
+
+const TARGETS =
+  DEMO_FLEET.ZONES.length * DEMO_FLEET.SERVICES.length * DEMO_FLEET.TARGETS_PER_SERVICE;
+
+const startedAtMs = performance.now();
+
+const say = (text: string): void => {
+  const seconds = ((performance.now() - startedAtMs) / 1_000).toFixed(1).padStart(5);
+  process.stdout.write(`${seconds} s  ${text}\n`);
+};
+
+const startSite = async (site: DemoSite): Promise<void> => {
+  say(`starting the platform and ${TARGETS} targets in ${DEMO_FLEET.ZONES.length} zones`);
+  await site.startPlatform();
+  say("starting entry hosts and maintainers");
+  await site.startDaemons();
+  say("applying the rules");
+  const rules = site.file("demo.rules", rulesText());
+  await site.operate("apply", rules, "--by", "demo", "--wait");
+  await waitUntil("all targets to be in service", DEMO_TIMES.START_BOUND_MS, async () => {
+    const hosts = await site.hosts();
+    return hosts.filter(({ phase }) => phase === HOST_PHASE.IN_SERVICE).length === TARGETS;
+  });
+  say("all targets are in service");
+};
+
+const phaseIs = async (site: DemoSite, phase: string): Promise<boolean> => {
+  const hosts = await site.hosts();
+  return hosts.some((host) => host.hostId === DEMO_SURGE.DRAINED_HOST && host.phase === phase);
+};
+
+const drainOne = async (site: DemoSite): Promise<void> => {
+  const host = DEMO_SURGE.DRAINED_HOST;
+  await sleep(DEMO_TIMES.DRAIN_AT_MS);
+  say(`draining ${host}`);
+  await site.operate("drain", host);
+  await waitUntil(`${host} to be empty`, DEMO_TIMES.STEP_BOUND_MS, async () =>
+    phaseIs(site, HOST_PHASE.STOPPED),
+  );
+  say(`${host} is empty: rebooting it`);
+  await site.reboot(host);
+  await site.operate("undrain", host);
+  await waitUntil(`${host} to be back`, DEMO_TIMES.STEP_BOUND_MS, async () =>
+    phaseIs(site, HOST_PHASE.IN_SERVICE),
+  );
+  say(`${host} is back in service`);
+};
+
+const describe = ({ streams }: LoadReport): string => {
+  const total = (key: "sent" | "answered" | "notRun" | "unknown"): number =>
+    streams.reduce((sum, stream) => sum + stream[key], 0);
+  return (
+    `sent ${total("sent")}, answered ${total("answered")}, ` +
+    `not run ${total("notRun")}, unknown ${total("unknown")}`
+  );
+};
+
+const runLoad = async (site: DemoSite): Promise<LoadReport> => {
+  const load = new CallerLoad(demoLoad(site.callers));
+  const progress = setInterval(() => {
+    say(describe(load.report()));
+  }, DEMO_TIMES.PROGRESS_MS);
+  try {
+    say(`sending; the surge begins after ${DEMO_TIMES.SURGE_AT_MS / 1_000} s`);
+    const [report] = await Promise.all([load.run(), drainOne(site)]);
+    return report;
+  } finally {
+    clearInterval(progress);
+  }
+};
+
+const judge = async (site: DemoSite, report: LoadReport): Promise<number> => {
+  const evidence = {
+    report,
+    fleets: await site.runs(),
+    shares: new Map(DEMO_TEAMS.map(({ team, share }) => [team as string, share])),
+    fullQueue: DEMO_SURGE.SERVICE,
+    fullFromMs: DEMO_TIMES.SURGE_AT_MS + DEMO_TIMES.FILL_MS,
+    fullUntilMs: DEMO_TIMES.SURGE_AT_MS + DEMO_TIMES.SURGE_MS,
+  };
+  const promises = judgePromises(evidence);
+  say("done");
+  process.stdout.write(`\n${formatTeams(judgeTeams(evidence))}\n\n${formatPromises(promises)}\n`);
+  return promises.every(isKept) ? EXIT_CODE.OK : EXIT_CODE.FAILED;
+};
+
+const run = async (site: DemoSite): Promise<number> => {
+  try {
+    await startSite(site);
+    const report = await runLoad(site);
+    return await judge(site, report);
+  } catch (error) {
+    say(`failed: ${messageOf(error)}`);
+    return EXIT_CODE.FAILED;
+  } finally {
+    await site.stop();
+  }
+};
+
+const site = new DemoSite();
+process.once("SIGINT", () => {
+  void site.stop().then(() => process.exit(EXIT_CODE.FAILED));
+});
+process.exit(await run(site));
--- /dev/null
+++ b/apps/standins/src/demo/rulesText.ts
@@ -0,0 +1,20 @@
+import { createHash } from "node:crypto";
+import { DEMO_FLEET, DEMO_TEAMS } from "./constants.js";
+
+/** @returns The secret of a team's key; it opens nothing but the demo. */
+export const secretOf = (team: string): string => `demo-key-of-${team}-0123456789abcdef`;
+
+const hashOf = (team: string): string => createHash("sha256").update(secretOf(team)).digest("hex");
+
+/** @returns The operators' rules of the demo. */
+export const rulesText = (): string => {
+  const teams = DEMO_TEAMS.flatMap(({ team, share, limit }) => [
+    `team ${team} share=${share} limit=${limit} # asked by ${team}`,
+    `key ${team}-key team=${team} hash=${hashOf(team)} # asked by ${team}`,
+  ]);
+  const services = DEMO_FLEET.SERVICES.flatMap((service) => [
+    `pool ${service} hosts=${service}-* max-unavailable=1 # asked by operations`,
+    `queue ${service} pool=${service} max-queued=200 timeout-ms=5000 # asked by operations`,
+  ]);
+  return [...teams, ...services, ""].join("\n");
+};
