--- a/apps/cli/src/drain/undrain.ts
+++ b/apps/cli/src/drain/undrain.ts
@@ -1,19 +1,17 @@
 import type { HostId } from "@heatherferry/common";
-import { DRAIN_REASON, HOST_PHASE, type HostRow, type TableRow } from "@heatherferry/core";
+import {
+  DRAIN_REASON,
+  endDrain,
+  HOST_PHASE,
+  type HostRow,
+  type TableRow,
+} from "@heatherferry/core";
 import { done } from "../operation/decisions.js";
 import { Operation } from "../operation/operation.js";
 import type { TableView } from "../operation/tableView.js";
 import type { Finish, Write } from "../operation/types.js";
 import { DRAIN_ERROR_KIND, DrainError } from "./errors.js";
-import { type Budget, findBudget, findHost, FLEET_PREFIXES, withPermits } from "./fleetView.js";
-
-const inService = (host: HostRow): HostRow => ({
-  ...host,
-  phase: HOST_PHASE.IN_SERVICE,
-  drainReason: null,
-  moveTo: null,
-  waveId: null,
-});
+import { type Budget, findBudget, findHost, FLEET_PREFIXES } from "./fleetView.js";
 
 /** Puts a host that an operator drained back in service, and frees its permit. */
 export class Undrain extends Operation {
@@ -43,12 +41,12 @@
 
   private write(row: TableRow<HostRow>, budget: Budget): Write {
     const { hostId, pool } = row.body;
-    const others = budget.body.permits.filter((permit) => permit.hostId !== hostId);
+    const changed = endDrain(row.body, budget.body);
     return {
       type: "write",
       rows: [
-        { key: row.key, previous: row, body: inService(row.body) },
-        withPermits(budget, others),
+        { key: row.key, previous: row, body: changed.host },
+        { key: budget.key, previous: budget.previous, body: changed.budget },
       ],
       committed: done(`Host ${hostId} of pool ${pool} is in service.`),
       conflicted: this,
