--- a/apps/standins/src/demo/constants.ts
+++ b/apps/standins/src/demo/constants.ts
@@ -5,6 +5,9 @@
   TARGETS_PER_SERVICE: 2,
   SLOTS: 8,
   ENTRY_HOSTS_PER_ZONE: 2,
+  /** Requests of one team that wait at one entry host. */
+  MAX_QUEUED: 8,
+  TIMEOUT_MS: 5_000,
 } as const;
 
 /** The service whose pool fills up, and the target of it that is drained meanwhile. */
@@ -31,7 +34,7 @@
 export const DEMO_LOAD = {
   SEED: 7,
   /** Mean rate of each team to each service that does not surge. */
-  BACKGROUND_PER_SECOND: 5,
+  BACKGROUND_PER_SECOND: 3,
   BACKGROUND_WORK_MS: 30,
   BODY_BYTES: 200,
   ANSWER_BYTES: 2_000,
@@ -39,7 +42,7 @@
 
 /** Teams with their shares; in the surge each asks for more than its share. */
 export const DEMO_TEAMS = [
-  { team: "bodega", share: 3, limit: 90, meanPerSecond: 80, workMs: 80 },
-  { team: "cooperative", share: 2, limit: 90, meanPerSecond: 80, workMs: 100 },
-  { team: "museum", share: 1, limit: 90, meanPerSecond: 40, workMs: 150 },
+  { team: "bodega", share: 3, limit: 90, meanPerSecond: 20, workMs: 320 },
+  { team: "cooperative", share: 2, limit: 90, meanPerSecond: 20, workMs: 400 },
+  { team: "museum", share: 1, limit: 90, meanPerSecond: 10, workMs: 600 },
 ] as const;
--- a/apps/standins/src/demo/demoSite.ts
+++ b/apps/standins/src/demo/demoSite.ts
@@ -4,7 +4,7 @@
 import { fileURLToPath } from "node:url";
 import { rowKey, tableVersion } from "@heatherferry/common";
 import type { HostRow } from "@heatherferry/core";
-import { HttpPlatformTable } from "@heatherferry/runners";
+import { CALLER_HEADER, HttpPlatformTable } from "@heatherferry/runners";
 import { Program } from "../processes/program.js";
 import type { FleetRuns } from "../target/targetFleet.js";
 import { DEMO_FLEET } from "./constants.js";
@@ -87,6 +87,19 @@
     return rows.map(({ body }) => body).filter((body) => body.type === "host");
   }
 
+  /** @returns Whether every entry host gets an answer from every service. */
+  async serves(secret: string): Promise<boolean> {
+    const asked = this.callers.flatMap((callers) =>
+      DEMO_FLEET.SERVICES.map(async (service) => {
+        const url = `http://${callers}/queues/${service}/probe`;
+        const response = await fetch(url, { headers: { authorization: `Bearer ${secret}` } });
+        await response.arrayBuffer();
+        return response.headers.get(CALLER_HEADER.OUTCOME) === "answered";
+      }),
+    );
+    return (await Promise.all(asked)).every(Boolean);
+  }
+
   /** Has the platform reboot a host, whatever runs on it. */
   async reboot(hostId: string): Promise<void> {
     await getJson(`${this.origin}/v1/hosts/${hostId}/reboot`, { method: "POST" });
--- a/apps/standins/src/demo/formatVerdict.ts
+++ b/apps/standins/src/demo/formatVerdict.ts
@@ -64,3 +64,7 @@
       isKept(verdict) ? "kept" : "BROKEN",
     ]),
   ]);
+
+/** @returns One line with the kinds of refusals. */
+export const formatRefusals = (counts: readonly (readonly [string, number])[]): string =>
+  `refusals: ${counts.map(([kind, count]) => `${kind} ${count}`).join(", ") || "none"}`;
--- a/apps/standins/src/demo/main.ts
+++ b/apps/standins/src/demo/main.ts
@@ -6,9 +6,9 @@
 import { DEMO_FLEET, DEMO_SURGE, DEMO_TEAMS, DEMO_TIMES } from "./constants.js";
 import { demoLoad } from "./demoLoad.js";
 import { DemoSite } from "./demoSite.js";
-import { formatPromises, formatTeams, isKept } from "./formatVerdict.js";
-import { rulesText } from "./rulesText.js";
-import { judgePromises, judgeTeams } from "./verdict.js";
+import { formatPromises, formatRefusals, formatTeams, isKept } from "./formatVerdict.js";
+import { rulesText, secretOf } from "./rulesText.js";
+import { countRefusals, judgePromises, judgeTeams } from "./verdict.js";
 import { waitUntil } from "./waitUntil.js";
 
 const TARGETS =
@@ -33,6 +33,10 @@
     const hosts = await site.hosts();
     return hosts.filter(({ phase }) => phase === HOST_PHASE.IN_SERVICE).length === TARGETS;
   });
+  const secret = secretOf(DEMO_TEAMS[0].team);
+  await waitUntil("every entry host to serve every queue", DEMO_TIMES.START_BOUND_MS, async () =>
+    site.serves(secret),
+  );
   say("all targets are in service");
 };
 
@@ -92,7 +96,9 @@
   };
   const promises = judgePromises(evidence);
   say("done");
-  process.stdout.write(`\n${formatTeams(judgeTeams(evidence))}\n\n${formatPromises(promises)}\n`);
+  const teams = formatTeams(judgeTeams(evidence));
+  const refusals = formatRefusals(countRefusals(report));
+  process.stdout.write(`\n${teams}\n\n${refusals}\n\n${formatPromises(promises)}\n`);
   return promises.every(isKept) ? EXIT_CODE.OK : EXIT_CODE.FAILED;
 };
 
--- a/apps/standins/src/demo/rulesText.ts
+++ b/apps/standins/src/demo/rulesText.ts
@@ -14,7 +14,7 @@
   ]);
   const services = DEMO_FLEET.SERVICES.flatMap((service) => [
     `pool ${service} hosts=${service}-* max-unavailable=1 # asked by operations`,
-    `queue ${service} pool=${service} max-queued=200 timeout-ms=5000 # asked by operations`,
+    `queue ${service} pool=${service} max-queued=${DEMO_FLEET.MAX_QUEUED} timeout-ms=${DEMO_FLEET.TIMEOUT_MS} # asked by operations`,
   ]);
   return [...teams, ...services, ""].join("\n");
 };
--- a/apps/standins/src/demo/verdict.ts
+++ b/apps/standins/src/demo/verdict.ts
@@ -112,3 +112,15 @@
     { promise: "answers crossed", seen: total(({ crossed }) => crossed), allowed: 0 },
   ];
 };
+
+/**
+ * @param report - What callers saw.
+ * @returns How often each kind of refusal or broken connection was met, the most frequent first.
+ */
+export const countRefusals = (report: LoadReport): readonly (readonly [string, number])[] => {
+  const counts = new Map<string, number>();
+  for (const [kind, count] of report.streams.flatMap(({ refusals }) => Object.entries(refusals))) {
+    counts.set(kind, (counts.get(kind) ?? 0) + count);
+  }
+  return [...counts].sort(([, left], [, right]) => right - left);
+};
