--- a/apps/standins/src/demo/demoSite.ts
+++ b/apps/standins/src/demo/demoSite.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync, writeFileSync } from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -111,11 +111,12 @@
     return (await Promise.all(answers)) as FleetRuns[];
   }
 
-  /** Stops all processes, the last started first. */
+  /** Stops all processes, the last started first, and removes their settings files. */
   async stop(): Promise<void> {
     for (const program of [...this.programs].reverse()) {
       await program.kill();
     }
+    rmSync(this.folder, { recursive: true, force: true });
   }
 
   private async startTargets(zone: string): Promise<readonly unknown[]> {
--- a/apps/standins/tests/targetStandIn.test.ts
+++ b/apps/standins/tests/targetStandIn.test.ts
@@ -124,3 +124,21 @@
   t.is((await send(clientOf(t, target), "new")).status, 200);
   t.false(target.runsByTag.has("silent"));
 });
+
+test("a failing target answers 500 to work that it counts as run", async (t) => {
+  const { target, client } = await start(t);
+  target.setBehaviour(TARGET_BEHAVIOUR.FAILING);
+  const failed = await send(client, "failed", LONG_MS);
+  t.is(failed.status, 500);
+  t.is(failed.text, answerBody("failed", 64));
+  t.is(target.runsByTag.get("failed"), 1);
+});
+
+test("a silent target holds its slot, for a request without work too", async (t) => {
+  const { target, client } = await start(t);
+  target.setBehaviour(TARGET_BEHAVIOUR.SILENT);
+  send(client, "silent").catch(() => undefined);
+  await untilRunning(target);
+  target.setBehaviour(TARGET_BEHAVIOUR.NORMAL);
+  t.is((await send(clientOf(t, target), "next")).status, 503);
+});
