--- a/apps/entry/src/entryEffects.ts
+++ b/apps/entry/src/entryEffects.ts
@@ -4,6 +4,7 @@
   EffectRunner,
   type AttemptRunner,
   type CallerServer,
+  type ForwardRunner,
   type PeerRunner,
   type TableRunner,
 } from "@heatherferry/runners";
@@ -13,6 +14,12 @@
   abstract exit(): void;
 }
 
+/** Hands tickets to callers. */
+export abstract class TicketDesk {
+  /** @param effect - The tickets to sign. */
+  abstract issue(effect: Extract<Effect, { type: "tickets/issue" }>): void;
+}
+
 /** The parts that carry out an entry host's effects. */
 export interface EntryParts {
   readonly log: JsonLogger;
@@ -20,6 +27,8 @@
   readonly attempts: AttemptRunner;
   readonly callers: CallerServer;
   readonly peers: PeerRunner;
+  readonly forwards: ForwardRunner;
+  readonly tickets: TicketDesk;
   readonly exitSwitch: ExitSwitch;
 }
 
@@ -30,7 +39,7 @@
   }
 
   override run(effect: Effect): void {
-    const { log, table, attempts, callers, peers, exitSwitch } = this.parts;
+    const { log, table, attempts, callers, peers, forwards, tickets, exitSwitch } = this.parts;
     switch (effect.type) {
       case "table/read":
         void table.read(effect.ranges);
@@ -53,6 +62,18 @@
       case "caller/breakOff":
         callers.breakOff(effect.requestId);
         return;
+      case "caller/replayKept":
+        void attempts.replay(effect);
+        return;
+      case "caller/forgetKept":
+        attempts.forget(effect);
+        return;
+      case "tickets/issue":
+        tickets.issue(effect);
+        return;
+      case "peer/forwardRequest":
+        void forwards.forward(effect);
+        return;
       case "peer/send":
         void peers.send(effect);
         return;
@@ -71,10 +92,6 @@
       case "node/exit":
         exitSwitch.exit();
         return;
-      case "caller/replayKept":
-      case "caller/forgetKept":
-      case "tickets/issue":
-      case "peer/forwardRequest":
       case "hosts/list":
       case "host/reboot":
         log("error", "effect.notCarriedOut", { type: effect.type });
--- a/apps/entry/src/wireEntry.ts
+++ b/apps/entry/src/wireEntry.ts
@@ -8,11 +8,14 @@
   type JsonLogger,
   type RequestId,
 } from "@heatherferry/common";
+import { TicketSigner } from "@heatherferry/coordination";
 import {
   cheapInvariants,
   defaultPolicies,
   initialState,
   NODE_ROLE,
+  type Effect,
+  type NodeIdentity,
   type PeerSeed,
   type State,
 } from "@heatherferry/core";
@@ -23,6 +26,8 @@
   ConnectPeerLink,
   ConnectPeerServer,
   EventLoop,
+  ForwardedCallers,
+  ForwardRunner,
   HealthSource,
   HttpCallerServer,
   HttpPlatformTable,
@@ -31,11 +36,12 @@
   LoopPeerHandler,
   NodeMetrics,
   PeerRunner,
+  RoutedCallers,
   TableRunner,
   TraceRecorder,
   type ArrivalFields,
 } from "@heatherferry/runners";
-import { EntryEffects, ExitSwitch } from "./entryEffects.js";
+import { EntryEffects, ExitSwitch, TicketDesk } from "./entryEffects.js";
 import type { EntrySettings } from "./settings.js";
 
 const SEED_BOUND = 2 ** 31;
@@ -51,6 +57,31 @@
   override cancelled(requestId: RequestId): void {
     this.loop?.handle({ type: "request/cancelled", requestId });
   }
+
+  override ticketsRequested(requestId: RequestId, count: number): void {
+    this.loop?.handle({ type: "tickets/requested", requestId, count });
+  }
+}
+
+class SigningTicketDesk extends TicketDesk {
+  constructor(
+    private readonly issuer: NodeIdentity,
+    private readonly callers: HttpCallerServer,
+  ) {
+    super();
+  }
+
+  override issue(effect: Extract<Effect, { type: "tickets/issue" }>): void {
+    const { requestId, firstSequence, count, expiresAtMs } = effect;
+    const { entryHostId: host, incarnation: life } = this.issuer;
+    const tickets = Array.from({ length: count }, (_, index) => ({
+      entryHostId: host,
+      incarnation: life,
+      sequence: firstSequence + index,
+      expiresAtMs,
+    }));
+    this.callers.sendTickets(requestId, tickets);
+  }
 }
 
 class EntryHealth extends HealthSource {
@@ -122,9 +153,12 @@
   const log = createLogger("heatherferry-entry", settings.log?.level);
   const life = incarnation(randomBytes(INCARNATION_BYTES).toString("hex"));
   const arrivals = new LoopArrivals();
-  const callers = new HttpCallerServer(life, arrivals);
-  const callerAddress = await callers.listen(settings.callers.host, settings.callers.port);
-  const peerHandler = new LoopPeerHandler();
+  const signer = new TicketSigner();
+  const httpCallers = new HttpCallerServer(life, arrivals, signer);
+  const callerAddress = await httpCallers.listen(settings.callers.host, settings.callers.port);
+  const forwardedCallers = new ForwardedCallers(life, signer);
+  const callers = new RoutedCallers(httpCallers, forwardedCallers);
+  const peerHandler = new LoopPeerHandler(forwardedCallers);
   const peerServer = new ConnectPeerServer(peerHandler);
   const peerAddress = await peerServer.listen(settings.peers.host, settings.peers.port);
 
@@ -174,6 +208,8 @@
       attempts: new AttemptRunner(callers, targets, loop),
       callers,
       peers,
+      forwards: new ForwardRunner(callers, peerLink, loop),
+      tickets: new SigningTicketDesk(identity, httpCallers),
       exitSwitch,
     });
   });
@@ -185,7 +221,7 @@
   return {
     shutDown: () => {
       log("info", "shuttingDown", {});
-      callers.beginLeaving();
+      httpCallers.beginLeaving();
       loop.handle({ type: "node/shutdownRequested" });
     },
     ended,
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -7,3 +7,5 @@
 export * from "./escrow/invariants.js";
 export * from "./escrow/scale.js";
 export * from "./escrow/types.js";
+export * from "./tickets/ticketSigner.js";
+export * from "./tickets/types.js";
--- a/packages/core/src/initialState.ts
+++ b/packages/core/src/initialState.ts
@@ -15,6 +15,7 @@
 import { initialRequests } from "./requests/reduceRequests.js";
 import { initialRevisions } from "./revisions/reduceRevisions.js";
 import { initialRouting } from "./routing/targets.js";
+import { initialTickets } from "./tickets/works.js";
 import type { State } from "./state.js";
 
 const mirrorForRole = (state: State): void => {
@@ -50,7 +51,7 @@
     requests: initialRequests(),
     queues: initialQueues(),
     limits: initialLimits(),
-    tickets: { nextTicketSequence: 0, works: new Map() },
+    tickets: initialTickets(),
     routing: initialRouting(),
     peers: initialPeers(),
     fleet: initialFleet(),
--- a/packages/core/src/reducer.ts
+++ b/packages/core/src/reducer.ts
@@ -21,6 +21,8 @@
 import { rowsChangedRevisions } from "./revisions/reduceRevisions.js";
 import { divideSlots, endEjections, rowsChangedRouting } from "./routing/targets.js";
 import type { State } from "./state.js";
+import { writeSettledClaims } from "./tickets/claims.js";
+import { reduceTickets } from "./tickets/reduceTickets.js";
 
 /** Time never goes back, whatever order events are handed in. */
 const advanceClock = (state: State, event: Event): void => {
@@ -46,7 +48,7 @@
   rowsChangedLimits(state, rows);
 };
 
-const spreadOutcome = (state: State, outcome: WriteOutcome): void => {
+const spreadOutcome = (state: State, outcome: WriteOutcome, effects: Effect[]): void => {
   switch (outcome.purpose) {
     case "membership":
       writeSettledMembership(state, outcome);
@@ -55,6 +57,8 @@
       writeSettledLimits(state, outcome);
       return;
     case "claim":
+      writeSettledClaims(state, outcome, effects);
+      return;
     case "fleet":
     case "wave":
     case "lease":
@@ -92,7 +96,7 @@
   const news = reducePlatform(state, event, effects);
   spreadRows(state, news.rows, effects);
   for (const outcome of news.outcomes) {
-    spreadOutcome(state, outcome);
+    spreadOutcome(state, outcome, effects);
   }
   if (event.type === "clock/ticked") {
     onTick(state);
@@ -100,6 +104,7 @@
   reduceMembership(state, event, effects);
   reducePeers(state, event, effects);
   reduceRequests(state, event, policies, effects);
+  reduceTickets(state, event, effects);
   reduceLimits(state, event, effects);
   startReady(state, policies, effects);
   return effects;
--- a/packages/core/src/requests/admission.ts
+++ b/packages/core/src/requests/admission.ts
@@ -9,6 +9,7 @@
 import { KEYS } from "../revisions/constants.js";
 import { targetsOf } from "../routing/targets.js";
 import type { State } from "../state.js";
+import { settleElsewhere, takeOnWork, workKeyOf } from "../tickets/admitWork.js";
 import { REFUSAL_KIND, REQUEST, REQUEST_PHASE } from "./constants.js";
 import { watchDeadline } from "./deadlines.js";
 import { expectedWaitMs, notRun, refuse } from "./refusals.js";
@@ -56,7 +57,7 @@
   idempotent: event.idempotent,
   arrivedAtMs: state.nowMs,
   deadlineAtMs: state.nowMs + Math.min(event.timeoutMs ?? rule.timeoutMs, REQUEST.MAX_TIMEOUT_MS),
-  workKey: null,
+  workKey: workKeyOf(event, team),
   phase: REQUEST_PHASE.QUEUED,
   attempts: 0,
   mayHaveRun: false,
@@ -107,13 +108,20 @@
     refuseAs(team);
     return;
   }
+  const record = newRecord(state, event, rule, team);
+  const { workKey } = record;
+  const timeoutMs = record.deadlineAtMs - state.nowMs;
+  if (workKey !== null && settleElsewhere(state, event, workKey, timeoutMs, effects)) {
+    return;
+  }
   const refusal = refusalBeforeQueueing(state, rule, team);
   if (refusal !== null) {
     refuseAs(refusal);
     return;
   }
-  const record = newRecord(state, event, rule, team);
   state.requests.records.set(record.requestId, record);
   watchDeadline(state, record);
-  queueRequest(state, record);
+  if (workKey === null || takeOnWork(state, event, record, workKey)) {
+    queueRequest(state, record);
+  }
 };
--- a/packages/core/src/requests/attempts.ts
+++ b/packages/core/src/requests/attempts.ts
@@ -79,7 +79,7 @@
     requestId: record.requestId,
     attemptId: attempt.attemptId,
     attached: record.attached,
-    keepAs: null,
+    keepAs: record.workKey,
     failed,
   });
 };
--- a/packages/core/src/requests/reduceRequests.ts
+++ b/packages/core/src/requests/reduceRequests.ts
@@ -10,6 +10,7 @@
 import { REFUSAL_KIND, REQUEST_PHASE } from "./constants.js";
 import { takeExpired } from "./deadlines.js";
 import { expectedWaitMs, notRun, refuse, unknown } from "./refusals.js";
+import { endWithdrawn, keepsRunning } from "../tickets/works.js";
 import type { RequestRecord, RequestsState } from "./types.js";
 
 export const initialRequests = (): RequestsState => ({
@@ -44,11 +45,15 @@
     return;
   }
   const mayHaveRun = record.mayHaveRun || record.phase === REQUEST_PHASE.RUNNING;
+  const kind =
+    record.phase === REQUEST_PHASE.CLAIMING
+      ? REFUSAL_KIND.CLAIM_UNAVAILABLE
+      : REFUSAL_KIND.DEADLINE;
   withdraw(state, record, effects);
   const queue = poolQueue(state, record.pool);
   const refusal = mayHaveRun
     ? unknown(REFUSAL_KIND.DEADLINE)
-    : notRun(REFUSAL_KIND.DEADLINE, expectedWaitMs(state, record.pool, queue));
+    : notRun(kind, expectedWaitMs(state, record.pool, queue));
   refuse(state, record.requestId, refusal, effects);
 };
 
@@ -63,9 +68,13 @@
 
 const cancel = (state: State, requestId: RequestId, effects: Effect[]): void => {
   const record = state.requests.records.get(requestId);
+  if (keepsRunning(state, requestId)) {
+    return;
+  }
   if (record !== undefined) {
     state.requests.counters.cancelled += 1;
     withdraw(state, record, effects);
+    endWithdrawn(state, requestId);
   }
 };
 
--- a/packages/core/src/requests/types.ts
+++ b/packages/core/src/requests/types.ts
@@ -8,6 +8,7 @@
   TeamId,
   ValueOf,
 } from "@heatherferry/common";
+import type { PresentedTicket } from "@heatherferry/coordination";
 import type { ATTEMPT_STAGE, OUTCOME, REFUSAL_KIND, REQUEST_PHASE } from "./constants.js";
 
 export type Outcome = ValueOf<typeof OUTCOME>;
@@ -89,7 +90,8 @@
   readonly idempotent: boolean;
   /** The caller's own name for the work; null when none came. */
   readonly idempotencyKey: string | null;
-  readonly ticket: string | null;
+  /** The right to run, as presented; null when none came. */
+  readonly ticket: PresentedTicket | null;
   /** Time that the caller allows until the answer begins; null for the queue's own. */
   readonly timeoutMs: number | null;
   /** Set when another entry host passed the request on: it is never passed on again. */
--- /dev/null
+++ b/packages/core/src/tickets/claims.ts
@@ -0,0 +1,154 @@
+import type { Effect } from "../effect.js";
+import { ROW_PREFIX } from "../platform/constants.js";
+import type { WriteOutcome } from "../platform/types.js";
+import { rowKeyOf, submitWrite } from "../platform/writes.js";
+import { queueRequest } from "../requests/admission.js";
+import { REFUSAL_KIND, REQUEST } from "../requests/constants.js";
+import { notRun, refuse, unknown } from "../requests/refusals.js";
+import type { RequestRecord } from "../requests/types.js";
+import type { State } from "../state.js";
+import { TICKETS, WORK_STATE } from "./constants.js";
+import { forwardTo } from "./forwards.js";
+import type { ClaimRequest, ClaimRow } from "./types.js";
+import { endWithdrawn } from "./works.js";
+
+/**
+ * Has the work's name claimed in the table.
+ *
+ * @param state - The state to change.
+ * @param record - The request that is to run it.
+ * @param idempotencyKey - The caller's name for the work.
+ * @param forwarded - Another entry host passed it on.
+ */
+export const askClaim = (
+  state: State,
+  record: RequestRecord,
+  idempotencyKey: string,
+  forwarded: boolean,
+): void => {
+  const { entryHostId, incarnation } = state.node.identity;
+  const { team, deadlineAtMs } = record;
+  const row: ClaimRow = { type: "claim", team, idempotencyKey, entryHostId, incarnation };
+  const key = rowKeyOf(ROW_PREFIX.CLAIM, team, "/", idempotencyKey);
+  state.tickets.claimsWaiting.push({ key, row, deadlineAtMs, forwarded });
+};
+
+/**
+ * Sends the claims that wait, all in one transaction, unless one is under way: those that come
+ * meanwhile make up the next one.
+ *
+ * @param state - The state to change.
+ * @param effects - Receives the write.
+ */
+export const sendClaims = (state: State, effects: Effect[]): void => {
+  const { tickets } = state;
+  if (tickets.claimsInFlight.length > 0 || tickets.claimsWaiting.length === 0) {
+    return;
+  }
+  const claims = tickets.claimsWaiting.splice(0, TICKETS.MAX_CLAIMS_PER_WRITE);
+  tickets.claimsInFlight = claims;
+  const puts = claims.map(({ key, row }) => ({ key, body: row }));
+  const giveUpAtMs = Math.min(...claims.map(({ deadlineAtMs }) => deadlineAtMs));
+  submitWrite(state, { purpose: "claim", puts, giveUpAtMs }, effects);
+};
+
+/** The request that still waits for the claim; null when it ended meanwhile. */
+const claimingRecord = (state: State, { key }: ClaimRequest): RequestRecord | null => {
+  const work = state.tickets.works.get(key);
+  if (work?.state !== WORK_STATE.CLAIMING) {
+    return null;
+  }
+  return state.requests.records.get(work.requestId) ?? null;
+};
+
+const startClaimed = (state: State, claim: ClaimRequest): void => {
+  const record = claimingRecord(state, claim);
+  const work = state.tickets.works.get(claim.key);
+  if (record !== null && work !== undefined) {
+    work.state = WORK_STATE.RUNNING;
+    queueRequest(state, record);
+  }
+};
+
+const yieldTo = (state: State, claim: ClaimRequest, owner: ClaimRow, effects: Effect[]): void => {
+  const record = claimingRecord(state, claim);
+  const work = state.tickets.works.get(claim.key);
+  if (record === null || work === undefined) {
+    return;
+  }
+  const isOwn = owner.incarnation === state.node.identity.incarnation;
+  if (isOwn && work.knownNotRun) {
+    startClaimed(state, claim);
+    return;
+  }
+  state.requests.records.delete(record.requestId);
+  if (isOwn || claim.forwarded) {
+    const kind = isOwn ? REFUSAL_KIND.ANSWER_NOT_KEPT : REFUSAL_KIND.ISSUER_GONE;
+    refuse(state, record.requestId, unknown(kind), effects);
+    return;
+  }
+  const requests = [record.requestId, ...work.waiting];
+  endWithdrawn(state, record.requestId);
+  state.tickets.works.delete(claim.key);
+  for (const requestId of requests) {
+    forwardTo(state, requestId, owner, record.deadlineAtMs - state.nowMs, effects);
+  }
+};
+
+const refuseClaim = (state: State, claim: ClaimRequest, effects: Effect[]): void => {
+  const record = claimingRecord(state, claim);
+  if (record !== null) {
+    state.requests.records.delete(record.requestId);
+    const refusal = notRun(REFUSAL_KIND.CLAIM_UNAVAILABLE, REQUEST.MIN_RETRY_AFTER_MS);
+    refuse(state, record.requestId, refusal, effects);
+  }
+};
+
+const takeConflict = (
+  state: State,
+  claims: readonly ClaimRequest[],
+  outcome: WriteOutcome,
+  effects: Effect[],
+): void => {
+  const owners = new Map(outcome.rows.map((row) => [row.key, row.body]));
+  for (const claim of claims) {
+    const owner = owners.get(claim.key);
+    if (owner?.type === "claim") {
+      yieldTo(state, claim, owner, effects);
+    } else {
+      state.tickets.claimsWaiting.push(claim);
+    }
+  }
+};
+
+/**
+ * @param state - The state to change.
+ * @param outcome - How a write of claims ended.
+ * @param effects - Receives the effects.
+ */
+export const writeSettledClaims = (
+  state: State,
+  outcome: WriteOutcome,
+  effects: Effect[],
+): void => {
+  const claims = state.tickets.claimsInFlight;
+  state.tickets.claimsInFlight = [];
+  for (const { key } of claims) {
+    // Claims are looked up in the table alone: the mirror would grow with every request.
+    state.platform.mirror.delete(key);
+  }
+  switch (outcome.result) {
+    case "committed":
+      claims.forEach((claim) => {
+        startClaimed(state, claim);
+      });
+      break;
+    case "conflicted":
+      takeConflict(state, claims, outcome, effects);
+      break;
+    case "unsettled":
+      claims.forEach((claim) => {
+        refuseClaim(state, claim, effects);
+      });
+  }
+};
--- a/packages/core/tests/peersCluster.ts
+++ b/packages/core/tests/peersCluster.ts
@@ -1,16 +1,7 @@
 import {
-  address,
-  availabilityZoneId,
   entryHostId,
-  hostId,
-  incarnation,
-  keyHash,
-  poolId,
   queueId,
-  rackId,
   requestId,
-  revision,
-  rowKey,
   tableVersion,
   type AttemptId,
   type EntryHostId,
@@ -21,97 +12,62 @@
   peerCallId,
   reduce,
   type Effect,
-  type Event,
-  type PeerSeed,
+  type Refusal,
   type RequestArrived,
-  type State,
 } from "../src/index.js";
+import {
+  identityOf,
+  presentedTo,
+  seedsOf,
+  type Ending,
+  type Node,
+  type Untimed,
+} from "./peersNode.js";
+import { VirtualClock } from "./peersClock.js";
 import { FakeTable } from "./peersFakeTable.js";
+import { hostPut, rulesPut, SECRET } from "./peersRows.js";
 
-export type Untimed = Event extends infer E ? (E extends Event ? Omit<E, "atMs"> : never) : never;
-
-const TABLE_DELAY_MS = 3;
 const PEER_DELAY_MS = 1;
 const TICK_MS = 100;
 const TIMEOUT_MS = 1_000;
-const ZONE = availabilityZoneId("z");
-export const POOL = poolId("press");
-export const SECRET = keyHash("a".repeat(64));
-
-export interface Node {
-  readonly id: EntryHostId;
-  readonly state: State;
-  alive: boolean;
-}
-
-/** How a request ended for its caller. */
-export type Ending = "answered" | "replayed" | "brokenOff" | `${"notRun" | "unknown"}:${string}`;
 
 /** A few reducers of one zone under virtual time, with a table, targets and links that can fail. */
-export class PeersCluster {
+export class PeersCluster extends VirtualClock {
   readonly table = new FakeTable();
   readonly nodes = new Map<EntryHostId, Node>();
   readonly cutFromTable = new Set<EntryHostId>();
   readonly endings = new Map<RequestId, Ending>();
   /** How often a target was handed a piece of work, by the name the caller gave it. */
   readonly runs = new Map<string, number>();
-  readonly running = new Map<string, number>();
   serviceMs: () => number = () => 50;
   /** Whether a message between peers is lost. */
   loses: (from: EntryHostId, to: EntryHostId) => boolean = () => false;
-  nowMs = 0;
+  tableDelayMs = 3;
   onEffect: (node: Node, effect: Effect) => void = () => undefined;
-  private readonly due = new Map<number, (() => void)[]>();
   private sequence = 0;
+  /** Hosts whose writes take effect while the reply is lost. */
+  readonly repliesLost = new Set<EntryHostId>();
+  /** Whether a target's answer breaks off after it began. */
+  breaksOff: () => boolean = () => false;
   private readonly works = new Map<RequestId, string>();
+  private readonly arrivals = new Map<RequestId, Partial<RequestArrived>>();
+  private readonly onEnding = new Map<RequestId, (ending: Ending) => void>();
   private readonly aborted = new Set<AttemptId>();
 
   rules(text: string, number: number): void {
-    const body = {
-      type: "rulesHead",
-      revision: revision(number),
-      text,
-      appliedBy: "operator",
-      appliedAtMs: 0,
-    } as const;
-    this.table.commit({ key: rowKey("rules/head"), body }, this.nowMs);
+    this.table.commit(rulesPut(text, number), this.nowMs);
   }
 
   target(name: string, slots: number): void {
-    const body = {
-      type: "host",
-      hostId: hostId(name),
-      availabilityZone: ZONE,
-      rack: rackId("r"),
-      pool: POOL,
-      address: address(`${name}:1`),
-      slots,
-      phase: "inService",
-      drainEpoch: 0,
-      drainReason: null,
-      moveTo: null,
-      waveId: null,
-    } as const;
-    this.table.commit({ key: rowKey(`host/z/${name}`), body }, this.nowMs);
+    this.table.commit(hostPut(name, slots), this.nowMs);
   }
 
   start(name: string, life = "1", seeds: readonly string[] = []): Node {
     const id = entryHostId(name);
-    const identity = {
-      role: "entry",
-      entryHostId: id,
-      availabilityZone: ZONE,
-      incarnation: incarnation(`${name}-${life}`),
-      callerAddress: address(`${name}:80`),
-      peerAddress: address(`${name}:90`),
-    } as const;
-    const peerSeeds: PeerSeed[] = seeds.map((seed) => ({
-      entryHostId: entryHostId(seed),
-      peerAddress: address(`${seed}:90`),
-    }));
+    const identity = identityOf(name, life);
     const node: Node = { id, state: initialState(identity, 7, this.nowMs), alive: true };
     this.nodes.set(id, node);
-    this.hand(node, { type: "peers/seeded", seeds: peerSeeds });
+    this.hand(node, { type: "peers/seeded", seeds: seedsOf(seeds) });
     this.tick(node);
     return node;
   }
@@ -120,30 +76,11 @@
     node.alive = false;
   }
 
-  advance(forMs: number): void {
-    for (const endMs = this.nowMs + forMs; this.nowMs < endMs; this.nowMs += 1) {
-      const now = this.due.get(this.nowMs) ?? [];
-      now.forEach((run) => {
-        run();
-      });
-      this.due.delete(this.nowMs);
-    }
-  }
-
-  at(delayMs: number, run: () => void): void {
-    const atMs = this.nowMs + Math.max(1, Math.round(delayMs));
-    const list = this.due.get(atMs);
-    if (list === undefined) {
-      this.due.set(atMs, [run]);
-    } else {
-      list.push(run);
-    }
-  }
-
   send(node: Node, work: string, fields: Partial<RequestArrived> = {}): RequestId {
     this.sequence += 1;
     const id = requestId(`${node.id}-${this.sequence}`);
     this.works.set(id, work);
+    this.arrivals.set(id, fields);
     this.hand(node, {
       type: "request/arrived",
       requestId: id,
@@ -151,20 +88,24 @@
       keyHash: SECRET,
       idempotent: false,
       idempotencyKey: null,
-      ticket: null,
       timeoutMs: null,
       forwarded: false,
       ...fields,
+      ticket: presentedTo(node.state, fields.ticket ?? null),
     });
     return id;
   }
 
+  private end(id: RequestId, ending: Ending): void {
+    this.endings.set(id, ending);
+    this.onEnding.get(id)?.(ending);
+  }
+
   hand(node: Node, event: Untimed): void {
     if (!node.alive) {
       return;
     }
-    const effects = reduce(node.state, { ...event, atMs: this.nowMs });
-    for (const effect of effects) {
+    for (const effect of reduce(node.state, { ...event, atMs: this.nowMs })) {
       this.carryOut(node, effect);
     }
   }
@@ -179,8 +120,7 @@
   }
 
   private nodeAt(to: EntryHostId): Node | undefined {
-    const node = this.nodes.get(to);
-    return node?.alive === true ? node : undefined;
+    return this.nodes.get(to)?.alive === true ? this.nodes.get(to) : undefined;
   }
 
   private carryOut(node: Node, effect: Effect): void {
@@ -206,18 +146,30 @@
         return;
       case "caller/relay":
         this.at(1, () => {
-          this.endings.set(effect.requestId, "answered");
-          effect.attached.forEach((id) => this.endings.set(id, "answered"));
           const { requestId: id, attemptId, failed } = effect;
-          this.hand(node, { type: "attempt/completed", requestId: id, attemptId, failed });
+          if (this.breaksOff()) {
+            const failure = { stage: "answering", aborted: false, silent: false } as const;
+            const ids = { requestId: id, attemptId, reason: "reset", replayable: true };
+            this.hand(node, { type: "attempt/failed", ...ids, ...failure });
+          } else if (node.alive) {
+            this.end(id, "answered");
+            this.hand(node, { type: "attempt/completed", requestId: id, attemptId, failed });
+          }
         });
         return;
       case "caller/refuse": {
         const { outcome, kind } = effect.refusal;
-        this.endings.set(effect.requestId, `${outcome}:${kind}`);
+        this.end(effect.requestId, `${outcome}:${kind}`);
         return;
       }
-      default:
+      case "caller/replayKept":
+        this.end(effect.requestId, "replayed");
+        return;
+      case "caller/breakOff":
+        this.end(effect.requestId, "brokenOff");
+        return;
+      case "peer/forwardRequest":
+        this.forward(node, effect);
         return;
     }
   }
@@ -230,7 +182,7 @@
       });
       return;
     }
-    this.at(TABLE_DELAY_MS, () => {
+    this.at(this.tableDelayMs, () => {
       this.hand(node, {
         type: "table/readCompleted",
         sentAtMs,
@@ -251,9 +203,13 @@
       });
       return;
     }
-    this.at(TABLE_DELAY_MS, () => {
+    this.at(this.tableDelayMs, () => {
       const rows = this.table.write(write, this.nowMs);
       const version = tableVersion(this.table.version);
+      if (this.repliesLost.has(node.id)) {
+        this.hand(node, { type: "table/writeUnanswered", writeId, reason: "reply lost" });
+        return;
+      }
       this.hand(
         node,
         rows === null
@@ -271,10 +227,10 @@
       });
       return;
     }
-    const { message } = effect;
-    const life = node.state.node.identity.incarnation;
+    const { incarnation } = node.state.node.identity;
     this.at(PEER_DELAY_MS, () => {
-      this.hand(to, { type: "peer/received", from: node.id, incarnation: life, message });
+      const { message } = effect;
+      this.hand(to, { type: "peer/received", from: node.id, incarnation, message });
     });
   }
 
@@ -287,9 +243,12 @@
       });
       return;
     }
-    const callId = peerCallId("call");
     this.at(PEER_DELAY_MS, () => {
-      const event = { type: "peer/viewAsked", callId, ranges: effect.ranges } as const;
+      const event = {
+        type: "peer/viewAsked",
+        callId: peerCallId("call"),
+        ranges: effect.ranges,
+      } as const;
       const effects = reduce(to.state, { ...event, atMs: this.nowMs });
       const answer = effects.find((each) => each.type === "peer/answerView");
       const view = answer?.view ?? null;
@@ -304,13 +263,52 @@
     });
   }
 
+  private forward(node: Node, effect: Extract<Effect, { type: "peer/forwardRequest" }>): void {
+    const { requestId: id, timeoutMs } = effect;
+    const to = this.nodeAt(effect.entryHostId);
+    if (to === undefined) {
+      this.at(PEER_DELAY_MS, () => {
+        this.hand(node, { type: "forward/failed", requestId: id, sent: false });
+      });
+      return;
+    }
+    let open = true;
+    const finish = (event: Untimed): void => {
+      if (open) {
+        open = false;
+        this.hand(node, event);
+      }
+    };
+    this.at(timeoutMs, () => {
+      finish({ type: "forward/failed", requestId: id, sent: true });
+    });
+    this.at(PEER_DELAY_MS, () => {
+      if (!to.alive || to.state.node.identity.incarnation !== effect.incarnation) {
+        return;
+      }
+      const fields = { ...this.arrivals.get(id), forwarded: true, timeoutMs };
+      this.onEnding.set(requestId(`${to.id}-${this.sequence + 1}`), (ending) => {
+        const [outcome, kind] = ending.split(":");
+        const refusal = { outcome, kind, retryAfterMs: null } as Refusal;
+        this.at(PEER_DELAY_MS, () => {
+          const answered = kind === undefined;
+          this.endings.set(id, answered && node.alive ? ending : (this.endings.get(id) ?? ending));
+          finish(
+            answered
+              ? { type: "forward/answered", requestId: id }
+              : { type: "forward/refused", requestId: id, refusal },
+          );
+        });
+      });
+      this.send(to, this.works.get(id) ?? id, fields);
+    });
+  }
+
   private dispatch(node: Node, effect: Extract<Effect, { type: "attempt/dispatch" }>): void {
-    const { requestId: id, attemptId, hostId: target } = effect;
+    const { requestId: id, attemptId } = effect;
     const work = this.works.get(id) ?? id;
     this.runs.set(work, (this.runs.get(work) ?? 0) + 1);
-    this.running.set(target, (this.running.get(target) ?? 0) + 1);
     this.at(this.serviceMs(), () => {
-      this.running.set(target, (this.running.get(target) ?? 0) - 1);
       const replayable = true;
       if (this.aborted.has(attemptId)) {
         const failure = { stage: "sent", aborted: true, silent: false, reason: "aborted" } as const;
--- a/packages/core/tests/peersView.test.ts
+++ b/packages/core/tests/peersView.test.ts
@@ -1,7 +1,9 @@
 import test from "ava";
 import { entryHostId, rowKey, tableVersion } from "@heatherferry/common";
 import { takeRows, viewAgeMs } from "../src/index.js";
-import { PeersCluster, SECRET, type Node } from "./peersCluster.js";
+import { PeersCluster } from "./peersCluster.js";
+import type { Node } from "./peersNode.js";
+import { SECRET } from "./peersRows.js";
 
 const HEAD = rowKey("rules/head");
 const QUEUE = "queue dies pool=press # Ana: dies\n";
--- /dev/null
+++ b/packages/core/tests/tickets.test.ts
@@ -0,0 +1,281 @@
+import test from "ava";
+import { TICKETS } from "../src/index.js";
+import { PeersCluster } from "./peersCluster.js";
+import { issueTicket, type Ending, type Node } from "./peersNode.js";
+import { SECRET } from "./peersRows.js";
+
+const RULES = [
+  "team cork share=1 limit=100 # Ana: cork",
+  "pool press hosts=* max-unavailable=1 # Ana: presses",
+  "queue dies pool=press timeout-ms=5000 # Ana: dies",
+  `key main team=cork hash=${SECRET} # Ana: first key`,
+  "",
+].join("\n");
+
+interface Zone {
+  readonly cluster: PeersCluster;
+  readonly a: Node;
+  readonly b: Node;
+}
+
+const zone = (): Zone => {
+  const cluster = new PeersCluster();
+  cluster.rules(RULES, 1);
+  cluster.target("t1", 80);
+  const [a, b] = [cluster.start("a"), cluster.start("b")];
+  cluster.advance(4_000);
+  return { cluster, a, b };
+};
+
+const WITH_KEY = { idempotencyKey: "lot-7" };
+
+/** Ways of naming work so that repeats are known. */
+const NAMINGS = {
+  ticket: ({ a }: Zone) => ({ ticket: issueTicket(a) }),
+  "request id": () => WITH_KEY,
+} as const;
+
+const MOMENTS_MS = [0, 1, 2, 3, 4, 5, 8, 20, 53, 54, 55, 56, 57, 58, 60, 80, 300];
+
+const runsOf = (cluster: PeersCluster, work: string): number => cluster.runs.get(work) ?? 0;
+
+for (const [name, naming] of Object.entries(NAMINGS)) {
+  test(`work named by a ${name} runs at most once when its entry host dies at any moment`, (t) => {
+    for (const momentMs of MOMENTS_MS) {
+      const made = zone();
+      const { cluster, a, b } = made;
+      const fields = naming(made);
+      cluster.send(a, "mark", fields);
+      cluster.advance(momentMs);
+      cluster.kill(a);
+      const repeats = [cluster.send(b, "mark", fields)];
+      cluster.advance(6_000);
+      repeats.push(cluster.send(b, "mark", fields));
+      cluster.advance(12_000);
+      const successor = cluster.start("a", "2");
+      cluster.advance(3_000);
+      repeats.push(cluster.send(b, "mark", fields), cluster.send(successor, "mark", fields));
+      cluster.advance(6_000);
+      t.true(runsOf(cluster, "mark") <= 1, `killed after ${momentMs} ms`);
+      for (const repeat of repeats) {
+        const ending = cluster.endings.get(repeat) ?? "none";
+        t.not(ending, "none", `killed after ${momentMs} ms`);
+        t.true(ending !== "answered" || runsOf(cluster, "mark") === 1);
+      }
+    }
+  });
+
+  test(`repeats of a ${name} through two entry hosts at once share one run and one answer`, (t) => {
+    for (const momentMs of [0, 1, 2, 3, 5, 30, 54, 200, 2_000]) {
+      const made = zone();
+      const { cluster, a, b } = made;
+      const fields = naming(made);
+      const first = cluster.send(a, "mark", fields);
+      cluster.advance(momentMs);
+      const others = [cluster.send(b, "mark", fields), cluster.send(a, "mark", fields)];
+      cluster.advance(1_000);
+      t.is(runsOf(cluster, "mark"), 1, `repeated after ${momentMs} ms`);
+      for (const id of [first, ...others]) {
+        t.regex(cluster.endings.get(id) ?? "none", /^(answered|replayed)$/);
+      }
+    }
+  });
+
+  test(`a ${name} whose answer broke off is unknown, and unknown again, and runs once`, (t) => {
+    const made = zone();
+    const { cluster, a, b } = made;
+    const fields = naming(made);
+    cluster.breaksOff = () => true;
+    const first = cluster.send(a, "mark", fields);
+    cluster.advance(20);
+    const waiting = cluster.send(b, "mark", fields);
+    cluster.advance(1_000);
+    cluster.breaksOff = () => false;
+    const later = cluster.send(a, "mark", fields);
+    cluster.advance(1_000);
+    const endings = [first, waiting, later].map((id) => cluster.endings.get(id));
+    const expected: Ending[] = ["brokenOff", "unknown:answerNotKept", "unknown:answerNotKept"];
+    t.deepEqual(endings, expected);
+    t.is(runsOf(cluster, "mark"), 1);
+  });
+
+  test(`a ${name} whose answer is forgotten is unknown, not run once more`, (t) => {
+    const made = zone();
+    const { cluster, a } = made;
+    const fields = naming(made);
+    cluster.send(a, "mark", fields);
+    cluster.advance(TICKETS.KEEP_MS + 2_000);
+    const later = cluster.send(a, "mark", fields);
+    cluster.advance(1_000);
+    t.regex(cluster.endings.get(later) ?? "none", /^unknown:/);
+    t.is(runsOf(cluster, "mark"), 1);
+  });
+
+  test(`a ${name} goes on when its caller hangs up, and its repeat gets the answer`, (t) => {
+    const made = zone();
+    const { cluster, a, b } = made;
+    const fields = naming(made);
+    const first = cluster.send(a, "mark", fields);
+    cluster.advance(20);
+    cluster.hand(a, { type: "request/cancelled", requestId: first });
+    const repeat = cluster.send(b, "mark", fields);
+    cluster.advance(1_000);
+    t.is(cluster.endings.get(repeat), "replayed");
+    t.is(runsOf(cluster, "mark"), 1);
+  });
+}
+
+test("a ticket runs though the platform is down, and once only", (t) => {
+  const made = zone();
+  const { cluster, a, b } = made;
+  const fields = NAMINGS.ticket(made);
+  [a, b].forEach(({ id }) => cluster.cutFromTable.add(id));
+  cluster.advance(1_000);
+  const first = cluster.send(a, "mark", fields);
+  cluster.advance(500);
+  const repeat = cluster.send(b, "mark", fields);
+  cluster.advance(500);
+  t.is(cluster.endings.get(first), "answered");
+  t.is(cluster.endings.get(repeat), "replayed");
+  t.is(runsOf(cluster, "mark"), 1);
+});
+
+test("a request id that cannot be claimed is refused as not run and never runs later", (t) => {
+  const { cluster, a } = zone();
+  cluster.cutFromTable.add(a.id);
+  const first = cluster.send(a, "mark", { ...WITH_KEY, timeoutMs: 1_500 });
+  cluster.advance(2_000);
+  t.is(cluster.endings.get(first), "notRun:claimUnavailable");
+  cluster.cutFromTable.delete(a.id);
+  cluster.advance(20_000);
+  t.is(runsOf(cluster, "mark"), 0);
+});
+
+test("a claim that took effect while its reply was lost does not bar the repeat", (t) => {
+  for (const through of ["a", "b"] as const) {
+    const made = zone();
+    const { cluster, a } = made;
+    cluster.repliesLost.add(a.id);
+    const first = cluster.send(a, "mark", { ...WITH_KEY, timeoutMs: 1_500 });
+    cluster.advance(2_000);
+    t.is(cluster.endings.get(first), "notRun:claimUnavailable");
+    t.is(runsOf(cluster, "mark"), 0);
+    cluster.repliesLost.clear();
+    cluster.advance(8_000);
+    const repeat = cluster.send(made[through], "mark", WITH_KEY);
+    cluster.advance(2_000);
+    t.is(cluster.endings.get(repeat), "answered", through);
+    t.is(runsOf(cluster, "mark"), 1);
+  }
+});
+
+test("a claim already taken does not hold up the others of its transaction", (t) => {
+  const { cluster, a, b } = zone();
+  cluster.send(b, "taken", { idempotencyKey: "taken" });
+  cluster.advance(500);
+  const before = cluster.table.writes;
+  const works = Array.from({ length: 100 }, (_, index) => `mark-${index}`);
+  const ids = [...works, "taken"].map((work) => cluster.send(a, work, { idempotencyKey: work }));
+  cluster.advance(400);
+  t.true(ids.every((id) => /answered|replayed/.test(cluster.endings.get(id) ?? "none")));
+  t.true([...works, "taken"].every((work) => runsOf(cluster, work) === 1));
+  t.true(cluster.table.writes - before <= 6, `${cluster.table.writes - before} writes`);
+  t.is([...a.state.platform.mirror.keys()].filter((key) => key.startsWith("claim/")).length, 0);
+});
+
+test("a ticket that is forged, not yet issued, or expired starts nothing", (t) => {
+  const { cluster, a } = zone();
+  const ticket = issueTicket(a);
+  const forged = cluster.send(a, "forged", { ticket: { ...ticket, genuine: false } });
+  const early = cluster.send(a, "early", { ticket: { ...ticket, sequence: 99 } });
+  cluster.advance(TICKETS.VALID_MS + 1_000);
+  const late = cluster.send(a, "late", { ticket });
+  cluster.advance(1_000);
+  const endings = [forged, early, late].map((id) => cluster.endings.get(id));
+  const expected: Ending[] = [
+    "notRun:ticketInvalid",
+    "notRun:ticketInvalid",
+    "unknown:ticketInvalid",
+  ];
+  t.deepEqual(endings, expected);
+  t.is(cluster.runs.size, 0);
+});
+
+test("an answer too large to be kept makes its repeat unknown, not a second run", (t) => {
+  const { cluster, a } = zone();
+  cluster.onEffect = (node, effect) => {
+    if (effect.type === "caller/relay" && effect.keepAs !== null) {
+      const keptAs = effect.keepAs;
+      cluster.at(1, () => {
+        cluster.hand(node, { type: "answer/notKept", keptAs });
+      });
+    }
+  };
+  cluster.send(a, "mark", WITH_KEY);
+  cluster.advance(500);
+  const repeat = cluster.send(a, "mark", WITH_KEY);
+  cluster.advance(500);
+  t.is(cluster.endings.get(repeat), "unknown:answerNotKept");
+  t.is(runsOf(cluster, "mark"), 1);
+});
+
+test("a claim that commits after its request was refused starts the repeat once", (t) => {
+  const { cluster, a } = zone();
+  cluster.tableDelayMs = 1_500;
+  const first = cluster.send(a, "mark", { ...WITH_KEY, timeoutMs: 1_000 });
+  cluster.advance(1_200);
+  cluster.tableDelayMs = 3;
+  const repeat = cluster.send(a, "mark", WITH_KEY);
+  cluster.advance(2_000);
+  t.is(cluster.endings.get(first), "notRun:claimUnavailable");
+  t.is(cluster.endings.get(repeat), "answered");
+  t.is(runsOf(cluster, "mark"), 1);
+});
+
+test("a ticket whose work was pushed out of memory is unknown, not run once more", (t) => {
+  const { cluster, a } = zone();
+  cluster.serviceMs = () => 1;
+  const ticket = issueTicket(a);
+  cluster.send(a, "mark", { ticket });
+  for (let sent = 0; sent < TICKETS.MAX_KEPT_WORKS; sent += 1) {
+    cluster.send(a, `other-${sent}`, { ticket: issueTicket(a) });
+    cluster.advance(sent % 20 === 0 ? 5 : 0);
+  }
+  cluster.advance(200);
+  t.true(a.state.tickets.works.size <= TICKETS.MAX_KEPT_WORKS);
+  const repeat = cluster.send(a, "mark", { ticket });
+  cluster.advance(200);
+  t.is(cluster.endings.get(repeat), "unknown:ticketInvalid");
+  t.is(runsOf(cluster, "mark"), 1);
+});
+
+test("a ticket costs no table write, and claims that come together share theirs", (t) => {
+  for (const perSecond of [100, 1_000]) {
+    const { cluster, a } = zone();
+    cluster.serviceMs = () => 1;
+    let claimWrites = 0;
+    const waitsMs: number[] = [];
+    const sentAtMs = new Map<string, number>();
+    cluster.onEffect = (_node, effect) => {
+      const put = effect.type === "table/write" ? effect.write.puts[0] : undefined;
+      claimWrites += put?.body.type === "claim" ? 1 : 0;
+      if (effect.type === "attempt/dispatch") {
+        waitsMs.push(cluster.nowMs - (sentAtMs.get(effect.requestId) ?? 0));
+      }
+    };
+    for (let sent = 0; sent < perSecond; sent += 1) {
+      const id = cluster.send(a, `mark-${sent}`, { idempotencyKey: `lot-${sent}` });
+      sentAtMs.set(id, cluster.nowMs);
+      cluster.advance(1_000 / perSecond);
+    }
+    cluster.advance(1_000);
+    const forClaims = claimWrites;
+    const worstMs = Math.max(...waitsMs);
+    cluster.send(a, "other", { ticket: issueTicket(a) });
+    cluster.advance(100);
+    t.is(claimWrites, forClaims);
+    t.is(waitsMs.length, perSecond + 1);
+    t.true(forClaims <= perSecond && worstMs <= 3 * cluster.tableDelayMs);
+    t.log(`${perSecond}/s: ${forClaims / perSecond} writes a request, at most ${worstMs} ms`);
+  }
+});
--- a/packages/runners/src/callers/callerServer.ts
+++ b/packages/runners/src/callers/callerServer.ts
@@ -1,10 +1,21 @@
 import type { RequestId } from "@heatherferry/common";
 import type { Refusal } from "@heatherferry/core";
+import type { ArrivalFields } from "./parseArrival.js";
 import type { IncomingAnswer, OutgoingRequest } from "./types.js";
 
 /** How passing an answer on ended. */
 export type RelayEnd = "whole" | "answerBrokeOff" | "callerGone";
 
+/** A caller's request with all that another entry host needs to run it. */
+export interface ForwardableRequest {
+  readonly arrival: ArrivalFields;
+  /** The ticket as it was presented. */
+  readonly ticketText: string | null;
+  readonly outgoing: OutgoingRequest;
+  /** Aborts when the caller hangs up. */
+  readonly signal: AbortSignal;
+}
+
 /** Where callers' requests come in and their outcomes go out. */
 export abstract class CallerServer {
   /**
@@ -13,6 +24,12 @@
    */
   abstract outgoing(requestId: RequestId): OutgoingRequest | null;
 
+  /**
+   * @param requestId - A request that has no outcome yet.
+   * @returns What another entry host needs to run it; null when the caller is gone.
+   */
+  abstract forwardable(requestId: RequestId): ForwardableRequest | null;
+
   /**
    * Passes a target's answer on.
    *
--- a/packages/runners/src/callers/httpCallerServer.ts
+++ b/packages/runners/src/callers/httpCallerServer.ts
@@ -9,7 +9,8 @@
 import { requestId, type Incarnation, type RequestId } from "@heatherferry/common";
 import { REFUSAL_KIND, REQUEST, OUTCOME, type Refusal } from "@heatherferry/core";
 import findMyWay from "find-my-way";
-import { CallerServer, type RelayEnd } from "./callerServer.js";
+import type { Ticket, TicketSigner } from "@heatherferry/coordination";
+import { CallerServer, type ForwardableRequest, type RelayEnd } from "./callerServer.js";
 import { CALLER_HEADER, passedHeaders } from "./headers.js";
 import { isBadHeader, parseArrival, type ArrivalFields } from "./parseArrival.js";
 import { refusalAnswer } from "./refusalText.js";
@@ -23,10 +24,18 @@
 
   /** @param requestId - A request whose caller hung up. */
   abstract cancelled(requestId: RequestId): void;
+
+  /**
+   * @param requestId - A call for tickets.
+   * @param count - Tickets that the caller wants.
+   */
+  abstract ticketsRequested(requestId: RequestId, count: number): void;
 }
 
 interface Exchange {
+  readonly arrival: ArrivalFields;
   readonly outgoing: OutgoingRequest;
+  readonly hungUp: AbortController;
   readonly response: ServerResponse;
   /** An outcome is on its way to the caller. */
   settled: boolean;
@@ -81,6 +90,7 @@
 export class HttpCallerServer extends CallerServer {
   private readonly server: Server;
   private readonly router = findMyWay({ ignoreTrailingSlash: true });
+  private readonly ticketCalls = new Map<RequestId, ServerResponse>();
   private readonly exchanges = new Map<RequestId, Exchange>();
   private sequence = 0;
   private leaving = false;
@@ -88,14 +98,17 @@
   /**
    * @param incarnation - Makes request ids unique over restarts.
    * @param handler - Hears of requests.
+   * @param signer - Signs and tells the tickets of this process.
    */
   constructor(
     private readonly incarnation: Incarnation,
     private readonly handler: ArrivalHandler,
+    private readonly signer: TicketSigner,
   ) {
     super();
     this.router.all("/queues/:queue", this.onQueueRequest.bind(this));
     this.router.all("/queues/:queue/*", this.onQueueRequest.bind(this));
+    this.router.on("POST", "/tickets", this.onTicketsRequest.bind(this));
     this.server = createServer((request, response) => {
       this.router.lookup(request, response);
     });
@@ -127,6 +140,36 @@
     return this.exchanges.get(id)?.outgoing ?? null;
   }
 
+  override forwardable(id: RequestId): ForwardableRequest | null {
+    const exchange = this.exchanges.get(id);
+    if (exchange === undefined) {
+      return null;
+    }
+    const { arrival, outgoing, response, hungUp } = exchange;
+    const ticketText = response.req.headers[CALLER_HEADER.TICKET];
+    return {
+      arrival,
+      outgoing,
+      ticketText: typeof ticketText === "string" ? ticketText : null,
+      signal: hungUp.signal,
+    };
+  }
+
+  /**
+   * Answers a caller that asked for tickets.
+   *
+   * @param id - Its request.
+   * @param tickets - The tickets; none when none can be issued now.
+   */
+  sendTickets(id: RequestId, tickets: readonly Ticket[]): void {
+    const response = this.ticketCalls.get(id);
+    this.ticketCalls.delete(id);
+    if (response !== undefined) {
+      const body = { tickets: tickets.map((ticket) => this.signer.sign(ticket)) };
+      sendJson(response, 200, this.connectionHeaders(), body);
+    }
+  }
+
   override async relay(id: RequestId, answer: IncomingAnswer): Promise<RelayEnd> {
     const exchange = this.exchanges.get(id);
     if (exchange === undefined || exchange.response.destroyed) {
@@ -205,7 +248,7 @@
     this.sequence += 1;
     const id = requestId(`${this.incarnation}-${this.sequence}`);
     const queue = params.queue ?? "";
-    const arrival = parseArrival(id, queue, request.method ?? "GET", request.headers);
+    const arrival = parseArrival(id, queue, request.method ?? "GET", request.headers, this.signer);
     if (isBadHeader(arrival)) {
       this.refuseBadHeader(response, arrival.header, arrival.remedy);
       return;
@@ -221,6 +264,20 @@
     void this.takeIn(request, response, arrival);
   }
 
+  private onTicketsRequest(request: IncomingMessage, response: ServerResponse): void {
+    const { searchParams } = new URL(request.url ?? "/", "http://callers");
+    const count = Number(searchParams.get("count") ?? "1");
+    if (!Number.isSafeInteger(count) || count < 1) {
+      sendJson(response, 400, {}, { message: "count must be a whole number above 0" });
+      return;
+    }
+    this.sequence += 1;
+    const id = requestId(`${this.incarnation}-${this.sequence}`);
+    this.ticketCalls.set(id, response);
+    response.once("close", () => this.ticketCalls.delete(id));
+    this.handler.ticketsRequested(id, count);
+  }
+
   private refuseBadHeader(response: ServerResponse, header: string, remedy: string): void {
     const message = `The header ${header} cannot be understood. ${remedy}. The request has not run.`;
     const body = { outcome: "not-run", kind: "badHeader", message, retryAfterMs: null };
@@ -245,7 +302,8 @@
         headers: passedHeaders(request.headers),
         body,
       };
-      this.open(arrival, { outgoing, response, settled: false });
+      const hungUp = new AbortController();
+      this.open(arrival, { arrival, outgoing, response, hungUp, settled: false });
     } catch {
       response.destroy();
     }
@@ -256,6 +314,7 @@
     exchange.response.once("close", () => {
       this.exchanges.delete(arrival.requestId);
       if (!exchange.settled) {
+        exchange.hungUp.abort();
         this.handler.cancelled(arrival.requestId);
       }
     });
--- a/packages/runners/src/callers/parseArrival.ts
+++ b/packages/runners/src/callers/parseArrival.ts
@@ -1,6 +1,7 @@
 import { createHash } from "node:crypto";
 import type { IncomingHttpHeaders } from "node:http";
 import { keyHash, queueId, type KeyHash, type QueueId, type RequestId } from "@heatherferry/common";
+import type { PresentedTicket, TicketSigner } from "@heatherferry/coordination";
 import type { RequestArrived } from "@heatherferry/core";
 import { CALLER_HEADER } from "./headers.js";
 
@@ -65,6 +66,18 @@
     : { header: CALLER_HEADER.TIMEOUT_MS, remedy: "Send a whole number of milliseconds above 0" };
 };
 
+const readTicket = (
+  headers: IncomingHttpHeaders,
+  signer: TicketSigner,
+): PresentedTicket | BadHeader | null => {
+  const text = readId(headers, CALLER_HEADER.TICKET);
+  if (text === null || typeof text !== "string") {
+    return text;
+  }
+  const remedy = "Send a ticket as it was issued";
+  return signer.read(text) ?? { header: CALLER_HEADER.TICKET, remedy };
+};
+
 const isBad = (value: unknown): value is BadHeader =>
   typeof value === "object" && value !== null && "remedy" in value;
 
@@ -77,6 +90,7 @@
  * @param queue - Name of the queue out of the path.
  * @param method - HTTP method.
  * @param headers - Header fields as received.
+ * @param signer - Tells the tickets of this process.
  * @returns The arrival, or the header that is wrong.
  */
 export const parseArrival = (
@@ -84,10 +98,11 @@
   queue: string,
   method: string,
   headers: IncomingHttpHeaders,
+  signer: TicketSigner,
 ): ArrivalFields | BadHeader => {
   const key = readKey(headers);
   const idempotencyKey = readId(headers, CALLER_HEADER.REQUEST_ID);
-  const ticket = readId(headers, CALLER_HEADER.TICKET);
+  const ticket = readTicket(headers, signer);
   const idempotent = readIdempotent(method, headers);
   const timeoutMs = readTimeoutMs(headers);
   if (isBad(key)) {
--- a/packages/runners/src/peers/connectPeerLink.ts
+++ b/packages/runners/src/peers/connectPeerLink.ts
@@ -111,7 +111,8 @@
     const connection = await this.open(to);
     connection.forwardsInFlight += 1;
     try {
-      const { timeoutMs } = request;
+      // The protocol's header takes whole milliseconds alone.
+      const timeoutMs = Math.max(1, Math.ceil(request.timeoutMs));
       return decodeOutcome(await connection.client.runRequest(encoded, { timeoutMs, signal }));
     } catch (cause) {
       // The request itself may be slow: whether the connection is silent is for its pings to say.
--- /dev/null
+++ b/packages/runners/src/peers/forwardedCallers.ts
@@ -0,0 +1,136 @@
+import { requestId, type Incarnation, type RequestId } from "@heatherferry/common";
+import type { TicketSigner } from "@heatherferry/coordination";
+import { OUTCOME, REFUSAL_KIND, REQUEST, type Refusal } from "@heatherferry/core";
+import type { ForwardedOutcome, ForwardedRequest } from "@heatherferry/wire";
+import { CallerServer, type ForwardableRequest, type RelayEnd } from "../callers/callerServer.js";
+import { RequestBody, readRequestBody } from "../callers/requestBody.js";
+import type { HeaderFields, IncomingAnswer, OutgoingRequest } from "../callers/types.js";
+import type { EventLoop } from "../loop/eventLoop.js";
+
+interface ForwardedExchange {
+  readonly outgoing: OutgoingRequest;
+  readonly finish: (outcome: ForwardedOutcome) => void;
+}
+
+const refused = (refusal: Refusal): ForwardedOutcome => ({ type: "refused", refusal });
+
+const unknown = (kind: Refusal["kind"]): ForwardedOutcome =>
+  refused({ outcome: OUTCOME.UNKNOWN, kind, retryAfterMs: null });
+
+/** Stands for the callers whose requests other entry hosts pass on to this one. */
+export class ForwardedCallers extends CallerServer {
+  private readonly exchanges = new Map<RequestId, ForwardedExchange>();
+  private sequence = 0;
+
+  /**
+   * @param incarnation - The life of this entry host.
+   * @param signer - Tells the tickets of this process.
+   */
+  constructor(
+    private readonly incarnation: Incarnation,
+    private readonly signer: TicketSigner,
+  ) {
+    super();
+  }
+
+  /**
+   * Has a forwarded request run.
+   *
+   * @param request - The request.
+   * @param signal - Aborts when the sender no longer waits.
+   * @param loop - Takes the arrival.
+   * @returns How it ended.
+   */
+  async run(
+    request: ForwardedRequest,
+    signal: AbortSignal,
+    loop: EventLoop,
+  ): Promise<ForwardedOutcome> {
+    if (request.incarnation !== this.incarnation) {
+      return unknown(REFUSAL_KIND.ISSUER_GONE);
+    }
+    this.sequence += 1;
+    const id = requestId(`${this.incarnation}-f${this.sequence}`);
+    return new Promise((resolve) => {
+      this.open(id, request, resolve);
+      signal.addEventListener("abort", () => {
+        if (this.exchanges.delete(id)) {
+          loop.handle({ type: "request/cancelled", requestId: id });
+        }
+      });
+      const { queue, keyHash, idempotent, idempotencyKey, timeoutMs } = request;
+      const ticket = request.ticket === null ? null : this.signer.read(request.ticket);
+      const fields = { queue, keyHash, idempotent, idempotencyKey, timeoutMs, ticket };
+      loop.handle({ type: "request/arrived", requestId: id, ...fields, forwarded: true });
+    });
+  }
+
+  /**
+   * @param id - A request.
+   * @returns Whether it was passed on by another entry host.
+   */
+  has(id: RequestId): boolean {
+    return this.exchanges.has(id);
+  }
+
+  override outgoing(id: RequestId): OutgoingRequest | null {
+    return this.exchanges.get(id)?.outgoing ?? null;
+  }
+
+  override forwardable(): ForwardableRequest | null {
+    return null;
+  }
+
+  override async relay(id: RequestId, answer: IncomingAnswer): Promise<RelayEnd> {
+    const { statusCode, headers } = answer;
+    try {
+      const body = await readRequestBody(answer.body, REQUEST.MAX_BODY_BYTES, 0);
+      const bytes = body.open();
+      const isWhole = bytes === null || Buffer.isBuffer(bytes);
+      if (!isWhole) {
+        answer.body.destroy();
+      }
+      this.finish(
+        id,
+        isWhole
+          ? { type: "answered", statusCode, headers, body: bytes ?? Buffer.alloc(0) }
+          : unknown(REFUSAL_KIND.ANSWER_NOT_KEPT),
+      );
+      return "whole";
+    } catch {
+      return "answerBrokeOff";
+    }
+  }
+
+  override refuse(id: RequestId, refusal: Refusal): void {
+    this.finish(id, refused(refusal));
+  }
+
+  override breakOff(id: RequestId): void {
+    this.finish(id, unknown(REFUSAL_KIND.TARGET_BROKE_OFF));
+  }
+
+  override close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  private open(
+    id: RequestId,
+    request: ForwardedRequest,
+    finish: (outcome: ForwardedOutcome) => void,
+  ): void {
+    const { method, path, body } = request;
+    const headers: HeaderFields = {};
+    for (const [name, value] of Object.entries(request.headers)) {
+      headers[name] = typeof value === "string" ? value : [...value];
+    }
+    const kept = body.length === 0 ? [] : [Buffer.from(body)];
+    const outgoing = { method, path, headers, body: new RequestBody(kept, null, body.length) };
+    this.exchanges.set(id, { outgoing, finish });
+  }
+
+  private finish(id: RequestId, outcome: ForwardedOutcome): void {
+    this.exchanges.get(id)?.finish(outcome);
+    this.exchanges.delete(id);
+  }
+}
--- a/packages/runners/src/peers/loopPeerHandler.ts
+++ b/packages/runners/src/peers/loopPeerHandler.ts
@@ -1,6 +1,12 @@
-import { OUTCOME, REFUSAL_KIND, type PeerView, type TableRange } from "@heatherferry/core";
-import type { ForwardedOutcome, PeerEnvelope } from "@heatherferry/wire";
+import type { PeerView, TableRange } from "@heatherferry/core";
+import type {
+  ForwardedOutcome,
+  ForwardedRequest,
+  PeerEnvelope,
+  PeerSender,
+} from "@heatherferry/wire";
 import type { EventLoop } from "../loop/eventLoop.js";
+import type { ForwardedCallers } from "./forwardedCallers.js";
 import type { PeerRunner } from "./peerRunner.js";
 import { PeerRequestHandler } from "./peerRequestHandler.js";
 
@@ -9,6 +15,13 @@
   private loop: EventLoop | null = null;
   private runner: PeerRunner | null = null;
 
+  /**
+   * @param forwarded - Runs what other entry hosts pass on.
+   */
+  constructor(private readonly forwarded: ForwardedCallers) {
+    super();
+  }
+
   /**
    * Calls before this get no view and are dropped.
    *
@@ -29,12 +42,14 @@
     return this.runner === null ? null : this.runner.ownView(ranges);
   }
 
-  override runRequest(): Promise<ForwardedOutcome> {
-    const refusal = {
-      outcome: OUTCOME.NOT_RUN,
-      kind: REFUSAL_KIND.TICKET_INVALID,
-      retryAfterMs: null,
-    };
-    return Promise.resolve({ type: "refused", refusal });
+  override async runRequest(
+    _sender: PeerSender,
+    request: ForwardedRequest,
+    signal: AbortSignal,
+  ): Promise<ForwardedOutcome> {
+    if (this.loop === null) {
+      throw new Error("This entry host is starting");
+    }
+    return this.forwarded.run(request, signal, this.loop);
   }
 }
--- a/packages/runners/src/targets/attemptRunner.ts
+++ b/packages/runners/src/targets/attemptRunner.ts
@@ -1,6 +1,7 @@
 import type { AttemptId, RequestId } from "@heatherferry/common";
-import { ATTEMPT_STAGE, type RequestsEffect } from "@heatherferry/core";
+import { ATTEMPT_STAGE, OUTCOME, REFUSAL_KIND, type RequestsEffect } from "@heatherferry/core";
 import type { CallerServer, RelayEnd } from "../callers/callerServer.js";
+import { KeptAnswers, type TakenAnswer } from "../callers/keptAnswers.js";
 import type { IncomingAnswer } from "../callers/types.js";
 import type { EventLoop } from "../loop/eventLoop.js";
 import type { TargetCallResult, TargetLink } from "./targetLink.js";
@@ -10,6 +11,7 @@
 /** Takes attempts to targets and their answers back to callers. */
 export class AttemptRunner {
   private readonly answers = new Map<AttemptId, IncomingAnswer>();
+  private readonly kept = new KeptAnswers();
   private readonly aborted = new Set<AttemptId>();
 
   constructor(
@@ -50,10 +52,50 @@
     if (answer === undefined) {
       return;
     }
+    if (effect.keepAs !== null) {
+      await this.relayKept(effect, effect.keepAs, answer);
+      return;
+    }
     const end = await this.callers.relay(effect.requestId, answer);
     this.onRelayed(effect, end);
   }
 
+  /** @param effect - The kept answer to repeat. */
+  async replay({ requestId, keptAs }: EffectOf<"caller/replayKept">): Promise<void> {
+    const answer = this.kept.open(keptAs);
+    if (answer === null) {
+      const kind = REFUSAL_KIND.ANSWER_NOT_KEPT;
+      this.callers.refuse(requestId, { outcome: OUTCOME.UNKNOWN, kind, retryAfterMs: null });
+      return;
+    }
+    await this.callers.relay(requestId, answer);
+  }
+
+  /** @param effect - The kept answer to drop. */
+  forget({ keptAs }: EffectOf<"caller/forgetKept">): void {
+    this.kept.forget(keptAs);
+  }
+
+  /** Keeps the answer before the caller sees it: the caller may hang up on it. */
+  private async relayKept(
+    effect: EffectOf<"caller/relay">,
+    keepAs: string,
+    answer: IncomingAnswer,
+  ): Promise<void> {
+    let taken: TakenAnswer;
+    try {
+      taken = await this.kept.take(keepAs, answer);
+    } catch {
+      this.onRelayed(effect, "answerBrokeOff");
+      return;
+    }
+    for (const keptAs of taken.isKept ? taken.droppedNames : [keepAs]) {
+      this.loop.handle({ type: "answer/notKept", keptAs });
+    }
+    const end = await this.callers.relay(effect.requestId, taken.answer);
+    this.onRelayed(effect, taken.isKept ? "whole" : end);
+  }
+
   private onResult(effect: EffectOf<"attempt/dispatch">, result: TargetCallResult): void {
     if (result.type === "failed") {
       if (result.failure.silent) {
