--- /dev/null
+++ b/apps/cli/src/wave/describeWave.ts
@@ -0,0 +1,19 @@
+import { type WaveRow, waveProgress } from "@heatherferry/core";
+
+const describeEnd = (wave: WaveRow, tableTimeMs: number): string => {
+  const { expectedEndMs } = waveProgress(wave, tableTimeMs);
+  return expectedEndMs === null ? "" : `, expected end ${new Date(expectedEndMs).toISOString()}`;
+};
+
+/**
+ * @param wave - A wave's progress.
+ * @param tableTimeMs - The table's clock now.
+ * @returns One line.
+ */
+export const describeWave = (wave: WaveRow, tableTimeMs: number): string => {
+  const failed = wave.failed.length === 0 ? "" : `, failed: ${wave.failed.join(" ")}`;
+  return (
+    `${wave.waveId}: ${wave.status}, ${wave.done.length} of ${wave.planned.length} hosts done` +
+    `${failed}${describeEnd(wave, tableTimeMs)}`
+  );
+};
--- a/packages/core/src/initialState.ts
+++ b/packages/core/src/initialState.ts
@@ -17,6 +17,7 @@
 import { initialRouting } from "./routing/targets.js";
 import { initialTickets } from "./tickets/works.js";
 import type { State } from "./state.js";
+import { initialWaves } from "./waves/rowsChangedWaves.js";
 
 const mirrorForRole = (state: State): void => {
   const { role, availabilityZone } = state.node.identity;
@@ -55,7 +56,7 @@
     routing: initialRouting(),
     peers: initialPeers(),
     fleet: initialFleet(),
-    waves: { waves: new Map() },
+    waves: initialWaves(),
   };
   mirrorForRole(state);
   return state;
--- a/packages/core/src/reducer.ts
+++ b/packages/core/src/reducer.ts
@@ -1,6 +1,8 @@
 import { assertNever } from "@heatherferry/common";
 import type { Effect } from "./effect.js";
 import type { Event } from "./event.js";
+import { refreshHostView } from "./fleet/hostView.js";
+import { reduceFleet, writeSettledFleet } from "./fleet/reduceFleet.js";
 import { rowsChangedFleet } from "./fleet/rowsChangedFleet.js";
 import { writeSettledLimits } from "./limits/escrowWrites.js";
 import { rowsChangedLimits } from "./limits/holdings.js";
@@ -23,6 +25,7 @@
 import type { State } from "./state.js";
 import { writeSettledClaims } from "./tickets/claims.js";
 import { reduceTickets } from "./tickets/reduceTickets.js";
+import { rowsChangedWaves } from "./waves/rowsChangedWaves.js";
 
 /** Time never goes back, whatever order events are handed in. */
 const advanceClock = (state: State, event: Event): void => {
@@ -44,6 +47,7 @@
   }
   rowsChangedMembership(state, rows, effects);
   rowsChangedFleet(state, rows);
+  rowsChangedWaves(state, rows);
   rowsChangedRouting(state, rows);
   rowsChangedLimits(state, rows);
 };
@@ -62,6 +66,7 @@
     case "fleet":
     case "wave":
     case "lease":
+      writeSettledFleet(state, outcome, effects);
       return;
     default:
       assertNever(outcome.purpose);
@@ -73,6 +78,7 @@
     divideSlots(state);
   }
   endEjections(state);
+  refreshHostView(state);
   recheckWaitingPools(state);
 };
 
@@ -102,6 +108,7 @@
     onTick(state);
   }
   reduceMembership(state, event, effects);
+  reduceFleet(state, event, policies, effects);
   reducePeers(state, event, effects);
   reduceRequests(state, event, policies, effects);
   reduceTickets(state, event, effects);
