--- a/apps/entry/src/entryEffects.ts
+++ b/apps/entry/src/entryEffects.ts
@@ -1,18 +1,28 @@
 import { assertNever } from "@heatherferry/common";
+import type { Effect } from "@heatherferry/core";
 import {
   DaemonEffects,
   type AttemptRunner,
   type CallerServer,
   type DaemonParts,
   type OwnEffect,
+  type ForwardRunner,
   type PeerRunner,
 } from "@heatherferry/runners";
 
+/** Hands tickets to callers. */
+export abstract class TicketDesk {
+  /** @param effect - The tickets to sign. */
+  abstract issue(effect: Extract<Effect, { type: "tickets/issue" }>): void;
+}
+
 /** The parts that carry out an entry host's effects. */
 export interface EntryParts extends DaemonParts {
   readonly attempts: AttemptRunner;
   readonly callers: CallerServer;
   readonly peers: PeerRunner;
+  readonly forwards: ForwardRunner;
+  readonly tickets: TicketDesk;
 }
 
 /** Hands each effect to the part that carries it out. */
@@ -22,7 +32,7 @@
   }
 
   protected override runOwn(effect: OwnEffect): void {
-    const { attempts, callers, peers } = this.parts;
+    const { attempts, callers, peers, forwards, tickets } = this.parts;
     switch (effect.type) {
       case "attempt/dispatch":
         attempts.dispatch(effect);
@@ -39,6 +49,18 @@
       case "caller/breakOff":
         callers.breakOff(effect.requestId);
         return;
+      case "caller/replayKept":
+        void attempts.replay(effect);
+        return;
+      case "caller/forgetKept":
+        attempts.forget(effect);
+        return;
+      case "tickets/issue":
+        tickets.issue(effect);
+        return;
+      case "peer/forwardRequest":
+        void forwards.forward(effect);
+        return;
       case "peer/send":
         void peers.send(effect);
         return;
@@ -48,10 +70,6 @@
       case "peer/answerView":
         peers.answerView(effect);
         return;
-      case "caller/replayKept":
-      case "caller/forgetKept":
-      case "tickets/issue":
-      case "peer/forwardRequest":
       case "hosts/list":
       case "host/reboot":
         this.notOfThisRole(effect);
--- a/apps/entry/src/wireEntry.ts
+++ b/apps/entry/src/wireEntry.ts
@@ -5,11 +5,14 @@
   entryHostId,
   type RequestId,
 } from "@heatherferry/common";
+import { TicketSigner } from "@heatherferry/coordination";
 import {
   cheapInvariants,
   defaultPolicies,
   initialState,
   NODE_ROLE,
+  type Effect,
+  type NodeIdentity,
   type PeerSeed,
 } from "@heatherferry/core";
 import {
@@ -20,6 +23,8 @@
   ConnectPeerLink,
   ConnectPeerServer,
   EventLoop,
+  ForwardedCallers,
+  ForwardRunner,
   HttpCallerServer,
   HttpPlatformTable,
   HttpTargetLink,
@@ -31,12 +36,13 @@
   NodeHealth,
   NodeMetrics,
   PeerRunner,
+  RoutedCallers,
   TableRunner,
   TraceRecorder,
   type ArrivalFields,
   type RunningDaemon,
 } from "@heatherferry/runners";
-import { EntryEffects } from "./entryEffects.js";
+import { EntryEffects, TicketDesk } from "./entryEffects.js";
 import type { EntrySettings } from "./settings.js";
 
 class LoopArrivals extends ArrivalHandler {
@@ -49,6 +55,31 @@
   override cancelled(requestId: RequestId): void {
     this.loop?.handle({ type: "request/cancelled", requestId });
   }
+
+  override ticketsRequested(requestId: RequestId, count: number): void {
+    this.loop?.handle({ type: "tickets/requested", requestId, count });
+  }
+}
+
+class SigningTicketDesk extends TicketDesk {
+  constructor(
+    private readonly issuer: NodeIdentity,
+    private readonly callers: HttpCallerServer,
+  ) {
+    super();
+  }
+
+  override issue(effect: Extract<Effect, { type: "tickets/issue" }>): void {
+    const { requestId, firstSequence, count, expiresAtMs } = effect;
+    const { entryHostId: host, incarnation: life } = this.issuer;
+    const tickets = Array.from({ length: count }, (_, index) => ({
+      entryHostId: host,
+      incarnation: life,
+      sequence: firstSequence + index,
+      expiresAtMs,
+    }));
+    this.callers.sendTickets(requestId, tickets);
+  }
 }
 
 const peerSeeds = (settings: EntrySettings): readonly PeerSeed[] =>
@@ -67,9 +98,12 @@
   const log = createLogger("heatherferry-entry", settings.log?.level);
   const life = newIncarnation();
   const arrivals = new LoopArrivals();
-  const callers = new HttpCallerServer(life, arrivals);
-  const callerAddress = await callers.listen(settings.callers.host, settings.callers.port);
-  const peerHandler = new LoopPeerHandler();
+  const signer = new TicketSigner();
+  const httpCallers = new HttpCallerServer(life, arrivals, signer);
+  const callerAddress = await httpCallers.listen(settings.callers.host, settings.callers.port);
+  const forwardedCallers = new ForwardedCallers(life, signer);
+  const callers = new RoutedCallers(httpCallers, forwardedCallers);
+  const peerHandler = new LoopPeerHandler(forwardedCallers);
   const peerServer = new ConnectPeerServer(peerHandler);
   const peerAddress = await peerServer.listen(settings.peers.host, settings.peers.port);
 
@@ -119,6 +153,8 @@
       attempts: new AttemptRunner(callers, targets, loop),
       callers,
       peers,
+      forwards: new ForwardRunner(callers, peerLink, loop),
+      tickets: new SigningTicketDesk(identity, httpCallers),
       exitSwitch,
     });
   });
@@ -130,7 +166,7 @@
   return {
     shutDown: () => {
       log("info", "shuttingDown", {});
-      callers.beginLeaving();
+      httpCallers.beginLeaving();
       loop.handle({ type: "node/shutdownRequested" });
     },
     ended,
--- a/packages/core/src/reducer.ts
+++ b/packages/core/src/reducer.ts
@@ -23,6 +23,8 @@
 import { rowsChangedRevisions } from "./revisions/reduceRevisions.js";
 import { divideSlots, endEjections, rowsChangedRouting } from "./routing/targets.js";
 import type { State } from "./state.js";
+import { writeSettledClaims } from "./tickets/claims.js";
+import { reduceTickets } from "./tickets/reduceTickets.js";
 import { rowsChangedWaves } from "./waves/rowsChangedWaves.js";
 
 /** Time never goes back, whatever order events are handed in. */
@@ -59,6 +61,7 @@
       writeSettledLimits(state, outcome);
       return;
     case "claim":
+      writeSettledClaims(state, outcome, effects);
       return;
     case "fleet":
     case "wave":
@@ -108,6 +111,7 @@
   reduceFleet(state, event, policies, effects);
   reducePeers(state, event, effects);
   reduceRequests(state, event, policies, effects);
+  reduceTickets(state, event, effects);
   reduceLimits(state, event, effects);
   startReady(state, policies, effects);
   return effects;
--- a/packages/core/src/requests/attempts.ts
+++ b/packages/core/src/requests/attempts.ts
@@ -86,7 +86,7 @@
     requestId: record.requestId,
     attemptId: attempt.attemptId,
     attached: record.attached,
-    keepAs: null,
+    keepAs: record.workKey,
     failed,
   });
 };
