Print what limits strand, serve and write; look at idle teams less often

Way ruled out: a longer interval between looks; it delays growth.

A base grant is left alone only within a quarter of its target.

--- a/packages/core/src/limits/demand.ts
+++ b/packages/core/src/limits/demand.ts
@@ -28,6 +28,9 @@
 
 const noteDemand = (state: State, holding: TeamHolding, demand: number): void => {
   const heldLongEnough = state.nowMs - holding.wantedAtMs > LIMITS.DEMAND_HOLD_MS;
+  if (demand > holding.wanted) {
+    holding.lookAtMs = 0;
+  }
   if (demand >= holding.wanted || heldLongEnough) {
     holding.wanted = demand;
     holding.wantedAtMs = state.nowMs;
--- a/packages/core/src/limits/escrowWrites.ts
+++ b/packages/core/src/limits/escrowWrites.ts
@@ -44,10 +44,18 @@
   for (const team of state.revisions.rules.teams.keys()) {
     holdingOf(state, team);
   }
-  const holdings = [...state.limits.holdings.values()];
-  return holdings
-    .map((holding) => needOf(state, holding, earliestMs))
-    .filter((need) => need !== null);
+  const needs: TeamNeed[] = [];
+  for (const holding of state.limits.holdings.values()) {
+    if (state.nowMs < holding.lookAtMs && state.node.leavingSinceMs === null) {
+      continue;
+    }
+    const need = needOf(state, holding, earliestMs);
+    holding.lookAtMs = need === null ? state.nowMs + LIMITS.LOOK_AGAIN_MS : 0;
+    if (need !== null) {
+      needs.push(need);
+    }
+  }
+  return needs;
 };
 
 const isPaced = (state: State): boolean => {
@@ -173,9 +181,10 @@
   if (earliestMs === null || limits.writeInFlight || limits.readingSinceMs !== null) {
     return;
   }
-  if (isPaced(state)) {
+  if (isPaced(state) || state.nowMs < limits.nextCheckAtMs) {
     return;
   }
+  limits.nextCheckAtMs = state.nowMs + LIMITS.CHECK_INTERVAL_MS;
   const needs = needsNow(state, earliestMs);
   if (needs.length > 0) {
     readFirst(state, needs);
--- a/packages/core/src/limits/holdings.ts
+++ b/packages/core/src/limits/holdings.ts
@@ -15,6 +15,7 @@
   holdings: new Map(),
   writeInFlight: false,
   nextWriteAtMs: 0,
+  nextCheckAtMs: 0,
   readingSinceMs: null,
   readingTeams: new Set(),
   batchSize: LIMITS.MAX_TEAMS_PER_WRITE,
@@ -41,6 +42,7 @@
     changedGrant: null,
     wanted: 0,
     wantedAtMs: 0,
+    lookAtMs: 0,
     unusedSinceMs: null,
   };
   state.limits.holdings.set(team, made);
@@ -109,9 +111,21 @@
 const takeZoneRow = (state: State, row: ZoneEscrowRow): void => {
   const holding = holdingOf(state, row.team);
   holding.grant = grantOf(row, holderOf(state));
+  holding.lookAtMs = 0;
   recheckPools(state, row.team);
 };
 
+/**
+ * Has every team looked at again: rules changed.
+ *
+ * @param state - The state to change.
+ */
+export const rulesChangedLimits = (state: State): void => {
+  for (const holding of state.limits.holdings.values()) {
+    holding.lookAtMs = 0;
+  }
+};
+
 /**
  * Takes over this node's grants.
  *
--- a/packages/core/src/limits/needs.ts
+++ b/packages/core/src/limits/needs.ts
@@ -49,7 +49,9 @@
 /** A base near its target stays, so that a change of members does not rewrite every row. */
 const steadyBase = (own: EscrowGrant | null, target: number): number => {
   const held = own?.base ?? 0;
-  return held >= target / 2 && held <= target * 2 ? held : target;
+  return Math.abs(held - target) <= Math.max(1, target * LIMITS.BASE_TOLERANCE) && held > 0
+    ? held
+    : target;
 };
 
 /** What others hear of the demand need not be exact; each change of it would cost a write. */
--- a/packages/core/src/limits/types.ts
+++ b/packages/core/src/limits/types.ts
@@ -27,6 +27,8 @@
   /** What could run at once, were there no limit; falls only after a while. */
   wanted: number;
   wantedAtMs: number;
+  /** Nothing was due at the last look; looked at again then, or when something changes. */
+  lookAtMs: number;
   /** Since when the zone has had more of the limit than it uses. */
   unusedSinceMs: number | null;
 }
@@ -36,6 +38,7 @@
   holdings: Map<TeamId, TeamHolding>;
   writeInFlight: boolean;
   nextWriteAtMs: number;
+  nextCheckAtMs: number;
   /** Set while rows are read anew for the next write; only a read sent later counts. */
   readingSinceMs: number | null;
   /** Teams whose own rows that read asked for. */
--- a/packages/core/src/reducer.ts
+++ b/packages/core/src/reducer.ts
@@ -3,7 +3,7 @@
 import type { Event } from "./event.js";
 import { rowsChangedFleet } from "./fleet/rowsChangedFleet.js";
 import { writeSettledLimits } from "./limits/escrowWrites.js";
-import { rowsChangedLimits } from "./limits/holdings.js";
+import { rowsChangedLimits, rulesChangedLimits } from "./limits/holdings.js";
 import { reduceLimits } from "./limits/reduceLimits.js";
 import {
   reduceMembership,
@@ -38,6 +38,7 @@
   }
   if (rowsChangedRevisions(state, rows, effects)) {
     rulesChangedQueues(state);
+    rulesChangedLimits(state);
   }
   rowsChangedMembership(state, rows, effects);
   rowsChangedFleet(state, rows);
--- /dev/null
+++ b/packages/core/tests/figures/strandedAfterCrash.ts
@@ -0,0 +1,62 @@
+import { rowKey } from "@heatherferry/common";
+import { countedOf } from "@heatherferry/coordination";
+import { TestFleet } from "../helpers/testFleet.js";
+import { rulesWithLimits } from "../helpers/testRules.js";
+
+const LIMIT = 400;
+const ZONES = { a: 2, b: 2, c: 2, d: 2 };
+const NAMES = ["a1", "a2", "b1", "b2", "c1", "c2", "d1", "d2"];
+const SETTINGS = [
+  { burstTermMs: 15_000, runTailMs: 30_000 },
+  { burstTermMs: 30_000, runTailMs: 120_000 },
+  { burstTermMs: 30_000, runTailMs: 600_000 },
+  { burstTermMs: 120_000, runTailMs: 120_000 },
+] as const;
+
+const countOfDead = (fleet: TestFleet): number => {
+  const body = fleet.table.row(rowKey("escrow/zone/a/corks"))?.body;
+  const grants = body?.type === "zoneEscrow" ? body.grants : [];
+  return grants
+    .filter((grant) => grant.holder === "a1/i1")
+    .reduce((sum, grant) => sum + countedOf(grant), 0);
+};
+
+const loadFor = (fleet: TestFleet, names: readonly string[], forMs: number): void => {
+  for (let passedMs = 0; passedMs < forMs; passedMs += 1_000) {
+    names.forEach((name) => {
+      fleet.offer(name, "q-corks", 60, 1_000);
+    });
+    fleet.run(1_000);
+  }
+};
+
+const percent = (count: number): string => `${((100 * count) / LIMIT).toFixed(1)}%`;
+
+/** Prints what part of a limit one of eight busy hosts strands when it is killed, and for how long. */
+export const printStranded = (): void => {
+  console.log("burst term, tail: stranded at once, until the burst is back, left after (base)");
+  for (const terms of SETTINGS) {
+    const fleet = new TestFleet({
+      zones: ZONES,
+      rules: rulesWithLimits({ corks: LIMIT }),
+      seed: 5,
+      terms,
+    });
+    fleet.run(10_000);
+    loadFor(fleet, NAMES, 60_000);
+    fleet.kill("a1");
+    const atOnce = countOfDead(fleet);
+    const killedAtMs = fleet.time.nowMs;
+    const others = NAMES.slice(1);
+    let left = atOnce;
+    while (left === atOnce && fleet.time.nowMs - killedAtMs < 1_200_000) {
+      loadFor(fleet, others, 1_000);
+      left = countOfDead(fleet);
+    }
+    const forS = (fleet.time.nowMs - killedAtMs) / 1_000;
+    console.log(
+      `${terms.burstTermMs / 1_000} s, ${terms.runTailMs / 1_000} s: ` +
+        `${percent(atOnce)}, ${forS} s, ${percent(left)}`,
+    );
+  }
+};
--- a/packages/core/tests/helpers/fakeTable.ts
+++ b/packages/core/tests/helpers/fakeTable.ts
@@ -17,8 +17,11 @@
   commits = 0;
   conflicts = 0;
   rowsWritten = 0;
-  bytesWritten = 0;
+  rowsRead = 0;
+  bytesRead = 0;
   private readonly rows = new Map<RowKey, TableRow>();
+  private readonly rowBytes = new Map<RowKey, number>();
+  private readonly log: TableRow[] = [];
   private lastVersion = 0;
 
   /** @returns All rows. */
@@ -37,11 +40,10 @@
   }
 
   read(ranges: readonly TableRange[]): FakeReadAnswer {
-    const rows = this.all().filter((row) =>
-      ranges.some(
-        ({ prefix, afterVersion }) => row.key.startsWith(prefix) && row.version > afterVersion,
-      ),
-    );
+    const found = new Set(ranges.flatMap((range) => this.changedIn(range)));
+    const rows = [...found];
+    this.rowsRead += rows.length;
+    this.bytesRead += rows.reduce((sum, row) => sum + (this.rowBytes.get(row.key) ?? 0), 0);
     return { rows, upToVersion: tableVersion(this.lastVersion), tableTimeMs: this.nowMs };
   }
 
@@ -63,8 +65,29 @@
     return { committed: true, version: tableVersion(this.lastVersion) };
   }
 
+  /** Looks from the newest write backwards, so that a poll without news costs nothing. */
+  private changedIn({ prefix, afterVersion }: TableRange): readonly TableRow[] {
+    if (afterVersion === 0) {
+      return this.all().filter((row) => row.key.startsWith(prefix));
+    }
+    const changed: TableRow[] = [];
+    for (let place = this.log.length - 1; place >= 0; place -= 1) {
+      const row = this.log[place];
+      if (row === undefined || row.version <= afterVersion) {
+        break;
+      }
+      if (row.key.startsWith(prefix) && this.rows.get(row.key) === row) {
+        changed.push(row);
+      }
+    }
+    return changed;
+  }
+
   private store(key: RowKey, body: RowBody, writeIds: TableRow["writeIds"]): void {
     const version = tableVersion(this.lastVersion);
-    this.rows.set(key, { key, version, committedAtMs: this.nowMs, writeIds, body });
+    const row = { key, version, committedAtMs: this.nowMs, writeIds, body };
+    this.rows.set(key, row);
+    this.log.push(row);
+    this.rowBytes.set(key, JSON.stringify(row).length);
   }
 }
--- a/packages/core/tests/helpers/testFleet.ts
+++ b/packages/core/tests/helpers/testFleet.ts
@@ -1,4 +1,5 @@
 import { queueId, requestId, revision, rowKey, type AttemptId } from "@heatherferry/common";
+import type { EscrowTerms } from "@heatherferry/coordination";
 import { unsafeUniformIntDistribution, xoroshiro128plus, type RandomGenerator } from "pure-rand";
 import {
   PLATFORM,
@@ -18,6 +19,8 @@
   readonly seed: number;
   readonly slotsPerZone?: number;
   readonly latencyMs?: number;
+  /** Other terms than the usual ones. */
+  readonly terms?: Partial<EscrowTerms>;
 }
 
 const TICK_MS = 100;
@@ -38,6 +41,7 @@
   served = 0;
   private readonly random: RandomGenerator;
   private readonly latencyMs: number;
+  private readonly terms: Partial<EscrowTerms>;
   private readonly serviceMs = new Map<string, number>();
   private revision = 0;
   private requests = 0;
@@ -45,6 +49,7 @@
   constructor(options: TestFleetOptions) {
     this.random = xoroshiro128plus(options.seed);
     this.latencyMs = options.latencyMs ?? 2;
+    this.terms = options.terms ?? {};
     this.applyRules(options.rules);
     for (const [zone, count] of Object.entries(options.zones)) {
       const host = hostRow(zone, options.slotsPerZone ?? 256);
@@ -154,6 +159,7 @@
     const clockOffsetMs = this.pick(1_000_000);
     const place = { name, zone, life, clockOffsetMs };
     const node = makeNode(place, this.pick(1_000_000), this.time.nowMs + clockOffsetMs);
+    node.state.limits.terms = { ...node.state.limits.terms, ...this.terms };
     this.nodes.set(name, node);
     this.time.after(this.pick(TICK_MS), () => {
       this.tick(node);
