--- a/packages/core/src/initialState.ts
+++ b/packages/core/src/initialState.ts
@@ -6,6 +6,7 @@
 import { initialMembership, zoneMembersPrefix } from "./membership/reduceMembership.js";
 import { NODE_ROLE } from "./node/constants.js";
 import type { NodeIdentity } from "./node/types.js";
+import { initialPeers } from "./peers/knownPeers.js";
 import { ROW_PREFIX } from "./platform/constants.js";
 import { mirrorPrefix } from "./platform/mirror.js";
 import { initialPlatform } from "./platform/reducePlatform.js";
@@ -15,6 +16,7 @@
 import { initialRevisions } from "./revisions/reduceRevisions.js";
 import { initialRouting } from "./routing/targets.js";
 import type { State } from "./state.js";
+import { initialWaves } from "./waves/rowsChangedWaves.js";
 
 const mirrorForRole = (state: State): void => {
   const { role, availabilityZone } = state.node.identity;
@@ -51,9 +53,9 @@
     limits: initialLimits(),
     tickets: { nextTicketSequence: 0, works: new Map() },
     routing: initialRouting(),
-    peers: { nextDigestAtMs: 0, lastDigests: new Map() },
+    peers: initialPeers(),
     fleet: initialFleet(),
-    waves: { waves: new Map() },
+    waves: initialWaves(),
   };
   mirrorForRole(state);
   return state;
--- a/packages/core/src/reducer.ts
+++ b/packages/core/src/reducer.ts
@@ -1,6 +1,8 @@
 import { assertNever } from "@heatherferry/common";
 import type { Effect } from "./effect.js";
 import type { Event } from "./event.js";
+import { refreshHostView } from "./fleet/hostView.js";
+import { reduceFleet, writeSettledFleet } from "./fleet/reduceFleet.js";
 import { rowsChangedFleet } from "./fleet/rowsChangedFleet.js";
 import { writeSettledLimits } from "./limits/escrowWrites.js";
 import { rowsChangedLimits, rulesChangedLimits } from "./limits/holdings.js";
@@ -11,6 +13,7 @@
   rowsChangedMembership,
   writeSettledMembership,
 } from "./membership/reduceMembership.js";
+import { reducePeers } from "./peers/reducePeers.js";
 import { reducePlatform } from "./platform/reducePlatform.js";
 import type { TableRow, WriteOutcome } from "./platform/types.js";
 import { defaultPolicies, type Policies } from "./policies/policies.js";
@@ -20,6 +23,7 @@
 import { rowsChangedRevisions } from "./revisions/reduceRevisions.js";
 import { divideSlots, endEjections, rowsChangedRouting } from "./routing/targets.js";
 import type { State } from "./state.js";
+import { rowsChangedWaves } from "./waves/rowsChangedWaves.js";
 
 /** Time never goes back, whatever order events are handed in. */
 const advanceClock = (state: State, event: Event): void => {
@@ -42,11 +46,12 @@
   }
   rowsChangedMembership(state, rows, effects);
   rowsChangedFleet(state, rows);
+  rowsChangedWaves(state, rows);
   rowsChangedRouting(state, rows);
   rowsChangedLimits(state, rows);
 };
 
-const spreadOutcome = (state: State, outcome: WriteOutcome): void => {
+const spreadOutcome = (state: State, outcome: WriteOutcome, effects: Effect[]): void => {
   switch (outcome.purpose) {
     case "membership":
       writeSettledMembership(state, outcome);
@@ -55,9 +60,11 @@
       writeSettledLimits(state, outcome);
       return;
     case "claim":
+      return;
     case "fleet":
     case "wave":
     case "lease":
+      writeSettledFleet(state, outcome, effects);
       return;
     default:
       assertNever(outcome.purpose);
@@ -69,6 +76,7 @@
     divideSlots(state);
   }
   endEjections(state);
+  refreshHostView(state);
   recheckWaitingPools(state);
 };
 
@@ -92,12 +100,14 @@
   const news = reducePlatform(state, event, effects);
   spreadRows(state, news.rows, effects);
   for (const outcome of news.outcomes) {
-    spreadOutcome(state, outcome);
+    spreadOutcome(state, outcome, effects);
   }
   if (event.type === "clock/ticked") {
     onTick(state);
   }
   reduceMembership(state, event, effects);
+  reduceFleet(state, event, policies, effects);
+  reducePeers(state, event, effects);
   reduceRequests(state, event, policies, effects);
   reduceLimits(state, event, effects);
   startReady(state, policies, effects);
