Renew base grants while an hour is left; lengthen bursts, spread writes

Need: a base grant renewed at half of an hour left a cut-off zone with as little as 30 minutes.

Way ruled out: longer pauses between writes alone; renewals are what is written most, every burst twice a term.

Change: base term 75 min, renewed below 80% of it; burst term 60 s; writes 5 s apart, give or take 1 s.

--- a/packages/coordination/src/escrow/constants.ts
+++ b/packages/coordination/src/escrow/constants.ts
@@ -2,8 +2,10 @@
 
 /** Terms and pace of escrow, unless the caller states its own. */
 export const ESCROW = {
-  BASE_TERM_MS: 3_600_000,
-  BURST_TERM_MS: 30_000,
+  BASE_TERM_MS: 4_500_000,
+  /** A base grant is renewed once less than this part of its term is left. */
+  BASE_RENEWED_AT: 0.8,
+  BURST_TERM_MS: 60_000,
   /** Bound on the drift of clocks between two readings, and on a reply under way. */
   SKEW_MS: 5_000,
   /** Work may go on for this long beyond the end of the grant under which it started. */
--- a/packages/coordination/src/escrow/grants.ts
+++ b/packages/coordination/src/escrow/grants.ts
@@ -1,3 +1,4 @@
+import { ESCROW } from "./constants.js";
 import { fairSplit } from "./fairSplit.js";
 import { restampedCount, scaledCount } from "./scale.js";
 import type { EscrowGrant, EscrowTerms, GrantRequest, LimitStamp, ZoneEscrow } from "./types.js";
@@ -162,7 +163,7 @@
 const untilOf = (nowMs: number, termMs: number, count: number): number =>
   count > 0 ? nowMs + termMs : 0;
 
-/** A base that stays as it is keeps its end until half of its term has passed. */
+/** A base that stays as it is keeps its end until it is due for renewal. */
 const baseUntil = (
   own: EscrowGrant | null,
   base: number,
@@ -170,7 +171,7 @@
   tableEarliestMs: number,
 ): number => {
   const left = own === null ? 0 : own.baseUntilMs - tableEarliestMs;
-  return own?.base === base && left > terms.baseTermMs / 2
+  return own?.base === base && left > terms.baseTermMs * ESCROW.BASE_RENEWED_AT
     ? own.baseUntilMs
     : untilOf(tableEarliestMs, terms.baseTermMs, base);
 };
--- a/packages/core/src/limits/constants.ts
+++ b/packages/core/src/limits/constants.ts
@@ -1,7 +1,8 @@
 /** Pace of an entry host's escrow writes. */
 export const LIMITS = {
-  /** Between two escrow writes of one entry host. */
-  WRITE_INTERVAL_MS: 4_000,
+  /** Between two escrow writes of one entry host, give or take the jitter. */
+  WRITE_INTERVAL_MS: 5_000,
+  WRITE_JITTER_MS: 1_000,
   /** The same while it is leaving. */
   LEAVING_INTERVAL_MS: 500,
   /** Between two looks at whether a write is due. */
--- a/packages/core/src/limits/escrowWrites.ts
+++ b/packages/core/src/limits/escrowWrites.ts
@@ -191,6 +191,13 @@
   }
 };
 
+/** Hosts that a surge sets off at once do not go on writing at once. */
+const nextIntervalMs = (state: State): number => {
+  const { WRITE_INTERVAL_MS, WRITE_JITTER_MS } = LIMITS;
+  const jitterMs = unsafeUniformIntDistribution(-WRITE_JITTER_MS, WRITE_JITTER_MS, state.random);
+  return WRITE_INTERVAL_MS + jitterMs;
+};
+
 /**
  * Writes what is due once its rows were read anew.
  *
@@ -213,7 +220,7 @@
     .map((need) => changeOf(state, need, earliestMs))
     .filter((change) => isWorthWriting(state, change));
   endReading(state);
-  limits.nextWriteAtMs = state.nowMs + LIMITS.WRITE_INTERVAL_MS;
+  limits.nextWriteAtMs = state.nowMs + nextIntervalMs(state);
   if (changes.length > 0) {
     submitChanges(state, changes, effects);
   }
--- a/packages/core/src/limits/needs.ts
+++ b/packages/core/src/limits/needs.ts
@@ -1,6 +1,7 @@
 import type { TeamId } from "@heatherferry/common";
 import {
   availableTo,
+  ESCROW,
   equalPart,
   grantOf,
   reclaimLapsed,
@@ -28,7 +29,7 @@
   readonly leaves: boolean;
   /** Requests wait for it now. */
   readonly starved: boolean;
-  /** Half of a term has passed. */
+  /** A term nears its end. */
   readonly renews: boolean;
   /** Change of the zone's cap, settled with the team's row; null where that row is not needed. */
   readonly capChange: number | null;
@@ -75,16 +76,12 @@
   };
 };
 
-const isHalfOver = (untilMs: number, termMs: number, nowMs: number): boolean =>
-  untilMs - nowMs < termMs / 2;
-
 const needsRenewal = (state: State, own: EscrowGrant, nowMs: number): boolean => {
   const { baseTermMs, burstTermMs } = state.limits.terms;
   const usesBurst = own.burst + own.held > 0 || own.wanted > own.base;
-  return (
-    (own.base > 0 && isHalfOver(own.baseUntilMs, baseTermMs, nowMs)) ||
-    (usesBurst && isHalfOver(own.burstUntilMs, burstTermMs, nowMs))
-  );
+  const baseIsDue = own.baseUntilMs - nowMs < baseTermMs * ESCROW.BASE_RENEWED_AT;
+  const burstIsDue = own.burstUntilMs - nowMs < burstTermMs / 2;
+  return (own.base > 0 && baseIsDue) || (usesBurst && burstIsDue);
 };
 
 const unusedBeyond = (state: State, zone: ZoneEscrow, limit: number): boolean =>
