--- a/packages/core/tests/helpers/fleetNode.ts
+++ b/packages/core/tests/helpers/fleetNode.ts
@@ -12,6 +12,7 @@
 import {
   cheapInvariants,
   initialState,
+  type Effect,
   type Event,
   type HostRow,
   type Invariant,
@@ -81,3 +82,22 @@
   moveTo: null,
   waveId: null,
 });
+
+/**
+ * @param node - A node.
+ * @param event - What happened to it.
+ * @param effects - What it decided.
+ * @throws Error when one of its invariants is broken.
+ */
+export const assertInvariants = (
+  node: FleetNode,
+  event: Event,
+  effects: readonly Effect[],
+): void => {
+  for (const invariant of node.invariants) {
+    const violation = invariant.violation(event, effects, node.state);
+    if (violation !== null) {
+      throw new Error(`${node.name}: ${invariant.name}: ${violation}`);
+    }
+  }
+};
--- a/packages/core/tests/helpers/testFleet.ts
+++ b/packages/core/tests/helpers/testFleet.ts
@@ -10,7 +10,13 @@
   type TableWrite,
 } from "../../src/index.js";
 import { FakeTable } from "./fakeTable.js";
-import { hostRow, makeNode, type RunningWork, type FleetNode } from "./fleetNode.js";
+import {
+  assertInvariants,
+  hostRow,
+  makeNode,
+  type RunningWork,
+  type FleetNode,
+} from "./fleetNode.js";
 import { VirtualTime } from "./virtualTime.js";
 
 export interface TestFleetOptions {
@@ -201,12 +207,7 @@
     }
     const happened = event(this.time.nowMs + node.clockOffsetMs);
     const effects = reduce(node.state, happened);
-    for (const invariant of node.invariants) {
-      const violation = invariant.violation(happened, effects, node.state);
-      if (violation !== null) {
-        throw new Error(`${node.name}: ${invariant.name}: ${violation}`);
-      }
-    }
+    assertInvariants(node, happened, effects);
     for (const effect of effects) {
       this.carryOut(node, effect);
     }
