--- a/packages/core/tests/helpers/testFleet.ts
+++ b/packages/core/tests/helpers/testFleet.ts
@@ -1,5 +1,4 @@
 import { queueId, requestId, revision, rowKey, type AttemptId } from "@heatherferry/common";
-import type { EscrowTerms } from "@heatherferry/coordination";
 import { unsafeUniformIntDistribution, xoroshiro128plus, type RandomGenerator } from "pure-rand";
 import {
   PLATFORM,
@@ -17,20 +16,9 @@
   type RunningWork,
   type FleetNode,
 } from "./fleetNode.js";
+import type { TestFleetOptions } from "./testFleetOptions.js";
 import { VirtualTime } from "./virtualTime.js";
 
-export interface TestFleetOptions {
-  readonly zones: Readonly<Record<string, number>>;
-  readonly rules: string;
-  readonly seed: number;
-  readonly slotsPerZone?: number;
-  readonly latencyMs?: number;
-  /** Nodes start at random times within this span. */
-  readonly startWithinMs?: number;
-  /** Other terms than the usual ones. */
-  readonly terms?: Partial<EscrowTerms>;
-}
-
 const TICK_MS = 100;
 const TABLE_CLOCK_AHEAD_MS = 1_000_000;
 
@@ -50,7 +38,7 @@
   private readonly random: RandomGenerator;
   private readonly latencyMs: number;
   private readonly startWithinMs: number;
-  private readonly terms: Partial<EscrowTerms>;
+  private readonly terms: NonNullable<TestFleetOptions["terms"]>;
   private readonly serviceMs = new Map<string, number>();
   private revision = 0;
   private requests = 0;
--- a/packages/core/tests/limits.test.ts
+++ b/packages/core/tests/limits.test.ts
@@ -2,7 +2,8 @@
 import { countedOf, type EscrowGrant } from "@heatherferry/coordination";
 import test from "ava";
 import { LimitChecks } from "./helpers/limitChecks.js";
-import { TestFleet, type TestFleetOptions } from "./helpers/testFleet.js";
+import { TestFleet } from "./helpers/testFleet.js";
+import type { TestFleetOptions } from "./helpers/testFleetOptions.js";
 import { rulesWithLimits } from "./helpers/testRules.js";
 
 const LIMIT = 40;
