--- a/packages/core/src/reducer.ts
+++ b/packages/core/src/reducer.ts
@@ -5,7 +5,7 @@
 import { reduceFleet, writeSettledFleet } from "./fleet/reduceFleet.js";
 import { rowsChangedFleet } from "./fleet/rowsChangedFleet.js";
 import { writeSettledLimits } from "./limits/escrowWrites.js";
-import { rowsChangedLimits } from "./limits/holdings.js";
+import { rowsChangedLimits, rulesChangedLimits } from "./limits/holdings.js";
 import { reduceLimits } from "./limits/reduceLimits.js";
 import {
   reduceMembership,
@@ -44,6 +44,7 @@
   }
   if (rowsChangedRevisions(state, rows, effects)) {
     rulesChangedQueues(state);
+    rulesChangedLimits(state);
   }
   rowsChangedMembership(state, rows, effects);
   rowsChangedFleet(state, rows);
--- a/packages/core/tests/helpers/testFleet.ts
+++ b/packages/core/tests/helpers/testFleet.ts
@@ -9,17 +9,16 @@
   type TableWrite,
 } from "../../src/index.js";
 import { FakeTable } from "./fakeTable.js";
-import { hostRow, makeNode, type RunningWork, type FleetNode } from "./fleetNode.js";
+import {
+  assertInvariants,
+  hostRow,
+  makeNode,
+  type RunningWork,
+  type FleetNode,
+} from "./fleetNode.js";
+import type { TestFleetOptions } from "./testFleetOptions.js";
 import { VirtualTime } from "./virtualTime.js";
 
-export interface TestFleetOptions {
-  readonly zones: Readonly<Record<string, number>>;
-  readonly rules: string;
-  readonly seed: number;
-  readonly slotsPerZone?: number;
-  readonly latencyMs?: number;
-}
-
 const TICK_MS = 100;
 const TABLE_CLOCK_AHEAD_MS = 1_000_000;
 
@@ -38,6 +37,8 @@
   served = 0;
   private readonly random: RandomGenerator;
   private readonly latencyMs: number;
+  private readonly startWithinMs: number;
+  private readonly terms: NonNullable<TestFleetOptions["terms"]>;
   private readonly serviceMs = new Map<string, number>();
   private revision = 0;
   private requests = 0;
@@ -45,6 +46,8 @@
   constructor(options: TestFleetOptions) {
     this.random = xoroshiro128plus(options.seed);
     this.latencyMs = options.latencyMs ?? 2;
+    this.startWithinMs = options.startWithinMs ?? TICK_MS;
+    this.terms = options.terms ?? {};
     this.applyRules(options.rules);
     for (const [zone, count] of Object.entries(options.zones)) {
       const host = hostRow(zone, options.slotsPerZone ?? 256);
@@ -154,8 +157,9 @@
     const clockOffsetMs = this.pick(1_000_000);
     const place = { name, zone, life, clockOffsetMs };
     const node = makeNode(place, this.pick(1_000_000), this.time.nowMs + clockOffsetMs);
+    node.state.limits.terms = { ...node.state.limits.terms, ...this.terms };
     this.nodes.set(name, node);
-    this.time.after(this.pick(TICK_MS), () => {
+    this.time.after(this.pick(this.startWithinMs), () => {
       this.tick(node);
     });
   }
@@ -191,12 +195,7 @@
     }
     const happened = event(this.time.nowMs + node.clockOffsetMs);
     const effects = reduce(node.state, happened);
-    for (const invariant of node.invariants) {
-      const violation = invariant.violation(happened, effects, node.state);
-      if (violation !== null) {
-        throw new Error(`${node.name}: ${invariant.name}: ${violation}`);
-      }
-    }
+    assertInvariants(node, happened, effects);
     for (const effect of effects) {
       this.carryOut(node, effect);
     }
