Forget old requests by generations in the invariants

Cause: each request past the first 50,000 took the oldest key out of a map, and finding the oldest scans over all keys taken out before it. An entry host got slower the longer it ran. Change: two generations that take turns.

--- a/packages/core/src/invariants/requestInvariants.ts
+++ b/packages/core/src/invariants/requestInvariants.ts
@@ -5,21 +5,15 @@
 import type { RequestArrived } from "../requests/types.js";
 import type { State } from "../state.js";
 import { Invariant } from "./invariant.js";
+import { RecentMap } from "./recentMap.js";
 
-/** Requests that ended are remembered up to this many, the oldest forgotten first. */
-const MAX_REMEMBERED = 50_000;
-
-const forgetOldest = (remembered: Map<unknown, unknown>): void => {
-  if (remembered.size > MAX_REMEMBERED) {
-    const [oldest] = remembered.keys();
-    remembered.delete(oldest);
-  }
-};
+/** Requests are remembered for at least so many later ones. */
+const REMEMBERED = 25_000;
 
 /** A refusal that says "not run" is true: no attempt may have reached a target. */
 export class NotRunIsTrue extends Invariant {
   override readonly name = "notRunIsTrue";
-  private readonly mayHaveRun = new Map<RequestId, AttemptId>();
+  private readonly mayHaveRun = new RecentMap<RequestId, AttemptId>(REMEMBERED);
 
   override violation(event: Event, effects: readonly Effect[]): string | null {
     this.follow(event);
@@ -39,7 +33,6 @@
       (event.type === "attempt/failed" && event.stage !== ATTEMPT_STAGE.NOT_SENT);
     if (reached) {
       this.mayHaveRun.set(event.requestId, event.attemptId);
-      forgetOldest(this.mayHaveRun);
     }
   }
 }
@@ -47,12 +40,11 @@
 /** A non-idempotent request is written to one target at most. */
 export class NonIdempotentOnce extends Invariant {
   override readonly name = "nonIdempotentOnce";
-  private readonly openAttempts = new Map<RequestId, number>();
+  private readonly openAttempts = new RecentMap<RequestId, number>(REMEMBERED);
 
   override violation(event: Event, effects: readonly Effect[]): string | null {
     if (event.type === "request/arrived" && !event.idempotent) {
       this.openAttempts.set(event.requestId, 0);
-      forgetOldest(this.openAttempts);
     }
     if (event.type === "attempt/failed" && event.stage === ATTEMPT_STAGE.NOT_SENT) {
       this.count(event.requestId, -1);
@@ -78,7 +70,7 @@
 /** Every request gets one outcome, and none after its caller hung up. */
 export class OneOutcome extends Invariant {
   override readonly name = "oneOutcome";
-  private readonly settled = new Map<RequestId, true>();
+  private readonly settled = new RecentMap<RequestId, true>(REMEMBERED);
 
   override violation(event: Event, effects: readonly Effect[]): string | null {
     for (const effect of effects) {
@@ -89,7 +81,6 @@
         return `${effect.requestId} gets a second outcome`;
       }
       this.settled.set(effect.requestId, true);
-      forgetOldest(this.settled);
     }
     if (event.type === "request/cancelled") {
       this.settled.set(event.requestId, true);
--- a/packages/runners/src/callers/refusalText.ts
+++ b/packages/runners/src/callers/refusalText.ts
@@ -56,7 +56,7 @@
   ),
   [REFUSAL_KIND.ISSUER_GONE]: words(
     502,
-    "The entry host that issued the ticket is gone. Find out from the service whether it ran.",
+    "The entry host that may run this work cannot be reached. Repeat under the same name later.",
   ),
   [REFUSAL_KIND.ANSWER_NOT_KEPT]: words(
     409,
