Let a caller read its refusal while it still sends

Cause: a refusal sent before the body was read closed the connection, and the reset reached the caller before the answer did; a body over the bound showed as a broken connection in place of status 413. Ruled out: the decision (the answer was written). Change: the rest of the body is read and dropped. The test failed before. Bad headers, a missing key, a caller that hangs up half-way and a target that answers nonsense are now shown over a real process too.

--- /dev/null
+++ b/apps/entry/tests/badInput.test.ts
@@ -0,0 +1,71 @@
+import { request } from "node:http";
+import { createServer } from "node:net";
+import { REQUEST } from "@heatherferry/core";
+import test from "ava";
+import { fillTable, SECRET, until } from "./helpers/fixture.js";
+import { ask, startSite, stopSite } from "./helpers/site.js";
+
+const OUTCOME = "heatherferry-outcome";
+
+test.serial("bad input gets a clear error, and the entry host serves on", async (t) => {
+  const site = await startSite();
+  const [callers = ""] = site.callers;
+  const url = `http://${callers}/queues/register/x`;
+  const authorization = `Bearer ${SECRET}`;
+
+  const garbled = await ask(callers, "/x", undefined, { "heatherferry-timeout-ms": "soon" });
+  t.is(garbled.status, 400);
+  t.regex(await garbled.text(), /heatherferry-timeout-ms.*milliseconds.*has not run/);
+
+  const withoutKey = await fetch(url);
+  t.is(withoutKey.status, 401);
+  t.is(withoutKey.headers.get(OUTCOME), "not-run");
+
+  const body = Buffer.alloc(REQUEST.MAX_BODY_BYTES + 1);
+  const large = await fetch(url, { method: "POST", headers: { authorization }, body });
+  t.is(large.status, 413);
+  t.is(large.headers.get(OUTCOME), "not-run");
+
+  const half = request(url, {
+    method: "POST",
+    headers: { authorization, "content-length": "100" },
+  });
+  half.once("error", () => undefined);
+  half.write("half of it");
+  half.once("socket", (socket) => {
+    socket.once("connect", () => socket.destroy());
+  });
+  await new Promise((resolve) => half.once("close", resolve));
+
+  const after = await ask(callers, "/after");
+  t.is(after.headers.get(OUTCOME), "answered");
+  t.deepEqual(site.targets[0]?.paths, ["/after"]);
+  await stopSite(site);
+});
+
+test.serial("a target that answers nonsense is an unknown outcome, not an answer", async (t) => {
+  const site = await startSite(0);
+  const nonsense = createServer((socket) => {
+    socket.once("data", () => socket.end("this is no HTTP\r\n\r\n"));
+    socket.on("error", () => undefined);
+  });
+  await new Promise<void>((resolve) => {
+    nonsense.listen(0, "127.0.0.1", resolve);
+  });
+  const bound = nonsense.address();
+  const port = typeof bound === "object" && bound !== null ? bound.port : 0;
+  await fillTable(site.platform.origin, [
+    { name: "register-z", zone: "a", address: `127.0.0.1:${port}` },
+  ]);
+  const headers = { "heatherferry-idempotent": "false" };
+  const outcomes = new Set<string | null>();
+  await until(async () => {
+    const response = await ask(site.callers[0], "/x", undefined, headers);
+    await response.text();
+    outcomes.add(response.headers.get(OUTCOME));
+    return outcomes.has("unknown");
+  }, "the nonsense to come back as unknown");
+  t.false(outcomes.has("answered"));
+  nonsense.close();
+  await stopSite(site);
+});
--- a/apps/entry/tests/helpers/fixture.ts
+++ b/apps/entry/tests/helpers/fixture.ts
@@ -76,9 +76,10 @@
     writeIds: [id],
     body: body as RowBody,
   });
+  const known = await table.read([{ prefix: rowKey("rules/head"), afterVersion: tableVersion(0) }]);
   const rules = { type: "rulesHead", revision: 1, text: RULES, appliedBy: "me", appliedAtMs: 0 };
   const puts = [
-    put("rules/head", rules),
+    ...(known.rows.length === 0 ? [put("rules/head", rules)] : []),
     ...hosts.map(({ name, zone, address }) =>
       put(`host/${zone}/${name}`, {
         type: "host",
--- a/packages/runners/src/callers/httpCallerServer.ts
+++ b/packages/runners/src/callers/httpCallerServer.ts
@@ -230,12 +230,12 @@
       refusal.retryAfterMs === null
         ? {}
         : { "retry-after": String(Math.ceil(refusal.retryAfterMs / MS_PER_SECOND)) };
-    const unread = response.req.complete ? {} : { connection: "close" };
+    // Cutting off a caller that still sends would lose it the answer.
+    response.req.resume();
     const headers = {
       [CALLER_HEADER.OUTCOME]: outcome,
       ...retryAfter,
       ...this.connectionHeaders(),
-      ...unread,
     };
     sendJson(response, statusCode, headers, body);
   }
