Read on after any refusal, in the one place that sends them

The rest of the body is now read where JSON answers are sent, which serves both. Also: one function gives request ids, an unused getter is gone, and the blame for silence needs no empty host id.

--- a/packages/core/src/requests/reduceRequests.ts
+++ b/packages/core/src/requests/reduceRequests.ts
@@ -1,4 +1,4 @@
-import { hostId, type RequestId } from "@heatherferry/common";
+import type { RequestId } from "@heatherferry/common";
 import { removeRequest } from "@heatherferry/coordination";
 import type { Effect } from "../effect.js";
 import type { Event } from "../event.js";
@@ -49,9 +49,9 @@
 
 /** Blames a target that was quiet for far longer than it takes for others. */
 const blameSilence = (state: State, record: RequestRecord, policies: Policies): boolean => {
-  const attempt = record.attemptId === null ? null : state.requests.attempts.get(record.attemptId);
-  const target = state.routing.targets.get(attempt?.hostId ?? hostId(""));
-  if (attempt === null || attempt === undefined || target === undefined) {
+  const attempt = record.attemptId && state.requests.attempts.get(record.attemptId);
+  const target = attempt && state.routing.targets.get(attempt.hostId);
+  if (!attempt || !target) {
     return false;
   }
   const quietMs = state.nowMs - attempt.startedAtMs;
--- a/packages/runners/src/callers/httpCallerServer.ts
+++ b/packages/runners/src/callers/httpCallerServer.ts
@@ -58,6 +58,8 @@
   if (response.headersSent || response.destroyed) {
     return;
   }
+  // Cutting off a caller that still sends would lose it the answer.
+  response.req.resume();
   const text = `${JSON.stringify(body)}\n`;
   response.writeHead(statusCode, {
     "content-type": "application/json",
@@ -117,11 +119,6 @@
     });
   }
 
-  /** Requests without an outcome. */
-  get openRequests(): number {
-    return this.exchanges.size;
-  }
-
   /**
    * @param host - IP address to listen on.
    * @param port - Port; 0 for one that the operating system picks.
@@ -220,6 +217,11 @@
     });
   }
 
+  private nextId(): RequestId {
+    this.sequence += 1;
+    return requestId(`${this.incarnation}-${this.sequence}`);
+  }
+
   private connectionHeaders(): OutgoingHttpHeaders {
     return this.leaving ? { connection: "close" } : {};
   }
@@ -230,8 +232,6 @@
       refusal.retryAfterMs === null
         ? {}
         : { "retry-after": String(Math.ceil(refusal.retryAfterMs / MS_PER_SECOND)) };
-    // Cutting off a caller that still sends would lose it the answer.
-    response.req.resume();
     const headers = {
       [CALLER_HEADER.OUTCOME]: outcome,
       ...retryAfter,
@@ -245,8 +245,7 @@
     response: ServerResponse,
     params: Record<string, string | undefined>,
   ): void {
-    this.sequence += 1;
-    const id = requestId(`${this.incarnation}-${this.sequence}`);
+    const id = this.nextId();
     const queue = params.queue ?? "";
     const arrival = parseArrival(id, queue, request.method ?? "GET", request.headers, this.signer);
     if (isBadHeader(arrival)) {
@@ -271,8 +270,7 @@
       sendJson(response, 400, {}, { message: "count must be a whole number above 0" });
       return;
     }
-    this.sequence += 1;
-    const id = requestId(`${this.incarnation}-${this.sequence}`);
+    const id = this.nextId();
     this.ticketCalls.set(id, response);
     response.once("close", () => this.ticketCalls.delete(id));
     this.handler.ticketsRequested(id, count);
@@ -281,7 +279,7 @@
   private refuseBadHeader(response: ServerResponse, header: string, remedy: string): void {
     const message = `The header ${header} cannot be understood. ${remedy}. The request has not run.`;
     const body = { outcome: "not-run", kind: "badHeader", message, retryAfterMs: null };
-    const headers = { [CALLER_HEADER.OUTCOME]: "not-run", connection: "close" };
+    const headers = { [CALLER_HEADER.OUTCOME]: "not-run", ...this.connectionHeaders() };
     sendJson(response, 400, headers, body);
   }
 
