--- /dev/null
+++ b/apps/work/src/main.ts
@@ -0,0 +1,31 @@
+#!/usr/bin/env node
+import { loadPlatformSettings, SETTINGS_FILE, type PlatformSettings } from "@heatherferry/platform";
+import { DaemonProgram, type RunningDaemon } from "@heatherferry/runners";
+import { wireWork } from "./wireWork.js";
+
+const USAGE = `heatherferry-work: takes submissions, places their work on workers and sees it through
+
+Usage: heatherferry-work [--settings FILE]
+
+The settings file is the platform's. Without --settings its path is taken from the variable
+${SETTINGS_FILE.VARIABLE}, or else it is ${SETTINGS_FILE.DEFAULT_PATH}.
+`;
+
+class WorkProgram extends DaemonProgram<PlatformSettings> {
+  override readonly name = "heatherferry-work";
+  override readonly usage = USAGE;
+
+  override defaultSettingsPath(): string {
+    return process.env[SETTINGS_FILE.VARIABLE] ?? SETTINGS_FILE.DEFAULT_PATH;
+  }
+
+  override load(path: string): PlatformSettings {
+    return loadPlatformSettings(path);
+  }
+
+  override async start(settings: PlatformSettings): Promise<RunningDaemon> {
+    return wireWork(settings);
+  }
+}
+
+await new WorkProgram().run();
--- /dev/null
+++ b/apps/work/src/wireWork.ts
@@ -0,0 +1,128 @@
+import {
+  address,
+  availabilityZoneId,
+  createLogger,
+  entryHostId,
+} from "@heatherferry/common";
+import {
+  defaultPolicies,
+  initialState,
+  initialWork,
+  NODE_ROLE,
+  type CallArrival,
+  type State,
+} from "@heatherferry/core";
+import {
+  PlatformFront,
+  PlatformHosts,
+  PlatformStore,
+  PlatformWorkers,
+  type PlatformSettings,
+} from "@heatherferry/platform";
+import {
+  AdminServer,
+  CallHandler,
+  ClosingExit,
+  EventLoop,
+  HealthSource,
+  newIncarnation,
+  newSeed,
+  WorkEffects,
+  type RunningDaemon,
+} from "@heatherferry/runners";
+import { BoundedSink } from "./boundedSink.js";
+import { WorkMetrics } from "./workMetrics.js";
+
+const NO_ADDRESS = address("");
+
+/** The last of a machine's own ports serves the metrics, as the deploy file says. */
+const METRICS_PORT_OFFSET = 10;
+
+class LoopCalls extends CallHandler {
+  loop: EventLoop | null = null;
+
+  override arrived(call: CallArrival): void {
+    this.loop?.handle({ type: "call/arrived", ...call });
+  }
+
+  override abandoned(callId: string): void {
+    this.loop?.handle({ type: "call/abandoned", callId });
+  }
+}
+
+class WorkHealth extends HealthSource {
+  constructor(private readonly state: State) {
+    super();
+  }
+
+  override notReadyBecause(): string | null {
+    return this.state.work?.ready === true ? null : "no fresh view of the catalog";
+  }
+}
+
+/**
+ * Makes the parts of a node that serves submissions, joins them and starts them.
+ *
+ * @param settings - Checked settings.
+ * @returns The running node.
+ */
+export const wireWork = async (settings: PlatformSettings): Promise<RunningDaemon> => {
+  const sink = new BoundedSink();
+  const log = createLogger(settings.nodeName, "info", sink);
+  const life = newIncarnation();
+  const calls = new LoopCalls();
+  const front = new PlatformFront(calls, life);
+  const state = initialState(
+    {
+      role: NODE_ROLE.WORK,
+      entryHostId: entryHostId(settings.nodeName),
+      availabilityZone: availabilityZoneId(settings.availabilityZone),
+      incarnation: life,
+      callerAddress: address(settings.callerAddress),
+      peerAddress: NO_ADDRESS,
+    },
+    newSeed(),
+    EventLoop.nowMs(),
+  );
+  state.work = initialWork(
+    { holder: settings.nodeName, incarnation: life, zone: settings.availabilityZone },
+    settings.bounds,
+  );
+  const metrics = new WorkMetrics(state, sink);
+  const loop = new EventLoop(state, defaultPolicies(), [metrics]);
+  const store = new PlatformStore(settings.storeAddress, log);
+  const workers = new PlatformWorkers();
+  const hosts = new PlatformHosts(settings.hostsAddress ?? "", settings.nodeName);
+  const admin = new AdminServer(metrics.registry, new WorkHealth(state));
+  await front.listen(settings.callerAddress, settings.readyAddress);
+  await admin.listen(settings.ip, settings.ownPorts[0] + METRICS_PORT_OFFSET);
+
+  const ended = new Promise<void>((resolve) => {
+    const exitSwitch = new ClosingExit(
+      [
+        async () => {
+          loop.stop();
+          log("info", "node.stopped", { life });
+          await front.close();
+        },
+        async () => store.close(),
+        async () => workers.close(),
+        async () => hosts.close(),
+        async () => admin.close(),
+      ],
+      resolve,
+    );
+    loop.runner = new WorkEffects({ log, loop, store, workers, hosts, front, exitSwitch });
+  });
+  calls.loop = loop;
+  loop.start();
+  log("info", "node.started", { life, zone: settings.availabilityZone, at: settings.callerAddress });
+  return {
+    shutDown: () => {
+      log("info", "node.stopping", { life });
+      front.beginLeaving();
+      loop.handle({ type: "node/shutdownRequested" });
+    },
+    ended,
+  };
+};
--- /dev/null
+++ b/apps/work/src/workMetrics.ts
@@ -0,0 +1,102 @@
+import type { Effect, Event, State } from "@heatherferry/core";
+import { EventObserver } from "@heatherferry/runners";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { BoundedSink } from "./boundedSink.js";
+
+const WAIT_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5];
+
+/** Counts what a node that serves submissions does. */
+export class WorkMetrics extends EventObserver {
+  readonly registry = new Registry();
+  private readonly answers: Counter<"outcome">;
+  private readonly orders: Counter<"type">;
+  private readonly ends: Counter<"how">;
+  private readonly answerTime: Histogram;
+  private readonly commitTime: Histogram<"result">;
+  private readonly arrivedAtMs = new Map<string, number>();
+
+  /**
+   * @param state - Read when metrics are collected.
+   * @param sink - Counts dropped log lines.
+   */
+  constructor(state: State, sink: BoundedSink) {
+    super();
+    const registers = [this.registry];
+    this.answers = new Counter({
+      name: "heatherferry_call_answers_total",
+      help: "Answers to callers, by outcome",
+      labelNames: ["outcome"],
+      registers,
+    });
+    this.orders = new Counter({
+      name: "heatherferry_effects_total",
+      help: "Effects carried out, by type",
+      labelNames: ["type"],
+      registers,
+    });
+    this.ends = new Counter({
+      name: "heatherferry_run_ends_total",
+      help: "Ends of runs that workers listed, by how they ended",
+      labelNames: ["how"],
+      registers,
+    });
+    this.answerTime = new Histogram({
+      name: "heatherferry_call_seconds",
+      help: "Time from a caller's call to its answer",
+      buckets: WAIT_BUCKETS_S,
+      registers,
+    });
+    this.commitTime = new Histogram({
+      name: "heatherferry_store_commit_seconds",
+      help: "Time of a transaction of the store, by result",
+      labelNames: ["result"],
+      buckets: WAIT_BUCKETS_S,
+      registers,
+    });
+    this.gauge("heatherferry_owner_fence", "Fence while this node owns the work, else 0", () =>
+      Number(state.work?.owned?.fence ?? 0),
+    );
+    this.gauge(
+      "heatherferry_submissions",
+      "Submissions in the owner's care",
+      () => state.work?.owned?.submissions.size ?? 0,
+    );
+    this.gauge("heatherferry_catalog_revision", "Revision of the catalog in force", () =>
+      Number(state.work?.catalog?.revision ?? 0),
+    );
+    this.gauge("heatherferry_log_lines_dropped", "Log lines dropped", () => sink.dropped);
+  }
+
+  override observe(event: Event, effects: readonly Effect[]): void {
+    if (event.type === "call/arrived") {
+      this.arrivedAtMs.set(event.callId, event.atMs);
+    } else if (event.type === "call/abandoned") {
+      this.arrivedAtMs.delete(event.callId);
+    } else if (event.type === "store/commitSettled") {
+      this.commitTime.observe({ result: event.result }, (event.atMs - event.sentAtMs) / 1_000);
+    } else if (event.type === "worker/looked") {
+      for (const end of event.ends) {
+        this.ends.inc({ how: end.kind });
+      }
+    }
+    for (const effect of effects) {
+      this.orders.inc({ type: effect.type });
+      if (effect.type === "call/answer") {
+        this.answers.inc({ outcome: effect.kind });
+        this.answerTime.observe((event.atMs - (this.arrivedAtMs.get(effect.callId) ?? event.atMs)) / 1_000);
+        this.arrivedAtMs.delete(effect.callId);
+      }
+    }
+  }
+
+  private gauge(name: string, help: string, read: () => number): void {
+    const gauge: Gauge = new Gauge({
+      name,
+      help,
+      registers: [this.registry],
+      collect: () => {
+        gauge.set(read());
+      },
+    });
+  }
+}
--- a/packages/core/src/effect.ts
+++ b/packages/core/src/effect.ts
@@ -5,6 +5,7 @@
 import type { RequestsEffect } from "./requests/types.js";
 import type { RevisionsEffect } from "./revisions/types.js";
 import type { TicketsEffect } from "./tickets/types.js";
+import type { WorkEffect } from "./work/events.js";
 
 /** All that a node can do, as data. */
 export type Effect =
@@ -14,4 +15,5 @@
   | RevisionsEffect
   | TicketsEffect
   | PeersEffect
-  | FleetEffect;
+  | FleetEffect
+  | WorkEffect;
--- a/packages/core/src/event.ts
+++ b/packages/core/src/event.ts
@@ -4,7 +4,8 @@
 import type { PlatformEvent } from "./platform/types.js";
 import type { RequestsEvent } from "./requests/types.js";
 import type { TicketsEvent } from "./tickets/types.js";
+import type { WorkEvent } from "./work/events.js";
 
 /** All that can happen to a node. Times are on the node's own monotonic clock. */
 export type Event =
-  NodeEvent | PlatformEvent | RequestsEvent | TicketsEvent | PeersEvent | FleetEvent;
+  NodeEvent | PlatformEvent | RequestsEvent | TicketsEvent | PeersEvent | FleetEvent | WorkEvent;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,6 +21,7 @@
 export * from "./revisions/types.js";
 export * from "./routing/types.js";
 export * from "./state.js";
+export * from "./work/index.js";
 export * from "./tickets/constants.js";
 export * from "./tickets/types.js";
 export * from "./waves/constants.js";
--- a/packages/core/src/initialState.ts
+++ b/packages/core/src/initialState.ts
@@ -57,6 +57,7 @@
     peers: initialPeers(),
     fleet: initialFleet(),
     waves: initialWaves(),
+    work: null,
   };
   mirrorForRole(state);
   return state;
--- a/packages/core/src/node/types.ts
+++ b/packages/core/src/node/types.ts
@@ -32,7 +32,12 @@
 
 export type NodeEvent =
   /** Time passed; sent several times a second. */
-  | { readonly type: "clock/ticked"; readonly atMs: number }
+  | {
+      readonly type: "clock/ticked";
+      readonly atMs: number;
+      /** Time of day, where the node needs it: to find that the machine was suspended. */
+      readonly wallMs?: number;
+    }
   | { readonly type: "node/shutdownRequested"; readonly atMs: number };
 
 export type NodeEffect =
--- a/packages/core/src/reducer.ts
+++ b/packages/core/src/reducer.ts
@@ -26,6 +26,7 @@
 import { writeSettledClaims } from "./tickets/claims.js";
 import { reduceTickets } from "./tickets/reduceTickets.js";
 import { rowsChangedWaves } from "./waves/rowsChangedWaves.js";
+import { reduceWork } from "./work/reduceWork.js";
 
 /** Time never goes back, whatever order events are handed in. */
 const advanceClock = (state: State, event: Event): void => {
@@ -100,6 +101,10 @@
   const effects: Effect[] = [];
   advanceClock(state, event);
   reduceNode(state, event);
+  if (state.work !== null) {
+    reduceWork(state.work, event, effects);
+    return effects;
+  }
   const news = reducePlatform(state, event, effects);
   spreadRows(state, news.rows, effects);
   for (const outcome of news.outcomes) {
--- a/packages/core/src/state.ts
+++ b/packages/core/src/state.ts
@@ -11,6 +11,7 @@
 import type { RoutingState } from "./routing/types.js";
 import type { TicketsState } from "./tickets/types.js";
 import type { WavesState } from "./waves/types.js";
+import type { WorkloadState } from "./work/state.js";
 
 /**
  * All that a node knows. Only the reducer writes to it, and it does so in place: a copy of a
@@ -31,4 +32,6 @@
   peers: PeersState;
   fleet: FleetState;
   waves: WavesState;
+  /** Set on nodes that serve submissions; the slices above rest there. */
+  work: WorkloadState | null;
 }
--- /dev/null
+++ b/packages/core/src/work/constants.ts
@@ -0,0 +1,216 @@
+/** Tables of the platform's store that belong to the product. */
+export const WORK_TABLE = {
+  /** What callers handed in, and their cancels. Written once a row, by any node. */
+  HAND_INS: "heatherferry-hand-ins",
+  /** What became of it. Written by the owner alone. */
+  PROGRESS: "heatherferry-progress",
+  /** Who decides. */
+  OWNER: "heatherferry-owner",
+} as const;
+
+/** The one row that names the owner. */
+export const OWNER_KEY = "all-pools";
+
+export const SUBMISSION_STATE = {
+  QUEUED: "queued",
+  RUNNING: "running",
+  COMPLETED: "completed",
+  FAILED: "failed",
+  CANCELLED: "cancelled",
+} as const;
+
+export const CALL_KIND = {
+  SUBMIT: "submit",
+  STATE: "state",
+  CANCEL: "cancel",
+  PENDING: "pending",
+  UNSUPPORTED: "unsupported",
+} as const;
+
+export const ANSWER_KIND = {
+  ACCEPTED: "accepted",
+  STATE: "state",
+  PENDING: "pending",
+  CANCELLED: "cancelled",
+  GONE: "gone",
+  NO_SUCH_QUEUE: "noSuchQueue",
+  NOT_AUTHORISED: "notAuthorised",
+  BAD_REQUEST: "badRequest",
+  TOO_LARGE: "tooLarge",
+  CONFLICT: "conflict",
+  /** Nothing was stored: the caller may try again. */
+  UNAVAILABLE: "unavailable",
+  /** The write may or may not have taken effect. */
+  UNKNOWN: "unknown",
+} as const;
+
+export const COMMIT_RESULT = {
+  COMMITTED: "committed",
+  CONFLICTED: "conflicted",
+  /** The store said that it did nothing. */
+  REFUSED: "refused",
+  /** No answer: it may have taken effect, or may do so later. */
+  UNANSWERED: "unanswered",
+} as const;
+
+export const FEED = {
+  OPERATORS: "operators",
+  WORKERS: "workers",
+  HAND_INS: "handIns",
+} as const;
+
+export const SCAN = {
+  ...FEED,
+  PROGRESS: "progress",
+  OWNER: "owner",
+} as const;
+
+export const RUN_PHASE = {
+  /** Ordered, not answered. */
+  ORDERED: "ordered",
+  RUNNING: "running",
+  STOPPING: "stopping",
+} as const;
+
+export const ITEM_PHASE = {
+  /** Steps before it are not done, or its time has not come. */
+  BLOCKED: "blocked",
+  READY: "ready",
+  PLACED: "placed",
+  DONE: "done",
+} as const;
+
+export const START_RESULT = {
+  STARTED: "started",
+  /** The worker will never run it: stale fence, older run, late, no room, bad ticket. */
+  REFUSED: "refused",
+  /** An unhealthy worker that did nothing. */
+  UNHEALTHY: "unhealthy",
+  /** Another life answered at this address. */
+  WRONG_LIFE: "wrongLife",
+  UNANSWERED: "unanswered",
+} as const;
+
+export const END_KIND = {
+  DONE: "done",
+  FAILED: "failed",
+  STOPPED: "stopped",
+  LAPSED: "lapsed",
+  GANG_BROKEN: "gangBroken",
+  GANG_ALONE: "gangAlone",
+} as const;
+
+export const HOST_ORDER_RESULT = {
+  ACCEPTED: "accepted",
+  BUSY: "busy",
+  REFUSED: "refused",
+  FENCED: "fenced",
+  UNANSWERED: "unanswered",
+} as const;
+
+export const OWNERSHIP = {
+  /** How often others look at the owner's row. */
+  POLL_MS: 300,
+  /** The owner writes its row at least this often. */
+  RENEW_MS: 500,
+  /** After this long without a confirmed write the owner orders nothing. */
+  SURE_MS: 1_500,
+  /** A row that stood still this long may be taken over; above SURE_MS by a write's time. */
+  SILENCE_MS: 2_000,
+  /** Spread of first claims, so that not all nodes write at once. */
+  CLAIM_SPREAD_MS: 150,
+} as const;
+
+export const STORE = {
+  COMMIT_TIMEOUT_MS: 1_000,
+  FEED_WAIT_MS: 1_000,
+  FEED_RETRY_MS: 200,
+  /** Nodes count the store as lost after this long without an answer. */
+  LOST_MS: 1_300,
+  /** Pause before a failed owner's write is sent again. */
+  COMMIT_RETRY_MS: 100,
+  /** Rows of one transaction; the store takes 100 entries, the owner's row among them. */
+  MAX_ROWS: 90,
+  /** Pause between two writes of the owner, so that one carries what gathers meanwhile. */
+  LEDGER_GAP_MS: 30,
+} as const;
+
+export const CATALOG_VIEW = {
+  /** Keys are honoured for so long after the newest view of the rules was asked for. */
+  MARGIN_BEFORE_REVOKE_MS: 1_000,
+  /** A node with an older view leaves rotation. */
+  READY_MS: 2_500,
+} as const;
+
+export const LEASE = {
+  /** Longest lease asked for. */
+  TERM_MS: 5_000,
+  /** Longest wait of a look at a worker for news. */
+  LOOK_WAIT_MS: 1_000,
+  /** Pause between two looks at a worker. */
+  LOOK_GAP_MS: 100,
+  LOOK_RETRY_MS: 300,
+  /** Workers' clocks may be this much slow, so a lease may last this much longer. */
+  SLOWEST_CLOCK: 0.98,
+  END_MARGIN_MS: 100,
+} as const;
+
+export const ORDER = {
+  TIMEOUT_MS: 1_000,
+  STOP_RETRY_MS: 300,
+} as const;
+
+export const CALL = {
+  /** Kept back of a caller's wait for the answer's way. */
+  ANSWER_MARGIN_MS: 200,
+  DEFAULT_WAIT_MS: 3_000,
+  RETRY_AFTER_MS: 1_000,
+} as const;
+
+export const CLOCK_JUMP = {
+  /** Wall and steady clock may drift apart by this much between two turns. */
+  TOLERANCE_MS: 250,
+} as const;
+
+export const HEALTH = {
+  /** Failures in a row after which a worker gets a rest. */
+  FAILURES: 3,
+  REST_MS: 4_000,
+  /** A run without progress for this long is started elsewhere. */
+  STALL_MS: 2_500,
+} as const;
+
+export const PACING = {
+  /** Fillers are slowed when a tail passes this share of its target. */
+  ALERT_SHARE: 0.85,
+  /** They are let up again when all tails are below this share. */
+  CALM_SHARE: 0.6,
+  /** Pause before fillers are let up a step. */
+  CALM_MS: 2_000,
+  STEP_PERCENT: 25,
+  /** Stands for a pace that was not confirmed; neither stopped nor at full pace. */
+  UNKNOWN_PERCENT: 1,
+} as const;
+
+export const LEAVING = {
+  /** The listener stays open so long after a shutdown was asked for. */
+  LINGER_MS: 2_500,
+  /** Kept back of the time that the platform grants. */
+  EXIT_MARGIN_MS: 1_200,
+} as const;
+
+export const FORGET = {
+  /** Ended submissions are kept this much longer than callers may ask for them. */
+  MARGIN_MS: 30_000,
+  SWEEP_MS: 10_000,
+} as const;
+
+export const HOSTS = {
+  /** Pause between two lists of hosts while a wave or a move is under way. */
+  LIST_MS: 1_000,
+  ORDER_RETRY_MS: 700,
+  /** After this long a confirmed order counts as carried out even without a new worker. */
+  RETURN_MS: 8_000,
+  /** On top of the time in which two holders must not take turns. */
+  DUTY_MARGIN_MS: 300,
+} as const;
--- /dev/null
+++ b/packages/core/src/work/events.ts
@@ -0,0 +1,270 @@
+import type { HostId, PoolId, ValueOf } from "@heatherferry/common";
+import type {
+  ANSWER_KIND,
+  CALL_KIND,
+  COMMIT_RESULT,
+  FEED,
+  HOST_ORDER_RESULT,
+  SCAN,
+  START_RESULT,
+} from "./constants.js";
+import type {
+  Catalog,
+  EndLine,
+  Fence,
+  HandIn,
+  HostListing,
+  ItemKey,
+  OwnerRow,
+  Progress,
+  RunningLine,
+  StoreVersion,
+  SubmissionId,
+  SubmissionState,
+  WaveRequest,
+  WorkerId,
+  WorkerReport,
+  WorkSpec,
+} from "./types.js";
+
+export type CallKind = ValueOf<typeof CALL_KIND>;
+export type AnswerKind = ValueOf<typeof ANSWER_KIND>;
+export type CommitResult = ValueOf<typeof COMMIT_RESULT>;
+export type Feed = ValueOf<typeof FEED>;
+export type Scan = ValueOf<typeof SCAN>;
+export type StartResult = ValueOf<typeof START_RESULT>;
+export type HostOrderResult = ValueOf<typeof HOST_ORDER_RESULT>;
+
+/** A row of the store after decoding. Rows that cannot be read never get this far. */
+export type StoreRow =
+  | { readonly type: "catalog"; readonly version: StoreVersion; readonly catalog: Catalog }
+  | { readonly type: "wave"; readonly version: StoreVersion; readonly request: WaveRequest }
+  | { readonly type: "worker"; readonly version: StoreVersion; readonly report: WorkerReport }
+  | { readonly type: "workerGone"; readonly version: StoreVersion; readonly id: WorkerId }
+  | { readonly type: "handIn"; readonly version: StoreVersion; readonly handIn: HandIn }
+  | { readonly type: "cancel"; readonly version: StoreVersion; readonly id: SubmissionId }
+  | { readonly type: "progress"; readonly version: StoreVersion; readonly progress: Progress }
+  | { readonly type: "owner"; readonly version: StoreVersion; readonly owner: OwnerRow }
+  | {
+      readonly type: "waveReport";
+      readonly version: StoreVersion;
+      readonly wave: number;
+      readonly doneHosts: readonly HostId[];
+    };
+
+/** A row to be written, named by what it holds. */
+export type RowToWrite =
+  | { readonly type: "handIn"; readonly handIn: HandIn }
+  | { readonly type: "cancel"; readonly id: SubmissionId }
+  | { readonly type: "progress"; readonly progress: Progress }
+  | { readonly type: "owner"; readonly owner: OwnerRow }
+  | { readonly type: "waveReport"; readonly wave: number; readonly completed: boolean; readonly doneHosts: readonly HostId[] };
+
+export type RowName =
+  | { readonly type: "handIn" | "cancel" | "progress"; readonly id: SubmissionId }
+  | { readonly type: "owner" };
+
+/** The row must still be at this version; 0 says that it must not exist. */
+export interface CommitCondition {
+  readonly row: RowName;
+  readonly version: StoreVersion;
+}
+
+/** One transaction. */
+export interface Commit {
+  readonly commitId: string;
+  readonly conditions: readonly CommitCondition[];
+  readonly writes: readonly RowToWrite[];
+  readonly removes: readonly RowName[];
+}
+
+/** A call of a caller; `problem` says what is wrong with its body. */
+export interface CallArrival {
+  readonly callId: string;
+  readonly kind: CallKind;
+  readonly callerHost: string;
+  readonly path: string;
+  readonly key: string | null;
+  readonly waitMs: number | null;
+  readonly bodyBytes: number;
+  readonly work: WorkSpec | null;
+  readonly problem: string | null;
+}
+
+/** What a caller is told; the encoding is the front end's. */
+export interface CallAnswer {
+  readonly callId: string;
+  readonly kind: AnswerKind;
+  readonly state?: SubmissionState;
+  readonly pending?: number;
+  readonly retryAfterMs?: number;
+  readonly problem?: string;
+}
+
+interface Timed {
+  readonly atMs: number;
+  /** Time of day; beside the steady clock it shows that the machine was suspended. */
+  readonly wallMs?: number;
+}
+
+export type WorkEvent = Timed &
+  (
+    | ({ readonly type: "call/arrived" } & CallArrival)
+    | { readonly type: "call/abandoned"; readonly callId: string }
+    | {
+        readonly type: "store/scanned";
+        readonly scan: Scan;
+        readonly sentAtMs: number;
+        readonly rows: readonly StoreRow[];
+        /** The store's newest version as of the first page. */
+        readonly version: StoreVersion;
+      }
+    | { readonly type: "store/scanFailed"; readonly scan: Scan; readonly reason: string }
+    | {
+        readonly type: "store/feedAnswered";
+        readonly feed: Feed;
+        readonly sentAtMs: number;
+        readonly rows: readonly StoreRow[];
+        readonly version: StoreVersion;
+      }
+    | {
+        readonly type: "store/feedFailed";
+        readonly feed: Feed;
+        readonly sentAtMs: number;
+        /** The store dropped the changes that were asked for. */
+        readonly historyLost: boolean;
+        readonly reason: string;
+      }
+    | {
+        readonly type: "store/commitSettled";
+        readonly commitId: string;
+        readonly result: CommitResult;
+        readonly sentAtMs: number;
+        readonly version: StoreVersion | null;
+        /** Rows of failed conditions as they are. */
+        readonly rows: readonly StoreRow[];
+        readonly reason: string | null;
+      }
+    | {
+        readonly type: "store/lookedUp";
+        readonly callId: string;
+        readonly handIn: { readonly handIn: HandIn; readonly version: StoreVersion } | null;
+        readonly cancelled: boolean;
+        readonly progress: Progress | null;
+      }
+    | { readonly type: "store/lookUpFailed"; readonly callId: string; readonly reason: string }
+    | {
+        readonly type: "worker/startAnswered";
+        readonly worker: WorkerId;
+        readonly item: ItemKey;
+        readonly run: number;
+        readonly result: StartResult;
+        readonly reason: string | null;
+        readonly clockMs: number | null;
+      }
+    | {
+        readonly type: "worker/stopAnswered";
+        readonly worker: WorkerId;
+        readonly item: ItemKey;
+        readonly run: number;
+        readonly settled: boolean;
+        readonly wrongLife: boolean;
+        readonly clockMs: number | null;
+      }
+    | {
+        readonly type: "worker/looked";
+        readonly worker: WorkerId;
+        readonly sentAtMs: number;
+        readonly clockMs: number;
+        readonly bornWallMs: number | null;
+        readonly running: readonly RunningLine[];
+        readonly ends: readonly EndLine[];
+      }
+    | {
+        readonly type: "worker/lookFailed";
+        readonly worker: WorkerId;
+        readonly wrongLife: boolean;
+        readonly reason: string;
+      }
+    | {
+        readonly type: "worker/paceFailed";
+        readonly worker: WorkerId;
+        readonly item: ItemKey;
+        readonly run: number;
+      }
+    | {
+        readonly type: "power/listed";
+        readonly hosts: readonly HostListing[];
+      }
+    | { readonly type: "power/listFailed"; readonly reason: string }
+    | {
+        readonly type: "power/orderAnswered";
+        readonly host: HostId;
+        readonly result: HostOrderResult;
+        readonly reason: string | null;
+      }
+  );
+
+/** Names the worker of an order and the life of it that is meant. */
+export interface WorkerTarget {
+  readonly worker: WorkerId;
+  readonly address: string;
+  readonly fence: Fence;
+}
+
+export type WorkEffect =
+  | ({ readonly type: "call/answer" } & CallAnswer)
+  | { readonly type: "store/scan"; readonly scan: Scan }
+  | {
+      readonly type: "store/feed";
+      readonly feed: Feed;
+      readonly after: StoreVersion;
+      readonly waitMs: number;
+      /** Names the request: an answer to an earlier one is dropped. */
+      readonly sentAtMs: number;
+    }
+  | ({ readonly type: "store/commit" } & Commit)
+  | { readonly type: "store/lookUp"; readonly callId: string; readonly id: SubmissionId }
+  | ({
+      readonly type: "worker/start";
+      readonly item: ItemKey;
+      readonly run: number;
+      readonly payload: string;
+      readonly untilClockMs: number;
+      readonly checkpoint: string | null;
+    } & WorkerTarget)
+  | ({
+      readonly type: "worker/stop";
+      readonly item: ItemKey;
+      readonly run: number;
+    } & WorkerTarget)
+  | ({
+      readonly type: "worker/look";
+      readonly untilClockMs: number | null;
+      readonly notedSequence: number;
+      readonly waitMs: number;
+    } & WorkerTarget)
+  | ({
+      readonly type: "worker/pace";
+      readonly item: ItemKey;
+      readonly run: number;
+      readonly percent: number;
+    } & WorkerTarget)
+  | { readonly type: "power/list" }
+  | {
+      readonly type: "power/move";
+      readonly host: HostId;
+      readonly pool: PoolId;
+      readonly fence: Fence;
+    }
+  | {
+      readonly type: "power/upkeep";
+      readonly host: HostId;
+      readonly wave: number;
+      readonly fence: Fence;
+    }
+  | { readonly type: "node/readiness"; readonly ready: boolean }
+  | { readonly type: "node/closeFront" }
+  /** Turn the clock after this time, earlier than it would turn by itself. */
+  | { readonly type: "clock/wake"; readonly delayMs: number };
+
--- /dev/null
+++ b/packages/core/src/work/feeds.ts
@@ -0,0 +1,158 @@
+import { catalogAgeMs, applyCatalog } from "./catalog.js";
+import { FEED, STORE, CATALOG_VIEW } from "./constants.js";
+import type { Feed, StoreRow, WorkEvent } from "./events.js";
+import type { FeedState } from "./state.js";
+import { adoptHandIn, cancelOwned } from "./submissions.js";
+import { logLine, type Turn } from "./turn.js";
+import { waveRequested } from "./waves.js";
+import { workerReported, workerUnlisted } from "./workers.js";
+
+/** Takes changed rows in the order of their versions. */
+export const rowsChanged = (turn: Turn, rows: readonly StoreRow[]): void => {
+  const { owned } = turn.work;
+  for (const row of rows) {
+    switch (row.type) {
+      case "catalog":
+        if (applyCatalog(turn, row.catalog)) {
+          owned?.pools.forEach((pool) => {
+            pool.dirty = true;
+          });
+        }
+        break;
+      case "wave":
+        waveRequested(turn, row.request);
+        break;
+      case "worker":
+        if (owned?.active === true) {
+          workerReported(turn, owned, row.report);
+        }
+        break;
+      case "workerGone":
+        if (owned?.active === true) {
+          workerUnlisted(turn, owned, row.id);
+        }
+        break;
+      case "handIn":
+        adoptHandIn(turn, row.handIn, row.version, row.version <= (owned?.takenVersion ?? 0));
+        break;
+      case "cancel":
+        cancelOwned(turn, row.id);
+        break;
+      default:
+        break;
+    }
+  }
+};
+
+export const storeAnswered = (turn: Turn): void => {
+  turn.work.storeAnsweredAtMs = turn.nowMs;
+  if (turn.work.storeLost) {
+    turn.work.storeLost = false;
+    logLine(turn, "info", "store.regained", {});
+  }
+};
+
+export const feedAnswered = (turn: Turn, event: Extract<WorkEvent, { type: "store/feedAnswered" }>): void => {
+  const feed = turn.work.feeds[event.feed];
+  if (feed.sentAtMs !== event.sentAtMs || feed.after === null) {
+    return;
+  }
+  feed.sentAtMs = null;
+  feed.after = event.version;
+  feed.viewAtMs = event.sentAtMs;
+  feed.retryAtMs = turn.nowMs;
+  rowsChanged(turn, event.rows);
+};
+
+export const feedFailed = (turn: Turn, event: Extract<WorkEvent, { type: "store/feedFailed" }>): void => {
+  const feed = turn.work.feeds[event.feed];
+  if (feed.sentAtMs !== event.sentAtMs) {
+    return;
+  }
+  feed.sentAtMs = null;
+  feed.retryAtMs = turn.nowMs + STORE.FEED_RETRY_MS;
+  logLine(turn, "warn", "feed.failed", {
+    feed: event.feed,
+    historyLost: event.historyLost,
+    after: Number(feed.after ?? 0),
+    reason: event.reason,
+  });
+  if (event.historyLost) {
+    feed.after = null;
+  }
+};
+
+/** Takes the whole of a feed's rows, read after its history was lost or at the start. */
+export const feedRead = (turn: Turn, event: Extract<WorkEvent, { type: "store/scanned" }>, name: Feed): void => {
+  const feed = turn.work.feeds[name];
+  feed.scanning = false;
+  feed.after = event.version;
+  feed.viewAtMs = event.sentAtMs;
+  feed.retryAtMs = turn.nowMs;
+  if (name === FEED.WORKERS) {
+    unlistMissing(turn, event.rows);
+  }
+  rowsChanged(turn, event.rows);
+};
+
+const unlistMissing = (turn: Turn, rows: readonly StoreRow[]): void => {
+  const listed = new Set(rows.map((row) => (row.type === "worker" ? row.report.id : null)));
+  for (const id of turn.work.owned?.workers.keys() ?? []) {
+    if (!listed.has(id)) {
+      const { owned } = turn.work;
+      if (owned !== null) {
+        workerUnlisted(turn, owned, id);
+      }
+    }
+  }
+};
+
+const poll = (turn: Turn, name: Feed, feed: FeedState): void => {
+  if (feed.sentAtMs !== null || feed.scanning || turn.nowMs < feed.retryAtMs) {
+    return;
+  }
+  if (feed.after === null) {
+    feed.scanning = true;
+    turn.effects.push({ type: "store/scan", scan: name });
+    return;
+  }
+  feed.sentAtMs = turn.nowMs;
+  turn.effects.push({
+    type: "store/feed",
+    feed: name,
+    after: feed.after,
+    waitMs: STORE.FEED_WAIT_MS,
+    sentAtMs: turn.nowMs,
+  });
+};
+
+/** Keeps the feeds going that this node follows. */
+export const tickFeeds = (turn: Turn): void => {
+  const { work, nowMs } = turn;
+  poll(turn, FEED.OPERATORS, work.feeds.operators);
+  if (work.owned?.active === true) {
+    poll(turn, FEED.WORKERS, work.feeds.workers);
+    poll(turn, FEED.HAND_INS, work.feeds.handIns);
+  }
+  const silentMs = nowMs - (work.storeAnsweredAtMs ?? -Infinity);
+  if (!work.storeLost && silentMs > STORE.LOST_MS) {
+    work.storeLost = true;
+    logLine(turn, "warn", "store.lost", { silentMs: Math.round(Math.min(silentMs, 1e9)) });
+  }
+  tickReadiness(turn);
+};
+
+const tickReadiness = (turn: Turn): void => {
+  const { work } = turn;
+  const ageMs = catalogAgeMs(turn);
+  const ready = work.catalog !== null && ageMs <= CATALOG_VIEW.READY_MS && work.leavingAtMs === null;
+  if (ready !== work.ready) {
+    work.ready = ready;
+    turn.effects.push({ type: "node/readiness", ready });
+    logLine(turn, "info", "node.readiness", {
+      ready,
+      viewAgeMs: Math.round(Math.min(ageMs, 1e9)),
+      leaving: work.leavingAtMs !== null,
+    });
+  }
+};
--- /dev/null
+++ b/packages/core/src/work/index.ts
@@ -0,0 +1,5 @@
+export * from "./constants.js";
+export * from "./events.js";
+export * from "./state.js";
+export * from "./types.js";
+export { longestChainMs } from "./submissions.js";
--- /dev/null
+++ b/packages/core/src/work/ownership.ts
@@ -0,0 +1,213 @@
+import { OWNERSHIP } from "./constants.js";
+import type { StoreRow, WorkEvent } from "./events.js";
+import type { OwnedWork, WorkloadState } from "./state.js";
+import { logLine, newCommitId, type Turn } from "./turn.js";
+import { fence, storeVersion, type OwnerRow, type StoreVersion, type WorkerId } from "./types.js";
+
+type OwnerStoreRow = Extract<StoreRow, { type: "owner" }>;
+
+/** @returns Whether no other node can have taken over since the last confirmed write. */
+export const isSure = (turn: Turn, owned: OwnedWork): boolean =>
+  owned.active && !owned.released && turn.nowMs - owned.confirmedAtMs <= OWNERSHIP.SURE_MS;
+
+const isMine = (work: WorkloadState, row: OwnerRow): boolean =>
+  row.holder === work.identity.holder && row.incarnation === work.identity.incarnation;
+
+const ownerRowIn = (rows: readonly StoreRow[]): OwnerStoreRow | null =>
+  rows.find((row): row is OwnerStoreRow => row.type === "owner") ?? null;
+
+/** @returns A spread by name, so that nodes do not all claim at once; in ms. */
+const claimDelayMs = (work: WorkloadState): number => {
+  let sum = 0;
+  for (const char of work.identity.incarnation) {
+    sum = (sum * 31 + char.charCodeAt(0)) % 1_000;
+  }
+  return (OWNERSHIP.CLAIM_SPREAD_MS * sum) / 1_000;
+};
+
+/** Takes a fresh view of the owner's row. */
+export const ownerSeen = (turn: Turn, rows: readonly StoreRow[], sentAtMs: number): void => {
+  const { work, nowMs } = turn;
+  const view = work.ownerView;
+  const row = ownerRowIn(rows);
+  view.pollSentAtMs = null;
+  view.nextPollAtMs = nowMs + OWNERSHIP.POLL_MS;
+  view.viewAtMs = sentAtMs;
+  const version = row?.version ?? storeVersion(0);
+  if (view.row === null || version !== view.version) {
+    if (row !== null && row.owner.holder !== view.row?.holder) {
+      logLine(turn, "info", "owner.seen", {
+        holder: row.owner.holder,
+        fence: Number(row.owner.fence),
+        version: Number(version),
+        released: row.owner.released,
+      });
+    }
+    view.row = row?.owner ?? null;
+    view.version = version;
+    view.sinceMs = nowMs;
+  }
+  considerClaim(turn);
+};
+
+const mayClaim = (turn: Turn): boolean => {
+  const { work, nowMs } = turn;
+  const view = work.ownerView;
+  if (work.owned !== null || work.leavingAtMs !== null || view.claim !== null || work.catalog === null) {
+    return false;
+  }
+  if (view.row === null || view.row.released || isMine(work, view.row)) {
+    return true;
+  }
+  return nowMs - view.sinceMs >= OWNERSHIP.SILENCE_MS;
+};
+
+const considerClaim = (turn: Turn): void => {
+  const { work, nowMs } = turn;
+  const view = work.ownerView;
+  if (!mayClaim(turn)) {
+    view.claimAtMs = null;
+    return;
+  }
+  view.claimAtMs ??= nowMs + claimDelayMs(work);
+  if (nowMs < view.claimAtMs) {
+    view.nextPollAtMs = view.claimAtMs;
+    return;
+  }
+  view.claimAtMs = null;
+  const commitId = newCommitId(work);
+  view.claim = { commitId, sentAtMs: nowMs };
+  const owner: OwnerRow = {
+    holder: work.identity.holder,
+    incarnation: work.identity.incarnation,
+    fence: fence((view.row?.fence ?? 0) + 1),
+    released: false,
+    leasedWorkers: view.row?.leasedWorkers ?? [],
+    pending: view.row?.pending ?? {},
+  };
+  logLine(turn, "info", "owner.claiming", {
+    fence: Number(owner.fence),
+    before: view.row?.holder ?? null,
+    released: view.row?.released ?? false,
+    silentMs: Math.round(nowMs - view.sinceMs),
+    version: Number(view.version),
+  });
+  turn.effects.push({
+    type: "store/commit",
+    commitId,
+    conditions: [{ row: { type: "owner" }, version: view.version }],
+    writes: [{ type: "owner", owner }],
+    removes: [],
+  });
+};
+
+/** Polls the owner's row; one poll at a time. */
+export const tickOwnership = (turn: Turn): void => {
+  const view = turn.work.ownerView;
+  if (turn.work.owned !== null || view.pollSentAtMs !== null || turn.nowMs < view.nextPollAtMs) {
+    return;
+  }
+  view.pollSentAtMs = turn.nowMs;
+  turn.effects.push({ type: "store/scan", scan: "owner" });
+};
+
+export const ownerScanFailed = (turn: Turn): void => {
+  const view = turn.work.ownerView;
+  view.pollSentAtMs = null;
+  view.nextPollAtMs = turn.nowMs + OWNERSHIP.POLL_MS;
+};
+
+/** @returns Whether the settled write was this node's claim. */
+export const claimSettled = (turn: Turn, event: Extract<WorkEvent, { type: "store/commitSettled" }>): boolean => {
+  const { work } = turn;
+  const view = work.ownerView;
+  if (view.claim?.commitId !== event.commitId) {
+    return false;
+  }
+  const { sentAtMs } = view.claim;
+  view.claim = null;
+  view.nextPollAtMs = turn.nowMs;
+  if (event.result !== "committed" || event.version === null) {
+    logLine(turn, "info", "owner.claimLost", { result: event.result, reason: event.reason });
+    return true;
+  }
+  beginOwning(turn, event.version, sentAtMs);
+  return true;
+};
+
+const beginOwning = (turn: Turn, version: StoreVersion, sentAtMs: number): void => {
+  const { work, nowMs } = turn;
+  const before = work.ownerView.row;
+  work.owned = newOwnedWork(nowMs, version, sentAtMs, (before?.fence ?? 0) + 1, new Set(before?.leasedWorkers ?? []));
+  for (const feed of [work.feeds.workers, work.feeds.handIns]) {
+    feed.after = null;
+    feed.sentAtMs = null;
+    feed.viewAtMs = null;
+  }
+  logLine(turn, "info", "owner.taken", { fence: Number(work.owned.fence), version: Number(version) });
+  for (const scan of work.owned.loads) {
+    turn.effects.push({ type: "store/scan", scan });
+  }
+};
+
+const newOwnedWork = (nowMs: number, version: StoreVersion, sentAtMs: number, fenceNumber: number, unheard: Set<WorkerId>): OwnedWork => ({
+  fence: fence(fenceNumber),
+  takenAtMs: nowMs,
+  takenVersion: version,
+  rowVersion: version,
+  confirmedAtMs: sentAtMs,
+  loads: new Set(["workers", "handIns", "progress"] as const),
+  active: false,
+  released: false,
+  unheard,
+  submissions: new Map(),
+  workers: new Map(),
+  pools: new Map(),
+  teams: new Map(),
+  dirty: new Set(),
+  scheduled: new Set(),
+  ledger: null,
+  ledgerRetryAtMs: 0,
+  ledgerSentAtMs: nowMs,
+  needsRenewal: false,
+  hosts: new Map(),
+  hostOrders: new Map(),
+  hostListAtMs: null,
+  hostListSentAtMs: null,
+  waves: new Map(),
+  forgetAtMs: nowMs,
+  loadedRows: [],
+});
+
+/** Another node owns the work now, or this one gave it back. */
+export const endOwning = (turn: Turn, why: string): void => {
+  const { work } = turn;
+  if (work.owned === null) {
+    return;
+  }
+  logLine(turn, "warn", "owner.ended", {
+    fence: Number(work.owned.fence),
+    why,
+    confirmedAgeMs: Math.round(Math.min(turn.nowMs - work.owned.confirmedAtMs, 1e9)),
+  });
+  work.owned = null;
+  work.ownerView.row = null;
+  work.ownerView.pollSentAtMs = null;
+  work.ownerView.nextPollAtMs = turn.nowMs;
+};
+
+/**
+ * Settles a conflict of the owner's write by the row as it is.
+ *
+ * @returns Whether this node still owns the work.
+ */
+export const stillOwner = (turn: Turn, owned: OwnedWork, rows: readonly StoreRow[], sentAtMs: number): boolean => {
+  const row = ownerRowIn(rows);
+  if (row === null || !isMine(turn.work, row.owner) || row.owner.fence !== owned.fence) {
+    endOwning(turn, "another node has taken over");
+    return false;
+  }
+  owned.rowVersion = row.version;
+  owned.confirmedAtMs = Math.max(owned.confirmedAtMs, sentAtMs);
+  return true;
+};
--- /dev/null
+++ b/packages/core/src/work/pools.ts
@@ -0,0 +1,12 @@
+import type { PoolId } from "@heatherferry/common";
+import type { OwnedWork, PoolWork } from "./state.js";
+
+/** @returns The owner's view of a pool, made when first asked for. */
+export const poolOf = (owned: OwnedWork, id: PoolId): PoolWork => {
+  let pool = owned.pools.get(id);
+  if (pool === undefined) {
+    pool = { id, workers: new Set(), waiting: new Set(), dirty: true, settled: false };
+    owned.pools.set(id, pool);
+  }
+  return pool;
+};
--- /dev/null
+++ b/packages/core/src/work/recovery.ts
@@ -0,0 +1,99 @@
+import { LEASE } from "./constants.js";
+import type { Scan, StoreRow, WorkEvent } from "./events.js";
+import { poolOf } from "./pools.js";
+import type { OwnedWork } from "./state.js";
+import { adoptHandIn, cancelOwned } from "./submissions.js";
+import { logLine, type Turn } from "./turn.js";
+import type { Progress, SubmissionId } from "./types.js";
+import { waveReported } from "./waves.js";
+import { workerReported } from "./workers.js";
+
+/** Takes one of the tables that a new owner reads whole before it orders anything. */
+export const tableLoaded = (turn: Turn, owned: OwnedWork, event: Extract<WorkEvent, { type: "store/scanned" }>): void => {
+  const { work } = turn;
+  if (!owned.loads.delete(event.scan)) {
+    return;
+  }
+  owned.loadedRows.push(...event.rows);
+  if (event.scan === "workers" || event.scan === "handIns") {
+    const feed = work.feeds[event.scan];
+    feed.after = event.version;
+    feed.viewAtMs = event.sentAtMs;
+  }
+  if (owned.loads.size === 0) {
+    const rows = owned.loadedRows;
+    owned.loadedRows = [];
+    begin(turn, owned, rows);
+  }
+};
+
+/** A table could not be read: it is read again, since nothing can be decided without it. */
+export const tableNotLoaded = (turn: Turn, owned: OwnedWork, scan: Scan): void => {
+  if (owned.loads.has(scan)) {
+    turn.effects.push({ type: "store/scan", scan });
+  }
+};
+
+const begin = (turn: Turn, owned: OwnedWork, rows: readonly StoreRow[]): void => {
+  const progress = new Map<SubmissionId, Progress>();
+  const cancels: SubmissionId[] = [];
+  owned.active = true;
+  for (const row of rows) {
+    if (row.type === "worker") {
+      workerReported(turn, owned, row.report);
+    } else if (row.type === "progress") {
+      progress.set(row.progress.id, row.progress);
+    } else if (row.type === "cancel") {
+      cancels.push(row.id);
+    } else if (row.type === "waveReport") {
+      waveReported(turn, owned, row.wave, row.doneHosts);
+    }
+  }
+  for (const row of rows) {
+    if (row.type === "handIn") {
+      const inherited = row.version <= owned.takenVersion;
+      adoptHandIn(turn, row.handIn, row.version, inherited, progress.get(row.handIn.id) ?? null);
+    }
+  }
+  cancels.forEach((id) => {
+    cancelOwned(turn, id);
+  });
+  logLine(turn, "info", "owner.loaded", {
+    fence: Number(owned.fence),
+    submissions: owned.submissions.size,
+    workers: owned.workers.size,
+    unheard: owned.unheard.size,
+    afterMs: Math.round(turn.nowMs - owned.takenAtMs),
+  });
+};
+
+/** Lets items of earlier owners start once nothing of them can run unseen. */
+export const tickRecovery = (turn: Turn, owned: OwnedWork): void => {
+  const longestLeaseMs = LEASE.TERM_MS / LEASE.SLOWEST_CLOCK + LEASE.END_MARGIN_MS;
+  const leasesOver = turn.nowMs - owned.takenAtMs > longestLeaseMs;
+  for (const id of owned.unheard) {
+    if (leasesOver || owned.workers.get(id)?.fenced === true) {
+      owned.unheard.delete(id);
+    }
+  }
+  for (const pool of [...owned.pools.values()]) {
+    if (!pool.settled && (leasesOver || (owned.unheard.size === 0 && allFenced(owned, pool.id)))) {
+      pool.settled = true;
+      pool.dirty = true;
+      logLine(turn, "info", "pool.settled", {
+        pool: pool.id,
+        leasesOver,
+        afterMs: Math.round(turn.nowMs - owned.takenAtMs),
+      });
+    }
+  }
+};
+
+const allFenced = (owned: OwnedWork, id: Parameters<typeof poolOf>[1]): boolean => {
+  for (const worker of poolOf(owned, id).workers) {
+    if (!worker.fenced && worker.listed) {
+      return false;
+    }
+  }
+  return true;
+};
--- /dev/null
+++ b/packages/core/src/work/reduceWork.ts
@@ -0,0 +1,232 @@
+import type { Effect } from "../effect.js";
+import type { Event } from "../event.js";
+import {
+  callAbandoned,
+  callArrived,
+  callCommitSettled,
+  callLookedUp,
+  callLookUpFailed,
+  tickCalls,
+} from "./calls.js";
+import { CLOCK_JUMP, LEAVING, SCAN } from "./constants.js";
+import { dispatch, recheckPools, stopStalled } from "./dispatch.js";
+import type { WorkEvent } from "./events.js";
+import { feedAnswered, feedFailed, feedRead, storeAnswered, tickFeeds } from "./feeds.js";
+import { tickForget } from "./forget.js";
+import { ledgerSettled, tickLedger } from "./ledger.js";
+import { claimSettled, ownerScanFailed, ownerSeen, tickOwnership } from "./ownership.js";
+import { paceFailed } from "./pacing.js";
+import { tableLoaded, tableNotLoaded, tickRecovery } from "./recovery.js";
+import { repeatStops, startAnswered, stopAnswered } from "./runs.js";
+import type { OwnedWork, WorkloadState } from "./state.js";
+import { makeDueOccurrences } from "./submissions.js";
+import { logLine, type Turn } from "./turn.js";
+import { hostOrderAnswered, hostsListed, tickWaves } from "./waves.js";
+import { tickWorkers, workerLooked, workerLookFailed } from "./workers.js";
+
+/**
+ * A suspended machine's steady clock stands still while others go on, so after a jump between
+ * the clocks nothing is taken as fresh until it is confirmed again.
+ */
+const checkClocks = (turn: Turn, wallMs: number): void => {
+  const { work, nowMs } = turn;
+  const offsetMs = wallMs - nowMs;
+  const jumpMs = work.wallOffsetMs === null ? 0 : offsetMs - work.wallOffsetMs;
+  work.wallOffsetMs = offsetMs;
+  if (Math.abs(jumpMs) <= CLOCK_JUMP.TOLERANCE_MS) {
+    return;
+  }
+  logLine(turn, "warn", "clock.jumped", { byMs: Math.round(jumpMs) });
+  work.ownerView.sinceMs = nowMs;
+  for (const feed of Object.values(work.feeds)) {
+    feed.viewAtMs = null;
+  }
+  if (work.owned !== null) {
+    work.owned.confirmedAtMs = -Infinity;
+    work.owned.needsRenewal = true;
+  }
+};
+
+const scanned = (turn: Turn, event: Extract<WorkEvent, { type: "store/scanned" }>): void => {
+  const { work } = turn;
+  if (event.scan === SCAN.OWNER) {
+    ownerSeen(turn, event.rows, event.sentAtMs);
+  } else if (work.owned !== null && work.owned.loads.has(event.scan)) {
+    tableLoaded(turn, work.owned, event);
+  } else if (event.scan !== SCAN.PROGRESS && work.feeds[event.scan].scanning) {
+    feedRead(turn, event, event.scan);
+  }
+};
+
+const scanFailed = (turn: Turn, event: Extract<WorkEvent, { type: "store/scanFailed" }>): void => {
+  const { work } = turn;
+  logLine(turn, "warn", "scan.failed", { scan: event.scan, reason: event.reason });
+  if (event.scan === SCAN.OWNER) {
+    ownerScanFailed(turn);
+  } else if (work.owned?.loads.has(event.scan) === true) {
+    tableNotLoaded(turn, work.owned, event.scan);
+  } else if (event.scan !== SCAN.PROGRESS) {
+    const feed = work.feeds[event.scan];
+    feed.scanning = false;
+    feed.retryAtMs = turn.nowMs + 200;
+  }
+};
+
+const commitSettled = (turn: Turn, event: Extract<WorkEvent, { type: "store/commitSettled" }>): void => {
+  if (event.result === "committed" || event.result === "conflicted") {
+    storeAnswered(turn);
+  }
+  const taken =
+    ledgerSettled(turn, event) || claimSettled(turn, event) || callCommitSettled(turn, event);
+  if (!taken) {
+    logLine(turn, "info", "commit.unclaimed", { commit: event.commitId, result: event.result });
+  }
+};
+
+const reduceStoreEvent = (turn: Turn, event: WorkEvent): void => {
+  switch (event.type) {
+    case "store/scanned":
+      storeAnswered(turn);
+      scanned(turn, event);
+      return;
+    case "store/scanFailed":
+      scanFailed(turn, event);
+      return;
+    case "store/feedAnswered":
+      storeAnswered(turn);
+      feedAnswered(turn, event);
+      return;
+    case "store/feedFailed":
+      feedFailed(turn, event);
+      return;
+    case "store/commitSettled":
+      commitSettled(turn, event);
+      return;
+    case "store/lookedUp":
+      storeAnswered(turn);
+      callLookedUp(turn, event);
+      return;
+    case "store/lookUpFailed":
+      callLookUpFailed(turn, event.callId, event.reason);
+      return;
+    default:
+      return;
+  }
+};
+
+const reduceOwnedEvent = (turn: Turn, owned: OwnedWork, event: WorkEvent): void => {
+  switch (event.type) {
+    case "worker/startAnswered":
+      startAnswered(turn, owned, event);
+      return;
+    case "worker/stopAnswered":
+      stopAnswered(turn, owned, event);
+      return;
+    case "worker/looked":
+      workerLooked(turn, owned, event);
+      return;
+    case "worker/lookFailed":
+      workerLookFailed(turn, owned, event);
+      return;
+    case "worker/paceFailed":
+      paceFailed(owned, event);
+      return;
+    case "power/listed":
+      hostsListed(turn, owned, event);
+      return;
+    case "power/listFailed":
+      logLine(turn, "warn", "hosts.listFailed", { reason: event.reason });
+      return;
+    case "power/orderAnswered":
+      hostOrderAnswered(turn, owned, event);
+      return;
+    default:
+      return;
+  }
+};
+
+const tickOwned = (turn: Turn, owned: OwnedWork): void => {
+  for (const submission of [...owned.scheduled]) {
+    makeDueOccurrences(turn, owned, submission, null, false);
+  }
+  tickRecovery(turn, owned);
+  repeatStops(turn, owned);
+  stopStalled(turn, owned);
+  tickWaves(turn, owned);
+  tickForget(turn, owned);
+  recheckPools(owned);
+};
+
+const tickLeaving = (turn: Turn): void => {
+  const { work, nowMs, effects } = turn;
+  if (work.leavingAtMs === null) {
+    return;
+  }
+  const sinceMs = nowMs - work.leavingAtMs;
+  if (!work.frontClosed && sinceMs >= LEAVING.LINGER_MS && work.owned === null) {
+    work.frontClosed = true;
+    effects.push({ type: "node/closeFront" });
+  }
+  const over = sinceMs >= work.bounds.graceMs - LEAVING.EXIT_MARGIN_MS;
+  if ((work.frontClosed && work.calls.size === 0) || over) {
+    effects.push({ type: "node/exit" });
+  }
+};
+
+/** Carries on what goes by time or follows from what just happened. */
+const settle = (turn: Turn, ticked: boolean): void => {
+  const { work } = turn;
+  tickFeeds(turn);
+  tickOwnership(turn);
+  const { owned } = work;
+  if (owned !== null) {
+    if (owned.active) {
+      if (ticked) {
+        tickOwned(turn, owned);
+      }
+      dispatch(turn, owned);
+      tickWorkers(turn, owned);
+    }
+    tickLedger(turn, owned);
+  }
+  if (ticked) {
+    tickCalls(turn);
+    tickLeaving(turn);
+  }
+};
+
+/**
+ * The part of the reducer that serves submissions. Changes the state in place.
+ *
+ * @param work - The state to change.
+ * @param event - What happened.
+ * @param effects - Takes what is to be done.
+ */
+export const reduceWork = (work: WorkloadState, event: Event, effects: Effect[]): void => {
+  const offsetMs = work.wallOffsetMs ?? 0;
+  const wallMs = "wallMs" in event ? event.wallMs : undefined;
+  const turn: Turn = { work, nowMs: event.atMs, wallMs: wallMs ?? event.atMs + offsetMs, effects };
+  if (wallMs !== undefined) {
+    checkClocks(turn, wallMs);
+  }
+  switch (event.type) {
+    case "call/arrived":
+      callArrived(turn, event);
+      break;
+    case "call/abandoned":
+      callAbandoned(turn, event.callId);
+      break;
+    case "node/shutdownRequested":
+      work.leavingAtMs ??= event.atMs;
+      break;
+    case "clock/ticked":
+      break;
+    default:
+      reduceStoreEvent(turn, event as WorkEvent);
+      if (work.owned?.active === true) {
+        reduceOwnedEvent(turn, work.owned, event as WorkEvent);
+      }
+  }
+  settle(turn, event.type === "clock/ticked");
+};
+
--- /dev/null
+++ b/packages/core/src/work/runs.ts
@@ -0,0 +1,337 @@
+import { END_KIND, HEALTH, ITEM_PHASE, ORDER, RUN_PHASE, START_RESULT } from "./constants.js";
+import type { WorkEvent } from "./events.js";
+import { isSure } from "./ownership.js";
+import { poolOf } from "./pools.js";
+import type { Item, OwnedWork, Run, TeamUse, Worker } from "./state.js";
+import { findItem, itemBegan, itemDone, itemFailed, itemLost } from "./submissions.js";
+import { logLine, wakeAfter, type Turn } from "./turn.js";
+import type { EndLine, ItemKey, Resources, RunningLine, StepSpec } from "./types.js";
+import { targetOf, noteClock } from "./workers.js";
+
+/** @returns What an item of a step takes of a worker's room. */
+export const roomOf = (spec: StepSpec): Resources =>
+  spec.filler ? { ...spec.needs, cpuMilli: 0 } : spec.needs;
+
+const teamUse = (owned: OwnedWork, item: Item): TeamUse | null => {
+  const { team } = item.submission.handIn;
+  if (team === null) {
+    return null;
+  }
+  let use = owned.teams.get(team);
+  if (use === undefined) {
+    use = { cpuMilli: 0, memoryMb: 0, gpus: 0 };
+    owned.teams.set(team, use);
+  }
+  return use;
+};
+
+const charge = (owned: OwnedWork, worker: Worker, run: Run, sign: 1 | -1): void => {
+  worker.usedCpuMilli += sign * run.room.cpuMilli;
+  worker.usedMemoryMb += sign * run.room.memoryMb;
+  worker.usedGpus += sign * run.room.gpus;
+  const use = teamUse(owned, run.item);
+  if (use !== null) {
+    const { needs } = run.item.spec;
+    use.cpuMilli += sign * needs.cpuMilli;
+    use.memoryMb += sign * needs.memoryMb;
+    use.gpus += sign * needs.gpus;
+  }
+};
+
+/** Takes up a run: one that is about to be ordered, or one found on a worker. */
+export const addRun = (turn: Turn, owned: OwnedWork, worker: Worker, item: Item, number: number): Run => {
+  const run: Run = {
+    item,
+    number,
+    worker: worker.report.id,
+    room: roomOf(item.spec),
+    phase: RUN_PHASE.ORDERED,
+    orderedAtMs: turn.nowMs,
+    confirmedAtMs: null,
+    percent: 0,
+    percentSinceMs: turn.nowMs,
+    load: null,
+    pacePercent: 100,
+    stopSentAtMs: null,
+    stopConfirmedAtMs: null,
+  };
+  item.run = run;
+  item.lastRun = Math.max(item.lastRun, number);
+  item.phase = ITEM_PHASE.PLACED;
+  item.inherited = false;
+  item.submission.ready.delete(item);
+  worker.runs.set(item.key, run);
+  charge(owned, worker, run, 1);
+  return run;
+};
+
+/** Forgets a run whose end is sure; its room is free. */
+export const dropRun = (owned: OwnedWork, worker: Worker, run: Run): void => {
+  if (worker.runs.get(run.item.key) !== run) {
+    return;
+  }
+  worker.runs.delete(run.item.key);
+  charge(owned, worker, run, -1);
+  if (run.item.run === run) {
+    run.item.run = null;
+  }
+  poolOf(owned, worker.report.pool).dirty = true;
+};
+
+/** Orders a worker to stop a run; its room stays taken until the end is known. */
+export const stopRun = (turn: Turn, owned: OwnedWork, run: Run, why: string): void => {
+  const worker = owned.workers.get(run.worker);
+  if (worker === undefined || run.phase === RUN_PHASE.STOPPING) {
+    return;
+  }
+  run.phase = RUN_PHASE.STOPPING;
+  sendStop(turn, owned, worker, run);
+  logLine(turn, "info", "run.stopping", {
+    item: run.item.key,
+    run: run.number,
+    worker: run.worker,
+    why,
+  });
+};
+
+const sendStop = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run): void => {
+  if (!isSure(turn, owned)) {
+    run.stopSentAtMs = turn.nowMs;
+    return;
+  }
+  run.stopSentAtMs = turn.nowMs;
+  turn.effects.push({
+    type: "worker/stop",
+    item: run.item.key,
+    run: run.number,
+    ...targetOf(owned, worker),
+  });
+};
+
+/** Sends stops again that had no answer. */
+export const repeatStops = (turn: Turn, owned: OwnedWork): void => {
+  for (const worker of owned.workers.values()) {
+    for (const run of worker.runs.values()) {
+      const due =
+        run.phase === RUN_PHASE.STOPPING &&
+        run.stopConfirmedAtMs === null &&
+        turn.nowMs - (run.stopSentAtMs ?? 0) >= ORDER.TIMEOUT_MS + ORDER.STOP_RETRY_MS;
+      if (due) {
+        sendStop(turn, owned, worker, run);
+      }
+    }
+  }
+};
+
+const runOf = (owned: OwnedWork, event: { worker: Worker["report"]["id"]; item: ItemKey; run: number }): { worker: Worker; run: Run } | null => {
+  const worker = owned.workers.get(event.worker);
+  const run = worker?.runs.get(event.item);
+  return worker !== undefined && run?.number === event.run ? { worker, run } : null;
+};
+
+/** Takes a worker's answer to a start. */
+export const startAnswered = (turn: Turn, owned: OwnedWork, event: Extract<WorkEvent, { type: "worker/startAnswered" }>): void => {
+  const found = runOf(owned, event);
+  if (found === null) {
+    return;
+  }
+  const { worker, run } = found;
+  noteClock(turn, worker, event.clockMs);
+  if (event.result !== START_RESULT.STARTED) {
+    logLine(turn, "warn", "run.notStarted", {
+      item: event.item,
+      run: event.run,
+      worker: event.worker,
+      result: event.result,
+      reason: event.reason,
+    });
+  }
+  switch (event.result) {
+    case "started":
+      run.confirmedAtMs ??= turn.nowMs;
+      if (run.phase === RUN_PHASE.ORDERED) {
+        run.phase = RUN_PHASE.RUNNING;
+      }
+      itemBegan(owned, run.item.submission);
+      return;
+    case "refused":
+    case "unhealthy":
+      startRefused(turn, owned, worker, run, event);
+      return;
+    case "wrongLife":
+      dropRun(owned, worker, run);
+      itemLost(turn, owned, run.item);
+      return;
+    case "unanswered":
+      // It may start there at any time until the worker confirms a stop or the lease ends.
+      stopRun(turn, owned, run, "the start had no answer");
+      return;
+  }
+};
+
+const startRefused = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run, event: Extract<WorkEvent, { type: "worker/startAnswered" }>): void => {
+  dropRun(owned, worker, run);
+  if (event.reason === "fence") {
+    turn.work.ownerView.nextPollAtMs = 0;
+    owned.confirmedAtMs = -Infinity;
+    owned.needsRenewal = true;
+  } else {
+    worker.restsUntilMs = Math.max(worker.restsUntilMs, turn.nowMs + ORDER.TIMEOUT_MS);
+  }
+  itemLost(turn, owned, run.item);
+};
+
+/** Takes a worker's answer to a stop. */
+export const stopAnswered = (turn: Turn, owned: OwnedWork, event: Extract<WorkEvent, { type: "worker/stopAnswered" }>): void => {
+  const worker = owned.workers.get(event.worker);
+  if (worker === undefined) {
+    return;
+  }
+  noteClock(turn, worker, event.clockMs);
+  const run = worker.runs.get(event.item);
+  if (run?.number !== event.run) {
+    return;
+  }
+  if (event.wrongLife) {
+    dropRun(owned, worker, run);
+    itemLost(turn, owned, run.item);
+  } else if (event.settled) {
+    run.stopConfirmedAtMs ??= turn.nowMs;
+    worker.nextLookAtMs = turn.nowMs;
+    wakeAfter(turn, 1);
+  }
+};
+
+const noteFailure = (turn: Turn, worker: Worker): void => {
+  worker.failuresInRow += 1;
+  if (worker.failuresInRow >= HEALTH.FAILURES) {
+    worker.restsUntilMs = turn.nowMs + HEALTH.REST_MS;
+    logLine(turn, "warn", "worker.rests", {
+      worker: worker.report.id,
+      failuresInRow: worker.failuresInRow,
+      forMs: HEALTH.REST_MS,
+    });
+  }
+};
+
+/** Takes one end that a worker lists for the first time. */
+export const runEnded = (turn: Turn, owned: OwnedWork, worker: Worker, end: EndLine): void => {
+  const held = worker.runs.get(end.item);
+  const run = held?.number === end.run ? held : undefined;
+  const item = run?.item ?? findItem(owned, end.item);
+  if (run !== undefined) {
+    dropRun(owned, worker, run);
+  }
+  logLine(turn, "info", "run.ended", {
+    item: end.item,
+    run: end.run,
+    worker: worker.report.id,
+    how: end.kind,
+    known: run !== undefined,
+    afterMs: run === undefined ? null : Math.round(turn.nowMs - run.orderedAtMs),
+  });
+  if (item === null) {
+    return;
+  }
+  item.lastRun = Math.max(item.lastRun, end.run);
+  if (end.checkpoint !== "") {
+    item.checkpoint = end.checkpoint;
+  }
+  settleEnd(turn, owned, worker, item, end, run !== undefined);
+};
+
+const settleEnd = (turn: Turn, owned: OwnedWork, worker: Worker, item: Item, end: EndLine, held: boolean): void => {
+  if (end.kind === END_KIND.DONE) {
+    worker.failuresInRow = 0;
+    itemDone(turn, owned, item);
+    return;
+  }
+  if (end.kind === END_KIND.FAILED) {
+    noteFailure(turn, worker);
+    item.avoid = worker.report.id;
+    if (held || item.run === null) {
+      itemFailed(turn, owned, item, end.run);
+    }
+    return;
+  }
+  if (held && item.run === null) {
+    itemLost(turn, owned, item);
+  }
+};
+
+/** Takes what a worker lists as running. */
+export const runSeen = (turn: Turn, owned: OwnedWork, worker: Worker, line: RunningLine, sentAtMs: number): void => {
+  const run = worker.runs.get(line.item);
+  if (run?.number === line.run) {
+    run.confirmedAtMs ??= sentAtMs;
+    run.load = line.load;
+    if (line.percent !== run.percent) {
+      run.percent = line.percent;
+      run.percentSinceMs = turn.nowMs;
+    }
+    if (line.checkpoint !== "") {
+      run.item.checkpoint = line.checkpoint;
+    }
+    if (run.phase === RUN_PHASE.ORDERED) {
+      run.phase = RUN_PHASE.RUNNING;
+    }
+    itemBegan(owned, run.item.submission);
+    return;
+  }
+  strayRun(turn, owned, worker, line, sentAtMs);
+};
+
+/** Takes over a run that an earlier owner started, or stops one that should not be there. */
+const strayRun = (turn: Turn, owned: OwnedWork, worker: Worker, line: RunningLine, sentAtMs: number): void => {
+  const item = findItem(owned, line.item);
+  const wanted =
+    item !== null && item.run === null && item.phase === ITEM_PHASE.READY && item.inherited;
+  if (wanted) {
+    const run = addRun(turn, owned, worker, item, line.run);
+    run.phase = RUN_PHASE.RUNNING;
+    run.confirmedAtMs = sentAtMs;
+    run.percent = line.percent;
+    run.load = line.load;
+    item.checkpoint = line.checkpoint === "" ? null : line.checkpoint;
+    itemBegan(owned, item.submission);
+    logLine(turn, "info", "run.takenOver", {
+      item: line.item,
+      run: line.run,
+      worker: worker.report.id,
+      fence: Number(owned.fence),
+    });
+    return;
+  }
+  const name = `${line.item} ${line.run}`;
+  const lastMs = worker.strayStops.get(name);
+  if (lastMs !== undefined && turn.nowMs - lastMs < ORDER.TIMEOUT_MS) {
+    return;
+  }
+  worker.strayStops.set(name, turn.nowMs);
+  turn.effects.push({
+    type: "worker/stop",
+    item: line.item,
+    run: line.run,
+    ...targetOf(owned, worker),
+  });
+  logLine(turn, "warn", "run.strayStopped", {
+    item: line.item,
+    run: line.run,
+    worker: worker.report.id,
+    known: item !== null,
+  });
+};
+
+/** Everything on a worker has ended: its lease is over, or it is another life. */
+export const loseRuns = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
+  for (const run of [...worker.runs.values()]) {
+    dropRun(owned, worker, run);
+    itemLost(turn, owned, run.item);
+    logLine(turn, "warn", "run.lost", {
+      item: run.item.key,
+      run: run.number,
+      worker: worker.report.id,
+      why,
+    });
+  }
+};
--- /dev/null
+++ b/packages/core/src/work/state.ts
@@ -0,0 +1,306 @@
+import type { HostId, PoolId, TeamId } from "@heatherferry/common";
+import type { CallArrival, Commit, Feed, Scan, StoreRow } from "./events.js";
+import type {
+  Catalog,
+  Fence,
+  HandIn,
+  HostListing,
+  ItemKey,
+  ItemPhase,
+  OwnerRow,
+  Resources,
+  RunPhase,
+  StepSpec,
+  StoreVersion,
+  SubmissionId,
+  SubmissionState,
+  Team,
+  WaveRequest,
+  WorkBounds,
+  WorkerId,
+  WorkerReport,
+} from "./types.js";
+
+/** A run of an item on a worker, from the order until its end is known. */
+export interface Run {
+  readonly item: Item;
+  readonly number: number;
+  readonly worker: WorkerId;
+  /** What it takes of the worker's room. */
+  readonly room: Resources;
+  phase: RunPhase;
+  readonly orderedAtMs: number;
+  /** When the worker confirmed it; a look sent later must show it. */
+  confirmedAtMs: number | null;
+  percent: number;
+  percentSinceMs: number;
+  load: number | null;
+  pacePercent: number;
+  stopSentAtMs: number | null;
+  /** When the worker confirmed the stop; it won't start this run any more. */
+  stopConfirmedAtMs: number | null;
+}
+
+/** One item of a step. */
+export interface Item {
+  readonly key: ItemKey;
+  readonly submission: Submission;
+  readonly occurrence: number;
+  readonly step: number;
+  readonly index: number;
+  readonly spec: StepSpec;
+  phase: ItemPhase;
+  failures: number;
+  /** Failed ends up to this run are counted. */
+  lastFailedRun: number;
+  lastRun: number;
+  run: Run | null;
+  checkpoint: string | null;
+  /** Worker of the last failed run; another one is tried first. */
+  avoid: WorkerId | null;
+  /** It was known before this owner took over, and may run where nobody has looked. */
+  inherited: boolean;
+  notBeforeMs: number;
+}
+
+/** One time that the steps of a submission run. */
+export interface Occurrence {
+  readonly number: number;
+  readonly steps: readonly (readonly Item[])[];
+  readonly doneInStep: number[];
+}
+
+export interface Submission {
+  readonly handIn: HandIn;
+  readonly version: StoreVersion;
+  /** Objective on this node's clock. */
+  dueAtMs: number;
+  readonly occurrences: Map<number, Occurrence>;
+  /** Occurrences made so far, done or not. */
+  madeOccurrences: number;
+  doneOccurrences: number;
+  /** What is decided, durable or not. */
+  state: SubmissionState;
+  /** What callers are told: durable. */
+  shownState: SubmissionState;
+  cancelled: boolean;
+  endedWallMs: number | null;
+  dirty: boolean;
+  /** Items that wait for room, oldest first. */
+  readonly ready: Set<Item>;
+}
+
+export interface Worker {
+  report: WorkerReport;
+  listed: boolean;
+  /** When its entry went, null while listed. */
+  unlistedAtMs: number | null;
+  /** A sample of its clock: at `atMs` of ours it had passed `clockMs`. */
+  clock: { readonly clockMs: number; readonly atMs: number } | null;
+  /** Everything on it has ended by then, on our clock; null if no lease was asked for. */
+  leaseEndsAtMs: number | null;
+  /** Last end of a lease asked for, on its clock. */
+  leaseUntilClockMs: number;
+  /** It has seen this owner's fence, so no earlier owner can start work there. */
+  fenced: boolean;
+  lookSentAtMs: number | null;
+  nextLookAtMs: number;
+  answeredAtMs: number | null;
+  seenSequence: number;
+  durableSequence: number;
+  /** Acknowledged to the worker, which forgets these ends. */
+  notedSequence: number;
+  readonly runs: Map<ItemKey, Run>;
+  /** Stops of runs that we do not keep, by item and run. */
+  readonly strayStops: Map<string, number>;
+  usedCpuMilli: number;
+  usedMemoryMb: number;
+  usedGpus: number;
+  /** Since when no tail on it came near its target. */
+  tailsCalmSinceMs: number;
+  failuresInRow: number;
+  restsUntilMs: number;
+  /** Its host is due for upkeep or a move: nothing new starts there. */
+  reserved: boolean;
+}
+
+export interface PoolWork {
+  readonly id: PoolId;
+  readonly workers: Set<Worker>;
+  /** Submissions with ready items. */
+  readonly waiting: Set<Submission>;
+  dirty: boolean;
+  /** Items known before this owner may start: nothing of them can run unseen. */
+  settled: boolean;
+}
+
+/** What a team has running over all pools. */
+export interface TeamUse {
+  cpuMilli: number;
+  memoryMb: number;
+  gpus: number;
+}
+
+/** A wave under way. */
+export interface WaveWork {
+  readonly request: WaveRequest;
+  readonly seenAtMs: number;
+  readonly doneHosts: Set<HostId>;
+  dirty: boolean;
+  /** Hosts ordered down, with the worker they had. */
+  readonly outHosts: Map<HostId, { readonly worker: WorkerId | null; orderedAtMs: number; confirmed: boolean }>;
+  completed: boolean;
+}
+
+/** All that the owner knows; made anew at each take-over. */
+export interface OwnedWork {
+  readonly fence: Fence;
+  readonly takenAtMs: number;
+  readonly takenVersion: StoreVersion;
+  /** Version of the owner's row after our last write. */
+  rowVersion: StoreVersion;
+  /** When the last confirmed write was sent. */
+  confirmedAtMs: number;
+  readonly loads: Set<Scan>;
+  active: boolean;
+  released: boolean;
+  /** Workers of the owner before that were not heard yet. */
+  readonly unheard: Set<WorkerId>;
+  readonly submissions: Map<SubmissionId, Submission>;
+  readonly workers: Map<WorkerId, Worker>;
+  readonly pools: Map<PoolId, PoolWork>;
+  readonly teams: Map<TeamId, TeamUse>;
+  readonly dirty: Set<Submission>;
+  /** Occurrences to come, with their times. */
+  readonly scheduled: Set<Submission>;
+  ledger: LedgerWrite | null;
+  ledgerRetryAtMs: number;
+  ledgerSentAtMs: number;
+  needsRenewal: boolean;
+  readonly hosts: Map<HostId, HostListing>;
+  readonly hostOrders: Map<HostId, number>;
+  hostListAtMs: number | null;
+  hostListSentAtMs: number | null;
+  readonly waves: Map<number, WaveWork>;
+  forgetAtMs: number;
+  /** Rows of the store that were read before all of them were there. */
+  loadedRows: StoreRow[];
+}
+
+/** The owner's write in flight. */
+export interface LedgerWrite {
+  readonly commit: Commit;
+  readonly submissions: readonly { readonly submission: Submission; shows: SubmissionState }[];
+  readonly ends: readonly { readonly worker: Worker; readonly sequence: number }[];
+  readonly releases: boolean;
+}
+
+/** A caller's call without an answer yet. */
+export interface OpenCall {
+  readonly arrival: CallArrival;
+  readonly arrivedAtMs: number;
+  readonly answerByMs: number;
+  readonly id: SubmissionId | null;
+  readonly handIn: HandIn | null;
+  commit: Commit | null;
+  /** A write of this call had no answer, so it may take effect later. */
+  uncertain: boolean;
+  retryAtMs: number | null;
+}
+
+export interface FeedState {
+  after: StoreVersion | null;
+  /** When the running request was sent. */
+  sentAtMs: number | null;
+  retryAtMs: number;
+  /** When the newest complete view was asked for. */
+  viewAtMs: number | null;
+  scanning: boolean;
+}
+
+/** The observed owner, as a node that is not it sees it. */
+export interface OwnerView {
+  row: OwnerRow | null;
+  version: StoreVersion;
+  /** When this version was first seen. */
+  sinceMs: number;
+  viewAtMs: number | null;
+  pollSentAtMs: number | null;
+  nextPollAtMs: number;
+  claim: { readonly commitId: string; readonly sentAtMs: number } | null;
+  claimAtMs: number | null;
+}
+
+export interface WorkIdentity {
+  readonly holder: string;
+  readonly incarnation: string;
+  /** Port-free name of the zone the node is in. */
+  readonly zone: string;
+}
+
+export interface WorkloadState {
+  readonly identity: WorkIdentity;
+  readonly bounds: WorkBounds;
+  /** Wall clock less steady clock, as of the last turn. */
+  wallOffsetMs: number | null;
+  catalog: Catalog | null;
+  /** Team by key, of the catalog in force. */
+  readonly teamOfKey: Map<string, Team>;
+  readonly feeds: Record<Feed, FeedState>;
+  readonly waveRequests: Map<number, WaveRequest>;
+  readonly calls: Map<string, OpenCall>;
+  ownerView: OwnerView;
+  owned: OwnedWork | null;
+  ready: boolean;
+  storeLost: boolean;
+  /** When the store last answered anything but a refusal. */
+  storeAnsweredAtMs: number | null;
+  leavingAtMs: number | null;
+  frontClosed: boolean;
+  nextCommit: number;
+  wakeAtMs: number | null;
+  readonly unusableLogged: Set<string>;
+}
+
+const newFeed = (): FeedState => ({
+  after: null,
+  sentAtMs: null,
+  retryAtMs: 0,
+  viewAtMs: null,
+  scanning: false,
+});
+
+/**
+ * @param identity - Who the node is.
+ * @param bounds - The installation's bounds.
+ * @returns The state of a node that knows nothing yet.
+ */
+export const initialWork = (identity: WorkIdentity, bounds: WorkBounds): WorkloadState => ({
+  identity,
+  bounds,
+  wallOffsetMs: null,
+  catalog: null,
+  teamOfKey: new Map(),
+  feeds: { operators: newFeed(), workers: newFeed(), handIns: newFeed() },
+  waveRequests: new Map(),
+  calls: new Map(),
+  ownerView: {
+    row: null,
+    version: 0 as StoreVersion,
+    sinceMs: 0,
+    viewAtMs: null,
+    pollSentAtMs: null,
+    nextPollAtMs: 0,
+    claim: null,
+    claimAtMs: null,
+  },
+  owned: null,
+  ready: false,
+  storeLost: false,
+  storeAnsweredAtMs: null,
+  leavingAtMs: null,
+  frontClosed: false,
+  nextCommit: 1,
+  wakeAtMs: null,
+  unusableLogged: new Set(),
+});
--- /dev/null
+++ b/packages/core/src/work/submissions.ts
@@ -0,0 +1,303 @@
+import type { PoolId } from "@heatherferry/common";
+import { poolById, queueById } from "./catalog.js";
+import { ITEM_PHASE, SUBMISSION_STATE } from "./constants.js";
+import { poolOf } from "./pools.js";
+import { stopRun } from "./runs.js";
+import type { Item, Occurrence, OwnedWork, Submission } from "./state.js";
+import { logLine, type Turn } from "./turn.js";
+import {
+  itemKeyOf,
+  type FailureRecord,
+  type HandIn,
+  type ItemKey,
+  type Progress,
+  type StoreVersion,
+  type SubmissionId,
+  type SubmissionState,
+  type WorkSpec,
+} from "./types.js";
+
+/** @returns Longest chain of estimated run times through the steps, in ms. */
+export const longestChainMs = (work: WorkSpec): number => {
+  const ends: number[] = [];
+  work.steps.forEach((step, number) => {
+    const before = Math.max(0, ...step.after.map((earlier) => ends[earlier] ?? 0));
+    ends[number] = before + step.estimateMs;
+  });
+  return Math.max(0, ...ends);
+};
+
+/** @returns The pool that runs a submission's work by the catalog in force. */
+export const poolOfSubmission = (turn: Turn, handIn: HandIn): PoolId =>
+  queueById(turn.work.catalog, handIn.queue)?.pool ?? handIn.pool;
+
+const dueAt = (turn: Turn, handIn: HandIn): number => {
+  const queue = queueById(turn.work.catalog, handIn.queue);
+  const acceptedAtMs = turn.nowMs - Math.max(0, turn.wallMs - handIn.acceptedWallMs);
+  const stretch = queue?.stretchFactor ?? 1;
+  return acceptedAtMs + stretch * longestChainMs(handIn.work) + (queue?.targetDurationMs ?? 0);
+};
+
+const newItem = (submission: Submission, occurrence: number, step: number, index: number, inherited: boolean): Item => {
+  const spec = submission.handIn.work.steps[step];
+  if (spec === undefined) {
+    throw new RangeError(`Submission ${submission.handIn.id} has no step ${step}`);
+  }
+  return {
+    key: itemKeyOf(submission.handIn.id, occurrence, step, index),
+    submission,
+    occurrence,
+    step,
+    index,
+    spec,
+    phase: ITEM_PHASE.BLOCKED,
+    failures: 0,
+    lastFailedRun: 0,
+    lastRun: 0,
+    run: null,
+    checkpoint: null,
+    avoid: null,
+    inherited,
+    notBeforeMs: 0,
+  };
+};
+
+const makeOccurrence = (submission: Submission, number: number, inherited: boolean, progress: Progress | null): Occurrence => {
+  const doneInStep: number[] = [];
+  const steps = submission.handIn.work.steps.map((spec, step) => {
+    const done = new Set(progress?.done[`${number}.${step}`] ?? []);
+    doneInStep.push(done.size);
+    return Array.from({ length: spec.count }, (_, index) => {
+      const item = newItem(submission, number, step, index, inherited);
+      item.phase = done.has(index) ? ITEM_PHASE.DONE : ITEM_PHASE.BLOCKED;
+      const failed = progress?.failures[`${number}.${step}.${index}`];
+      item.failures = failed?.count ?? 0;
+      item.lastFailedRun = failed?.lastRun ?? 0;
+      item.lastRun = item.lastFailedRun;
+      return item;
+    });
+  });
+  return { number, steps, doneInStep };
+};
+
+const stepIsDone = (occurrence: Occurrence, step: number): boolean =>
+  occurrence.doneInStep[step] === occurrence.steps[step]?.length;
+
+const isOver = (state: SubmissionState): boolean =>
+  state !== SUBMISSION_STATE.QUEUED && state !== SUBMISSION_STATE.RUNNING;
+
+/** Puts an item in line for room. */
+export const makeReady = (turn: Turn, owned: OwnedWork, item: Item): void => {
+  const { submission } = item;
+  item.phase = ITEM_PHASE.READY;
+  submission.ready.add(item);
+  const pool = poolOf(owned, poolOfSubmission(turn, submission.handIn));
+  pool.waiting.add(submission);
+  pool.dirty = true;
+};
+
+const unblockSteps = (turn: Turn, owned: OwnedWork, occurrence: Occurrence): void => {
+  occurrence.steps.forEach((items) => {
+    const after = items[0]?.spec.after ?? [];
+    if (!after.every((earlier) => stepIsDone(occurrence, earlier))) {
+      return;
+    }
+    for (const item of items) {
+      if (item.phase === ITEM_PHASE.BLOCKED) {
+        makeReady(turn, owned, item);
+      }
+    }
+  });
+};
+
+/** Makes the occurrences whose time has come. */
+export const makeDueOccurrences = (turn: Turn, owned: OwnedWork, submission: Submission, progress: Progress | null, inherited: boolean): void => {
+  const { work } = submission.handIn;
+  const total = Math.max(1, work.occurrences);
+  while (submission.madeOccurrences < total && !isOver(submission.state)) {
+    const number = submission.madeOccurrences;
+    const dueWallMs = work.occurrences === 0 ? 0 : work.firstDueWallMs + number * work.intervalMs;
+    if (turn.wallMs < dueWallMs) {
+      owned.scheduled.add(submission);
+      return;
+    }
+    submission.madeOccurrences += 1;
+    const occurrence = makeOccurrence(submission, number, inherited, progress);
+    submission.occurrences.set(number, occurrence);
+    if (occurrence.steps.every((_, step) => stepIsDone(occurrence, step))) {
+      submission.doneOccurrences += 1;
+    } else {
+      unblockSteps(turn, owned, occurrence);
+    }
+  }
+  owned.scheduled.delete(submission);
+};
+
+/** Marks a submission for the owner's next write. */
+export const markDirty = (owned: OwnedWork, submission: Submission): void => {
+  submission.dirty = true;
+  owned.dirty.add(submission);
+};
+
+/**
+ * Takes a stored submission into the owner's care, once.
+ *
+ * @param inherited - It was stored before this owner took over, so it may run somewhere.
+ * @param progress - What is known of it for good.
+ */
+export const adoptHandIn = (turn: Turn, handIn: HandIn, version: StoreVersion, inherited: boolean, progress: Progress | null = null): void => {
+  const { owned } = turn.work;
+  if (owned === null || owned.loads.size > 0 || owned.submissions.has(handIn.id)) {
+    return;
+  }
+  const state = progress?.state ?? SUBMISSION_STATE.QUEUED;
+  const submission: Submission = {
+    handIn,
+    version,
+    dueAtMs: dueAt(turn, handIn),
+    occurrences: new Map(),
+    madeOccurrences: 0,
+    doneOccurrences: 0,
+    state,
+    shownState: state,
+    cancelled: state === SUBMISSION_STATE.CANCELLED,
+    endedWallMs: progress?.endedWallMs ?? null,
+    dirty: false,
+    ready: new Set(),
+  };
+  owned.submissions.set(handIn.id, submission);
+  makeDueOccurrences(turn, owned, submission, progress, inherited);
+};
+
+/** Ends a submission: nothing of it starts any more, and what runs is stopped. */
+const endSubmission = (turn: Turn, owned: OwnedWork, submission: Submission, state: SubmissionState, why: string): void => {
+  submission.state = state;
+  submission.endedWallMs = Math.round(turn.wallMs);
+  submission.ready.clear();
+  owned.scheduled.delete(submission);
+  markDirty(owned, submission);
+  for (const occurrence of submission.occurrences.values()) {
+    for (const item of occurrence.steps.flat()) {
+      if (item.run !== null) {
+        stopRun(turn, owned, item.run, why);
+      }
+    }
+  }
+  logLine(turn, "info", "submission.ended", {
+    submission: submission.handIn.id,
+    state,
+    why,
+    lateMs: Math.round(turn.nowMs - submission.dueAtMs),
+  });
+};
+
+/** A cancel was stored. */
+export const cancelOwned = (turn: Turn, id: SubmissionId): void => {
+  const { owned } = turn.work;
+  const submission = owned?.submissions.get(id);
+  if (owned === null || submission === undefined || isOver(submission.state)) {
+    return;
+  }
+  submission.cancelled = true;
+  endSubmission(turn, owned, submission, SUBMISSION_STATE.CANCELLED, "cancelled");
+};
+
+/** An item has ended as done, for good once it is written. */
+export const itemDone = (turn: Turn, owned: OwnedWork, item: Item): void => {
+  const { submission } = item;
+  const occurrence = submission.occurrences.get(item.occurrence);
+  if (occurrence === undefined || item.phase === ITEM_PHASE.DONE) {
+    return;
+  }
+  item.phase = ITEM_PHASE.DONE;
+  submission.ready.delete(item);
+  occurrence.doneInStep[item.step] = (occurrence.doneInStep[item.step] ?? 0) + 1;
+  markDirty(owned, submission);
+  if (isOver(submission.state)) {
+    return;
+  }
+  unblockSteps(turn, owned, occurrence);
+  if (occurrence.steps.every((_, step) => stepIsDone(occurrence, step))) {
+    submission.doneOccurrences += 1;
+    if (submission.doneOccurrences === Math.max(1, submission.handIn.work.occurrences)) {
+      endSubmission(turn, owned, submission, SUBMISSION_STATE.COMPLETED, "all items are done");
+    }
+  }
+};
+
+/** An item's run has failed; after the queue's bound on attempts the submission fails. */
+export const itemFailed = (turn: Turn, owned: OwnedWork, item: Item, run: number): void => {
+  const { submission, spec } = item;
+  if (isOver(submission.state) || run <= item.lastFailedRun) {
+    return;
+  }
+  item.lastFailedRun = run;
+  if (!spec.lasting) {
+    item.failures += 1;
+    markDirty(owned, submission);
+    const queue = queueById(turn.work.catalog, submission.handIn.queue);
+    if (queue !== null && item.failures >= queue.maxAttempts) {
+      endSubmission(turn, owned, submission, SUBMISSION_STATE.FAILED, `item ${item.key} failed`);
+      return;
+    }
+  }
+  makeReady(turn, owned, item);
+};
+
+/** An item lost its run through no fault of its own. */
+export const itemLost = (turn: Turn, owned: OwnedWork, item: Item): void => {
+  if (!isOver(item.submission.state) && item.phase !== ITEM_PHASE.DONE) {
+    makeReady(turn, owned, item);
+  }
+};
+
+/** An item of the submission has begun. */
+export const itemBegan = (owned: OwnedWork, submission: Submission): void => {
+  if (submission.state === SUBMISSION_STATE.QUEUED) {
+    submission.state = SUBMISSION_STATE.RUNNING;
+    markDirty(owned, submission);
+  }
+};
+
+/** @returns What is to be written of a submission. */
+export const progressOf = (submission: Submission): Progress => {
+  const done: Record<string, number[]> = {};
+  const failures: Record<string, FailureRecord> = {};
+  for (const occurrence of submission.occurrences.values()) {
+    for (const item of occurrence.steps.flat()) {
+      if (item.phase === ITEM_PHASE.DONE) {
+        (done[`${item.occurrence}.${item.step}`] ??= []).push(item.index);
+      }
+      if (item.failures > 0) {
+        failures[`${item.occurrence}.${item.step}.${item.index}`] = {
+          count: item.failures,
+          lastRun: item.lastFailedRun,
+        };
+      }
+    }
+  }
+  const { state, endedWallMs } = submission;
+  const over = isOver(state);
+  return {
+    id: submission.handIn.id,
+    state,
+    done: over ? {} : done,
+    failures: over ? {} : failures,
+    endedWallMs,
+  };
+};
+
+/** @returns The item of a key, if its submission is in the owner's care. */
+export const findItem = (owned: OwnedWork, key: ItemKey): Item | null => {
+  const [id, occurrence, step, index] = key.split(".");
+  return (
+    owned.submissions
+      .get(id as SubmissionId)
+      ?.occurrences.get(Number(occurrence))
+      ?.steps[Number(step)]?.[Number(index)] ?? null
+  );
+};
+
+/** @returns Whether a pool can hold none of a step's items on any of its workers. */
+export const poolIsStandby = (turn: Turn, pool: PoolId): boolean =>
+  poolById(turn.work.catalog, pool)?.standby === true;
--- /dev/null
+++ b/packages/core/src/work/turn.ts
@@ -0,0 +1,41 @@
+import type { Effect } from "../effect.js";
+import type { WorkloadState } from "./state.js";
+
+/** What one event's handling works on. */
+export interface Turn {
+  readonly work: WorkloadState;
+  readonly nowMs: number;
+  /** Wall clock of this node; null until it was read. */
+  readonly wallMs: number;
+  readonly effects: Effect[];
+}
+
+type Fields = Readonly<Record<string, string | number | boolean | null>>;
+
+/** Adds a log line. */
+export const logLine = (
+  turn: Turn,
+  level: "debug" | "info" | "warn" | "error",
+  event: string,
+  fields: Fields,
+): void => {
+  turn.effects.push({ type: "log/write", level, event, fields });
+};
+
+/** Asks for a turn of the clock after a delay, once for the soonest of all that ask. */
+export const wakeAfter = (turn: Turn, delayMs: number): void => {
+  const { work, nowMs, effects } = turn;
+  const atMs = nowMs + Math.max(1, delayMs);
+  if (work.wakeAtMs !== null && work.wakeAtMs > nowMs && work.wakeAtMs <= atMs) {
+    return;
+  }
+  work.wakeAtMs = atMs;
+  effects.push({ type: "clock/wake", delayMs: Math.max(1, delayMs) });
+};
+
+/** @returns A new id for a transaction of this node. */
+export const newCommitId = (work: WorkloadState): string => {
+  const id = `${work.identity.incarnation}-${work.nextCommit}`;
+  work.nextCommit += 1;
+  return id;
+};
--- /dev/null
+++ b/packages/core/src/work/waves.ts
@@ -0,0 +1,217 @@
+import type { HostId } from "@heatherferry/common";
+import { HOSTS } from "./constants.js";
+import type { WorkEvent } from "./events.js";
+import { isSure } from "./ownership.js";
+import { stopRun } from "./runs.js";
+import type { OwnedWork, Run, WaveWork, Worker } from "./state.js";
+import { logLine, type Turn } from "./turn.js";
+import type { WaveRequest } from "./types.js";
+
+/** The operators asked for a wave of upkeep. */
+export const waveRequested = (turn: Turn, request: WaveRequest): void => {
+  if (!turn.work.waveRequests.has(request.wave)) {
+    turn.work.waveRequests.set(request.wave, request);
+    logLine(turn, "info", "wave.requested", {
+      wave: request.wave,
+      hosts: request.hosts.length,
+      durationMs: request.durationMs,
+      mostOut: request.mostOut,
+    });
+  }
+};
+
+const waveOf = (turn: Turn, owned: OwnedWork, request: WaveRequest): WaveWork => {
+  let wave = owned.waves.get(request.wave);
+  if (wave === undefined) {
+    wave = {
+      request,
+      seenAtMs: turn.nowMs,
+      doneHosts: new Set(),
+      dirty: true,
+      outHosts: new Map(),
+      completed: false,
+    };
+    owned.waves.set(request.wave, wave);
+  }
+  return wave;
+};
+
+/** Takes what an earlier owner wrote of a wave. */
+export const waveReported = (turn: Turn, owned: OwnedWork, wave: number, doneHosts: readonly HostId[]): void => {
+  const request = turn.work.waveRequests.get(wave);
+  if (request !== undefined) {
+    const work = waveOf(turn, owned, request);
+    doneHosts.forEach((host) => work.doneHosts.add(host));
+  }
+};
+
+const workerOfHost = (owned: OwnedWork, host: HostId): Worker | null => {
+  for (const worker of owned.workers.values()) {
+    if (worker.report.host === host && worker.listed) {
+      return worker;
+    }
+  }
+  return null;
+};
+
+/** @returns Items of the run's step that are not at work. */
+const awayOthers = (run: Run): number => {
+  const { item } = run;
+  const step = item.submission.occurrences.get(item.occurrence)?.steps[item.step] ?? [];
+  return step.filter((other) => other !== item && (other.run === null || other.run.phase !== "running" || other.run.percent < 100)).length;
+};
+
+/** @returns Whether a run may be ended by our doing without taking too much of its step away. */
+export const mayStop = (run: Run): boolean => {
+  const { maxUnavailable, lasting } = run.item.spec;
+  return !lasting || maxUnavailable === null || run.percent < 100 || awayOthers(run) < maxUnavailable;
+};
+
+/** Stops lasting work on a worker that is to be emptied, as its steps allow; the rest ends by itself. */
+export const emptyWorker = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
+  for (const run of worker.runs.values()) {
+    if (run.item.spec.lasting && run.phase === "running" && mayStop(run)) {
+      stopRun(turn, owned, run, why);
+    }
+  }
+};
+
+const finishReturned = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
+  for (const [host, out] of wave.outHosts) {
+    const worker = workerOfHost(owned, host);
+    const listing = owned.hosts.get(host);
+    const returned = worker !== null && worker.report.id !== out.worker;
+    const waitedMs = turn.nowMs - out.orderedAtMs;
+    if (out.confirmed && (returned || (waitedMs > HOSTS.RETURN_MS && listing?.up !== false))) {
+      wave.outHosts.delete(host);
+      wave.doneHosts.add(host);
+      wave.dirty = true;
+      logLine(turn, "info", "wave.hostDone", { wave: wave.request.wave, host, afterMs: Math.round(waitedMs) });
+    }
+  }
+};
+
+const orderUpkeep = (turn: Turn, owned: OwnedWork, wave: WaveWork, host: HostId, worker: Worker | null): void => {
+  const lastMs = owned.hostOrders.get(host) ?? -Infinity;
+  if (turn.nowMs - lastMs < HOSTS.ORDER_RETRY_MS) {
+    return;
+  }
+  owned.hostOrders.set(host, turn.nowMs);
+  if (!wave.outHosts.has(host)) {
+    wave.outHosts.set(host, { worker: worker?.report.id ?? null, orderedAtMs: turn.nowMs, confirmed: false });
+  }
+  turn.effects.push({ type: "power/upkeep", host, wave: wave.request.wave, fence: owned.fence });
+  logLine(turn, "info", "wave.upkeepOrdered", {
+    wave: wave.request.wave,
+    host,
+    worker: worker?.report.id ?? null,
+    fence: Number(owned.fence),
+  });
+};
+
+/** Frees hosts of a wave and sends them to upkeep, as many at once as the operators allow. */
+const advance = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
+  finishReturned(turn, owned, wave);
+  for (const [host, out] of wave.outHosts) {
+    if (!out.confirmed) {
+      orderUpkeep(turn, owned, wave, host, null);
+    }
+  }
+  let slots = wave.request.mostOut - wave.outHosts.size;
+  const left = wave.request.hosts.filter((host) => !wave.doneHosts.has(host) && !wave.outHosts.has(host));
+  const chosen = left
+    .map((host) => ({ host, worker: workerOfHost(owned, host) }))
+    .sort((one, other) => rank(one.worker) - rank(other.worker))
+    .slice(0, Math.max(0, slots));
+  for (const { host, worker } of chosen) {
+    if (worker !== null) {
+      worker.reserved = true;
+      emptyWorker(turn, owned, worker, "its host is due for upkeep");
+    }
+    if (owned.hosts.has(host) && (worker === null || worker.runs.size === 0)) {
+      if (owned.hosts.get(host)?.up === true && slots > 0) {
+        slots -= 1;
+        orderUpkeep(turn, owned, wave, host, worker);
+      }
+    }
+  }
+  if (left.length === 0 && wave.outHosts.size === 0 && !wave.completed) {
+    wave.completed = true;
+    wave.dirty = true;
+    logLine(turn, "info", "wave.completed", { wave: wave.request.wave, afterMs: Math.round(turn.nowMs - wave.seenAtMs) });
+  }
+};
+
+/** Hosts that are reserved already go first, then those with the least work. */
+const rank = (worker: Worker | null): number =>
+  worker === null ? 1_000 : worker.reserved ? -1 : worker.runs.size;
+
+const lapseMissing = (owned: OwnedWork, wave: WaveWork): void => {
+  if (owned.hostListAtMs === null) {
+    return;
+  }
+  for (const host of wave.request.hosts) {
+    const gone = !owned.hosts.has(host) && workerOfHost(owned, host) === null;
+    if (gone && !wave.doneHosts.has(host)) {
+      wave.doneHosts.add(host);
+      wave.outHosts.delete(host);
+      wave.dirty = true;
+    }
+  }
+};
+
+/** Carries waves on; a new owner lets the orders of the one before it end first. */
+export const tickWaves = (turn: Turn, owned: OwnedWork): void => {
+  if (!isSure(turn, owned)) {
+    return;
+  }
+  for (const request of turn.work.waveRequests.values()) {
+    waveOf(turn, owned, request);
+  }
+  const open = [...owned.waves.values()].filter(({ completed }) => !completed);
+  if (open.length === 0) {
+    return;
+  }
+  listHosts(turn, owned);
+  if (turn.nowMs - owned.takenAtMs < turn.work.bounds.dutyLeaseMs + HOSTS.DUTY_MARGIN_MS) {
+    return;
+  }
+  for (const wave of open) {
+    lapseMissing(owned, wave);
+    advance(turn, owned, wave);
+  }
+};
+
+const listHosts = (turn: Turn, owned: OwnedWork): void => {
+  const lastMs = owned.hostListSentAtMs ?? -Infinity;
+  if (turn.nowMs - lastMs >= HOSTS.LIST_MS) {
+    owned.hostListSentAtMs = turn.nowMs;
+    turn.effects.push({ type: "power/list" });
+  }
+};
+
+export const hostsListed = (turn: Turn, owned: OwnedWork, event: Extract<WorkEvent, { type: "power/listed" }>): void => {
+  owned.hosts.clear();
+  for (const listing of event.hosts) {
+    owned.hosts.set(listing.host, listing);
+  }
+  owned.hostListAtMs = turn.nowMs;
+};
+
+export const hostOrderAnswered = (turn: Turn, owned: OwnedWork, event: Extract<WorkEvent, { type: "power/orderAnswered" }>): void => {
+  logLine(turn, event.result === "accepted" ? "info" : "warn", "host.orderAnswered", {
+    host: event.host,
+    result: event.result,
+    reason: event.reason,
+  });
+  for (const wave of owned.waves.values()) {
+    const out = wave.outHosts.get(event.host);
+    if (out !== undefined && !out.confirmed) {
+      if (event.result === "accepted") {
+        out.confirmed = true;
+      } else if (event.result !== "unanswered") {
+        wave.outHosts.delete(event.host);
+      }
+    }
+  }
+};
--- /dev/null
+++ b/packages/core/src/work/workers.ts
@@ -0,0 +1,253 @@
+import { LEASE } from "./constants.js";
+import type { WorkerTarget, WorkEvent } from "./events.js";
+import { isSure } from "./ownership.js";
+import { paceFillers } from "./pacing.js";
+import { poolOf } from "./pools.js";
+import { dropRun, loseRuns, runEnded, runSeen } from "./runs.js";
+import type { OwnedWork, Worker } from "./state.js";
+import { itemLost } from "./submissions.js";
+import { logLine, wakeAfter, type Turn } from "./turn.js";
+import type { WorkerId, WorkerReport } from "./types.js";
+
+/** @returns How an order names its worker. */
+export const targetOf = (owned: OwnedWork, worker: Worker): WorkerTarget => ({
+  worker: worker.report.id,
+  address: worker.report.address,
+  fence: owned.fence,
+});
+
+/** Keeps a sample of a worker's clock. */
+export const noteClock = (turn: Turn, worker: Worker, clockMs: number | null): void => {
+  if (clockMs === null) {
+    return;
+  }
+  worker.answeredAtMs = turn.nowMs;
+  if (worker.clock === null || clockMs >= worker.clock.clockMs) {
+    worker.clock = { clockMs, atMs: turn.nowMs };
+  }
+};
+
+const leaseTermMs = (turn: Turn): number => Math.min(LEASE.TERM_MS, turn.work.bounds.holdMaxMs);
+
+/**
+ * Asks for a new lease: everything on the worker may run until then.
+ *
+ * @returns The end on the worker's clock, or null while its clock is unknown.
+ */
+export const extendLease = (turn: Turn, worker: Worker): number | null => {
+  const { clock } = worker;
+  if (clock === null) {
+    return null;
+  }
+  const untilClockMs = Math.round(clock.clockMs + (turn.nowMs - clock.atMs) + leaseTermMs(turn));
+  worker.leaseUntilClockMs = Math.max(worker.leaseUntilClockMs, untilClockMs);
+  const remainingMs = (worker.leaseUntilClockMs - clock.clockMs) / LEASE.SLOWEST_CLOCK;
+  worker.leaseEndsAtMs = clock.atMs + remainingMs + LEASE.END_MARGIN_MS;
+  return worker.leaseUntilClockMs;
+};
+
+const newWorker = (turn: Turn, report: WorkerReport): Worker => ({
+  report,
+  listed: true,
+  unlistedAtMs: null,
+  clock: report.clockMs === null ? null : { clockMs: report.clockMs, atMs: turn.nowMs },
+  leaseEndsAtMs: null,
+  leaseUntilClockMs: 0,
+  fenced: false,
+  lookSentAtMs: null,
+  nextLookAtMs: turn.nowMs,
+  answeredAtMs: null,
+  seenSequence: 0,
+  durableSequence: 0,
+  notedSequence: 0,
+  runs: new Map(),
+  strayStops: new Map(),
+  usedCpuMilli: 0,
+  usedMemoryMb: 0,
+  usedGpus: 0,
+  tailsCalmSinceMs: 0,
+  failuresInRow: 0,
+  restsUntilMs: 0,
+  reserved: false,
+});
+
+const replaceLife = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
+  loseRuns(turn, owned, worker, why);
+  owned.workers.delete(worker.report.id);
+  poolOf(owned, worker.report.pool).workers.delete(worker);
+};
+
+/** Takes a worker's entry. */
+export const workerReported = (turn: Turn, owned: OwnedWork, report: WorkerReport): void => {
+  const known = owned.workers.get(report.id);
+  if (known !== undefined && known.report.bornWallMs !== report.bornWallMs && known.report.bornWallMs !== null && report.bornWallMs !== null) {
+    if (report.bornWallMs < known.report.bornWallMs) {
+      return;
+    }
+    replaceLife(turn, owned, known, "the worker started again");
+  }
+  const worker = owned.workers.get(report.id);
+  if (worker === undefined) {
+    const made = newWorker(turn, report);
+    owned.workers.set(report.id, made);
+    const pool = poolOf(owned, report.pool);
+    pool.workers.add(made);
+    pool.dirty = true;
+    logLine(turn, "info", "worker.listed", {
+      worker: report.id,
+      pool: report.pool,
+      address: report.address,
+      draining: report.draining,
+    });
+    return;
+  }
+  if (worker.report.draining !== report.draining || !worker.listed) {
+    logLine(turn, "info", "worker.changed", {
+      worker: report.id,
+      pool: report.pool,
+      draining: report.draining,
+      wasListed: worker.listed,
+    });
+  }
+  worker.report = report;
+  worker.listed = true;
+  worker.unlistedAtMs = null;
+  poolOf(owned, report.pool).dirty = true;
+};
+
+/** A worker's entry is gone; what runs there counts until its lease ends. */
+export const workerUnlisted = (turn: Turn, owned: OwnedWork, id: WorkerId): void => {
+  const worker = owned.workers.get(id);
+  if (worker?.listed === true) {
+    worker.listed = false;
+    worker.unlistedAtMs = turn.nowMs;
+    logLine(turn, "info", "worker.unlisted", {
+      worker: id,
+      pool: worker.report.pool,
+      runs: worker.runs.size,
+    });
+  }
+};
+
+/** Takes a worker's lists of what runs and what has ended. */
+export const workerLooked = (turn: Turn, owned: OwnedWork, event: Extract<WorkEvent, { type: "worker/looked" }>): void => {
+  const worker = owned.workers.get(event.worker);
+  if (worker === undefined) {
+    return;
+  }
+  worker.lookSentAtMs = null;
+  worker.nextLookAtMs = turn.nowMs + LEASE.LOOK_GAP_MS;
+  const { bornWallMs } = worker.report;
+  if (event.bornWallMs !== null && bornWallMs !== null && event.bornWallMs !== bornWallMs) {
+    if (event.bornWallMs > bornWallMs) {
+      replaceLife(turn, owned, worker, "another life answered");
+      workerReported(turn, owned, { ...worker.report, bornWallMs: event.bornWallMs, clockMs: event.clockMs });
+    }
+    return;
+  }
+  noteClock(turn, worker, event.clockMs);
+  if (!worker.fenced) {
+    worker.fenced = true;
+    poolOf(owned, worker.report.pool).dirty = true;
+  }
+  for (const end of event.ends) {
+    if (end.sequence > worker.seenSequence) {
+      runEnded(turn, owned, worker, end);
+      worker.seenSequence = end.sequence;
+    }
+  }
+  for (const line of event.running) {
+    runSeen(turn, owned, worker, line, event.sentAtMs);
+  }
+  dropUnseen(turn, owned, worker, event);
+  paceFillers(turn, owned, worker);
+};
+
+/** Drops runs that a look sent after their confirmation does not show. */
+const dropUnseen = (turn: Turn, owned: OwnedWork, worker: Worker, event: Extract<WorkEvent, { type: "worker/looked" }>): void => {
+  const shown = new Set(event.running.map(({ item, run }) => `${item} ${run}`));
+  for (const run of [...worker.runs.values()]) {
+    const sureSince = run.stopConfirmedAtMs ?? run.confirmedAtMs;
+    if (sureSince !== null && sureSince < event.sentAtMs && !shown.has(`${run.item.key} ${run.number}`)) {
+      dropRun(owned, worker, run);
+      itemLost(turn, owned, run.item);
+      logLine(turn, "info", "run.notThere", {
+        item: run.item.key,
+        run: run.number,
+        worker: worker.report.id,
+        stopped: run.stopConfirmedAtMs !== null,
+      });
+    }
+  }
+};
+
+/** A look had no answer, or another life answered at the address. */
+export const workerLookFailed = (turn: Turn, owned: OwnedWork, event: Extract<WorkEvent, { type: "worker/lookFailed" }>): void => {
+  const worker = owned.workers.get(event.worker);
+  if (worker === undefined) {
+    return;
+  }
+  worker.lookSentAtMs = null;
+  worker.nextLookAtMs = turn.nowMs + LEASE.LOOK_RETRY_MS;
+  logLine(turn, "warn", "worker.lookFailed", {
+    worker: event.worker,
+    pool: worker.report.pool,
+    wrongLife: event.wrongLife,
+    reason: event.reason,
+    silentMs: worker.answeredAtMs === null ? null : Math.round(turn.nowMs - worker.answeredAtMs),
+  });
+  if (event.wrongLife) {
+    replaceLife(turn, owned, worker, "another life has its address");
+  }
+};
+
+/** Looks at workers that are due and ends leases that are over. */
+export const tickWorkers = (turn: Turn, owned: OwnedWork): void => {
+  for (const worker of [...owned.workers.values()]) {
+    if (worker.leaseEndsAtMs !== null && turn.nowMs > worker.leaseEndsAtMs && worker.runs.size > 0) {
+      loseRuns(turn, owned, worker, "the lease ended");
+    }
+    const forgotten = !worker.listed && worker.runs.size === 0;
+    if (forgotten && (worker.leaseEndsAtMs === null || turn.nowMs > worker.leaseEndsAtMs)) {
+      owned.workers.delete(worker.report.id);
+      poolOf(owned, worker.report.pool).workers.delete(worker);
+    } else {
+      lookIfDue(turn, owned, worker);
+    }
+  }
+};
+
+const needsLook = (worker: Worker): boolean =>
+  !worker.fenced ||
+  worker.runs.size > 0 ||
+  worker.seenSequence > worker.durableSequence ||
+  worker.notedSequence < worker.durableSequence;
+
+const lookIfDue = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
+  if (worker.lookSentAtMs !== null || !needsLook(worker) || !isSure(turn, owned)) {
+    return;
+  }
+  if (turn.nowMs < worker.nextLookAtMs) {
+    wakeAfter(turn, worker.nextLookAtMs - turn.nowMs);
+    return;
+  }
+  const waits = worker.fenced && worker.runs.size > 0;
+  worker.lookSentAtMs = turn.nowMs;
+  worker.notedSequence = worker.durableSequence;
+  turn.effects.push({
+    type: "worker/look",
+    untilClockMs: worker.runs.size > 0 ? extendLease(turn, worker) : null,
+    notedSequence: worker.durableSequence,
+    waitMs: waits && !hasStops(worker) ? LEASE.LOOK_WAIT_MS : 0,
+    ...targetOf(owned, worker),
+  });
+};
+
+const hasStops = (worker: Worker): boolean => {
+  for (const run of worker.runs.values()) {
+    if (run.stopConfirmedAtMs !== null) {
+      return true;
+    }
+  }
+  return false;
+};
--- a/packages/runners/src/daemon/daemonProgram.ts
+++ b/packages/runners/src/daemon/daemonProgram.ts
@@ -26,6 +26,11 @@
   /** @param settings - Checked settings. */
   abstract start(settings: Settings): Promise<RunningDaemon>;
 
+  /** @returns The settings file to read when none is named; null where there is none. */
+  defaultSettingsPath(): string | null {
+    return null;
+  }
+
   /** Reads the arguments, runs the daemon to its end and exits the process. */
   async run(): Promise<never> {
     const daemon = await this.start(this.readSettings());
@@ -59,6 +64,6 @@
       process.stdout.write(this.usage);
       process.exit(EXIT_CODE.OK);
     }
-    return values.settings ?? null;
+    return values.settings ?? this.defaultSettingsPath();
   }
 }
--- a/packages/runners/src/index.ts
+++ b/packages/runners/src/index.ts
@@ -45,3 +45,7 @@
 export * from "./daemon/identity.js";
 export * from "./daemon/nodeHealth.js";
 export * from "./daemon/settingsSchemas.js";
+export * from "./work/workEffects.js";
+export * from "./work/workFront.js";
+export * from "./work/workStore.js";
+export * from "./work/workerLink.js";
--- a/packages/runners/src/loop/eventLoop.ts
+++ b/packages/runners/src/loop/eventLoop.ts
@@ -11,7 +11,7 @@
 /** An event before the loop gives it its time. */
 export type UntimedEvent = Event extends infer Each
   ? Each extends Event
-    ? Omit<Each, "atMs">
+    ? Omit<Each, "atMs" | "wallMs">
     : never
   : never;
 
@@ -55,12 +55,17 @@
 
   /** Starts turning the clock. */
   start(): void {
-    this.handle({ type: "clock/ticked" });
+    this.turnClock();
     this.timer = setInterval(() => {
-      this.handle({ type: "clock/ticked" });
+      this.turnClock();
     }, CLOCK.TICK_MS);
   }
 
+  /** Turns the clock once. */
+  turnClock(): void {
+    this.handle({ type: "clock/ticked" });
+  }
+
   /** Stops turning the clock. */
   stop(): void {
     if (this.timer !== null) {
@@ -89,7 +94,8 @@
   private drainWaiting(): void {
     let next = this.waiting.shift();
     while (next !== undefined) {
-      this.handleOne({ ...next, atMs: EventLoop.nowMs() });
+      const timed = { ...next, atMs: EventLoop.nowMs(), wallMs: Date.now() };
+      this.handleOne(timed);
       next = this.waiting.shift();
     }
   }
--- /dev/null
+++ b/packages/runners/src/work/workerLink.ts
@@ -0,0 +1,62 @@
+import type {
+  EndLine,
+  HostId,
+  HostListing,
+  HostOrderResult,
+  PoolId,
+  RunningLine,
+  StartResult,
+  WorkEffect,
+} from "./types.js";
+
+export type StartOrder = Extract<WorkEffect, { type: "worker/start" }>;
+export type StopOrder = Extract<WorkEffect, { type: "worker/stop" }>;
+export type LookOrder = Extract<WorkEffect, { type: "worker/look" }>;
+export type PaceOrder = Extract<WorkEffect, { type: "worker/pace" }>;
+
+export interface StartAnswer {
+  readonly result: StartResult;
+  readonly reason: string | null;
+  readonly clockMs: number | null;
+}
+
+export interface StopAnswer {
+  /** The worker won't begin this run any more. */
+  readonly settled: boolean;
+  readonly wrongLife: boolean;
+  readonly clockMs: number | null;
+}
+
+export type LookAnswer =
+  | {
+      readonly type: "seen";
+      readonly clockMs: number;
+      readonly bornWallMs: number | null;
+      readonly running: readonly RunningLine[];
+      readonly ends: readonly EndLine[];
+    }
+  | { readonly type: "failed"; readonly wrongLife: boolean; readonly reason: string };
+
+/** Orders to workers. No method throws: what went wrong is in the answer. */
+export abstract class WorkerLink {
+  abstract start(order: StartOrder): Promise<StartAnswer>;
+  abstract stop(order: StopOrder): Promise<StopAnswer>;
+  abstract look(order: LookOrder): Promise<LookAnswer>;
+  /** @returns Null if the worker took it, else what went wrong. */
+  abstract pace(order: PaceOrder): Promise<string | null>;
+  abstract close(): Promise<void>;
+}
+
+export interface HostOrderAnswer {
+  readonly result: HostOrderResult;
+  readonly reason: string | null;
+}
+
+/** The platform's orders to hosts. */
+export abstract class HostPower {
+  /** @throws PlatformError when the platform does not answer. */
+  abstract list(): Promise<readonly HostListing[]>;
+  abstract move(host: HostId, pool: PoolId, fence: number): Promise<HostOrderAnswer>;
+  abstract upkeep(host: HostId, wave: number, fence: number): Promise<HostOrderAnswer>;
+  abstract close(): Promise<void>;
+}
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -5,3 +5,4 @@
 export * from "./peers/viewCodec.js";
 export * from "./rows/decodeRows.js";
 export * from "./rows/rowSchemas.js";
+export * from "./work/workRows.js";
--- /dev/null
+++ b/packages/wire/src/work/workRows.ts
@@ -0,0 +1,119 @@
+import {
+  storeVersion,
+  submissionId,
+  WORK_TABLE,
+  OWNER_KEY,
+  type HandIn,
+  type OwnerRow,
+  type Progress,
+  type RowName,
+  type RowToWrite,
+  type StoreRow,
+} from "@heatherferry/core";
+import type { HostId } from "@heatherferry/common";
+
+/** Where a row lies, and its text. */
+export interface EncodedRow {
+  readonly table: string;
+  readonly key: string;
+  readonly text: string;
+}
+
+/** A cancel lies beside its hand-in, so that one transaction can ask for the one and write the other. */
+const CANCEL_SUFFIX = "~cancel";
+const WAVE_PREFIX = "wave-";
+
+interface WaveProgress {
+  readonly wave: number;
+  readonly completed: boolean;
+  readonly doneHosts: readonly HostId[];
+}
+
+/** @returns Table and key of a row. */
+export const locateRow = (name: RowName): { readonly table: string; readonly key: string } => {
+  switch (name.type) {
+    case "handIn":
+      return { table: WORK_TABLE.HAND_INS, key: name.id };
+    case "cancel":
+      return { table: WORK_TABLE.HAND_INS, key: `${name.id}${CANCEL_SUFFIX}` };
+    case "progress":
+      return { table: WORK_TABLE.PROGRESS, key: name.id };
+    case "owner":
+      return { table: WORK_TABLE.OWNER, key: OWNER_KEY };
+  }
+};
+
+/** @returns The row as it is stored. */
+export const encodeRow = (row: RowToWrite): EncodedRow => {
+  switch (row.type) {
+    case "handIn":
+      return { ...locateRow({ type: "handIn", id: row.handIn.id }), text: JSON.stringify(row.handIn) };
+    case "cancel":
+      return { ...locateRow(row), text: "{}" };
+    case "progress":
+      return {
+        ...locateRow({ type: "progress", id: row.progress.id }),
+        text: JSON.stringify(row.progress),
+      };
+    case "owner":
+      return { ...locateRow({ type: "owner" }), text: JSON.stringify(row.owner) };
+    case "waveReport": {
+      const { wave, completed, doneHosts } = row;
+      const body: WaveProgress = { wave, completed, doneHosts };
+      return {
+        table: WORK_TABLE.PROGRESS,
+        key: `${WAVE_PREFIX}${row.wave}`,
+        text: JSON.stringify(body),
+      };
+    }
+  }
+};
+
+const has = (value: unknown, fields: readonly string[]): boolean =>
+  typeof value === "object" && value !== null && fields.every((field) => field in value);
+
+/**
+ * @param table - Table of the row.
+ * @param key - Its key.
+ * @param version - Its version.
+ * @param text - What it holds.
+ * @returns The row, or null if it is none of the product's or cannot be read.
+ */
+export const decodeRow = (
+  table: string,
+  key: string,
+  version: number,
+  text: string,
+): StoreRow | null => {
+  const body = parse(text);
+  if (body === null) {
+    return null;
+  }
+  const at = storeVersion(version);
+  if (table === WORK_TABLE.HAND_INS && key.endsWith(CANCEL_SUFFIX)) {
+    return { type: "cancel", version: at, id: submissionId(key.slice(0, -CANCEL_SUFFIX.length)) };
+  }
+  if (table === WORK_TABLE.HAND_INS && has(body, ["id", "queue", "pool", "work", "acceptedWallMs"])) {
+    return { type: "handIn", version: at, handIn: body as HandIn };
+  }
+  if (table === WORK_TABLE.PROGRESS && key.startsWith(WAVE_PREFIX) && has(body, ["wave", "doneHosts"])) {
+    const { wave, doneHosts } = body as WaveProgress;
+    return { type: "waveReport", version: at, wave, doneHosts };
+  }
+  if (table === WORK_TABLE.PROGRESS && has(body, ["id", "state", "done", "failures"])) {
+    return { type: "progress", version: at, progress: body as Progress };
+  }
+  if (table === WORK_TABLE.OWNER && has(body, ["holder", "incarnation", "fence", "leasedWorkers"])) {
+    return { type: "owner", version: at, owner: body as OwnerRow };
+  }
+  return null;
+};
+
+const parse = (text: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch {
+    // The caller names the row in its log line.
+    return null;
+  }
+};
