--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -205,9 +205,23 @@
   SWEEP_MS: 10_000,
 } as const;
 
+export const LENDING = {
+  /** Workers that a pool keeps in any case. */
+  LEAST_WORKERS: 1,
+  /** A worker idle for so long may go to a pool whose work waits. */
+  LEND_IDLE_MS: 200,
+  /** A worker idle for so long is turned off. */
+  RETIRE_IDLE_MS: 3_000,
+  /** Hosts are asked for when what waits would take the pool longer than this. */
+  DRAIN_MS: 700,
+  /** Size of a host where a pool has none to go by. */
+  HOST_CPU_MILLI: 16_000,
+} as const;
+
 export const HOSTS = {
-  /** Pause between two lists of hosts while a wave or a move is under way. */
+  /** Pause between two lists of hosts while a wave is under way. */
   LIST_MS: 1_000,
+  IDLE_LIST_MS: 4_000,
   ORDER_RETRY_MS: 700,
   /** After this long a confirmed order counts as carried out even without a new worker. */
   RETURN_MS: 8_000,
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -68,7 +68,8 @@
   if (spec.maxPerWorker !== null && sameStepRuns(worker, item) >= spec.maxPerWorker) {
     return null;
   }
-  let points = worker.usedCpuMilli / Math.max(1, report.capacity.cpuMilli);
+  // Full workers first: empty ones can be lent or turned off.
+  let points = 1 - worker.usedCpuMilli / Math.max(1, report.capacity.cpuMilli);
   if (spec.preferredRack !== null && report.rack !== spec.preferredRack) {
     points += 10;
   }
@@ -92,7 +93,8 @@
   return best;
 };
 
-const withinCeiling = (turn: Turn, owned: OwnedWork, item: Item): boolean => {
+/** @returns Whether a team may have the item running beside what it has. */
+export const withinCeiling = (turn: Turn, owned: OwnedWork, item: Item): boolean => {
   const { team } = item.submission.handIn;
   const ceiling = turn.work.catalog?.teams.find(({ id }) => id === team)?.ceiling;
   if (team === null || ceiling === undefined) {
--- /dev/null
+++ b/packages/core/src/work/hosts.ts
@@ -0,0 +1,21 @@
+import type { WorkEvent } from "./events.js";
+import type { OwnedWork } from "./state.js";
+import type { Turn } from "./turn.js";
+
+/** Asks for the list of hosts if the last one is older than this. */
+export const listHosts = (turn: Turn, owned: OwnedWork, maxAgeMs: number): void => {
+  const lastMs = owned.hostListSentAtMs ?? -Infinity;
+  if (turn.nowMs - lastMs >= maxAgeMs) {
+    owned.hostListSentAtMs = turn.nowMs;
+    turn.effects.push({ type: "power/list" });
+  }
+};
+
+/** Takes the list of hosts; it names all of them. */
+export const hostsListed = (turn: Turn, owned: OwnedWork, event: Extract<WorkEvent, { type: "power/listed" }>): void => {
+  owned.hosts.clear();
+  for (const listing of event.hosts) {
+    owned.hosts.set(listing.host, listing);
+  }
+  owned.hostListAtMs = turn.nowMs;
+};
--- /dev/null
+++ b/packages/core/src/work/lending.ts
@@ -0,0 +1,241 @@
+import type { HostId, PoolId } from "@heatherferry/common";
+import { poolById } from "./catalog.js";
+import { HOSTS, LENDING } from "./constants.js";
+import { withinCeiling } from "./dispatch.js";
+import type { WorkEvent } from "./events.js";
+import { listHosts } from "./hosts.js";
+import { isSure } from "./ownership.js";
+import { poolOf } from "./pools.js";
+import { roomOf } from "./runs.js";
+import type { OwnedWork, PoolWork, Worker } from "./state.js";
+import { logLine, type Turn } from "./turn.js";
+
+/** What a pool asks for and has. */
+interface Demand {
+  readonly pool: PoolWork;
+  /** Work that waits for room, in thousandths of a core times ms. */
+  readonly waitingWork: number;
+  /** Workers that a step with a bound a worker still misses. */
+  readonly spreadShort: number;
+  /** Processor that its workers have for work that ends, with hosts on their way. */
+  readonly cpuMilli: number;
+  readonly comingHosts: number;
+}
+
+const isStandby = (turn: Turn, id: PoolId): boolean => poolById(turn.work.catalog, id)?.standby === true;
+
+const comingHosts = (owned: OwnedWork, pool: PoolId): number => {
+  let count = 0;
+  for (const move of owned.moves.values()) {
+    if (move.to === pool) {
+      count += 1;
+    }
+  }
+  return count;
+};
+
+const isOpen = (worker: Worker): boolean => worker.listed && !worker.report.draining && !worker.reserved;
+
+/** @returns Processor that one host brings to a pool. */
+const hostCpuMilli = (pool: PoolWork): number => {
+  const [anyWorker] = pool.workers;
+  return Math.max(1, anyWorker?.report.capacity.cpuMilli ?? LENDING.HOST_CPU_MILLI);
+};
+
+const lastingCpuMilli = (worker: Worker): number => {
+  let sum = 0;
+  for (const run of worker.runs.values()) {
+    sum += run.item.spec.lasting ? run.room.cpuMilli : 0;
+  }
+  return sum;
+};
+
+const demandOf = (turn: Turn, owned: OwnedWork, pool: PoolWork): Demand => {
+  let waitingWork = 0;
+  let spreadShort = 0;
+  for (const submission of pool.waiting) {
+    const perStep = new Map<number, number>();
+    for (const item of submission.ready) {
+      if ((!item.inherited || pool.settled) && withinCeiling(turn, owned, item)) {
+        waitingWork += roomOf(item.spec).cpuMilli * Math.max(1, item.spec.estimateMs);
+        perStep.set(item.step, (perStep.get(item.step) ?? 0) + 1 / (item.spec.maxPerWorker ?? Infinity));
+      }
+    }
+    spreadShort = Math.max(spreadShort, ...perStep.values());
+  }
+  const coming = comingHosts(owned, pool.id);
+  let cpuMilli = coming * hostCpuMilli(pool);
+  for (const worker of pool.workers) {
+    if (isOpen(worker)) {
+      cpuMilli += Math.max(0, worker.report.capacity.cpuMilli - lastingCpuMilli(worker));
+    }
+  }
+  return { pool, waitingWork, spreadShort: Math.ceil(spreadShort), cpuMilli, comingHosts: coming };
+};
+
+const hostIsFree = (turn: Turn, owned: OwnedWork, host: HostId): boolean => {
+  if (owned.moves.has(host) || turn.nowMs - (owned.hostOrders.get(host) ?? -Infinity) < HOSTS.ORDER_RETRY_MS) {
+    return false;
+  }
+  for (const wave of owned.waves.values()) {
+    const due = !wave.completed && wave.request.hosts.includes(host) && !wave.doneHosts.has(host);
+    if (due && (wave.outHosts.has(host) || owned.workersByHost.get(host)?.reserved === true)) {
+      return false;
+    }
+  }
+  return true;
+};
+
+/** @returns Hosts that are off and could be had at once. */
+const standbyHosts = (turn: Turn, owned: OwnedWork): HostId[] =>
+  [...owned.hosts.values()]
+    .filter(({ host, pool, up }) => up && isStandby(turn, pool) && hostIsFree(turn, owned, host))
+    .map(({ host }) => host);
+
+const isIdle = (turn: Turn, owned: OwnedWork, worker: Worker, idleMs: number): boolean =>
+  isOpen(worker) &&
+  worker.fenced &&
+  worker.runs.size === 0 &&
+  worker.strayStops.size === 0 &&
+  worker.seenSequence === worker.notedSequence &&
+  turn.nowMs - worker.idleSinceMs >= idleMs &&
+  worker.report.host !== null &&
+  hostIsFree(turn, owned, worker.report.host);
+
+/** @returns Idle workers of a pool that it can do without, longest idle first. */
+const idleWorkers = (turn: Turn, owned: OwnedWork, pool: PoolWork, idleMs: number): Worker[] => {
+  const open = [...pool.workers].filter(isOpen).length;
+  return [...pool.workers]
+    .filter((worker) => isIdle(turn, owned, worker, idleMs))
+    .sort((one, other) => one.idleSinceMs - other.idleSinceMs)
+    .slice(0, Math.max(0, open - LENDING.LEAST_WORKERS));
+};
+
+const move = (turn: Turn, owned: OwnedWork, host: HostId, to: PoolId, why: string): void => {
+  const worker = owned.workersByHost.get(host) ?? null;
+  if (worker !== null) {
+    worker.reserved = true;
+  }
+  owned.hostOrders.set(host, turn.nowMs);
+  owned.moves.set(host, {
+    to,
+    from: owned.hosts.get(host)?.pool ?? null,
+    worker: worker?.report.id ?? null,
+    orderedAtMs: turn.nowMs,
+    confirmed: false,
+  });
+  turn.effects.push({ type: "power/move", host, pool: to, fence: owned.fence });
+  logLine(turn, "info", "host.moving", {
+    host,
+    from: worker?.report.pool ?? owned.hosts.get(host)?.pool ?? null,
+    to,
+    why,
+    fence: Number(owned.fence),
+  });
+};
+
+/** @returns How many hosts a pool should get now. */
+const missingHosts = (demand: Demand): number => {
+  const { pool, waitingWork, cpuMilli, comingHosts: coming, spreadShort } = demand;
+  const forSpread = Math.max(0, spreadShort - coming);
+  if (waitingWork <= cpuMilli * LENDING.DRAIN_MS) {
+    return forSpread;
+  }
+  const forWork = Math.ceil((waitingWork / LENDING.DRAIN_MS - cpuMilli) / hostCpuMilli(pool));
+  return Math.max(forSpread, forWork);
+};
+
+const lend = (turn: Turn, owned: OwnedWork, demands: readonly Demand[]): void => {
+  const needy = demands
+    .map((demand) => ({ demand, missing: missingHosts(demand) }))
+    .filter(({ missing }) => missing > 0)
+    .sort((one, other) => other.missing - one.missing);
+  if (needy.length === 0) {
+    return;
+  }
+  const calm = demands.filter(({ waitingWork }) => waitingWork === 0).map(({ pool }) => pool);
+  const off = standbyHosts(turn, owned);
+  const idle = calm.flatMap((pool) => idleWorkers(turn, owned, pool, LENDING.LEND_IDLE_MS));
+  for (const { demand, missing } of needy) {
+    for (let count = 0; count < missing; count += 1) {
+      const host = idle.pop()?.report.host ?? off.pop();
+      if (host == null) {
+        return;
+      }
+      move(turn, owned, host, demand.pool.id, "work waits for room");
+    }
+  }
+};
+
+/** Turns hosts off that have had nothing to do for a while. */
+const retire = (turn: Turn, owned: OwnedWork, demands: readonly Demand[]): void => {
+  const standby = turn.work.catalog?.pools.find((pool) => pool.standby);
+  if (standby === undefined) {
+    return;
+  }
+  for (const { pool, waitingWork } of demands) {
+    if (waitingWork === 0) {
+      for (const { report } of idleWorkers(turn, owned, pool, LENDING.RETIRE_IDLE_MS)) {
+        if (report.host !== null) {
+          move(turn, owned, report.host, standby.id, "it was idle");
+        }
+      }
+    }
+  }
+};
+
+const settleMoves = (turn: Turn, owned: OwnedWork): void => {
+  for (const [host, order] of owned.moves) {
+    const worker = owned.workersByHost.get(host) ?? null;
+    const waitedMs = turn.nowMs - order.orderedAtMs;
+    const arrived = worker !== null && worker.report.id !== order.worker && worker.report.pool === order.to;
+    const off = order.confirmed && isStandby(turn, order.to) && waitedMs >= turn.work.bounds.moveMs;
+    if (arrived || off || waitedMs > HOSTS.RETURN_MS) {
+      owned.moves.delete(host);
+      if (worker !== null) {
+        worker.reserved = false;
+      }
+    }
+  }
+};
+
+/** Moves idle hosts to pools whose work waits, and turns hosts off that nobody needs. */
+export const tickLending = (turn: Turn, owned: OwnedWork): void => {
+  if (!isSure(turn, owned) || turn.nowMs - owned.takenAtMs < turn.work.bounds.dutyLeaseMs + HOSTS.DUTY_MARGIN_MS) {
+    return;
+  }
+  listHosts(turn, owned, HOSTS.IDLE_LIST_MS);
+  if (owned.hostListAtMs === null) {
+    return;
+  }
+  settleMoves(turn, owned);
+  const demands = (turn.work.catalog?.pools ?? [])
+    .filter(({ standby }) => !standby)
+    .map(({ id }) => demandOf(turn, owned, poolOf(owned, id)));
+  lend(turn, owned, demands);
+  retire(turn, owned, demands);
+};
+
+/** Takes the answer to a move. */
+export const moveAnswered = (owned: OwnedWork, event: Extract<WorkEvent, { type: "power/orderAnswered" }>): void => {
+  const order = owned.moves.get(event.host);
+  if (order === undefined || order.confirmed) {
+    return;
+  }
+  if (event.result === "accepted") {
+    order.confirmed = true;
+    const listing = owned.hosts.get(event.host);
+    if (listing !== undefined) {
+      owned.hosts.set(event.host, { ...listing, pool: order.to });
+    }
+  } else if (event.result === "unanswered") {
+    // It may still be carried out, so the host stays out until it shows itself.
+    owned.hostListSentAtMs = null;
+  } else {
+    owned.moves.delete(event.host);
+    const worker = owned.workersByHost.get(event.host);
+    if (worker !== undefined) {
+      worker.reserved = false;
+    }
+  }
+};
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -171,6 +171,8 @@
   ledgerSentAtMs: nowMs,
   needsRenewal: false,
   hosts: new Map(),
+  workersByHost: new Map(),
+  moves: new Map(),
   hostOrders: new Map(),
   hostListAtMs: null,
   hostListSentAtMs: null,
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -13,7 +13,9 @@
 import type { WorkEvent } from "./events.js";
 import { feedAnswered, feedFailed, feedRead, storeAnswered, tickFeeds } from "./feeds.js";
 import { tickForget } from "./forget.js";
+import { hostsListed } from "./hosts.js";
 import { ledgerSettled, tickLedger } from "./ledger.js";
+import { moveAnswered, tickLending } from "./lending.js";
 import { claimSettled, ownerScanFailed, ownerSeen, tickOwnership } from "./ownership.js";
 import { paceFailed } from "./pacing.js";
 import { tableLoaded, tableNotLoaded, tickRecovery } from "./recovery.js";
@@ -21,7 +23,7 @@
 import type { OwnedWork, WorkloadState } from "./state.js";
 import { makeDueOccurrences } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
-import { hostOrderAnswered, hostsListed, tickWaves } from "./waves.js";
+import { tickWaves, upkeepAnswered } from "./waves.js";
 import { tickWorkers, workerLooked, workerLookFailed } from "./workers.js";
 
 /**
@@ -138,7 +140,13 @@
       logLine(turn, "warn", "hosts.listFailed", { reason: event.reason });
       return;
     case "power/orderAnswered":
-      hostOrderAnswered(turn, owned, event);
+      logLine(turn, event.result === "accepted" ? "info" : "warn", "host.orderAnswered", {
+        host: event.host,
+        result: event.result,
+        reason: event.reason,
+      });
+      upkeepAnswered(owned, event);
+      moveAnswered(owned, event);
       return;
     default:
       return;
@@ -153,6 +161,7 @@
   repeatStops(turn, owned);
   stopStalled(turn, owned);
   tickWaves(turn, owned);
+  tickLending(turn, owned);
   tickForget(turn, owned);
   recheckPools(owned);
 };
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -3,7 +3,7 @@
 import { isSure } from "./ownership.js";
 import { poolOf } from "./pools.js";
 import type { Item, OwnedWork, Run, TeamUse, Worker } from "./state.js";
-import { findItem, itemBegan, itemDone, itemFailed, itemLost } from "./submissions.js";
+import { findItem, isOver, itemBegan, itemDone, itemFailed, itemLost } from "./submissions.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
 import type { EndLine, ItemKey, Resources, RunningLine, StepSpec } from "./types.js";
 import { targetOf, noteClock } from "./workers.js";
@@ -66,7 +66,7 @@
 };
 
 /** Forgets a run whose end is sure; its room is free. */
-export const dropRun = (owned: OwnedWork, worker: Worker, run: Run): void => {
+export const dropRun = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run): void => {
   if (worker.runs.get(run.item.key) !== run) {
     return;
   }
@@ -75,6 +75,9 @@
   if (run.item.run === run) {
     run.item.run = null;
   }
+  if (worker.runs.size === 0) {
+    worker.idleSinceMs = turn.nowMs;
+  }
   poolOf(owned, worker.report.pool).dirty = true;
 };
 
@@ -159,7 +162,7 @@
       startRefused(turn, owned, worker, run, event);
       return;
     case "wrongLife":
-      dropRun(owned, worker, run);
+      dropRun(turn, owned, worker, run);
       itemLost(turn, owned, run.item);
       return;
     case "unanswered":
@@ -170,7 +173,7 @@
 };
 
 const startRefused = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run, event: Extract<WorkEvent, { type: "worker/startAnswered" }>): void => {
-  dropRun(owned, worker, run);
+  dropRun(turn, owned, worker, run);
   if (event.reason === "fence") {
     turn.work.ownerView.nextPollAtMs = 0;
     owned.confirmedAtMs = -Infinity;
@@ -193,7 +196,7 @@
     return;
   }
   if (event.wrongLife) {
-    dropRun(owned, worker, run);
+    dropRun(turn, owned, worker, run);
     itemLost(turn, owned, run.item);
   } else if (event.settled) {
     run.stopConfirmedAtMs ??= turn.nowMs;
@@ -220,7 +223,7 @@
   const run = held?.number === end.run ? held : undefined;
   const item = run?.item ?? findItem(owned, end.item);
   if (run !== undefined) {
-    dropRun(owned, worker, run);
+    dropRun(turn, owned, worker, run);
   }
   logLine(turn, "info", "run.ended", {
     item: end.item,
@@ -284,22 +287,8 @@
 /** Takes over a run that an earlier owner started, or stops one that should not be there. */
 const strayRun = (turn: Turn, owned: OwnedWork, worker: Worker, line: RunningLine, sentAtMs: number): void => {
   const item = findItem(owned, line.item);
-  const wanted =
-    item !== null && item.run === null && item.phase === ITEM_PHASE.READY && item.inherited;
-  if (wanted) {
-    const run = addRun(turn, owned, worker, item, line.run);
-    run.phase = RUN_PHASE.RUNNING;
-    run.confirmedAtMs = sentAtMs;
-    run.percent = line.percent;
-    run.load = line.load;
-    item.checkpoint = line.checkpoint === "" ? null : line.checkpoint;
-    itemBegan(owned, item.submission);
-    logLine(turn, "info", "run.takenOver", {
-      item: line.item,
-      run: line.run,
-      worker: worker.report.id,
-      fence: Number(owned.fence),
-    });
+  if (item?.run === null) {
+    takeOver(turn, owned, worker, item, line, sentAtMs);
     return;
   }
   const name = `${line.item} ${line.run}`;
@@ -322,10 +311,37 @@
   });
 };
 
+/** Books a run that was found; it goes on if its item waits for just that, else it is stopped. */
+const takeOver = (turn: Turn, owned: OwnedWork, worker: Worker, item: Item, line: RunningLine, sentAtMs: number): void => {
+  const { phase, inherited } = item;
+  const wanted = phase === ITEM_PHASE.READY && inherited && !isOver(item.submission.state);
+  const run = addRun(turn, owned, worker, item, line.run);
+  run.phase = RUN_PHASE.RUNNING;
+  run.confirmedAtMs = sentAtMs;
+  run.percent = line.percent;
+  run.load = line.load;
+  logLine(turn, "info", "run.takenOver", {
+    item: line.item,
+    run: line.run,
+    worker: worker.report.id,
+    fence: Number(owned.fence),
+    wanted,
+  });
+  if (wanted) {
+    item.checkpoint = line.checkpoint === "" ? null : line.checkpoint;
+    itemBegan(owned, item.submission);
+    return;
+  }
+  if (phase === ITEM_PHASE.DONE) {
+    item.phase = phase;
+  }
+  stopRun(turn, owned, run, "it is not wanted");
+};
+
 /** Everything on a worker has ended: its lease is over, or it is another life. */
 export const loseRuns = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
   for (const run of [...worker.runs.values()]) {
-    dropRun(owned, worker, run);
+    dropRun(turn, owned, worker, run);
     itemLost(turn, owned, run.item);
     logLine(turn, "warn", "run.lost", {
       item: run.item.key,
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -116,6 +116,8 @@
   usedCpuMilli: number;
   usedMemoryMb: number;
   usedGpus: number;
+  /** Since when nothing runs there. */
+  idleSinceMs: number;
   /** Since when no tail on it came near its target. */
   tailsCalmSinceMs: number;
   failuresInRow: number;
@@ -178,6 +180,9 @@
   ledgerSentAtMs: number;
   needsRenewal: boolean;
   readonly hosts: Map<HostId, HostListing>;
+  /** The listed worker that each host runs. */
+  readonly workersByHost: Map<HostId, Worker>;
+  readonly moves: Map<HostId, HostMove>;
   readonly hostOrders: Map<HostId, number>;
   hostListAtMs: number | null;
   hostListSentAtMs: number | null;
@@ -187,6 +192,15 @@
   loadedRows: StoreRow[];
 }
 
+/** A host on its way to another pool. */
+export interface HostMove {
+  readonly to: PoolId;
+  readonly from: PoolId | null;
+  readonly worker: WorkerId | null;
+  readonly orderedAtMs: number;
+  confirmed: boolean;
+}
+
 /** The owner's write in flight. */
 export interface LedgerWrite {
   readonly commit: Commit;
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -83,7 +83,8 @@
 const stepIsDone = (occurrence: Occurrence, step: number): boolean =>
   occurrence.doneInStep[step] === occurrence.steps[step]?.length;
 
-const isOver = (state: SubmissionState): boolean =>
+/** @returns Whether a submission has ended. */
+export const isOver = (state: SubmissionState): boolean =>
   state !== SUBMISSION_STATE.QUEUED && state !== SUBMISSION_STATE.RUNNING;
 
 /** Puts an item in line for room. */
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -1,5 +1,6 @@
 import type { HostId } from "@heatherferry/common";
 import { HOSTS } from "./constants.js";
+import { listHosts } from "./hosts.js";
 import type { WorkEvent } from "./events.js";
 import { isSure } from "./ownership.js";
 import { stopRun } from "./runs.js";
@@ -45,14 +46,8 @@
   }
 };
 
-const workerOfHost = (owned: OwnedWork, host: HostId): Worker | null => {
-  for (const worker of owned.workers.values()) {
-    if (worker.report.host === host && worker.listed) {
-      return worker;
-    }
-  }
-  return null;
-};
+const workerOfHost = (owned: OwnedWork, host: HostId): Worker | null =>
+  owned.workersByHost.get(host) ?? null;
 
 /** @returns Items of the run's step that are not at work. */
 const awayOthers = (run: Run): number => {
@@ -119,7 +114,8 @@
   }
   let slots = wave.request.mostOut - wave.outHosts.size;
   const left = wave.request.hosts.filter((host) => !wave.doneHosts.has(host) && !wave.outHosts.has(host));
-  const chosen = left
+  const free = left.filter((host) => !owned.moves.has(host));
+  const chosen = free
     .map((host) => ({ host, worker: workerOfHost(owned, host) }))
     .sort((one, other) => rank(one.worker) - rank(other.worker))
     .slice(0, Math.max(0, slots));
@@ -172,7 +168,7 @@
   if (open.length === 0) {
     return;
   }
-  listHosts(turn, owned);
+  listHosts(turn, owned, HOSTS.LIST_MS);
   if (turn.nowMs - owned.takenAtMs < turn.work.bounds.dutyLeaseMs + HOSTS.DUTY_MARGIN_MS) {
     return;
   }
@@ -182,28 +178,8 @@
   }
 };
 
-const listHosts = (turn: Turn, owned: OwnedWork): void => {
-  const lastMs = owned.hostListSentAtMs ?? -Infinity;
-  if (turn.nowMs - lastMs >= HOSTS.LIST_MS) {
-    owned.hostListSentAtMs = turn.nowMs;
-    turn.effects.push({ type: "power/list" });
-  }
-};
-
-export const hostsListed = (turn: Turn, owned: OwnedWork, event: Extract<WorkEvent, { type: "power/listed" }>): void => {
-  owned.hosts.clear();
-  for (const listing of event.hosts) {
-    owned.hosts.set(listing.host, listing);
-  }
-  owned.hostListAtMs = turn.nowMs;
-};
-
-export const hostOrderAnswered = (turn: Turn, owned: OwnedWork, event: Extract<WorkEvent, { type: "power/orderAnswered" }>): void => {
-  logLine(turn, event.result === "accepted" ? "info" : "warn", "host.orderAnswered", {
-    host: event.host,
-    result: event.result,
-    reason: event.reason,
-  });
+/** Takes the answer to an order of upkeep. */
+export const upkeepAnswered = (owned: OwnedWork, event: Extract<WorkEvent, { type: "power/orderAnswered" }>): void => {
   for (const wave of owned.waves.values()) {
     const out = wave.outHosts.get(event.host);
     if (out !== undefined && !out.confirmed) {
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -65,6 +65,7 @@
   usedCpuMilli: 0,
   usedMemoryMb: 0,
   usedGpus: 0,
+  idleSinceMs: turn.nowMs,
   tailsCalmSinceMs: 0,
   failuresInRow: 0,
   restsUntilMs: 0,
@@ -74,9 +75,24 @@
 const replaceLife = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
   loseRuns(turn, owned, worker, why);
   owned.workers.delete(worker.report.id);
+  unbindHost(owned, worker);
   poolOf(owned, worker.report.pool).workers.delete(worker);
 };
 
+const bindHost = (owned: OwnedWork, worker: Worker): void => {
+  const { host } = worker.report;
+  if (host !== null) {
+    owned.workersByHost.set(host, worker);
+  }
+};
+
+const unbindHost = (owned: OwnedWork, worker: Worker): void => {
+  const { host } = worker.report;
+  if (host !== null && owned.workersByHost.get(host) === worker) {
+    owned.workersByHost.delete(host);
+  }
+};
+
 /** Takes a worker's entry. */
 export const workerReported = (turn: Turn, owned: OwnedWork, report: WorkerReport): void => {
   const known = owned.workers.get(report.id);
@@ -90,6 +106,7 @@
   if (worker === undefined) {
     const made = newWorker(turn, report);
     owned.workers.set(report.id, made);
+    bindHost(owned, made);
     const pool = poolOf(owned, report.pool);
     pool.workers.add(made);
     pool.dirty = true;
@@ -112,6 +129,7 @@
   worker.report = report;
   worker.listed = true;
   worker.unlistedAtMs = null;
+  bindHost(owned, worker);
   poolOf(owned, report.pool).dirty = true;
 };
 
@@ -120,6 +138,7 @@
   const worker = owned.workers.get(id);
   if (worker?.listed === true) {
     worker.listed = false;
+    unbindHost(owned, worker);
     worker.unlistedAtMs = turn.nowMs;
     logLine(turn, "info", "worker.unlisted", {
       worker: id,
@@ -163,13 +182,22 @@
   paceFillers(turn, owned, worker);
 };
 
+const forgetStrays = (worker: Worker, shown: ReadonlySet<string>): void => {
+  for (const name of worker.strayStops.keys()) {
+    if (!shown.has(name)) {
+      worker.strayStops.delete(name);
+    }
+  }
+};
+
 /** Drops runs that a look sent after their confirmation does not show. */
 const dropUnseen = (turn: Turn, owned: OwnedWork, worker: Worker, event: Extract<WorkEvent, { type: "worker/looked" }>): void => {
   const shown = new Set(event.running.map(({ item, run }) => `${item} ${run}`));
+  forgetStrays(worker, shown);
   for (const run of [...worker.runs.values()]) {
     const sureSince = run.stopConfirmedAtMs ?? run.confirmedAtMs;
     if (sureSince !== null && sureSince < event.sentAtMs && !shown.has(`${run.item.key} ${run.number}`)) {
-      dropRun(owned, worker, run);
+      dropRun(turn, owned, worker, run);
       itemLost(turn, owned, run.item);
       logLine(turn, "info", "run.notThere", {
         item: run.item.key,
@@ -220,6 +248,7 @@
 const needsLook = (worker: Worker): boolean =>
   !worker.fenced ||
   worker.runs.size > 0 ||
+  worker.strayStops.size > 0 ||
   worker.seenSequence > worker.durableSequence ||
   worker.notedSequence < worker.durableSequence;
 
@@ -244,6 +273,9 @@
 };
 
 const hasStops = (worker: Worker): boolean => {
+  if (worker.strayStops.size > 0) {
+    return true;
+  }
   for (const run of worker.runs.values()) {
     if (run.stopConfirmedAtMs !== null) {
       return true;
