--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -85,7 +85,7 @@
     EventLoop.nowMs(),
   );
   state.work = initialWork(
-    { holder: settings.nodeName, incarnation: life, zone: settings.availabilityZone },
+    { holder: `${settings.nodeName}@${settings.ip}`, incarnation: life, zone: settings.availabilityZone },
     settings.bounds,
   );
   const metrics = new WorkMetrics(state, sink);
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -150,6 +150,8 @@
   /** Pause between two looks at a worker. */
   LOOK_GAP_MS: 100,
   LOOK_RETRY_MS: 300,
+  /** A worker whose answer is this much overdue counts as silent. */
+  SILENT_MARGIN_MS: 300,
   /** Workers' clocks may be this much slow, so a lease may last this much longer. */
   SLOWEST_CLOCK: 0.98,
   END_MARGIN_MS: 100,
@@ -211,9 +213,13 @@
   /** A worker idle for so long may go to a pool whose work waits. */
   LEND_IDLE_MS: 200,
   /** A worker idle for so long is turned off. */
-  RETIRE_IDLE_MS: 3_000,
-  /** Hosts are asked for when what waits would take the pool longer than this. */
-  DRAIN_MS: 700,
+  RETIRE_IDLE_MS: 6_000,
+  /** What waits should be done within this time. */
+  DRAIN_MS: 1_500,
+  /** Time over which the rate of arriving work is averaged. */
+  RATE_MS: 800,
+  /** Room above the rate of arriving work, since items of mixed sizes do not fill a worker. */
+  RATE_ROOM: 1.15,
   /** Size of a host where a pool has none to go by. */
   HOST_CPU_MILLI: 16_000,
 } as const;
@@ -225,6 +231,8 @@
   ORDER_RETRY_MS: 700,
   /** After this long a confirmed order counts as carried out even without a new worker. */
   RETURN_MS: 8_000,
+  /** A worker that is listed so long after its host's upkeep should be over was not touched. */
+  DONE_BEFORE_MS: 1_500,
   /** On top of the time in which two holders must not take turns. */
   DUTY_MARGIN_MS: 300,
 } as const;
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -1,13 +1,13 @@
 import type { PoolId } from "@heatherferry/common";
 import { queueById } from "./catalog.js";
-import { HEALTH, LEASE, ORDER, RUN_PHASE } from "./constants.js";
+import { HEALTH, LEASE, RUN_PHASE } from "./constants.js";
 import { isSure } from "./ownership.js";
 import { addRun, roomOf, stopRun } from "./runs.js";
 import type { Item, OwnedWork, PoolWork, Submission, Worker } from "./state.js";
 import { poolOfSubmission } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
 import type { Resources } from "./types.js";
-import { extendLease, targetOf } from "./workers.js";
+import { extendLease, isSilent, targetOf } from "./workers.js";
 
 /** Runs that one fence may order of an item; the next fence counts on from there. */
 const RUNS_OF_A_FENCE = 1_000;
@@ -21,9 +21,9 @@
   worker.clock !== null &&
   !worker.report.draining &&
   !worker.reserved &&
+  !worker.suspected &&
   worker.restsUntilMs <= turn.nowMs &&
-  (worker.runs.size === 0 ||
-    turn.nowMs - (worker.answeredAtMs ?? 0) <= LEASE.LOOK_WAIT_MS + ORDER.TIMEOUT_MS);
+  !isSilent(turn, worker);
 
 const fits = (worker: Worker, room: Resources): boolean => {
   const { capacity } = worker.report;
@@ -170,12 +170,16 @@
   return ranked.map(({ submission }) => submission);
 };
 
+/** @returns Whether a run of the item by an earlier owner may go on where nobody has looked. */
+export const mayRunUnseen = (owned: OwnedWork, pool: PoolWork, item: Item): boolean =>
+  item.inherited && (!pool.settled || owned.heldItems.has(item.key));
+
 const placeItems = (turn: Turn, owned: OwnedWork, pool: PoolWork, workers: readonly Worker[], submission: Submission): boolean => {
   const fullSteps = new Set<number>();
   for (const item of [...submission.ready]) {
     const waits =
       fullSteps.has(item.step) ||
-      (item.inherited && !pool.settled) ||
+      mayRunUnseen(owned, pool, item) ||
       item.notBeforeMs > turn.nowMs ||
       !withinCeiling(turn, owned, item);
     if (!waits) {
--- a/packages/core/src/work/hosts.ts
+++ b/packages/core/src/work/hosts.ts
@@ -1,3 +1,5 @@
+import type { HostId } from "@heatherferry/common";
+import { HOSTS } from "./constants.js";
 import type { WorkEvent } from "./events.js";
 import type { OwnedWork } from "./state.js";
 import type { Turn } from "./turn.js";
@@ -19,3 +21,12 @@
   }
   owned.hostListAtMs = turn.nowMs;
 };
+
+/** Two holders must not take turns at a host, so orders of the owner before have to be old enough. */
+export const mayOrderHost = (turn: Turn, owned: OwnedWork, host: HostId): boolean => {
+  const { inheritedOrders, takenAtMs } = owned;
+  return (
+    (inheritedOrders !== "unknown" && !inheritedOrders.has(host)) ||
+    turn.nowMs - takenAtMs >= turn.work.bounds.dutyLeaseMs + HOSTS.DUTY_MARGIN_MS
+  );
+};
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -1,21 +1,31 @@
 import { pendingByQueue } from "./calls.js";
-import { OWNERSHIP, STORE } from "./constants.js";
+import type { HostId } from "@heatherferry/common";
+import { HOSTS, OWNERSHIP, STORE } from "./constants.js";
 import type { RowToWrite, WorkEvent } from "./events.js";
 import { endOwning, stillOwner } from "./ownership.js";
-import type { LedgerWrite, OwnedWork, Submission } from "./state.js";
+import type { LedgerWrite, OwnedWork, Submission, Worker } from "./state.js";
 import { progressOf } from "./submissions.js";
 import { logLine, newCommitId, wakeAfter, type Turn } from "./turn.js";
-import type { OwnerRow, WorkerId } from "./types.js";
+import type { LeasedWorker, OwnerRow, WorkerId } from "./types.js";
+import { isSilent } from "./workers.js";
 
-/** @returns Workers on which something may run. */
-const leasedWorkers = (turn: Turn, owned: OwnedWork): WorkerId[] => {
-  const leased = new Set(owned.unheard);
+/** @returns Workers on which something may run; of silent ones, what. */
+const leasedWorkers = (turn: Turn, owned: OwnedWork): Record<WorkerId, LeasedWorker> => {
+  const leased: Record<WorkerId, LeasedWorker> = Object.fromEntries(owned.unheard);
   for (const worker of owned.workers.values()) {
     if (worker.leaseEndsAtMs !== null && worker.leaseEndsAtMs > turn.nowMs) {
-      leased.add(worker.report.id);
+      leased[worker.report.id] = {
+        pool: worker.report.pool,
+        items: isSilent(turn, worker) ? [...worker.runs.keys()] : null,
+      };
     }
   }
-  return [...leased];
+  return leased;
+};
+
+const orderedHosts = (turn: Turn, owned: OwnedWork): HostId[] => {
+  const sinceMs = turn.nowMs - turn.work.bounds.dutyLeaseMs - HOSTS.DUTY_MARGIN_MS;
+  return [...owned.hostOrders].filter(([, atMs]) => atMs >= sinceMs).map(([host]) => host);
 };
 
 const ownerRow = (turn: Turn, owned: OwnedWork, released: boolean): OwnerRow => ({
@@ -23,7 +33,8 @@
   incarnation: turn.work.identity.incarnation,
   fence: owned.fence,
   released,
-  leasedWorkers: leasedWorkers(turn, owned),
+  leased: leasedWorkers(turn, owned),
+  orderedHosts: orderedHosts(turn, owned),
   pending: pendingByQueue(turn),
 });
 
@@ -63,6 +74,24 @@
   return false;
 };
 
+/**
+ * From here on nothing starts on workers of which the row says what runs there.
+ *
+ * @returns Workers that answer again: they may be used once the row that says so is written.
+ */
+const markSuspects = (owned: OwnedWork, row: OwnerRow): readonly Worker[] => {
+  const cleared: Worker[] = [];
+  for (const worker of owned.workers.values()) {
+    const items = row.leased[worker.report.id]?.items ?? null;
+    if (items !== null) {
+      worker.suspected = true;
+    } else if (worker.suspected) {
+      cleared.push(worker);
+    }
+  }
+  return cleared;
+};
+
 /** Writes what has changed, and the owner's row with it; one write at a time. */
 const send = (turn: Turn, owned: OwnedWork, releases: boolean): void => {
   const submissions = gather(owned);
@@ -71,12 +100,14 @@
     owned.dirty.delete(submission);
   }
   const complete = owned.dirty.size === 0;
+  const owner = ownerRow(turn, owned, releases);
+  const cleared = markSuspects(owned, owner);
   const write: LedgerWrite = {
     commit: {
       commitId: newCommitId(turn.work),
       conditions: [{ row: { type: "owner" }, version: owned.rowVersion }],
       writes: [
-        { type: "owner", owner: ownerRow(turn, owned, releases) },
+        { type: "owner", owner },
         ...submissions.map((submission) => ({ type: "progress" as const, progress: progressOf(submission) })),
         ...waveReports(owned),
       ],
@@ -90,6 +121,7 @@
           .map((worker) => ({ worker, sequence: worker.seenSequence }))
       : [],
     releases,
+    cleared,
   };
   owned.ledger = write;
   owned.needsRenewal = false;
@@ -174,6 +206,9 @@
   for (const { worker, sequence } of write.ends) {
     worker.durableSequence = Math.max(worker.durableSequence, sequence);
   }
+  for (const worker of write.cleared) {
+    worker.suspected = false;
+  }
   if (write.releases) {
     owned.released = true;
     endOwning(turn, "given back at shutdown");
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -1,9 +1,9 @@
 import type { HostId, PoolId } from "@heatherferry/common";
 import { poolById } from "./catalog.js";
 import { HOSTS, LENDING } from "./constants.js";
-import { withinCeiling } from "./dispatch.js";
+import { mayRunUnseen, withinCeiling } from "./dispatch.js";
 import type { WorkEvent } from "./events.js";
-import { listHosts } from "./hosts.js";
+import { listHosts, mayOrderHost } from "./hosts.js";
 import { isSure } from "./ownership.js";
 import { poolOf } from "./pools.js";
 import { roomOf } from "./runs.js";
@@ -56,7 +56,7 @@
   for (const submission of pool.waiting) {
     const perStep = new Map<number, number>();
     for (const item of submission.ready) {
-      if ((!item.inherited || pool.settled) && withinCeiling(turn, owned, item)) {
+      if (!mayRunUnseen(owned, pool, item) && withinCeiling(turn, owned, item)) {
         waitingWork += roomOf(item.spec).cpuMilli * Math.max(1, item.spec.estimateMs);
         perStep.set(item.step, (perStep.get(item.step) ?? 0) + 1 / (item.spec.maxPerWorker ?? Infinity));
       }
@@ -74,7 +74,7 @@
 };
 
 const hostIsFree = (turn: Turn, owned: OwnedWork, host: HostId): boolean => {
-  if (owned.moves.has(host) || turn.nowMs - (owned.hostOrders.get(host) ?? -Infinity) < HOSTS.ORDER_RETRY_MS) {
+  if (!mayOrderHost(turn, owned, host) || owned.moves.has(host) || turn.nowMs - (owned.hostOrders.get(host) ?? -Infinity) < HOSTS.ORDER_RETRY_MS) {
     return false;
   }
   for (const wave of owned.waves.values()) {
@@ -138,13 +138,20 @@
 const missingHosts = (demand: Demand): number => {
   const { pool, waitingWork, cpuMilli, comingHosts: coming, spreadShort } = demand;
   const forSpread = Math.max(0, spreadShort - coming);
-  if (waitingWork <= cpuMilli * LENDING.DRAIN_MS) {
-    return forSpread;
-  }
-  const forWork = Math.ceil((waitingWork / LENDING.DRAIN_MS - cpuMilli) / hostCpuMilli(pool));
+  const wanted = pool.arrivingCpuMilli * LENDING.RATE_ROOM + waitingWork / LENDING.DRAIN_MS;
+  const forWork = Math.ceil((wanted - cpuMilli) / hostCpuMilli(pool));
   return Math.max(forSpread, forWork);
 };
 
+/** Brings a pool's rate of arriving work up to date. */
+const updateRate = (turn: Turn, pool: PoolWork): void => {
+  const sinceMs = turn.nowMs - pool.rateAtMs;
+  const keep = Math.exp(-sinceMs / LENDING.RATE_MS);
+  pool.arrivingCpuMilli = pool.arrivingCpuMilli * keep + pool.arrivedWork / LENDING.RATE_MS;
+  pool.arrivedWork = 0;
+  pool.rateAtMs = turn.nowMs;
+};
+
 const lend = (turn: Turn, owned: OwnedWork, demands: readonly Demand[]): void => {
   const needy = demands
     .map((demand) => ({ demand, missing: missingHosts(demand) }))
@@ -201,7 +208,7 @@
 
 /** Moves idle hosts to pools whose work waits, and turns hosts off that nobody needs. */
 export const tickLending = (turn: Turn, owned: OwnedWork): void => {
-  if (!isSure(turn, owned) || turn.nowMs - owned.takenAtMs < turn.work.bounds.dutyLeaseMs + HOSTS.DUTY_MARGIN_MS) {
+  if (!isSure(turn, owned)) {
     return;
   }
   listHosts(turn, owned, HOSTS.IDLE_LIST_MS);
@@ -209,6 +216,9 @@
     return;
   }
   settleMoves(turn, owned);
+  owned.pools.forEach((pool) => {
+    updateRate(turn, pool);
+  });
   const demands = (turn.work.catalog?.pools ?? [])
     .filter(({ standby }) => !standby)
     .map(({ id }) => demandOf(turn, owned, poolOf(owned, id)));
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -2,7 +2,7 @@
 import type { StoreRow, WorkEvent } from "./events.js";
 import type { OwnedWork, WorkloadState } from "./state.js";
 import { logLine, newCommitId, type Turn } from "./turn.js";
-import { fence, storeVersion, type OwnerRow, type StoreVersion, type WorkerId } from "./types.js";
+import { fence, storeVersion, type LeasedWorker, type OwnerRow, type StoreVersion, type WorkerId } from "./types.js";
 
 type OwnerStoreRow = Extract<StoreRow, { type: "owner" }>;
 
@@ -13,6 +13,9 @@
 const isMine = (work: WorkloadState, row: OwnerRow): boolean =>
   row.holder === work.identity.holder && row.incarnation === work.identity.incarnation;
 
+/** An earlier life of this process, or this life after a claim without an answer. */
+const wasMine = (work: WorkloadState, row: OwnerRow): boolean => row.holder === work.identity.holder;
+
 const ownerRowIn = (rows: readonly StoreRow[]): OwnerStoreRow | null =>
   rows.find((row): row is OwnerStoreRow => row.type === "owner") ?? null;
 
@@ -56,7 +59,7 @@
   if (work.owned !== null || work.leavingAtMs !== null || view.claim !== null || work.catalog === null) {
     return false;
   }
-  if (view.row === null || view.row.released || isMine(work, view.row)) {
+  if (view.row === null || view.row.released || wasMine(work, view.row)) {
     return true;
   }
   return nowMs - view.sinceMs >= OWNERSHIP.SILENCE_MS;
@@ -82,7 +85,8 @@
     incarnation: work.identity.incarnation,
     fence: fence((view.row?.fence ?? 0) + 1),
     released: false,
-    leasedWorkers: view.row?.leasedWorkers ?? [],
+    leased: view.row?.leased ?? {},
+    orderedHosts: view.row?.orderedHosts ?? [],
     pending: view.row?.pending ?? {},
   };
   logLine(turn, "info", "owner.claiming", {
@@ -138,7 +142,7 @@
 const beginOwning = (turn: Turn, version: StoreVersion, sentAtMs: number): void => {
   const { work, nowMs } = turn;
   const before = work.ownerView.row;
-  work.owned = newOwnedWork(nowMs, version, sentAtMs, (before?.fence ?? 0) + 1, new Set(before?.leasedWorkers ?? []));
+  work.owned = newOwnedWork(nowMs, version, sentAtMs, before);
   for (const feed of [work.feeds.workers, work.feeds.handIns]) {
     feed.after = null;
     feed.sentAtMs = null;
@@ -150,8 +154,8 @@
   }
 };
 
-const newOwnedWork = (nowMs: number, version: StoreVersion, sentAtMs: number, fenceNumber: number, unheard: Set<WorkerId>): OwnedWork => ({
-  fence: fence(fenceNumber),
+const newOwnedWork = (nowMs: number, version: StoreVersion, sentAtMs: number, before: OwnerRow | null): OwnedWork => ({
+  fence: fence((before?.fence ?? 0) + 1),
   takenAtMs: nowMs,
   takenVersion: version,
   rowVersion: version,
@@ -159,7 +163,9 @@
   loads: new Set(["workers", "handIns", "progress"] as const),
   active: false,
   released: false,
-  unheard,
+  unheard: new Map(Object.entries(before?.leased ?? {}) as [WorkerId, LeasedWorker][]),
+  heldItems: new Map(),
+  inheritedOrders: before === null || before.released ? new Set(before?.orderedHosts ?? []) : "unknown",
   submissions: new Map(),
   workers: new Map(),
   pools: new Map(),
--- a/packages/core/src/work/recovery.ts
+++ b/packages/core/src/work/recovery.ts
@@ -1,10 +1,11 @@
+import type { PoolId } from "@heatherferry/common";
 import { LEASE } from "./constants.js";
 import type { Scan, StoreRow, WorkEvent } from "./events.js";
 import { poolOf } from "./pools.js";
 import type { OwnedWork } from "./state.js";
 import { adoptHandIn, cancelOwned } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
-import type { Progress, SubmissionId } from "./types.js";
+import type { Progress, SubmissionId, WorkerId } from "./types.js";
 import { waveReported } from "./waves.js";
 import { workerReported } from "./workers.js";
 
@@ -58,6 +59,9 @@
   cancels.forEach((id) => {
     cancelOwned(turn, id);
   });
+  for (const [worker, { items }] of owned.unheard) {
+    items?.forEach((item) => owned.heldItems.set(item, worker));
+  }
   logLine(turn, "info", "owner.loaded", {
     fence: Number(owned.fence),
     submissions: owned.submissions.size,
@@ -71,27 +75,48 @@
 export const tickRecovery = (turn: Turn, owned: OwnedWork): void => {
   const longestLeaseMs = LEASE.TERM_MS / LEASE.SLOWEST_CLOCK + LEASE.END_MARGIN_MS;
   const leasesOver = turn.nowMs - owned.takenAtMs > longestLeaseMs;
-  for (const id of owned.unheard) {
+  for (const id of owned.unheard.keys()) {
     if (leasesOver || owned.workers.get(id)?.fenced === true) {
-      owned.unheard.delete(id);
+      workerHeard(owned, id);
     }
   }
-  for (const pool of [...owned.pools.values()]) {
-    if (!pool.settled && (leasesOver || (owned.unheard.size === 0 && allFenced(owned, pool.id)))) {
+  for (const pool of owned.pools.values()) {
+    if (!pool.settled && (leasesOver || allHeard(owned, pool.id))) {
       pool.settled = true;
       pool.dirty = true;
       logLine(turn, "info", "pool.settled", {
         pool: pool.id,
         leasesOver,
+        held: owned.heldItems.size,
         afterMs: Math.round(turn.nowMs - owned.takenAtMs),
       });
     }
   }
 };
 
-const allFenced = (owned: OwnedWork, id: Parameters<typeof poolOf>[1]): boolean => {
+const workerHeard = (owned: OwnedWork, id: WorkerId): void => {
+  const leased = owned.unheard.get(id);
+  owned.unheard.delete(id);
+  for (const [item, worker] of owned.heldItems) {
+    if (worker === id) {
+      owned.heldItems.delete(item);
+    }
+  }
+  if (leased !== undefined) {
+    poolOf(owned, leased.pool).dirty = true;
+  }
+};
+
+/** @returns Whether no worker of the pool can run anything that is not known. */
+const allHeard = (owned: OwnedWork, id: PoolId): boolean => {
+  for (const [worker, { pool, items }] of owned.unheard) {
+    if (pool === id && (items === null || owned.workers.get(worker)?.fenced === true)) {
+      return false;
+    }
+  }
   for (const worker of poolOf(owned, id).workers) {
-    if (!worker.fenced && worker.listed) {
+    const known = owned.unheard.get(worker.report.id);
+    if (!worker.fenced && worker.listed && (known === undefined || known.items === null)) {
       return false;
     }
   }
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -7,6 +7,7 @@
   HostListing,
   ItemKey,
   ItemPhase,
+  LeasedWorker,
   OwnerRow,
   Resources,
   RunPhase,
@@ -122,6 +123,8 @@
   tailsCalmSinceMs: number;
   failuresInRow: number;
   restsUntilMs: number;
+  /** The owner's row says what runs there, since it does not answer; nothing starts there. */
+  suspected: boolean;
   /** Its host is due for upkeep or a move: nothing new starts there. */
   reserved: boolean;
 }
@@ -132,6 +135,11 @@
   /** Submissions with ready items. */
   readonly waiting: Set<Submission>;
   dirty: boolean;
+  /** Work handed in since the rate was last brought up to date, in thousandths of a core times ms. */
+  arrivedWork: number;
+  /** Rate of arriving work, in thousandths of a core. */
+  arrivingCpuMilli: number;
+  rateAtMs: number;
   /** Items known before this owner may start: nothing of them can run unseen. */
   settled: boolean;
 }
@@ -167,7 +175,11 @@
   active: boolean;
   released: boolean;
   /** Workers of the owner before that were not heard yet. */
-  readonly unheard: Set<WorkerId>;
+  readonly unheard: Map<WorkerId, LeasedWorker>;
+  /** Items that may run on a worker that was not heard yet. */
+  readonly heldItems: Map<ItemKey, WorkerId>;
+  /** Hosts that the owner before may have ordered just before it ended. */
+  readonly inheritedOrders: ReadonlySet<HostId> | "unknown";
   readonly submissions: Map<SubmissionId, Submission>;
   readonly workers: Map<WorkerId, Worker>;
   readonly pools: Map<PoolId, PoolWork>;
@@ -207,6 +219,7 @@
   readonly submissions: readonly { readonly submission: Submission; shows: SubmissionState }[];
   readonly ends: readonly { readonly worker: Worker; readonly sequence: number }[];
   readonly releases: boolean;
+  readonly cleared: readonly Worker[];
 }
 
 /** A caller's call without an answer yet. */
@@ -248,7 +261,6 @@
 export interface WorkIdentity {
   readonly holder: string;
   readonly incarnation: string;
-  /** Port-free name of the zone the node is in. */
   readonly zone: string;
 }
 
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -27,6 +27,14 @@
   return Math.max(0, ...ends);
 };
 
+/** @returns Work of the steps that end, in thousandths of a core times ms. */
+const endingWork = (work: WorkSpec): number =>
+  work.steps.reduce(
+    (sum, step) =>
+      step.lasting ? sum : sum + step.count * step.needs.cpuMilli * Math.max(1, step.estimateMs),
+    0,
+  );
+
 /** @returns The pool that runs a submission's work by the catalog in force. */
 export const poolOfSubmission = (turn: Turn, handIn: HandIn): PoolId =>
   queueById(turn.work.catalog, handIn.queue)?.pool ?? handIn.pool;
@@ -167,6 +175,9 @@
     ready: new Set(),
   };
   owned.submissions.set(handIn.id, submission);
+  if (!inherited) {
+    poolOf(owned, poolOfSubmission(turn, handIn)).arrivedWork += endingWork(handIn.work);
+  }
   makeDueOccurrences(turn, owned, submission, progress, inherited);
 };
 
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -110,6 +110,16 @@
   readonly endedWallMs: number | null;
 }
 
+/** What an owner's successor has to know of a worker under a lease. */
+export interface LeasedWorker {
+  readonly pool: PoolId;
+  /**
+   * For a worker that does not answer, all that may run there: nothing more was started since.
+   * Null for a worker that answers, on which anything of its pool may run.
+   */
+  readonly items: readonly ItemKey[] | null;
+}
+
 /** The owner's row; the owner renews it with every write. */
 export interface OwnerRow {
   readonly holder: string;
@@ -118,7 +128,9 @@
   /** True once the owner gave it back: anybody may take it at once. */
   readonly released: boolean;
   /** Workers on which something may run under a lease of this owner. */
-  readonly leasedWorkers: readonly WorkerId[];
+  readonly leased: Readonly<Record<WorkerId, LeasedWorker>>;
+  /** Hosts ordered to move or to upkeep within the time in which holders must not take turns. */
+  readonly orderedHosts: readonly HostId[];
   /** Accepted submissions without a started item, a queue. */
   readonly pending: Readonly<Record<string, number>>;
 }
@@ -203,7 +215,8 @@
   readonly host: HostId;
   readonly pool: PoolId;
   readonly up: boolean;
-  readonly moving: boolean;
+  /** Down for the upkeep of a wave. */
+  readonly inUpkeep: boolean;
   readonly worker: WorkerId | null;
 }
 
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -1,6 +1,6 @@
 import type { HostId } from "@heatherferry/common";
 import { HOSTS } from "./constants.js";
-import { listHosts } from "./hosts.js";
+import { listHosts, mayOrderHost } from "./hosts.js";
 import type { WorkEvent } from "./events.js";
 import { isSure } from "./ownership.js";
 import { stopRun } from "./runs.js";
@@ -71,13 +71,26 @@
   }
 };
 
+/** Counts hosts as out that an owner before this one sent to upkeep. */
+const adoptOut = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
+  for (const host of wave.request.hosts) {
+    const out = owned.hosts.get(host)?.inUpkeep === true;
+    if (out && !wave.doneHosts.has(host) && !wave.outHosts.has(host)) {
+      wave.outHosts.set(host, { worker: null, orderedAtMs: turn.nowMs, confirmed: true });
+    }
+  }
+};
+
 const finishReturned = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
   for (const [host, out] of wave.outHosts) {
     const worker = workerOfHost(owned, host);
     const listing = owned.hosts.get(host);
     const returned = worker !== null && worker.report.id !== out.worker;
     const waitedMs = turn.nowMs - out.orderedAtMs;
-    if (out.confirmed && (returned || (waitedMs > HOSTS.RETURN_MS && listing?.up !== false))) {
+    // An order for upkeep that was done before changes nothing, so the same worker stays.
+    const doneBefore = worker !== null && waitedMs > turn.work.bounds.upkeepMs + HOSTS.DONE_BEFORE_MS;
+    const overdue = waitedMs > HOSTS.RETURN_MS && listing?.up !== false;
+    if (out.confirmed && (returned || doneBefore || overdue)) {
       wave.outHosts.delete(host);
       wave.doneHosts.add(host);
       wave.dirty = true;
@@ -106,6 +119,7 @@
 
 /** Frees hosts of a wave and sends them to upkeep, as many at once as the operators allow. */
 const advance = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
+  adoptOut(turn, owned, wave);
   finishReturned(turn, owned, wave);
   for (const [host, out] of wave.outHosts) {
     if (!out.confirmed) {
@@ -114,7 +128,7 @@
   }
   let slots = wave.request.mostOut - wave.outHosts.size;
   const left = wave.request.hosts.filter((host) => !wave.doneHosts.has(host) && !wave.outHosts.has(host));
-  const free = left.filter((host) => !owned.moves.has(host));
+  const free = left.filter((host) => !owned.moves.has(host) && mayOrderHost(turn, owned, host));
   const chosen = free
     .map((host) => ({ host, worker: workerOfHost(owned, host) }))
     .sort((one, other) => rank(one.worker) - rank(other.worker))
@@ -169,7 +183,7 @@
     return;
   }
   listHosts(turn, owned, HOSTS.LIST_MS);
-  if (turn.nowMs - owned.takenAtMs < turn.work.bounds.dutyLeaseMs + HOSTS.DUTY_MARGIN_MS) {
+  if (owned.hostListAtMs === null) {
     return;
   }
   for (const wave of open) {
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -69,6 +69,7 @@
   tailsCalmSinceMs: 0,
   failuresInRow: 0,
   restsUntilMs: 0,
+  suspected: false,
   reserved: false,
 });
 
@@ -229,6 +230,12 @@
   }
 };
 
+/** @returns Whether a worker that should answer does not. */
+export const isSilent = (turn: Turn, worker: Worker): boolean =>
+  worker.runs.size > 0 &&
+  (!worker.listed ||
+    turn.nowMs - (worker.answeredAtMs ?? worker.idleSinceMs) > LEASE.LOOK_WAIT_MS + LEASE.SILENT_MARGIN_MS);
+
 /** Looks at workers that are due and ends leases that are over. */
 export const tickWorkers = (turn: Turn, owned: OwnedWork): void => {
   for (const worker of [...owned.workers.values()]) {
--- a/packages/wire/src/work/workRows.ts
+++ b/packages/wire/src/work/workRows.ts
@@ -103,7 +103,7 @@
   if (table === WORK_TABLE.PROGRESS && has(body, ["id", "state", "done", "failures"])) {
     return { type: "progress", version: at, progress: body as Progress };
   }
-  if (table === WORK_TABLE.OWNER && has(body, ["holder", "incarnation", "fence", "leasedWorkers"])) {
+  if (table === WORK_TABLE.OWNER && has(body, ["holder", "incarnation", "fence", "leased", "orderedHosts"])) {
     return { type: "owner", version: at, owner: body as OwnerRow };
   }
   return null;
