--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -117,6 +117,13 @@
   });
 };
 
+/** @returns Hosts of the wave that the owner before may just have sent to upkeep. */
+const inheritedOut = (turn: Turn, owned: OwnedWork, wave: WaveWork): number =>
+  wave.request.hosts.filter(
+    (host) =>
+      !mayOrderHost(turn, owned, host) && !wave.doneHosts.has(host) && !wave.outHosts.has(host),
+  ).length;
+
 /** Frees hosts of a wave and sends them to upkeep, as many at once as the operators allow. */
 const advance = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
   adoptOut(turn, owned, wave);
@@ -126,7 +133,7 @@
       orderUpkeep(turn, owned, wave, host, null);
     }
   }
-  let slots = wave.request.mostOut - wave.outHosts.size;
+  let slots = wave.request.mostOut - wave.outHosts.size - inheritedOut(turn, owned, wave);
   const left = wave.request.hosts.filter((host) => !wave.doneHosts.has(host) && !wave.outHosts.has(host));
   const free = left.filter((host) => !owned.moves.has(host) && mayOrderHost(turn, owned, host));
   const chosen = free
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -233,8 +233,8 @@
 /** @returns Whether a worker that should answer does not. */
 export const isSilent = (turn: Turn, worker: Worker): boolean =>
   worker.runs.size > 0 &&
-  (!worker.listed ||
-    turn.nowMs - (worker.answeredAtMs ?? worker.idleSinceMs) > LEASE.LOOK_WAIT_MS + LEASE.SILENT_MARGIN_MS);
+  turn.nowMs - (worker.answeredAtMs ?? worker.idleSinceMs) >
+    LEASE.LOOK_WAIT_MS + LEASE.SILENT_MARGIN_MS;
 
 /** Looks at workers that are due and ends leases that are over. */
 export const tickWorkers = (turn: Turn, owned: OwnedWork): void => {
@@ -267,12 +267,13 @@
     wakeAfter(turn, worker.nextLookAtMs - turn.nowMs);
     return;
   }
-  const waits = worker.fenced && worker.runs.size > 0;
+  const waits = worker.fenced && worker.runs.size > 0 && !isSilent(turn, worker);
   worker.lookSentAtMs = turn.nowMs;
   worker.notedSequence = worker.durableSequence;
   turn.effects.push({
     type: "worker/look",
-    untilClockMs: worker.runs.size > 0 ? extendLease(turn, worker) : null,
+    // A silent worker's lease runs out, so that its work can start elsewhere.
+    untilClockMs: worker.runs.size > 0 && !isSilent(turn, worker) ? extendLease(turn, worker) : null,
     notedSequence: worker.durableSequence,
     waitMs: waits && !hasStops(worker) ? LEASE.LOOK_WAIT_MS : 0,
     ...targetOf(owned, worker),
--- a/packages/runners/src/platform/errors.ts
+++ b/packages/runners/src/platform/errors.ts
@@ -3,6 +3,8 @@
 export const PLATFORM_ERROR_KIND = {
   UNREACHABLE: "unreachable",
   REFUSED: "refused",
+  /** No connection: nothing was sent. */
+  NOT_SENT: "notSent",
   NONSENSE: "nonsense",
 } as const;
 
