--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -23,6 +23,7 @@
   !worker.reserved &&
   !worker.suspected &&
   worker.restsUntilMs <= turn.nowMs &&
+  worker.roomKnownAtMs <= turn.nowMs &&
   !isSilent(turn, worker);
 
 const fits = (worker: Worker, room: Resources): boolean => {
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -7,7 +7,7 @@
 import { progressOf } from "./submissions.js";
 import { logLine, newCommitId, wakeAfter, type Turn } from "./turn.js";
 import type { LeasedWorker, OwnerRow, WorkerId } from "./types.js";
-import { isSilent } from "./workers.js";
+import { hasStops, isSilent } from "./workers.js";
 
 /** @returns Workers on which something may run; of silent ones, what. */
 const leasedWorkers = (turn: Turn, owned: OwnedWork): Record<WorkerId, LeasedWorker> => {
@@ -17,6 +17,7 @@
       leased[worker.report.id] = {
         pool: worker.report.pool,
         items: isSilent(turn, worker) ? [...worker.runs.keys()] : null,
+        stopping: hasStops(worker),
       };
     }
   }
@@ -124,6 +125,7 @@
     cleared,
   };
   owned.ledger = write;
+  owned.releasing = releases;
   owned.needsRenewal = false;
   resend(turn, owned, write);
 };
@@ -149,9 +151,6 @@
 
 /** Starts a write when something waits for it or the owner's row is due. */
 export const tickLedger = (turn: Turn, owned: OwnedWork): void => {
-  if (owned.released) {
-    return;
-  }
   if (owned.ledger !== null) {
     if (turn.nowMs >= owned.ledgerRetryAtMs) {
       resend(turn, owned, owned.ledger);
@@ -182,7 +181,7 @@
     owned.ledger = null;
     owned.rowVersion = event.version;
     owned.confirmedAtMs = Math.max(owned.confirmedAtMs, event.sentAtMs);
-    showWritten(turn, owned, write);
+    showWritten(turn, write);
   } else if (event.result === "conflicted") {
     if (stillOwner(turn, owned, event.rows, event.sentAtMs)) {
       owned.ledgerRetryAtMs = turn.nowMs;
@@ -199,7 +198,7 @@
   return true;
 };
 
-const showWritten = (turn: Turn, owned: OwnedWork, write: LedgerWrite): void => {
+const showWritten = (turn: Turn, write: LedgerWrite): void => {
   for (const { submission, shows } of write.submissions) {
     submission.shownState = shows;
   }
@@ -210,7 +209,6 @@
     worker.suspected = false;
   }
   if (write.releases) {
-    owned.released = true;
     endOwning(turn, "given back at shutdown");
   }
 };
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -8,7 +8,7 @@
 
 /** @returns Whether no other node can have taken over since the last confirmed write. */
 export const isSure = (turn: Turn, owned: OwnedWork): boolean =>
-  owned.active && !owned.released && turn.nowMs - owned.confirmedAtMs <= OWNERSHIP.SURE_MS;
+  owned.active && !owned.releasing && turn.nowMs - owned.confirmedAtMs <= OWNERSHIP.SURE_MS;
 
 const isMine = (work: WorkloadState, row: OwnerRow): boolean =>
   row.holder === work.identity.holder && row.incarnation === work.identity.incarnation;
@@ -162,7 +162,7 @@
   confirmedAtMs: sentAtMs,
   loads: new Set(["workers", "handIns", "progress"] as const),
   active: false,
-  released: false,
+  releasing: false,
   unheard: new Map(Object.entries(before?.leased ?? {}) as [WorkerId, LeasedWorker][]),
   heldItems: new Map(),
   inheritedOrders: before === null || before.released ? new Set(before?.orderedHosts ?? []) : "unknown",
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -252,9 +252,7 @@
   if (end.kind === END_KIND.FAILED) {
     noteFailure(turn, worker);
     item.avoid = worker.report.id;
-    if (held || item.run === null) {
-      itemFailed(turn, owned, item, end.run);
-    }
+    itemFailed(turn, owned, item, end.run);
     return;
   }
   if (held && item.run === null) {
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -51,9 +51,8 @@
   readonly index: number;
   readonly spec: StepSpec;
   phase: ItemPhase;
-  failures: number;
-  /** Failed ends up to this run are counted. */
-  lastFailedRun: number;
+  /** Runs that have failed; ends may be seen again, or in another order. */
+  readonly failedRuns: Set<number>;
   lastRun: number;
   run: Run | null;
   checkpoint: string | null;
@@ -123,6 +122,8 @@
   tailsCalmSinceMs: number;
   failuresInRow: number;
   restsUntilMs: number;
+  /** Its free room is not known before, since an earlier owner stopped runs there. */
+  roomKnownAtMs: number;
   /** The owner's row says what runs there, since it does not answer; nothing starts there. */
   suspected: boolean;
   /** Its host is due for upkeep or a move: nothing new starts there. */
@@ -173,7 +174,8 @@
   confirmedAtMs: number;
   readonly loads: Set<Scan>;
   active: boolean;
-  released: boolean;
+  /** It is being given back: nothing is ordered any more. */
+  releasing: boolean;
   /** Workers of the owner before that were not heard yet. */
   readonly unheard: Map<WorkerId, LeasedWorker>;
   /** Items that may run on a worker that was not heard yet. */
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -7,7 +7,6 @@
 import { logLine, type Turn } from "./turn.js";
 import {
   itemKeyOf,
-  type FailureRecord,
   type HandIn,
   type ItemKey,
   type Progress,
@@ -59,8 +58,7 @@
     index,
     spec,
     phase: ITEM_PHASE.BLOCKED,
-    failures: 0,
-    lastFailedRun: 0,
+    failedRuns: new Set(),
     lastRun: 0,
     run: null,
     checkpoint: null,
@@ -78,10 +76,10 @@
     return Array.from({ length: spec.count }, (_, index) => {
       const item = newItem(submission, number, step, index, inherited);
       item.phase = done.has(index) ? ITEM_PHASE.DONE : ITEM_PHASE.BLOCKED;
-      const failed = progress?.failures[`${number}.${step}.${index}`];
-      item.failures = failed?.count ?? 0;
-      item.lastFailedRun = failed?.lastRun ?? 0;
-      item.lastRun = item.lastFailedRun;
+      for (const run of progress?.failures[`${number}.${step}.${index}`] ?? []) {
+        item.failedRuns.add(run);
+        item.lastRun = Math.max(item.lastRun, run);
+      }
       return item;
     });
   });
@@ -240,20 +238,21 @@
 /** An item's run has failed; after the queue's bound on attempts the submission fails. */
 export const itemFailed = (turn: Turn, owned: OwnedWork, item: Item, run: number): void => {
   const { submission, spec } = item;
-  if (isOver(submission.state) || run <= item.lastFailedRun) {
+  if (isOver(submission.state) || item.phase === ITEM_PHASE.DONE || item.failedRuns.has(run)) {
     return;
   }
-  item.lastFailedRun = run;
   if (!spec.lasting) {
-    item.failures += 1;
+    item.failedRuns.add(run);
     markDirty(owned, submission);
     const queue = queueById(turn.work.catalog, submission.handIn.queue);
-    if (queue !== null && item.failures >= queue.maxAttempts) {
+    if (queue !== null && item.failedRuns.size >= queue.maxAttempts) {
       endSubmission(turn, owned, submission, SUBMISSION_STATE.FAILED, `item ${item.key} failed`);
       return;
     }
   }
-  makeReady(turn, owned, item);
+  if (item.run === null) {
+    makeReady(turn, owned, item);
+  }
 };
 
 /** An item lost its run through no fault of its own. */
@@ -274,17 +273,14 @@
 /** @returns What is to be written of a submission. */
 export const progressOf = (submission: Submission): Progress => {
   const done: Record<string, number[]> = {};
-  const failures: Record<string, FailureRecord> = {};
+  const failures: Record<string, number[]> = {};
   for (const occurrence of submission.occurrences.values()) {
     for (const item of occurrence.steps.flat()) {
       if (item.phase === ITEM_PHASE.DONE) {
         (done[`${item.occurrence}.${item.step}`] ??= []).push(item.index);
       }
-      if (item.failures > 0) {
-        failures[`${item.occurrence}.${item.step}.${item.index}`] = {
-          count: item.failures,
-          lastRun: item.lastFailedRun,
-        };
+      if (item.failedRuns.size > 0) {
+        failures[`${item.occurrence}.${item.step}.${item.index}`] = [...item.failedRuns];
       }
     }
   }
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -93,20 +93,14 @@
   readonly work: WorkSpec;
 }
 
-export interface FailureRecord {
-  readonly count: number;
-  /** Ends up to this run are counted. */
-  readonly lastRun: number;
-}
-
 /** What is known for good of a submission; written by the owner before anybody hears it. */
 export interface Progress {
   readonly id: SubmissionId;
   readonly state: SubmissionState;
   /** Done items, `occurrence.step` to item numbers. */
   readonly done: Readonly<Record<string, readonly number[]>>;
-  /** Failed runs that count, by item key without the submission's id. */
-  readonly failures: Readonly<Record<string, FailureRecord>>;
+  /** Runs that have failed, by item key without the submission's id. */
+  readonly failures: Readonly<Record<string, readonly number[]>>;
   readonly endedWallMs: number | null;
 }
 
@@ -118,6 +112,8 @@
    * Null for a worker that answers, on which anything of its pool may run.
    */
   readonly items: readonly ItemKey[] | null;
+  /** Runs are being stopped there, which takes room but is not listed as running. */
+  readonly stopping: boolean;
 }
 
 /** The owner's row; the owner renews it with every write. */
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -69,6 +69,7 @@
   tailsCalmSinceMs: 0,
   failuresInRow: 0,
   restsUntilMs: 0,
+  roomKnownAtMs: 0,
   suspected: false,
   reserved: false,
 });
@@ -168,6 +169,9 @@
   noteClock(turn, worker, event.clockMs);
   if (!worker.fenced) {
     worker.fenced = true;
+    if (owned.unheard.get(worker.report.id)?.stopping === true) {
+      worker.roomKnownAtMs = turn.nowMs + turn.work.bounds.stopMs;
+    }
     poolOf(owned, worker.report.pool).dirty = true;
   }
   for (const end of event.ends) {
@@ -280,12 +284,13 @@
   });
 };
 
-const hasStops = (worker: Worker): boolean => {
+/** @returns Whether runs are being stopped on a worker. */
+export const hasStops = (worker: Worker): boolean => {
   if (worker.strayStops.size > 0) {
     return true;
   }
   for (const run of worker.runs.values()) {
-    if (run.stopConfirmedAtMs !== null) {
+    if (run.stopSentAtMs !== null) {
       return true;
     }
   }
