--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -155,6 +155,8 @@
   /** Workers' clocks may be this much slow, so a lease may last this much longer. */
   SLOWEST_CLOCK: 0.98,
   END_MARGIN_MS: 100,
+  /** On top of the time that a stop may take. */
+  STOP_MARGIN_MS: 200,
 } as const;
 
 export const ORDER = {
--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -194,6 +194,7 @@
       }
     | {
         readonly type: "power/listed";
+        readonly sentAtMs: number;
         readonly hosts: readonly HostListing[];
       }
     | { readonly type: "power/listFailed"; readonly reason: string }
--- a/packages/core/src/work/hosts.ts
+++ b/packages/core/src/work/hosts.ts
@@ -20,6 +20,7 @@
     owned.hosts.set(listing.host, listing);
   }
   owned.hostListAtMs = turn.nowMs;
+  owned.hostViewAtMs = event.sentAtMs;
 };
 
 /** Two holders must not take turns at a host, so orders of the owner before have to be old enough. */
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -54,6 +54,7 @@
     pacePercent: 100,
     stopSentAtMs: null,
     stopConfirmedAtMs: null,
+    missingSinceMs: null,
   };
   item.run = run;
   item.lastRun = Math.max(item.lastRun, number);
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -40,6 +40,8 @@
   stopSentAtMs: number | null;
   /** When the worker confirmed the stop; it won't start this run any more. */
   stopConfirmedAtMs: number | null;
+  /** Since when looks do not show it although they should. */
+  missingSinceMs: number | null;
 }
 
 /** One item of a step. */
@@ -180,6 +182,8 @@
   readonly unheard: Map<WorkerId, LeasedWorker>;
   /** Items that may run on a worker that was not heard yet. */
   readonly heldItems: Map<ItemKey, WorkerId>;
+  /** The owner before ended without a last word, so it may just have stopped something. */
+  readonly stopsUnknown: boolean;
   /** Hosts that the owner before may have ordered just before it ended. */
   readonly inheritedOrders: ReadonlySet<HostId> | "unknown";
   readonly submissions: Map<SubmissionId, Submission>;
@@ -200,6 +204,8 @@
   readonly hostOrders: Map<HostId, number>;
   hostListAtMs: number | null;
   hostListSentAtMs: number | null;
+  /** When the newest list was asked for. */
+  hostViewAtMs: number | null;
   readonly waves: Map<number, WaveWork>;
   forgetAtMs: number;
   /** Rows of the store that were read before all of them were there. */
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -76,7 +76,8 @@
   for (const host of wave.request.hosts) {
     const out = owned.hosts.get(host)?.inUpkeep === true;
     if (out && !wave.doneHosts.has(host) && !wave.outHosts.has(host)) {
-      wave.outHosts.set(host, { worker: null, orderedAtMs: turn.nowMs, confirmed: true });
+      const worker = workerOfHost(owned, host)?.report.id ?? null;
+      wave.outHosts.set(host, { worker, orderedAtMs: turn.nowMs, confirmed: true });
     }
   }
 };
@@ -89,8 +90,10 @@
     const waitedMs = turn.nowMs - out.orderedAtMs;
     // An order for upkeep that was done before changes nothing, so the same worker stays.
     const doneBefore = worker !== null && waitedMs > turn.work.bounds.upkeepMs + HOSTS.DONE_BEFORE_MS;
+    // A host of a standby pool runs no worker; the list tells that it is back.
+    const listedBack = listing?.up === true && (owned.hostViewAtMs ?? 0) - out.orderedAtMs > turn.work.bounds.upkeepMs;
     const overdue = waitedMs > HOSTS.RETURN_MS && listing?.up !== false;
-    if (out.confirmed && (returned || doneBefore || overdue)) {
+    if (out.confirmed && (returned || doneBefore || (worker === null && listedBack) || overdue)) {
       wave.outHosts.delete(host);
       wave.doneHosts.add(host);
       wave.dirty = true;
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -4,7 +4,7 @@
 import { paceFillers } from "./pacing.js";
 import { poolOf } from "./pools.js";
 import { dropRun, loseRuns, runEnded, runSeen } from "./runs.js";
-import type { OwnedWork, Worker } from "./state.js";
+import type { OwnedWork, Run, Worker } from "./state.js";
 import { itemLost } from "./submissions.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
 import type { WorkerId, WorkerReport } from "./types.js";
@@ -169,7 +169,7 @@
   noteClock(turn, worker, event.clockMs);
   if (!worker.fenced) {
     worker.fenced = true;
-    if (owned.unheard.get(worker.report.id)?.stopping === true) {
+    if (owned.unheard.get(worker.report.id)?.stopping === true || owned.stopsUnknown) {
       worker.roomKnownAtMs = turn.nowMs + turn.work.bounds.stopMs;
     }
     poolOf(owned, worker.report.pool).dirty = true;
@@ -195,25 +195,37 @@
   }
 };
 
-/** Drops runs that a look sent after their confirmation does not show. */
+/**
+ * Drops runs that looks sent after their confirmation do not show. What is being stopped takes
+ * room but is not shown, so a run has to be missing for as long as a stop may take.
+ */
 const dropUnseen = (turn: Turn, owned: OwnedWork, worker: Worker, event: Extract<WorkEvent, { type: "worker/looked" }>): void => {
   const shown = new Set(event.running.map(({ item, run }) => `${item} ${run}`));
   forgetStrays(worker, shown);
   for (const run of [...worker.runs.values()]) {
     const sureSince = run.stopConfirmedAtMs ?? run.confirmedAtMs;
-    if (sureSince !== null && sureSince < event.sentAtMs && !shown.has(`${run.item.key} ${run.number}`)) {
-      dropRun(turn, owned, worker, run);
-      itemLost(turn, owned, run.item);
-      logLine(turn, "info", "run.notThere", {
-        item: run.item.key,
-        run: run.number,
-        worker: worker.report.id,
-        stopped: run.stopConfirmedAtMs !== null,
-      });
+    if (sureSince === null || sureSince >= event.sentAtMs || shown.has(`${run.item.key} ${run.number}`)) {
+      run.missingSinceMs = null;
+    } else {
+      run.missingSinceMs ??= event.sentAtMs;
+      if (turn.nowMs - run.missingSinceMs > turn.work.bounds.stopMs + LEASE.STOP_MARGIN_MS) {
+        dropMissing(turn, owned, worker, run);
+      }
     }
   }
 };
 
+const dropMissing = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run): void => {
+  dropRun(turn, owned, worker, run);
+  itemLost(turn, owned, run.item);
+  logLine(turn, "info", "run.notThere", {
+    item: run.item.key,
+    run: run.number,
+    worker: worker.report.id,
+    stopped: run.stopConfirmedAtMs !== null,
+  });
+};
+
 /** A look had no answer, or another life answered at the address. */
 export const workerLookFailed = (turn: Turn, owned: OwnedWork, event: Extract<WorkEvent, { type: "worker/lookFailed" }>): void => {
   const worker = owned.workers.get(event.worker);
@@ -290,7 +302,7 @@
     return true;
   }
   for (const run of worker.runs.values()) {
-    if (run.stopSentAtMs !== null) {
+    if (run.stopSentAtMs !== null || run.missingSinceMs !== null) {
       return true;
     }
   }
--- /dev/null
+++ b/packages/core/tests/work/siteJudge.ts
@@ -0,0 +1,83 @@
+import {
+  END_KIND,
+  type EndLine,
+  type HandIn,
+  type ItemKey,
+} from "../../src/index.js";
+import { partsOf, type MemoryWorker, type WorkerRun } from "./memoryWorker.js";
+import { SiteClock } from "./siteClock.js";
+import { CATALOG, CEILING } from "./siteFixtures.js";
+
+const MAX_ATTEMPTS = CATALOG.queues[0]?.maxAttempts ?? 1;
+
+/** Watches the promises from what workers do; throws where one is broken. */
+export abstract class SiteJudge extends SiteClock {
+  readonly workers = new Map<string, MemoryWorker>();
+  starts = 0;
+  protected readonly specs = new Map<string, HandIn>();
+  private readonly doneNoted = new Set<ItemKey>();
+  private readonly done = new Set<ItemKey>();
+  private readonly failed = new Map<ItemKey, number>();
+
+  override started(worker: MemoryWorker, run: WorkerRun): void {
+    this.starts += 1;
+    const [id, occurrence, step] = partsOf(run.item);
+    const spec = this.specs.get(id)?.work.steps[step];
+    if (spec === undefined) {
+      throw new Error(`UNASKED: ${run.item}`);
+    }
+    const early = spec.after.find((earlier) =>
+      Array.from({ length: this.specs.get(id)?.work.steps[earlier]?.count ?? 0 }).some(
+        (_, index) => !this.done.has(`${id}.${occurrence}.${earlier}.${index}` as ItemKey),
+      ),
+    );
+    if (early !== undefined) {
+      throw new Error(`ORDER: ${run.item} before step ${early} is done`);
+    }
+    if (this.doneNoted.has(run.item)) {
+      throw new Error(`TWICE: ${run.item} run ${run.run} after its end was noted`);
+    }
+    if ((this.failed.get(run.item) ?? 0) >= MAX_ATTEMPTS) {
+      throw new Error(`BUDGET: ${run.item} run ${run.run}`);
+    }
+    this.judgeRoom(worker, run);
+  }
+
+  private judgeRoom(worker: MemoryWorker, run: WorkerRun): void {
+    let teamCpu = this.cpuOf(run.item);
+    for (const other of this.workers.values()) {
+      other.advance(this.nowMs);
+      if (other.runs.has(run.item)) {
+        throw new Error(`TWICE: ${run.item} on ${worker.report.id} and ${other.report.id}`);
+      }
+      const used = [...other.runs.keys()].reduce((sum, item) => sum + this.cpuOf(item), 0);
+      teamCpu += used;
+      if (other === worker && used + this.cpuOf(run.item) > worker.report.capacity.cpuMilli) {
+        throw new Error(`LIMIT: ${run.item} on ${worker.report.id} beside ${used}`);
+      }
+    }
+    // A crash frees a team's use before anybody knows, so it is judged by what runs.
+    if (teamCpu > CEILING.cpuMilli * 1.1 + this.cpuOf(run.item)) {
+      throw new Error(`QUOTA: ${run.item} brings the team to ${teamCpu}`);
+    }
+  }
+
+  override ended(end: EndLine): void {
+    if (end.kind === END_KIND.DONE) {
+      this.done.add(end.item);
+    }
+  }
+
+  override noted(end: EndLine): void {
+    if (end.kind === END_KIND.DONE) {
+      this.doneNoted.add(end.item);
+    } else if (end.kind === END_KIND.FAILED) {
+      this.failed.set(end.item, (this.failed.get(end.item) ?? 0) + 1);
+    }
+  }
+
+  protected cpuOf(item: ItemKey): number {
+    const [id, , step] = partsOf(item);
+    return this.specs.get(id)?.work.steps[step]?.needs.cpuMilli ?? 0;
+  }
+}
--- a/packages/runners/src/work/workEffects.ts
+++ b/packages/runners/src/work/workEffects.ts
@@ -170,8 +170,9 @@
 
   private async listHosts(): Promise<void> {
     const { hosts, loop } = this.parts;
+    const sentAtMs = EventLoop.nowMs();
     try {
-      loop.handle({ type: "power/listed", hosts: await hosts.list() });
+      loop.handle({ type: "power/listed", sentAtMs, hosts: await hosts.list() });
     } catch (error) {
       loop.handle({ type: "power/listFailed", reason: messageOf(error) });
     }
