--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -94,6 +94,8 @@
   return best;
 };
 
+const NO_USE: Resources = { cpuMilli: 0, memoryMb: 0, gpus: 0 };
+
 /** @returns Whether a team may have the item running beside what it has. */
 export const withinCeiling = (turn: Turn, owned: OwnedWork, item: Item): boolean => {
   const { team } = item.submission.handIn;
@@ -101,14 +103,13 @@
   if (team === null || ceiling === undefined) {
     return true;
   }
-  const use = owned.teams.get(team) ?? { cpuMilli: 0, memoryMb: 0, gpus: 0 };
+  const use = owned.teams.get(team) ?? NO_USE;
+  const held = owned.heldUse.get(team) ?? NO_USE;
   const { needs } = item.spec;
-  const within = (used: number, more: number, most: number): boolean => most === 0 || used + more <= most;
-  return (
-    within(use.cpuMilli, needs.cpuMilli, ceiling.cpuMilli) &&
-    within(use.memoryMb, needs.memoryMb, ceiling.memoryMb) &&
-    within(use.gpus, needs.gpus, ceiling.gpus)
-  );
+  const within = (resource: keyof Resources): boolean =>
+    ceiling[resource] === 0 ||
+    (owned.useKnown && use[resource] + held[resource] + needs[resource] <= ceiling[resource]);
+  return within("cpuMilli") && within("memoryMb") && within("gpus");
 };
 
 const start = (turn: Turn, owned: OwnedWork, worker: Worker, item: Item): void => {
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -171,6 +171,8 @@
   workers: new Map(),
   pools: new Map(),
   teams: new Map(),
+  heldUse: new Map(),
+  useKnown: false,
   dirty: new Set(),
   scheduled: new Set(),
   ledger: null,
--- a/packages/core/src/work/recovery.ts
+++ b/packages/core/src/work/recovery.ts
@@ -1,9 +1,9 @@
-import type { PoolId } from "@heatherferry/common";
+import type { PoolId, TeamId } from "@heatherferry/common";
 import { LEASE } from "./constants.js";
 import type { Scan, StoreRow, WorkEvent } from "./events.js";
 import { poolOf } from "./pools.js";
-import type { OwnedWork } from "./state.js";
-import { adoptHandIn, cancelOwned } from "./submissions.js";
+import type { OwnedWork, TeamUse } from "./state.js";
+import { adoptHandIn, cancelOwned, findItem } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
 import type { Progress, SubmissionId, WorkerId } from "./types.js";
 import { waveReported } from "./waves.js";
@@ -80,6 +80,11 @@
       workerHeard(owned, id);
     }
   }
+  tickSettling(turn, owned, leasesOver);
+  updateUse(owned);
+};
+
+const tickSettling = (turn: Turn, owned: OwnedWork, leasesOver: boolean): void => {
   for (const pool of owned.pools.values()) {
     if (!pool.settled && (leasesOver || allHeard(owned, pool.id))) {
       pool.settled = true;
@@ -94,6 +99,31 @@
   }
 };
 
+/** @returns What teams may have running as items that are held. */
+const heldUse = (owned: OwnedWork): ReadonlyMap<TeamId, TeamUse> => {
+  const uses = new Map<TeamId, TeamUse>();
+  for (const key of owned.heldItems.keys()) {
+    const item = findItem(owned, key);
+    const team = item?.submission.handIn.team ?? null;
+    if (item !== null && team !== null && item.run === null) {
+      const use = uses.get(team) ?? { cpuMilli: 0, memoryMb: 0, gpus: 0 };
+      use.cpuMilli += item.spec.needs.cpuMilli;
+      use.memoryMb += item.spec.needs.memoryMb;
+      use.gpus += item.spec.needs.gpus;
+      uses.set(team, use);
+    }
+  }
+  return uses;
+};
+
+const updateUse = (owned: OwnedWork): void => {
+  if (owned.useKnown && owned.heldUse.size === 0) {
+    return;
+  }
+  owned.heldUse = heldUse(owned);
+  owned.useKnown = [...owned.pools.values()].every(({ settled }) => settled);
+};
+
 const workerHeard = (owned: OwnedWork, id: WorkerId): void => {
   const leased = owned.unheard.get(id);
   owned.unheard.delete(id);
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -48,6 +48,7 @@
     phase: RUN_PHASE.ORDERED,
     orderedAtMs: turn.nowMs,
     confirmedAtMs: null,
+    shown: false,
     percent: 0,
     percentSinceMs: turn.nowMs,
     load: null,
@@ -266,6 +267,7 @@
   const run = worker.runs.get(line.item);
   if (run?.number === line.run) {
     run.confirmedAtMs ??= sentAtMs;
+    run.shown = true;
     run.load = line.load;
     if (line.percent !== run.percent) {
       run.percent = line.percent;
@@ -317,6 +319,7 @@
   const run = addRun(turn, owned, worker, item, line.run);
   run.phase = RUN_PHASE.RUNNING;
   run.confirmedAtMs = sentAtMs;
+  run.shown = true;
   run.percent = line.percent;
   run.load = line.load;
   logLine(turn, "info", "run.takenOver", {
@@ -337,6 +340,22 @@
   stopRun(turn, owned, run, "it is not wanted");
 };
 
+/**
+ * Hands runs to the next life of a worker: an order under way may have reached that life, so
+ * looks at it have to tell.
+ */
+export const carryRuns = (from: Worker, to: Worker): void => {
+  for (const run of from.runs.values()) {
+    if (!run.shown) {
+      from.runs.delete(run.item.key);
+      to.runs.set(run.item.key, run);
+      to.usedCpuMilli += run.room.cpuMilli;
+      to.usedMemoryMb += run.room.memoryMb;
+      to.usedGpus += run.room.gpus;
+    }
+  }
+};
+
 /** Everything on a worker has ended: its lease is over, or it is another life. */
 export const loseRuns = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
   for (const run of [...worker.runs.values()]) {
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -33,6 +33,8 @@
   readonly orderedAtMs: number;
   /** When the worker confirmed it; a look sent later must show it. */
   confirmedAtMs: number | null;
+  /** A look has shown it, so it belongs to the life of the worker that was looked at. */
+  shown: boolean;
   percent: number;
   percentSinceMs: number;
   load: number | null;
@@ -190,6 +192,10 @@
   readonly workers: Map<WorkerId, Worker>;
   readonly pools: Map<PoolId, PoolWork>;
   readonly teams: Map<TeamId, TeamUse>;
+  /** What teams may have running on workers that were not heard yet. */
+  heldUse: ReadonlyMap<TeamId, TeamUse>;
+  /** All that runs is known or held; before, no team with a ceiling starts anything. */
+  useKnown: boolean;
   readonly dirty: Set<Submission>;
   /** Occurrences to come, with their times. */
   readonly scheduled: Set<Submission>;
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -3,7 +3,7 @@
 import { isSure } from "./ownership.js";
 import { paceFillers } from "./pacing.js";
 import { poolOf } from "./pools.js";
-import { dropRun, loseRuns, runEnded, runSeen } from "./runs.js";
+import { carryRuns, dropRun, loseRuns, runEnded, runSeen } from "./runs.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { itemLost } from "./submissions.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
@@ -74,13 +74,6 @@
   reserved: false,
 });
 
-const replaceLife = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
-  loseRuns(turn, owned, worker, why);
-  owned.workers.delete(worker.report.id);
-  unbindHost(owned, worker);
-  poolOf(owned, worker.report.pool).workers.delete(worker);
-};
-
 const bindHost = (owned: OwnedWork, worker: Worker): void => {
   const { host } = worker.report;
   if (host !== null) {
@@ -95,29 +88,48 @@
   }
 };
 
+const forgetWorker = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
+  loseRuns(turn, owned, worker, why);
+  owned.workers.delete(worker.report.id);
+  unbindHost(owned, worker);
+  poolOf(owned, worker.report.pool).workers.delete(worker);
+};
+
+/** The worker started again under its id. */
+const replaceLife = (turn: Turn, owned: OwnedWork, worker: Worker, report: WorkerReport): void => {
+  const made = newWorker(turn, report);
+  carryRuns(worker, made);
+  forgetWorker(turn, owned, worker, "the worker started again");
+  enlist(turn, owned, made);
+};
+
+const enlist = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
+  const { report } = worker;
+  owned.workers.set(report.id, worker);
+  bindHost(owned, worker);
+  const pool = poolOf(owned, report.pool);
+  pool.workers.add(worker);
+  pool.dirty = true;
+  logLine(turn, "info", "worker.listed", {
+    worker: report.id,
+    pool: report.pool,
+    address: report.address,
+    draining: report.draining,
+  });
+};
+
 /** Takes a worker's entry. */
 export const workerReported = (turn: Turn, owned: OwnedWork, report: WorkerReport): void => {
-  const known = owned.workers.get(report.id);
-  if (known !== undefined && known.report.bornWallMs !== report.bornWallMs && known.report.bornWallMs !== null && report.bornWallMs !== null) {
-    if (report.bornWallMs < known.report.bornWallMs) {
-      return;
-    }
-    replaceLife(turn, owned, known, "the worker started again");
-  }
   const worker = owned.workers.get(report.id);
   if (worker === undefined) {
-    const made = newWorker(turn, report);
-    owned.workers.set(report.id, made);
-    bindHost(owned, made);
-    const pool = poolOf(owned, report.pool);
-    pool.workers.add(made);
-    pool.dirty = true;
-    logLine(turn, "info", "worker.listed", {
-      worker: report.id,
-      pool: report.pool,
-      address: report.address,
-      draining: report.draining,
-    });
+    enlist(turn, owned, newWorker(turn, report));
+    return;
+  }
+  const before = worker.report.bornWallMs;
+  if (before !== null && report.bornWallMs !== null && before !== report.bornWallMs) {
+    if (report.bornWallMs > before) {
+      replaceLife(turn, owned, worker, report);
+    }
     return;
   }
   if (worker.report.draining !== report.draining || !worker.listed) {
@@ -161,8 +173,8 @@
   const { bornWallMs } = worker.report;
   if (event.bornWallMs !== null && bornWallMs !== null && event.bornWallMs !== bornWallMs) {
     if (event.bornWallMs > bornWallMs) {
-      replaceLife(turn, owned, worker, "another life answered");
-      workerReported(turn, owned, { ...worker.report, bornWallMs: event.bornWallMs, clockMs: event.clockMs });
+      const report = { ...worker.report, bornWallMs: event.bornWallMs, clockMs: event.clockMs };
+      replaceLife(turn, owned, worker, report);
     }
     return;
   }
@@ -242,7 +254,7 @@
     silentMs: worker.answeredAtMs === null ? null : Math.round(turn.nowMs - worker.answeredAtMs),
   });
   if (event.wrongLife) {
-    replaceLife(turn, owned, worker, "another life has its address");
+    forgetWorker(turn, owned, worker, "another life has its address");
   }
 };
 
