--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -144,7 +144,7 @@
 
 export const LEASE = {
   /** Longest lease asked for. */
-  TERM_MS: 5_000,
+  TERM_MS: 4_000,
   /** Longest wait of a look at a worker for news. */
   LOOK_WAIT_MS: 1_000,
   /** Pause between two looks at a worker. */
--- a/packages/core/src/work/forget.ts
+++ b/packages/core/src/work/forget.ts
@@ -1,30 +1,72 @@
 import { FORGET, STORE, SUBMISSION_STATE } from "./constants.js";
-import type { RowName } from "./events.js";
+import type { WorkEvent } from "./events.js";
 import { isSure } from "./ownership.js";
-import type { OwnedWork } from "./state.js";
+import type { OwnedWork, Submission } from "./state.js";
 import { logLine, newCommitId, type Turn } from "./turn.js";
+import type { SubmissionId } from "./types.js";
 
-/** Removes the rows of submissions that ended long ago. */
+const isForgettable = (turn: Turn, submission: Submission): boolean => {
+  const keptMs = turn.work.bounds.statusKeptMs + FORGET.MARGIN_MS;
+  const over =
+    submission.shownState !== SUBMISSION_STATE.QUEUED &&
+    submission.shownState !== SUBMISSION_STATE.RUNNING;
+  return over && turn.wallMs - (submission.endedWallMs ?? turn.wallMs) > keptMs;
+};
+
+/** Removes hand-ins that ended long ago; what is known of them goes once they are gone. */
 export const tickForget = (turn: Turn, owned: OwnedWork): void => {
   if (turn.nowMs < owned.forgetAtMs || !isSure(turn, owned)) {
     return;
   }
   owned.forgetAtMs = turn.nowMs + FORGET.SWEEP_MS;
-  const removes: RowName[] = [];
-  const endedBeforeMs = turn.wallMs - turn.work.bounds.statusKeptMs - FORGET.MARGIN_MS;
+  owned.forgetting.clear();
   for (const submission of owned.submissions.values()) {
-    const { id } = submission.handIn;
-    const over =
-      submission.shownState !== SUBMISSION_STATE.QUEUED &&
-      submission.shownState !== SUBMISSION_STATE.RUNNING;
-    if (over && (submission.endedWallMs ?? Infinity) < endedBeforeMs && removes.length + 3 <= STORE.MAX_ROWS) {
-      owned.submissions.delete(id);
-      removes.push({ type: "progress", id }, { type: "cancel", id }, { type: "handIn", id });
+    if (owned.forgetting.size >= STORE.MAX_ROWS) {
+      return;
     }
+    if (isForgettable(turn, submission)) {
+      const { id } = submission.handIn;
+      const commitId = newCommitId(turn.work);
+      owned.forgetting.set(commitId, id);
+      turn.effects.push({
+        type: "store/commit",
+        commitId,
+        conditions: [],
+        writes: [],
+        removes: [
+          { type: "handIn", id },
+          { type: "cancel", id },
+        ],
+      });
+    }
+  }
+};
+
+const forget = (turn: Turn, owned: OwnedWork, id: SubmissionId): void => {
+  owned.submissions.delete(id);
+  logLine(turn, "info", "submission.forgotten", { submission: id });
+  turn.effects.push({
+    type: "store/commit",
+    commitId: newCommitId(turn.work),
+    conditions: [],
+    writes: [],
+    removes: [{ type: "progress", id }],
+  });
+};
+
+/** @returns Whether the settled write removed a hand-in; one that failed is tried again later. */
+export const forgetSettled = (
+  turn: Turn,
+  event: Extract<WorkEvent, { type: "store/commitSettled" }>,
+): boolean => {
+  const { owned } = turn.work;
+  const id = owned?.forgetting.get(event.commitId);
+  if (owned === null || id === undefined) {
+    return false;
   }
-  if (removes.length > 0) {
-    logLine(turn, "info", "submissions.forgotten", { count: removes.length / 3 });
-    // A lost reply needs no repeat: the next owner finds and removes what is left.
-    turn.effects.push({ type: "store/commit", commitId: newCommitId(turn.work), conditions: [], writes: [], removes });
+  owned.forgetting.delete(event.commitId);
+  if (event.result === "committed") {
+    forget(turn, owned, id);
   }
+  return true;
 };
--- a/packages/core/src/work/hosts.ts
+++ b/packages/core/src/work/hosts.ts
@@ -15,9 +15,12 @@
 
 /** Takes the list of hosts; it names all of them. */
 export const hostsListed = (turn: Turn, owned: OwnedWork, event: Extract<WorkEvent, { type: "power/listed" }>): void => {
+  const known = new Map(owned.hosts);
   owned.hosts.clear();
   for (const listing of event.hosts) {
-    owned.hosts.set(listing.host, listing);
+    // The list is older than an order that was sent after it was asked for.
+    const orderedSince = (owned.hostOrders.get(listing.host) ?? -Infinity) >= event.sentAtMs;
+    owned.hosts.set(listing.host, (orderedSince ? known.get(listing.host) : null) ?? listing);
   }
   owned.hostListAtMs = turn.nowMs;
   owned.hostViewAtMs = event.sentAtMs;
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -11,17 +11,18 @@
 
 /** @returns Workers on which something may run; of silent ones, what. */
 const leasedWorkers = (turn: Turn, owned: OwnedWork): Record<WorkerId, LeasedWorker> => {
-  const leased: Record<WorkerId, LeasedWorker> = Object.fromEntries(owned.unheard);
+  const rows: Record<WorkerId, LeasedWorker> = Object.fromEntries(owned.unheard);
   for (const worker of owned.workers.values()) {
-    if (worker.leaseEndsAtMs !== null && worker.leaseEndsAtMs > turn.nowMs) {
-      leased[worker.report.id] = {
+    const leased = worker.leaseEndsAtMs !== null && worker.leaseEndsAtMs > turn.nowMs;
+    if (leased && (worker.runs.size > 0 || worker.strayStops.size > 0)) {
+      rows[worker.report.id] = {
         pool: worker.report.pool,
         items: isSilent(turn, worker) ? [...worker.runs.keys()] : null,
         stopping: hasStops(worker),
       };
     }
   }
-  return leased;
+  return rows;
 };
 
 const orderedHosts = (turn: Turn, owned: OwnedWork): HostId[] => {
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -89,7 +89,10 @@
 /** @returns Hosts that are off and could be had at once. */
 const standbyHosts = (turn: Turn, owned: OwnedWork): HostId[] =>
   [...owned.hosts.values()]
-    .filter(({ host, pool, up }) => up && isStandby(turn, pool) && hostIsFree(turn, owned, host))
+    .filter(
+      ({ host, pool, up }) =>
+        up && isStandby(turn, pool) && !owned.workersByHost.has(host) && hostIsFree(turn, owned, host),
+    )
     .map(({ host }) => host);
 
 const isIdle = (turn: Turn, owned: OwnedWork, worker: Worker, idleMs: number): boolean =>
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -188,6 +188,7 @@
   hostViewAtMs: null,
   waves: new Map(),
   forgetAtMs: nowMs,
+  forgetting: new Map(),
   loadedRows: [],
 });
 
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -12,7 +12,7 @@
 import { dispatch, recheckPools, stopStalled } from "./dispatch.js";
 import type { WorkEvent } from "./events.js";
 import { feedAnswered, feedFailed, feedRead, storeAnswered, tickFeeds } from "./feeds.js";
-import { tickForget } from "./forget.js";
+import { forgetSettled, tickForget } from "./forget.js";
 import { hostsListed } from "./hosts.js";
 import { ledgerSettled, tickLedger } from "./ledger.js";
 import { moveAnswered, tickLending } from "./lending.js";
@@ -79,7 +79,10 @@
     storeAnswered(turn);
   }
   const taken =
-    ledgerSettled(turn, event) || claimSettled(turn, event) || callCommitSettled(turn, event);
+    ledgerSettled(turn, event) ||
+    claimSettled(turn, event) ||
+    forgetSettled(turn, event) ||
+    callCommitSettled(turn, event);
   if (!taken) {
     logLine(turn, "info", "commit.unclaimed", { commit: event.commitId, result: event.result });
   }
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -214,6 +214,8 @@
   hostViewAtMs: number | null;
   readonly waves: Map<number, WaveWork>;
   forgetAtMs: number;
+  /** Hand-ins that are being removed, by the write that does it. */
+  readonly forgetting: Map<string, SubmissionId>;
   /** Rows of the store that were read before all of them were there. */
   loadedRows: StoreRow[];
 }
--- a/packages/wire/src/work/workRows.ts
+++ b/packages/wire/src/work/workRows.ts
@@ -9,16 +9,36 @@
   type RowName,
   type RowToWrite,
   type StoreRow,
+  type SubmissionId,
 } from "@heatherferry/core";
 import type { HostId } from "@heatherferry/common";
 
 /** Where a row lies, and its text. */
 export interface EncodedRow {
   readonly table: string;
+  readonly part: string;
   readonly key: string;
   readonly text: string;
 }
 
+/**
+ * The owner's rows lie together, so that each of its writes can ask for its own row; and where
+ * reports to the operators lie.
+ */
+const OWNER_PART = "";
+
+/**
+ * Hand-ins are spread by id: transactions of one part run one after another, and a slow store
+ * would queue them for seconds.
+ */
+const HAND_IN_PARTS = "0123456789abcdef";
+
+const handInPart = (id: SubmissionId): string => `h${id.slice(-1)}`;
+
+/** @returns All parts of a table of the product. */
+export const partsOfTable = (table: string): readonly string[] =>
+  table === WORK_TABLE.HAND_INS ? [...HAND_IN_PARTS].map((digit) => `h${digit}`) : [OWNER_PART];
+
 /** A cancel lies beside its hand-in, so that one transaction can ask for the one and write the other. */
 const CANCEL_SUFFIX = "~cancel";
 const WAVE_PREFIX = "wave-";
@@ -29,17 +49,21 @@
   readonly doneHosts: readonly HostId[];
 }
 
-/** @returns Table and key of a row. */
-export const locateRow = (name: RowName): { readonly table: string; readonly key: string } => {
+/** @returns Where a row lies. */
+export const locateRow = (name: RowName): Omit<EncodedRow, "text"> => {
   switch (name.type) {
     case "handIn":
-      return { table: WORK_TABLE.HAND_INS, key: name.id };
+      return { table: WORK_TABLE.HAND_INS, part: handInPart(name.id), key: name.id };
     case "cancel":
-      return { table: WORK_TABLE.HAND_INS, key: `${name.id}${CANCEL_SUFFIX}` };
+      return {
+        table: WORK_TABLE.HAND_INS,
+        part: handInPart(name.id),
+        key: `${name.id}${CANCEL_SUFFIX}`,
+      };
     case "progress":
-      return { table: WORK_TABLE.PROGRESS, key: name.id };
+      return { table: WORK_TABLE.PROGRESS, part: OWNER_PART, key: name.id };
     case "owner":
-      return { table: WORK_TABLE.OWNER, key: OWNER_KEY };
+      return { table: WORK_TABLE.OWNER, part: OWNER_PART, key: OWNER_KEY };
   }
 };
 
@@ -62,6 +86,7 @@
       const body: WaveProgress = { wave, completed, doneHosts };
       return {
         table: WORK_TABLE.PROGRESS,
+        part: OWNER_PART,
         key: `${WAVE_PREFIX}${row.wave}`,
         text: JSON.stringify(body),
       };
