--- a/apps/work/src/boundedSink.ts
+++ b/apps/work/src/boundedSink.ts
@@ -34,7 +34,11 @@
     }
     this.allowance -= 1;
     if (this.droppedSinceLine > 0) {
-      const event = JSON.stringify({ level: "warn", event: "log.dropped", lines: this.droppedSinceLine });
+      const event = JSON.stringify({
+        level: "warn",
+        event: "log.dropped",
+        lines: this.droppedSinceLine,
+      });
       this.droppedSinceLine = 0;
       this.push(event);
     }
--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -1,9 +1,4 @@
-import {
-  address,
-  availabilityZoneId,
-  createLogger,
-  entryHostId,
-} from "@heatherferry/common";
+import { address, availabilityZoneId, createLogger, entryHostId } from "@heatherferry/common";
 import {
   defaultPolicies,
   initialState,
@@ -85,7 +80,11 @@
     EventLoop.nowMs(),
   );
   state.work = initialWork(
-    { holder: `${settings.nodeName}@${settings.ip}`, incarnation: life, zone: settings.availabilityZone },
+    {
+      holder: `${settings.nodeName}@${settings.ip}`,
+      incarnation: life,
+      zone: settings.availabilityZone,
+    },
     settings.bounds,
   );
   const metrics = new WorkMetrics(state, sink);
@@ -116,7 +115,11 @@
   });
   calls.loop = loop;
   loop.start();
-  log("info", "node.started", { life, zone: settings.availabilityZone, at: settings.callerAddress });
+  log("info", "node.started", {
+    life,
+    zone: settings.availabilityZone,
+    at: settings.callerAddress,
+  });
   return {
     shutDown: () => {
       log("info", "node.stopping", { life });
--- a/apps/work/src/workMetrics.ts
+++ b/apps/work/src/workMetrics.ts
@@ -61,8 +61,10 @@
       "Submissions in the owner's care",
       () => state.work?.owned?.submissions.size ?? 0,
     );
-    this.gauge("heatherferry_catalog_revision", "Revision of the catalog in force", () =>
-      Number(state.work?.catalog?.revision ?? 0),
+    this.gauge(
+      "heatherferry_catalog_revision",
+      "Revision of the catalog in force",
+      () => state.work?.catalog?.revision ?? 0,
     );
     this.gauge("heatherferry_log_lines_dropped", "Log lines dropped", () => sink.dropped);
   }
@@ -83,7 +85,9 @@
       this.orders.inc({ type: effect.type });
       if (effect.type === "call/answer") {
         this.answers.inc({ outcome: effect.kind });
-        this.answerTime.observe((event.atMs - (this.arrivedAtMs.get(effect.callId) ?? event.atMs)) / 1_000);
+        this.answerTime.observe(
+          (event.atMs - (this.arrivedAtMs.get(effect.callId) ?? event.atMs)) / 1_000,
+        );
         this.arrivedAtMs.delete(effect.callId);
       }
     }
--- /dev/null
+++ b/packages/core/src/work/callResults.ts
@@ -0,0 +1,183 @@
+import { answer, sendCommit, unavailable } from "./answers.js";
+import { ANSWER_KIND, CALL_KIND, STORE, SUBMISSION_STATE } from "./constants.js";
+import type { WorkEvent } from "./events.js";
+import type { OpenCall } from "./state.js";
+import { adoptHandIn, cancelOwned } from "./submissions.js";
+import { logLine, newCommitId, type Turn } from "./turn.js";
+import { storeVersion, type HandIn, type SubmissionId } from "./types.js";
+
+const sameWork = (one: HandIn, other: HandIn): boolean =>
+  one.queue === other.queue && JSON.stringify(one.work) === JSON.stringify(other.work);
+
+const onStored = (turn: Turn, call: OpenCall, version: number | null): void => {
+  if (call.handIn !== null && version !== null) {
+    adoptHandIn(turn, call.handIn, storeVersion(version), false);
+  }
+  answer(
+    turn,
+    { callId: call.arrival.callId, kind: ANSWER_KIND.ACCEPTED },
+    { submission: call.id ?? "", storedVersion: version ?? 0 },
+  );
+};
+
+const onExists = (turn: Turn, call: OpenCall, stored: HandIn): void => {
+  const { callId } = call.arrival;
+  if (call.handIn !== null && !sameWork(call.handIn, stored)) {
+    const problem = "another body is stored under this id; hand in new work under a new id";
+    answer(turn, { callId, kind: ANSWER_KIND.CONFLICT, problem }, { submission: stored.id });
+    return;
+  }
+  answer(turn, { callId, kind: ANSWER_KIND.ACCEPTED }, { submission: stored.id, repeated: 1 });
+};
+
+const onCancelStored = (turn: Turn, call: OpenCall): void => {
+  if (call.id !== null) {
+    cancelOwned(turn, call.id);
+  }
+  answer(
+    turn,
+    { callId: call.arrival.callId, kind: ANSWER_KIND.CANCELLED },
+    { submission: call.id ?? "" },
+  );
+};
+
+/** Takes the end of a write that a call waits for. */
+export const callCommitSettled = (
+  turn: Turn,
+  event: Extract<WorkEvent, { type: "store/commitSettled" }>,
+): boolean => {
+  const call = [...turn.work.calls.values()].find(
+    ({ commit }) => commit?.commitId === event.commitId,
+  );
+  if (call === undefined) {
+    return false;
+  }
+  const cancels = call.arrival.kind === CALL_KIND.CANCEL;
+  switch (event.result) {
+    case "committed":
+      if (cancels) {
+        onCancelStored(turn, call);
+      } else {
+        onStored(turn, call, event.version);
+      }
+      return true;
+    case "conflicted":
+      onConflict(turn, call, event.rows);
+      return true;
+    case "refused":
+    case "unanswered":
+      onUnsettled(turn, call, event.result === "unanswered", event.reason ?? "");
+      return true;
+  }
+};
+
+const onConflict = (
+  turn: Turn,
+  call: OpenCall,
+  rows: Extract<WorkEvent, { type: "store/commitSettled" }>["rows"],
+): void => {
+  const stored = rows.find((row) => row.type === "handIn");
+  if (call.arrival.kind === CALL_KIND.CANCEL) {
+    // The only condition is that the hand-in exists at its one version, so it was forgotten.
+    answer(
+      turn,
+      { callId: call.arrival.callId, kind: ANSWER_KIND.GONE },
+      { submission: call.id ?? "" },
+    );
+  } else if (stored !== undefined) {
+    onExists(turn, call, stored.handIn);
+  } else {
+    onUnsettled(turn, call, true, "the stored row cannot be read");
+  }
+};
+
+const onUnsettled = (turn: Turn, call: OpenCall, unanswered: boolean, reason: string): void => {
+  call.uncertain ||= unanswered;
+  logLine(turn, "warn", "submission.writeUnsettled", {
+    submission: call.id,
+    call: call.arrival.callId,
+    uncertain: call.uncertain,
+    reason,
+  });
+  if (call.uncertain) {
+    call.retryAtMs = turn.nowMs + STORE.COMMIT_RETRY_MS;
+  } else {
+    unavailable(turn, call.arrival.callId, `the store refused the write: ${reason}`);
+  }
+};
+
+/** Takes what the store knows of a submission that a call asked for. */
+export const callLookedUp = (
+  turn: Turn,
+  event: Extract<WorkEvent, { type: "store/lookedUp" }>,
+): void => {
+  const call = turn.work.calls.get(event.callId);
+  if (call?.id == null) {
+    return;
+  }
+  const { callId } = event;
+  const submission = call.id;
+  if (event.handIn === null) {
+    answer(turn, { callId, kind: ANSWER_KIND.GONE }, { submission });
+  } else if (call.arrival.kind === CALL_KIND.CANCEL) {
+    cancelStored(turn, call, submission, event);
+  } else {
+    const progress = event.progress?.state ?? SUBMISSION_STATE.QUEUED;
+    const state =
+      event.cancelled &&
+      (progress === SUBMISSION_STATE.QUEUED || progress === SUBMISSION_STATE.RUNNING)
+        ? SUBMISSION_STATE.CANCELLED
+        : progress;
+    answer(turn, { callId, kind: ANSWER_KIND.STATE, state }, { submission, from: "store" });
+  }
+};
+
+const cancelStored = (
+  turn: Turn,
+  call: OpenCall,
+  id: SubmissionId,
+  event: Extract<WorkEvent, { type: "store/lookedUp" }>,
+): void => {
+  const ended =
+    event.progress !== null &&
+    event.progress.state !== SUBMISSION_STATE.QUEUED &&
+    event.progress.state !== SUBMISSION_STATE.RUNNING;
+  if (event.cancelled || ended || event.handIn === null) {
+    answer(
+      turn,
+      { callId: event.callId, kind: ANSWER_KIND.CANCELLED },
+      { submission: id, repeated: 1 },
+    );
+    return;
+  }
+  sendCommit(turn, call, {
+    commitId: newCommitId(turn.work),
+    conditions: [{ row: { type: "handIn", id }, version: event.handIn.version }],
+    writes: [{ type: "cancel", id }],
+    removes: [],
+  });
+};
+
+export const callLookUpFailed = (turn: Turn, callId: string, reason: string): void => {
+  if (turn.work.calls.has(callId)) {
+    unavailable(turn, callId, `the store did not tell: ${reason}`);
+  }
+};
+
+/** Sends unsettled writes again and gives up calls whose time is over. */
+export const tickCalls = (turn: Turn): void => {
+  const { work, nowMs } = turn;
+  for (const call of work.calls.values()) {
+    if (nowMs >= call.answerByMs) {
+      const { callId } = call.arrival;
+      const problem = "the store did not confirm the write in time";
+      if (call.commit === null) {
+        unavailable(turn, callId, "the store did not answer in time");
+      } else {
+        answer(turn, { callId, kind: ANSWER_KIND.UNKNOWN, problem }, { submission: call.id ?? "" });
+      }
+    } else if (call.retryAtMs !== null && nowMs >= call.retryAtMs && call.commit !== null) {
+      sendCommit(turn, call, call.commit);
+    }
+  }
+};
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -63,7 +63,10 @@
 const cost = (worker: Worker, item: Item, room: Resources): number | null => {
   const { spec } = item;
   const { report } = worker;
-  if (!fits(worker, room) || (spec.requiredLabel !== null && !report.labels.includes(spec.requiredLabel))) {
+  if (
+    !fits(worker, room) ||
+    (spec.requiredLabel !== null && !report.labels.includes(spec.requiredLabel))
+  ) {
     return null;
   }
   if (spec.maxPerWorker !== null && sameStepRuns(worker, item) >= spec.maxPerWorker) {
@@ -150,7 +153,9 @@
 
 const isLate = (turn: Turn, submission: Submission): boolean => {
   const [first] = submission.ready;
-  return turn.nowMs + (first?.spec.estimateMs ?? 0) > submission.dueAtMs && first?.spec.lasting !== true;
+  return (
+    turn.nowMs + (first?.spec.estimateMs ?? 0) > submission.dueAtMs && first?.spec.lasting !== true
+  );
 };
 
 const inOrder = (turn: Turn, pool: PoolWork): readonly Submission[] => {
@@ -176,7 +181,13 @@
 export const mayRunUnseen = (owned: OwnedWork, pool: PoolWork, item: Item): boolean =>
   item.inherited && (!pool.settled || owned.heldItems.has(item.key));
 
-const placeItems = (turn: Turn, owned: OwnedWork, pool: PoolWork, workers: readonly Worker[], submission: Submission): boolean => {
+const placeItems = (
+  turn: Turn,
+  owned: OwnedWork,
+  pool: PoolWork,
+  workers: readonly Worker[],
+  submission: Submission,
+): boolean => {
   const fullSteps = new Set<number>();
   for (const item of [...submission.ready]) {
     const waits =
@@ -215,7 +226,12 @@
   }
 };
 
-const moveWaiting = (owned: OwnedWork, from: PoolWork, submission: Submission, to: PoolId): void => {
+const moveWaiting = (
+  owned: OwnedWork,
+  from: PoolWork,
+  submission: Submission,
+  to: PoolId,
+): void => {
   from.waiting.delete(submission);
   const pool = owned.pools.get(to);
   if (pool !== undefined) {
--- /dev/null
+++ b/packages/core/src/work/ends.ts
@@ -0,0 +1,166 @@
+import { END_KIND, HEALTH, ITEM_PHASE, ORDER, RUN_PHASE } from "./constants.js";
+import { addRun, dropRun, stopRun } from "./runs.js";
+import type { Item, OwnedWork, Worker } from "./state.js";
+import { findItem, isOver, itemBegan, itemDone, itemFailed, itemLost } from "./submissions.js";
+import { logLine, type Turn } from "./turn.js";
+import type { EndLine, RunningLine } from "./types.js";
+import { targetOf } from "./workers.js";
+
+const noteFailure = (turn: Turn, worker: Worker): void => {
+  worker.failuresInRow += 1;
+  if (worker.failuresInRow >= HEALTH.FAILURES) {
+    worker.restsUntilMs = turn.nowMs + HEALTH.REST_MS;
+    logLine(turn, "warn", "worker.rests", {
+      worker: worker.report.id,
+      failuresInRow: worker.failuresInRow,
+      forMs: HEALTH.REST_MS,
+    });
+  }
+};
+
+/** Takes one end that a worker lists for the first time. */
+export const runEnded = (turn: Turn, owned: OwnedWork, worker: Worker, end: EndLine): void => {
+  const held = worker.runs.get(end.item);
+  const run = held?.number === end.run ? held : undefined;
+  const item = run?.item ?? findItem(owned, end.item);
+  if (run !== undefined) {
+    dropRun(turn, owned, worker, run);
+  }
+  logLine(turn, "info", "run.ended", {
+    item: end.item,
+    run: end.run,
+    worker: worker.report.id,
+    how: end.kind,
+    known: run !== undefined,
+    afterMs: run === undefined ? null : Math.round(turn.nowMs - run.orderedAtMs),
+  });
+  if (item === null) {
+    return;
+  }
+  item.lastRun = Math.max(item.lastRun, end.run);
+  if (end.checkpoint !== "") {
+    item.checkpoint = end.checkpoint;
+  }
+  settleEnd(turn, owned, worker, item, end, run !== undefined);
+};
+
+const settleEnd = (
+  turn: Turn,
+  owned: OwnedWork,
+  worker: Worker,
+  item: Item,
+  end: EndLine,
+  held: boolean,
+): void => {
+  if (end.kind === END_KIND.DONE) {
+    worker.failuresInRow = 0;
+    itemDone(turn, owned, item);
+    return;
+  }
+  if (end.kind === END_KIND.FAILED) {
+    noteFailure(turn, worker);
+    item.avoid = worker.report.id;
+    itemFailed(turn, owned, item, end.run);
+    return;
+  }
+  if (held && item.run === null) {
+    itemLost(turn, owned, item);
+  }
+};
+
+/** Takes what a worker lists as running. */
+export const runSeen = (
+  turn: Turn,
+  owned: OwnedWork,
+  worker: Worker,
+  line: RunningLine,
+  sentAtMs: number,
+): void => {
+  const run = worker.runs.get(line.item);
+  if (run?.number === line.run) {
+    run.confirmedAtMs ??= sentAtMs;
+    run.shown = true;
+    run.load = line.load;
+    if (line.percent !== run.percent) {
+      run.percent = line.percent;
+      run.percentSinceMs = turn.nowMs;
+    }
+    if (line.checkpoint !== "") {
+      run.item.checkpoint = line.checkpoint;
+    }
+    if (run.phase === RUN_PHASE.ORDERED) {
+      run.phase = RUN_PHASE.RUNNING;
+    }
+    itemBegan(owned, run.item.submission);
+    return;
+  }
+  strayRun(turn, owned, worker, line, sentAtMs);
+};
+
+/** Takes over a run that an earlier owner started, or stops one that should not be there. */
+const strayRun = (
+  turn: Turn,
+  owned: OwnedWork,
+  worker: Worker,
+  line: RunningLine,
+  sentAtMs: number,
+): void => {
+  const item = findItem(owned, line.item);
+  if (item?.run === null) {
+    takeOver(turn, owned, worker, item, line, sentAtMs);
+    return;
+  }
+  const name = `${line.item} ${line.run}`;
+  const lastMs = worker.strayStops.get(name);
+  if (lastMs !== undefined && turn.nowMs - lastMs < ORDER.TIMEOUT_MS) {
+    return;
+  }
+  worker.strayStops.set(name, turn.nowMs);
+  turn.effects.push({
+    type: "worker/stop",
+    item: line.item,
+    run: line.run,
+    ...targetOf(owned, worker),
+  });
+  logLine(turn, "warn", "run.strayStopped", {
+    item: line.item,
+    run: line.run,
+    worker: worker.report.id,
+    known: item !== null,
+  });
+};
+
+/** Books a run that was found; it goes on if its item waits for just that, else it is stopped. */
+const takeOver = (
+  turn: Turn,
+  owned: OwnedWork,
+  worker: Worker,
+  item: Item,
+  line: RunningLine,
+  sentAtMs: number,
+): void => {
+  const { phase, inherited } = item;
+  const wanted = phase === ITEM_PHASE.READY && inherited && !isOver(item.submission.state);
+  const run = addRun(turn, owned, worker, item, line.run);
+  run.phase = RUN_PHASE.RUNNING;
+  run.confirmedAtMs = sentAtMs;
+  run.shown = true;
+  run.percent = line.percent;
+  run.load = line.load;
+  logLine(turn, "info", "run.takenOver", {
+    item: line.item,
+    run: line.run,
+    worker: worker.report.id,
+    fence: Number(owned.fence),
+    wanted,
+  });
+  if (wanted) {
+    item.checkpoint = line.checkpoint === "" ? null : line.checkpoint;
+    itemBegan(owned, item.submission);
+    return;
+  }
+  if (phase === ITEM_PHASE.DONE) {
+    item.phase = phase;
+  }
+  stopRun(turn, owned, run, "it is not wanted");
+};
--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -58,7 +58,12 @@
   | { readonly type: "cancel"; readonly id: SubmissionId }
   | { readonly type: "progress"; readonly progress: Progress }
   | { readonly type: "owner"; readonly owner: OwnerRow }
-  | { readonly type: "waveReport"; readonly wave: number; readonly completed: boolean; readonly doneHosts: readonly HostId[] };
+  | {
+      readonly type: "waveReport";
+      readonly wave: number;
+      readonly completed: boolean;
+      readonly doneHosts: readonly HostId[];
+    };
 
 export type RowName =
   | { readonly type: "handIn" | "cancel" | "progress"; readonly id: SubmissionId }
@@ -268,4 +273,3 @@
   | { readonly type: "node/closeFront" }
   /** Turn the clock after this time, earlier than it would turn by itself. */
   | { readonly type: "clock/wake"; readonly delayMs: number };
-
--- a/packages/core/src/work/feeds.ts
+++ b/packages/core/src/work/feeds.ts
@@ -52,7 +52,10 @@
   }
 };
 
-export const feedAnswered = (turn: Turn, event: Extract<WorkEvent, { type: "store/feedAnswered" }>): void => {
+export const feedAnswered = (
+  turn: Turn,
+  event: Extract<WorkEvent, { type: "store/feedAnswered" }>,
+): void => {
   const feed = turn.work.feeds[event.feed];
   if (feed.sentAtMs !== event.sentAtMs || feed.after === null) {
     return;
@@ -64,7 +67,10 @@
   rowsChanged(turn, event.rows);
 };
 
-export const feedFailed = (turn: Turn, event: Extract<WorkEvent, { type: "store/feedFailed" }>): void => {
+export const feedFailed = (
+  turn: Turn,
+  event: Extract<WorkEvent, { type: "store/feedFailed" }>,
+): void => {
   const feed = turn.work.feeds[event.feed];
   if (feed.sentAtMs !== event.sentAtMs) {
     return;
@@ -83,7 +89,11 @@
 };
 
 /** Takes the whole of a feed's rows, read after its history was lost or at the start. */
-export const feedRead = (turn: Turn, event: Extract<WorkEvent, { type: "store/scanned" }>, name: Feed): void => {
+export const feedRead = (
+  turn: Turn,
+  event: Extract<WorkEvent, { type: "store/scanned" }>,
+  name: Feed,
+): void => {
   const feed = turn.work.feeds[name];
   feed.scanning = false;
   feed.after = event.version;
@@ -145,7 +155,8 @@
 const tickReadiness = (turn: Turn): void => {
   const { work } = turn;
   const ageMs = catalogAgeMs(turn);
-  const ready = work.catalog !== null && ageMs <= CATALOG_VIEW.READY_MS && work.leavingAtMs === null;
+  const ready =
+    work.catalog !== null && ageMs <= CATALOG_VIEW.READY_MS && work.leavingAtMs === null;
   if (ready !== work.ready) {
     work.ready = ready;
     turn.effects.push({ type: "node/readiness", ready });
--- a/packages/core/src/work/hosts.ts
+++ b/packages/core/src/work/hosts.ts
@@ -14,7 +14,11 @@
 };
 
 /** Takes the list of hosts; it names all of them. */
-export const hostsListed = (turn: Turn, owned: OwnedWork, event: Extract<WorkEvent, { type: "power/listed" }>): void => {
+export const hostsListed = (
+  turn: Turn,
+  owned: OwnedWork,
+  event: Extract<WorkEvent, { type: "power/listed" }>,
+): void => {
   const known = new Map(owned.hosts);
   owned.hosts.clear();
   for (const listing of event.hosts) {
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -1,4 +1,4 @@
-import { pendingByQueue } from "./calls.js";
+import { pendingByQueue } from "./pending.js";
 import type { HostId } from "@heatherferry/common";
 import { HOSTS, OWNERSHIP, STORE } from "./constants.js";
 import type { RowToWrite, WorkEvent } from "./events.js";
@@ -110,7 +110,10 @@
       conditions: [{ row: { type: "owner" }, version: owned.rowVersion }],
       writes: [
         { type: "owner", owner },
-        ...submissions.map((submission) => ({ type: "progress" as const, progress: progressOf(submission) })),
+        ...submissions.map((submission) => ({
+          type: "progress" as const,
+          progress: progressOf(submission),
+        })),
         ...waveReports(owned),
       ],
       removes: [],
@@ -172,10 +175,13 @@
 };
 
 /** @returns Whether the settled write was the owner's. */
-export const ledgerSettled = (turn: Turn, event: Extract<WorkEvent, { type: "store/commitSettled" }>): boolean => {
+export const ledgerSettled = (
+  turn: Turn,
+  event: Extract<WorkEvent, { type: "store/commitSettled" }>,
+): boolean => {
   const { owned } = turn.work;
   const write = owned?.ledger;
-  if (owned === null || write == null || write.commit.commitId !== event.commitId) {
+  if (owned === null || write?.commit.commitId !== event.commitId) {
     return false;
   }
   if (event.result === "committed" && event.version !== null) {
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -22,7 +22,8 @@
   readonly comingHosts: number;
 }
 
-const isStandby = (turn: Turn, id: PoolId): boolean => poolById(turn.work.catalog, id)?.standby === true;
+const isStandby = (turn: Turn, id: PoolId): boolean =>
+  poolById(turn.work.catalog, id)?.standby === true;
 
 const comingHosts = (owned: OwnedWork, pool: PoolId): number => {
   let count = 0;
@@ -34,7 +35,8 @@
   return count;
 };
 
-const isOpen = (worker: Worker): boolean => worker.listed && !worker.report.draining && !worker.reserved;
+const isOpen = (worker: Worker): boolean =>
+  worker.listed && !worker.report.draining && !worker.reserved;
 
 /** @returns Processor that one host brings to a pool. */
 const hostCpuMilli = (pool: PoolWork): number => {
@@ -58,7 +60,10 @@
     for (const item of submission.ready) {
       if (!mayRunUnseen(owned, pool, item) && withinCeiling(turn, owned, item)) {
         waitingWork += roomOf(item.spec).cpuMilli * Math.max(1, item.spec.estimateMs);
-        perStep.set(item.step, (perStep.get(item.step) ?? 0) + 1 / (item.spec.maxPerWorker ?? Infinity));
+        perStep.set(
+          item.step,
+          (perStep.get(item.step) ?? 0) + 1 / (item.spec.maxPerWorker ?? Infinity),
+        );
       }
     }
     spreadShort = Math.max(spreadShort, ...perStep.values());
@@ -74,7 +79,11 @@
 };
 
 const hostIsFree = (turn: Turn, owned: OwnedWork, host: HostId): boolean => {
-  if (!mayOrderHost(turn, owned, host) || owned.moves.has(host) || turn.nowMs - (owned.hostOrders.get(host) ?? -Infinity) < HOSTS.ORDER_RETRY_MS) {
+  if (
+    !mayOrderHost(turn, owned, host) ||
+    owned.moves.has(host) ||
+    turn.nowMs - (owned.hostOrders.get(host) ?? -Infinity) < HOSTS.ORDER_RETRY_MS
+  ) {
     return false;
   }
   for (const wave of owned.waves.values()) {
@@ -91,7 +100,10 @@
   [...owned.hosts.values()]
     .filter(
       ({ host, pool, up }) =>
-        up && isStandby(turn, pool) && !owned.workersByHost.has(host) && hostIsFree(turn, owned, host),
+        up &&
+        isStandby(turn, pool) &&
+        !owned.workersByHost.has(host) &&
+        hostIsFree(turn, owned, host),
     )
     .map(({ host }) => host);
 
@@ -198,7 +210,8 @@
   for (const [host, order] of owned.moves) {
     const worker = owned.workersByHost.get(host) ?? null;
     const waitedMs = turn.nowMs - order.orderedAtMs;
-    const arrived = worker !== null && worker.report.id !== order.worker && worker.report.pool === order.to;
+    const arrived =
+      worker !== null && worker.report.id !== order.worker && worker.report.pool === order.to;
     const off = order.confirmed && isStandby(turn, order.to) && waitedMs >= turn.work.bounds.moveMs;
     if (arrived || off || waitedMs > HOSTS.RETURN_MS) {
       owned.moves.delete(host);
@@ -230,7 +243,10 @@
 };
 
 /** Takes the answer to a move. */
-export const moveAnswered = (owned: OwnedWork, event: Extract<WorkEvent, { type: "power/orderAnswered" }>): void => {
+export const moveAnswered = (
+  owned: OwnedWork,
+  event: Extract<WorkEvent, { type: "power/orderAnswered" }>,
+): void => {
   const order = owned.moves.get(event.host);
   if (order === undefined || order.confirmed) {
     return;
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -2,7 +2,14 @@
 import type { StoreRow, WorkEvent } from "./events.js";
 import type { OwnedWork, WorkloadState } from "./state.js";
 import { logLine, newCommitId, type Turn } from "./turn.js";
-import { fence, storeVersion, type LeasedWorker, type OwnerRow, type StoreVersion, type WorkerId } from "./types.js";
+import {
+  fence,
+  storeVersion,
+  type LeasedWorker,
+  type OwnerRow,
+  type StoreVersion,
+  type WorkerId,
+} from "./types.js";
 
 type OwnerStoreRow = Extract<StoreRow, { type: "owner" }>;
 
@@ -14,7 +21,8 @@
   row.holder === work.identity.holder && row.incarnation === work.identity.incarnation;
 
 /** An earlier life of this process, or this life after a claim without an answer. */
-const wasMine = (work: WorkloadState, row: OwnerRow): boolean => row.holder === work.identity.holder;
+const wasMine = (work: WorkloadState, row: OwnerRow): boolean =>
+  row.holder === work.identity.holder;
 
 const ownerRowIn = (rows: readonly StoreRow[]): OwnerStoreRow | null =>
   rows.find((row): row is OwnerStoreRow => row.type === "owner") ?? null;
@@ -56,7 +64,12 @@
 const mayClaim = (turn: Turn): boolean => {
   const { work, nowMs } = turn;
   const view = work.ownerView;
-  if (work.owned !== null || work.leavingAtMs !== null || view.claim !== null || work.catalog === null) {
+  if (
+    work.owned !== null ||
+    work.leavingAtMs !== null ||
+    view.claim !== null ||
+    work.catalog === null
+  ) {
     return false;
   }
   if (view.row === null || view.row.released || wasMine(work, view.row)) {
@@ -122,7 +135,10 @@
 };
 
 /** @returns Whether the settled write was this node's claim. */
-export const claimSettled = (turn: Turn, event: Extract<WorkEvent, { type: "store/commitSettled" }>): boolean => {
+export const claimSettled = (
+  turn: Turn,
+  event: Extract<WorkEvent, { type: "store/commitSettled" }>,
+): boolean => {
   const { work } = turn;
   const view = work.ownerView;
   if (view.claim?.commitId !== event.commitId) {
@@ -148,13 +164,21 @@
     feed.sentAtMs = null;
     feed.viewAtMs = null;
   }
-  logLine(turn, "info", "owner.taken", { fence: Number(work.owned.fence), version: Number(version) });
+  logLine(turn, "info", "owner.taken", {
+    fence: Number(work.owned.fence),
+    version: Number(version),
+  });
   for (const scan of work.owned.loads) {
     turn.effects.push({ type: "store/scan", scan });
   }
 };
 
-const newOwnedWork = (nowMs: number, version: StoreVersion, sentAtMs: number, before: OwnerRow | null): OwnedWork => ({
+const newOwnedWork = (
+  nowMs: number,
+  version: StoreVersion,
+  sentAtMs: number,
+  before: OwnerRow | null,
+): OwnedWork => ({
   fence: fence((before?.fence ?? 0) + 1),
   takenAtMs: nowMs,
   takenVersion: version,
@@ -166,7 +190,8 @@
   unheard: new Map(Object.entries(before?.leased ?? {}) as [WorkerId, LeasedWorker][]),
   heldItems: new Map(),
   stopsUnknown: before !== null && !before.released,
-  inheritedOrders: before === null || before.released ? new Set(before?.orderedHosts ?? []) : "unknown",
+  inheritedOrders:
+    before === null || before.released ? new Set(before?.orderedHosts ?? []) : "unknown",
   submissions: new Map(),
   workers: new Map(),
   pools: new Map(),
@@ -214,7 +239,12 @@
  *
  * @returns Whether this node still owns the work.
  */
-export const stillOwner = (turn: Turn, owned: OwnedWork, rows: readonly StoreRow[], sentAtMs: number): boolean => {
+export const stillOwner = (
+  turn: Turn,
+  owned: OwnedWork,
+  rows: readonly StoreRow[],
+  sentAtMs: number,
+): boolean => {
   const row = ownerRowIn(rows);
   if (row === null || !isMine(turn.work, row.owner) || row.owner.fence !== owned.fence) {
     endOwning(turn, "another node has taken over");
--- a/packages/core/src/work/pacing.ts
+++ b/packages/core/src/work/pacing.ts
@@ -17,7 +17,14 @@
   return worst;
 };
 
-const pace = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run, percent: number, share: number): void => {
+const pace = (
+  turn: Turn,
+  owned: OwnedWork,
+  worker: Worker,
+  run: Run,
+  percent: number,
+  share: number,
+): void => {
   run.pacePercent = percent;
   turn.effects.push({
     type: "worker/pace",
@@ -53,7 +60,10 @@
 };
 
 /** A worker did not confirm a pace: what it was told is not known, so it is told again. */
-export const paceFailed = (owned: OwnedWork, event: Extract<WorkEvent, { type: "worker/paceFailed" }>): void => {
+export const paceFailed = (
+  owned: OwnedWork,
+  event: Extract<WorkEvent, { type: "worker/paceFailed" }>,
+): void => {
   const run = owned.workers.get(event.worker)?.runs.get(event.item);
   if (run?.number === event.run) {
     run.pacePercent = PACING.UNKNOWN_PERCENT;
--- a/packages/core/src/work/pools.ts
+++ b/packages/core/src/work/pools.ts
@@ -5,7 +5,16 @@
 export const poolOf = (owned: OwnedWork, id: PoolId): PoolWork => {
   let pool = owned.pools.get(id);
   if (pool === undefined) {
-    pool = { id, workers: new Set(), waiting: new Set(), dirty: true, settled: false, arrivedWork: 0, arrivingCpuMilli: 0, rateAtMs: 0 };
+    pool = {
+      id,
+      workers: new Set(),
+      waiting: new Set(),
+      dirty: true,
+      settled: false,
+      arrivedWork: 0,
+      arrivingCpuMilli: 0,
+      rateAtMs: 0,
+    };
     owned.pools.set(id, pool);
   }
   return pool;
--- a/packages/core/src/work/recovery.ts
+++ b/packages/core/src/work/recovery.ts
@@ -10,7 +10,11 @@
 import { workerReported } from "./workers.js";
 
 /** Takes one of the tables that a new owner reads whole before it orders anything. */
-export const tableLoaded = (turn: Turn, owned: OwnedWork, event: Extract<WorkEvent, { type: "store/scanned" }>): void => {
+export const tableLoaded = (
+  turn: Turn,
+  owned: OwnedWork,
+  event: Extract<WorkEvent, { type: "store/scanned" }>,
+): void => {
   const { work } = turn;
   if (!owned.loads.delete(event.scan)) {
     return;
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -1,13 +1,7 @@
 import type { Effect } from "../effect.js";
 import type { Event } from "../event.js";
-import {
-  callAbandoned,
-  callArrived,
-  callCommitSettled,
-  callLookedUp,
-  callLookUpFailed,
-  tickCalls,
-} from "./calls.js";
+import { callCommitSettled, callLookedUp, callLookUpFailed, tickCalls } from "./callResults.js";
+import { callAbandoned, callArrived } from "./calls.js";
 import { CLOCK_JUMP, LEAVING, SCAN } from "./constants.js";
 import { dispatch, recheckPools, stopStalled } from "./dispatch.js";
 import type { WorkEvent } from "./events.js";
@@ -53,7 +47,7 @@
   const { work } = turn;
   if (event.scan === SCAN.OWNER) {
     ownerSeen(turn, event.rows, event.sentAtMs);
-  } else if (work.owned !== null && work.owned.loads.has(event.scan)) {
+  } else if (work.owned?.loads.has(event.scan) === true) {
     tableLoaded(turn, work.owned, event);
   } else if (event.scan !== SCAN.PROGRESS && work.feeds[event.scan].scanning) {
     feedRead(turn, event, event.scan);
@@ -74,7 +68,10 @@
   }
 };
 
-const commitSettled = (turn: Turn, event: Extract<WorkEvent, { type: "store/commitSettled" }>): void => {
+const commitSettled = (
+  turn: Turn,
+  event: Extract<WorkEvent, { type: "store/commitSettled" }>,
+): void => {
   if (event.result === "committed" || event.result === "conflicted") {
     storeAnswered(turn);
   }
@@ -241,4 +238,3 @@
   }
   settle(turn, event.type === "clock/ticked");
 };
-
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -163,7 +163,10 @@
   readonly doneHosts: Set<HostId>;
   dirty: boolean;
   /** Hosts ordered down, with the worker they had. */
-  readonly outHosts: Map<HostId, { readonly worker: WorkerId | null; orderedAtMs: number; confirmed: boolean }>;
+  readonly outHosts: Map<
+    HostId,
+    { readonly worker: WorkerId | null; orderedAtMs: number; confirmed: boolean }
+  >;
   completed: boolean;
 }
 
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -45,7 +45,13 @@
   return acceptedAtMs + stretch * longestChainMs(handIn.work) + (queue?.targetDurationMs ?? 0);
 };
 
-const newItem = (submission: Submission, occurrence: number, step: number, index: number, inherited: boolean): Item => {
+const newItem = (
+  submission: Submission,
+  occurrence: number,
+  step: number,
+  index: number,
+  inherited: boolean,
+): Item => {
   const spec = submission.handIn.work.steps[step];
   if (spec === undefined) {
     throw new RangeError(`Submission ${submission.handIn.id} has no step ${step}`);
@@ -68,7 +74,12 @@
   };
 };
 
-const makeOccurrence = (submission: Submission, number: number, inherited: boolean, progress: Progress | null): Occurrence => {
+const makeOccurrence = (
+  submission: Submission,
+  number: number,
+  inherited: boolean,
+  progress: Progress | null,
+): Occurrence => {
   const doneInStep: number[] = [];
   const steps = submission.handIn.work.steps.map((spec, step) => {
     const done = new Set(progress?.done[`${number}.${step}`] ?? []);
@@ -118,7 +129,13 @@
 };
 
 /** Makes the occurrences whose time has come. */
-export const makeDueOccurrences = (turn: Turn, owned: OwnedWork, submission: Submission, progress: Progress | null, inherited: boolean): void => {
+export const makeDueOccurrences = (
+  turn: Turn,
+  owned: OwnedWork,
+  submission: Submission,
+  progress: Progress | null,
+  inherited: boolean,
+): void => {
   const { work } = submission.handIn;
   const total = Math.max(1, work.occurrences);
   while (submission.madeOccurrences < total && !isOver(submission.state)) {
@@ -152,7 +169,13 @@
  * @param inherited - It was stored before this owner took over, so it may run somewhere.
  * @param progress - What is known of it for good.
  */
-export const adoptHandIn = (turn: Turn, handIn: HandIn, version: StoreVersion, inherited: boolean, progress: Progress | null = null): void => {
+export const adoptHandIn = (
+  turn: Turn,
+  handIn: HandIn,
+  version: StoreVersion,
+  inherited: boolean,
+  progress: Progress | null = null,
+): void => {
   const { owned } = turn.work;
   if (owned === null || owned.loads.size > 0 || owned.submissions.has(handIn.id)) {
     return;
@@ -180,7 +203,13 @@
 };
 
 /** Ends a submission: nothing of it starts any more, and what runs is stopped. */
-const endSubmission = (turn: Turn, owned: OwnedWork, submission: Submission, state: SubmissionState, why: string): void => {
+const endSubmission = (
+  turn: Turn,
+  owned: OwnedWork,
+  submission: Submission,
+  state: SubmissionState,
+  why: string,
+): void => {
   submission.state = state;
   submission.endedWallMs = Math.round(turn.wallMs);
   submission.ready.clear();
@@ -299,10 +328,9 @@
 export const findItem = (owned: OwnedWork, key: ItemKey): Item | null => {
   const [id, occurrence, step, index] = key.split(".");
   return (
-    owned.submissions
-      .get(id as SubmissionId)
-      ?.occurrences.get(Number(occurrence))
-      ?.steps[Number(step)]?.[Number(index)] ?? null
+    owned.submissions.get(id as SubmissionId)?.occurrences.get(Number(occurrence))?.steps[
+      Number(step)
+    ]?.[Number(index)] ?? null
   );
 };
 
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -38,7 +38,12 @@
 };
 
 /** Takes what an earlier owner wrote of a wave. */
-export const waveReported = (turn: Turn, owned: OwnedWork, wave: number, doneHosts: readonly HostId[]): void => {
+export const waveReported = (
+  turn: Turn,
+  owned: OwnedWork,
+  wave: number,
+  doneHosts: readonly HostId[],
+): void => {
   const request = turn.work.waveRequests.get(wave);
   if (request !== undefined) {
     const work = waveOf(turn, owned, request);
@@ -53,13 +58,17 @@
 const awayOthers = (run: Run): number => {
   const { item } = run;
   const step = item.submission.occurrences.get(item.occurrence)?.steps[item.step] ?? [];
-  return step.filter((other) => other !== item && (other.run === null || other.run.phase !== "running" || other.run.percent < 100)).length;
+  return step.filter(
+    (other) => other !== item && (other.run?.phase !== "running" || other.run.percent < 100),
+  ).length;
 };
 
 /** @returns Whether a run may be ended by our doing without taking too much of its step away. */
 export const mayStop = (run: Run): boolean => {
   const { maxUnavailable, lasting } = run.item.spec;
-  return !lasting || maxUnavailable === null || run.percent < 100 || awayOthers(run) < maxUnavailable;
+  return (
+    !lasting || maxUnavailable === null || run.percent < 100 || awayOthers(run) < maxUnavailable
+  );
 };
 
 /** Stops lasting work on a worker that is to be emptied, as its steps allow; the rest ends by itself. */
@@ -89,27 +98,44 @@
     const returned = worker !== null && worker.report.id !== out.worker;
     const waitedMs = turn.nowMs - out.orderedAtMs;
     // An order for upkeep that was done before changes nothing, so the same worker stays.
-    const doneBefore = worker !== null && waitedMs > turn.work.bounds.upkeepMs + HOSTS.DONE_BEFORE_MS;
+    const doneBefore =
+      worker !== null && waitedMs > turn.work.bounds.upkeepMs + HOSTS.DONE_BEFORE_MS;
     // A host of a standby pool runs no worker; the list tells that it is back.
-    const listedBack = listing?.up === true && (owned.hostViewAtMs ?? 0) - out.orderedAtMs > turn.work.bounds.upkeepMs;
+    const listedBack =
+      listing?.up === true &&
+      (owned.hostViewAtMs ?? 0) - out.orderedAtMs > turn.work.bounds.upkeepMs;
     const overdue = waitedMs > HOSTS.RETURN_MS && listing?.up !== false;
     if (out.confirmed && (returned || doneBefore || (worker === null && listedBack) || overdue)) {
       wave.outHosts.delete(host);
       wave.doneHosts.add(host);
       wave.dirty = true;
-      logLine(turn, "info", "wave.hostDone", { wave: wave.request.wave, host, afterMs: Math.round(waitedMs) });
+      logLine(turn, "info", "wave.hostDone", {
+        wave: wave.request.wave,
+        host,
+        afterMs: Math.round(waitedMs),
+      });
     }
   }
 };
 
-const orderUpkeep = (turn: Turn, owned: OwnedWork, wave: WaveWork, host: HostId, worker: Worker | null): void => {
+const orderUpkeep = (
+  turn: Turn,
+  owned: OwnedWork,
+  wave: WaveWork,
+  host: HostId,
+  worker: Worker | null,
+): void => {
   const lastMs = owned.hostOrders.get(host) ?? -Infinity;
   if (turn.nowMs - lastMs < HOSTS.ORDER_RETRY_MS) {
     return;
   }
   owned.hostOrders.set(host, turn.nowMs);
   if (!wave.outHosts.has(host)) {
-    wave.outHosts.set(host, { worker: worker?.report.id ?? null, orderedAtMs: turn.nowMs, confirmed: false });
+    wave.outHosts.set(host, {
+      worker: worker?.report.id ?? null,
+      orderedAtMs: turn.nowMs,
+      confirmed: false,
+    });
   }
   turn.effects.push({ type: "power/upkeep", host, wave: wave.request.wave, fence: owned.fence });
   logLine(turn, "info", "wave.upkeepOrdered", {
@@ -137,7 +163,9 @@
     }
   }
   let slots = wave.request.mostOut - wave.outHosts.size - inheritedOut(turn, owned, wave);
-  const left = wave.request.hosts.filter((host) => !wave.doneHosts.has(host) && !wave.outHosts.has(host));
+  const left = wave.request.hosts.filter(
+    (host) => !wave.doneHosts.has(host) && !wave.outHosts.has(host),
+  );
   const free = left.filter((host) => !owned.moves.has(host) && mayOrderHost(turn, owned, host));
   const chosen = free
     .map((host) => ({ host, worker: workerOfHost(owned, host) }))
@@ -158,7 +186,10 @@
   if (left.length === 0 && wave.outHosts.size === 0 && !wave.completed) {
     wave.completed = true;
     wave.dirty = true;
-    logLine(turn, "info", "wave.completed", { wave: wave.request.wave, afterMs: Math.round(turn.nowMs - wave.seenAtMs) });
+    logLine(turn, "info", "wave.completed", {
+      wave: wave.request.wave,
+      afterMs: Math.round(turn.nowMs - wave.seenAtMs),
+    });
   }
 };
 
@@ -203,7 +234,10 @@
 };
 
 /** Takes the answer to an order of upkeep. */
-export const upkeepAnswered = (owned: OwnedWork, event: Extract<WorkEvent, { type: "power/orderAnswered" }>): void => {
+export const upkeepAnswered = (
+  owned: OwnedWork,
+  event: Extract<WorkEvent, { type: "power/orderAnswered" }>,
+): void => {
   for (const wave of owned.waves.values()) {
     const out = wave.outHosts.get(event.host);
     if (out !== undefined && !out.confirmed) {
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -3,7 +3,8 @@
 import { isSure } from "./ownership.js";
 import { paceFillers } from "./pacing.js";
 import { poolOf } from "./pools.js";
-import { carryRuns, dropRun, loseRuns, runEnded, runSeen } from "./runs.js";
+import { runEnded, runSeen } from "./ends.js";
+import { carryRuns, dropRun, loseRuns } from "./runs.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { itemLost } from "./submissions.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
@@ -163,7 +164,11 @@
 };
 
 /** Takes a worker's lists of what runs and what has ended. */
-export const workerLooked = (turn: Turn, owned: OwnedWork, event: Extract<WorkEvent, { type: "worker/looked" }>): void => {
+export const workerLooked = (
+  turn: Turn,
+  owned: OwnedWork,
+  event: Extract<WorkEvent, { type: "worker/looked" }>,
+): void => {
   const worker = owned.workers.get(event.worker);
   if (worker === undefined) {
     return;
@@ -211,12 +216,21 @@
  * Drops runs that looks sent after their confirmation do not show. What is being stopped takes
  * room but is not shown, so a run has to be missing for as long as a stop may take.
  */
-const dropUnseen = (turn: Turn, owned: OwnedWork, worker: Worker, event: Extract<WorkEvent, { type: "worker/looked" }>): void => {
+const dropUnseen = (
+  turn: Turn,
+  owned: OwnedWork,
+  worker: Worker,
+  event: Extract<WorkEvent, { type: "worker/looked" }>,
+): void => {
   const shown = new Set(event.running.map(({ item, run }) => `${item} ${run}`));
   forgetStrays(worker, shown);
   for (const run of [...worker.runs.values()]) {
     const sureSince = run.stopConfirmedAtMs ?? run.confirmedAtMs;
-    if (sureSince === null || sureSince >= event.sentAtMs || shown.has(`${run.item.key} ${run.number}`)) {
+    if (
+      sureSince === null ||
+      sureSince >= event.sentAtMs ||
+      shown.has(`${run.item.key} ${run.number}`)
+    ) {
       run.missingSinceMs = null;
     } else {
       run.missingSinceMs ??= event.sentAtMs;
@@ -239,7 +253,11 @@
 };
 
 /** A look had no answer, or another life answered at the address. */
-export const workerLookFailed = (turn: Turn, owned: OwnedWork, event: Extract<WorkEvent, { type: "worker/lookFailed" }>): void => {
+export const workerLookFailed = (
+  turn: Turn,
+  owned: OwnedWork,
+  event: Extract<WorkEvent, { type: "worker/lookFailed" }>,
+): void => {
   const worker = owned.workers.get(event.worker);
   if (worker === undefined) {
     return;
@@ -267,7 +285,11 @@
 /** Looks at workers that are due and ends leases that are over. */
 export const tickWorkers = (turn: Turn, owned: OwnedWork): void => {
   for (const worker of [...owned.workers.values()]) {
-    if (worker.leaseEndsAtMs !== null && turn.nowMs > worker.leaseEndsAtMs && worker.runs.size > 0) {
+    if (
+      worker.leaseEndsAtMs !== null &&
+      turn.nowMs > worker.leaseEndsAtMs &&
+      worker.runs.size > 0
+    ) {
       loseRuns(turn, owned, worker, "the lease ended");
     }
     const forgotten = !worker.listed && worker.runs.size === 0;
@@ -301,7 +323,8 @@
   turn.effects.push({
     type: "worker/look",
     // A silent worker's lease runs out, so that its work can start elsewhere.
-    untilClockMs: worker.runs.size > 0 && !isSilent(turn, worker) ? extendLease(turn, worker) : null,
+    untilClockMs:
+      worker.runs.size > 0 && !isSilent(turn, worker) ? extendLease(turn, worker) : null,
     notedSequence: worker.durableSequence,
     waitMs: waits && !hasStops(worker) ? LEASE.LOOK_WAIT_MS : 0,
     ...targetOf(owned, worker),
--- a/packages/core/tests/work/memoryStore.ts
+++ b/packages/core/tests/work/memoryStore.ts
@@ -97,6 +97,6 @@
     const cell = this.cells.get(name);
     return cell?.row == null
       ? []
-      : [{ ...cell.row, version: storeVersion(cell.version) } as StoreRow];
+      : [{ ...cell.row, version: storeVersion(cell.version) }];
   }
 }
--- a/packages/core/tests/work/memoryWorker.ts
+++ b/packages/core/tests/work/memoryWorker.ts
@@ -1,6 +1,5 @@
 import {
   END_KIND,
-
   START_RESULT,
   type EndKind,
   type EndLine,
@@ -83,7 +82,14 @@
     }
     if (!this.runs.has(order.item)) {
       const { item, run } = order;
-      const begun = { item, run, startedAtMs: nowMs, endsAtMs: nowMs + durationMs, how, stopsAtMs: null };
+      const begun = {
+        item,
+        run,
+        startedAtMs: nowMs,
+        endsAtMs: nowMs + durationMs,
+        how,
+        stopsAtMs: null,
+      };
       this.judge.started(this, begun);
       this.runs.set(item, begun);
     }
@@ -152,4 +158,3 @@
   const [id, occurrence, step, index] = item.split(".");
   return [id ?? "", Number(occurrence), Number(step), Number(index)];
 };
-
--- a/packages/core/tests/work/siteFixtures.ts
+++ b/packages/core/tests/work/siteFixtures.ts
@@ -32,7 +32,11 @@
     targetDurationMs: 500,
     openToAll: false,
   })),
-  pools: ["mills", "dies"].map((name) => ({ id: poolId(name), guardsCapacity: false, standby: false })),
+  pools: ["mills", "dies"].map((name) => ({
+    id: poolId(name),
+    guardsCapacity: false,
+    standby: false,
+  })),
   teams: [{ id: teamId("lots"), keys: ["key"], weight: 1, ceiling: CEILING }],
   maxBodyBytes: 100_000,
 };
--- a/packages/core/tests/work/siteJudge.ts
+++ b/packages/core/tests/work/siteJudge.ts
@@ -1,9 +1,4 @@
-import {
-  END_KIND,
-  type EndLine,
-  type HandIn,
-  type ItemKey,
-} from "../../src/index.js";
+import { END_KIND, type EndLine, type HandIn, type ItemKey } from "../../src/index.js";
 import { partsOf, type MemoryWorker, type WorkerRun } from "./memoryWorker.js";
 import { SiteClock } from "./siteClock.js";
 import { CATALOG, CEILING } from "./siteFixtures.js";
--- /dev/null
+++ b/packages/core/tests/work/siteRemote.ts
@@ -0,0 +1,252 @@
+import {
+  END_KIND,
+  storeVersion,
+  type Effect,
+  type Event,
+  type State,
+  type SubmissionId,
+} from "../../src/index.js";
+import { MemoryStore } from "./memoryStore.js";
+import type { MemoryWorker } from "./memoryWorker.js";
+import { SiteJudge } from "./siteJudge.js";
+
+export interface SiteNode {
+  readonly name: string;
+  state: State;
+  /** Time that the node's steady clock missed. */
+  frozenMs: number;
+  frozenUntilMs: number;
+  life: number;
+  up: boolean;
+  refusedUntilMs: number;
+}
+
+const FAULTLESS = { lostPercent: 0, latePercent: 0 };
+
+type WorkerOrder = Extract<Effect, { type: "worker/start" | "worker/stop" | "worker/look" }>;
+
+const failureOf = (order: WorkerOrder): Event => {
+  const { worker } = order;
+  switch (order.type) {
+    case "worker/look":
+      return { type: "worker/lookFailed", worker, wrongLife: false, reason: "no answer", atMs: 0 };
+    case "worker/start": {
+      const { item, run } = order;
+      return {
+        type: "worker/startAnswered",
+        worker,
+        item,
+        run,
+        result: "unanswered",
+        reason: "no answer",
+        clockMs: null,
+        atMs: 0,
+      };
+    }
+    case "worker/stop": {
+      const { item, run } = order;
+      return {
+        type: "worker/stopAnswered",
+        worker,
+        item,
+        run,
+        settled: false,
+        wrongLife: false,
+        clockMs: null,
+        atMs: 0,
+      };
+    }
+  }
+};
+
+/** The store and the workers as nodes reach them: slow, lossy, down or late as the day has it. */
+export abstract class SiteRemote extends SiteJudge {
+  readonly store = new MemoryStore();
+  readonly cutWorkers = new Map<string, number>();
+  faults: { lostPercent: number; latePercent: number } = FAULTLESS;
+  failPercent = 0;
+  storeDownUntilMs = 0;
+
+  /** Hands an event to a node, now. */
+  protected abstract handle(node: SiteNode, event: Event): void;
+
+  protected answerLater(node: SiteNode, delayMs: number, event: Event): void {
+    const { life } = node;
+    this.at(delayMs, () => {
+      if (node.life === life) {
+        this.handle(node, event);
+      }
+    });
+  }
+
+  protected storeServes(node: SiteNode): boolean {
+    return this.nowMs >= this.storeDownUntilMs && this.nowMs >= node.refusedUntilMs;
+  }
+
+  protected feed(
+    node: SiteNode,
+    life: number,
+    effect: Extract<Effect, { type: "store/feed" }>,
+    untilMs: number,
+  ): void {
+    const { feed, sentAtMs } = effect;
+    this.at(this.pick(6) + 2, () => {
+      if (node.life !== life) {
+        return;
+      }
+      if (!this.storeServes(node)) {
+        this.handle(node, {
+          type: "store/feedFailed",
+          feed,
+          sentAtMs,
+          historyLost: false,
+          reason: "down",
+          atMs: 0,
+        });
+        return;
+      }
+      const rows = this.store.changes(feed, Number(effect.after));
+      if (rows.length > 0 || this.nowMs >= untilMs) {
+        const version = storeVersion(this.store.version);
+        this.handle(node, { type: "store/feedAnswered", feed, sentAtMs, rows, version, atMs: 0 });
+      } else {
+        this.at(20, () => {
+          this.feed(node, life, effect, untilMs);
+        });
+      }
+    });
+  }
+
+  protected commit(
+    node: SiteNode,
+    commit: Extract<Effect, { type: "store/commit" }>,
+    sentAtMs: number,
+  ): void {
+    const { commitId } = commit;
+    const settled = { type: "store/commitSettled" as const, commitId, sentAtMs, atMs: 0 };
+    const nothing = { version: null, rows: [], reason: "down" };
+    if (!this.storeServes(node)) {
+      this.answerLater(node, 2, { ...settled, ...nothing, result: "refused" });
+      return;
+    }
+    if (this.chance(this.faults.lostPercent)) {
+      this.at(this.chance(50) ? 0 : this.pick(3_000), () => {
+        this.store.commit(commit);
+      });
+      this.answerLater(node, 1_000, { ...settled, ...nothing, result: "unanswered" });
+      return;
+    }
+    const rows = this.store.commit(commit);
+    const version = storeVersion(this.store.version);
+    this.answerLater(
+      node,
+      4,
+      rows === null
+        ? { ...settled, result: "committed", version, rows: [], reason: null }
+        : { ...settled, result: "conflicted", version: null, rows, reason: "conflict" },
+    );
+  }
+
+  protected lookUp(node: SiteNode, callId: string, id: SubmissionId): void {
+    if (!this.storeServes(node)) {
+      this.answerLater(node, 2, { type: "store/lookUpFailed", callId, reason: "down", atMs: 0 });
+      return;
+    }
+    const rows = this.store.lookUp(id);
+    const handIn = rows.find((row) => row.type === "handIn");
+    const progress = rows.find((row) => row.type === "progress");
+    this.answerLater(node, 3, {
+      type: "store/lookedUp",
+      callId,
+      handIn: handIn === undefined ? null : { handIn: handIn.handIn, version: handIn.version },
+      cancelled: rows.some((row) => row.type === "cancel"),
+      progress: progress?.progress ?? null,
+      atMs: 0,
+    });
+  }
+
+  /** Delivers an order: at once, late, or not at all; its answer may be lost too. */
+  protected sendOrder(node: SiteNode, order: WorkerOrder, sentAtMs: number): void {
+    const cut = this.nowMs < (this.cutWorkers.get(order.worker) ?? 0);
+    const late = order.type !== "worker/look" && this.chance(this.faults.latePercent);
+    const lost = cut || late || this.chance(this.faults.lostPercent);
+    const target = this.workers.get(order.worker);
+    if (!cut) {
+      this.at(late ? 1_000 + this.pick(6_000) : 1 + this.pick(5), () => {
+        this.deliver(node, order, sentAtMs, target, lost);
+      });
+    }
+    if (lost) {
+      this.answerLater(node, 1_000, failureOf(order));
+    }
+  }
+
+  protected deliver(
+    node: SiteNode,
+    order: WorkerOrder,
+    sentAtMs: number,
+    target: MemoryWorker | undefined,
+    lost: boolean,
+  ): void {
+    const worker = this.workers.get(order.worker);
+    if (worker === undefined || worker !== target) {
+      this.answerLater(node, 1_000, failureOf(order));
+      return;
+    }
+    const answer = this.obey(worker, order, sentAtMs);
+    if (!lost) {
+      this.answerLater(node, 1 + this.pick(5), answer);
+    }
+  }
+
+  protected obey(worker: MemoryWorker, order: WorkerOrder, sentAtMs: number): Event {
+    const clockMs = worker.clockMs(this.nowMs);
+    if (order.type === "worker/start") {
+      const how = this.chance(this.failPercent) ? END_KIND.FAILED : END_KIND.DONE;
+      const answer = worker.start(order, this.nowMs, 200 + this.pick(900), how);
+      const { item, run } = order;
+      return {
+        type: "worker/startAnswered",
+        worker: order.worker,
+        item,
+        run,
+        ...answer,
+        clockMs,
+        atMs: 0,
+      };
+    }
+    if (order.type === "worker/stop") {
+      const settled = worker.stop(order, this.nowMs);
+      const { item, run } = order;
+      return {
+        type: "worker/stopAnswered",
+        worker: order.worker,
+        item,
+        run,
+        settled,
+        wrongLife: false,
+        clockMs,
+        atMs: 0,
+      };
+    }
+    const seen = worker.look(order, this.nowMs);
+    const bornWallMs = worker.report.bornWallMs;
+    return seen === null
+      ? {
+          type: "worker/lookFailed",
+          worker: order.worker,
+          wrongLife: false,
+          reason: "fence",
+          atMs: 0,
+        }
+      : {
+          type: "worker/looked",
+          worker: order.worker,
+          sentAtMs,
+          clockMs,
+          bornWallMs,
+          ...seen,
+          atMs: 0,
+        };
+  }
+}
--- a/packages/core/tests/work/workChaos.test.ts
+++ b/packages/core/tests/work/workChaos.test.ts
@@ -2,7 +2,11 @@
 import type { SubmissionId, WorkSpec } from "../../src/index.js";
 import { WorkSite } from "./workSite.js";
 
-const step = (count: number, cpuMilli: number, after: readonly number[]): WorkSpec["steps"][number] => ({
+const step = (
+  count: number,
+  cpuMilli: number,
+  after: readonly number[],
+): WorkSpec["steps"][number] => ({
   count,
   needs: { cpuMilli, memoryMb: 100, gpus: 0 },
   estimateMs: 600,
--- a/packages/core/tests/work/workSite.ts
+++ b/packages/core/tests/work/workSite.ts
@@ -10,7 +10,6 @@
   teamId,
 } from "@heatherferry/common";
 import {
-  END_KIND,
   initialState,
   initialWork,
   NODE_ROLE,
@@ -26,23 +25,9 @@
   type WorkerReport,
   type WorkSpec,
 } from "../../src/index.js";
-import { MemoryStore } from "./memoryStore.js";
 import { MemoryWorker, partsOf } from "./memoryWorker.js";
 import { CATALOG, BOUNDS } from "./siteFixtures.js";
-import { SiteJudge } from "./siteJudge.js";
-
-const FAULTLESS = { lostPercent: 0, latePercent: 0 };
-
-interface Node {
-  readonly name: string;
-  state: State;
-  /** Time that the node's steady clock missed. */
-  frozenMs: number;
-  frozenUntilMs: number;
-  life: number;
-  up: boolean;
-  refusedUntilMs: number;
-}
+import { SiteRemote, type SiteNode } from "./siteRemote.js";
 
 interface Submitted {
   readonly handIn: HandIn;
@@ -51,34 +36,11 @@
   cancelled: boolean;
 }
 
-type WorkerOrder = Extract<Effect, { type: "worker/start" | "worker/stop" | "worker/look" }>;
-
-const failureOf = (order: WorkerOrder): Event => {
-  const { worker } = order;
-  switch (order.type) {
-    case "worker/look":
-      return { type: "worker/lookFailed", worker, wrongLife: false, reason: "no answer", atMs: 0 };
-    case "worker/start": {
-      const { item, run } = order;
-      return { type: "worker/startAnswered", worker, item, run, result: "unanswered", reason: "no answer", clockMs: null, atMs: 0 };
-    }
-    case "worker/stop": {
-      const { item, run } = order;
-      return { type: "worker/stopAnswered", worker, item, run, settled: false, wrongLife: false, clockMs: null, atMs: 0 };
-    }
-  }
-};
-
 /** Several nodes, a store and workers on one virtual clock; it throws when a promise is broken. */
-export class WorkSite extends SiteJudge {
-  readonly store = new MemoryStore();
-  readonly nodes: Node[] = [];
+export class WorkSite extends SiteRemote {
+  readonly nodes: SiteNode[] = [];
   readonly accepted = new Map<SubmissionId, Submitted>();
   readonly answers = new Map<string, string>();
-  readonly cutWorkers = new Map<string, number>();
-  faults: { lostPercent: number; latePercent: number } = FAULTLESS;
-  failPercent = 0;
-  storeDownUntilMs = 0;
   private readonly pendingCalls = new Map<string, HandIn>();
 
   constructor(seed: number, nodes = 3, workersPerPool = 3) {
@@ -100,7 +62,14 @@
       return;
     }
     const callId = `${id} ${this.order}`;
-    const handIn = { id: id as SubmissionId, queue: queueId(pool), pool: poolId(pool), team: teamId("lots"), acceptedWallMs: 0, work };
+    const handIn = {
+      id: id as SubmissionId,
+      queue: queueId(pool),
+      pool: poolId(pool),
+      team: teamId("lots"),
+      acceptedWallMs: 0,
+      work,
+    };
     this.specs.set(id, handIn);
     this.pendingCalls.set(callId, handIn);
     this.call(node, callId, "submit", `/${pool}/${id}`, work);
@@ -115,7 +84,13 @@
     }
   }
 
-  private call(node: Node, callId: string, kind: "submit" | "cancel", path: string, work: WorkSpec | null): void {
+  private call(
+    node: SiteNode,
+    callId: string,
+    kind: "submit" | "cancel",
+    path: string,
+    work: WorkSpec | null,
+  ): void {
     this.handle(node, {
       type: "call/arrived",
       callId,
@@ -169,7 +144,9 @@
       .filter(({ handIn, cancelAsked }) => {
         const progress = this.store.lookUp(handIn.id).find((row) => row.type === "progress");
         const state = progress?.progress.state ?? SUBMISSION_STATE.QUEUED;
-        return !cancelAsked && state !== SUBMISSION_STATE.COMPLETED && state !== SUBMISSION_STATE.FAILED;
+        return (
+          !cancelAsked && state !== SUBMISSION_STATE.COMPLETED && state !== SUBMISSION_STATE.FAILED
+        );
       })
       .map(({ handIn }) => handIn.id);
   }
@@ -204,7 +181,7 @@
   }
 
   private addNode(name: string): void {
-    const node: Node = {
+    const node: SiteNode = {
       name,
       state: this.newState(name, 1),
       frozenMs: 0,
@@ -231,14 +208,14 @@
     return state;
   }
 
-  private revive(node: Node): void {
+  private revive(node: SiteNode): void {
     node.life += 1;
     node.state = this.newState(node.name, node.life);
     node.up = true;
     this.tick(node, node.life);
   }
 
-  private tick(node: Node, life: number): void {
+  private tick(node: SiteNode, life: number): void {
     if (node.up && node.life === life) {
       this.handle(node, { type: "clock/ticked", atMs: 0 });
       this.at(100, () => {
@@ -247,7 +224,7 @@
     }
   }
 
-  private handle(node: Node, event: Event): void {
+  protected override handle(node: SiteNode, event: Event): void {
     const { life } = node;
     if (!node.up) {
       return;
@@ -266,20 +243,7 @@
     }
   }
 
-  private answerLater(node: Node, delayMs: number, event: Event): void {
-    const { life } = node;
-    this.at(delayMs, () => {
-      if (node.life === life) {
-        this.handle(node, event);
-      }
-    });
-  }
-
-  private storeServes(node: Node): boolean {
-    return this.nowMs >= this.storeDownUntilMs && this.nowMs >= node.refusedUntilMs;
-  }
-
-  private carryOut(node: Node, effect: Effect): void {
+  private carryOut(node: SiteNode, effect: Effect): void {
     const sentAtMs = 1_000 + this.nowMs - node.frozenMs;
     const { life } = node;
     const remote = (act: () => void): void => {
@@ -298,9 +262,20 @@
       case "store/scan":
         remote(() => {
           const { scan } = effect;
-          this.answerLater(node, 2, this.storeServes(node)
-            ? { type: "store/scanned", scan, sentAtMs, rows: this.store.scan(scan), version: storeVersion(this.store.version), atMs: 0 }
-            : { type: "store/scanFailed", scan, reason: "down", atMs: 0 });
+          this.answerLater(
+            node,
+            2,
+            this.storeServes(node)
+              ? {
+                  type: "store/scanned",
+                  scan,
+                  sentAtMs,
+                  rows: this.store.scan(scan),
+                  version: storeVersion(this.store.version),
+                  atMs: 0,
+                }
+              : { type: "store/scanFailed", scan, reason: "down", atMs: 0 },
+          );
         });
         return;
       case "store/feed":
@@ -325,125 +300,6 @@
     }
   }
 
-  private feed(
-    node: Node,
-    life: number,
-    effect: Extract<Effect, { type: "store/feed" }>,
-    untilMs: number,
-  ): void {
-    const { feed, sentAtMs } = effect;
-    this.at(this.pick(6) + 2, () => {
-      if (node.life !== life) {
-        return;
-      }
-      if (!this.storeServes(node)) {
-        this.handle(node, { type: "store/feedFailed", feed, sentAtMs, historyLost: false, reason: "down", atMs: 0 });
-        return;
-      }
-      const rows = this.store.changes(feed, Number(effect.after));
-      if (rows.length > 0 || this.nowMs >= untilMs) {
-        const version = storeVersion(this.store.version);
-        this.handle(node, { type: "store/feedAnswered", feed, sentAtMs, rows, version, atMs: 0 });
-      } else {
-        this.at(20, () => {
-          this.feed(node, life, effect, untilMs);
-        });
-      }
-    });
-  }
-
-  private commit(node: Node, commit: Extract<Effect, { type: "store/commit" }>, sentAtMs: number): void {
-    const { commitId } = commit;
-    const settled = { type: "store/commitSettled" as const, commitId, sentAtMs, atMs: 0 };
-    const nothing = { version: null, rows: [], reason: "down" };
-    if (!this.storeServes(node)) {
-      this.answerLater(node, 2, { ...settled, ...nothing, result: "refused" });
-      return;
-    }
-    if (this.chance(this.faults.lostPercent)) {
-      this.at(this.chance(50) ? 0 : this.pick(3_000), () => {
-        this.store.commit(commit);
-      });
-      this.answerLater(node, 1_000, { ...settled, ...nothing, result: "unanswered" });
-      return;
-    }
-    const rows = this.store.commit(commit);
-    const version = storeVersion(this.store.version);
-    this.answerLater(
-      node,
-      4,
-      rows === null
-        ? { ...settled, result: "committed", version, rows: [], reason: null }
-        : { ...settled, result: "conflicted", version: null, rows, reason: "conflict" },
-    );
-  }
-
-  private lookUp(node: Node, callId: string, id: SubmissionId): void {
-    if (!this.storeServes(node)) {
-      this.answerLater(node, 2, { type: "store/lookUpFailed", callId, reason: "down", atMs: 0 });
-      return;
-    }
-    const rows = this.store.lookUp(id);
-    const handIn = rows.find((row) => row.type === "handIn");
-    const progress = rows.find((row) => row.type === "progress");
-    this.answerLater(node, 3, {
-      type: "store/lookedUp",
-      callId,
-      handIn: handIn === undefined ? null : { handIn: handIn.handIn, version: handIn.version },
-      cancelled: rows.some((row) => row.type === "cancel"),
-      progress: progress?.progress ?? null,
-      atMs: 0,
-    });
-  }
-
-  /** Delivers an order: at once, late, or not at all; its answer may be lost too. */
-  private sendOrder(node: Node, order: WorkerOrder, sentAtMs: number): void {
-    const cut = this.nowMs < (this.cutWorkers.get(order.worker) ?? 0);
-    const late = order.type !== "worker/look" && this.chance(this.faults.latePercent);
-    const lost = cut || late || this.chance(this.faults.lostPercent);
-    const target = this.workers.get(order.worker);
-    if (!cut) {
-      this.at(late ? 1_000 + this.pick(6_000) : 1 + this.pick(5), () => {
-        this.deliver(node, order, sentAtMs, target, lost);
-      });
-    }
-    if (lost) {
-      this.answerLater(node, 1_000, failureOf(order));
-    }
-  }
-
-  private deliver(node: Node, order: WorkerOrder, sentAtMs: number, target: MemoryWorker | undefined, lost: boolean): void {
-    const worker = this.workers.get(order.worker);
-    if (worker === undefined || worker !== target) {
-      this.answerLater(node, 1_000, failureOf(order));
-      return;
-    }
-    const answer = this.obey(worker, order, sentAtMs);
-    if (!lost) {
-      this.answerLater(node, 1 + this.pick(5), answer);
-    }
-  }
-
-  private obey(worker: MemoryWorker, order: WorkerOrder, sentAtMs: number): Event {
-    const clockMs = worker.clockMs(this.nowMs);
-    if (order.type === "worker/start") {
-      const how = this.chance(this.failPercent) ? END_KIND.FAILED : END_KIND.DONE;
-      const answer = worker.start(order, this.nowMs, 200 + this.pick(900), how);
-      const { item, run } = order;
-      return { type: "worker/startAnswered", worker: order.worker, item, run, ...answer, clockMs, atMs: 0 };
-    }
-    if (order.type === "worker/stop") {
-      const settled = worker.stop(order, this.nowMs);
-      const { item, run } = order;
-      return { type: "worker/stopAnswered", worker: order.worker, item, run, settled, wrongLife: false, clockMs, atMs: 0 };
-    }
-    const seen = worker.look(order, this.nowMs);
-    const bornWallMs = worker.report.bornWallMs;
-    return seen === null
-      ? { type: "worker/lookFailed", worker: order.worker, wrongLife: false, reason: "fence", atMs: 0 }
-      : { type: "worker/looked", worker: order.worker, sentAtMs, clockMs, bornWallMs, ...seen, atMs: 0 };
-  }
-
   private answered(callId: string, kind: string): void {
     this.answers.set(callId, kind);
     const handIn = this.pendingCalls.get(callId);
--- a/packages/wire/src/work/workRows.ts
+++ b/packages/wire/src/work/workRows.ts
@@ -31,13 +31,13 @@
  * Hand-ins are spread by id: transactions of one part run one after another, and a slow store
  * would queue them for seconds.
  */
-const HAND_IN_PARTS = "0123456789abcdef";
+const HAND_IN_PARTS = Array.from({ length: 16 }, (_, digit) => `h${digit.toString(16)}`);
 
 const handInPart = (id: SubmissionId): string => `h${id.slice(-1)}`;
 
 /** @returns All parts of a table of the product. */
 export const partsOfTable = (table: string): readonly string[] =>
-  table === WORK_TABLE.HAND_INS ? [...HAND_IN_PARTS].map((digit) => `h${digit}`) : [OWNER_PART];
+  table === WORK_TABLE.HAND_INS ? HAND_IN_PARTS : [OWNER_PART];
 
 /** A cancel lies beside its hand-in, so that one transaction can ask for the one and write the other. */
 const CANCEL_SUFFIX = "~cancel";
@@ -71,7 +71,10 @@
 export const encodeRow = (row: RowToWrite): EncodedRow => {
   switch (row.type) {
     case "handIn":
-      return { ...locateRow({ type: "handIn", id: row.handIn.id }), text: JSON.stringify(row.handIn) };
+      return {
+        ...locateRow({ type: "handIn", id: row.handIn.id }),
+        text: JSON.stringify(row.handIn),
+      };
     case "cancel":
       return { ...locateRow(row), text: "{}" };
     case "progress":
@@ -118,17 +121,27 @@
   if (table === WORK_TABLE.HAND_INS && key.endsWith(CANCEL_SUFFIX)) {
     return { type: "cancel", version: at, id: submissionId(key.slice(0, -CANCEL_SUFFIX.length)) };
   }
-  if (table === WORK_TABLE.HAND_INS && has(body, ["id", "queue", "pool", "work", "acceptedWallMs"])) {
+  if (
+    table === WORK_TABLE.HAND_INS &&
+    has(body, ["id", "queue", "pool", "work", "acceptedWallMs"])
+  ) {
     return { type: "handIn", version: at, handIn: body as HandIn };
   }
-  if (table === WORK_TABLE.PROGRESS && key.startsWith(WAVE_PREFIX) && has(body, ["wave", "doneHosts"])) {
+  if (
+    table === WORK_TABLE.PROGRESS &&
+    key.startsWith(WAVE_PREFIX) &&
+    has(body, ["wave", "doneHosts"])
+  ) {
     const { wave, doneHosts } = body as WaveProgress;
     return { type: "waveReport", version: at, wave, doneHosts };
   }
   if (table === WORK_TABLE.PROGRESS && has(body, ["id", "state", "done", "failures"])) {
     return { type: "progress", version: at, progress: body as Progress };
   }
-  if (table === WORK_TABLE.OWNER && has(body, ["holder", "incarnation", "fence", "leased", "orderedHosts"])) {
+  if (
+    table === WORK_TABLE.OWNER &&
+    has(body, ["holder", "incarnation", "fence", "leased", "orderedHosts"])
+  ) {
     return { type: "owner", version: at, owner: body as OwnerRow };
   }
   return null;
