Name hosts in the owner's row before ordering them; shorten the silence before a take-over; turn hosts off sooner

Cause: after an owner was lost, its successor took over after 2.2 s and could move no host for another 3.3 s, since it could not know what was ordered last. Orders now follow the write that names them, so only those hosts wait.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -110,13 +110,13 @@
 
 export const OWNERSHIP = {
   /** How often others look at the owner's row. */
-  POLL_MS: 300,
+  POLL_MS: 200,
   /** The owner writes its row at least this often. */
-  RENEW_MS: 500,
+  RENEW_MS: 300,
   /** After this long without a confirmed write the owner orders nothing. */
-  SURE_MS: 1_500,
+  SURE_MS: 1_100,
   /** A row that stood still this long may be taken over; above SURE_MS by a write's time. */
-  SILENCE_MS: 2_000,
+  SILENCE_MS: 1_500,
   /** Spread of first claims, so that not all nodes write at once. */
   CLAIM_SPREAD_MS: 150,
 } as const;
@@ -211,11 +211,11 @@
 
 export const LENDING = {
   /** Workers that a pool keeps in any case. */
-  LEAST_WORKERS: 1,
+  LEAST_WORKERS: 3,
   /** A worker idle for so long may go to a pool whose work waits. */
   LEND_IDLE_MS: 200,
   /** A worker idle for so long is turned off. */
-  RETIRE_IDLE_MS: 6_000,
+  RETIRE_IDLE_MS: 2_000,
   /** What waits should be done within this time. */
   DRAIN_MS: 1_500,
   /** Time over which the rate of arriving work is averaged. */
--- a/packages/core/src/work/hosts.ts
+++ b/packages/core/src/work/hosts.ts
@@ -1,7 +1,7 @@
 import type { HostId } from "@heatherferry/common";
 import { HOSTS } from "./constants.js";
 import type { WorkEvent } from "./events.js";
-import type { OwnedWork } from "./state.js";
+import type { HostOrder, OwnedWork } from "./state.js";
 import type { Turn } from "./turn.js";
 
 /** Asks for the list of hosts if the last one is older than this. */
@@ -31,10 +31,24 @@
 };
 
 /** Two holders must not take turns at a host, so orders of the owner before have to be old enough. */
-export const mayOrderHost = (turn: Turn, owned: OwnedWork, host: HostId): boolean => {
-  const { inheritedOrders, takenAtMs } = owned;
-  return (
-    (inheritedOrders !== "unknown" && !inheritedOrders.has(host)) ||
-    turn.nowMs - takenAtMs >= turn.work.bounds.dutyLeaseMs + HOSTS.DUTY_MARGIN_MS
-  );
+export const mayOrderHost = (turn: Turn, owned: OwnedWork, host: HostId): boolean =>
+  !owned.inheritedOrders.has(host) ||
+  turn.nowMs - owned.takenAtMs >= turn.work.bounds.dutyLeaseMs + HOSTS.DUTY_MARGIN_MS;
+
+/** Plans an order; it goes out once the owner's row names the host, so that a successor knows. */
+export const planHostOrder = (turn: Turn, owned: OwnedWork, order: HostOrder): void => {
+  owned.hostOrders.set(order.host, turn.nowMs);
+  owned.plannedOrders.push(order);
+};
+
+/** Sends orders whose hosts the owner's row names now. */
+export const sendHostOrders = (
+  turn: Turn,
+  owned: OwnedWork,
+  orders: readonly HostOrder[],
+): void => {
+  for (const order of orders) {
+    owned.hostOrders.set(order.host, turn.nowMs);
+    turn.effects.push(order);
+  }
 };
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -2,7 +2,8 @@
 import type { HostId } from "@heatherferry/common";
 import { HOSTS, OWNERSHIP, STORE } from "./constants.js";
 import type { RowToWrite, WorkEvent } from "./events.js";
-import { endOwning, stillOwner } from "./ownership.js";
+import { sendHostOrders } from "./hosts.js";
+import { endOwning, isSure, stillOwner } from "./ownership.js";
 import type { LedgerWrite, OwnedWork, Submission, Worker } from "./state.js";
 import { progressOf } from "./submissions.js";
 import { logLine, newCommitId, wakeAfter, type Turn } from "./turn.js";
@@ -127,7 +128,9 @@
       : [],
     releases,
     cleared,
+    orders: owned.plannedOrders,
   };
+  owned.plannedOrders = [];
   owned.ledger = write;
   owned.releasing = releases;
   owned.needsRenewal = false;
@@ -164,7 +167,12 @@
   const releases = turn.work.leavingAtMs !== null;
   const sinceMs = turn.nowMs - owned.ledgerSentAtMs;
   const due = sinceMs >= OWNERSHIP.RENEW_MS || owned.needsRenewal || releases;
-  const news = owned.active && (owned.dirty.size > 0 || endsWait(owned) || wavesChanged(owned));
+  const news =
+    owned.active &&
+    (owned.dirty.size > 0 ||
+      endsWait(owned) ||
+      wavesChanged(owned) ||
+      owned.plannedOrders.length > 0);
   if (due) {
     send(turn, owned, releases);
   } else if (news && sinceMs >= STORE.LEDGER_GAP_MS) {
@@ -188,7 +196,7 @@
     owned.ledger = null;
     owned.rowVersion = event.version;
     owned.confirmedAtMs = Math.max(owned.confirmedAtMs, event.sentAtMs);
-    showWritten(turn, write);
+    showWritten(turn, owned, write);
   } else if (event.result === "conflicted") {
     if (stillOwner(turn, owned, event.rows, event.sentAtMs)) {
       owned.ledgerRetryAtMs = turn.nowMs;
@@ -205,13 +213,16 @@
   return true;
 };
 
-const showWritten = (turn: Turn, write: LedgerWrite): void => {
+const showWritten = (turn: Turn, owned: OwnedWork, write: LedgerWrite): void => {
   for (const { submission, shows } of write.submissions) {
     submission.shownState = shows;
   }
   for (const { worker, sequence } of write.ends) {
     worker.durableSequence = Math.max(worker.durableSequence, sequence);
   }
+  if (isSure(turn, owned)) {
+    sendHostOrders(turn, owned, write.orders);
+  }
   for (const worker of write.cleared) {
     worker.suspected = false;
   }
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -3,7 +3,7 @@
 import { HOSTS, LENDING } from "./constants.js";
 import { mayRunUnseen, withinCeiling } from "./dispatch.js";
 import type { WorkEvent } from "./events.js";
-import { listHosts, mayOrderHost } from "./hosts.js";
+import { listHosts, mayOrderHost, planHostOrder } from "./hosts.js";
 import { isSure } from "./ownership.js";
 import { poolOf } from "./pools.js";
 import { roomOf } from "./runs.js";
@@ -131,7 +131,6 @@
   if (worker !== null) {
     worker.reserved = true;
   }
-  owned.hostOrders.set(host, turn.nowMs);
   owned.moves.set(host, {
     to,
     from: owned.hosts.get(host)?.pool ?? null,
@@ -139,7 +138,7 @@
     orderedAtMs: turn.nowMs,
     confirmed: false,
   });
-  turn.effects.push({ type: "power/move", host, pool: to, fence: owned.fence });
+  planHostOrder(turn, owned, { type: "power/move", host, pool: to, fence: owned.fence });
   logLine(turn, "info", "host.moving", {
     host,
     from: worker?.report.pool ?? owned.hosts.get(host)?.pool ?? null,
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -190,8 +190,7 @@
   unheard: new Map(Object.entries(before?.leased ?? {}) as [WorkerId, LeasedWorker][]),
   heldItems: new Map(),
   stopsUnknown: before !== null && !before.released,
-  inheritedOrders:
-    before === null || before.released ? new Set(before?.orderedHosts ?? []) : "unknown",
+  inheritedOrders: new Set(before?.orderedHosts ?? []),
   submissions: new Map(),
   workers: new Map(),
   pools: new Map(),
@@ -208,6 +207,7 @@
   workersByHost: new Map(),
   moves: new Map(),
   hostOrders: new Map(),
+  plannedOrders: [],
   hostListAtMs: null,
   hostListSentAtMs: null,
   hostViewAtMs: null,
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -1,5 +1,5 @@
 import type { HostId, PoolId, TeamId } from "@heatherferry/common";
-import type { CallArrival, Commit, Feed, Scan, StoreRow } from "./events.js";
+import type { CallArrival, Commit, Feed, Scan, StoreRow, WorkEffect } from "./events.js";
 import type {
   Catalog,
   Fence,
@@ -190,7 +190,7 @@
   /** The owner before ended without a last word, so it may just have stopped something. */
   readonly stopsUnknown: boolean;
   /** Hosts that the owner before may have ordered just before it ended. */
-  readonly inheritedOrders: ReadonlySet<HostId> | "unknown";
+  readonly inheritedOrders: ReadonlySet<HostId>;
   readonly submissions: Map<SubmissionId, Submission>;
   readonly workers: Map<WorkerId, Worker>;
   readonly pools: Map<PoolId, PoolWork>;
@@ -210,7 +210,10 @@
   /** The listed worker that each host runs. */
   readonly workersByHost: Map<HostId, Worker>;
   readonly moves: Map<HostId, HostMove>;
+  /** When each host was ordered last, or will be once the owner's row names it. */
   readonly hostOrders: Map<HostId, number>;
+  /** Orders that wait for the owner's row to name their hosts. */
+  plannedOrders: HostOrder[];
   hostListAtMs: number | null;
   hostListSentAtMs: number | null;
   /** When the newest list was asked for. */
@@ -223,6 +226,8 @@
   loadedRows: StoreRow[];
 }
 
+export type HostOrder = Extract<WorkEffect, { type: "power/move" | "power/upkeep" }>;
+
 /** A host on its way to another pool. */
 export interface HostMove {
   readonly to: PoolId;
@@ -239,6 +244,7 @@
   readonly ends: readonly { readonly worker: Worker; readonly sequence: number }[];
   readonly releases: boolean;
   readonly cleared: readonly Worker[];
+  readonly orders: readonly HostOrder[];
 }
 
 /** A caller's call without an answer yet. */
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -1,6 +1,6 @@
 import type { HostId } from "@heatherferry/common";
 import { HOSTS } from "./constants.js";
-import { listHosts, mayOrderHost } from "./hosts.js";
+import { listHosts, mayOrderHost, planHostOrder } from "./hosts.js";
 import type { WorkEvent } from "./events.js";
 import { isSure } from "./ownership.js";
 import { stopRun } from "./runs.js";
@@ -129,7 +129,6 @@
   if (turn.nowMs - lastMs < HOSTS.ORDER_RETRY_MS) {
     return;
   }
-  owned.hostOrders.set(host, turn.nowMs);
   if (!wave.outHosts.has(host)) {
     wave.outHosts.set(host, {
       worker: worker?.report.id ?? null,
@@ -137,7 +136,12 @@
       confirmed: false,
     });
   }
-  turn.effects.push({ type: "power/upkeep", host, wave: wave.request.wave, fence: owned.fence });
+  planHostOrder(turn, owned, {
+    type: "power/upkeep",
+    host,
+    wave: wave.request.wave,
+    fence: owned.fence,
+  });
   logLine(turn, "info", "wave.upkeepOrdered", {
     wave: wave.request.wave,
     host,
