Start items only after the owner's row names them, so that a successor holds back just those

Cause: after a take-over, pools with a worker that could not be reached started nothing for a lease, 4.2 s, and teams with a ceiling nowhere. Ruled out: fencing alone, since an unreachable worker cannot be fenced.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -66,6 +66,8 @@
 } as const;
 
 export const RUN_PHASE = {
+  /** Its room is taken; the order waits until the owner's row names it. */
+  PLANNED: "planned",
   /** Ordered, not answered. */
   ORDERED: "ordered",
   RUNNING: "running",
@@ -132,7 +134,7 @@
   /** Rows of one transaction; the store takes 100 entries, the owner's row among them. */
   MAX_ROWS: 90,
   /** Pause between two writes of the owner, so that one carries what gathers meanwhile. */
-  LEDGER_GAP_MS: 30,
+  LEDGER_GAP_MS: 20,
 } as const;
 
 export const CATALOG_VIEW = {
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -1,16 +1,14 @@
 import type { PoolId } from "@heatherferry/common";
 import { queueById } from "./catalog.js";
-import { HEALTH, LEASE, RUN_PHASE } from "./constants.js";
+import { HEALTH, RUN_PHASE } from "./constants.js";
 import { isSure } from "./ownership.js";
-import { addRun, roomOf, stopRun } from "./runs.js";
+import { roomOf, stopRun } from "./runs.js";
+import { planStart } from "./starts.js";
 import type { Item, OwnedWork, PoolWork, Submission, Worker } from "./state.js";
 import { poolOfSubmission } from "./submissions.js";
-import { logLine, type Turn } from "./turn.js";
+import type { Turn } from "./turn.js";
 import type { Resources } from "./types.js";
-import { extendLease, isSilent, targetOf } from "./workers.js";
-
-/** Runs that one fence may order of an item; the next fence counts on from there. */
-const RUNS_OF_A_FENCE = 1_000;
+import { isSilent } from "./workers.js";
 
 /** Submissions of a pool that may find no room before a pass ends. */
 const MISSES_OF_A_PASS = 12;
@@ -21,7 +19,6 @@
   worker.clock !== null &&
   !worker.report.draining &&
   !worker.reserved &&
-  !worker.suspected &&
   worker.restsUntilMs <= turn.nowMs &&
   worker.roomKnownAtMs <= turn.nowMs &&
   !isSilent(turn, worker);
@@ -111,40 +108,10 @@
   const { needs } = item.spec;
   const within = (resource: keyof Resources): boolean =>
     ceiling[resource] === 0 ||
-    (owned.useKnown && use[resource] + held[resource] + needs[resource] <= ceiling[resource]);
+    use[resource] + held[resource] + needs[resource] <= ceiling[resource];
   return within("cpuMilli") && within("memoryMb") && within("gpus");
 };
 
-const start = (turn: Turn, owned: OwnedWork, worker: Worker, item: Item): void => {
-  const firstOfFence = (Number(owned.fence) - 1) * RUNS_OF_A_FENCE;
-  const number = Math.max(item.lastRun, firstOfFence) + 1;
-  const untilClockMs = extendLease(turn, worker);
-  if (untilClockMs === null) {
-    return;
-  }
-  addRun(turn, owned, worker, item, number);
-  worker.nextLookAtMs = Math.max(worker.nextLookAtMs, turn.nowMs + LEASE.LOOK_GAP_MS);
-  const { checkpoint, submission } = item;
-  turn.effects.push({
-    type: "worker/start",
-    item: item.key,
-    run: number,
-    payload: submission.handIn.work.payload,
-    untilClockMs,
-    checkpoint,
-    ...targetOf(owned, worker),
-  });
-  logLine(turn, "info", "run.ordered", {
-    item: item.key,
-    run: number,
-    worker: worker.report.id,
-    pool: worker.report.pool,
-    fence: Number(owned.fence),
-    slackMs: Math.round(submission.dueAtMs - turn.nowMs),
-    usedCpuMilli: worker.usedCpuMilli,
-  });
-};
-
 interface Ranked {
   readonly submission: Submission;
   readonly priority: number;
@@ -177,14 +144,9 @@
   return ranked.map(({ submission }) => submission);
 };
 
-/** @returns Whether a run of the item by an earlier owner may go on where nobody has looked. */
-export const mayRunUnseen = (owned: OwnedWork, pool: PoolWork, item: Item): boolean =>
-  item.inherited && (!pool.settled || owned.heldItems.has(item.key));
-
 const placeItems = (
   turn: Turn,
   owned: OwnedWork,
-  pool: PoolWork,
   workers: readonly Worker[],
   submission: Submission,
 ): boolean => {
@@ -192,7 +154,7 @@
   for (const item of [...submission.ready]) {
     const waits =
       fullSteps.has(item.step) ||
-      mayRunUnseen(owned, pool, item) ||
+      owned.heldItems.has(item.key) ||
       item.notBeforeMs > turn.nowMs ||
       !withinCeiling(turn, owned, item);
     if (!waits) {
@@ -200,7 +162,7 @@
       if (worker === null) {
         fullSteps.add(item.step);
       } else {
-        start(turn, owned, worker, item);
+        planStart(turn, owned, worker, item);
       }
     }
   }
@@ -217,7 +179,7 @@
   for (const submission of inOrder(turn, pool)) {
     if (poolOfSubmission(turn, submission.handIn) !== pool.id) {
       moveWaiting(owned, pool, submission, poolOfSubmission(turn, submission.handIn));
-    } else if (!placeItems(turn, owned, pool, workers, submission)) {
+    } else if (!placeItems(turn, owned, workers, submission)) {
       misses += 1;
       if (misses >= MISSES_OF_A_PASS) {
         return;
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -8,17 +8,26 @@
 import { progressOf } from "./submissions.js";
 import { logLine, newCommitId, wakeAfter, type Turn } from "./turn.js";
 import type { LeasedWorker, OwnerRow, WorkerId } from "./types.js";
-import { hasStops, isSilent } from "./workers.js";
+import { dropStarts, sendStarts } from "./starts.js";
+import { hasStops } from "./workers.js";
 
-/** @returns Workers on which something may run; of silent ones, what. */
-const leasedWorkers = (turn: Turn, owned: OwnedWork): Record<WorkerId, LeasedWorker> => {
+const itemsOn = (worker: Worker): Record<string, number[]> => {
+  const items: Record<string, number[]> = {};
+  for (const { item } of worker.runs.values()) {
+    const step = `${item.submission.handIn.id}.${item.occurrence}.${item.step}`;
+    (items[step] ??= []).push(item.index);
+  }
+  return items;
+};
+
+/** @returns Workers on which something may run, and what. */
+const leasedWorkers = (owned: OwnedWork): Record<WorkerId, LeasedWorker> => {
   const rows: Record<WorkerId, LeasedWorker> = Object.fromEntries(owned.unheard);
   for (const worker of owned.workers.values()) {
-    const leased = worker.leaseEndsAtMs !== null && worker.leaseEndsAtMs > turn.nowMs;
-    if (leased && (worker.runs.size > 0 || worker.strayStops.size > 0)) {
+    if (worker.runs.size > 0 || worker.strayStops.size > 0) {
       rows[worker.report.id] = {
         pool: worker.report.pool,
-        items: isSilent(turn, worker) ? [...worker.runs.keys()] : null,
+        items: itemsOn(worker),
         stopping: hasStops(worker),
       };
     }
@@ -36,7 +45,7 @@
   incarnation: turn.work.identity.incarnation,
   fence: owned.fence,
   released,
-  leased: leasedWorkers(turn, owned),
+  leased: leasedWorkers(owned),
   orderedHosts: orderedHosts(turn, owned),
   pending: pendingByQueue(turn),
 });
@@ -77,24 +86,6 @@
   return false;
 };
 
-/**
- * From here on nothing starts on workers of which the row says what runs there.
- *
- * @returns Workers that answer again: they may be used once the row that says so is written.
- */
-const markSuspects = (owned: OwnedWork, row: OwnerRow): readonly Worker[] => {
-  const cleared: Worker[] = [];
-  for (const worker of owned.workers.values()) {
-    const items = row.leased[worker.report.id]?.items ?? null;
-    if (items !== null) {
-      worker.suspected = true;
-    } else if (worker.suspected) {
-      cleared.push(worker);
-    }
-  }
-  return cleared;
-};
-
 /** Writes what has changed, and the owner's row with it; one write at a time. */
 const send = (turn: Turn, owned: OwnedWork, releases: boolean): void => {
   const submissions = gather(owned);
@@ -104,7 +95,6 @@
   }
   const complete = owned.dirty.size === 0;
   const owner = ownerRow(turn, owned, releases);
-  const cleared = markSuspects(owned, owner);
   const write: LedgerWrite = {
     commit: {
       commitId: newCommitId(turn.work),
@@ -127,9 +117,10 @@
           .map((worker) => ({ worker, sequence: worker.seenSequence }))
       : [],
     releases,
-    cleared,
+    starts: owned.plannedStarts,
     orders: owned.plannedOrders,
   };
+  owned.plannedStarts = [];
   owned.plannedOrders = [];
   owned.ledger = write;
   owned.releasing = releases;
@@ -172,7 +163,8 @@
     (owned.dirty.size > 0 ||
       endsWait(owned) ||
       wavesChanged(owned) ||
-      owned.plannedOrders.length > 0);
+      owned.plannedOrders.length > 0 ||
+      owned.plannedStarts.length > 0);
   if (due) {
     send(turn, owned, releases);
   } else if (news && sinceMs >= STORE.LEDGER_GAP_MS) {
@@ -222,9 +214,9 @@
   }
   if (isSure(turn, owned)) {
     sendHostOrders(turn, owned, write.orders);
-  }
-  for (const worker of write.cleared) {
-    worker.suspected = false;
+    sendStarts(turn, owned, write.starts);
+  } else {
+    dropStarts(turn, owned, write.starts);
   }
   if (write.releases) {
     endOwning(turn, "given back at shutdown");
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -1,7 +1,7 @@
 import type { HostId, PoolId } from "@heatherferry/common";
 import { poolById } from "./catalog.js";
 import { HOSTS, LENDING } from "./constants.js";
-import { mayRunUnseen, withinCeiling } from "./dispatch.js";
+import { withinCeiling } from "./dispatch.js";
 import type { WorkEvent } from "./events.js";
 import { listHosts, mayOrderHost, planHostOrder } from "./hosts.js";
 import { isSure } from "./ownership.js";
@@ -58,7 +58,7 @@
   for (const submission of pool.waiting) {
     const perStep = new Map<number, number>();
     for (const item of submission.ready) {
-      if (!mayRunUnseen(owned, pool, item) && withinCeiling(turn, owned, item)) {
+      if (!owned.heldItems.has(item.key) && withinCeiling(turn, owned, item)) {
         waitingWork += roomOf(item.spec).cpuMilli * Math.max(1, item.spec.estimateMs);
         perStep.set(
           item.step,
--- a/packages/core/src/work/pools.ts
+++ b/packages/core/src/work/pools.ts
@@ -10,7 +10,6 @@
       workers: new Set(),
       waiting: new Set(),
       dirty: true,
-      settled: false,
       arrivedWork: 0,
       arrivingCpuMilli: 0,
       rateAtMs: 0,
--- a/packages/core/src/work/recovery.ts
+++ b/packages/core/src/work/recovery.ts
@@ -1,11 +1,11 @@
-import type { PoolId, TeamId } from "@heatherferry/common";
+import type { TeamId } from "@heatherferry/common";
 import { LEASE } from "./constants.js";
 import type { Scan, StoreRow, WorkEvent } from "./events.js";
 import { poolOf } from "./pools.js";
 import type { OwnedWork, TeamUse } from "./state.js";
 import { adoptHandIn, cancelOwned, findItem } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
-import type { Progress, SubmissionId, WorkerId } from "./types.js";
+import type { ItemKey, Progress, SubmissionId, WorkerId } from "./types.js";
 import { waveReported } from "./waves.js";
 import { workerReported } from "./workers.js";
 
@@ -39,10 +39,21 @@
   }
 };
 
+const holdItems = (owned: OwnedWork): void => {
+  for (const [worker, { items }] of owned.unheard) {
+    for (const [step, indexes] of Object.entries(items)) {
+      for (const index of indexes) {
+        owned.heldItems.set(`${step}.${index}` as ItemKey, worker);
+      }
+    }
+  }
+};
+
 const begin = (turn: Turn, owned: OwnedWork, rows: readonly StoreRow[]): void => {
   const progress = new Map<SubmissionId, Progress>();
   const cancels: SubmissionId[] = [];
   owned.active = true;
+  holdItems(owned);
   for (const row of rows) {
     if (row.type === "worker") {
       workerReported(turn, owned, row.report);
@@ -63,9 +74,7 @@
   cancels.forEach((id) => {
     cancelOwned(turn, id);
   });
-  for (const [worker, { items }] of owned.unheard) {
-    items?.forEach((item) => owned.heldItems.set(item, worker));
-  }
+  owned.heldUse = heldUse(owned);
   logLine(turn, "info", "owner.loaded", {
     fence: Number(owned.fence),
     submissions: owned.submissions.size,
@@ -77,29 +86,22 @@
 
 /** Lets items of earlier owners start once nothing of them can run unseen. */
 export const tickRecovery = (turn: Turn, owned: OwnedWork): void => {
+  if (owned.unheard.size === 0) {
+    return;
+  }
   const longestLeaseMs = LEASE.TERM_MS / LEASE.SLOWEST_CLOCK + LEASE.END_MARGIN_MS;
   const leasesOver = turn.nowMs - owned.takenAtMs > longestLeaseMs;
-  for (const id of owned.unheard.keys()) {
+  for (const id of [...owned.unheard.keys()]) {
     if (leasesOver || owned.workers.get(id)?.fenced === true) {
       workerHeard(owned, id);
     }
   }
-  tickSettling(turn, owned, leasesOver);
-  updateUse(owned);
-};
-
-const tickSettling = (turn: Turn, owned: OwnedWork, leasesOver: boolean): void => {
-  for (const pool of owned.pools.values()) {
-    if (!pool.settled && (leasesOver || allHeard(owned, pool.id))) {
-      pool.settled = true;
-      pool.dirty = true;
-      logLine(turn, "info", "pool.settled", {
-        pool: pool.id,
-        leasesOver,
-        held: owned.heldItems.size,
-        afterMs: Math.round(turn.nowMs - owned.takenAtMs),
-      });
-    }
+  owned.heldUse = heldUse(owned);
+  if (owned.unheard.size === 0) {
+    logLine(turn, "info", "owner.allHeard", {
+      leasesOver,
+      afterMs: Math.round(turn.nowMs - owned.takenAtMs),
+    });
   }
 };
 
@@ -120,14 +122,6 @@
   return uses;
 };
 
-const updateUse = (owned: OwnedWork): void => {
-  if (owned.useKnown && owned.heldUse.size === 0) {
-    return;
-  }
-  owned.heldUse = heldUse(owned);
-  owned.useKnown = [...owned.pools.values()].every(({ settled }) => settled);
-};
-
 const workerHeard = (owned: OwnedWork, id: WorkerId): void => {
   const leased = owned.unheard.get(id);
   owned.unheard.delete(id);
@@ -140,19 +134,3 @@
     poolOf(owned, leased.pool).dirty = true;
   }
 };
-
-/** @returns Whether no worker of the pool can run anything that is not known. */
-const allHeard = (owned: OwnedWork, id: PoolId): boolean => {
-  for (const [worker, { pool, items }] of owned.unheard) {
-    if (pool === id && (items === null || owned.workers.get(worker)?.fenced === true)) {
-      return false;
-    }
-  }
-  for (const worker of poolOf(owned, id).workers) {
-    const known = owned.unheard.get(worker.report.id);
-    if (!worker.fenced && worker.listed && (known === undefined || known.items === null)) {
-      return false;
-    }
-  }
-  return true;
-};
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -157,7 +157,6 @@
   for (const submission of [...owned.scheduled]) {
     makeDueOccurrences(turn, owned, submission, null, false);
   }
-  tickRecovery(turn, owned);
   repeatStops(turn, owned);
   stopStalled(turn, owned);
   tickWaves(turn, owned);
@@ -193,6 +192,7 @@
       if (ticked) {
         tickOwned(turn, owned);
       }
+      tickRecovery(turn, owned);
       dispatch(turn, owned);
       tickWorkers(turn, owned);
     }
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -51,7 +51,7 @@
     number,
     worker: worker.report.id,
     room: roomOf(item.spec),
-    phase: RUN_PHASE.ORDERED,
+    phase: RUN_PHASE.PLANNED,
     orderedAtMs: turn.nowMs,
     confirmedAtMs: null,
     shown: false,
@@ -68,6 +68,9 @@
   item.phase = ITEM_PHASE.PLACED;
   item.inherited = false;
   item.submission.ready.delete(item);
+  if (worker.runs.size === 0) {
+    worker.busySinceMs = turn.nowMs;
+  }
   worker.runs.set(item.key, run);
   charge(owned, worker, run, 1);
   return run;
@@ -95,6 +98,11 @@
   if (worker === undefined || run.phase === RUN_PHASE.STOPPING) {
     return;
   }
+  if (run.phase === RUN_PHASE.PLANNED) {
+    dropRun(turn, owned, worker, run);
+    itemLost(turn, owned, run.item);
+    return;
+  }
   run.phase = RUN_PHASE.STOPPING;
   sendStop(turn, owned, worker, run);
   logLine(turn, "info", "run.stopping", {
@@ -246,9 +254,13 @@
   }
 };
 
-/** Everything on a worker has ended: its lease is over, or it is another life. */
+/** Everything ordered on a worker has ended: its lease is over, or it is another life. */
 export const loseRuns = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
   for (const run of [...worker.runs.values()]) {
+    const planned = run.phase === RUN_PHASE.PLANNED;
+    if (planned && owned.workers.get(worker.report.id) === worker) {
+      continue;
+    }
     dropRun(turn, owned, worker, run);
     itemLost(turn, owned, run.item);
     logLine(turn, "warn", "run.lost", {
--- /dev/null
+++ b/packages/core/src/work/starts.ts
@@ -0,0 +1,83 @@
+import { LEASE, RUN_PHASE } from "./constants.js";
+import { addRun, dropRun } from "./runs.js";
+import type { Item, OwnedWork, Run, Worker } from "./state.js";
+import { itemLost } from "./submissions.js";
+import { logLine, type Turn } from "./turn.js";
+import { extendLease, targetOf } from "./workers.js";
+
+/** Runs that one fence may order of an item; the next fence counts on from there. */
+const RUNS_OF_A_FENCE = 1_000;
+
+/**
+ * Takes room for an item. The order goes out once the owner's row names the item, so that a
+ * successor knows what may run on a worker that it cannot reach.
+ */
+export const planStart = (turn: Turn, owned: OwnedWork, worker: Worker, item: Item): void => {
+  const firstOfFence = (Number(owned.fence) - 1) * RUNS_OF_A_FENCE;
+  const run = addRun(turn, owned, worker, item, Math.max(item.lastRun, firstOfFence) + 1);
+  owned.plannedStarts.push(run);
+};
+
+const unplan = (turn: Turn, owned: OwnedWork, run: Run): void => {
+  const worker = owned.workers.get(run.worker);
+  if (worker?.runs.get(run.item.key) === run && run.phase === RUN_PHASE.PLANNED) {
+    dropRun(turn, owned, worker, run);
+    itemLost(turn, owned, run.item);
+  }
+};
+
+/** Gives back the room of runs that are not ordered after all. */
+export const dropStarts = (turn: Turn, owned: OwnedWork, runs: readonly Run[]): void => {
+  runs.forEach((run) => {
+    unplan(turn, owned, run);
+  });
+};
+
+const order = (
+  turn: Turn,
+  owned: OwnedWork,
+  worker: Worker,
+  run: Run,
+  untilClockMs: number,
+): void => {
+  const { item } = run;
+  const { submission } = item;
+  run.phase = RUN_PHASE.ORDERED;
+  run.orderedAtMs = turn.nowMs;
+  worker.nextLookAtMs = Math.max(worker.nextLookAtMs, turn.nowMs + LEASE.LOOK_GAP_MS);
+  turn.effects.push({
+    type: "worker/start",
+    item: item.key,
+    run: run.number,
+    payload: submission.handIn.work.payload,
+    untilClockMs,
+    checkpoint: item.checkpoint,
+    ...targetOf(owned, worker),
+  });
+  logLine(turn, "info", "run.ordered", {
+    item: item.key,
+    run: run.number,
+    worker: worker.report.id,
+    pool: worker.report.pool,
+    fence: Number(owned.fence),
+    slackMs: Math.round(submission.dueAtMs - turn.nowMs),
+    usedCpuMilli: worker.usedCpuMilli,
+  });
+};
+
+/** Orders runs that the owner's row names now. */
+export const sendStarts = (turn: Turn, owned: OwnedWork, runs: readonly Run[]): void => {
+  for (const run of runs) {
+    const worker = owned.workers.get(run.worker);
+    const planned = worker?.runs.get(run.item.key) === run && run.phase === RUN_PHASE.PLANNED;
+    if (worker !== undefined && planned) {
+      const open = worker.listed && !worker.report.draining;
+      const untilClockMs = open ? extendLease(turn, worker) : null;
+      if (untilClockMs === null) {
+        unplan(turn, owned, run);
+      } else {
+        order(turn, owned, worker, run, untilClockMs);
+      }
+    }
+  }
+};
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -30,7 +30,7 @@
   /** What it takes of the worker's room. */
   readonly room: Resources;
   phase: RunPhase;
-  readonly orderedAtMs: number;
+  orderedAtMs: number;
   /** When the worker confirmed it; a look sent later must show it. */
   confirmedAtMs: number | null;
   /** A look has shown it, so it belongs to the life of the worker that was looked at. */
@@ -122,14 +122,14 @@
   usedGpus: number;
   /** Since when nothing runs there. */
   idleSinceMs: number;
+  /** Since when something runs there, or is about to. */
+  busySinceMs: number;
   /** Since when no tail on it came near its target. */
   tailsCalmSinceMs: number;
   failuresInRow: number;
   restsUntilMs: number;
   /** Its free room is not known before, since an earlier owner stopped runs there. */
   roomKnownAtMs: number;
-  /** The owner's row says what runs there, since it does not answer; nothing starts there. */
-  suspected: boolean;
   /** Its host is due for upkeep or a move: nothing new starts there. */
   reserved: boolean;
 }
@@ -145,8 +145,6 @@
   /** Rate of arriving work, in thousandths of a core. */
   arrivingCpuMilli: number;
   rateAtMs: number;
-  /** Items known before this owner may start: nothing of them can run unseen. */
-  settled: boolean;
 }
 
 /** What a team has running over all pools. */
@@ -197,8 +195,6 @@
   readonly teams: Map<TeamId, TeamUse>;
   /** What teams may have running on workers that were not heard yet. */
   heldUse: ReadonlyMap<TeamId, TeamUse>;
-  /** All that runs is known or held; before, no team with a ceiling starts anything. */
-  useKnown: boolean;
   readonly dirty: Set<Submission>;
   /** Occurrences to come, with their times. */
   readonly scheduled: Set<Submission>;
@@ -212,6 +208,8 @@
   readonly moves: Map<HostId, HostMove>;
   /** When each host was ordered last, or will be once the owner's row names it. */
   readonly hostOrders: Map<HostId, number>;
+  /** Runs that wait for the owner's row to name them. */
+  plannedStarts: Run[];
   /** Orders that wait for the owner's row to name their hosts. */
   plannedOrders: HostOrder[];
   hostListAtMs: number | null;
@@ -243,7 +241,7 @@
   readonly submissions: readonly { readonly submission: Submission; shows: SubmissionState }[];
   readonly ends: readonly { readonly worker: Worker; readonly sequence: number }[];
   readonly releases: boolean;
-  readonly cleared: readonly Worker[];
+  readonly starts: readonly Run[];
   readonly orders: readonly HostOrder[];
 }
 
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -108,10 +108,10 @@
 export interface LeasedWorker {
   readonly pool: PoolId;
   /**
-   * For a worker that does not answer, all that may run there: nothing more was started since.
-   * Null for a worker that answers, on which anything of its pool may run.
+   * All that may run there, `submission.occurrence.step` to item numbers: an item is started only
+   * after a row that names it was written.
    */
-  readonly items: readonly ItemKey[] | null;
+  readonly items: Readonly<Record<string, readonly number[]>>;
   /** Runs are being stopped there, which takes room but is not listed as running. */
   readonly stopping: boolean;
 }
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -67,11 +67,11 @@
   usedMemoryMb: 0,
   usedGpus: 0,
   idleSinceMs: turn.nowMs,
+  busySinceMs: turn.nowMs,
   tailsCalmSinceMs: 0,
   failuresInRow: 0,
   restsUntilMs: 0,
   roomKnownAtMs: 0,
-  suspected: false,
   reserved: false,
 });
 
@@ -90,8 +90,8 @@
 };
 
 const forgetWorker = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
-  loseRuns(turn, owned, worker, why);
   owned.workers.delete(worker.report.id);
+  loseRuns(turn, owned, worker, why);
   unbindHost(owned, worker);
   poolOf(owned, worker.report.pool).workers.delete(worker);
 };
@@ -279,21 +279,17 @@
 /** @returns Whether a worker that should answer does not. */
 export const isSilent = (turn: Turn, worker: Worker): boolean =>
   worker.runs.size > 0 &&
-  turn.nowMs - (worker.answeredAtMs ?? worker.idleSinceMs) >
+  turn.nowMs - Math.max(worker.answeredAtMs ?? 0, worker.busySinceMs) >
     LEASE.LOOK_WAIT_MS + LEASE.SILENT_MARGIN_MS;
 
 /** Looks at workers that are due and ends leases that are over. */
 export const tickWorkers = (turn: Turn, owned: OwnedWork): void => {
   for (const worker of [...owned.workers.values()]) {
-    if (
-      worker.leaseEndsAtMs !== null &&
-      turn.nowMs > worker.leaseEndsAtMs &&
-      worker.runs.size > 0
-    ) {
+    if (worker.leaseEndsAtMs !== null && turn.nowMs > worker.leaseEndsAtMs) {
+      worker.leaseEndsAtMs = null;
       loseRuns(turn, owned, worker, "the lease ended");
     }
-    const forgotten = !worker.listed && worker.runs.size === 0;
-    if (forgotten && (worker.leaseEndsAtMs === null || turn.nowMs > worker.leaseEndsAtMs)) {
+    if (!worker.listed && worker.runs.size === 0 && worker.leaseEndsAtMs === null) {
       owned.workers.delete(worker.report.id);
       poolOf(owned, worker.report.pool).workers.delete(worker);
     } else {
