--- a/packages/core/src/work/ends.ts
+++ b/packages/core/src/work/ends.ts
@@ -1,4 +1,5 @@
 import { END_KIND, HEALTH, ITEM_PHASE, ORDER, RUN_PHASE } from "./constants.js";
+import { gangDone } from "./gangs.js";
 import { addRun, dropRun, stopRun } from "./runs.js";
 import type { Item, OwnedWork, Worker } from "./state.js";
 import { findItem, isOver, itemBegan, itemDone, itemFailed, itemLost } from "./submissions.js";
@@ -54,7 +55,11 @@
 ): void => {
   if (end.kind === END_KIND.DONE) {
     worker.failuresInRow = 0;
-    itemDone(turn, owned, item);
+    if (item.spec.gang) {
+      gangDone(turn, owned, item);
+    } else {
+      itemDone(turn, owned, item);
+    }
     return;
   }
   if (end.kind === END_KIND.FAILED) {
--- /dev/null
+++ b/packages/core/src/work/gangs.ts
@@ -0,0 +1,61 @@
+import { ITEM_PHASE } from "./constants.js";
+import { dropRun, roomOf } from "./runs.js";
+import type { Item, OwnedWork, Worker } from "./state.js";
+import { itemDone, itemLost } from "./submissions.js";
+import type { Turn } from "./turn.js";
+import { nextRunNumber, planStart } from "./starts.js";
+import { chooseWorker, withinCeiling } from "./placement.js";
+
+/** @returns All items that work together with this one. */
+const membersOf = (item: Item): readonly Item[] =>
+  item.submission.occurrences.get(item.occurrence)?.steps[item.step] ?? [];
+
+const giveBack = (turn: Turn, owned: OwnedWork, items: readonly Item[]): void => {
+  for (const item of items) {
+    const worker = item.run === null ? undefined : owned.workers.get(item.run.worker);
+    if (item.run !== null && worker !== undefined) {
+      dropRun(turn, owned, worker, item.run);
+    }
+    itemLost(turn, owned, item);
+  }
+};
+
+/**
+ * Plans all members of a gang in one run, or none: members that wait for the others waste their
+ * room and then end.
+ *
+ * @returns Whether there was room for all, or some member cannot start yet for another reason.
+ */
+export const planGang = (
+  turn: Turn,
+  owned: OwnedWork,
+  workers: readonly Worker[],
+  first: Item,
+): boolean => {
+  const members = membersOf(first);
+  if (!members.every(({ phase, key }) => phase === ITEM_PHASE.READY && !owned.heldItems.has(key))) {
+    return true;
+  }
+  const number = Math.max(...members.map((item) => nextRunNumber(owned, item)));
+  const checkpoint = members.find((item) => item.checkpoint !== null)?.checkpoint ?? null;
+  const planned: Item[] = [];
+  for (const item of members) {
+    const allowed = withinCeiling(turn, owned, item);
+    const worker = allowed ? chooseWorker(workers, item, roomOf(item.spec)) : null;
+    if (worker === null) {
+      giveBack(turn, owned, planned);
+      return !allowed;
+    }
+    item.checkpoint = checkpoint;
+    planStart(turn, owned, worker, item, number);
+    planned.push(item);
+  }
+  return true;
+};
+
+/** One member that has ended as done stands for all. */
+export const gangDone = (turn: Turn, owned: OwnedWork, item: Item): void => {
+  for (const member of membersOf(item)) {
+    itemDone(turn, owned, member);
+  }
+};
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -1,7 +1,7 @@
 import type { HostId, PoolId } from "@heatherferry/common";
 import { poolById } from "./catalog.js";
 import { HOSTS, LENDING } from "./constants.js";
-import { withinCeiling } from "./dispatch.js";
+import { withinCeiling } from "./placement.js";
 import type { WorkEvent } from "./events.js";
 import { listHosts, mayOrderHost, planHostOrder } from "./hosts.js";
 import { isSure } from "./ownership.js";
--- /dev/null
+++ b/packages/core/src/work/placement.ts
@@ -0,0 +1,97 @@
+import type { Item, OwnedWork, Worker } from "./state.js";
+import type { Turn } from "./turn.js";
+import type { Resources } from "./types.js";
+
+const fits = (worker: Worker, room: Resources): boolean => {
+  const { capacity } = worker.report;
+  return (
+    worker.usedCpuMilli + room.cpuMilli <= capacity.cpuMilli &&
+    worker.usedMemoryMb + room.memoryMb <= capacity.memoryMb &&
+    worker.usedGpus + room.gpus <= capacity.gpus
+  );
+};
+
+const sameStepRuns = (worker: Worker, item: Item): number => {
+  let count = 0;
+  for (const run of worker.runs.values()) {
+    const other = run.item;
+    if (
+      other.submission === item.submission &&
+      other.step === item.step &&
+      other.occurrence === item.occurrence
+    ) {
+      count += 1;
+    }
+  }
+  return count;
+};
+
+const disturbs = (worker: Worker, item: Item): boolean => {
+  for (const { item: other } of worker.runs.values()) {
+    if (item.spec.filler ? other.spec.tailTargetMs !== null : other.spec.filler) {
+      return true;
+    }
+  }
+  return false;
+};
+
+/** @returns How little a worker suits an item; null where it must not run there. */
+const cost = (worker: Worker, item: Item, room: Resources): number | null => {
+  const { spec } = item;
+  const { report } = worker;
+  if (
+    !fits(worker, room) ||
+    (spec.requiredLabel !== null && !report.labels.includes(spec.requiredLabel))
+  ) {
+    return null;
+  }
+  if (spec.maxPerWorker !== null && sameStepRuns(worker, item) >= spec.maxPerWorker) {
+    return null;
+  }
+  // Full workers first: empty ones can be lent or turned off.
+  let points = 1 - worker.usedCpuMilli / Math.max(1, report.capacity.cpuMilli);
+  if (spec.preferredRack !== null && report.rack !== spec.preferredRack) {
+    points += 10;
+  }
+  if (worker.report.id === item.avoid) {
+    points += 5;
+  }
+  const sensitive = spec.filler || spec.tailTargetMs !== null;
+  return sensitive && disturbs(worker, item) ? points + 3 : points;
+};
+
+/** @returns The worker that suits an item best, or null where none has room. */
+export const chooseWorker = (
+  workers: readonly Worker[],
+  item: Item,
+  room: Resources,
+): Worker | null => {
+  let best: Worker | null = null;
+  let least = Infinity;
+  for (const worker of workers) {
+    const points = cost(worker, item, room);
+    if (points !== null && points < least) {
+      least = points;
+      best = worker;
+    }
+  }
+  return best;
+};
+
+const NO_USE: Resources = { cpuMilli: 0, memoryMb: 0, gpus: 0 };
+
+/** @returns Whether a team may have the item running beside what it has. */
+export const withinCeiling = (turn: Turn, owned: OwnedWork, item: Item): boolean => {
+  const { team } = item.submission.handIn;
+  const ceiling = turn.work.catalog?.teams.find(({ id }) => id === team)?.ceiling;
+  if (team === null || ceiling === undefined) {
+    return true;
+  }
+  const use = owned.teams.get(team) ?? NO_USE;
+  const held = owned.heldUse.get(team) ?? NO_USE;
+  const { needs } = item.spec;
+  const within = (resource: keyof Resources): boolean =>
+    ceiling[resource] === 0 ||
+    use[resource] + held[resource] + needs[resource] <= ceiling[resource];
+  return within("cpuMilli") && within("memoryMb") && within("gpus");
+};
--- a/packages/core/src/work/starts.ts
+++ b/packages/core/src/work/starts.ts
@@ -8,13 +8,22 @@
 /** Runs that one fence may order of an item; the next fence counts on from there. */
 const RUNS_OF_A_FENCE = 1_000;
 
+/** @returns A number above all that any run of the item had, under any owner. */
+export const nextRunNumber = (owned: OwnedWork, item: Item): number =>
+  Math.max(item.lastRun, (Number(owned.fence) - 1) * RUNS_OF_A_FENCE) + 1;
+
 /**
  * Takes room for an item. The order goes out once the owner's row names the item, so that a
  * successor knows what may run on a worker that it cannot reach.
  */
-export const planStart = (turn: Turn, owned: OwnedWork, worker: Worker, item: Item): void => {
-  const firstOfFence = (Number(owned.fence) - 1) * RUNS_OF_A_FENCE;
-  const run = addRun(turn, owned, worker, item, Math.max(item.lastRun, firstOfFence) + 1);
+export const planStart = (
+  turn: Turn,
+  owned: OwnedWork,
+  worker: Worker,
+  item: Item,
+  number: number,
+): void => {
+  const run = addRun(turn, owned, worker, item, number);
   owned.plannedStarts.push(run);
 };
 
