--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -91,7 +91,7 @@
   const loop = new EventLoop(state, defaultPolicies(), [metrics]);
   const store = new PlatformStore(settings.storeAddress, log);
   const workers = new PlatformWorkers();
-  const hosts = new PlatformHosts(settings.hostsAddress ?? "", settings.nodeName);
+  const hosts = new PlatformHosts(settings.hostsAddress, settings.nodeName);
   const admin = new AdminServer(metrics.registry, new WorkHealth(state));
   await front.listen(settings.callerAddress, settings.readyAddress);
   await admin.listen(settings.ip, settings.ownPorts[0] + METRICS_PORT_OFFSET);
--- a/packages/runners/src/daemon/daemonEffects.ts
+++ b/packages/runners/src/daemon/daemonEffects.ts
@@ -1,5 +1,5 @@
 import type { JsonLogger } from "@heatherferry/common";
-import type { Effect } from "@heatherferry/core";
+import type { Effect, WorkEffect } from "@heatherferry/core";
 import { EffectRunner } from "../loop/eventLoop.js";
 import type { TableRunner } from "../platform/tableRunner.js";
 import type { ExitSwitch } from "./closingExit.js";
@@ -17,8 +17,15 @@
   { type: "table/read" | "table/write" | "rules/inForce" | "log/write" | "node/exit" }
 >;
 
-/** Effects that only some daemons carry out. */
-export type OwnEffect = Exclude<Effect, SharedEffect>;
+/** Effects that only some daemons carry out; those on submissions have a runner of their own. */
+export type OwnEffect = Exclude<Effect, SharedEffect | WorkEffect>;
+
+const WORK_DOMAINS: readonly string[] = ["call", "store", "worker", "power", "clock"];
+
+const isWorkEffect = (effect: Effect): effect is WorkEffect =>
+  WORK_DOMAINS.includes(effect.type.split("/")[0] ?? "") ||
+  effect.type === "node/readiness" ||
+  effect.type === "node/closeFront";
 
 /** Carries out what all daemons share, and leaves the rest to the daemon. */
 export abstract class DaemonEffects extends EffectRunner {
@@ -48,12 +55,16 @@
         exitSwitch.exit();
         return;
       default:
-        this.runOwn(effect);
+        if (isWorkEffect(effect)) {
+          this.notOfThisRole(effect);
+        } else {
+          this.runOwn(effect);
+        }
     }
   }
 
   /** @param effect - An effect that the daemon's role never asks for. */
-  protected notOfThisRole(effect: OwnEffect): void {
+  protected notOfThisRole(effect: Effect): void {
     this.shared.log("error", "effect.notOfThisRole", { type: effect.type });
   }
 }
