--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -118,7 +118,7 @@
   log("info", "node.started", {
     life,
     zone: settings.availabilityZone,
-    at: settings.callerAddress,
+    listens: settings.callerAddress,
   });
   return {
     shutDown: () => {
--- a/packages/core/src/work/answers.ts
+++ b/packages/core/src/work/answers.ts
@@ -2,13 +2,13 @@
 import { ANSWER_KIND, CALL } from "./constants.js";
 import type { CallAnswer, Commit } from "./events.js";
 import type { OpenCall } from "./state.js";
-import { logLine, type Turn } from "./turn.js";
+import { logLine, loggedMs, type Turn } from "./turn.js";
 
 /** Tells a caller the outcome and logs what decided it. */
 export const answer = (
   turn: Turn,
   call: CallAnswer,
-  inputs: Record<string, string | number> = {},
+  inputs: Record<string, string | number | null> = {},
 ): void => {
   turn.work.calls.delete(call.callId);
   turn.effects.push({ type: "call/answer", ...call });
@@ -29,7 +29,7 @@
   answer(
     turn,
     { callId, kind: ANSWER_KIND.UNAVAILABLE, retryAfterMs: CALL.RETRY_AFTER_MS, problem },
-    { viewAgeMs: Math.round(Math.min(catalogAgeMs(turn), Number.MAX_SAFE_INTEGER)) },
+    { viewAgeMs: loggedMs(catalogAgeMs(turn)) },
   );
 };
 
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -219,9 +219,9 @@
   /** A worker idle for so long is turned off. */
   RETIRE_IDLE_MS: 2_000,
   /** What waits should be done within this time. */
-  DRAIN_MS: 1_500,
+  DRAIN_MS: 800,
   /** Time over which the rate of arriving work is averaged. */
-  RATE_MS: 800,
+  RATE_MS: 400,
   /** Room above the rate of arriving work, since items of mixed sizes do not fill a worker. */
   RATE_ROOM: 1.15,
   /** Size of a host where a pool has none to go by. */
--- a/packages/core/src/work/feeds.ts
+++ b/packages/core/src/work/feeds.ts
@@ -3,7 +3,7 @@
 import type { Feed, StoreRow, WorkEvent } from "./events.js";
 import type { FeedState } from "./state.js";
 import { adoptHandIn, cancelOwned } from "./submissions.js";
-import { logLine, type Turn } from "./turn.js";
+import { logLine, loggedMs, type Turn } from "./turn.js";
 import { waveRequested } from "./waves.js";
 import { workerReported, workerUnlisted } from "./workers.js";
 
@@ -147,7 +147,7 @@
   const silentMs = nowMs - (work.storeAnsweredAtMs ?? -Infinity);
   if (!work.storeLost && silentMs > STORE.LOST_MS) {
     work.storeLost = true;
-    logLine(turn, "warn", "store.lost", { silentMs: Math.round(Math.min(silentMs, 1e9)) });
+    logLine(turn, "warn", "store.lost", { silentMs: loggedMs(silentMs) });
   }
   tickReadiness(turn);
 };
@@ -162,7 +162,7 @@
     turn.effects.push({ type: "node/readiness", ready });
     logLine(turn, "info", "node.readiness", {
       ready,
-      viewAgeMs: Math.round(Math.min(ageMs, 1e9)),
+      viewAgeMs: loggedMs(ageMs),
       leaving: work.leavingAtMs !== null,
     });
   }
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -6,7 +6,7 @@
 import { endOwning, isSure, stillOwner } from "./ownership.js";
 import type { LedgerWrite, OwnedWork, Submission, Worker } from "./state.js";
 import { progressOf } from "./submissions.js";
-import { logLine, newCommitId, wakeAfter, type Turn } from "./turn.js";
+import { logLine, loggedMs, newCommitId, wakeAfter, type Turn } from "./turn.js";
 import type { LeasedWorker, OwnerRow, WorkerId } from "./types.js";
 import { dropStarts, sendStarts } from "./starts.js";
 import { hasStops } from "./workers.js";
@@ -198,7 +198,7 @@
     logLine(turn, "warn", "owner.writeUnsettled", {
       result: event.result,
       reason: event.reason,
-      confirmedAgeMs: Math.round(Math.min(turn.nowMs - owned.confirmedAtMs, 1e9)),
+      confirmedAgeMs: loggedMs(turn.nowMs - owned.confirmedAtMs),
     });
     owned.ledgerRetryAtMs = turn.nowMs + STORE.COMMIT_RETRY_MS;
   }
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -1,7 +1,7 @@
 import { OWNERSHIP } from "./constants.js";
 import type { StoreRow, WorkEvent } from "./events.js";
 import type { OwnedWork, WorkloadState } from "./state.js";
-import { logLine, newCommitId, type Turn } from "./turn.js";
+import { logLine, loggedMs, newCommitId, type Turn } from "./turn.js";
 import {
   fence,
   storeVersion,
@@ -226,7 +226,7 @@
   logLine(turn, "warn", "owner.ended", {
     fence: Number(work.owned.fence),
     why,
-    confirmedAgeMs: Math.round(Math.min(turn.nowMs - work.owned.confirmedAtMs, 1e9)),
+    confirmedAgeMs: loggedMs(turn.nowMs - work.owned.confirmedAtMs),
   });
   work.owned = null;
   work.ownerView.row = null;
--- a/packages/core/src/work/turn.ts
+++ b/packages/core/src/work/turn.ts
@@ -39,3 +39,7 @@
   work.nextCommit += 1;
   return id;
 };
+
+/** @returns An age or a time for a log line: whole ms, null where there is none. */
+export const loggedMs = (ms: number): number | null =>
+  Number.isFinite(ms) ? Math.round(ms) : null;
--- a/packages/core/tests/work/memoryStore.ts
+++ b/packages/core/tests/work/memoryStore.ts
@@ -95,8 +95,6 @@
 
   private read(name: string): StoreRow[] {
     const cell = this.cells.get(name);
-    return cell?.row == null
-      ? []
-      : [{ ...cell.row, version: storeVersion(cell.version) }];
+    return cell?.row == null ? [] : [{ ...cell.row, version: storeVersion(cell.version) }];
   }
 }
