--- a/apps/cli/src/commands/arguments.ts
+++ b/apps/cli/src/commands/arguments.ts
@@ -3,18 +3,18 @@
 import { COMMAND_ERROR_KIND, CommandError } from "../errors.js";
 
 /**
- * @param path - Path of a rules file.
+ * @param path - Path of a text file.
  * @returns The whole file.
  * @throws CommandError when it cannot be read.
  */
-export const readRulesFile = (path: string): string => {
+export const readTextFile = (path: string): string => {
   try {
     return readFileSync(path, "utf8");
   } catch (cause) {
     throw new CommandError(
       COMMAND_ERROR_KIND.UNREADABLE_FILE,
       `${path}: ${messageOf(cause)}`,
-      "Pass the path of a readable rules file",
+      "Pass the path of a readable file",
       { cause },
     );
   }
--- a/apps/cli/src/commands/rulesCommands.ts
+++ b/apps/cli/src/commands/rulesCommands.ts
@@ -8,13 +8,13 @@
 import type { ExitCode } from "../operation/types.js";
 import { ShowDiff } from "../show/showDiff.js";
 import { ShowRules } from "../show/showRules.js";
-import { optionalRevision, readRulesFile, wholeNumber } from "./arguments.js";
+import { optionalRevision, readTextFile, wholeNumber } from "./arguments.js";
 import { OperatorCommand, PlatformCommand, RulesCommand } from "./operatorCommand.js";
 
 const CATEGORY = "Rules";
 
 const checkedFile = (path: string): string => {
-  const text = readRulesFile(path);
+  const text = readTextFile(path);
   checkedRules(text, path);
   return text;
 };
--- a/apps/cli/src/wire.ts
+++ b/apps/cli/src/wire.ts
@@ -19,6 +19,8 @@
   ShowCommand,
 } from "./commands/rulesCommands.js";
 
+import { TraceCommand } from "./commands/traceCommand.js";
+
 const COMMANDS = [
   Builtins.HelpCommand,
   CheckCommand,
@@ -35,6 +37,7 @@
   WaveCommand,
   WavePauseCommand,
   WaveResumeCommand,
+  TraceCommand,
 ] as const;
 
 /** The operators' command line with all its parts. */
