--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -30,11 +30,13 @@
   readonly late: boolean;
 }
 
+/** @returns Whether a submission can no longer be done in time, even if it starts now. */
 const isLate = (turn: Turn, submission: Submission): boolean => {
   const [first] = submission.ready;
-  return (
-    turn.nowMs + (first?.spec.estimateMs ?? 0) > submission.dueAtMs && first?.spec.lasting !== true
-  );
+  if (first === undefined || first.spec.lasting) {
+    return false;
+  }
+  return turn.nowMs + (submission.chainsMs[first.step] ?? 0) > submission.dueAtMs;
 };
 
 const inOrder = (turn: Turn, pool: PoolWork): readonly Submission[] => {
--- /dev/null
+++ b/packages/core/src/work/estimates.ts
@@ -0,0 +1,27 @@
+import type { WorkSpec } from "./types.js";
+
+/**
+ * @param work - What was handed in.
+ * @returns For each step, the longest chain of estimated run times from its start to the end.
+ */
+export const chainsMs = (work: WorkSpec): readonly number[] => {
+  const chains = work.steps.map(() => 0);
+  for (let number = work.steps.length - 1; number >= 0; number -= 1) {
+    const step = work.steps[number];
+    // Later steps have added theirs already, since steps only wait for earlier ones.
+    const ownMs = (chains[number] ?? 0) + (step?.estimateMs ?? 0);
+    chains[number] = ownMs;
+    for (const earlier of step?.after ?? []) {
+      chains[earlier] = Math.max(chains[earlier] ?? 0, ownMs);
+    }
+  }
+  return chains;
+};
+
+/** @returns Work of the steps that end, in thousandths of a core times ms. */
+export const endingWork = (work: WorkSpec): number =>
+  work.steps.reduce(
+    (sum, step) =>
+      step.lasting ? sum : sum + step.count * step.needs.cpuMilli * Math.max(1, step.estimateMs),
+    0,
+  );
--- a/packages/core/src/work/index.ts
+++ b/packages/core/src/work/index.ts
@@ -2,4 +2,4 @@
 export * from "./events.js";
 export * from "./state.js";
 export * from "./types.js";
-export { longestChainMs } from "./submissions.js";
+export { chainsMs } from "./estimates.js";
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -79,6 +79,8 @@
   readonly version: StoreVersion;
   /** Objective on this node's clock. */
   dueAtMs: number;
+  /** For each step, the longest chain of estimates from its start to the end. */
+  readonly chainsMs: readonly number[];
   readonly occurrences: Map<number, Occurrence>;
   /** Occurrences made so far, done or not. */
   madeOccurrences: number;
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -1,6 +1,7 @@
 import type { PoolId } from "@heatherferry/common";
 import { poolById, queueById } from "./catalog.js";
 import { ITEM_PHASE, SUBMISSION_STATE } from "./constants.js";
+import { chainsMs, endingWork } from "./estimates.js";
 import { poolOf } from "./pools.js";
 import { stopRun } from "./runs.js";
 import type { Item, Occurrence, OwnedWork, Submission } from "./state.js";
@@ -16,33 +17,15 @@
   type WorkSpec,
 } from "./types.js";
 
-/** @returns Longest chain of estimated run times through the steps, in ms. */
-export const longestChainMs = (work: WorkSpec): number => {
-  const ends: number[] = [];
-  work.steps.forEach((step, number) => {
-    const before = Math.max(0, ...step.after.map((earlier) => ends[earlier] ?? 0));
-    ends[number] = before + step.estimateMs;
-  });
-  return Math.max(0, ...ends);
-};
-
-/** @returns Work of the steps that end, in thousandths of a core times ms. */
-const endingWork = (work: WorkSpec): number =>
-  work.steps.reduce(
-    (sum, step) =>
-      step.lasting ? sum : sum + step.count * step.needs.cpuMilli * Math.max(1, step.estimateMs),
-    0,
-  );
-
 /** @returns The pool that runs a submission's work by the catalog in force. */
 export const poolOfSubmission = (turn: Turn, handIn: HandIn): PoolId =>
   queueById(turn.work.catalog, handIn.queue)?.pool ?? handIn.pool;
 
-const dueAt = (turn: Turn, handIn: HandIn): number => {
+const dueAt = (turn: Turn, handIn: HandIn, longestChainMs: number): number => {
   const queue = queueById(turn.work.catalog, handIn.queue);
   const acceptedAtMs = turn.nowMs - Math.max(0, turn.wallMs - handIn.acceptedWallMs);
   const stretch = queue?.stretchFactor ?? 1;
-  return acceptedAtMs + stretch * longestChainMs(handIn.work) + (queue?.targetDurationMs ?? 0);
+  return acceptedAtMs + stretch * longestChainMs + (queue?.targetDurationMs ?? 0);
 };
 
 const newItem = (
@@ -181,10 +164,12 @@
     return;
   }
   const state = progress?.state ?? SUBMISSION_STATE.QUEUED;
+  const chains = chainsMs(handIn.work);
   const submission: Submission = {
     handIn,
     version,
-    dueAtMs: dueAt(turn, handIn),
+    dueAtMs: dueAt(turn, handIn, Math.max(0, ...chains)),
+    chainsMs: chains,
     occurrences: new Map(),
     madeOccurrences: 0,
     doneOccurrences: 0,
--- a/packages/core/tests/work/workChaos.test.ts
+++ b/packages/core/tests/work/workChaos.test.ts
@@ -1,37 +1,10 @@
 import test from "ava";
 import type { SubmissionId, WorkSpec } from "../../src/index.js";
+import { stepOf, workOf } from "./workSpecs.js";
 import { WorkSite } from "./workSite.js";
 
-const step = (
-  count: number,
-  cpuMilli: number,
-  after: readonly number[],
-): WorkSpec["steps"][number] => ({
-  count,
-  needs: { cpuMilli, memoryMb: 100, gpus: 0 },
-  estimateMs: 600,
-  after,
-  checkpointing: false,
-  gang: false,
-  rackLocal: false,
-  requiredLabel: null,
-  preferredRack: null,
-  maxPerWorker: null,
-  speculative: false,
-  lasting: false,
-  image: null,
-  tailTargetMs: null,
-  filler: false,
-  maxUnavailable: null,
-});
-
-const work = (site: WorkSite): WorkSpec => ({
-  payload: "text",
-  steps: [step(1 + site.pick(4), 300 + site.pick(900), []), step(1 + site.pick(3), 500, [0])],
-  occurrences: 0,
-  firstDueWallMs: 0,
-  intervalMs: 0,
-});
+const work = (site: WorkSite): WorkSpec =>
+  workOf([stepOf(1 + site.pick(4), 300 + site.pick(900), []), stepOf(1 + site.pick(3), 500, [0])]);
 
 const idOf = (number: number): string => number.toString(16).padStart(16, "0");
 
--- a/packages/core/tests/work/workSite.ts
+++ b/packages/core/tests/work/workSite.ts
@@ -39,6 +39,8 @@
 /** Several nodes, a store and workers on one virtual clock; it throws when a promise is broken. */
 export class WorkSite extends SiteRemote {
   readonly nodes: SiteNode[] = [];
+  /** All that the nodes decided. */
+  readonly effects: Effect[] = [];
   readonly accepted = new Map<SubmissionId, Submitted>();
   readonly answers = new Map<string, string>();
   private readonly pendingCalls = new Map<string, HandIn>();
@@ -244,6 +246,7 @@
   }
 
   private carryOut(node: SiteNode, effect: Effect): void {
+    this.effects.push(effect);
     const sentAtMs = 1_000 + this.nowMs - node.frozenMs;
     const { life } = node;
     const remote = (act: () => void): void => {
