--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -211,6 +211,11 @@
   SWEEP_MS: 10_000,
 } as const;
 
+export const ALLOWANCE = {
+  /** A team may save up its weight for so long. */
+  BURST_S: 1,
+} as const;
+
 export const LENDING = {
   /** Workers that a pool keeps in any case. */
   LEAST_WORKERS: 3,
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -24,12 +24,6 @@
   worker.roomKnownAtMs <= turn.nowMs &&
   !isSilent(turn, worker);
 
-interface Ranked {
-  readonly submission: Submission;
-  readonly priority: number;
-  readonly late: boolean;
-}
-
 /** @returns Whether a submission can no longer be done in time, even if it starts now. */
 const isLate = (turn: Turn, submission: Submission): boolean => {
   const [first] = submission.ready;
@@ -39,6 +33,23 @@
   return turn.nowMs + (submission.chainsMs[first.step] ?? 0) > submission.dueAtMs;
 };
 
+interface Ranked {
+  readonly submission: Submission;
+  readonly priority: number;
+  /** What earns its caller most goes first. */
+  readonly rank: number;
+}
+
+/** In time, late, and beyond the team's right. */
+const RANK = { IN_TIME: 0, LATE: 1, EXCESS: 2 } as const;
+
+const rankOf = (turn: Turn, submission: Submission): number => {
+  if (submission.excess) {
+    return RANK.EXCESS;
+  }
+  return isLate(turn, submission) ? RANK.LATE : RANK.IN_TIME;
+};
+
 const inOrder = (turn: Turn, pool: PoolWork): readonly Submission[] => {
   const ranked: Ranked[] = [];
   for (const submission of pool.waiting) {
@@ -46,12 +57,12 @@
       pool.waiting.delete(submission);
     } else {
       const queue = queueById(turn.work.catalog, submission.handIn.queue);
-      ranked.push({ submission, priority: queue?.priority ?? 0, late: isLate(turn, submission) });
+      ranked.push({ submission, priority: queue?.priority ?? 0, rank: rankOf(turn, submission) });
     }
   }
   ranked.sort(
     (one, other) =>
-      Number(one.late) - Number(other.late) ||
+      one.rank - other.rank ||
       one.priority - other.priority ||
       one.submission.dueAtMs - other.submission.dueAtMs,
   );
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -195,6 +195,7 @@
   workers: new Map(),
   pools: new Map(),
   teams: new Map(),
+  allowances: new Map(),
   heldUse: new Map(),
   dirty: new Set(),
   scheduled: new Set(),
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -1,4 +1,5 @@
 import type { HostId, PoolId, TeamId } from "@heatherferry/common";
+import type { Allowance } from "./allowance.js";
 import type { CallArrival, Commit, Feed, Scan, StoreRow, WorkEffect } from "./events.js";
 import type {
   Catalog,
@@ -79,6 +80,8 @@
   readonly version: StoreVersion;
   /** Objective on this node's clock. */
   dueAtMs: number;
+  /** Handed in beyond what its team has a right to: others' work goes first. */
+  readonly excess: boolean;
   /** For each step, the longest chain of estimates from its start to the end. */
   readonly chainsMs: readonly number[];
   readonly occurrences: Map<number, Occurrence>;
@@ -195,6 +198,7 @@
   readonly workers: Map<WorkerId, Worker>;
   readonly pools: Map<PoolId, PoolWork>;
   readonly teams: Map<TeamId, TeamUse>;
+  readonly allowances: Map<TeamId, Allowance>;
   /** What teams may have running on workers that were not heard yet. */
   heldUse: ReadonlyMap<TeamId, TeamUse>;
   readonly dirty: Set<Submission>;
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -1,4 +1,5 @@
 import type { PoolId } from "@heatherferry/common";
+import { takeAllowance } from "./allowance.js";
 import { poolById, queueById } from "./catalog.js";
 import { ITEM_PHASE, SUBMISSION_STATE } from "./constants.js";
 import { chainsMs, endingWork } from "./estimates.js";
@@ -14,7 +15,6 @@
   type StoreVersion,
   type SubmissionId,
   type SubmissionState,
-  type WorkSpec,
 } from "./types.js";
 
 /** @returns The pool that runs a submission's work by the catalog in force. */
@@ -140,6 +140,19 @@
   owned.scheduled.delete(submission);
 };
 
+const isExcess = (turn: Turn, owned: OwnedWork, handIn: HandIn): boolean => {
+  const team = turn.work.catalog?.teams.find(({ id }) => id === handIn.team);
+  if (team === undefined) {
+    return false;
+  }
+  let allowance = owned.allowances.get(team.id);
+  if (allowance === undefined) {
+    allowance = { left: team.weight, atMs: turn.nowMs };
+    owned.allowances.set(team.id, allowance);
+  }
+  return !takeAllowance(allowance, team.weight, turn.nowMs);
+};
+
 /** Marks a submission for the owner's next write. */
 export const markDirty = (owned: OwnedWork, submission: Submission): void => {
   submission.dirty = true;
@@ -169,6 +182,7 @@
     handIn,
     version,
     dueAtMs: dueAt(turn, handIn, Math.max(0, ...chains)),
+    excess: !inherited && isExcess(turn, owned, handIn),
     chainsMs: chains,
     occurrences: new Map(),
     madeOccurrences: 0,
