--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -83,7 +83,6 @@
     {
       holder: `${settings.nodeName}@${settings.ip}`,
       incarnation: life,
-      zone: settings.availabilityZone,
     },
     settings.bounds,
   );
--- a/packages/core/src/work/calls.ts
+++ b/packages/core/src/work/calls.ts
@@ -44,7 +44,6 @@
   const waitMs = arrival.waitMs ?? CALL.DEFAULT_WAIT_MS;
   const call: OpenCall = {
     arrival,
-    arrivedAtMs: turn.nowMs,
     answerByMs: turn.nowMs + Math.max(CALL.ANSWER_MARGIN_MS, waitMs - CALL.ANSWER_MARGIN_MS),
     id,
     handIn,
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -124,7 +124,6 @@
 } as const;
 
 export const STORE = {
-  COMMIT_TIMEOUT_MS: 1_000,
   FEED_WAIT_MS: 1_000,
   FEED_RETRY_MS: 200,
   /** Nodes count the store as lost after this long without an answer. */
@@ -222,7 +221,7 @@
   /** A worker idle for so long may go to a pool whose work waits. */
   LEND_IDLE_MS: 200,
   /** A worker idle for so long is turned off. */
-  RETIRE_IDLE_MS: 2_000,
+  RETIRE_IDLE_MS: 1_500,
   /** What waits should be done within this time. */
   DRAIN_MS: 800,
   /** Time over which the rate of arriving work is averaged. */
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -87,10 +87,7 @@
       continue;
     }
     const waits =
-      fullSteps.has(step) ||
-      owned.heldItems.has(item.key) ||
-      item.notBeforeMs > turn.nowMs ||
-      !withinCeiling(turn, owned, item);
+      fullSteps.has(step) || owned.heldItems.has(item.key) || !withinCeiling(turn, owned, item);
     if (!waits) {
       const worker = chooseWorker(workers, item, roomOf(item.spec));
       if (worker === null) {
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -65,7 +65,6 @@
   avoid: WorkerId | null;
   /** It was known before this owner took over, and may run where nobody has looked. */
   inherited: boolean;
-  notBeforeMs: number;
 }
 
 /** One time that the steps of a submission run. */
@@ -254,7 +253,6 @@
 /** A caller's call without an answer yet. */
 export interface OpenCall {
   readonly arrival: CallArrival;
-  readonly arrivedAtMs: number;
   readonly answerByMs: number;
   readonly id: SubmissionId | null;
   readonly handIn: HandIn | null;
@@ -290,7 +288,6 @@
 export interface WorkIdentity {
   readonly holder: string;
   readonly incarnation: string;
-  readonly zone: string;
 }
 
 export interface WorkloadState {
@@ -314,7 +311,6 @@
   frontClosed: boolean;
   nextCommit: number;
   wakeAtMs: number | null;
-  readonly unusableLogged: Set<string>;
 }
 
 const newFeed = (): FeedState => ({
@@ -357,5 +353,4 @@
   frontClosed: false,
   nextCommit: 1,
   wakeAtMs: null,
-  unusableLogged: new Set(),
 });
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -1,6 +1,6 @@
 import type { PoolId } from "@heatherferry/common";
 import { takeAllowance } from "./allowance.js";
-import { poolById, queueById } from "./catalog.js";
+import { queueById } from "./catalog.js";
 import { ITEM_PHASE, SUBMISSION_STATE } from "./constants.js";
 import { chainsMs, endingWork } from "./estimates.js";
 import { poolOf } from "./pools.js";
@@ -53,7 +53,6 @@
     checkpoint: null,
     avoid: null,
     inherited,
-    notBeforeMs: 0,
   };
 };
 
@@ -332,7 +331,3 @@
     ]?.[Number(index)] ?? null
   );
 };
-
-/** @returns Whether a pool can hold none of a step's items on any of its workers. */
-export const poolIsStandby = (turn: Turn, pool: PoolId): boolean =>
-  poolById(turn.work.catalog, pool)?.standby === true;
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -146,8 +146,6 @@
 
 export interface Pool {
   readonly id: PoolId;
-  /** Its workers refuse what does not fit. */
-  readonly guardsCapacity: boolean;
   /** Its hosts are off until they move to another pool. */
   readonly standby: boolean;
 }
--- a/packages/core/tests/work/siteFixtures.ts
+++ b/packages/core/tests/work/siteFixtures.ts
@@ -34,7 +34,6 @@
   })),
   pools: ["mills", "dies"].map((name) => ({
     id: poolId(name),
-    guardsCapacity: false,
     standby: false,
   })),
   teams: [{ id: teamId("lots"), keys: ["key"], weight: 1, ceiling: CEILING }],
--- a/packages/core/tests/work/workSite.ts
+++ b/packages/core/tests/work/workSite.ts
@@ -206,7 +206,7 @@
       peerAddress: address(""),
     };
     const state = initialState(identity, 1, 0);
-    state.work = initialWork({ holder: name, incarnation: `${name}-${life}`, zone: "a" }, BOUNDS);
+    state.work = initialWork({ holder: name, incarnation: `${name}-${life}` }, BOUNDS);
     return state;
   }
 
