Move lasting work off workers that are about to leave; free a host whose upkeep was done before

Cause: lasting items stayed on a draining worker until it was gone and their lease was over, 4 s; and a worker reserved for an upkeep that an earlier owner had done stayed out of use.

--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -17,7 +17,7 @@
 import type { OwnedWork, WorkloadState } from "./state.js";
 import { makeDueOccurrences } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
-import { tickWaves, upkeepAnswered } from "./waves.js";
+import { emptyLeaving, tickWaves, upkeepAnswered } from "./waves.js";
 import { tickWorkers, workerLooked, workerLookFailed } from "./workers.js";
 
 /**
@@ -159,6 +159,7 @@
   }
   repeatStops(turn, owned);
   stopStalled(turn, owned);
+  emptyLeaving(turn, owned);
   tickWaves(turn, owned);
   tickLending(turn, owned);
   tickForget(turn, owned);
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -109,6 +109,9 @@
       wave.outHosts.delete(host);
       wave.doneHosts.add(host);
       wave.dirty = true;
+      if (worker !== null) {
+        worker.reserved = false;
+      }
       logLine(turn, "info", "wave.hostDone", {
         wave: wave.request.wave,
         host,
@@ -197,6 +200,15 @@
   }
 };
 
+/** Moves lasting work off workers that are about to leave, as its steps allow. */
+export const emptyLeaving = (turn: Turn, owned: OwnedWork): void => {
+  for (const worker of owned.workers.values()) {
+    if (worker.report.draining && worker.listed) {
+      emptyWorker(turn, owned, worker, "the worker is leaving");
+    }
+  }
+};
+
 /** Hosts that are reserved already go first, then those with the least work. */
 const rank = (worker: Worker | null): number =>
   worker === null ? 1_000 : worker.reserved ? -1 : worker.runs.size;
