--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -2,7 +2,7 @@
 import type { Event } from "../event.js";
 import { callCommitSettled, callLookedUp, callLookUpFailed, tickCalls } from "./callResults.js";
 import { callAbandoned, callArrived } from "./calls.js";
-import { CLOCK_JUMP, LEAVING, SCAN } from "./constants.js";
+import { CLOCK_JUMP, LEAVING, SCAN, STORE } from "./constants.js";
 import { dispatch, recheckPools, stopStalled } from "./dispatch.js";
 import type { WorkEvent } from "./events.js";
 import { feedAnswered, feedFailed, feedRead, storeAnswered, tickFeeds } from "./feeds.js";
@@ -64,7 +64,7 @@
   } else if (event.scan !== SCAN.PROGRESS) {
     const feed = work.feeds[event.scan];
     feed.scanning = false;
-    feed.retryAtMs = turn.nowMs + 200;
+    feed.retryAtMs = turn.nowMs + STORE.FEED_RETRY_MS;
   }
 };
 
--- a/packages/core/tests/work/memoryWorker.ts
+++ b/packages/core/tests/work/memoryWorker.ts
@@ -31,6 +31,8 @@
 /** A worker in memory: leases on its own clock, fences, numbered ends. */
 export class MemoryWorker {
   readonly runs = new Map<ItemKey, WorkerRun>();
+  /** Load that it lists for all runs. */
+  load: number | null = null;
   ends: EndLine[] = [];
   private nextEnd = 1;
   private fence = 0;
@@ -134,7 +136,7 @@
         run,
         checkpoint: "",
         percent: Math.floor((100 * (nowMs - startedAtMs)) / (endsAtMs - startedAtMs)),
-        load: null,
+        load: this.load,
       }));
     return { running, ends: this.ends };
   }
