--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -9,7 +9,7 @@
 import type { OwnedWork, PoolWork, Submission, Worker } from "./state.js";
 import { poolOfSubmission } from "./submissions.js";
 import type { Turn } from "./turn.js";
-import { isSilent } from "./workers.js";
+import { isSilent } from "./leases.js";
 
 /** Submissions of a pool that may find no room before a pass ends. */
 const MISSES_OF_A_PASS = 12;
--- /dev/null
+++ b/packages/core/src/work/leases.ts
@@ -0,0 +1,60 @@
+import { LEASE } from "./constants.js";
+import type { WorkerTarget } from "./events.js";
+import type { OwnedWork, Worker } from "./state.js";
+import type { Turn } from "./turn.js";
+
+/** @returns How an order names its worker. */
+export const targetOf = (owned: OwnedWork, worker: Worker): WorkerTarget => ({
+  worker: worker.report.id,
+  address: worker.report.address,
+  fence: owned.fence,
+});
+
+/** Keeps a sample of a worker's clock. */
+export const noteClock = (turn: Turn, worker: Worker, clockMs: number | null): void => {
+  if (clockMs === null) {
+    return;
+  }
+  worker.answeredAtMs = turn.nowMs;
+  if (worker.clock === null || clockMs >= worker.clock.clockMs) {
+    worker.clock = { clockMs, atMs: turn.nowMs };
+  }
+};
+
+const leaseTermMs = (turn: Turn): number => Math.min(LEASE.TERM_MS, turn.work.bounds.holdMaxMs);
+
+/**
+ * Asks for a new lease: everything on the worker may run until then.
+ *
+ * @returns The end on the worker's clock, or null while its clock is unknown.
+ */
+export const extendLease = (turn: Turn, worker: Worker): number | null => {
+  const { clock } = worker;
+  if (clock === null) {
+    return null;
+  }
+  const untilClockMs = Math.round(clock.clockMs + (turn.nowMs - clock.atMs) + leaseTermMs(turn));
+  worker.leaseUntilClockMs = Math.max(worker.leaseUntilClockMs, untilClockMs);
+  const remainingMs = (worker.leaseUntilClockMs - clock.clockMs) / LEASE.SLOWEST_CLOCK;
+  worker.leaseEndsAtMs = clock.atMs + remainingMs + LEASE.END_MARGIN_MS;
+  return worker.leaseUntilClockMs;
+};
+
+/** @returns Whether a worker that should answer does not. */
+export const isSilent = (turn: Turn, worker: Worker): boolean =>
+  worker.runs.size > 0 &&
+  turn.nowMs - Math.max(worker.answeredAtMs ?? 0, worker.busySinceMs) >
+    LEASE.LOOK_WAIT_MS + LEASE.SILENT_MARGIN_MS;
+
+/** @returns Whether runs are being stopped on a worker. */
+export const hasStops = (worker: Worker): boolean => {
+  if (worker.strayStops.size > 0) {
+    return true;
+  }
+  for (const run of worker.runs.values()) {
+    if (run.stopSentAtMs !== null || run.missingSinceMs !== null) {
+      return true;
+    }
+  }
+  return false;
+};
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -9,7 +9,7 @@
 import { logLine, loggedMs, newCommitId, wakeAfter, type Turn } from "./turn.js";
 import type { LeasedWorker, OwnerRow, WorkerId } from "./types.js";
 import { dropStarts, sendStarts } from "./starts.js";
-import { hasStops } from "./workers.js";
+import { hasStops } from "./leases.js";
 
 const itemsOn = (worker: Worker): Record<string, number[]> => {
   const items: Record<string, number[]> = {};
--- a/packages/core/src/work/pacing.ts
+++ b/packages/core/src/work/pacing.ts
@@ -3,7 +3,7 @@
 import { isSure } from "./ownership.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
-import { targetOf } from "./workers.js";
+import { targetOf } from "./leases.js";
 
 /** @returns The worst tail on the worker as a share of its target; null where none serves users. */
 const worstTailShare = (worker: Worker): number | null => {
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -1,12 +1,10 @@
-import { ITEM_PHASE, ORDER, RUN_PHASE, START_RESULT } from "./constants.js";
-import type { WorkEvent } from "./events.js";
+import { ITEM_PHASE, ORDER, RUN_PHASE } from "./constants.js";
 import { isSure } from "./ownership.js";
 import { poolOf } from "./pools.js";
 import type { Item, OwnedWork, Run, TeamUse, Worker } from "./state.js";
-import { itemBegan, itemLost } from "./submissions.js";
-import { logLine, wakeAfter, type Turn } from "./turn.js";
-import type { ItemKey, Resources, StepSpec } from "./types.js";
-import { targetOf, noteClock } from "./workers.js";
+import { logLine, type Turn } from "./turn.js";
+import type { Resources, StepSpec } from "./types.js";
+import { targetOf } from "./leases.js";
 
 /** @returns What an item of a step takes of a worker's room. */
 export const roomOf = (spec: StepSpec): Resources =>
@@ -99,8 +97,8 @@
     return;
   }
   if (run.phase === RUN_PHASE.PLANNED) {
+    // Only the end of a submission stops what is not ordered yet, so its item waits for nothing.
     dropRun(turn, owned, worker, run);
-    itemLost(turn, owned, run.item);
     return;
   }
   run.phase = RUN_PHASE.STOPPING;
@@ -114,11 +112,10 @@
 };
 
 const sendStop = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run): void => {
+  run.stopSentAtMs = turn.nowMs;
   if (!isSure(turn, owned)) {
-    run.stopSentAtMs = turn.nowMs;
     return;
   }
-  run.stopSentAtMs = turn.nowMs;
   turn.effects.push({
     type: "worker/stop",
     item: run.item.key,
@@ -142,102 +139,6 @@
   }
 };
 
-const runOf = (
-  owned: OwnedWork,
-  event: { worker: Worker["report"]["id"]; item: ItemKey; run: number },
-): { worker: Worker; run: Run } | null => {
-  const worker = owned.workers.get(event.worker);
-  const run = worker?.runs.get(event.item);
-  return worker !== undefined && run?.number === event.run ? { worker, run } : null;
-};
-
-/** Takes a worker's answer to a start. */
-export const startAnswered = (
-  turn: Turn,
-  owned: OwnedWork,
-  event: Extract<WorkEvent, { type: "worker/startAnswered" }>,
-): void => {
-  const found = runOf(owned, event);
-  if (found === null) {
-    return;
-  }
-  const { worker, run } = found;
-  noteClock(turn, worker, event.clockMs);
-  if (event.result !== START_RESULT.STARTED) {
-    logLine(turn, "warn", "run.notStarted", {
-      item: event.item,
-      run: event.run,
-      worker: event.worker,
-      result: event.result,
-      reason: event.reason,
-    });
-  }
-  switch (event.result) {
-    case "started":
-      run.confirmedAtMs ??= turn.nowMs;
-      if (run.phase === RUN_PHASE.ORDERED) {
-        run.phase = RUN_PHASE.RUNNING;
-      }
-      itemBegan(owned, run.item.submission);
-      return;
-    case "refused":
-    case "unhealthy":
-      startRefused(turn, owned, worker, run, event);
-      return;
-    case "wrongLife":
-      dropRun(turn, owned, worker, run);
-      itemLost(turn, owned, run.item);
-      return;
-    case "unanswered":
-      // It may start there at any time until the worker confirms a stop or the lease ends.
-      stopRun(turn, owned, run, "the start had no answer");
-      return;
-  }
-};
-
-const startRefused = (
-  turn: Turn,
-  owned: OwnedWork,
-  worker: Worker,
-  run: Run,
-  event: Extract<WorkEvent, { type: "worker/startAnswered" }>,
-): void => {
-  dropRun(turn, owned, worker, run);
-  if (event.reason === "fence") {
-    turn.work.ownerView.nextPollAtMs = 0;
-    owned.confirmedAtMs = -Infinity;
-    owned.needsRenewal = true;
-  } else {
-    worker.restsUntilMs = Math.max(worker.restsUntilMs, turn.nowMs + ORDER.TIMEOUT_MS);
-  }
-  itemLost(turn, owned, run.item);
-};
-
-/** Takes a worker's answer to a stop. */
-export const stopAnswered = (
-  turn: Turn,
-  owned: OwnedWork,
-  event: Extract<WorkEvent, { type: "worker/stopAnswered" }>,
-): void => {
-  const worker = owned.workers.get(event.worker);
-  if (worker === undefined) {
-    return;
-  }
-  noteClock(turn, worker, event.clockMs);
-  const run = worker.runs.get(event.item);
-  if (run?.number !== event.run) {
-    return;
-  }
-  if (event.wrongLife) {
-    dropRun(turn, owned, worker, run);
-    itemLost(turn, owned, run.item);
-  } else if (event.settled) {
-    run.stopConfirmedAtMs ??= turn.nowMs;
-    worker.nextLookAtMs = turn.nowMs;
-    wakeAfter(turn, 1);
-  }
-};
-
 /**
  * Hands runs to the next life of a worker: an order under way may have reached that life, so
  * looks at it have to tell.
@@ -253,21 +154,3 @@
     }
   }
 };
-
-/** Everything ordered on a worker has ended: its lease is over, or it is another life. */
-export const loseRuns = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
-  for (const run of [...worker.runs.values()]) {
-    const planned = run.phase === RUN_PHASE.PLANNED;
-    if (planned && owned.workers.get(worker.report.id) === worker) {
-      continue;
-    }
-    dropRun(turn, owned, worker, run);
-    itemLost(turn, owned, run.item);
-    logLine(turn, "warn", "run.lost", {
-      item: run.item.key,
-      run: run.number,
-      worker: worker.report.id,
-      why,
-    });
-  }
-};
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -101,8 +101,6 @@
 export interface Worker {
   report: WorkerReport;
   listed: boolean;
-  /** When its entry went, null while listed. */
-  unlistedAtMs: number | null;
   /** A sample of its clock: at `atMs` of ours it had passed `clockMs`. */
   clock: { readonly clockMs: number; readonly atMs: number } | null;
   /** Everything on it has ended by then, on our clock; null if no lease was asked for. */
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -1,56 +1,20 @@
 import { LEASE } from "./constants.js";
-import type { WorkerTarget, WorkEvent } from "./events.js";
+import type { WorkEvent } from "./events.js";
+import { extendLease, hasStops, isSilent, noteClock, targetOf } from "./leases.js";
 import { isSure } from "./ownership.js";
 import { paceFillers } from "./pacing.js";
 import { poolOf } from "./pools.js";
 import { runEnded, runSeen } from "./ends.js";
-import { carryRuns, dropRun, loseRuns } from "./runs.js";
+import { loseRuns } from "./runResults.js";
+import { carryRuns, dropRun } from "./runs.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { itemLost } from "./submissions.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
 import type { WorkerId, WorkerReport } from "./types.js";
 
-/** @returns How an order names its worker. */
-export const targetOf = (owned: OwnedWork, worker: Worker): WorkerTarget => ({
-  worker: worker.report.id,
-  address: worker.report.address,
-  fence: owned.fence,
-});
-
-/** Keeps a sample of a worker's clock. */
-export const noteClock = (turn: Turn, worker: Worker, clockMs: number | null): void => {
-  if (clockMs === null) {
-    return;
-  }
-  worker.answeredAtMs = turn.nowMs;
-  if (worker.clock === null || clockMs >= worker.clock.clockMs) {
-    worker.clock = { clockMs, atMs: turn.nowMs };
-  }
-};
-
-const leaseTermMs = (turn: Turn): number => Math.min(LEASE.TERM_MS, turn.work.bounds.holdMaxMs);
-
-/**
- * Asks for a new lease: everything on the worker may run until then.
- *
- * @returns The end on the worker's clock, or null while its clock is unknown.
- */
-export const extendLease = (turn: Turn, worker: Worker): number | null => {
-  const { clock } = worker;
-  if (clock === null) {
-    return null;
-  }
-  const untilClockMs = Math.round(clock.clockMs + (turn.nowMs - clock.atMs) + leaseTermMs(turn));
-  worker.leaseUntilClockMs = Math.max(worker.leaseUntilClockMs, untilClockMs);
-  const remainingMs = (worker.leaseUntilClockMs - clock.clockMs) / LEASE.SLOWEST_CLOCK;
-  worker.leaseEndsAtMs = clock.atMs + remainingMs + LEASE.END_MARGIN_MS;
-  return worker.leaseUntilClockMs;
-};
-
 const newWorker = (turn: Turn, report: WorkerReport): Worker => ({
   report,
   listed: true,
-  unlistedAtMs: null,
   clock: report.clockMs === null ? null : { clockMs: report.clockMs, atMs: turn.nowMs },
   leaseEndsAtMs: null,
   leaseUntilClockMs: 0,
@@ -143,7 +107,6 @@
   }
   worker.report = report;
   worker.listed = true;
-  worker.unlistedAtMs = null;
   bindHost(owned, worker);
   poolOf(owned, report.pool).dirty = true;
 };
@@ -154,7 +117,6 @@
   if (worker?.listed === true) {
     worker.listed = false;
     unbindHost(owned, worker);
-    worker.unlistedAtMs = turn.nowMs;
     logLine(turn, "info", "worker.unlisted", {
       worker: id,
       pool: worker.report.pool,
@@ -276,12 +238,6 @@
   }
 };
 
-/** @returns Whether a worker that should answer does not. */
-export const isSilent = (turn: Turn, worker: Worker): boolean =>
-  worker.runs.size > 0 &&
-  turn.nowMs - Math.max(worker.answeredAtMs ?? 0, worker.busySinceMs) >
-    LEASE.LOOK_WAIT_MS + LEASE.SILENT_MARGIN_MS;
-
 /** Looks at workers that are due and ends leases that are over. */
 export const tickWorkers = (turn: Turn, owned: OwnedWork): void => {
   for (const worker of [...owned.workers.values()]) {
@@ -326,16 +282,3 @@
     ...targetOf(owned, worker),
   });
 };
-
-/** @returns Whether runs are being stopped on a worker. */
-export const hasStops = (worker: Worker): boolean => {
-  if (worker.strayStops.size > 0) {
-    return true;
-  }
-  for (const run of worker.runs.values()) {
-    if (run.stopSentAtMs !== null || run.missingSinceMs !== null) {
-      return true;
-    }
-  }
-  return false;
-};
