Count a moved host's worker as gone; want hosts by what runs, waits and arrives in the scarcest resource

Cause: the entry of a worker whose host was moved stays in the store for some 4.5 s. Hosts were wanted by the work of 400 ms divided by 400 ms, so one submission of 2 s items brought eleven hosts that stood idle; memory, which binds before processor on both sites, did not count. A lasting item that looked as if it was starting was stopped for upkeep although it may have been at work.

Ruled out: lag of discovery (a moved host's worker is listed 1.56 s after the order at the median, 1.5 s of it the move).

Change: a worker is marked departed once its move is confirmed. Hosts wanted are the larger of what runs and what arrives, plus what waits; arrivals are averaged over 1.5 s, and over 400 ms less the likely error of so few. Idle hosts go off after 0.8 s, two workers stay (1.5 s and three before). Starting items count as at work before a stop. The test site gained hosts that move and go to upkeep; four of six new tests failed before.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -217,19 +217,21 @@
 
 export const LENDING = {
   /** Workers that a pool keeps in any case. */
-  LEAST_WORKERS: 3,
+  LEAST_WORKERS: 2,
   /** A worker idle for so long may go to a pool whose work waits. */
   LEND_IDLE_MS: 200,
   /** A worker idle for so long is turned off. */
-  RETIRE_IDLE_MS: 1_500,
+  RETIRE_IDLE_MS: 800,
   /** What waits should be done within this time. */
   DRAIN_MS: 800,
-  /** Time over which the rate of arriving work is averaged. */
-  RATE_MS: 400,
-  /** Room above the rate of arriving work, since items of mixed sizes do not fill a worker. */
-  RATE_ROOM: 1.15,
+  /** Times over which the rate of arriving work is averaged, long and short. */
+  STEADY_MS: 1_500,
+  SURGE_MS: 400,
+  LOG_MS: 1_000,
+  /** Room above what keeps hosts busy, since items of mixed sizes do not fill a worker. */
+  ROOM: 1.15,
   /** Size of a host where a pool has none to go by. */
-  HOST_CPU_MILLI: 16_000,
+  HOST_ROOM: { cpuMilli: 16_000, memoryMb: 65_536, gpus: 0 },
 } as const;
 
 export const HOSTS = {
--- /dev/null
+++ b/packages/core/src/work/demand.ts
@@ -0,0 +1,179 @@
+import type { PoolId } from "@heatherferry/common";
+import { LENDING } from "./constants.js";
+import { endingSteps } from "./estimates.js";
+import { withinCeiling } from "./placement.js";
+import { roomOf } from "./runs.js";
+import type { OwnedWork, PoolWork, Worker } from "./state.js";
+import { logLine, type Turn } from "./turn.js";
+import type { Resources, WorkSpec } from "./types.js";
+
+/** What a pool asks for and has, counted in hosts by whichever resource is scarcest. */
+export interface Demand {
+  readonly pool: PoolWork;
+  /** Hosts that running work which ends keeps busy. */
+  readonly runningHosts: number;
+  /** Hosts that would work off in time what waits for room. */
+  readonly waitingHosts: number;
+  /** Hosts that work keeps busy which arrives at the present rate. */
+  readonly arrivingHosts: number;
+  /** Workers that a step with a bound a worker still misses. */
+  readonly spreadShort: number;
+  /** Hosts that its workers are for work that ends, with hosts on their way. */
+  readonly hosts: number;
+  readonly comingHosts: number;
+}
+
+const comingHosts = (owned: OwnedWork, pool: PoolId): number => {
+  let count = 0;
+  for (const move of owned.moves.values()) {
+    if (move.to === pool) {
+      count += 1;
+    }
+  }
+  return count;
+};
+
+/** @returns Whether a worker may get work now and later. */
+export const isOpen = (worker: Worker): boolean =>
+  worker.listed && !worker.departed && !worker.report.draining && !worker.reserved;
+
+/** @returns Room of a host of the pool. */
+const hostRoom = (pool: PoolWork): Resources => {
+  const [anyWorker] = pool.workers;
+  return anyWorker?.report.capacity ?? LENDING.HOST_ROOM;
+};
+
+/** @returns The part of a host that work takes, by the resource of which it takes most. */
+const shareOf = (needs: Resources, host: Resources): number =>
+  Math.max(
+    needs.cpuMilli / Math.max(1, host.cpuMilli),
+    needs.memoryMb / Math.max(1, host.memoryMb),
+    host.gpus === 0 ? 0 : needs.gpus / host.gpus,
+  );
+
+const sharesOn = (worker: Worker, host: Resources): { lasting: number; ending: number } => {
+  const shares = { lasting: 0, ending: 0 };
+  for (const { item, room } of worker.runs.values()) {
+    shares[item.spec.lasting ? "lasting" : "ending"] += shareOf(room, host);
+  }
+  return shares;
+};
+
+/** @returns What waits for room: hosts for it, and workers missing for the widest bounded step. */
+const waitingIn = (
+  turn: Turn,
+  owned: OwnedWork,
+  pool: PoolWork,
+  host: Resources,
+): { hosts: number; spread: number } => {
+  let hosts = 0;
+  let spread = 0;
+  for (const submission of pool.waiting) {
+    const perStep = new Map<number, number>();
+    for (const { key, spec, step } of submission.ready) {
+      const starts = !owned.heldItems.has(key) && withinCeiling(turn, owned, submission, spec);
+      if (starts) {
+        // A host runs short items one after another, long ones take it for as long as they last.
+        const inTime = spec.lasting ? 1 : Math.min(1, spec.estimateMs / LENDING.DRAIN_MS);
+        hosts += shareOf(roomOf(spec), host) * inTime;
+        perStep.set(step, (perStep.get(step) ?? 0) + 1 / (spec.maxPerWorker ?? Infinity));
+      }
+    }
+    spread = Math.max(spread, ...perStep.values());
+  }
+  return { hosts, spread: Math.ceil(spread) };
+};
+
+/** @returns What work keeps busy until it has ended, in hosts times ms. */
+const hostMsOf = (work: WorkSpec, host: Resources): number =>
+  endingSteps(work).reduce(
+    (sum, step) => sum + step.count * shareOf(step.needs, host) * Math.max(1, step.estimateMs),
+    0,
+  );
+
+/** Brings a pool's rates of arriving work up to date. */
+export const updateRates = (turn: Turn, pool: PoolWork): void => {
+  const host = hostRoom(pool);
+  const sinceMs = turn.nowMs - pool.rateAtMs;
+  const arrived = pool.arrivedWork.reduce((sum, work) => sum + hostMsOf(work, host), 0);
+  const keepSteady = Math.exp(-sinceMs / LENDING.STEADY_MS);
+  const keepSurge = Math.exp(-sinceMs / LENDING.SURGE_MS);
+  pool.steadyHosts = pool.steadyHosts * keepSteady + arrived / LENDING.STEADY_MS;
+  pool.surgeHosts = pool.surgeHosts * keepSurge + arrived / LENDING.SURGE_MS;
+  pool.surgeCount = pool.surgeCount * keepSurge + pool.arrivedWork.length;
+  pool.arrivedWork = [];
+  pool.rateAtMs = turn.nowMs;
+};
+
+/** A few submissions may have come together by chance, so a surge counts less its likely error. */
+const arrivingHosts = ({ steadyHosts, surgeHosts, surgeCount }: PoolWork): number =>
+  Math.max(steadyHosts, surgeHosts * Math.max(0, 1 - 1 / Math.sqrt(Math.max(1, surgeCount))));
+
+/** @returns What a pool asks for and has. */
+export const demandOf = (turn: Turn, owned: OwnedWork, pool: PoolWork): Demand => {
+  const host = hostRoom(pool);
+  const waiting = waitingIn(turn, owned, pool, host);
+  const coming = comingHosts(owned, pool.id);
+  let hosts = coming;
+  let runningHosts = 0;
+  for (const worker of pool.workers) {
+    const shares = sharesOn(worker, host);
+    runningHosts += shares.ending;
+    if (isOpen(worker)) {
+      hosts += Math.max(0, 1 - shares.lasting);
+    }
+  }
+  return {
+    pool,
+    runningHosts,
+    waitingHosts: waiting.hosts,
+    arrivingHosts: arrivingHosts(pool),
+    spreadShort: waiting.spread,
+    hosts,
+    comingHosts: coming,
+  };
+};
+
+const wantedHosts = ({ runningHosts, waitingHosts, arrivingHosts }: Demand): number =>
+  LENDING.ROOM * Math.max(runningHosts, arrivingHosts) + waitingHosts;
+
+/** @returns How many hosts a pool should get now. */
+export const missingHosts = (demand: Demand): number =>
+  Math.max(
+    0,
+    demand.spreadShort - demand.comingHosts,
+    Math.ceil(wantedHosts(demand) - demand.hosts),
+  );
+
+/** @returns How many hosts a pool can do without. */
+export const spareHosts = (demand: Demand): number =>
+  Math.max(0, Math.floor(demand.hosts - demand.comingHosts - wantedHosts(demand)));
+
+const rounded = (value: number): number => Math.round(value * 100) / 100;
+
+/** Logs what decides on hosts, once a second for each pool that has or wants work. */
+export const logDemand = (turn: Turn, owned: OwnedWork, demands: readonly Demand[]): void => {
+  if (turn.nowMs - owned.demandLoggedAtMs < LENDING.LOG_MS) {
+    return;
+  }
+  owned.demandLoggedAtMs = turn.nowMs;
+  for (const demand of demands) {
+    const { pool } = demand;
+    const workers = [...pool.workers].filter(isOpen);
+    const busy = workers.filter(({ runs }) => runs.size > 0).length;
+    if (busy > 0 || demand.waitingHosts > 0) {
+      logLine(turn, "info", "pool.demand", {
+        pool: pool.id,
+        workers: workers.length,
+        busyWorkers: busy,
+        waitingSubmissions: pool.waiting.size,
+        waitingHosts: rounded(demand.waitingHosts),
+        runningHosts: rounded(demand.runningHosts),
+        arrivingHosts: rounded(demand.arrivingHosts),
+        hostsForEndingWork: rounded(demand.hosts),
+        comingHosts: demand.comingHosts,
+        missingHosts: missingHosts(demand),
+      });
+    }
+  }
+};
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -20,6 +20,7 @@
   worker.clock !== null &&
   !worker.report.draining &&
   !worker.reserved &&
+  !worker.departed &&
   worker.restsUntilMs <= turn.nowMs &&
   worker.roomKnownAtMs <= turn.nowMs &&
   !isSilent(turn, worker);
@@ -87,7 +88,9 @@
       continue;
     }
     const waits =
-      fullSteps.has(step) || owned.heldItems.has(item.key) || !withinCeiling(turn, owned, item);
+      fullSteps.has(step) ||
+      owned.heldItems.has(item.key) ||
+      !withinCeiling(turn, owned, submission, item.spec);
     if (!waits) {
       const worker = chooseWorker(workers, item, roomOf(item.spec));
       if (worker === null) {
--- a/packages/core/src/work/estimates.ts
+++ b/packages/core/src/work/estimates.ts
@@ -1,4 +1,4 @@
-import type { WorkSpec } from "./types.js";
+import type { StepSpec, WorkSpec } from "./types.js";
 
 /**
  * @param work - What was handed in.
@@ -18,10 +18,6 @@
   return chains;
 };
 
-/** @returns Work of the steps that end, in thousandths of a core times ms. */
-export const endingWork = (work: WorkSpec): number =>
-  work.steps.reduce(
-    (sum, step) =>
-      step.lasting ? sum : sum + step.count * step.needs.cpuMilli * Math.max(1, step.estimateMs),
-    0,
-  );
+/** @returns The steps that end by themselves. */
+export const endingSteps = (work: WorkSpec): readonly StepSpec[] =>
+  work.steps.filter(({ lasting }) => !lasting);
--- a/packages/core/src/work/gangs.ts
+++ b/packages/core/src/work/gangs.ts
@@ -40,7 +40,7 @@
   const checkpoint = members.find((item) => item.checkpoint !== null)?.checkpoint ?? null;
   const planned: Item[] = [];
   for (const item of members) {
-    const allowed = withinCeiling(turn, owned, item);
+    const allowed = withinCeiling(turn, owned, item.submission, item.spec);
     const worker = allowed ? chooseWorker(workers, item, roomOf(item.spec)) : null;
     if (worker === null) {
       giveBack(turn, owned, planned);
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -1,83 +1,26 @@
 import type { HostId, PoolId } from "@heatherferry/common";
 import { poolById } from "./catalog.js";
 import { HOSTS, LENDING } from "./constants.js";
-import { withinCeiling } from "./placement.js";
+import {
+  demandOf,
+  isOpen,
+  logDemand,
+  missingHosts,
+  spareHosts,
+  updateRates,
+  type Demand,
+} from "./demand.js";
 import type { WorkEvent } from "./events.js";
 import { listHosts, mayOrderHost, planHostOrder } from "./hosts.js";
 import { isSure } from "./ownership.js";
 import { poolOf } from "./pools.js";
-import { roomOf } from "./runs.js";
-import type { OwnedWork, PoolWork, Worker } from "./state.js";
+import type { OwnedWork, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
-
-/** What a pool asks for and has. */
-interface Demand {
-  readonly pool: PoolWork;
-  /** Work that waits for room, in thousandths of a core times ms. */
-  readonly waitingWork: number;
-  /** Workers that a step with a bound a worker still misses. */
-  readonly spreadShort: number;
-  /** Processor that its workers have for work that ends, with hosts on their way. */
-  readonly cpuMilli: number;
-  readonly comingHosts: number;
-}
+import { workerDeparted } from "./workers.js";
 
 const isStandby = (turn: Turn, id: PoolId): boolean =>
   poolById(turn.work.catalog, id)?.standby === true;
 
-const comingHosts = (owned: OwnedWork, pool: PoolId): number => {
-  let count = 0;
-  for (const move of owned.moves.values()) {
-    if (move.to === pool) {
-      count += 1;
-    }
-  }
-  return count;
-};
-
-const isOpen = (worker: Worker): boolean =>
-  worker.listed && !worker.report.draining && !worker.reserved;
-
-/** @returns Processor that one host brings to a pool. */
-const hostCpuMilli = (pool: PoolWork): number => {
-  const [anyWorker] = pool.workers;
-  return Math.max(1, anyWorker?.report.capacity.cpuMilli ?? LENDING.HOST_CPU_MILLI);
-};
-
-const lastingCpuMilli = (worker: Worker): number => {
-  let sum = 0;
-  for (const run of worker.runs.values()) {
-    sum += run.item.spec.lasting ? run.room.cpuMilli : 0;
-  }
-  return sum;
-};
-
-const demandOf = (turn: Turn, owned: OwnedWork, pool: PoolWork): Demand => {
-  let waitingWork = 0;
-  let spreadShort = 0;
-  for (const submission of pool.waiting) {
-    const perStep = new Map<number, number>();
-    for (const item of submission.ready) {
-      if (!owned.heldItems.has(item.key) && withinCeiling(turn, owned, item)) {
-        waitingWork += roomOf(item.spec).cpuMilli * Math.max(1, item.spec.estimateMs);
-        perStep.set(
-          item.step,
-          (perStep.get(item.step) ?? 0) + 1 / (item.spec.maxPerWorker ?? Infinity),
-        );
-      }
-    }
-    spreadShort = Math.max(spreadShort, ...perStep.values());
-  }
-  const coming = comingHosts(owned, pool.id);
-  let cpuMilli = coming * hostCpuMilli(pool);
-  for (const worker of pool.workers) {
-    if (isOpen(worker)) {
-      cpuMilli += Math.max(0, worker.report.capacity.cpuMilli - lastingCpuMilli(worker));
-    }
-  }
-  return { pool, waitingWork, spreadShort: Math.ceil(spreadShort), cpuMilli, comingHosts: coming };
-};
-
 const hostIsFree = (turn: Turn, owned: OwnedWork, host: HostId): boolean => {
   if (
     !mayOrderHost(turn, owned, host) ||
@@ -118,12 +61,14 @@
   hostIsFree(turn, owned, worker.report.host);
 
 /** @returns Idle workers of a pool that it can do without, longest idle first. */
-const idleWorkers = (turn: Turn, owned: OwnedWork, pool: PoolWork, idleMs: number): Worker[] => {
+const idleWorkers = (turn: Turn, owned: OwnedWork, demand: Demand, idleMs: number): Worker[] => {
+  const { pool } = demand;
   const open = [...pool.workers].filter(isOpen).length;
+  const spare = Math.min(open - LENDING.LEAST_WORKERS, spareHosts(demand));
   return [...pool.workers]
     .filter((worker) => isIdle(turn, owned, worker, idleMs))
     .sort((one, other) => one.idleSinceMs - other.idleSinceMs)
-    .slice(0, Math.max(0, open - LENDING.LEAST_WORKERS));
+    .slice(0, Math.max(0, spare));
 };
 
 const move = (turn: Turn, owned: OwnedWork, host: HostId, to: PoolId, why: string): void => {
@@ -148,44 +93,27 @@
   });
 };
 
-/** @returns How many hosts a pool should get now. */
-const missingHosts = (demand: Demand): number => {
-  const { pool, waitingWork, cpuMilli, comingHosts: coming, spreadShort } = demand;
-  const forSpread = Math.max(0, spreadShort - coming);
-  const wanted = pool.arrivingCpuMilli * LENDING.RATE_ROOM + waitingWork / LENDING.DRAIN_MS;
-  const forWork = Math.ceil((wanted - cpuMilli) / hostCpuMilli(pool));
-  return Math.max(forSpread, forWork);
-};
-
-/** Brings a pool's rate of arriving work up to date. */
-const updateRate = (turn: Turn, pool: PoolWork): void => {
-  const sinceMs = turn.nowMs - pool.rateAtMs;
-  const keep = Math.exp(-sinceMs / LENDING.RATE_MS);
-  pool.arrivingCpuMilli = pool.arrivingCpuMilli * keep + pool.arrivedWork / LENDING.RATE_MS;
-  pool.arrivedWork = 0;
-  pool.rateAtMs = turn.nowMs;
-};
-
-const lend = (turn: Turn, owned: OwnedWork, demands: readonly Demand[]): void => {
+/** @returns Whether some pool misses hosts. */
+const lend = (turn: Turn, owned: OwnedWork, demands: readonly Demand[]): boolean => {
   const needy = demands
     .map((demand) => ({ demand, missing: missingHosts(demand) }))
     .filter(({ missing }) => missing > 0)
     .sort((one, other) => other.missing - one.missing);
   if (needy.length === 0) {
-    return;
+    return false;
   }
-  const calm = demands.filter(({ waitingWork }) => waitingWork === 0).map(({ pool }) => pool);
   const off = standbyHosts(turn, owned);
-  const idle = calm.flatMap((pool) => idleWorkers(turn, owned, pool, LENDING.LEND_IDLE_MS));
+  const idle = demands.flatMap((demand) => idleWorkers(turn, owned, demand, LENDING.LEND_IDLE_MS));
   for (const { demand, missing } of needy) {
     for (let count = 0; count < missing; count += 1) {
       const host = idle.pop()?.report.host ?? off.pop();
       if (host == null) {
-        return;
+        return true;
       }
       move(turn, owned, host, demand.pool.id, "work waits for room");
     }
   }
+  return true;
 };
 
 /** Turns hosts off that have had nothing to do for a while. */
@@ -194,12 +122,10 @@
   if (standby === undefined) {
     return;
   }
-  for (const { pool, waitingWork } of demands) {
-    if (waitingWork === 0) {
-      for (const { report } of idleWorkers(turn, owned, pool, LENDING.RETIRE_IDLE_MS)) {
-        if (report.host !== null) {
-          move(turn, owned, report.host, standby.id, "it was idle");
-        }
+  for (const demand of demands) {
+    for (const { report } of idleWorkers(turn, owned, demand, LENDING.RETIRE_IDLE_MS)) {
+      if (report.host !== null) {
+        move(turn, owned, report.host, standby.id, "it was idle");
       }
     }
   }
@@ -232,17 +158,20 @@
   }
   settleMoves(turn, owned);
   owned.pools.forEach((pool) => {
-    updateRate(turn, pool);
+    updateRates(turn, pool);
   });
   const demands = (turn.work.catalog?.pools ?? [])
     .filter(({ standby }) => !standby)
     .map(({ id }) => demandOf(turn, owned, poolOf(owned, id)));
-  lend(turn, owned, demands);
-  retire(turn, owned, demands);
+  logDemand(turn, owned, demands);
+  if (!lend(turn, owned, demands)) {
+    retire(turn, owned, demands);
+  }
 };
 
 /** Takes the answer to a move. */
 export const moveAnswered = (
+  turn: Turn,
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "power/orderAnswered" }>,
 ): void => {
@@ -252,6 +181,10 @@
   }
   if (event.result === "accepted") {
     order.confirmed = true;
+    const left = owned.workersByHost.get(event.host);
+    if (left?.report.id === order.worker) {
+      workerDeparted(turn, owned, left);
+    }
     const listing = owned.hosts.get(event.host);
     if (listing !== undefined) {
       owned.hosts.set(event.host, { ...listing, pool: order.to });
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -213,6 +213,7 @@
   hostListSentAtMs: null,
   hostViewAtMs: null,
   waves: new Map(),
+  demandLoggedAtMs: nowMs,
   forgetAtMs: nowMs,
   forgetting: new Map(),
   loadedRows: [],
--- a/packages/core/src/work/placement.ts
+++ b/packages/core/src/work/placement.ts
@@ -1,6 +1,6 @@
-import type { Item, OwnedWork, Worker } from "./state.js";
+import type { Item, OwnedWork, Submission, Worker } from "./state.js";
 import type { Turn } from "./turn.js";
-import type { Resources } from "./types.js";
+import type { Resources, StepSpec } from "./types.js";
 
 const fits = (worker: Worker, room: Resources): boolean => {
   const { capacity } = worker.report;
@@ -80,16 +80,20 @@
 
 const NO_USE: Resources = { cpuMilli: 0, memoryMb: 0, gpus: 0 };
 
-/** @returns Whether a team may have the item running beside what it has. */
-export const withinCeiling = (turn: Turn, owned: OwnedWork, item: Item): boolean => {
-  const { team } = item.submission.handIn;
+/** @returns Whether a team may have an item of the step running beside what it has. */
+export const withinCeiling = (
+  turn: Turn,
+  owned: OwnedWork,
+  submission: Submission,
+  { needs }: StepSpec,
+): boolean => {
+  const { team } = submission.handIn;
   const ceiling = turn.work.catalog?.teams.find(({ id }) => id === team)?.ceiling;
   if (team === null || ceiling === undefined) {
     return true;
   }
   const use = owned.teams.get(team) ?? NO_USE;
   const held = owned.heldUse.get(team) ?? NO_USE;
-  const { needs } = item.spec;
   const within = (resource: keyof Resources): boolean =>
     ceiling[resource] === 0 ||
     use[resource] + held[resource] + needs[resource] <= ceiling[resource];
--- a/packages/core/src/work/pools.ts
+++ b/packages/core/src/work/pools.ts
@@ -10,8 +10,10 @@
       workers: new Set(),
       waiting: new Set(),
       dirty: true,
-      arrivedWork: 0,
-      arrivingCpuMilli: 0,
+      arrivedWork: [],
+      steadyHosts: 0,
+      surgeHosts: 0,
+      surgeCount: 0,
       rateAtMs: 0,
     };
     owned.pools.set(id, pool);
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -147,7 +147,7 @@
         reason: event.reason,
       });
       upkeepAnswered(owned, event);
-      moveAnswered(owned, event);
+      moveAnswered(turn, owned, event);
       return;
     default:
       return;
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -21,6 +21,7 @@
   WorkBounds,
   WorkerId,
   WorkerReport,
+  WorkSpec,
 } from "./types.js";
 
 /** A run of an item on a worker, from the order until its end is known. */
@@ -134,6 +135,8 @@
   roomKnownAtMs: number;
   /** Its host is due for upkeep or a move: nothing new starts there. */
   reserved: boolean;
+  /** Its host was taken from under it; its entry lapses later. */
+  departed: boolean;
 }
 
 export interface PoolWork {
@@ -142,10 +145,14 @@
   /** Submissions with ready items. */
   readonly waiting: Set<Submission>;
   dirty: boolean;
-  /** Work handed in since the rate was last brought up to date, in thousandths of a core times ms. */
-  arrivedWork: number;
-  /** Rate of arriving work, in thousandths of a core. */
-  arrivingCpuMilli: number;
+  /** Work handed in since the rates were last brought up to date. */
+  arrivedWork: WorkSpec[];
+  /** Hosts that arriving work keeps busy, averaged over a longer time. */
+  steadyHosts: number;
+  /** The same over a short time, to see early that demand rises. */
+  surgeHosts: number;
+  /** Submissions that the short average rests on. */
+  surgeCount: number;
   rateAtMs: number;
 }
 
@@ -220,6 +227,7 @@
   /** When the newest list was asked for. */
   hostViewAtMs: number | null;
   readonly waves: Map<number, WaveWork>;
+  demandLoggedAtMs: number;
   forgetAtMs: number;
   /** Hand-ins that are being removed, by the write that does it. */
   readonly forgetting: Map<string, SubmissionId>;
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -2,7 +2,7 @@
 import { takeAllowance } from "./allowance.js";
 import { queueById } from "./catalog.js";
 import { ITEM_PHASE, SUBMISSION_STATE } from "./constants.js";
-import { chainsMs, endingWork } from "./estimates.js";
+import { chainsMs } from "./estimates.js";
 import { poolOf } from "./pools.js";
 import { stopRun } from "./runs.js";
 import type { Item, Occurrence, OwnedWork, Submission } from "./state.js";
@@ -195,7 +195,7 @@
   };
   owned.submissions.set(handIn.id, submission);
   if (!inherited) {
-    poolOf(owned, poolOfSubmission(turn, handIn)).arrivedWork += endingWork(handIn.work);
+    poolOf(owned, poolOfSubmission(turn, handIn)).arrivedWork.push(handIn.work);
   }
   makeDueOccurrences(turn, owned, submission, progress, inherited);
 };
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -63,12 +63,14 @@
   ).length;
 };
 
-/** @returns Whether a run may be ended by our doing without taking too much of its step away. */
+/**
+ * A run that looked as if it was still starting may be at work by now, so it counts like the others.
+ *
+ * @returns Whether a run may be ended by our doing without taking too much of its step away.
+ */
 export const mayStop = (run: Run): boolean => {
   const { maxUnavailable, lasting } = run.item.spec;
-  return (
-    !lasting || maxUnavailable === null || run.percent < 100 || awayOthers(run) < maxUnavailable
-  );
+  return !lasting || maxUnavailable === null || awayOthers(run) < maxUnavailable;
 };
 
 /** Stops lasting work on a worker that is to be emptied, as its steps allow; the rest ends by itself. */
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -37,11 +37,12 @@
   restsUntilMs: 0,
   roomKnownAtMs: 0,
   reserved: false,
+  departed: false,
 });
 
 const bindHost = (owned: OwnedWork, worker: Worker): void => {
   const { host } = worker.report;
-  if (host !== null) {
+  if (host !== null && !worker.departed) {
     owned.workersByHost.set(host, worker);
   }
 };
@@ -53,6 +54,14 @@
   }
 };
 
+/** The platform took a worker's host from under it; everything there has ended. */
+export const workerDeparted = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
+  worker.departed = true;
+  worker.leaseEndsAtMs = null;
+  unbindHost(owned, worker);
+  loseRuns(turn, owned, worker, "its host was moved");
+};
+
 const forgetWorker = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
   owned.workers.delete(worker.report.id);
   loseRuns(turn, owned, worker, why);
@@ -255,11 +264,12 @@
 };
 
 const needsLook = (worker: Worker): boolean =>
-  !worker.fenced ||
-  worker.runs.size > 0 ||
-  worker.strayStops.size > 0 ||
-  worker.seenSequence > worker.durableSequence ||
-  worker.notedSequence < worker.durableSequence;
+  !worker.departed &&
+  (!worker.fenced ||
+    worker.runs.size > 0 ||
+    worker.strayStops.size > 0 ||
+    worker.seenSequence > worker.durableSequence ||
+    worker.notedSequence < worker.durableSequence);
 
 const lookIfDue = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
   if (worker.lookSentAtMs !== null || !needsLook(worker) || !isSure(turn, owned)) {
--- /dev/null
+++ b/packages/core/tests/work/hosts.test.ts
@@ -0,0 +1,101 @@
+import { hostId } from "@heatherferry/common";
+import test from "ava";
+import { storeVersion, type Effect, type StepSpec } from "../../src/index.js";
+import { stepOf, workOf } from "./workSpecs.js";
+import { WorkSite } from "./workSite.js";
+
+const ID = "00000000000000aa";
+
+const movesTo = (site: WorkSite, pool: string): Extract<Effect, { type: "power/move" }>[] =>
+  site.effects
+    .filter((effect) => effect.type === "power/move")
+    .filter((move) => move.pool === pool);
+
+/** One item to a worker. */
+const wideStep = (count: number): StepSpec => ({
+  ...stepOf(count, 1_000, []),
+  needs: { cpuMilli: 1_000, memoryMb: 6_000, gpus: 0 },
+});
+
+const askForWave = (site: WorkSite, pool: string, hosts: number, mostOut: number): void => {
+  const names = Array.from({ length: hosts }, (_, index) => hostId(`m-${pool}-${index}`));
+  const request = { wave: 1, hosts: names, durationMs: 30_000, mostOut };
+  site.store.put("wave 1", { type: "wave", version: storeVersion(0), request });
+};
+
+const upkeepsOf = (site: WorkSite, pool: string): number[] =>
+  [...site.hosts].filter(([host]) => host.includes(pool)).map(([, { upkeeps }]) => upkeeps);
+
+test("work is ordered on the old worker of a host that was turned off", (t) => {
+  const site = new WorkSite(5, 1, 6);
+  site.run(4_500);
+  t.true(movesTo(site, "spare").length > 0);
+  site.submit(ID, "mills", workOf([wideStep(6)]), 0);
+  site.run(3_000);
+  t.is(site.startsOnGoneWorkers, 0);
+  t.deepEqual(site.unfinished(), []);
+});
+
+test("a host that was turned off stays out until its old entry lapses", (t) => {
+  const site = new WorkSite(5, 1, 6);
+  site.run(4_500);
+  const off = movesTo(site, "spare").length;
+  t.true(off > 2);
+  site.submit(ID, "mills", workOf([wideStep(11)]), 0);
+  site.run(1_000);
+  t.true(movesTo(site, "mills").length > 0);
+});
+
+test("a host that was turned off is turned off again and again", (t) => {
+  const site = new WorkSite(5, 1, 6);
+  site.run(20_000);
+  const hosts = movesTo(site, "spare").map(({ host }) => host);
+  t.is(new Set(hosts).size, hosts.length);
+});
+
+test("a wave leaves hosts out, or takes down more than may be", (t) => {
+  const site = new WorkSite(5, 2, 3);
+  site.run(2_000);
+  askForWave(site, "mills", 3, 1);
+  site.run(15_000);
+  t.deepEqual(upkeepsOf(site, "mills"), [1, 1, 1]);
+  t.is(site.mostInUpkeep, 1);
+});
+
+test("a wave stands still after its owner was killed half-way", (t) => {
+  const site = new WorkSite(5, 3, 3);
+  site.run(2_000);
+  askForWave(site, "mills", 3, 1);
+  site.run(2_000);
+  [0, 1, 2].forEach((node) => {
+    site.kill(node, 1_000);
+  });
+  site.run(25_000);
+  t.true(upkeepsOf(site, "mills").every((count) => count >= 1));
+  t.is(site.mostInUpkeep, 1);
+});
+
+test("a wave takes more of a lasting step away than it allows", (t) => {
+  const site = new WorkSite(5, 1, 3);
+  site.workMs = 600_000;
+  site.run(2_000);
+  const lasting = { ...stepOf(3, 900, []), lasting: true, maxPerWorker: 1, maxUnavailable: 1 };
+  site.submit(ID, "mills", workOf([lasting]), 0);
+  const settle = (): void => {
+    for (const worker of site.workers.values()) {
+      worker.startupMs = 200;
+    }
+  };
+  site.run(1_000);
+  settle();
+  askForWave(site, "mills", 3, 3);
+  let mostAway = 0;
+  for (let slice = 0; slice < 200; slice += 1) {
+    site.run(100);
+    settle();
+    const running = [...site.workers.values()].reduce((sum, { runs }) => sum + runs.size, 0);
+    mostAway = Math.max(mostAway, 3 - running);
+  }
+  t.deepEqual(upkeepsOf(site, "mills"), [1, 1, 1]);
+  t.is(mostAway, 1);
+});
--- a/packages/core/tests/work/memoryWorker.ts
+++ b/packages/core/tests/work/memoryWorker.ts
@@ -31,6 +31,8 @@
 /** A worker in memory: leases on its own clock, fences, numbered ends. */
 export class MemoryWorker {
   readonly runs = new Map<ItemKey, WorkerRun>();
+  /** Lasting work is at work so long after its start; null where runs progress to their end. */
+  startupMs: number | null = null;
   /** Load that it lists for all runs. */
   load: number | null = null;
   ends: EndLine[] = [];
@@ -135,7 +137,10 @@
         item,
         run,
         checkpoint: "",
-        percent: Math.floor((100 * (nowMs - startedAtMs)) / (endsAtMs - startedAtMs)),
+        percent: Math.min(
+          100,
+          Math.floor((100 * (nowMs - startedAtMs)) / (this.startupMs ?? endsAtMs - startedAtMs)),
+        ),
         load: this.load,
       }));
     return { running, ends: this.ends };
--- a/packages/core/tests/work/siteFixtures.ts
+++ b/packages/core/tests/work/siteFixtures.ts
@@ -17,6 +17,9 @@
   upkeepMs: 2_000,
 };
 
+/** Hosts of this pool are off. */
+export const STANDBY = "spare";
+
 export const CEILING = { cpuMilli: 12_000, memoryMb: 0, gpus: 0 };
 
 export const CATALOG: Catalog = {
@@ -32,9 +35,9 @@
     targetDurationMs: 500,
     openToAll: false,
   })),
-  pools: ["mills", "dies"].map((name) => ({
+  pools: ["mills", "dies", STANDBY].map((name) => ({
     id: poolId(name),
-    standby: false,
+    standby: name === STANDBY,
   })),
   teams: [{ id: teamId("lots"), keys: ["key"], weight: 1, ceiling: CEILING }],
   maxBodyBytes: 100_000,
--- /dev/null
+++ b/packages/core/tests/work/siteHosts.ts
@@ -0,0 +1,156 @@
+import {
+  address,
+  availabilityZoneId,
+  hostId,
+  poolId,
+  rackId,
+  type HostId,
+  type PoolId,
+} from "@heatherferry/common";
+import {
+  HOST_ORDER_RESULT,
+  storeVersion,
+  workerId,
+  type Effect,
+  type HostListing,
+  type HostOrderResult,
+  type WorkerReport,
+} from "../../src/index.js";
+import { MemoryWorker } from "./memoryWorker.js";
+import { BOUNDS, STANDBY } from "./siteFixtures.js";
+import { SiteRemote, type SiteNode } from "./siteRemote.js";
+
+interface MemoryHost {
+  pool: PoolId;
+  /** Null while nothing runs on it. */
+  worker: string | null;
+  state: "up" | "moving" | "upkeep";
+  fence: number;
+  upkeeps: number;
+}
+
+type HostOrder = Extract<Effect, { type: "power/move" | "power/upkeep" }>;
+
+/** How long the entry of a worker that has gone stays in the store. */
+const ENTRY_KEPT_MS = 4_500;
+
+const CAPACITY = { cpuMilli: 4_000, memoryMb: 10_000, gpus: 0 };
+
+/** Hosts that are moved between pools and taken down for upkeep, and the workers on them. */
+export abstract class SiteHosts extends SiteRemote {
+  readonly hosts = new Map<HostId, MemoryHost>();
+  /** Most hosts that were down for upkeep at once. */
+  mostInUpkeep = 0;
+  private nextWorker = 0;
+
+  /** Adds a host with a worker on it, or a host that is off. */
+  addHost(name: string, pool: string): void {
+    const off = pool === STANDBY;
+    const host = hostId(`m-${name}`);
+    this.hosts.set(host, {
+      pool: poolId(pool),
+      worker: off ? null : name,
+      state: "up",
+      fence: 0,
+      upkeeps: 0,
+    });
+    if (!off) {
+      this.addWorker(name, host, pool);
+    }
+  }
+
+  crashWorker(id: string): void {
+    const worker = this.workers.get(id);
+    if (worker?.report.host != null) {
+      this.addWorker(id, worker.report.host, worker.report.pool);
+    }
+  }
+
+  protected listHosts(node: SiteNode, sentAtMs: number): void {
+    const hosts: HostListing[] = [...this.hosts].map(([host, { pool, state, worker }]) => ({
+      host,
+      pool,
+      up: state === "up",
+      inUpkeep: state === "upkeep",
+      worker: worker === null ? null : workerId(worker),
+    }));
+    this.answerLater(node, 2, { type: "power/listed", sentAtMs, hosts, atMs: 0 });
+  }
+
+  protected orderHost(node: SiteNode, order: HostOrder): void {
+    const result = this.obeyHostOrder(order);
+    const { host } = order;
+    const answer = { type: "power/orderAnswered" as const, host, atMs: 0 };
+    if (this.chance(this.faults.lostPercent)) {
+      this.answerLater(node, 2_000, { ...answer, result: "unanswered", reason: "no answer" });
+    } else {
+      this.answerLater(node, 2, { ...answer, result, reason: null });
+    }
+  }
+
+  private obeyHostOrder(order: HostOrder): HostOrderResult {
+    const host = this.hosts.get(order.host);
+    if (host?.state !== "up") {
+      return HOST_ORDER_RESULT.BUSY;
+    }
+    if (Number(order.fence) < host.fence) {
+      return HOST_ORDER_RESULT.FENCED;
+    }
+    host.fence = Number(order.fence);
+    if (order.type === "power/upkeep") {
+      this.takeDown(order.host, host, "upkeep", host.pool, BOUNDS.upkeepMs);
+    } else if (order.pool !== host.pool) {
+      this.takeDown(order.host, host, "moving", order.pool, BOUNDS.moveMs);
+    }
+    return HOST_ORDER_RESULT.ACCEPTED;
+  }
+
+  private takeDown(
+    id: HostId,
+    host: MemoryHost,
+    state: MemoryHost["state"],
+    pool: PoolId,
+    forMs: number,
+  ): void {
+    const gone = host.worker;
+    host.state = state;
+    host.worker = null;
+    if (gone !== null) {
+      this.workers.delete(gone);
+      this.at(ENTRY_KEPT_MS, () => {
+        this.store.workerGone(workerId(gone));
+      });
+    }
+    const down = [...this.hosts.values()].filter((other) => other.state === "upkeep").length;
+    this.mostInUpkeep = Math.max(this.mostInUpkeep, down);
+    this.at(forMs, () => {
+      host.state = "up";
+      host.pool = pool;
+      host.upkeeps += state === "upkeep" ? 1 : 0;
+      if (pool !== STANDBY) {
+        this.nextWorker += 1;
+        host.worker = `${id}-${this.nextWorker}`;
+        this.addWorker(host.worker, id, pool);
+      }
+    });
+  }
+
+  private addWorker(id: string, host: HostId, pool: string): void {
+    const report: WorkerReport = {
+      id: workerId(id),
+      host,
+      pool: poolId(pool),
+      address: address("10.0.0.1:1"),
+      availabilityZone: availabilityZoneId("a"),
+      rack: rackId("r"),
+      labels: [],
+      capacity: CAPACITY,
+      draining: false,
+      drainRemainingMs: null,
+      clockMs: 0,
+      bornWallMs: this.nowMs,
+    };
+    this.workers.set(id, new MemoryWorker(report, this.nowMs, this));
+    this.store.put(`worker ${id}`, { type: "worker", version: storeVersion(0), report });
+  }
+}
--- a/packages/core/tests/work/siteJudge.ts
+++ b/packages/core/tests/work/siteJudge.ts
@@ -17,10 +17,14 @@
   override started(worker: MemoryWorker, run: WorkerRun): void {
     this.starts += 1;
     const [id, occurrence, step] = partsOf(run.item);
-    const spec = this.specs.get(id)?.work.steps[step];
+    const handIn = this.specs.get(id);
+    const spec = handIn?.work.steps[step];
     if (spec === undefined) {
       throw new Error(`UNASKED: ${run.item}`);
     }
+    if (handIn?.pool !== worker.report.pool) {
+      throw new Error(`ROUTE: ${run.item} on ${worker.report.id}`);
+    }
     const early = spec.after.find((earlier) =>
       Array.from({ length: this.specs.get(id)?.work.steps[earlier]?.count ?? 0 }).some(
         (_, index) => !this.done.has(`${id}.${occurrence}.${earlier}.${index}` as ItemKey),
--- a/packages/core/tests/work/siteRemote.ts
+++ b/packages/core/tests/work/siteRemote.ts
@@ -68,6 +68,8 @@
   /** Run time of every item; drawn for each where it is null. */
   workMs: number | null = null;
   storeDownUntilMs = 0;
+  /** Starts that were sent to workers that had gone. */
+  startsOnGoneWorkers = 0;
 
   /** Hands an event to a node, now. */
   protected abstract handle(node: SiteNode, event: Event): void;
@@ -192,6 +194,7 @@
   ): void {
     const worker = this.workers.get(order.worker);
     if (worker === undefined || worker !== target) {
+      this.startsOnGoneWorkers += order.type === "worker/start" ? 1 : 0;
       this.answerLater(node, 1_000, failureOf(order));
       return;
     }
--- a/packages/core/tests/work/workSite.ts
+++ b/packages/core/tests/work/workSite.ts
@@ -2,11 +2,9 @@
   address,
   availabilityZoneId,
   entryHostId,
-  hostId,
   incarnation,
   poolId,
   queueId,
-  rackId,
   teamId,
 } from "@heatherferry/common";
 import {
@@ -16,18 +14,17 @@
   reduce,
   SUBMISSION_STATE,
   storeVersion,
-  workerId,
   type Effect,
   type Event,
   type HandIn,
   type State,
   type SubmissionId,
-  type WorkerReport,
   type WorkSpec,
 } from "../../src/index.js";
-import { MemoryWorker, partsOf } from "./memoryWorker.js";
-import { CATALOG, BOUNDS } from "./siteFixtures.js";
-import { SiteRemote, type SiteNode } from "./siteRemote.js";
+import { partsOf } from "./memoryWorker.js";
+import { BOUNDS, CATALOG, STANDBY } from "./siteFixtures.js";
+import { SiteHosts } from "./siteHosts.js";
+import type { SiteNode } from "./siteRemote.js";
 
 interface Submitted {
   readonly handIn: HandIn;
@@ -37,7 +34,7 @@
 }
 
 /** Several nodes, a store and workers on one virtual clock; it throws when a promise is broken. */
-export class WorkSite extends SiteRemote {
+export class WorkSite extends SiteHosts {
   readonly nodes: SiteNode[] = [];
   /** All that the nodes decided. */
   readonly effects: Effect[] = [];
@@ -45,14 +42,17 @@
   readonly answers = new Map<string, string>();
   private readonly pendingCalls = new Map<string, HandIn>();
 
-  constructor(seed: number, nodes = 3, workersPerPool = 3) {
+  constructor(seed: number, nodes = 3, workersPerPool = 3, standbyHosts = 0) {
     super(seed);
     this.store.put("catalog", { type: "catalog", version: storeVersion(0), catalog: CATALOG });
     for (const pool of ["mills", "dies"]) {
       for (let index = 0; index < workersPerPool; index += 1) {
-        this.addWorker(`${pool}-${index}`, pool);
+        this.addHost(`${pool}-${index}`, pool);
       }
     }
+    for (let index = 0; index < standbyHosts; index += 1) {
+      this.addHost(`${STANDBY}-${index}`, STANDBY);
+    }
     for (let index = 0; index < nodes; index += 1) {
       this.addNode(`n${index}`);
     }
@@ -133,13 +133,6 @@
     }
   }
 
-  crashWorker(id: string): void {
-    const worker = this.workers.get(id);
-    if (worker !== undefined) {
-      this.addWorker(id, worker.report.pool);
-    }
-  }
-
   /** @returns Submissions that nobody cancelled and that the store does not show as ended. */
   unfinished(): readonly string[] {
     return [...this.accepted.values()]
@@ -163,25 +156,6 @@
     });
   }
 
-  private addWorker(id: string, pool: string): void {
-    const report: WorkerReport = {
-      id: workerId(id),
-      host: hostId(`m-${id}`),
-      pool: poolId(pool),
-      address: address("10.0.0.1:1"),
-      availabilityZone: availabilityZoneId("a"),
-      rack: rackId("r"),
-      labels: [],
-      capacity: { cpuMilli: 4_000, memoryMb: 10_000, gpus: 0 },
-      draining: false,
-      drainRemainingMs: null,
-      clockMs: 0,
-      bornWallMs: this.nowMs,
-    };
-    this.workers.set(id, new MemoryWorker(report, this.nowMs, this));
-    this.store.put(`worker ${id}`, { type: "worker", version: storeVersion(0), report });
-  }
-
   private addNode(name: string): void {
     const node: SiteNode = {
       name,
@@ -299,6 +273,17 @@
       case "worker/look":
         this.sendOrder(node, effect, sentAtMs);
         return;
+      case "power/list":
+        remote(() => {
+          this.listHosts(node, sentAtMs);
+        });
+        return;
+      case "power/move":
+      case "power/upkeep":
+        remote(() => {
+          this.orderHost(node, effect);
+        });
+        return;
       default:
     }
   }
