Repeat starts without an answer; go easy on workers in a wave; give silent workers no new work

(2) A wave emptied workers at once, two pools were left with none while hosts that were off could have gone first.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -84,7 +84,13 @@
 
 export const START_RESULT = {
   STARTED: "started",
-  /** The worker will never run it: stale fence, older run, late, no room, bad ticket. */
+  /** A newer owner has been at the worker. */
+  STALE_FENCE: "staleFence",
+  /** This run, or a later one of the item, was stopped or has ended there. */
+  OVER_BEFORE: "overBefore",
+  /** The lease that the order grants is over. */
+  LEASE_OVER: "leaseOver",
+  /** Refused for another reason, such as no room or a bad ticket. */
   REFUSED: "refused",
   /** An unhealthy worker that did nothing. */
   UNHEALTHY: "unhealthy",
@@ -161,8 +167,12 @@
 } as const;
 
 export const ORDER = {
+  /** Pause before a worker that refused work gets new work, or a stray run is stopped again. */
   TIMEOUT_MS: 1_000,
-  STOP_RETRY_MS: 300,
+  /** A stop without an answer is sent again after this time. */
+  STOP_REPEAT_MS: 700,
+  /** Orders to start a run before it is given up and stopped. */
+  MOST_STARTS: 3,
 } as const;
 
 export const CALL = {
@@ -227,6 +237,8 @@
   /** Times over which the rate of arriving work is averaged, long and short. */
   STEADY_MS: 1_500,
   SURGE_MS: 400,
+  /** Standard errors that a surge is taken to be smaller than it looks. */
+  CHANCE: 0.6,
   LOG_MS: 1_000,
   /** Room above what keeps hosts busy, since items of mixed sizes do not fill a worker. */
   ROOM: 1.15,
@@ -234,6 +246,22 @@
   HOST_ROOM: { cpuMilli: 16_000, memoryMb: 65_536, gpus: 0 },
 } as const;
 
+export const ORDERING = {
+  /** Room above the estimated chain of a submission that has not begun. */
+  CHAIN_ROOM: 1.25,
+  /** Time from room to a start. */
+  START_MS: 150,
+} as const;
+
+export const UPKEEP_WAVE = {
+  /** Time that work on a worker is given to end before upkeep. */
+  EMPTYING_MS: 4_000,
+  /** Time to move the lasting work of one worker, where steps let go of one item at a time. */
+  LASTING_MS: 2_500,
+  /** Kept back of the time that a wave may take. */
+  MARGIN_MS: 4_000,
+} as const;
+
 export const HOSTS = {
   /** Pause between two lists of hosts while a wave is under way. */
   LIST_MS: 1_000,
--- a/packages/core/src/work/demand.ts
+++ b/packages/core/src/work/demand.ts
@@ -107,7 +107,7 @@
 
 /** A few submissions may have come together by chance, so a surge counts less its likely error. */
 const arrivingHosts = ({ steadyHosts, surgeHosts, surgeCount }: PoolWork): number =>
-  Math.max(steadyHosts, surgeHosts * Math.max(0, 1 - 1 / Math.sqrt(Math.max(1, surgeCount))));
+  Math.max(steadyHosts, surgeHosts * (1 - LENDING.CHANCE / Math.sqrt(Math.max(1, surgeCount))));
 
 /** @returns What a pool asks for and has. */
 export const demandOf = (turn: Turn, owned: OwnedWork, pool: PoolWork): Demand => {
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -1,6 +1,6 @@
 import type { PoolId } from "@heatherferry/common";
 import { queueById } from "./catalog.js";
-import { HEALTH, RUN_PHASE } from "./constants.js";
+import { HEALTH, ORDERING, RUN_PHASE, SUBMISSION_STATE } from "./constants.js";
 import { planGang } from "./gangs.js";
 import { isSure } from "./ownership.js";
 import { roomOf, stopRun } from "./runs.js";
@@ -17,6 +17,7 @@
 const isUsable = (turn: Turn, worker: Worker): boolean =>
   worker.listed &&
   worker.fenced &&
+  !worker.unreachable &&
   worker.clock !== null &&
   !worker.report.draining &&
   !worker.reserved &&
@@ -31,7 +32,11 @@
   if (first === undefined || first.spec.lasting) {
     return false;
   }
-  return turn.nowMs + (submission.chainsMs[first.step] ?? 0) > submission.dueAtMs;
+  const chainMs = submission.chainsMs[first.step] ?? 0;
+  // Estimates are rough, and work that is begun and ends late has taken room from other work.
+  const begun = submission.state !== SUBMISSION_STATE.QUEUED;
+  const neededMs = begun ? chainMs : chainMs * ORDERING.CHAIN_ROOM + ORDERING.START_MS;
+  return turn.nowMs + neededMs > submission.dueAtMs;
 };
 
 interface Ranked {
--- a/packages/core/src/work/ends.ts
+++ b/packages/core/src/work/ends.ts
@@ -56,9 +56,9 @@
   if (end.kind === END_KIND.DONE) {
     worker.failuresInRow = 0;
     if (item.spec.gang) {
-      gangDone(turn, owned, item);
+      gangDone(turn, owned, item, end.run);
     } else {
-      itemDone(turn, owned, item);
+      itemDone(turn, owned, item, end.run);
     }
     return;
   }
--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -49,6 +49,7 @@
       readonly type: "waveReport";
       readonly version: StoreVersion;
       readonly wave: number;
+      readonly seenWallMs: number;
       readonly doneHosts: readonly HostId[];
     };
 
@@ -62,6 +63,7 @@
       readonly type: "waveReport";
       readonly wave: number;
       readonly completed: boolean;
+      readonly seenWallMs: number;
       readonly doneHosts: readonly HostId[];
     };
 
--- a/packages/core/src/work/gangs.ts
+++ b/packages/core/src/work/gangs.ts
@@ -54,8 +54,8 @@
 };
 
 /** One member that has ended as done stands for all. */
-export const gangDone = (turn: Turn, owned: OwnedWork, item: Item): void => {
+export const gangDone = (turn: Turn, owned: OwnedWork, item: Item, run: number): void => {
   for (const member of membersOf(item)) {
-    itemDone(turn, owned, member);
+    itemDone(turn, owned, member, run);
   }
 };
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -70,6 +70,7 @@
         type: "waveReport",
         wave: wave.request.wave,
         completed: wave.completed,
+        seenWallMs: wave.seenWallMs,
         doneHosts: [...wave.doneHosts],
       });
     }
--- a/packages/core/src/work/recovery.ts
+++ b/packages/core/src/work/recovery.ts
@@ -62,7 +62,7 @@
     } else if (row.type === "cancel") {
       cancels.push(row.id);
     } else if (row.type === "waveReport") {
-      waveReported(turn, owned, row.wave, row.doneHosts);
+      waveReported(turn, owned, row);
     }
   }
   for (const row of rows) {
--- a/packages/core/src/work/runResults.ts
+++ b/packages/core/src/work/runResults.ts
@@ -2,6 +2,7 @@
 import type { WorkEvent } from "./events.js";
 import { noteClock } from "./leases.js";
 import { dropRun, stopRun } from "./runs.js";
+import { repeatStart } from "./starts.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { itemBegan, itemLost } from "./submissions.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
@@ -45,6 +46,9 @@
       }
       itemBegan(owned, run.item.submission);
       return;
+    case "staleFence":
+    case "overBefore":
+    case "leaseOver":
     case "refused":
     case "unhealthy":
       startRefused(turn, owned, worker, run, event);
@@ -54,8 +58,11 @@
       itemLost(turn, owned, run.item);
       return;
     case "unanswered":
-      // It may start there at any time until the worker confirms a stop or the lease ends.
-      stopRun(turn, owned, run, "the start had no answer");
+      if (!repeatStart(turn, owned, worker, run)) {
+        run.unansweredAtMs = turn.nowMs;
+        worker.nextLookAtMs = turn.nowMs;
+        wakeAfter(turn, 1);
+      }
       return;
   }
 };
@@ -67,8 +74,19 @@
   run: Run,
   event: Extract<WorkEvent, { type: "worker/startAnswered" }>,
 ): void => {
+  if (run.startsSent > 1) {
+    if (event.result === START_RESULT.OVER_BEFORE) {
+      // An earlier order was carried out and the run is over: looks list its end.
+      run.confirmedAtMs ??= turn.nowMs;
+      return;
+    }
+    if (event.result === START_RESULT.REFUSED || event.result === START_RESULT.UNHEALTHY) {
+      stopRun(turn, owned, run, "an earlier order may still be carried out");
+      return;
+    }
+  }
   dropRun(turn, owned, worker, run);
-  if (event.reason === "fence") {
+  if (event.result === START_RESULT.STALE_FENCE) {
     turn.work.ownerView.nextPollAtMs = 0;
     owned.confirmedAtMs = -Infinity;
     owned.needsRenewal = true;
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -51,6 +51,9 @@
     room: roomOf(item.spec),
     phase: RUN_PHASE.PLANNED,
     orderedAtMs: turn.nowMs,
+    startsSent: 0,
+    unansweredAtMs: null,
+    checkpoint: null,
     confirmedAtMs: null,
     shown: false,
     percent: 0,
@@ -131,7 +134,7 @@
       const due =
         run.phase === RUN_PHASE.STOPPING &&
         run.stopConfirmedAtMs === null &&
-        turn.nowMs - (run.stopSentAtMs ?? 0) >= ORDER.TIMEOUT_MS + ORDER.STOP_RETRY_MS;
+        turn.nowMs - (run.stopSentAtMs ?? 0) >= ORDER.STOP_REPEAT_MS;
       if (due) {
         sendStop(turn, owned, worker, run);
       }
--- a/packages/core/src/work/starts.ts
+++ b/packages/core/src/work/starts.ts
@@ -1,4 +1,5 @@
-import { LEASE, RUN_PHASE } from "./constants.js";
+import { LEASE, ORDER, RUN_PHASE } from "./constants.js";
+import { isSure } from "./ownership.js";
 import { addRun, dropRun } from "./runs.js";
 import type { Item, OwnedWork, Run, Worker } from "./state.js";
 import { itemLost } from "./submissions.js";
@@ -42,7 +43,7 @@
   });
 };
 
-const order = (
+const send = (
   turn: Turn,
   owned: OwnedWork,
   worker: Worker,
@@ -50,19 +51,32 @@
   untilClockMs: number,
 ): void => {
   const { item } = run;
-  const { submission } = item;
-  run.phase = RUN_PHASE.ORDERED;
-  run.orderedAtMs = turn.nowMs;
-  worker.nextLookAtMs = Math.max(worker.nextLookAtMs, turn.nowMs + LEASE.LOOK_GAP_MS);
+  run.startsSent += 1;
   turn.effects.push({
     type: "worker/start",
     item: item.key,
     run: run.number,
-    payload: submission.handIn.work.payload,
+    payload: item.submission.handIn.work.payload,
     untilClockMs,
-    checkpoint: item.checkpoint,
+    checkpoint: run.checkpoint,
     ...targetOf(owned, worker),
   });
+};
+
+const order = (
+  turn: Turn,
+  owned: OwnedWork,
+  worker: Worker,
+  run: Run,
+  untilClockMs: number,
+): void => {
+  const { item } = run;
+  const { submission } = item;
+  run.phase = RUN_PHASE.ORDERED;
+  run.orderedAtMs = turn.nowMs;
+  run.checkpoint = item.checkpoint;
+  worker.nextLookAtMs = Math.max(worker.nextLookAtMs, turn.nowMs + LEASE.LOOK_GAP_MS);
+  send(turn, owned, worker, run, untilClockMs);
   logLine(turn, "info", "run.ordered", {
     item: item.key,
     run: run.number,
@@ -90,3 +104,27 @@
     }
   }
 };
+
+/**
+ * Orders a run once more whose order had no answer. A worker takes the same run once, however
+ * often it is told.
+ *
+ * @returns Whether the order was sent.
+ */
+export const repeatStart = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run): boolean => {
+  const open = worker.listed && !worker.departed && !worker.report.draining;
+  const mayRepeat =
+    run.phase === RUN_PHASE.ORDERED && run.startsSent < ORDER.MOST_STARTS && isSure(turn, owned);
+  const untilClockMs = open && mayRepeat ? extendLease(turn, worker) : null;
+  if (untilClockMs === null) {
+    return false;
+  }
+  send(turn, owned, worker, run, untilClockMs);
+  logLine(turn, "info", "run.orderedAgain", {
+    item: run.item.key,
+    run: run.number,
+    worker: worker.report.id,
+    startsSent: run.startsSent,
+  });
+  return true;
+};
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -33,6 +33,12 @@
   readonly room: Resources;
   phase: RunPhase;
   orderedAtMs: number;
+  /** Orders to start it that were sent; all but the last had no answer. */
+  startsSent: number;
+  /** Since when no order is under way although none was answered; looks sent later tell. */
+  unansweredAtMs: number | null;
+  /** State that it was started from; every member of a gang is given the same. */
+  checkpoint: string | null;
   /** When the worker confirmed it; a look sent later must show it. */
   confirmedAtMs: number | null;
   /** A look has shown it, so it belongs to the life of the worker that was looked at. */
@@ -113,6 +119,8 @@
   lookSentAtMs: number | null;
   nextLookAtMs: number;
   answeredAtMs: number | null;
+  /** The last look had no answer: nothing new starts there until one has. */
+  unreachable: boolean;
   seenSequence: number;
   durableSequence: number;
   /** Acknowledged to the worker, which forgets these ends. */
@@ -166,7 +174,9 @@
 /** A wave under way. */
 export interface WaveWork {
   readonly request: WaveRequest;
-  readonly seenAtMs: number;
+  /** When an owner first saw the request, on this node's clock and by the time of day. */
+  seenAtMs: number;
+  seenWallMs: number;
   readonly doneHosts: Set<HostId>;
   dirty: boolean;
   /** Hosts ordered down, with the worker they had. */
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -239,9 +239,17 @@
   endSubmission(turn, owned, submission, SUBMISSION_STATE.CANCELLED, "cancelled");
 };
 
-/** An item has ended as done, for good once it is written. */
-export const itemDone = (turn: Turn, owned: OwnedWork, item: Item): void => {
+/**
+ * An item has ended as done, for good once it is written. Another run of it, begun when this one
+ * was thought lost, is not wanted any more.
+ *
+ * @param run - Number of the run that has done it.
+ */
+export const itemDone = (turn: Turn, owned: OwnedWork, item: Item, run: number): void => {
   const { submission } = item;
+  if (item.run !== null && item.run.number !== run) {
+    stopRun(turn, owned, item.run, "the item is done");
+  }
   const occurrence = submission.occurrences.get(item.occurrence);
   if (occurrence === undefined || item.phase === ITEM_PHASE.DONE) {
     return;
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -1,7 +1,7 @@
 import type { HostId } from "@heatherferry/common";
-import { HOSTS } from "./constants.js";
+import { HOSTS, UPKEEP_WAVE } from "./constants.js";
 import { listHosts, mayOrderHost, planHostOrder } from "./hosts.js";
-import type { WorkEvent } from "./events.js";
+import type { StoreRow, WorkEvent } from "./events.js";
 import { isSure } from "./ownership.js";
 import { stopRun } from "./runs.js";
 import type { OwnedWork, Run, WaveWork, Worker } from "./state.js";
@@ -27,6 +27,7 @@
     wave = {
       request,
       seenAtMs: turn.nowMs,
+      seenWallMs: Math.round(turn.wallMs),
       doneHosts: new Set(),
       dirty: true,
       outHosts: new Map(),
@@ -41,13 +42,14 @@
 export const waveReported = (
   turn: Turn,
   owned: OwnedWork,
-  wave: number,
-  doneHosts: readonly HostId[],
+  report: Extract<StoreRow, { type: "waveReport" }>,
 ): void => {
-  const request = turn.work.waveRequests.get(wave);
+  const request = turn.work.waveRequests.get(report.wave);
   if (request !== undefined) {
     const work = waveOf(turn, owned, request);
-    doneHosts.forEach((host) => work.doneHosts.add(host));
+    work.seenWallMs = Math.min(work.seenWallMs, report.seenWallMs);
+    work.seenAtMs = turn.nowMs - Math.max(0, turn.wallMs - work.seenWallMs);
+    report.doneHosts.forEach((host) => work.doneHosts.add(host));
   }
 };
 
@@ -162,6 +164,32 @@
       !mayOrderHost(turn, owned, host) && !wave.doneHosts.has(host) && !wave.outHosts.has(host),
   ).length;
 
+const runsLasting = (worker: Worker | null): boolean =>
+  [...(worker?.runs.values() ?? [])].some(({ item }) => item.spec.lasting);
+
+/**
+ * Upkeep of hosts that are off costs nothing, and most hosts are off now and then, so workers are
+ * emptied only when the time that is left asks for it.
+ */
+const mustHurry = (
+  turn: Turn,
+  owned: OwnedWork,
+  wave: WaveWork,
+  left: readonly HostId[],
+): boolean => {
+  if (turn.work.catalog?.pools.some(({ standby }) => standby) !== true) {
+    return true;
+  }
+  const { durationMs, mostOut } = wave.request;
+  const rounds = Math.ceil(left.length / Math.max(1, mostOut));
+  const withLasting = left.filter((host) => runsLasting(workerOfHost(owned, host))).length;
+  const neededMs =
+    rounds * (turn.work.bounds.upkeepMs + UPKEEP_WAVE.EMPTYING_MS) +
+    withLasting * UPKEEP_WAVE.LASTING_MS +
+    UPKEEP_WAVE.MARGIN_MS;
+  return turn.nowMs - wave.seenAtMs >= durationMs - neededMs;
+};
+
 /** Frees hosts of a wave and sends them to upkeep, as many at once as the operators allow. */
 const advance = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
   adoptOut(turn, owned, wave);
@@ -175,9 +203,11 @@
   const left = wave.request.hosts.filter(
     (host) => !wave.doneHosts.has(host) && !wave.outHosts.has(host),
   );
+  const hurry = mustHurry(turn, owned, wave, left);
   const free = left.filter((host) => !owned.moves.has(host) && mayOrderHost(turn, owned, host));
   const chosen = free
     .map((host) => ({ host, worker: workerOfHost(owned, host) }))
+    .filter(({ worker }) => hurry || worker === null || worker.reserved)
     .sort((one, other) => rank(one.worker) - rank(other.worker))
     .slice(0, Math.max(0, slots));
   for (const { host, worker } of chosen) {
@@ -211,9 +241,9 @@
   }
 };
 
-/** Hosts that are reserved already go first, then those with the least work. */
+/** Hosts that are off or reserved already go first, then those with the least work. */
 const rank = (worker: Worker | null): number =>
-  worker === null ? 1_000 : worker.reserved ? -1 : worker.runs.size;
+  worker === null || worker.reserved ? -1 : worker.runs.size;
 
 const lapseMissing = (owned: OwnedWork, wave: WaveWork): void => {
   if (owned.hostListAtMs === null) {
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -1,4 +1,4 @@
-import { LEASE } from "./constants.js";
+import { LEASE, RUN_PHASE } from "./constants.js";
 import type { WorkEvent } from "./events.js";
 import { extendLease, hasStops, isSilent, noteClock, targetOf } from "./leases.js";
 import { isSure } from "./ownership.js";
@@ -6,7 +6,7 @@
 import { poolOf } from "./pools.js";
 import { runEnded, runSeen } from "./ends.js";
 import { loseRuns } from "./runResults.js";
-import { carryRuns, dropRun } from "./runs.js";
+import { carryRuns, dropRun, stopRun } from "./runs.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { itemLost } from "./submissions.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
@@ -22,6 +22,7 @@
   lookSentAtMs: null,
   nextLookAtMs: turn.nowMs,
   answeredAtMs: null,
+  unreachable: false,
   seenSequence: 0,
   durableSequence: 0,
   notedSequence: 0,
@@ -155,6 +156,7 @@
     return;
   }
   noteClock(turn, worker, event.clockMs);
+  worker.unreachable = false;
   if (!worker.fenced) {
     worker.fenced = true;
     if (owned.unheard.get(worker.report.id)?.stopping === true || owned.stopsUnknown) {
@@ -196,6 +198,13 @@
   const shown = new Set(event.running.map(({ item, run }) => `${item} ${run}`));
   forgetStrays(worker, shown);
   for (const run of [...worker.runs.values()]) {
+    if (run.unansweredAtMs !== null && run.phase === RUN_PHASE.ORDERED) {
+      if (event.sentAtMs >= run.unansweredAtMs) {
+        // It may start there at any time until the worker confirms a stop or the lease ends.
+        stopRun(turn, owned, run, "the start had no answer");
+      }
+      continue;
+    }
     const sureSince = run.stopConfirmedAtMs ?? run.confirmedAtMs;
     if (
       sureSince === null ||
@@ -234,6 +243,7 @@
     return;
   }
   worker.lookSentAtMs = null;
+  worker.unreachable = true;
   worker.nextLookAtMs = turn.nowMs + LEASE.LOOK_RETRY_MS;
   logLine(turn, "warn", "worker.lookFailed", {
     worker: event.worker,
@@ -266,6 +276,7 @@
 const needsLook = (worker: Worker): boolean =>
   !worker.departed &&
   (!worker.fenced ||
+    worker.unreachable ||
     worker.runs.size > 0 ||
     worker.strayStops.size > 0 ||
     worker.seenSequence > worker.durableSequence ||
--- a/packages/wire/src/work/workRows.ts
+++ b/packages/wire/src/work/workRows.ts
@@ -46,6 +46,8 @@
 interface WaveProgress {
   readonly wave: number;
   readonly completed: boolean;
+  /** When an owner first saw the request. */
+  readonly seenWallMs: number;
   readonly doneHosts: readonly HostId[];
 }
 
@@ -85,8 +87,8 @@
     case "owner":
       return { ...locateRow({ type: "owner" }), text: JSON.stringify(row.owner) };
     case "waveReport": {
-      const { wave, completed, doneHosts } = row;
-      const body: WaveProgress = { wave, completed, doneHosts };
+      const { wave, completed, seenWallMs, doneHosts } = row;
+      const body: WaveProgress = { wave, completed, seenWallMs, doneHosts };
       return {
         table: WORK_TABLE.PROGRESS,
         part: OWNER_PART,
@@ -130,10 +132,10 @@
   if (
     table === WORK_TABLE.PROGRESS &&
     key.startsWith(WAVE_PREFIX) &&
-    has(body, ["wave", "doneHosts"])
+    has(body, ["wave", "seenWallMs", "doneHosts"])
   ) {
-    const { wave, doneHosts } = body as WaveProgress;
-    return { type: "waveReport", version: at, wave, doneHosts };
+    const { wave, seenWallMs, doneHosts } = body as WaveProgress;
+    return { type: "waveReport", version: at, wave, seenWallMs, doneHosts };
   }
   if (table === WORK_TABLE.PROGRESS && has(body, ["id", "state", "done", "failures"])) {
     return { type: "progress", version: at, progress: body as Progress };
