Count items on silent workers as away; rank work that is tight, late and worthless; look by time at most every 40 ms

(4) What could still be in time, if only just, was put behind what was late for good; occurrences were judged by their submission's acceptance.

Change also: a rise of demand is looked for over 150, 300 and 600 ms.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -182,6 +182,11 @@
   RETRY_AFTER_MS: 1_000,
 } as const;
 
+export const CLOCK_TURN = {
+  /** Least time between two looks at all that goes by time. */
+  GAP_MS: 40,
+} as const;
+
 export const CLOCK_JUMP = {
   /** Wall and steady clock may drift apart by this much between two turns. */
   TOLERANCE_MS: 250,
@@ -231,14 +236,15 @@
   /** A worker idle for so long may go to a pool whose work waits. */
   LEND_IDLE_MS: 200,
   /** A worker idle for so long is turned off. */
-  RETIRE_IDLE_MS: 800,
+  RETIRE_IDLE_MS: 1_000,
   /** What waits should be done within this time. */
   DRAIN_MS: 800,
-  /** Times over which the rate of arriving work is averaged, long and short. */
+  /** Time over which the rate of arriving work is averaged. */
   STEADY_MS: 1_500,
-  SURGE_MS: 400,
-  /** Standard errors that a surge is taken to be smaller than it looks. */
-  CHANCE: 0.6,
+  /** Times over which a sudden rise is looked for. */
+  SURGE_WINDOWS_MS: [150, 300, 600],
+  /** Standard errors that a rise is taken to be smaller than it looks. */
+  CHANCE: 1,
   LOG_MS: 1_000,
   /** Room above what keeps hosts busy, since items of mixed sizes do not fill a worker. */
   ROOM: 1.15,
@@ -247,10 +253,12 @@
 } as const;
 
 export const ORDERING = {
-  /** Room above the estimated chain of a submission that has not begun. */
-  CHAIN_ROOM: 1.25,
+  /** Room above the estimated chain of a submission that has not begun, as a part of it. */
+  CHAIN_ROOM: 0.25,
   /** Time from room to a start. */
   START_MS: 150,
+  /** Work that ends after so many times its objective is worth nothing. */
+  WORTH_FACTOR: 3,
 } as const;
 
 export const UPKEEP_WAVE = {
--- a/packages/core/src/work/demand.ts
+++ b/packages/core/src/work/demand.ts
@@ -1,11 +1,11 @@
 import type { PoolId } from "@heatherferry/common";
+import { arrivingHosts, hostRoom, shareOf } from "./arrivals.js";
 import { LENDING } from "./constants.js";
-import { endingSteps } from "./estimates.js";
 import { withinCeiling } from "./placement.js";
 import { roomOf } from "./runs.js";
 import type { OwnedWork, PoolWork, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
-import type { Resources, WorkSpec } from "./types.js";
+import type { Resources } from "./types.js";
 
 /** What a pool asks for and has, counted in hosts by whichever resource is scarcest. */
 export interface Demand {
@@ -37,20 +37,6 @@
 export const isOpen = (worker: Worker): boolean =>
   worker.listed && !worker.departed && !worker.report.draining && !worker.reserved;
 
-/** @returns Room of a host of the pool. */
-const hostRoom = (pool: PoolWork): Resources => {
-  const [anyWorker] = pool.workers;
-  return anyWorker?.report.capacity ?? LENDING.HOST_ROOM;
-};
-
-/** @returns The part of a host that work takes, by the resource of which it takes most. */
-const shareOf = (needs: Resources, host: Resources): number =>
-  Math.max(
-    needs.cpuMilli / Math.max(1, host.cpuMilli),
-    needs.memoryMb / Math.max(1, host.memoryMb),
-    host.gpus === 0 ? 0 : needs.gpus / host.gpus,
-  );
-
 const sharesOn = (worker: Worker, host: Resources): { lasting: number; ending: number } => {
   const shares = { lasting: 0, ending: 0 };
   for (const { item, room } of worker.runs.values()) {
@@ -84,31 +70,6 @@
   return { hosts, spread: Math.ceil(spread) };
 };
 
-/** @returns What work keeps busy until it has ended, in hosts times ms. */
-const hostMsOf = (work: WorkSpec, host: Resources): number =>
-  endingSteps(work).reduce(
-    (sum, step) => sum + step.count * shareOf(step.needs, host) * Math.max(1, step.estimateMs),
-    0,
-  );
-
-/** Brings a pool's rates of arriving work up to date. */
-export const updateRates = (turn: Turn, pool: PoolWork): void => {
-  const host = hostRoom(pool);
-  const sinceMs = turn.nowMs - pool.rateAtMs;
-  const arrived = pool.arrivedWork.reduce((sum, work) => sum + hostMsOf(work, host), 0);
-  const keepSteady = Math.exp(-sinceMs / LENDING.STEADY_MS);
-  const keepSurge = Math.exp(-sinceMs / LENDING.SURGE_MS);
-  pool.steadyHosts = pool.steadyHosts * keepSteady + arrived / LENDING.STEADY_MS;
-  pool.surgeHosts = pool.surgeHosts * keepSurge + arrived / LENDING.SURGE_MS;
-  pool.surgeCount = pool.surgeCount * keepSurge + pool.arrivedWork.length;
-  pool.arrivedWork = [];
-  pool.rateAtMs = turn.nowMs;
-};
-
-/** A few submissions may have come together by chance, so a surge counts less its likely error. */
-const arrivingHosts = ({ steadyHosts, surgeHosts, surgeCount }: PoolWork): number =>
-  Math.max(steadyHosts, surgeHosts * (1 - LENDING.CHANCE / Math.sqrt(Math.max(1, surgeCount))));
-
 /** @returns What a pool asks for and has. */
 export const demandOf = (turn: Turn, owned: OwnedWork, pool: PoolWork): Demand => {
   const host = hostRoom(pool);
@@ -127,7 +88,7 @@
     pool,
     runningHosts,
     waitingHosts: waiting.hosts,
-    arrivingHosts: arrivingHosts(pool),
+    arrivingHosts: arrivingHosts(turn, pool),
     spreadShort: waiting.spread,
     hosts,
     comingHosts: coming,
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -1,10 +1,10 @@
 import type { PoolId } from "@heatherferry/common";
-import { queueById } from "./catalog.js";
-import { HEALTH, ORDERING, RUN_PHASE, SUBMISSION_STATE } from "./constants.js";
+import { HEALTH, RUN_PHASE } from "./constants.js";
 import { planGang } from "./gangs.js";
 import { isSure } from "./ownership.js";
 import { roomOf, stopRun } from "./runs.js";
 import { chooseWorker, withinCeiling } from "./placement.js";
+import { inOrder } from "./ranking.js";
 import { nextRunNumber, planStart } from "./starts.js";
 import type { OwnedWork, PoolWork, Submission, Worker } from "./state.js";
 import { poolOfSubmission } from "./submissions.js";
@@ -26,55 +26,6 @@
   worker.roomKnownAtMs <= turn.nowMs &&
   !isSilent(turn, worker);
 
-/** @returns Whether a submission can no longer be done in time, even if it starts now. */
-const isLate = (turn: Turn, submission: Submission): boolean => {
-  const [first] = submission.ready;
-  if (first === undefined || first.spec.lasting) {
-    return false;
-  }
-  const chainMs = submission.chainsMs[first.step] ?? 0;
-  // Estimates are rough, and work that is begun and ends late has taken room from other work.
-  const begun = submission.state !== SUBMISSION_STATE.QUEUED;
-  const neededMs = begun ? chainMs : chainMs * ORDERING.CHAIN_ROOM + ORDERING.START_MS;
-  return turn.nowMs + neededMs > submission.dueAtMs;
-};
-
-interface Ranked {
-  readonly submission: Submission;
-  readonly priority: number;
-  /** What earns its caller most goes first. */
-  readonly rank: number;
-}
-
-/** In time, late, and beyond the team's right. */
-const RANK = { IN_TIME: 0, LATE: 1, EXCESS: 2 } as const;
-
-const rankOf = (turn: Turn, submission: Submission): number => {
-  if (submission.excess) {
-    return RANK.EXCESS;
-  }
-  return isLate(turn, submission) ? RANK.LATE : RANK.IN_TIME;
-};
-
-const inOrder = (turn: Turn, pool: PoolWork): readonly Submission[] => {
-  const ranked: Ranked[] = [];
-  for (const submission of pool.waiting) {
-    if (submission.ready.size === 0) {
-      pool.waiting.delete(submission);
-    } else {
-      const queue = queueById(turn.work.catalog, submission.handIn.queue);
-      ranked.push({ submission, priority: queue?.priority ?? 0, rank: rankOf(turn, submission) });
-    }
-  }
-  ranked.sort(
-    (one, other) =>
-      one.rank - other.rank ||
-      one.priority - other.priority ||
-      one.submission.dueAtMs - other.submission.dueAtMs,
-  );
-  return ranked.map(({ submission }) => submission);
-};
-
 const placeItems = (
   turn: Turn,
   owned: OwnedWork,
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -1,15 +1,8 @@
 import type { HostId, PoolId } from "@heatherferry/common";
+import { ageArrivals } from "./arrivals.js";
 import { poolById } from "./catalog.js";
 import { HOSTS, LENDING } from "./constants.js";
-import {
-  demandOf,
-  isOpen,
-  logDemand,
-  missingHosts,
-  spareHosts,
-  updateRates,
-  type Demand,
-} from "./demand.js";
+import { demandOf, isOpen, logDemand, missingHosts, spareHosts, type Demand } from "./demand.js";
 import type { WorkEvent } from "./events.js";
 import { listHosts, mayOrderHost, planHostOrder } from "./hosts.js";
 import { isSure } from "./ownership.js";
@@ -158,7 +151,7 @@
   }
   settleMoves(turn, owned);
   owned.pools.forEach((pool) => {
-    updateRates(turn, pool);
+    ageArrivals(turn, pool);
   });
   const demands = (turn.work.catalog?.pools ?? [])
     .filter(({ standby }) => !standby)
--- a/packages/core/src/work/pools.ts
+++ b/packages/core/src/work/pools.ts
@@ -10,10 +10,8 @@
       workers: new Set(),
       waiting: new Set(),
       dirty: true,
-      arrivedWork: [],
+      arrivals: [],
       steadyHosts: 0,
-      surgeHosts: 0,
-      surgeCount: 0,
       rateAtMs: 0,
     };
     owned.pools.set(id, pool);
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -2,7 +2,8 @@
 import type { Event } from "../event.js";
 import { callCommitSettled, callLookedUp, callLookUpFailed, tickCalls } from "./callResults.js";
 import { callAbandoned, callArrived } from "./calls.js";
-import { CLOCK_JUMP, LEAVING, SCAN, STORE } from "./constants.js";
+import { CLOCK_JUMP, CLOCK_TURN, LEAVING, SCAN, STORE } from "./constants.js";
+import { emptyLeaving } from "./emptying.js";
 import { dispatch, recheckPools, stopStalled } from "./dispatch.js";
 import type { WorkEvent } from "./events.js";
 import { feedAnswered, feedFailed, feedRead, storeAnswered, tickFeeds } from "./feeds.js";
@@ -18,7 +19,7 @@
 import type { OwnedWork, WorkloadState } from "./state.js";
 import { makeDueOccurrences } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
-import { emptyLeaving, tickWaves, upkeepAnswered } from "./waves.js";
+import { tickWaves, upkeepAnswered } from "./waves.js";
 import { tickWorkers, workerLooked, workerLookFailed } from "./workers.js";
 
 /**
@@ -183,9 +184,19 @@
   }
 };
 
+/** Whether to look at all that goes by time; the clock turns oftener when something waits for it. */
+const isTickDue = ({ work, nowMs }: Turn): boolean => {
+  if (nowMs - work.tickedAtMs < CLOCK_TURN.GAP_MS) {
+    return false;
+  }
+  work.tickedAtMs = nowMs;
+  return true;
+};
+
 /** Carries on what goes by time or follows from what just happened. */
-const settle = (turn: Turn, ticked: boolean): void => {
+const settle = (turn: Turn, clockTurned: boolean): void => {
   const { work } = turn;
+  const ticked = clockTurned && isTickDue(turn);
   tickFeeds(turn);
   tickOwnership(turn);
   const { owned } = work;
--- a/packages/core/src/work/starts.ts
+++ b/packages/core/src/work/starts.ts
@@ -3,7 +3,7 @@
 import { addRun, dropRun } from "./runs.js";
 import type { Item, OwnedWork, Run, Worker } from "./state.js";
 import { itemLost } from "./submissions.js";
-import { logLine, type Turn } from "./turn.js";
+import { logLine, loggedMs, type Turn } from "./turn.js";
 import { extendLease, targetOf } from "./leases.js";
 
 /** Runs that one fence may order of an item; the next fence counts on from there. */
@@ -83,7 +83,9 @@
     worker: worker.report.id,
     pool: worker.report.pool,
     fence: Number(owned.fence),
-    slackMs: Math.round(submission.dueAtMs - turn.nowMs),
+    slackMs: loggedMs(
+      (submission.occurrences.get(item.occurrence)?.dueAtMs ?? Infinity) - turn.nowMs,
+    ),
     usedCpuMilli: worker.usedCpuMilli,
   });
 };
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -21,7 +21,6 @@
   WorkBounds,
   WorkerId,
   WorkerReport,
-  WorkSpec,
 } from "./types.js";
 
 /** A run of an item on a worker, from the order until its end is known. */
@@ -77,6 +76,10 @@
 /** One time that the steps of a submission run. */
 export interface Occurrence {
   readonly number: number;
+  /** Its objective, on this node's clock. */
+  readonly dueAtMs: number;
+  /** When its end is worth nothing any more. */
+  readonly worthlessAtMs: number;
   readonly steps: readonly (readonly Item[])[];
   readonly doneInStep: number[];
 }
@@ -84,8 +87,6 @@
 export interface Submission {
   readonly handIn: HandIn;
   readonly version: StoreVersion;
-  /** Objective on this node's clock. */
-  dueAtMs: number;
   /** Handed in beyond what its team has a right to: others' work goes first. */
   readonly excess: boolean;
   /** For each step, the longest chain of estimates from its start to the end. */
@@ -147,20 +148,23 @@
   departed: boolean;
 }
 
+/** Work handed in to a pool. */
+export interface Arrival {
+  readonly atMs: number;
+  /** What it keeps busy until it has ended, in hosts times ms. */
+  readonly hostMs: number;
+}
+
 export interface PoolWork {
   readonly id: PoolId;
   readonly workers: Set<Worker>;
   /** Submissions with ready items. */
   readonly waiting: Set<Submission>;
   dirty: boolean;
-  /** Work handed in since the rates were last brought up to date. */
-  arrivedWork: WorkSpec[];
+  /** What was handed in of late, oldest first. */
+  arrivals: Arrival[];
   /** Hosts that arriving work keeps busy, averaged over a longer time. */
   steadyHosts: number;
-  /** The same over a short time, to see early that demand rises. */
-  surgeHosts: number;
-  /** Submissions that the short average rests on. */
-  surgeCount: number;
   rateAtMs: number;
 }
 
@@ -326,6 +330,8 @@
   leavingAtMs: number | null;
   frontClosed: boolean;
   nextCommit: number;
+  /** When all that goes by time was looked at last. */
+  tickedAtMs: number;
   wakeAtMs: number | null;
 }
 
@@ -368,5 +374,6 @@
   leavingAtMs: null,
   frontClosed: false,
   nextCommit: 1,
+  tickedAtMs: -Infinity,
   wakeAtMs: null,
 });
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -3,12 +3,13 @@
 import { queueById } from "./catalog.js";
 import { ITEM_PHASE, SUBMISSION_STATE } from "./constants.js";
 import { chainsMs } from "./estimates.js";
+import { noteArrival } from "./arrivals.js";
+import { makeOccurrence, stepIsDone } from "./occurrences.js";
 import { poolOf } from "./pools.js";
 import { stopRun } from "./runs.js";
 import type { Item, Occurrence, OwnedWork, Submission } from "./state.js";
-import { logLine, type Turn } from "./turn.js";
+import { logLine, loggedMs, type Turn } from "./turn.js";
 import {
-  itemKeyOf,
   type HandIn,
   type ItemKey,
   type Progress,
@@ -21,67 +22,6 @@
 export const poolOfSubmission = (turn: Turn, handIn: HandIn): PoolId =>
   queueById(turn.work.catalog, handIn.queue)?.pool ?? handIn.pool;
 
-const dueAt = (turn: Turn, handIn: HandIn, longestChainMs: number): number => {
-  const queue = queueById(turn.work.catalog, handIn.queue);
-  const acceptedAtMs = turn.nowMs - Math.max(0, turn.wallMs - handIn.acceptedWallMs);
-  const stretch = queue?.stretchFactor ?? 1;
-  return acceptedAtMs + stretch * longestChainMs + (queue?.targetDurationMs ?? 0);
-};
-
-const newItem = (
-  submission: Submission,
-  occurrence: number,
-  step: number,
-  index: number,
-  inherited: boolean,
-): Item => {
-  const spec = submission.handIn.work.steps[step];
-  if (spec === undefined) {
-    throw new RangeError(`Submission ${submission.handIn.id} has no step ${step}`);
-  }
-  return {
-    key: itemKeyOf(submission.handIn.id, occurrence, step, index),
-    submission,
-    occurrence,
-    step,
-    index,
-    spec,
-    phase: ITEM_PHASE.BLOCKED,
-    failedRuns: new Set(),
-    lastRun: 0,
-    run: null,
-    checkpoint: null,
-    avoid: null,
-    inherited,
-  };
-};
-
-const makeOccurrence = (
-  submission: Submission,
-  number: number,
-  inherited: boolean,
-  progress: Progress | null,
-): Occurrence => {
-  const doneInStep: number[] = [];
-  const steps = submission.handIn.work.steps.map((spec, step) => {
-    const done = new Set(progress?.done[`${number}.${step}`] ?? []);
-    doneInStep.push(done.size);
-    return Array.from({ length: spec.count }, (_, index) => {
-      const item = newItem(submission, number, step, index, inherited);
-      item.phase = done.has(index) ? ITEM_PHASE.DONE : ITEM_PHASE.BLOCKED;
-      for (const run of progress?.failures[`${number}.${step}.${index}`] ?? []) {
-        item.failedRuns.add(run);
-        item.lastRun = Math.max(item.lastRun, run);
-      }
-      return item;
-    });
-  });
-  return { number, steps, doneInStep };
-};
-
-const stepIsDone = (occurrence: Occurrence, step: number): boolean =>
-  occurrence.doneInStep[step] === occurrence.steps[step]?.length;
-
 /** @returns Whether a submission has ended. */
 export const isOver = (state: SubmissionState): boolean =>
   state !== SUBMISSION_STATE.QUEUED && state !== SUBMISSION_STATE.RUNNING;
@@ -128,7 +68,7 @@
       return;
     }
     submission.madeOccurrences += 1;
-    const occurrence = makeOccurrence(submission, number, inherited, progress);
+    const occurrence = makeOccurrence(turn, submission, number, inherited, progress);
     submission.occurrences.set(number, occurrence);
     if (occurrence.steps.every((_, step) => stepIsDone(occurrence, step))) {
       submission.doneOccurrences += 1;
@@ -176,13 +116,11 @@
     return;
   }
   const state = progress?.state ?? SUBMISSION_STATE.QUEUED;
-  const chains = chainsMs(handIn.work);
   const submission: Submission = {
     handIn,
     version,
-    dueAtMs: dueAt(turn, handIn, Math.max(0, ...chains)),
     excess: !inherited && isExcess(turn, owned, handIn),
-    chainsMs: chains,
+    chainsMs: chainsMs(handIn.work),
     occurrences: new Map(),
     madeOccurrences: 0,
     doneOccurrences: 0,
@@ -195,11 +133,14 @@
   };
   owned.submissions.set(handIn.id, submission);
   if (!inherited) {
-    poolOf(owned, poolOfSubmission(turn, handIn)).arrivedWork.push(handIn.work);
+    noteArrival(turn, poolOf(owned, poolOfSubmission(turn, handIn)), handIn.work);
   }
   makeDueOccurrences(turn, owned, submission, progress, inherited);
 };
 
+const lastOccurrence = (submission: Submission): Occurrence | undefined =>
+  submission.occurrences.get(submission.madeOccurrences - 1);
+
 /** Ends a submission: nothing of it starts any more, and what runs is stopped. */
 const endSubmission = (
   turn: Turn,
@@ -224,7 +165,7 @@
     submission: submission.handIn.id,
     state,
     why,
-    lateMs: Math.round(turn.nowMs - submission.dueAtMs),
+    lateMs: loggedMs(turn.nowMs - (lastOccurrence(submission)?.dueAtMs ?? Infinity)),
   });
 };
 
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -3,8 +3,8 @@
 import { listHosts, mayOrderHost, planHostOrder } from "./hosts.js";
 import type { StoreRow, WorkEvent } from "./events.js";
 import { isSure } from "./ownership.js";
-import { stopRun } from "./runs.js";
-import type { OwnedWork, Run, WaveWork, Worker } from "./state.js";
+import { emptyWorker } from "./emptying.js";
+import type { OwnedWork, WaveWork, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
 import type { WaveRequest } from "./types.js";
 
@@ -56,34 +56,6 @@
 const workerOfHost = (owned: OwnedWork, host: HostId): Worker | null =>
   owned.workersByHost.get(host) ?? null;
 
-/** @returns Items of the run's step that are not at work. */
-const awayOthers = (run: Run): number => {
-  const { item } = run;
-  const step = item.submission.occurrences.get(item.occurrence)?.steps[item.step] ?? [];
-  return step.filter(
-    (other) => other !== item && (other.run?.phase !== "running" || other.run.percent < 100),
-  ).length;
-};
-
-/**
- * A run that looked as if it was still starting may be at work by now, so it counts like the others.
- *
- * @returns Whether a run may be ended by our doing without taking too much of its step away.
- */
-export const mayStop = (run: Run): boolean => {
-  const { maxUnavailable, lasting } = run.item.spec;
-  return !lasting || maxUnavailable === null || awayOthers(run) < maxUnavailable;
-};
-
-/** Stops lasting work on a worker that is to be emptied, as its steps allow; the rest ends by itself. */
-export const emptyWorker = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
-  for (const run of worker.runs.values()) {
-    if (run.item.spec.lasting && run.phase === "running" && mayStop(run)) {
-      stopRun(turn, owned, run, why);
-    }
-  }
-};
-
 /** Counts hosts as out that an owner before this one sent to upkeep. */
 const adoptOut = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
   for (const host of wave.request.hosts) {
@@ -232,15 +204,6 @@
   }
 };
 
-/** Moves lasting work off workers that are about to leave, as its steps allow. */
-export const emptyLeaving = (turn: Turn, owned: OwnedWork): void => {
-  for (const worker of owned.workers.values()) {
-    if (worker.report.draining && worker.listed) {
-      emptyWorker(turn, owned, worker, "the worker is leaving");
-    }
-  }
-};
-
 /** Hosts that are off or reserved already go first, then those with the least work. */
 const rank = (worker: Worker | null): number =>
   worker === null || worker.reserved ? -1 : worker.runs.size;
