Wait for stops after a take-over only where something ran; lend hosts in turn; keep a pool's last worker through a wave

Idle hosts go off after 1.8 s instead of 1 s: the next pool's turn begins as one ends, and a host lent is one move, off and on again two.

Ruled out: late placement by rank (submissions of the first rank waited too).

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -236,7 +236,7 @@
   /** A worker idle for so long may go to a pool whose work waits. */
   LEND_IDLE_MS: 200,
   /** A worker idle for so long is turned off. */
-  RETIRE_IDLE_MS: 1_000,
+  RETIRE_IDLE_MS: 1_800,
   /** What waits should be done within this time. */
   DRAIN_MS: 800,
   /** Time over which the rate of arriving work is averaged. */
@@ -264,10 +264,10 @@
 export const UPKEEP_WAVE = {
   /** Time that work on a worker is given to end before upkeep. */
   EMPTYING_MS: 4_000,
-  /** Time to move the lasting work of one worker, where steps let go of one item at a time. */
-  LASTING_MS: 2_500,
+  /** Time to move the lasting work of a step, which lets go of one item at a time. */
+  LASTING_MS: 10_000,
   /** Kept back of the time that a wave may take. */
-  MARGIN_MS: 4_000,
+  MARGIN_MS: 3_000,
 } as const;
 
 export const HOSTS = {
--- a/packages/core/src/work/demand.ts
+++ b/packages/core/src/work/demand.ts
@@ -56,9 +56,8 @@
   let spread = 0;
   for (const submission of pool.waiting) {
     const perStep = new Map<number, number>();
-    for (const { key, spec, step } of submission.ready) {
-      const starts = !owned.heldItems.has(key) && withinCeiling(turn, owned, submission, spec);
-      if (starts) {
+    for (const { spec, step } of submission.ready) {
+      if (withinCeiling(turn, owned, submission, spec)) {
         // A host runs short items one after another, long ones take it for as long as they last.
         const inTime = spec.lasting ? 1 : Math.min(1, spec.estimateMs / LENDING.DRAIN_MS);
         hosts += shareOf(roomOf(spec), host) * inTime;
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -86,19 +86,25 @@
   });
 };
 
-/** @returns Whether some pool misses hosts. */
+/**
+ * Gives hosts to pools that miss some, one each in turn, so that a surge in one pool does not leave
+ * another with none.
+ *
+ * @returns Whether some pool misses hosts.
+ */
 const lend = (turn: Turn, owned: OwnedWork, demands: readonly Demand[]): boolean => {
   const needy = demands
     .map((demand) => ({ demand, missing: missingHosts(demand) }))
     .filter(({ missing }) => missing > 0)
-    .sort((one, other) => other.missing - one.missing);
+    .sort((one, other) => one.demand.hosts - other.demand.hosts);
   if (needy.length === 0) {
     return false;
   }
   const off = standbyHosts(turn, owned);
   const idle = demands.flatMap((demand) => idleWorkers(turn, owned, demand, LENDING.LEND_IDLE_MS));
-  for (const { demand, missing } of needy) {
-    for (let count = 0; count < missing; count += 1) {
+  const most = Math.max(...needy.map(({ missing }) => missing));
+  for (let round = 0; round < most; round += 1) {
+    for (const { demand } of needy.filter(({ missing }) => missing > round)) {
       const host = idle.pop()?.report.host ?? off.pop();
       if (host == null) {
         return true;
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -1,6 +1,8 @@
 import type { HostId } from "@heatherferry/common";
 import { HOSTS, UPKEEP_WAVE } from "./constants.js";
+import { isOpen } from "./demand.js";
 import { listHosts, mayOrderHost, planHostOrder } from "./hosts.js";
+import { poolOf } from "./pools.js";
 import type { StoreRow, WorkEvent } from "./events.js";
 import { isSure } from "./ownership.js";
 import { emptyWorker } from "./emptying.js";
@@ -136,32 +138,33 @@
       !mayOrderHost(turn, owned, host) && !wave.doneHosts.has(host) && !wave.outHosts.has(host),
   ).length;
 
-const runsLasting = (worker: Worker | null): boolean =>
-  [...(worker?.runs.values() ?? [])].some(({ item }) => item.spec.lasting);
-
-/**
- * Upkeep of hosts that are off costs nothing, and most hosts are off now and then, so workers are
- * emptied only when the time that is left asks for it.
- */
-const mustHurry = (
-  turn: Turn,
-  owned: OwnedWork,
-  wave: WaveWork,
-  left: readonly HostId[],
-): boolean => {
-  if (turn.work.catalog?.pools.some(({ standby }) => standby) !== true) {
-    return true;
-  }
+/** How much of a wave's time is left over when its workers are emptied in rounds. */
+const spareMs = (turn: Turn, owned: OwnedWork, wave: WaveWork, left: readonly HostId[]): number => {
   const { durationMs, mostOut } = wave.request;
-  const rounds = Math.ceil(left.length / Math.max(1, mostOut));
-  const withLasting = left.filter((host) => runsLasting(workerOfHost(owned, host))).length;
-  const neededMs =
-    rounds * (turn.work.bounds.upkeepMs + UPKEEP_WAVE.EMPTYING_MS) +
-    withLasting * UPKEEP_WAVE.LASTING_MS +
-    UPKEEP_WAVE.MARGIN_MS;
-  return turn.nowMs - wave.seenAtMs >= durationMs - neededMs;
+  const workers = left.map((host) => workerOfHost(owned, host)).filter((worker) => worker !== null);
+  const rounds = Math.max(1, Math.ceil(workers.length / Math.max(1, mostOut)));
+  const lasting = workers.some((worker) => runsLasting(worker));
+  return (
+    wave.seenAtMs +
+    durationMs -
+    turn.nowMs -
+    rounds * (turn.work.bounds.upkeepMs + UPKEEP_WAVE.EMPTYING_MS) -
+    (lasting ? UPKEEP_WAVE.LASTING_MS : 0)
+  );
 };
 
+const runsLasting = (worker: Worker): boolean =>
+  [...worker.runs.values()].some(({ item }) => item.spec.lasting);
+
+/** Upkeep of hosts that are off costs nothing, and most hosts are off now and then. */
+const canWaitForOffHosts = (turn: Turn): boolean =>
+  turn.work.catalog?.pools.some(({ standby }) => standby) === true;
+
+const isLastOpen = (owned: OwnedWork, worker: Worker): boolean =>
+  ![...poolOf(owned, worker.report.pool).workers].some(
+    (other) => other !== worker && isOpen(other),
+  );
+
 /** Frees hosts of a wave and sends them to upkeep, as many at once as the operators allow. */
 const advance = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
   adoptOut(turn, owned, wave);
@@ -175,7 +178,8 @@
   const left = wave.request.hosts.filter(
     (host) => !wave.doneHosts.has(host) && !wave.outHosts.has(host),
   );
-  const hurry = mustHurry(turn, owned, wave, left);
+  const waitMs = canWaitForOffHosts(turn) ? spareMs(turn, owned, wave, left) : 0;
+  const hurry = waitMs <= UPKEEP_WAVE.MARGIN_MS;
   const free = left.filter((host) => !owned.moves.has(host) && mayOrderHost(turn, owned, host));
   const chosen = free
     .map((host) => ({ host, worker: workerOfHost(owned, host) }))
@@ -184,6 +188,9 @@
     .slice(0, Math.max(0, slots));
   for (const { host, worker } of chosen) {
     if (worker !== null) {
+      if (!worker.reserved && waitMs > 0 && isLastOpen(owned, worker)) {
+        continue;
+      }
       worker.reserved = true;
       emptyWorker(turn, owned, worker, "its host is due for upkeep");
     }
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -159,7 +159,9 @@
   worker.unreachable = false;
   if (!worker.fenced) {
     worker.fenced = true;
-    if (owned.unheard.get(worker.report.id)?.stopping === true || owned.stopsUnknown) {
+    // Where the owner before had nothing running, nothing can be under way to its stop.
+    const before = owned.unheard.get(worker.report.id);
+    if (before !== undefined && (before.stopping || owned.stopsUnknown)) {
       worker.roomKnownAtMs = turn.nowMs + turn.work.bounds.stopMs;
     }
     poolOf(owned, worker.report.pool).dirty = true;
--- a/packages/core/tests/work/hosts.test.ts
+++ b/packages/core/tests/work/hosts.test.ts
@@ -135,3 +135,32 @@
     site.effects.some((effect) => effect.type === "worker/stop" && effect.worker === report?.id),
   );
 });
+
+test("a surge in one pool takes all hosts before another pool gets one", (t) => {
+  const site = new WorkSite(5, 1, 2, 3);
+  site.workMs = 60_000;
+  site.run(2_000);
+  const one = stepOf(1, 100, []);
+  const big = { ...one, needs: { cpuMilli: 100, memoryMb: 9_000, gpus: 0 }, count: 3 };
+  site.submit(ID, "mills", workOf([{ ...big, count: 8 }]), 0);
+  site.submit("00000000000000bb", "dies", workOf([big]), 0);
+  site.run(500);
+  t.is(movesTo(site, "dies").length, 1);
+  t.is(movesTo(site, "mills").length, 2);
+});
+
+test("a wave takes both workers of a pool at once", (t) => {
+  const site = new WorkSite(5, 1, 2, 1);
+  site.workMs = 1_000;
+  site.run(2_000);
+  const names = [...site.hosts.keys()].filter((host) => host.includes("mills"));
+  const request = { wave: 1, hosts: names, durationMs: 12_000, mostOut: 2 };
+  site.store.put("wave 1", { type: "wave", version: storeVersion(0), request });
+  for (let slice = 0; slice < 80; slice += 1) {
+    site.run(100);
+    const workers = [...site.workers.values()].filter(({ report }) => report.pool === "mills");
+    t.true(workers.length > 0);
+  }
+  site.run(6_000);
+  t.deepEqual(upkeepsOf(site, "mills"), [1, 1]);
+});
--- a/packages/core/tests/work/unreachable.test.ts
+++ b/packages/core/tests/work/unreachable.test.ts
@@ -24,3 +24,29 @@
   t.not(again[0]?.worker, first?.worker);
   t.deepEqual(site.unfinished(), []);
 });
+
+/** A site whose only node was killed and is back, with work that wants two hosts more. */
+const siteAfterTakeOver = (): WorkSite => {
+  const site = new WorkSite(5, 1, 2, 2);
+  site.workMs = 60_000;
+  site.run(2_000);
+  site.kill(0, 500);
+  site.run(1_500);
+  const needs = { cpuMilli: 100, memoryMb: 9_000, gpus: 0 };
+  site.submit(ID, "mills", workOf([{ ...stepOf(4, 100, []), needs }]), 0);
+  return site;
+};
+
+test("a worker that comes after a take-over waits for stops that it never had", (t) => {
+  const site = siteAfterTakeOver();
+  const known = new Set(site.workers.keys());
+  const added = (): string[] => [...site.workers.keys()].filter((id) => !known.has(id));
+  while (added().length < 2) {
+    site.run(10);
+  }
+  site.run(150);
+  t.deepEqual(
+    added().map((id) => site.workers.get(id)?.runs.size),
+    [1, 1],
+  );
+});
