Send no host to upkeep whose worker's entry is only missing

What the code allows: a stale or dropped history unlists a worker that lives; its host then has no known worker, and since hosts that are off go first it was sent to upkeep at once with lasting work on it. The test does just that and failed before.

Change: a host without a known worker counts as off only in a standby pool; a worker has to have answered, and lately, before its host goes early in a wave.

--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -5,6 +5,7 @@
 import { poolOf } from "./pools.js";
 import type { StoreRow, WorkEvent } from "./events.js";
 import { isSure } from "./ownership.js";
+import { poolById } from "./catalog.js";
 import { emptyWorker } from "./emptying.js";
 import type { OwnedWork, WaveWork, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
@@ -165,6 +166,21 @@
     (other) => other !== worker && isOpen(other),
   );
 
+/** A host without a known worker may still run one whose entry is missing. */
+const isOff = (turn: Turn, owned: OwnedWork, host: HostId): boolean => {
+  const pool = owned.hosts.get(host)?.pool;
+  return pool !== undefined && poolById(turn.work.catalog, pool)?.standby === true;
+};
+
+const runsUnlisted = (owned: OwnedWork, host: HostId): boolean =>
+  [...owned.workers.values()].some(({ report, runs }) => report.host === host && runs.size > 0);
+
+/** Whether nothing runs on a worker, as far as is known; early in a wave that has to be fresh. */
+const isEmptied = (worker: Worker, late: boolean): boolean =>
+  worker.runs.size === 0 &&
+  worker.strayStops.size === 0 &&
+  (late || (worker.fenced && !worker.unreachable));
+
 /** Frees hosts of a wave and sends them to upkeep, as many at once as the operators allow. */
 const advance = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
   adoptOut(turn, owned, wave);
@@ -180,10 +196,14 @@
   );
   const waitMs = canWaitForOffHosts(turn) ? spareMs(turn, owned, wave, left) : 0;
   const hurry = waitMs <= UPKEEP_WAVE.MARGIN_MS;
-  const free = left.filter((host) => !owned.moves.has(host) && mayOrderHost(turn, owned, host));
-  const chosen = free
+  const chosen = left
+    .filter((host) => !owned.moves.has(host) && mayOrderHost(turn, owned, host))
     .map((host) => ({ host, worker: workerOfHost(owned, host) }))
-    .filter(({ worker }) => hurry || worker === null || worker.reserved)
+    .filter(({ host, worker }) =>
+      worker === null
+        ? isOff(turn, owned, host) || (waitMs <= 0 && !runsUnlisted(owned, host))
+        : hurry || worker.reserved,
+    )
     .sort((one, other) => rank(one.worker) - rank(other.worker))
     .slice(0, Math.max(0, slots));
   for (const { host, worker } of chosen) {
@@ -194,11 +214,10 @@
       worker.reserved = true;
       emptyWorker(turn, owned, worker, "its host is due for upkeep");
     }
-    if (owned.hosts.has(host) && (worker === null || worker.runs.size === 0)) {
-      if (owned.hosts.get(host)?.up === true && slots > 0) {
-        slots -= 1;
-        orderUpkeep(turn, owned, wave, host, worker);
-      }
+    const up = owned.hosts.get(host)?.up === true;
+    if (up && slots > 0 && (worker === null || isEmptied(worker, waitMs <= 0))) {
+      slots -= 1;
+      orderUpkeep(turn, owned, wave, host, worker);
     }
   }
   if (left.length === 0 && wave.outHosts.size === 0 && !wave.completed) {
--- a/packages/core/tests/work/hosts.test.ts
+++ b/packages/core/tests/work/hosts.test.ts
@@ -164,3 +164,19 @@
   site.run(6_000);
   t.deepEqual(upkeepsOf(site, "mills"), [1, 1]);
 });
+
+test("a host whose worker's entry is missing goes to upkeep with work on it", (t) => {
+  const site = new WorkSite(5, 1, 3, 1, STARTUP_MS);
+  site.workMs = 600_000;
+  site.run(2_000);
+  site.submit(ID, "mills", workOf([{ ...stepOf(1, 900, []), lasting: true }]), 0);
+  site.run(1_000);
+  const [busy] = [...site.workers.values()].filter(({ runs }) => runs.size > 0);
+  t.truthy(busy);
+  if (busy !== undefined) {
+    site.store.workerGone(busy.report.id);
+  }
+  askForWave(site, "mills", 3, 1);
+  site.run(10_000);
+  t.is(site.runsCutOff, 0);
+});
--- a/packages/core/tests/work/siteHosts.ts
+++ b/packages/core/tests/work/siteHosts.ts
@@ -41,6 +41,8 @@
   readonly hosts = new Map<HostId, MemoryHost>();
   /** Most hosts that were down for upkeep at once. */
   mostInUpkeep = 0;
+  /** Runs that ended since their host was taken from under them. */
+  runsCutOff = 0;
   private nextWorker = 0;
 
   /** @param startupMs - When lasting work is at work; null where runs progress to their end. */
@@ -124,6 +126,8 @@
     host.state = state;
     host.worker = null;
     if (gone !== null) {
+      this.workers.get(gone)?.advance(this.nowMs);
+      this.runsCutOff += this.workers.get(gone)?.runs.size ?? 0;
       this.workers.delete(gone);
       this.at(ENTRY_KEPT_MS, () => {
         this.store.workerGone(workerId(gone));
