Let a successor order hosts by the age of the order before; count no capacity of workers that never answered

And entries of hosts that had been moved away before the take-over counted as open workers, so nothing was missing.

Change: the owner's row names the age of each order; hosts are free when the order is old enough, counted from when the row was first seen, and orders that were inherited are handed on with their age. Workers that have not answered 0.6 s after their entry came are no capacity. Idle hosts go off after 1.2 s.

Ruled out: the platform's rate of orders, idle hosts elsewhere (none).

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -233,10 +233,12 @@
 export const LENDING = {
   /** Workers that a pool keeps in any case. */
   LEAST_WORKERS: 2,
+  /** A worker that has not answered so long after its entry came is gone. */
+  FIRST_ANSWER_MS: 600,
   /** A worker idle for so long may go to a pool whose work waits. */
   LEND_IDLE_MS: 200,
   /** A worker idle for so long is turned off. */
-  RETIRE_IDLE_MS: 1_800,
+  RETIRE_IDLE_MS: 1_200,
   /** What waits should be done within this time. */
   DRAIN_MS: 800,
   /** Time over which the rate of arriving work is averaged. */
--- a/packages/core/src/work/demand.ts
+++ b/packages/core/src/work/demand.ts
@@ -33,9 +33,20 @@
   return count;
 };
 
+/**
+ * A worker that came just now is about to answer; one that has not after that is gone, and its
+ * entry is left over.
+ */
+const answers = (turn: Turn, worker: Worker): boolean =>
+  worker.fenced ? !worker.unreachable : turn.nowMs - worker.enlistedAtMs < LENDING.FIRST_ANSWER_MS;
+
 /** @returns Whether a worker may get work now and later. */
-export const isOpen = (worker: Worker): boolean =>
-  worker.listed && !worker.departed && !worker.report.draining && !worker.reserved;
+export const isOpen = (turn: Turn, worker: Worker): boolean =>
+  worker.listed &&
+  !worker.departed &&
+  !worker.report.draining &&
+  !worker.reserved &&
+  answers(turn, worker);
 
 const sharesOn = (worker: Worker, host: Resources): { lasting: number; ending: number } => {
   const shares = { lasting: 0, ending: 0 };
@@ -79,7 +90,7 @@
   for (const worker of pool.workers) {
     const shares = sharesOn(worker, host);
     runningHosts += shares.ending;
-    if (isOpen(worker)) {
+    if (isOpen(turn, worker)) {
       hosts += Math.max(0, 1 - shares.lasting);
     }
   }
@@ -119,7 +130,7 @@
   owned.demandLoggedAtMs = turn.nowMs;
   for (const demand of demands) {
     const { pool } = demand;
-    const workers = [...pool.workers].filter(isOpen);
+    const workers = [...pool.workers].filter((worker) => isOpen(turn, worker));
     const busy = workers.filter(({ runs }) => runs.size > 0).length;
     if (busy > 0 || demand.waitingHosts > 0) {
       logLine(turn, "info", "pool.demand", {
--- a/packages/core/src/work/hosts.ts
+++ b/packages/core/src/work/hosts.ts
@@ -1,8 +1,9 @@
 import type { HostId } from "@heatherferry/common";
-import { HOSTS } from "./constants.js";
+import { HOSTS, OWNERSHIP } from "./constants.js";
 import type { WorkEvent } from "./events.js";
 import type { HostOrder, OwnedWork } from "./state.js";
 import type { Turn } from "./turn.js";
+import type { OwnerRow } from "./types.js";
 
 /** Asks for the list of hosts if the last one is older than this. */
 export const listHosts = (turn: Turn, owned: OwnedWork, maxAgeMs: number): void => {
@@ -30,10 +31,48 @@
   owned.hostViewAtMs = event.sentAtMs;
 };
 
-/** Two holders must not take turns at a host, so orders of the owner before have to be old enough. */
+const exclusiveMs = (turn: Turn): number => turn.work.bounds.dutyLeaseMs + HOSTS.DUTY_MARGIN_MS;
+
+/** @returns What a successor has to know of orders to hosts. */
+export const orderedHosts = (turn: Turn, owned: OwnedWork): Record<HostId, number | null> => {
+  const ages: Record<HostId, number | null> = {};
+  for (const [host, freeAtMs] of owned.inheritedOrders) {
+    if (freeAtMs > turn.nowMs) {
+      ages[host] = Math.round(exclusiveMs(turn) - (freeAtMs - turn.nowMs));
+    }
+  }
+  for (const [host, atMs] of owned.hostOrders) {
+    if (turn.nowMs - atMs < exclusiveMs(turn)) {
+      ages[host] = Math.round(turn.nowMs - atMs);
+    }
+  }
+  for (const { host } of owned.plannedOrders) {
+    ages[host] = null;
+  }
+  return ages;
+};
+
+/**
+ * Two holders must not take turns at a host.
+ *
+ * @param seenAtMs - When the last row of the owner before was first seen; it was written earlier.
+ * @returns When this node may order the hosts that the owner before ordered.
+ */
+export const inheritOrders = (
+  turn: Turn,
+  before: OwnerRow | null,
+  seenAtMs: number,
+): ReadonlyMap<HostId, number> =>
+  new Map(
+    Object.entries(before?.orderedHosts ?? {}).map(([host, ageMs]) => [
+      host as HostId,
+      // An order that was yet to be sent went out while its owner was sure, or not at all.
+      seenAtMs + exclusiveMs(turn) + (ageMs === null ? OWNERSHIP.SURE_MS : -ageMs),
+    ]),
+  );
+
 export const mayOrderHost = (turn: Turn, owned: OwnedWork, host: HostId): boolean =>
-  !owned.inheritedOrders.has(host) ||
-  turn.nowMs - owned.takenAtMs >= turn.work.bounds.dutyLeaseMs + HOSTS.DUTY_MARGIN_MS;
+  turn.nowMs >= (owned.inheritedOrders.get(host) ?? -Infinity);
 
 /** Plans an order; it goes out once the owner's row names the host, so that a successor knows. */
 export const planHostOrder = (turn: Turn, owned: OwnedWork, order: HostOrder): void => {
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -1,8 +1,7 @@
 import { pendingByQueue } from "./pending.js";
-import type { HostId } from "@heatherferry/common";
-import { HOSTS, OWNERSHIP, STORE } from "./constants.js";
+import { OWNERSHIP, STORE } from "./constants.js";
 import type { RowToWrite, WorkEvent } from "./events.js";
-import { sendHostOrders } from "./hosts.js";
+import { orderedHosts, sendHostOrders } from "./hosts.js";
 import { endOwning, isSure, stillOwner } from "./ownership.js";
 import type { LedgerWrite, OwnedWork, Submission, Worker } from "./state.js";
 import { progressOf } from "./submissions.js";
@@ -35,11 +34,6 @@
   return rows;
 };
 
-const orderedHosts = (turn: Turn, owned: OwnedWork): HostId[] => {
-  const sinceMs = turn.nowMs - turn.work.bounds.dutyLeaseMs - HOSTS.DUTY_MARGIN_MS;
-  return [...owned.hostOrders].filter(([, atMs]) => atMs >= sinceMs).map(([host]) => host);
-};
-
 const ownerRow = (turn: Turn, owned: OwnedWork, released: boolean): OwnerRow => ({
   holder: turn.work.identity.holder,
   incarnation: turn.work.identity.incarnation,
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -44,7 +44,7 @@
     .map(({ host }) => host);
 
 const isIdle = (turn: Turn, owned: OwnedWork, worker: Worker, idleMs: number): boolean =>
-  isOpen(worker) &&
+  isOpen(turn, worker) &&
   worker.fenced &&
   worker.runs.size === 0 &&
   worker.strayStops.size === 0 &&
@@ -56,7 +56,7 @@
 /** @returns Idle workers of a pool that it can do without, longest idle first. */
 const idleWorkers = (turn: Turn, owned: OwnedWork, demand: Demand, idleMs: number): Worker[] => {
   const { pool } = demand;
-  const open = [...pool.workers].filter(isOpen).length;
+  const open = [...pool.workers].filter((worker) => isOpen(turn, worker)).length;
   const spare = Math.min(open - LENDING.LEAST_WORKERS, spareHosts(demand));
   return [...pool.workers]
     .filter((worker) => isIdle(turn, owned, worker, idleMs))
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -1,4 +1,6 @@
+import type { HostId } from "@heatherferry/common";
 import { OWNERSHIP } from "./constants.js";
+import { inheritOrders } from "./hosts.js";
 import type { StoreRow, WorkEvent } from "./events.js";
 import type { OwnedWork, WorkloadState } from "./state.js";
 import { logLine, loggedMs, newCommitId, type Turn } from "./turn.js";
@@ -99,7 +101,7 @@
     fence: fence((view.row?.fence ?? 0) + 1),
     released: false,
     leased: view.row?.leased ?? {},
-    orderedHosts: view.row?.orderedHosts ?? [],
+    orderedHosts: view.row?.orderedHosts ?? {},
     pending: view.row?.pending ?? {},
   };
   logLine(turn, "info", "owner.claiming", {
@@ -157,8 +159,9 @@
 
 const beginOwning = (turn: Turn, version: StoreVersion, sentAtMs: number): void => {
   const { work, nowMs } = turn;
-  const before = work.ownerView.row;
-  work.owned = newOwnedWork(nowMs, version, sentAtMs, before);
+  const { row: before, sinceMs } = work.ownerView;
+  const inherited = inheritOrders(turn, before, sinceMs);
+  work.owned = newOwnedWork(nowMs, version, sentAtMs, before, inherited);
   for (const feed of [work.feeds.workers, work.feeds.handIns]) {
     feed.after = null;
     feed.sentAtMs = null;
@@ -178,6 +181,7 @@
   version: StoreVersion,
   sentAtMs: number,
   before: OwnerRow | null,
+  inheritedOrders: ReadonlyMap<HostId, number>,
 ): OwnedWork => ({
   fence: fence((before?.fence ?? 0) + 1),
   takenAtMs: nowMs,
@@ -190,7 +194,7 @@
   unheard: new Map(Object.entries(before?.leased ?? {}) as [WorkerId, LeasedWorker][]),
   heldItems: new Map(),
   stopsUnknown: before !== null && !before.released,
-  inheritedOrders: new Set(before?.orderedHosts ?? []),
+  inheritedOrders,
   submissions: new Map(),
   workers: new Map(),
   pools: new Map(),
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -108,6 +108,7 @@
 
 export interface Worker {
   report: WorkerReport;
+  readonly enlistedAtMs: number;
   listed: boolean;
   /** A sample of its clock: at `atMs` of ours it had passed `clockMs`. */
   clock: { readonly clockMs: number; readonly atMs: number } | null;
@@ -210,8 +211,8 @@
   readonly heldItems: Map<ItemKey, WorkerId>;
   /** The owner before ended without a last word, so it may just have stopped something. */
   readonly stopsUnknown: boolean;
-  /** Hosts that the owner before may have ordered just before it ended. */
-  readonly inheritedOrders: ReadonlySet<HostId>;
+  /** Hosts that the owner before may have ordered of late, and when this one may order them. */
+  readonly inheritedOrders: ReadonlyMap<HostId, number>;
   readonly submissions: Map<SubmissionId, Submission>;
   readonly workers: Map<WorkerId, Worker>;
   readonly pools: Map<PoolId, PoolWork>;
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -125,8 +125,11 @@
   readonly released: boolean;
   /** Workers on which something may run under a lease of this owner. */
   readonly leased: Readonly<Record<WorkerId, LeasedWorker>>;
-  /** Hosts ordered to move or to upkeep within the time in which holders must not take turns. */
-  readonly orderedHosts: readonly HostId[];
+  /**
+   * Hosts ordered to move or to upkeep within the time in which holders must not take turns, with
+   * the age of the order in ms when the row was written; null where it was yet to be sent.
+   */
+  readonly orderedHosts: Readonly<Record<HostId, number | null>>;
   /** Accepted submissions without a started item, a queue. */
   readonly pending: Readonly<Record<string, number>>;
 }
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -161,9 +161,9 @@
 const canWaitForOffHosts = (turn: Turn): boolean =>
   turn.work.catalog?.pools.some(({ standby }) => standby) === true;
 
-const isLastOpen = (owned: OwnedWork, worker: Worker): boolean =>
+const isLastOpen = (turn: Turn, owned: OwnedWork, worker: Worker): boolean =>
   ![...poolOf(owned, worker.report.pool).workers].some(
-    (other) => other !== worker && isOpen(other),
+    (other) => other !== worker && isOpen(turn, other),
   );
 
 /** A host without a known worker may still run one whose entry is missing. */
@@ -208,7 +208,7 @@
     .slice(0, Math.max(0, slots));
   for (const { host, worker } of chosen) {
     if (worker !== null) {
-      if (!worker.reserved && waitMs > 0 && isLastOpen(owned, worker)) {
+      if (!worker.reserved && waitMs > 0 && isLastOpen(turn, owned, worker)) {
         continue;
       }
       worker.reserved = true;
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -14,6 +14,7 @@
 
 const newWorker = (turn: Turn, report: WorkerReport): Worker => ({
   report,
+  enlistedAtMs: turn.nowMs,
   listed: true,
   clock: report.clockMs === null ? null : { clockMs: report.clockMs, atMs: turn.nowMs },
   leaseEndsAtMs: null,
--- a/packages/core/tests/work/hosts.test.ts
+++ b/packages/core/tests/work/hosts.test.ts
@@ -1,6 +1,7 @@
 import { hostId } from "@heatherferry/common";
 import test from "ava";
 import { storeVersion, type Effect, type StepSpec, type StoreRow } from "../../src/index.js";
+import { BOUNDS } from "./siteFixtures.js";
 import { stepOf, workOf } from "./workSpecs.js";
 import { WorkSite } from "./workSite.js";
 
@@ -180,3 +181,29 @@
   site.run(10_000);
   t.is(site.runsCutOff, 0);
 });
+
+test("a successor leaves hosts alone that were ordered long before the owner was killed", (t) => {
+  const site = new WorkSite(5, 1, 5);
+  site.run(4_500);
+  const off = movesTo(site, "spare").length;
+  t.true(off > 2);
+  site.kill(0, 200);
+  site.run(1_500);
+  site.submit(ID, "mills", workOf([wideStep(6)]), 0);
+  site.run(300);
+  t.true(movesTo(site, "mills").length > 0);
+});
+
+test("a successor orders a host that the owner before ordered just now", (t) => {
+  const site = new WorkSite(5, 1, 5, 0);
+  while (movesTo(site, "spare").length === 0) {
+    site.run(10);
+  }
+  const orderedAtMs = site.nowMs;
+  const ordered = new Set(movesTo(site, "spare").map(({ host }) => host));
+  site.kill(0, 100);
+  site.run(300);
+  site.submit(ID, "mills", workOf([wideStep(10)]), 0);
+  site.run(orderedAtMs + BOUNDS.dutyLeaseMs - site.nowMs);
+  t.false(movesTo(site, "mills").some(({ host }) => ordered.has(host)));
+});
