--- a/packages/core/src/work/runResults.ts
+++ b/packages/core/src/work/runResults.ts
@@ -80,7 +80,7 @@
       run.confirmedAtMs ??= turn.nowMs;
       return;
     }
-    if (event.result === START_RESULT.REFUSED || event.result === START_RESULT.UNHEALTHY) {
+    if (event.result !== START_RESULT.STALE_FENCE) {
       stopRun(turn, owned, run, "an earlier order may still be carried out");
       return;
     }
