Take the fence from the claim that was written, not from the newest view

Cause: a node that read the owner's row while its claim was under way saw its own claim, and once the claim was confirmed went on with a fence one higher than the row's: two holders with one fence, or the same node twice with the same run numbers, as soon as that row was read again. Needs a claim slower than the 200 ms between looks at the row, as after a kill of all nodes.

--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -2,7 +2,7 @@
 import { OWNERSHIP } from "./constants.js";
 import { inheritOrders } from "./hosts.js";
 import type { StoreRow, WorkEvent } from "./events.js";
-import type { OwnedWork, WorkloadState } from "./state.js";
+import type { Claim, OwnedWork, WorkloadState } from "./state.js";
 import { logLine, loggedMs, newCommitId, type Turn } from "./turn.js";
 import {
   fence,
@@ -94,7 +94,7 @@
   }
   view.claimAtMs = null;
   const commitId = newCommitId(work);
-  view.claim = { commitId, sentAtMs: nowMs };
+  view.claim = { commitId, sentAtMs: nowMs, before: view.row, beforeSinceMs: view.sinceMs };
   const owner: OwnerRow = {
     holder: work.identity.holder,
     incarnation: work.identity.incarnation,
@@ -146,21 +146,21 @@
   if (view.claim?.commitId !== event.commitId) {
     return false;
   }
-  const { sentAtMs } = view.claim;
+  const { claim } = view;
   view.claim = null;
   view.nextPollAtMs = turn.nowMs;
   if (event.result !== "committed" || event.version === null) {
     logLine(turn, "info", "owner.claimLost", { result: event.result, reason: event.reason });
     return true;
   }
-  beginOwning(turn, event.version, sentAtMs);
+  beginOwning(turn, event.version, claim);
   return true;
 };
 
-const beginOwning = (turn: Turn, version: StoreVersion, sentAtMs: number): void => {
+const beginOwning = (turn: Turn, version: StoreVersion, claim: Claim): void => {
   const { work, nowMs } = turn;
-  const { row: before, sinceMs } = work.ownerView;
-  const inherited = inheritOrders(turn, before, sinceMs);
+  const { before, sentAtMs } = claim;
+  const inherited = inheritOrders(turn, before, claim.beforeSinceMs);
   work.owned = newOwnedWork(nowMs, version, sentAtMs, before, inherited);
   for (const feed of [work.feeds.workers, work.feeds.handIns]) {
     feed.after = null;
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -293,6 +293,16 @@
   scanning: boolean;
 }
 
+/** A write that takes ownership over. */
+export interface Claim {
+  readonly commitId: string;
+  readonly sentAtMs: number;
+  /** The owner's row that it replaces; a later view may show the claim itself. */
+  readonly before: OwnerRow | null;
+  /** When that row was first seen. */
+  readonly beforeSinceMs: number;
+}
+
 /** The observed owner, as a node that is not it sees it. */
 export interface OwnerView {
   row: OwnerRow | null;
@@ -302,7 +312,7 @@
   viewAtMs: number | null;
   pollSentAtMs: number | null;
   nextPollAtMs: number;
-  claim: { readonly commitId: string; readonly sentAtMs: number } | null;
+  claim: Claim | null;
   claimAtMs: number | null;
 }
 
