--- /dev/null
+++ b/packages/core/src/work/itemState.ts
@@ -0,0 +1,94 @@
+import type {
+  HandIn,
+  ItemKey,
+  ItemPhase,
+  Resources,
+  RunPhase,
+  StepSpec,
+  StoreVersion,
+  SubmissionState,
+  WorkerId,
+} from "./types.js";
+
+/** A run of an item on a worker, from the order until its end is known. */
+export interface Run {
+  readonly item: Item;
+  readonly number: number;
+  readonly worker: WorkerId;
+  /** What it takes of the worker's room. */
+  readonly room: Resources;
+  phase: RunPhase;
+  orderedAtMs: number;
+  /** Orders to start it that were sent; all but the last had no answer. */
+  startsSent: number;
+  /** Since when no order is under way although none was answered; looks sent later tell. */
+  unansweredAtMs: number | null;
+  /** State that it was started from; every member of a gang is given the same. */
+  checkpoint: string | null;
+  /** When the worker confirmed it; a look sent later must show it. */
+  confirmedAtMs: number | null;
+  /** A look has shown it, so it belongs to the life of the worker that was looked at. */
+  shown: boolean;
+  percent: number;
+  percentSinceMs: number;
+  load: number | null;
+  pacePercent: number;
+  stopSentAtMs: number | null;
+  /** When the worker confirmed the stop; it won't start this run any more. */
+  stopConfirmedAtMs: number | null;
+  /** Since when looks do not show it although they should. */
+  missingSinceMs: number | null;
+}
+
+/** One item of a step. */
+export interface Item {
+  readonly key: ItemKey;
+  readonly submission: Submission;
+  readonly occurrence: number;
+  readonly step: number;
+  readonly index: number;
+  readonly spec: StepSpec;
+  phase: ItemPhase;
+  /** Runs that have failed; ends may be seen again, or in another order. */
+  readonly failedRuns: Set<number>;
+  lastRun: number;
+  run: Run | null;
+  checkpoint: string | null;
+  /** Worker of the last failed run; another one is tried first. */
+  avoid: WorkerId | null;
+  /** It was known before this owner took over, and may run where nobody has looked. */
+  inherited: boolean;
+}
+
+/** One time that the steps of a submission run. */
+export interface Occurrence {
+  readonly number: number;
+  /** Its objective, on this node's clock. */
+  readonly dueAtMs: number;
+  /** When its end is worth nothing any more. */
+  readonly worthlessAtMs: number;
+  readonly steps: readonly (readonly Item[])[];
+  readonly doneInStep: number[];
+}
+
+export interface Submission {
+  readonly handIn: HandIn;
+  readonly version: StoreVersion;
+  /** Handed in beyond what its team has a right to: others' work goes first. */
+  readonly excess: boolean;
+  /** For each step, the longest chain of estimates from its start to the end. */
+  readonly chainsMs: readonly number[];
+  readonly occurrences: Map<number, Occurrence>;
+  /** Occurrences made so far, done or not. */
+  madeOccurrences: number;
+  doneOccurrences: number;
+  /** What is decided, durable or not. */
+  state: SubmissionState;
+  /** What callers are told: durable. */
+  shownState: SubmissionState;
+  cancelled: boolean;
+  endedWallMs: number | null;
+  dirty: boolean;
+  /** Items that wait for room, oldest first. */
+  readonly ready: Set<Item>;
+}
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -7,12 +7,8 @@
   HandIn,
   HostListing,
   ItemKey,
-  ItemPhase,
   LeasedWorker,
   OwnerRow,
-  Resources,
-  RunPhase,
-  StepSpec,
   StoreVersion,
   SubmissionId,
   SubmissionState,
@@ -20,161 +16,12 @@
   WaveRequest,
   WorkBounds,
   WorkerId,
-  WorkerReport,
 } from "./types.js";
+import type { Run, Submission } from "./itemState.js";
+import type { Worker, PoolWork, TeamUse } from "./workerState.js";
 
-/** A run of an item on a worker, from the order until its end is known. */
-export interface Run {
-  readonly item: Item;
-  readonly number: number;
-  readonly worker: WorkerId;
-  /** What it takes of the worker's room. */
-  readonly room: Resources;
-  phase: RunPhase;
-  orderedAtMs: number;
-  /** Orders to start it that were sent; all but the last had no answer. */
-  startsSent: number;
-  /** Since when no order is under way although none was answered; looks sent later tell. */
-  unansweredAtMs: number | null;
-  /** State that it was started from; every member of a gang is given the same. */
-  checkpoint: string | null;
-  /** When the worker confirmed it; a look sent later must show it. */
-  confirmedAtMs: number | null;
-  /** A look has shown it, so it belongs to the life of the worker that was looked at. */
-  shown: boolean;
-  percent: number;
-  percentSinceMs: number;
-  load: number | null;
-  pacePercent: number;
-  stopSentAtMs: number | null;
-  /** When the worker confirmed the stop; it won't start this run any more. */
-  stopConfirmedAtMs: number | null;
-  /** Since when looks do not show it although they should. */
-  missingSinceMs: number | null;
-}
-
-/** One item of a step. */
-export interface Item {
-  readonly key: ItemKey;
-  readonly submission: Submission;
-  readonly occurrence: number;
-  readonly step: number;
-  readonly index: number;
-  readonly spec: StepSpec;
-  phase: ItemPhase;
-  /** Runs that have failed; ends may be seen again, or in another order. */
-  readonly failedRuns: Set<number>;
-  lastRun: number;
-  run: Run | null;
-  checkpoint: string | null;
-  /** Worker of the last failed run; another one is tried first. */
-  avoid: WorkerId | null;
-  /** It was known before this owner took over, and may run where nobody has looked. */
-  inherited: boolean;
-}
-
-/** One time that the steps of a submission run. */
-export interface Occurrence {
-  readonly number: number;
-  /** Its objective, on this node's clock. */
-  readonly dueAtMs: number;
-  /** When its end is worth nothing any more. */
-  readonly worthlessAtMs: number;
-  readonly steps: readonly (readonly Item[])[];
-  readonly doneInStep: number[];
-}
-
-export interface Submission {
-  readonly handIn: HandIn;
-  readonly version: StoreVersion;
-  /** Handed in beyond what its team has a right to: others' work goes first. */
-  readonly excess: boolean;
-  /** For each step, the longest chain of estimates from its start to the end. */
-  readonly chainsMs: readonly number[];
-  readonly occurrences: Map<number, Occurrence>;
-  /** Occurrences made so far, done or not. */
-  madeOccurrences: number;
-  doneOccurrences: number;
-  /** What is decided, durable or not. */
-  state: SubmissionState;
-  /** What callers are told: durable. */
-  shownState: SubmissionState;
-  cancelled: boolean;
-  endedWallMs: number | null;
-  dirty: boolean;
-  /** Items that wait for room, oldest first. */
-  readonly ready: Set<Item>;
-}
-
-export interface Worker {
-  report: WorkerReport;
-  readonly enlistedAtMs: number;
-  listed: boolean;
-  /** A sample of its clock: at `atMs` of ours it had passed `clockMs`. */
-  clock: { readonly clockMs: number; readonly atMs: number } | null;
-  /** Everything on it has ended by then, on our clock; null if no lease was asked for. */
-  leaseEndsAtMs: number | null;
-  /** Last end of a lease asked for, on its clock. */
-  leaseUntilClockMs: number;
-  /** It has seen this owner's fence, so no earlier owner can start work there. */
-  fenced: boolean;
-  lookSentAtMs: number | null;
-  nextLookAtMs: number;
-  answeredAtMs: number | null;
-  /** The last look had no answer: nothing new starts there until one has. */
-  unreachable: boolean;
-  seenSequence: number;
-  durableSequence: number;
-  /** Acknowledged to the worker, which forgets these ends. */
-  notedSequence: number;
-  readonly runs: Map<ItemKey, Run>;
-  /** Stops of runs that we do not keep, by item and run. */
-  readonly strayStops: Map<string, number>;
-  usedCpuMilli: number;
-  usedMemoryMb: number;
-  usedGpus: number;
-  /** Since when nothing runs there. */
-  idleSinceMs: number;
-  /** Since when something runs there, or is about to. */
-  busySinceMs: number;
-  /** Since when no tail on it came near its target. */
-  tailsCalmSinceMs: number;
-  failuresInRow: number;
-  restsUntilMs: number;
-  /** Its free room is not known before, since an earlier owner stopped runs there. */
-  roomKnownAtMs: number;
-  /** Its host is due for upkeep or a move: nothing new starts there. */
-  reserved: boolean;
-  /** Its host was taken from under it; its entry lapses later. */
-  departed: boolean;
-}
-
-/** Work handed in to a pool. */
-export interface Arrival {
-  readonly atMs: number;
-  /** What it keeps busy until it has ended, in hosts times ms. */
-  readonly hostMs: number;
-}
-
-export interface PoolWork {
-  readonly id: PoolId;
-  readonly workers: Set<Worker>;
-  /** Submissions with ready items. */
-  readonly waiting: Set<Submission>;
-  dirty: boolean;
-  /** What was handed in of late, oldest first. */
-  arrivals: Arrival[];
-  /** Hosts that arriving work keeps busy, averaged over a longer time. */
-  steadyHosts: number;
-  rateAtMs: number;
-}
-
-/** What a team has running over all pools. */
-export interface TeamUse {
-  cpuMilli: number;
-  memoryMb: number;
-  gpus: number;
-}
+export type { Run, Item, Occurrence, Submission } from "./itemState.js";
+export type { Worker, Arrival, PoolWork, TeamUse } from "./workerState.js";
 
 /** A wave under way. */
 export interface WaveWork {
--- /dev/null
+++ b/packages/core/src/work/workerState.ts
@@ -0,0 +1,73 @@
+import type { PoolId } from "@heatherferry/common";
+import type { ItemKey, WorkerReport } from "./types.js";
+import type { Run, Submission } from "./itemState.js";
+
+export interface Worker {
+  report: WorkerReport;
+  readonly enlistedAtMs: number;
+  listed: boolean;
+  /** A sample of its clock: at `atMs` of ours it had passed `clockMs`. */
+  clock: { readonly clockMs: number; readonly atMs: number } | null;
+  /** Everything on it has ended by then, on our clock; null if no lease was asked for. */
+  leaseEndsAtMs: number | null;
+  /** Last end of a lease asked for, on its clock. */
+  leaseUntilClockMs: number;
+  /** It has seen this owner's fence, so no earlier owner can start work there. */
+  fenced: boolean;
+  lookSentAtMs: number | null;
+  nextLookAtMs: number;
+  answeredAtMs: number | null;
+  /** The last look had no answer: nothing new starts there until one has. */
+  unreachable: boolean;
+  seenSequence: number;
+  durableSequence: number;
+  /** Acknowledged to the worker, which forgets these ends. */
+  notedSequence: number;
+  readonly runs: Map<ItemKey, Run>;
+  /** Stops of runs that we do not keep, by item and run. */
+  readonly strayStops: Map<string, number>;
+  usedCpuMilli: number;
+  usedMemoryMb: number;
+  usedGpus: number;
+  /** Since when nothing runs there. */
+  idleSinceMs: number;
+  /** Since when something runs there, or is about to. */
+  busySinceMs: number;
+  /** Since when no tail on it came near its target. */
+  tailsCalmSinceMs: number;
+  failuresInRow: number;
+  restsUntilMs: number;
+  /** Its free room is not known before, since an earlier owner stopped runs there. */
+  roomKnownAtMs: number;
+  /** Its host is due for upkeep or a move: nothing new starts there. */
+  reserved: boolean;
+  /** Its host was taken from under it; its entry lapses later. */
+  departed: boolean;
+}
+
+/** Work handed in to a pool. */
+export interface Arrival {
+  readonly atMs: number;
+  /** What it keeps busy until it has ended, in hosts times ms. */
+  readonly hostMs: number;
+}
+
+export interface PoolWork {
+  readonly id: PoolId;
+  readonly workers: Set<Worker>;
+  /** Submissions with ready items. */
+  readonly waiting: Set<Submission>;
+  dirty: boolean;
+  /** What was handed in of late, oldest first. */
+  arrivals: Arrival[];
+  /** Hosts that arriving work keeps busy, averaged over a longer time. */
+  steadyHosts: number;
+  rateAtMs: number;
+}
+
+/** What a team has running over all pools. */
+export interface TeamUse {
+  cpuMilli: number;
+  memoryMb: number;
+  gpus: number;
+}
