Say once which pool is off, which workers are open, what takes new work, and how a gauge is read

Read after the landing: the check for a standby pool stood in waves beside its twin in lending; open workers of a pool were gathered three times a tick; the ceiling of a team was looked up for each item instead of each step; two checks whether a worker takes starts differed by one word; two classes of metrics had the same gauge; HostMove.from was read by nobody; ORDER.TIMEOUT_MS was a pause.

--- a/apps/work/src/workMetrics.ts
+++ b/apps/work/src/workMetrics.ts
@@ -1,6 +1,6 @@
 import type { Effect, Event, State } from "@heatherferry/core";
-import { EventObserver } from "@heatherferry/runners";
-import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { EventObserver, watchGauge } from "@heatherferry/runners";
+import { Counter, Histogram, Registry } from "prom-client";
 import type { BoundedSink } from "./boundedSink.js";
 
 const WAIT_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5];
@@ -53,20 +53,30 @@
       buckets: WAIT_BUCKETS_S,
       registers,
     });
-    this.gauge("heatherferry_owner_fence", "Fence while this node owns the work, else 0", () =>
-      Number(state.work?.owned?.fence ?? 0),
+    watchGauge(
+      this.registry,
+      "heatherferry_owner_fence",
+      "Fence while this node owns the work, else 0",
+      () => Number(state.work?.owned?.fence ?? 0),
     );
-    this.gauge(
+    watchGauge(
+      this.registry,
       "heatherferry_submissions",
       "Submissions in the owner's care",
       () => state.work?.owned?.submissions.size ?? 0,
     );
-    this.gauge(
+    watchGauge(
+      this.registry,
       "heatherferry_catalog_revision",
       "Revision of the catalog in force",
       () => state.work?.catalog?.revision ?? 0,
     );
-    this.gauge("heatherferry_log_lines_dropped", "Log lines dropped", () => sink.dropped);
+    watchGauge(
+      this.registry,
+      "heatherferry_log_lines_dropped",
+      "Log lines dropped",
+      () => sink.dropped,
+    );
   }
 
   override observe(event: Event, effects: readonly Effect[]): void {
@@ -92,15 +102,4 @@
       }
     }
   }
-
-  private gauge(name: string, help: string, read: () => number): void {
-    const gauge: Gauge = new Gauge({
-      name,
-      help,
-      registers: [this.registry],
-      collect: () => {
-        gauge.set(read());
-      },
-    });
-  }
 }
--- a/packages/core/src/work/catalog.ts
+++ b/packages/core/src/work/catalog.ts
@@ -51,6 +51,10 @@
 export const poolById = (catalog: Catalog | null, id: PoolId): Pool | null =>
   catalog?.pools.find((pool) => pool.id === id) ?? null;
 
+/** @returns Whether the hosts of a pool are off. */
+export const isStandby = (catalog: Catalog | null, id: PoolId): boolean =>
+  poolById(catalog, id)?.standby === true;
+
 /** @returns Age of the newest view of the catalog; infinite without one. */
 export const catalogAgeMs = ({ work, nowMs }: Turn): number =>
   work.feeds.operators.viewAtMs === null ? Infinity : nowMs - work.feeds.operators.viewAtMs;
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -168,7 +168,7 @@
 
 export const ORDER = {
   /** Pause before a worker that refused work gets new work, or a stray run is stopped again. */
-  TIMEOUT_MS: 1_000,
+  PAUSE_MS: 1_000,
   /** A stop without an answer is sent again after this time. */
   STOP_REPEAT_MS: 700,
   /** Orders to start a run before it is given up and stopped. */
--- a/packages/core/src/work/demand.ts
+++ b/packages/core/src/work/demand.ts
@@ -10,6 +10,7 @@
 /** What a pool asks for and has, counted in hosts by whichever resource is scarcest. */
 export interface Demand {
   readonly pool: PoolWork;
+  readonly openWorkers: readonly Worker[];
   /** Hosts that running work which ends keeps busy. */
   readonly runningHosts: number;
   /** Hosts that would work off in time what waits for room. */
@@ -67,8 +68,11 @@
   let spread = 0;
   for (const submission of pool.waiting) {
     const perStep = new Map<number, number>();
+    const allowed = new Map<number, boolean>();
     for (const { spec, step } of submission.ready) {
-      if (withinCeiling(turn, owned, submission, spec)) {
+      const within = allowed.get(step) ?? withinCeiling(turn, owned, submission, spec);
+      allowed.set(step, within);
+      if (within) {
         // A host runs short items one after another, long ones take it for as long as they last.
         const inTime = spec.lasting ? 1 : Math.min(1, spec.estimateMs / LENDING.DRAIN_MS);
         hosts += shareOf(roomOf(spec), host) * inTime;
@@ -85,17 +89,20 @@
   const host = hostRoom(pool);
   const waiting = waitingIn(turn, owned, pool, host);
   const coming = comingHosts(owned, pool.id);
+  const openWorkers: Worker[] = [];
   let hosts = coming;
   let runningHosts = 0;
   for (const worker of pool.workers) {
     const shares = sharesOn(worker, host);
     runningHosts += shares.ending;
     if (isOpen(turn, worker)) {
+      openWorkers.push(worker);
       hosts += Math.max(0, 1 - shares.lasting);
     }
   }
   return {
     pool,
+    openWorkers,
     runningHosts,
     waitingHosts: waiting.hosts,
     arrivingHosts: arrivingHosts(turn, pool),
@@ -129,13 +136,12 @@
   }
   owned.demandLoggedAtMs = turn.nowMs;
   for (const demand of demands) {
-    const { pool } = demand;
-    const workers = [...pool.workers].filter((worker) => isOpen(turn, worker));
-    const busy = workers.filter(({ runs }) => runs.size > 0).length;
+    const { pool, openWorkers } = demand;
+    const busy = openWorkers.filter(({ runs }) => runs.size > 0).length;
     if (busy > 0 || demand.waitingHosts > 0) {
       logLine(turn, "info", "pool.demand", {
         pool: pool.id,
-        workers: workers.length,
+        workers: openWorkers.length,
         busyWorkers: busy,
         waitingSubmissions: pool.waiting.size,
         waitingHosts: rounded(demand.waitingHosts),
--- a/packages/core/src/work/ends.ts
+++ b/packages/core/src/work/ends.ts
@@ -117,7 +117,7 @@
   }
   const name = `${line.item} ${line.run}`;
   const lastMs = worker.strayStops.get(name);
-  if (lastMs !== undefined && turn.nowMs - lastMs < ORDER.TIMEOUT_MS) {
+  if (lastMs !== undefined && turn.nowMs - lastMs < ORDER.PAUSE_MS) {
     return;
   }
   worker.strayStops.set(name, turn.nowMs);
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -1,6 +1,6 @@
 import type { HostId, PoolId } from "@heatherferry/common";
 import { ageArrivals } from "./arrivals.js";
-import { poolById } from "./catalog.js";
+import { isStandby } from "./catalog.js";
 import { HOSTS, LENDING } from "./constants.js";
 import { demandOf, isOpen, logDemand, missingHosts, spareHosts, type Demand } from "./demand.js";
 import type { WorkEvent } from "./events.js";
@@ -11,9 +11,6 @@
 import { logLine, type Turn } from "./turn.js";
 import { workerDeparted } from "./workers.js";
 
-const isStandby = (turn: Turn, id: PoolId): boolean =>
-  poolById(turn.work.catalog, id)?.standby === true;
-
 const hostIsFree = (turn: Turn, owned: OwnedWork, host: HostId): boolean => {
   if (
     !mayOrderHost(turn, owned, host) ||
@@ -37,7 +34,7 @@
     .filter(
       ({ host, pool, up }) =>
         up &&
-        isStandby(turn, pool) &&
+        isStandby(turn.work.catalog, pool) &&
         !owned.workersByHost.has(host) &&
         hostIsFree(turn, owned, host),
     )
@@ -56,8 +53,7 @@
 /** @returns Idle workers of a pool that it can do without, longest idle first. */
 const idleWorkers = (turn: Turn, owned: OwnedWork, demand: Demand, idleMs: number): Worker[] => {
   const { pool } = demand;
-  const open = [...pool.workers].filter((worker) => isOpen(turn, worker)).length;
-  const spare = Math.min(open - LENDING.LEAST_WORKERS, spareHosts(demand));
+  const spare = Math.min(demand.openWorkers.length - LENDING.LEAST_WORKERS, spareHosts(demand));
   return [...pool.workers]
     .filter((worker) => isIdle(turn, owned, worker, idleMs))
     .sort((one, other) => one.idleSinceMs - other.idleSinceMs)
@@ -71,7 +67,6 @@
   }
   owned.moves.set(host, {
     to,
-    from: owned.hosts.get(host)?.pool ?? null,
     worker: worker?.report.id ?? null,
     orderedAtMs: turn.nowMs,
     confirmed: false,
@@ -136,7 +131,10 @@
     const waitedMs = turn.nowMs - order.orderedAtMs;
     const arrived =
       worker !== null && worker.report.id !== order.worker && worker.report.pool === order.to;
-    const off = order.confirmed && isStandby(turn, order.to) && waitedMs >= turn.work.bounds.moveMs;
+    const off =
+      order.confirmed &&
+      isStandby(turn.work.catalog, order.to) &&
+      waitedMs >= turn.work.bounds.moveMs;
     if (arrived || off || waitedMs > HOSTS.RETURN_MS) {
       owned.moves.delete(host);
       if (worker !== null) {
--- a/packages/core/src/work/runResults.ts
+++ b/packages/core/src/work/runResults.ts
@@ -91,7 +91,7 @@
     owned.confirmedAtMs = -Infinity;
     owned.needsRenewal = true;
   } else {
-    worker.restsUntilMs = Math.max(worker.restsUntilMs, turn.nowMs + ORDER.TIMEOUT_MS);
+    worker.restsUntilMs = Math.max(worker.restsUntilMs, turn.nowMs + ORDER.PAUSE_MS);
   }
   itemLost(turn, owned, run.item);
 };
--- a/packages/core/src/work/starts.ts
+++ b/packages/core/src/work/starts.ts
@@ -43,6 +43,10 @@
   });
 };
 
+/** @returns The lease for new work on a worker; null where it takes none. */
+const leaseFor = (turn: Turn, worker: Worker): number | null =>
+  worker.listed && !worker.departed && !worker.report.draining ? extendLease(turn, worker) : null;
+
 const send = (
   turn: Turn,
   owned: OwnedWork,
@@ -96,8 +100,7 @@
     const worker = owned.workers.get(run.worker);
     const planned = worker?.runs.get(run.item.key) === run && run.phase === RUN_PHASE.PLANNED;
     if (worker !== undefined && planned) {
-      const open = worker.listed && !worker.report.draining;
-      const untilClockMs = open ? extendLease(turn, worker) : null;
+      const untilClockMs = leaseFor(turn, worker);
       if (untilClockMs === null) {
         unplan(turn, owned, run);
       } else {
@@ -114,10 +117,9 @@
  * @returns Whether the order was sent.
  */
 export const repeatStart = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run): boolean => {
-  const open = worker.listed && !worker.departed && !worker.report.draining;
   const mayRepeat =
     run.phase === RUN_PHASE.ORDERED && run.startsSent < ORDER.MOST_STARTS && isSure(turn, owned);
-  const untilClockMs = open && mayRepeat ? extendLease(turn, worker) : null;
+  const untilClockMs = mayRepeat ? leaseFor(turn, worker) : null;
   if (untilClockMs === null) {
     return false;
   }
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -102,7 +102,6 @@
 /** A host on its way to another pool. */
 export interface HostMove {
   readonly to: PoolId;
-  readonly from: PoolId | null;
   readonly worker: WorkerId | null;
   readonly orderedAtMs: number;
   confirmed: boolean;
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -5,7 +5,7 @@
 import { poolOf } from "./pools.js";
 import type { StoreRow, WorkEvent } from "./events.js";
 import { isSure } from "./ownership.js";
-import { poolById } from "./catalog.js";
+import { isStandby } from "./catalog.js";
 import { emptyWorker } from "./emptying.js";
 import type { OwnedWork, WaveWork, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
@@ -169,7 +169,7 @@
 /** A host without a known worker may still run one whose entry is missing. */
 const isOff = (turn: Turn, owned: OwnedWork, host: HostId): boolean => {
   const pool = owned.hosts.get(host)?.pool;
-  return pool !== undefined && poolById(turn.work.catalog, pool)?.standby === true;
+  return pool !== undefined && isStandby(turn.work.catalog, pool);
 };
 
 const runsUnlisted = (owned: OwnedWork, host: HostId): boolean =>
--- a/packages/runners/src/index.ts
+++ b/packages/runners/src/index.ts
@@ -28,6 +28,7 @@
 export * from "./fleet/fleetRunner.js";
 export * from "./loop/eventLoop.js";
 export * from "./metrics/nodeMetrics.js";
+export * from "./metrics/watchGauge.js";
 export * from "./platform/tableRunner.js";
 export * from "./targets/attemptRunner.js";
 export * from "./targets/constants.js";
--- a/packages/runners/src/metrics/nodeMetrics.ts
+++ b/packages/runners/src/metrics/nodeMetrics.ts
@@ -1,6 +1,7 @@
 import type { Effect, Event, State } from "@heatherferry/core";
 import { collectDefaultMetrics, Counter, Gauge, Registry } from "prom-client";
 import { EventObserver } from "../loop/eventLoop.js";
+import { watchGauge } from "./watchGauge.js";
 
 /** A finer sample wakes the process more often than its own work does. */
 const EVENT_LOOP_SAMPLE_MS = 500;
@@ -20,25 +21,29 @@
     });
     this.events = this.counter("heatherferry_events_total", "Events handed to the reducer");
     this.effects = this.counter("heatherferry_effects_total", "Effects carried out");
-    this.gauge("heatherferry_rules_revision", "Revision of the rules in force", () =>
+    watchGauge(this.registry, "heatherferry_rules_revision", "Revision of the rules in force", () =>
       Number(state.revisions.revision),
     );
-    this.gauge(
+    watchGauge(
+      this.registry,
       "heatherferry_requests_open",
       "Requests without an outcome",
       () => state.requests.records.size,
     );
-    this.gauge(
+    watchGauge(
+      this.registry,
       "heatherferry_attempts_running",
       "Attempts that hold a slot",
       () => state.requests.attempts.size,
     );
-    this.gauge(
+    watchGauge(
+      this.registry,
       "heatherferry_mirror_rows",
       "Rows of the table held in memory",
       () => state.platform.mirror.size,
     );
-    this.gauge(
+    watchGauge(
+      this.registry,
       "heatherferry_target_ejections",
       "Targets left out since the start",
       () => state.routing.ejections,
@@ -72,15 +77,4 @@
   private counter(name: string, help: string): Counter<"type"> {
     return new Counter({ name, help, labelNames: ["type"], registers: [this.registry] });
   }
-
-  private gauge(name: string, help: string, read: () => number): void {
-    const gauge: Gauge = new Gauge({
-      name,
-      help,
-      registers: [this.registry],
-      collect: () => {
-        gauge.set(read());
-      },
-    });
-  }
 }
