--- a/apps/work/src/boundedSink.ts
+++ b/apps/work/src/boundedSink.ts
@@ -1,51 +1,60 @@
-import { write } from "node:fs";
-import { LineSink } from "@heatherferry/common";
+import { LineSink, LOG_CLASS, type LogClass } from "@heatherferry/common";
+import { LineBudget, type LineRate } from "./lineBudget.js";
+import { StandardOutput, type LineOutput } from "./lineOutput.js";
 
-const STANDARD_OUTPUT = 1;
+/** Bounds of one class of lines. */
+interface LineBound extends LineRate {
+  /** Lines of the class are dropped while more bytes than this wait for the reader. */
+  readonly maxWaitingBytes: number;
+}
+
+/** Bounds of what a process writes to its log, by class of line. */
+export const LOG_BOUND: Readonly<Record<LogClass, LineBound>> = {
+  [LOG_CLASS.ROUTINE]: { linesPerS: 400, burstLines: 1_200, maxWaitingBytes: 262_144 },
+  [LOG_CLASS.KEPT]: { linesPerS: 500, burstLines: 4_000, maxWaitingBytes: 2_097_152 },
+};
 
-/** Bounds of what a process writes to its log. */
-export const LOG_BOUND = {
-  LINES_PER_S: 400,
-  BURST_LINES: 1_200,
-  /** Lines wait here while the reader is slow; more are dropped and counted. */
-  MAX_WAITING_BYTES: 262_144,
-} as const;
+/** Least time between two lines that say how many were dropped. */
+export const DROPPED_LINE_GAP_MS = 1_000;
 
 /**
- * Writes lines to standard output without ever waiting for the reader. Lines above the rate, or
- * above what may wait, are dropped; a line says how many.
+ * Writes lines without ever waiting for the reader. Lines above the budget of their class, or
+ * above what may wait, are dropped before they are formatted; a line a second says how many.
  */
 export class BoundedSink extends LineSink {
   private waiting: string[] = [];
   private waitingBytes = 0;
   private writing = false;
-  private allowance: number = LOG_BOUND.BURST_LINES;
-  private refilledAtMs = performance.now();
-  /** Lines dropped since the start. */
-  dropped = 0;
-  private droppedSinceLine = 0;
+  private readonly budgets: Readonly<Record<LogClass, LineBudget>> = {
+    [LOG_CLASS.ROUTINE]: new LineBudget(LOG_BOUND.routine),
+    [LOG_CLASS.KEPT]: new LineBudget(LOG_BOUND.kept),
+  };
+  /** Lines dropped since the start, by class. */
+  readonly dropped: Record<LogClass, number> = { kept: 0, routine: 0 };
+  private reported: Readonly<Record<LogClass, number>> = { kept: 0, routine: 0 };
+  private reportTimer: NodeJS.Timeout | null = null;
 
-  override write(line: string): void {
-    this.refill();
-    if (this.allowance < 1 || this.waitingBytes > LOG_BOUND.MAX_WAITING_BYTES) {
-      this.dropped += 1;
-      this.droppedSinceLine += 1;
-      return;
-    }
-    this.allowance -= 1;
-    if (this.droppedSinceLine > 0) {
-      const event = JSON.stringify({
-        level: "warn",
-        event: "log.dropped",
-        lines: this.droppedSinceLine,
-      });
-      this.droppedSinceLine = 0;
-      this.push(event);
+  /**
+   * @param program - Name of the node, kept in the lines that count dropped ones.
+   * @param output - Takes the bytes.
+   */
+  constructor(
+    private readonly program: string,
+    private readonly output: LineOutput = new StandardOutput(),
+  ) {
+    super();
+  }
+
+  override admit(lineClass: LogClass): boolean {
+    const full = this.waitingBytes > LOG_BOUND[lineClass].maxWaitingBytes;
+    if (!full && this.budgets[lineClass].take()) {
+      return true;
     }
-    this.push(line);
+    this.drop(lineClass);
+    return false;
   }
 
-  private push(line: string): void {
+  override write(line: string): void {
     this.waiting.push(line);
     this.waitingBytes += line.length + 1;
     if (!this.writing) {
@@ -56,29 +65,45 @@
     }
   }
 
-  private refill(): void {
-    const nowMs = performance.now();
-    const gained = ((nowMs - this.refilledAtMs) / 1_000) * LOG_BOUND.LINES_PER_S;
-    this.allowance = Math.min(LOG_BOUND.BURST_LINES, this.allowance + gained);
-    this.refilledAtMs = nowMs;
+  private drop(lineClass: LogClass): void {
+    this.dropped[lineClass] += 1;
+    this.reportTimer ??= this.reportLater();
+  }
+
+  private reportLater(): NodeJS.Timeout {
+    return setTimeout(() => {
+      this.reportDropped();
+    }, DROPPED_LINE_GAP_MS).unref();
+  }
+
+  private reportDropped(): void {
+    if (this.waitingBytes > LOG_BOUND.kept.maxWaitingBytes) {
+      this.reportTimer = this.reportLater();
+      return;
+    }
+    this.reportTimer = null;
+    const before = this.reported;
+    this.reported = { ...this.dropped };
+    this.write(
+      JSON.stringify({
+        at: new Date().toISOString(),
+        level: "warn",
+        program: this.program,
+        event: "log.dropped",
+        kept: this.reported.kept - before.kept,
+        routine: this.reported.routine - before.routine,
+      }),
+    );
   }
 
   private flush(): void {
     const bytes = Buffer.from(`${this.waiting.join("\n")}\n`);
     this.waiting = [];
     this.waitingBytes = 0;
-    this.writeAll(bytes);
-  }
-
-  private writeAll(bytes: Buffer): void {
-    write(STANDARD_OUTPUT, bytes, 0, bytes.length, null, (error, written) => {
-      if (error === null && written < bytes.length) {
-        this.writeAll(bytes.subarray(written));
-        return;
-      }
-      if (error !== null) {
+    this.output.write(bytes, (failed) => {
+      if (failed) {
         // Nobody can be told that the log itself is broken but by the count.
-        this.dropped += 1;
+        this.dropped.kept += 1;
       }
       if (this.waiting.length > 0) {
         this.flush();
--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -1,4 +1,10 @@
-import { address, availabilityZoneId, createLogger, entryHostId } from "@heatherferry/common";
+import {
+  address,
+  availabilityZoneId,
+  createLogger,
+  entryHostId,
+  LOG_CLASS,
+} from "@heatherferry/common";
 import {
   defaultPolicies,
   initialState,
@@ -62,7 +68,7 @@
  * @returns The running node.
  */
 export const wireWork = async (settings: PlatformSettings): Promise<RunningDaemon> => {
-  const sink = new BoundedSink();
+  const sink = new BoundedSink(settings.nodeName);
   const log = createLogger(settings.nodeName, "info", sink);
   const life = newIncarnation();
   const calls = new LoopCalls();
@@ -100,7 +106,7 @@
       [
         async () => {
           loop.stop();
-          log("info", "node.stopped", { life });
+          log("info", "node.stopped", { life }, LOG_CLASS.KEPT);
           await front.close();
         },
         async () => store.close(),
@@ -114,14 +120,15 @@
   });
   calls.loop = loop;
   loop.start();
-  log("info", "node.started", {
-    life,
-    zone: settings.availabilityZone,
-    listens: settings.callerAddress,
-  });
+  log(
+    "info",
+    "node.started",
+    { life, zone: settings.availabilityZone, listens: settings.callerAddress },
+    LOG_CLASS.KEPT,
+  );
   return {
     shutDown: () => {
-      log("info", "node.stopping", { life });
+      log("info", "node.stopping", { life }, LOG_CLASS.KEPT);
       front.beginLeaving();
       loop.handle({ type: "node/shutdownRequested" });
     },
--- a/apps/work/src/workMetrics.ts
+++ b/apps/work/src/workMetrics.ts
@@ -13,6 +13,7 @@
   private readonly ends: Counter<"how">;
   private readonly answerTime: Histogram;
   private readonly commitTime: Histogram<"result">;
+  private readonly lag: Histogram;
   private readonly arrivedAtMs = new Map<string, number>();
 
   /**
@@ -53,6 +54,12 @@
       buckets: WAIT_BUCKETS_S,
       registers,
     });
+    this.lag = new Histogram({
+      name: "heatherferry_loop_lag_seconds",
+      help: "How late the event loop handled a turn of its clock",
+      buckets: WAIT_BUCKETS_S,
+      registers,
+    });
     watchGauge(
       this.registry,
       "heatherferry_owner_fence",
@@ -75,12 +82,20 @@
       this.registry,
       "heatherferry_log_lines_dropped",
       "Log lines dropped",
-      () => sink.dropped,
+      () => sink.dropped.kept + sink.dropped.routine,
+    );
+    watchGauge(
+      this.registry,
+      "heatherferry_log_kept_lines_dropped",
+      "Log lines dropped that an incident needs",
+      () => sink.dropped.kept,
     );
   }
 
   override observe(event: Event, effects: readonly Effect[]): void {
-    if (event.type === "call/arrived") {
+    if (event.type === "clock/ticked" && event.lateMs !== undefined) {
+      this.lag.observe(event.lateMs / 1_000);
+    } else if (event.type === "call/arrived") {
       this.arrivedAtMs.set(event.callId, event.atMs);
     } else if (event.type === "call/abandoned") {
       this.arrivedAtMs.delete(event.callId);
--- /dev/null
+++ b/apps/work/tests/boundedSink.test.ts
@@ -0,0 +1,106 @@
+import { LOG_CLASS, type LogClass } from "@heatherferry/common";
+import { install, type Clock } from "@sinonjs/fake-timers";
+import test from "ava";
+import { BoundedSink, DROPPED_LINE_GAP_MS, LOG_BOUND } from "../src/boundedSink.js";
+import { LineOutput } from "../src/lineOutput.js";
+
+/** Keeps what is written; while it is blocked, writes are not done. */
+class MemoryOutput extends LineOutput {
+  readonly lines: string[] = [];
+  blocked = false;
+  private done: ((failed: boolean) => void) | null = null;
+
+  override write(bytes: Buffer, done: (failed: boolean) => void): void {
+    this.lines.push(...bytes.toString().trimEnd().split("\n"));
+    if (this.blocked) {
+      this.done = done;
+    } else {
+      done(false);
+    }
+  }
+
+  fail(): void {
+    this.blocked = false;
+    this.done?.(true);
+  }
+
+  drops(): { kept: number; routine: number }[] {
+    return this.lines
+      .filter((line) => line.includes('"event":"log.dropped"'))
+      .map((line) => JSON.parse(line) as { kept: number; routine: number });
+  }
+}
+
+const offer = (sink: BoundedSink, lineClass: LogClass, count: number, line = "x"): void => {
+  for (let index = 0; index < count; index += 1) {
+    if (sink.admit(lineClass)) {
+      sink.write(line);
+    }
+  }
+};
+
+let clock: Clock;
+test.beforeEach(() => {
+  clock = install();
+});
+test.afterEach.always(() => {
+  clock.uninstall();
+});
+
+const newSink = (): { sink: BoundedSink; output: MemoryOutput } => {
+  const output = new MemoryOutput();
+  return { sink: new BoundedSink("n0", output), output };
+};
+
+test.serial("a flood of routine lines leaves the lines that an incident needs their room", (t) => {
+  const { sink, output } = newSink();
+  offer(sink, LOG_CLASS.ROUTINE, 10 * LOG_BOUND.routine.burstLines);
+  offer(sink, LOG_CLASS.KEPT, LOG_BOUND.kept.burstLines, "kept");
+  clock.tick(1);
+  t.is(output.lines.filter((line) => line === "kept").length, LOG_BOUND.kept.burstLines);
+  t.is(sink.dropped.kept, 0);
+  t.is(sink.dropped.routine, 9 * LOG_BOUND.routine.burstLines);
+});
+
+test.serial("lines above the rate are admitted again as time passes", (t) => {
+  const { sink } = newSink();
+  offer(sink, LOG_CLASS.ROUTINE, LOG_BOUND.routine.burstLines);
+  t.false(sink.admit(LOG_CLASS.ROUTINE));
+  clock.tick(500);
+  offer(sink, LOG_CLASS.ROUTINE, LOG_BOUND.routine.linesPerS);
+  t.is(sink.dropped.routine, 1 + LOG_BOUND.routine.linesPerS / 2);
+});
+
+test.serial("an endless flood writes one line a second on what was dropped, by class", (t) => {
+  const { sink, output } = newSink();
+  for (let turn = 0; turn < 100; turn += 1) {
+    offer(sink, LOG_CLASS.ROUTINE, 200);
+    offer(sink, LOG_CLASS.KEPT, 200);
+    clock.tick(100);
+  }
+  clock.tick(2 * DROPPED_LINE_GAP_MS);
+  const drops = output.drops();
+  t.true(drops.length <= 11, `${drops.length} lines in 12 s`);
+  const sum = (lineClass: LogClass): number =>
+    drops.reduce((total, drop) => total + drop[lineClass], 0);
+  t.is(sum(LOG_CLASS.ROUTINE), sink.dropped.routine);
+  t.is(sum(LOG_CLASS.KEPT), sink.dropped.kept);
+  t.true(sink.dropped.kept > 0);
+});
+
+test.serial("a reader that stands still bounds what waits, and holds nobody up", (t) => {
+  const { sink, output } = newSink();
+  output.blocked = true;
+  const line = "y".repeat(1_000);
+  offer(sink, LOG_CLASS.KEPT, 1, line);
+  clock.tick(1);
+  for (let turn = 0; turn < 60; turn += 1) {
+    offer(sink, LOG_CLASS.ROUTINE, 1_000, line);
+    offer(sink, LOG_CLASS.KEPT, 1_000, line);
+    clock.tick(1_000);
+  }
+  output.fail();
+  const bytes = output.lines.reduce((total, written) => total + written.length + 1, 0);
+  t.true(bytes <= LOG_BOUND.kept.maxWaitingBytes + 2_000, `${bytes} bytes waited`);
+  t.true(output.drops().length > 0);
+});
--- a/packages/common/src/logging/createLogger.ts
+++ b/packages/common/src/logging/createLogger.ts
@@ -1,4 +1,5 @@
 import { Logger } from "tslog";
+import { LOG_CLASS, type LogClass } from "./logClass.js";
 
 /** Fields of one log line. */
 export type LogFields = Readonly<Record<string, string | number | boolean | null>>;
@@ -9,19 +10,36 @@
 
 /** Takes finished log lines. */
 export abstract class LineSink {
-  /** @param line - One line of JSON, without its end. */
+  /**
+   * Asked before a line is formatted, so that a dropped line costs next to nothing.
+   *
+   * @param lineClass - Class of the line to come.
+   * @returns Whether the line may be written; if not, the sink counts it as dropped.
+   */
+  abstract admit(lineClass: LogClass): boolean;
+
+  /** @param line - One line of JSON that was admitted, without its end. */
   abstract write(line: string): void;
 }
 
 /** Writes to standard error as it goes. */
 class StandardErrorSink extends LineSink {
+  override admit(): boolean {
+    return true;
+  }
+
   override write(line: string): void {
     process.stderr.write(`${line}\n`);
   }
 }
 
-/** Writes one JSON line a call. */
-export type JsonLogger = (level: LogLevel, event: string, fields?: LogFields) => void;
+/** Writes one JSON line a call; a line without a class is a routine one. */
+export type JsonLogger = (
+  level: LogLevel,
+  event: string,
+  fields?: LogFields,
+  lineClass?: LogClass,
+) => void;
 
 /**
  * @param program - Name of the binary, kept in each line.
@@ -52,7 +70,9 @@
       }),
     );
   });
-  return (level, event, fields) => {
-    logger[level]({ event, ...fields });
+  return (level, event, fields, lineClass = LOG_CLASS.ROUTINE) => {
+    if (LEVEL[level] >= LEVEL[minLevel] && sink.admit(lineClass)) {
+      logger[level]({ event, ...fields });
+    }
   };
 };
--- a/packages/core/src/fleet/hostList.ts
+++ b/packages/core/src/fleet/hostList.ts
@@ -1,4 +1,4 @@
-import type { HostId, PoolId } from "@heatherferry/common";
+import { LOG_CLASS, type HostId, type PoolId } from "@heatherferry/common";
 import type { Effect } from "../effect.js";
 import { mirroredRow, tableNowMs } from "../platform/mirror.js";
 import type { State } from "../state.js";
@@ -71,7 +71,13 @@
   if (!state.fleet.unplaced.has(hostId)) {
     state.fleet.unplaced.add(hostId);
     const fields = { hostId };
-    effects.push({ type: "log/write", level: "warn", event: "host.fitsNoPool", fields });
+    effects.push({
+      type: "log/write",
+      level: "warn",
+      event: "host.fitsNoPool",
+      fields,
+      lineClass: LOG_CLASS.ROUTINE,
+    });
   }
 };
 
--- a/packages/core/src/fleet/leases.ts
+++ b/packages/core/src/fleet/leases.ts
@@ -1,4 +1,4 @@
-import type { EntryHostId, PoolId } from "@heatherferry/common";
+import { LOG_CLASS, type EntryHostId, type PoolId } from "@heatherferry/common";
 import type { Effect } from "../effect.js";
 import { ROW_PREFIX } from "../platform/constants.js";
 import { mirroredRow, tableNowMs, viewAgeMs } from "../platform/mirror.js";
@@ -203,7 +203,13 @@
   }
   if (state.fleet.leases.get(body.pool)?.epoch !== body.epoch) {
     const fields = { pool: body.pool, epoch: body.epoch };
-    effects.push({ type: "log/write", level: "info", event: "lease.taken", fields });
+    effects.push({
+      type: "log/write",
+      level: "info",
+      event: "lease.taken",
+      fields,
+      lineClass: LOG_CLASS.ROUTINE,
+    });
   }
   takeTerm(state, body, outcome.firstSentAtMs);
 };
--- a/packages/core/src/fleet/poolSteps.ts
+++ b/packages/core/src/fleet/poolSteps.ts
@@ -1,4 +1,4 @@
-import type { PoolId } from "@heatherferry/common";
+import { LOG_CLASS, type PoolId } from "@heatherferry/common";
 import type { Effect } from "../effect.js";
 import type { Policies } from "../policies/policies.js";
 import type { State } from "../state.js";
@@ -14,7 +14,13 @@
 const stopHost = (host: HostRow, effects: Effect[]): FleetWrite => {
   const { hostId, pool, drainEpoch } = host;
   const fields = { hostId, pool, drainEpoch };
-  effects.push({ type: "log/write", level: "info", event: "host.stopOrdered", fields });
+  effects.push({
+    type: "log/write",
+    level: "info",
+    event: "host.stopOrdered",
+    fields,
+    lineClass: LOG_CLASS.ROUTINE,
+  });
   const key = hostKey(host.availabilityZone, hostId);
   return { puts: [{ key, body: { ...host, phase: HOST_PHASE.STOPPED } }] };
 };
--- a/packages/core/src/fleet/reboots.ts
+++ b/packages/core/src/fleet/reboots.ts
@@ -1,4 +1,4 @@
-import type { PoolId } from "@heatherferry/common";
+import { LOG_CLASS, type PoolId } from "@heatherferry/common";
 import type { Effect } from "../effect.js";
 import type { WriteOutcome } from "../platform/types.js";
 import type { State } from "../state.js";
@@ -15,7 +15,13 @@
   state.fleet.orders.set(hostId, { drainEpoch, attempts: 1, result: "awaited", settledAtMs });
   effects.push({ type: "host/reboot", hostId });
   const fields = { hostId, pool: host.pool, drainEpoch };
-  effects.push({ type: "log/write", level: "info", event: "host.rebootOrdered", fields });
+  effects.push({
+    type: "log/write",
+    level: "info",
+    event: "host.rebootOrdered",
+    fields,
+    lineClass: LOG_CLASS.ROUTINE,
+  });
 };
 
 /**
@@ -105,7 +111,13 @@
     return;
   }
   const fields = { hostId: event.hostId, reason: event.reason, attempts: order.attempts };
-  effects.push({ type: "log/write", level: "warn", event: "host.rebootFailed", fields });
+  effects.push({
+    type: "log/write",
+    level: "warn",
+    event: "host.rebootFailed",
+    fields,
+    lineClass: LOG_CLASS.ROUTINE,
+  });
   if (order.attempts < FLEET.REBOOT_ATTEMPTS && holdsLease(state, host.pool)) {
     retry(state, host, order, effects);
   } else {
--- a/packages/core/src/membership/reduceMembership.ts
+++ b/packages/core/src/membership/reduceMembership.ts
@@ -1,4 +1,4 @@
-import type { EntryHostId, RowKey } from "@heatherferry/common";
+import { LOG_CLASS, type EntryHostId, type RowKey } from "@heatherferry/common";
 import type { Effect } from "../effect.js";
 import type { Event } from "../event.js";
 import { drainAcknowledgements } from "../fleet/acknowledgements.js";
@@ -168,6 +168,7 @@
     level: "error",
     event: "node.superseded",
     fields: { by: row.body.incarnation },
+    lineClass: LOG_CLASS.KEPT,
   });
 };
 
--- a/packages/core/src/node/types.ts
+++ b/packages/core/src/node/types.ts
@@ -3,6 +3,7 @@
   AvailabilityZoneId,
   EntryHostId,
   Incarnation,
+  LogClass,
   ValueOf,
 } from "@heatherferry/common";
 import type { NODE_ROLE } from "./constants.js";
@@ -37,6 +38,8 @@
       readonly atMs: number;
       /** Time of day, where the node needs it: to find that the machine was suspended. */
       readonly wallMs?: number;
+      /** How late the turn is handled, where it was due at a certain time. */
+      readonly lateMs?: number;
     }
   | { readonly type: "node/shutdownRequested"; readonly atMs: number };
 
@@ -48,4 +51,6 @@
       readonly level: "debug" | "info" | "warn" | "error";
       readonly event: string;
       readonly fields: Readonly<Record<string, string | number | boolean | null>>;
+      /** What becomes of the line when there are more than may be written. */
+      readonly lineClass: LogClass;
     };
--- a/packages/core/src/revisions/reduceRevisions.ts
+++ b/packages/core/src/revisions/reduceRevisions.ts
@@ -1,4 +1,4 @@
-import { revision, type KeyHash } from "@heatherferry/common";
+import { LOG_CLASS, revision, type KeyHash } from "@heatherferry/common";
 import { EMPTY_RULE_SET, parseRules, type RuleSet } from "@heatherferry/rules";
 import type { Effect } from "../effect.js";
 import type { TableRow } from "../platform/types.js";
@@ -35,6 +35,7 @@
       level: "error",
       event: "rules.unreadable",
       fields: { revision: head.revision, problems: problems.length },
+      lineClass: LOG_CLASS.ROUTINE,
     });
     return;
   }
--- a/packages/core/src/waves/waveSteps.ts
+++ b/packages/core/src/waves/waveSteps.ts
@@ -1,4 +1,4 @@
-import type { HostId, PoolId } from "@heatherferry/common";
+import { LOG_CLASS, type HostId, type PoolId } from "@heatherferry/common";
 import type { WaveRule } from "@heatherferry/rules";
 import type { Effect } from "../effect.js";
 import { DRAIN_REASON, HOST_PHASE, PERMIT_REFUSAL } from "../fleet/constants.js";
@@ -33,7 +33,13 @@
 ): void => {
   const { waveId, planned, done, failed } = wave;
   const counts = { planned: planned.length, done: done.length, failed: failed.length };
-  effects.push({ type: "log/write", level, event, fields: { wave: waveId, ...counts, ...more } });
+  effects.push({
+    type: "log/write",
+    level,
+    event,
+    fields: { wave: waveId, ...counts, ...more },
+    lineClass: LOG_CLASS.ROUTINE,
+  });
 };
 
 const createWave = (rule: WaveRule, view: PoolView): FleetWrite | null => {
--- a/packages/core/src/work/turn.ts
+++ b/packages/core/src/work/turn.ts
@@ -1,4 +1,5 @@
 import type { Effect } from "../effect.js";
+import { logClassOf } from "./keptEvents.js";
 import type { WorkloadState } from "./state.js";
 
 /** What one event's handling works on. */
@@ -12,14 +13,14 @@
 
 type Fields = Readonly<Record<string, string | number | boolean | null>>;
 
-/** Adds a log line. */
+/** Adds a log line, of the class that its event has. */
 export const logLine = (
   turn: Turn,
   level: "debug" | "info" | "warn" | "error",
   event: string,
   fields: Fields,
 ): void => {
-  turn.effects.push({ type: "log/write", level, event, fields });
+  turn.effects.push({ type: "log/write", level, event, fields, lineClass: logClassOf(event) });
 };
 
 /** Asks for a turn of the clock after a delay, once for the soonest of all that ask. */
--- a/packages/runners/src/daemon/daemonEffects.ts
+++ b/packages/runners/src/daemon/daemonEffects.ts
@@ -49,7 +49,7 @@
         log("info", "rules.inForce", { revision: effect.revision });
         return;
       case "log/write":
-        log(effect.level, effect.event, effect.fields);
+        log(effect.level, effect.event, effect.fields, effect.lineClass);
         return;
       case "node/exit":
         exitSwitch.exit();
--- a/packages/runners/src/work/workEffects.ts
+++ b/packages/runners/src/work/workEffects.ts
@@ -28,7 +28,7 @@
     const { log, front, loop, exitSwitch } = this.parts;
     switch (effect.type) {
       case "log/write":
-        log(effect.level, effect.event, effect.fields);
+        log(effect.level, effect.event, effect.fields, effect.lineClass);
         return;
       case "call/answer":
         front.answer(effect);
