--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -185,6 +185,14 @@
 export const CLOCK_TURN = {
   /** Least time between two looks at all that goes by time. */
   GAP_MS: 40,
+  /** A turn handled so late is logged. */
+  LATE_MS: 200,
+  LATE_LOG_GAP_MS: 1_000,
+} as const;
+
+export const GIVEN_UP = {
+  /** Runs that a line names. */
+  NAMED_RUNS: 5,
 } as const;
 
 export const CLOCK_JUMP = {
--- a/packages/core/src/work/ends.ts
+++ b/packages/core/src/work/ends.ts
@@ -1,5 +1,6 @@
 import { END_KIND, HEALTH, ITEM_PHASE, ORDER, RUN_PHASE } from "./constants.js";
 import { gangDone } from "./gangs.js";
+import { checkEndedTwice, checkRunningTwice } from "./runTwice.js";
 import { addRun, dropRun, stopRun } from "./runs.js";
 import type { Item, OwnedWork, Worker } from "./state.js";
 import { findItem, isOver, itemBegan, itemDone, itemFailed, itemLost } from "./submissions.js";
@@ -24,6 +25,7 @@
   const held = worker.runs.get(end.item);
   const run = held?.number === end.run ? held : undefined;
   const item = run?.item ?? findItem(owned, end.item);
+  checkEndedTwice(turn, worker, item, end);
   if (run !== undefined) {
     dropRun(turn, owned, worker, run);
   }
@@ -120,6 +122,7 @@
   if (lastMs !== undefined && turn.nowMs - lastMs < ORDER.PAUSE_MS) {
     return;
   }
+  checkRunningTwice(turn, worker, item, line);
   worker.strayStops.set(name, turn.nowMs);
   turn.effects.push({
     type: "worker/stop",
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -81,6 +81,19 @@
   return false;
 };
 
+/** Ends of what is left behind are in no row until the next write. */
+const logLeftBehind = (turn: Turn, owned: OwnedWork): void => {
+  let endsLeft = 0;
+  for (const { seenSequence, durableSequence } of owned.workers.values()) {
+    endsLeft += seenSequence - durableSequence;
+  }
+  logLine(turn, "warn", "owner.leftBehind", {
+    fence: Number(owned.fence),
+    submissions: owned.dirty.size,
+    endsLeft,
+  });
+};
+
 /** Writes what has changed, and the owner's row with it; one write at a time. */
 const send = (turn: Turn, owned: OwnedWork, releases: boolean): void => {
   const submissions = gather(owned);
@@ -89,6 +102,9 @@
     owned.dirty.delete(submission);
   }
   const complete = owned.dirty.size === 0;
+  if (!complete) {
+    logLeftBehind(turn, owned);
+  }
   const owner = ownerRow(turn, owned, releases);
   const write: LedgerWrite = {
     commit: {
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -1,5 +1,6 @@
 import type { HostId } from "@heatherferry/common";
 import { OWNERSHIP } from "./constants.js";
+import { logGivenUp } from "./givenUp.js";
 import { inheritOrders } from "./hosts.js";
 import type { StoreRow, WorkEvent } from "./events.js";
 import type { Claim, OwnedWork, WorkloadState } from "./state.js";
@@ -218,6 +219,7 @@
   hostViewAtMs: null,
   waves: new Map(),
   demandLoggedAtMs: nowMs,
+  givenUp: new Map(),
   forgetAtMs: nowMs,
   forgetting: new Map(),
   loadedRows: [],
@@ -229,6 +231,7 @@
   if (work.owned === null) {
     return;
   }
+  logGivenUp(turn, work.owned);
   logLine(turn, "warn", "owner.ended", {
     fence: Number(work.owned.fence),
     why,
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -8,8 +8,10 @@
 import type { WorkEvent } from "./events.js";
 import { feedAnswered, feedFailed, feedRead, storeAnswered, tickFeeds } from "./feeds.js";
 import { forgetSettled, tickForget } from "./forget.js";
+import { logGivenUp } from "./givenUp.js";
 import { hostsListed } from "./hosts.js";
 import { ledgerSettled, tickLedger } from "./ledger.js";
+import { noteLag } from "./loopLag.js";
 import { moveAnswered, tickLending } from "./lending.js";
 import { claimSettled, ownerScanFailed, ownerSeen, tickOwnership } from "./ownership.js";
 import { paceFailed } from "./pacing.js";
@@ -166,6 +168,7 @@
   tickLending(turn, owned);
   tickForget(turn, owned);
   recheckPools(owned);
+  logGivenUp(turn, owned);
 };
 
 const tickLeaving = (turn: Turn): void => {
@@ -242,6 +245,7 @@
       work.leavingAtMs ??= event.atMs;
       break;
     case "clock/ticked":
+      noteLag(turn, event.lateMs ?? 0);
       break;
     default:
       reduceStoreEvent(turn, event as WorkEvent);
--- a/packages/core/src/work/runResults.ts
+++ b/packages/core/src/work/runResults.ts
@@ -1,6 +1,8 @@
 import { ORDER, RUN_PHASE, START_RESULT } from "./constants.js";
 import type { WorkEvent } from "./events.js";
+import { noteGivenUp } from "./givenUp.js";
 import { noteClock } from "./leases.js";
+import { logOtherLife } from "./otherLife.js";
 import { dropRun, stopRun } from "./runs.js";
 import { repeatStart } from "./starts.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
@@ -54,6 +56,8 @@
       startRefused(turn, owned, worker, run, event);
       return;
     case "wrongLife":
+      logOtherLife(turn, worker, "start", null);
+      noteGivenUp(turn, owned, worker, run, "another life answered the start");
       dropRun(turn, owned, worker, run);
       itemLost(turn, owned, run.item);
       return;
@@ -85,6 +89,7 @@
       return;
     }
   }
+  noteGivenUp(turn, owned, worker, run, `the start was refused: ${event.result}`);
   dropRun(turn, owned, worker, run);
   if (event.result === START_RESULT.STALE_FENCE) {
     turn.work.ownerView.nextPollAtMs = 0;
@@ -112,6 +117,8 @@
     return;
   }
   if (event.wrongLife) {
+    logOtherLife(turn, worker, "stop", null);
+    noteGivenUp(turn, owned, worker, run, "another life answered the stop");
     dropRun(turn, owned, worker, run);
     itemLost(turn, owned, run.item);
   } else if (event.settled) {
@@ -128,6 +135,9 @@
     if (planned && owned.workers.get(worker.report.id) === worker) {
       continue;
     }
+    if (!planned) {
+      noteGivenUp(turn, owned, worker, run, why);
+    }
     dropRun(turn, owned, worker, run);
     itemLost(turn, owned, run.item);
     logLine(turn, "warn", "run.lost", {
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -18,10 +18,10 @@
   WorkerId,
 } from "./types.js";
 import type { Run, Submission } from "./itemState.js";
-import type { Worker, PoolWork, TeamUse } from "./workerState.js";
+import type { GivenUpRuns, Worker, PoolWork, TeamUse } from "./workerState.js";
 
 export type { Run, Item, Occurrence, Submission } from "./itemState.js";
-export type { Worker, Arrival, PoolWork, TeamUse } from "./workerState.js";
+export type { GivenUpRuns, Worker, Arrival, PoolWork, TeamUse } from "./workerState.js";
 
 /** A wave under way. */
 export interface WaveWork {
@@ -90,6 +90,8 @@
   hostViewAtMs: number | null;
   readonly waves: Map<number, WaveWork>;
   demandLoggedAtMs: number;
+  /** Given up since the clock turned last, by worker and reason. */
+  readonly givenUp: Map<string, GivenUpRuns>;
   forgetAtMs: number;
   /** Hand-ins that are being removed, by the write that does it. */
   readonly forgetting: Map<string, SubmissionId>;
@@ -162,6 +164,13 @@
   claimAtMs: number | null;
 }
 
+/** Turns of the clock that were handled late and that no line tells of yet. */
+export interface LoopLag {
+  loggedAtMs: number;
+  turns: number;
+  worstMs: number;
+}
+
 export interface WorkIdentity {
   readonly holder: string;
   readonly incarnation: string;
@@ -190,6 +199,7 @@
   /** When all that goes by time was looked at last. */
   tickedAtMs: number;
   wakeAtMs: number | null;
+  lag: LoopLag;
 }
 
 const newFeed = (): FeedState => ({
@@ -233,4 +243,5 @@
   nextCommit: 1,
   tickedAtMs: -Infinity,
   wakeAtMs: null,
+  lag: { loggedAtMs: -Infinity, turns: 0, worstMs: 0 },
 });
--- a/packages/core/src/work/unseen.ts
+++ b/packages/core/src/work/unseen.ts
@@ -1,5 +1,6 @@
 import { LEASE, RUN_PHASE } from "./constants.js";
 import type { WorkEvent } from "./events.js";
+import { noteGivenUp } from "./givenUp.js";
 import { dropRun, stopRun } from "./runs.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { itemLost } from "./submissions.js";
@@ -29,6 +30,7 @@
     if (run.unansweredAtMs !== null && run.phase === RUN_PHASE.ORDERED) {
       if (event.sentAtMs >= run.unansweredAtMs) {
         // It may start there at any time until the worker confirms a stop or the lease ends.
+        noteGivenUp(turn, owned, worker, run, "the start had no answer");
         stopRun(turn, owned, run, "the start had no answer");
       }
       continue;
@@ -50,12 +52,15 @@
 };
 
 const dropMissing = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run): void => {
+  const stopped = run.stopConfirmedAtMs !== null;
+  const why = stopped ? "stopped, and looks do not show it" : "looks do not show it";
+  noteGivenUp(turn, owned, worker, run, why);
   dropRun(turn, owned, worker, run);
   itemLost(turn, owned, run.item);
   logLine(turn, "info", "run.notThere", {
     item: run.item.key,
     run: run.number,
     worker: worker.report.id,
-    stopped: run.stopConfirmedAtMs !== null,
+    stopped,
   });
 };
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -1,5 +1,5 @@
-import type { PoolId } from "@heatherferry/common";
-import type { ItemKey, WorkerReport } from "./types.js";
+import type { Address, PoolId } from "@heatherferry/common";
+import type { ItemKey, WorkerId, WorkerReport } from "./types.js";
 import type { Run, Submission } from "./itemState.js";
 
 export interface Worker {
@@ -15,6 +15,8 @@
   /** It has seen this owner's fence, so no earlier owner can start work there. */
   fenced: boolean;
   lookSentAtMs: number | null;
+  /** When the newest look was sent, answered or not. */
+  lastLookAtMs: number | null;
   nextLookAtMs: number;
   answeredAtMs: number | null;
   /** The last look had no answer: nothing new starts there until one has. */
@@ -45,6 +47,22 @@
   departed: boolean;
 }
 
+/** Ordered runs of one worker that were given up for one reason, gathered for one log line. */
+export interface GivenUpRuns {
+  readonly worker: WorkerId;
+  readonly why: string;
+  readonly address: Address;
+  readonly bornWallMs: number | null;
+  /** When the first of them was given up, and how old the worker's last answer was then. */
+  readonly sinceMs: number;
+  readonly answerAgeMs: number | null;
+  /** Age of the newest look at the worker, answered or not. */
+  readonly lookAgeMs: number | null;
+  count: number;
+  /** The first few, as item and run. */
+  readonly first: string[];
+}
+
 /** Work handed in to a pool. */
 export interface Arrival {
   readonly atMs: number;
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -2,6 +2,7 @@
 import type { WorkEvent } from "./events.js";
 import { extendLease, hasStops, isSilent, noteClock, targetOf } from "./leases.js";
 import { isSure } from "./ownership.js";
+import { logOtherLife } from "./otherLife.js";
 import { paceFillers } from "./pacing.js";
 import { poolOf } from "./pools.js";
 import { runEnded, runSeen } from "./ends.js";
@@ -21,6 +22,7 @@
   leaseUntilClockMs: 0,
   fenced: false,
   lookSentAtMs: null,
+  lastLookAtMs: null,
   nextLookAtMs: turn.nowMs,
   answeredAtMs: null,
   unreachable: false,
@@ -146,10 +148,14 @@
   if (worker === undefined) {
     return;
   }
+  if (event.sentAtMs < worker.enlistedAtMs) {
+    logOtherLife(turn, worker, "look", event.bornWallMs);
+  }
   worker.lookSentAtMs = null;
   worker.nextLookAtMs = turn.nowMs + LEASE.LOOK_GAP_MS;
   const { bornWallMs } = worker.report;
   if (event.bornWallMs !== null && bornWallMs !== null && event.bornWallMs !== bornWallMs) {
+    logOtherLife(turn, worker, "look", event.bornWallMs);
     if (event.bornWallMs > bornWallMs) {
       const report = { ...worker.report, bornWallMs: event.bornWallMs, clockMs: event.clockMs };
       replaceLife(turn, owned, worker, report);
@@ -201,6 +207,7 @@
     silentMs: worker.answeredAtMs === null ? null : Math.round(turn.nowMs - worker.answeredAtMs),
   });
   if (event.wrongLife) {
+    logOtherLife(turn, worker, "look", null);
     forgetWorker(turn, owned, worker, "another life has its address");
   }
 };
@@ -240,6 +247,7 @@
   }
   const waits = worker.fenced && worker.runs.size > 0 && !isSilent(turn, worker);
   worker.lookSentAtMs = turn.nowMs;
+  worker.lastLookAtMs = turn.nowMs;
   worker.notedSequence = worker.durableSequence;
   turn.effects.push({
     type: "worker/look",
--- /dev/null
+++ b/packages/core/tests/work/logLines.test.ts
@@ -0,0 +1,119 @@
+import { LOG_CLASS } from "@heatherferry/common";
+import test from "ava";
+import type { Effect, Event, WorkerId } from "../../src/index.js";
+import { stepOf, workOf } from "./workSpecs.js";
+import { WorkSite } from "./workSite.js";
+
+type Line = Extract<Effect, { type: "log/write" }>;
+
+/** A site whose first node can be handed events. */
+class TestSite extends WorkSite {
+  tell(event: Event): void {
+    const [node] = this.nodes;
+    if (node !== undefined) {
+      this.handle(node, event);
+    }
+  }
+}
+
+const linesOf = (site: WorkSite, event: string): Line[] =>
+  site.effects.filter(
+    (effect): effect is Line => effect.type === "log/write" && effect.event === event,
+  );
+
+const idOf = (index: number): string => index.toString(16).padStart(16, "0");
+
+/** @returns A site with one node and one item a worker, all running. */
+const busySite = (): { site: TestSite; worker: string } => {
+  const site = new TestSite(5, 1, 3);
+  site.workMs = 60_000;
+  site.run(2_000);
+  const needs = { cpuMilli: 100, memoryMb: 1_000, gpus: 0 };
+  site.submit(idOf(1), "mills", workOf([{ ...stepOf(8, 500, []), needs }]), 0);
+  site.run(600);
+  const busy = [...site.workers].find(([, { runs }]) => runs.size > 1);
+  return { site, worker: busy?.[0] ?? "" };
+};
+
+test("all runs of a worker are given up at once, and one kept line says why", (t) => {
+  const { site, worker } = busySite();
+  const runs = site.workers.get(worker)?.runs.size ?? 0;
+  t.true(runs > 1);
+  site.cutWorkers.set(worker, site.nowMs + 30_000);
+  site.run(8_000);
+  const [line, ...others] = linesOf(site, "runs.givenUp");
+  t.deepEqual(others, []);
+  t.is(line?.lineClass, LOG_CLASS.KEPT);
+  t.like(line?.fields, { worker, why: "the lease ended", count: runs });
+  t.true(Number(line?.fields.answerAgeMs) > 1_000);
+  t.true(linesOf(site, "run.lost").every(({ lineClass }) => lineClass === LOG_CLASS.ROUTINE));
+});
+
+test("a successor is loaded after many runs, and its line is a kept one", (t) => {
+  const { site } = busySite();
+  site.kill(0, 500);
+  site.run(3_000);
+  const loaded = linesOf(site, "owner.loaded");
+  t.is(loaded.length, 2);
+  t.true(loaded.every(({ lineClass }) => lineClass === LOG_CLASS.KEPT));
+});
+
+test("more submissions change than a write holds, and a kept line says how many are left", (t) => {
+  const site = new TestSite(5, 1, 3);
+  site.workMs = 60_000;
+  site.run(2_000);
+  for (let index = 1; index <= 200; index += 1) {
+    site.submit(idOf(index), "mills", workOf([stepOf(1, 500, [])]), 0);
+  }
+  site.run(200);
+  for (let index = 1; index <= 200; index += 1) {
+    site.cancel(idOf(index), 0);
+  }
+  site.run(500);
+  const [line] = linesOf(site, "owner.leftBehind");
+  t.is(line?.lineClass, LOG_CLASS.KEPT);
+  t.true(Number(line?.fields.submissions) > 0);
+});
+
+test("a worker lists a run of an item that runs elsewhere", (t) => {
+  const { site, worker } = busySite();
+  const owned = site.nodes[0]?.state.work?.owned;
+  const [mine] = owned?.workers.get(worker as WorkerId)?.runs.values() ?? [];
+  const other = [...(owned?.workers.keys() ?? [])].find((id) => id !== worker);
+  t.truthy(mine);
+  t.truthy(other);
+  if (mine === undefined || other === undefined) {
+    return;
+  }
+  const { item, number } = mine;
+  const line = { item: item.key, run: number - 1, checkpoint: "", percent: 0, load: null };
+  site.tell({
+    type: "worker/looked",
+    worker: other,
+    sentAtMs: 1_000 + site.nowMs,
+    clockMs: 1,
+    bornWallMs: null,
+    running: [line],
+    ends: [],
+    atMs: 0,
+  });
+  t.like(linesOf(site, "run.twice")[0]?.fields, {
+    item: item.key,
+    run: number - 1,
+    worker: other,
+    how: "running",
+    otherRun: number,
+    otherWorker: worker,
+  });
+});
+
+test("the clock turns late for long, and one kept line a second tells of it", (t) => {
+  const site = new TestSite(5, 1, 1);
+  for (let turn = 0; turn < 30; turn += 1) {
+    site.tell({ type: "clock/ticked", lateMs: 400, atMs: 0 });
+    site.run(100);
+  }
+  const lines = linesOf(site, "loop.lagged");
+  t.true(lines.length >= 2 && lines.length <= 4, `${lines.length} lines in 3 s`);
+  t.true(lines.every(({ lineClass }) => lineClass === LOG_CLASS.KEPT));
+});
--- a/packages/runners/src/loop/eventLoop.ts
+++ b/packages/runners/src/loop/eventLoop.ts
@@ -33,6 +33,7 @@
   private readonly waiting: UntimedEvent[] = [];
   private running = false;
   private timer: NodeJS.Timeout | null = null;
+  private turnDueAtMs = 0;
 
   /**
    * @param state - The node's state; from here on the loop's alone.
@@ -56,8 +57,9 @@
   /** Starts turning the clock. */
   start(): void {
     this.turnClock();
+    this.turnDueAtMs = EventLoop.nowMs() + CLOCK.TICK_MS;
     this.timer = setInterval(() => {
-      this.turnClock();
+      this.turnClockOnTime();
     }, CLOCK.TICK_MS);
   }
 
@@ -66,6 +68,13 @@
     this.handle({ type: "clock/ticked" });
   }
 
+  private turnClockOnTime(): void {
+    const nowMs = EventLoop.nowMs();
+    const lateMs = Math.max(0, nowMs - this.turnDueAtMs);
+    this.turnDueAtMs = nowMs + CLOCK.TICK_MS;
+    this.handle({ type: "clock/ticked", lateMs });
+  }
+
   /** Stops turning the clock. */
   stop(): void {
     if (this.timer !== null) {
