Judge in virtual time a start after an end that is acknowledged later

The rule counts a start after a run has ended as done if that end is acknowledged then or later, unless the lease lapsed between the two. The judge knew the first half only, so a successor that started finished work went unseen when the worker was heard late.

A start that is to come late comes after all repeats of it, so that the test of it does not depend on what else draws luck.

--- a/packages/core/tests/work/memoryWorker.ts
+++ b/packages/core/tests/work/memoryWorker.ts
@@ -21,6 +21,9 @@
 
 const STOP_MS = 300;
 
+/** Its clock is 1% slow, within what workers' clocks may be. */
+const CLOCK_RATE = 0.99;
+
 /** Judges what a worker does; throws where a promise is broken. */
 export abstract class WorkerJudge {
   abstract started(worker: MemoryWorker, run: WorkerRun): void;
@@ -36,6 +39,8 @@
   /** Load that it lists for all runs. */
   load: number | null = null;
   ends: EndLine[] = [];
+  /** Ends that were listed when the lease ran out; an acknowledgement of these says nothing. */
+  private readonly outdatedEnds = new Set<EndLine>();
   private nextEnd = 1;
   private fence = 0;
   private leaseUntilClockMs = 0;
@@ -47,23 +52,33 @@
     private readonly judge: WorkerJudge,
   ) {}
 
-  /** Its clock is 1% slow, within what workers' clocks may be. */
   clockMs(nowMs: number): number {
-    return Math.floor((nowMs - this.bornAtMs) * 0.99);
+    return Math.floor((nowMs - this.bornAtMs) * CLOCK_RATE);
   }
 
-  /** Ends what is over. */
+  /** Ends what is over, each run by whatever came first. */
   advance(nowMs: number): void {
-    const lapsed = this.clockMs(nowMs) > this.leaseUntilClockMs;
+    const lapsesAtMs = this.lapsesAtMs();
     for (const run of [...this.runs.values()]) {
-      if (run.endsAtMs <= nowMs) {
+      const stopsAtMs = run.stopsAtMs ?? Infinity;
+      const overAtMs = Math.min(run.endsAtMs, stopsAtMs, lapsesAtMs);
+      if (overAtMs > nowMs) {
+        continue;
+      }
+      if (overAtMs === run.endsAtMs) {
         this.end(run, run.how);
-      } else if (run.stopsAtMs !== null && run.stopsAtMs <= nowMs) {
-        this.end(run, END_KIND.STOPPED);
-      } else if (lapsed) {
-        this.end(run, END_KIND.LAPSED);
+      } else {
+        this.end(run, overAtMs === stopsAtMs ? END_KIND.STOPPED : END_KIND.LAPSED);
       }
     }
+    if (lapsesAtMs <= nowMs) {
+      this.ends.forEach((end) => this.outdatedEnds.add(end));
+    }
+  }
+
+  /** @returns When its clock passes the end of its lease. */
+  private lapsesAtMs(): number {
+    return this.bornAtMs + (this.leaseUntilClockMs + 1) / CLOCK_RATE;
   }
 
   start(
@@ -125,7 +140,7 @@
     this.fence = Number(order.fence);
     this.leaseUntilClockMs = Math.max(this.leaseUntilClockMs, order.untilClockMs ?? 0);
     for (const end of this.ends) {
-      if (end.sequence <= order.notedSequence) {
+      if (end.sequence <= order.notedSequence && !this.outdatedEnds.has(end)) {
         this.judge.noted(end);
       }
     }
--- a/packages/core/tests/work/siteJudge.ts
+++ b/packages/core/tests/work/siteJudge.ts
@@ -12,6 +12,9 @@
   protected readonly specs = new Map<string, HandIn>();
   private readonly doneNoted = new Set<ItemKey>();
   private readonly done = new Set<ItemKey>();
+  private readonly doneEnds = new Map<ItemKey, EndLine[]>();
+  /** Ends as done after which the item was started again. */
+  private readonly restarted = new Set<EndLine>();
   private readonly failed = new Map<ItemKey, number>();
 
   override started(worker: MemoryWorker, run: WorkerRun): void {
@@ -36,6 +39,7 @@
     if (this.doneNoted.has(run.item)) {
       throw new Error(`TWICE: ${run.item} run ${run.run} after its end was noted`);
     }
+    this.doneEnds.get(run.item)?.forEach((end) => this.restarted.add(end));
     // Lasting work has no bound on its runs.
     if (!spec.lasting && (this.failed.get(run.item) ?? 0) >= MAX_ATTEMPTS) {
       throw new Error(`BUDGET: ${run.item} run ${run.run}`);
@@ -65,12 +69,16 @@
   override ended(end: EndLine): void {
     if (end.kind === END_KIND.DONE) {
       this.done.add(end.item);
+      this.doneEnds.set(end.item, [...(this.doneEnds.get(end.item) ?? []), end]);
     }
   }
 
   override noted(end: EndLine): void {
     if (end.kind === END_KIND.DONE) {
       this.doneNoted.add(end.item);
+      if (this.restarted.has(end)) {
+        throw new Error(`TWICE: ${end.item} was started after the end that is noted now`);
+      }
     } else if (end.kind === END_KIND.FAILED) {
       this.failed.set(end.item, (this.failed.get(end.item) ?? 0) + 1);
     }
--- a/packages/core/tests/work/siteRemote.ts
+++ b/packages/core/tests/work/siteRemote.ts
@@ -32,6 +32,9 @@
   "worker/look": 1_000,
 } as const;
 
+/** A start that is to come late comes after all repeats of it. */
+const LATE_START_MS = 3_000;
+
 const failureOf = (order: WorkerOrder): Event => {
   const { worker } = order;
   switch (order.type) {
@@ -190,7 +193,7 @@
     const lost = cut || late || chosen || this.chance(this.faults.lostPercent);
     const target = this.workers.get(order.worker);
     if (!cut) {
-      this.at(late ? 1_000 + this.pick(6_000) : 1 + this.pick(5), () => {
+      this.at(this.deliveryMs(late, chosen), () => {
         this.deliver(node, order, sentAtMs, target, lost);
       });
     }
@@ -199,6 +202,13 @@
     }
   }
 
+  private deliveryMs(late: boolean, chosen: boolean): number {
+    if (!late) {
+      return 1 + this.pick(5);
+    }
+    return chosen ? LATE_START_MS : 1_000 + this.pick(6_000);
+  }
+
   protected deliver(
     node: SiteNode,
     order: WorkerOrder,
