Keep what may run on a worker in a row of its own, and named until its end is written

What callers saw: on the grown San Vicente an item of work ran a second time after it had been done (TWICE).

Cause: two records that belong together were written apart. The owner's row named what ran on each worker at the moment of a write; the ends of what ran no more went into progress rows, of which one write takes 90. With more changes than that, an end was in neither until the next write. An owner that died between the two left a successor that took the item for one that never ran and started it before it had heard the worker that still listed the end. The same row grew with all that ran: 49,928 to 53,732 of 65,536 bytes were seen with 1,500 to 2,050 items, written every 20 ms; beyond the bound every write would be refused, for every later owner too.

Fix: each worker has a row with what may run there, written in the same transaction as before but only when it changes, and read by a successor before it orders anything. A row lets go of an item only in a write that leaves no end behind; until then it names more than runs, which holds a successor back and harms nothing. Starts whose rows do not fit wait for the next write. A node that leaves gives the work back once everything is written.

Both pass now, and so do the other 106 tests of the work slices and the adapter.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -6,6 +6,8 @@
   PROGRESS: "heatherferry-progress",
   /** Who decides. */
   OWNER: "heatherferry-owner",
+  /** What may run on each worker. Written by the owner alone. */
+  LEASES: "heatherferry-leases",
 } as const;
 
 /** The one row that names the owner. */
@@ -63,6 +65,7 @@
   ...FEED,
   PROGRESS: "progress",
   OWNER: "owner",
+  LEASES: "leases",
 } as const;
 
 export const RUN_PHASE = {
@@ -138,6 +141,10 @@
   COMMIT_RETRY_MS: 100,
   /** Rows of one transaction; the store takes 100 entries, the owner's row among them. */
   MAX_ROWS: 90,
+  /** Of these, rows of workers with new work; the others are left to what has ended. */
+  MAX_START_ROWS: 50,
+  /** Most runs on a worker; its row, which names them all, holds 65,536 bytes. */
+  MAX_RUNS_NAMED: 1_000,
   /** Pause between two writes of the owner, so that one carries what gathers meanwhile. */
   LEDGER_GAP_MS: 20,
 } as const;
--- a/packages/core/src/work/ends.ts
+++ b/packages/core/src/work/ends.ts
@@ -1,6 +1,7 @@
 import { END_KIND, HEALTH, ITEM_PHASE, ORDER, RUN_PHASE } from "./constants.js";
 import { gangDone } from "./gangs.js";
 import { checkEndedTwice, checkRunningTwice } from "./runTwice.js";
+import { leaseChanged } from "./leaseRows.js";
 import { addRun, dropRun, stopRun } from "./runs.js";
 import type { Item, OwnedWork, Worker } from "./state.js";
 import { findItem, isOver, itemBegan, itemDone, itemFailed, itemLost } from "./submissions.js";
@@ -124,6 +125,7 @@
   }
   checkRunningTwice(turn, worker, item, line);
   worker.strayStops.set(name, turn.nowMs);
+  leaseChanged(owned, worker.report.id);
   turn.effects.push({
     type: "worker/stop",
     item: line.item,
--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -15,6 +15,7 @@
   HandIn,
   HostListing,
   ItemKey,
+  LeasedWorker,
   OwnerRow,
   Progress,
   RunningLine,
@@ -35,6 +36,12 @@
 export type StartResult = ValueOf<typeof START_RESULT>;
 export type HostOrderResult = ValueOf<typeof HOST_ORDER_RESULT>;
 
+/** What may run on a worker. */
+export interface WorkerLease {
+  readonly worker: WorkerId;
+  readonly lease: LeasedWorker;
+}
+
 /** A row of the store after decoding. Rows that cannot be read never get this far. */
 export type StoreRow =
   | { readonly type: "catalog"; readonly version: StoreVersion; readonly catalog: Catalog }
@@ -45,6 +52,7 @@
   | { readonly type: "cancel"; readonly version: StoreVersion; readonly id: SubmissionId }
   | { readonly type: "progress"; readonly version: StoreVersion; readonly progress: Progress }
   | { readonly type: "owner"; readonly version: StoreVersion; readonly owner: OwnerRow }
+  | ({ readonly type: "lease"; readonly version: StoreVersion } & WorkerLease)
   | {
       readonly type: "waveReport";
       readonly version: StoreVersion;
@@ -59,6 +67,7 @@
   | { readonly type: "cancel"; readonly id: SubmissionId }
   | { readonly type: "progress"; readonly progress: Progress }
   | { readonly type: "owner"; readonly owner: OwnerRow }
+  | ({ readonly type: "lease" } & WorkerLease)
   | {
       readonly type: "waveReport";
       readonly wave: number;
@@ -69,6 +78,7 @@
 
 export type RowName =
   | { readonly type: "handIn" | "cancel" | "progress"; readonly id: SubmissionId }
+  | { readonly type: "lease"; readonly worker: WorkerId }
   | { readonly type: "owner" };
 
 /** The row must still be at this version; 0 says that it must not exist. */
--- a/packages/core/src/work/feeds.ts
+++ b/packages/core/src/work/feeds.ts
@@ -1,12 +1,15 @@
 import { catalogAgeMs, applyCatalog } from "./catalog.js";
 import { FEED, STORE, CATALOG_VIEW } from "./constants.js";
-import type { Feed, StoreRow, WorkEvent } from "./events.js";
+import type { Feed, Scan, StoreRow, WorkEvent } from "./events.js";
 import type { FeedState } from "./state.js";
 import { adoptHandIn, cancelOwned } from "./submissions.js";
 import { logLine, loggedMs, type Turn } from "./turn.js";
 import { waveRequested } from "./waves.js";
 import { workerReported, workerUnlisted } from "./workers.js";
 
+/** @returns Whether a table is followed, and not just read by a new owner. */
+export const isFeed = (scan: Scan): scan is Feed => Object.values<Scan>(FEED).includes(scan);
+
 /** Takes changed rows in the order of their versions. */
 export const rowsChanged = (turn: Turn, rows: readonly StoreRow[]): void => {
   const { owned } = turn.work;
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -3,55 +3,36 @@
 import type { RowToWrite, WorkEvent } from "./events.js";
 import { orderedHosts, sendHostOrders } from "./hosts.js";
 import { endOwning, isSure, stillOwner } from "./ownership.js";
-import type { LedgerWrite, OwnedWork, Submission, Worker } from "./state.js";
+import { chooseStarts, hasStaleLeases, leaseRows, staleLeases } from "./leaseRows.js";
+import type { LedgerWrite, OwnedWork, Submission } from "./state.js";
 import { progressOf } from "./submissions.js";
 import { logLine, loggedMs, newCommitId, wakeAfter, type Turn } from "./turn.js";
-import type { LeasedWorker, OwnerRow, WorkerId } from "./types.js";
+import type { OwnerRow } from "./types.js";
 import { dropStarts, sendStarts } from "./starts.js";
-import { hasStops } from "./leases.js";
 
-const itemsOn = (worker: Worker): Record<string, number[]> => {
-  const items: Record<string, number[]> = {};
-  for (const { item } of worker.runs.values()) {
-    const step = `${item.submission.handIn.id}.${item.occurrence}.${item.step}`;
-    (items[step] ??= []).push(item.index);
-  }
-  return items;
-};
-
-/** @returns Workers on which something may run, and what. */
-const leasedWorkers = (owned: OwnedWork): Record<WorkerId, LeasedWorker> => {
-  const rows: Record<WorkerId, LeasedWorker> = Object.fromEntries(owned.unheard);
-  for (const worker of owned.workers.values()) {
-    if (worker.runs.size > 0 || worker.strayStops.size > 0) {
-      rows[worker.report.id] = {
-        pool: worker.report.pool,
-        items: itemsOn(worker),
-        stopping: hasStops(worker),
-      };
-    }
-  }
-  return rows;
-};
+const isLeaving = ({ work }: Turn): boolean => work.leavingAtMs !== null;
 
 const ownerRow = (turn: Turn, owned: OwnedWork, released: boolean): OwnerRow => ({
   holder: turn.work.identity.holder,
   incarnation: turn.work.identity.incarnation,
   fence: owned.fence,
   released,
-  leased: leasedWorkers(owned),
   orderedHosts: orderedHosts(turn, owned),
   pending: pendingByQueue(turn),
 });
 
-const gather = (owned: OwnedWork): Submission[] => {
+const gather = (owned: OwnedWork, most: number): Submission[] => {
   const chosen: Submission[] = [];
   for (const submission of owned.dirty) {
-    if (chosen.length >= STORE.MAX_ROWS) {
+    if (chosen.length >= most) {
       break;
     }
     chosen.push(submission);
   }
+  for (const submission of chosen) {
+    submission.dirty = false;
+    owned.dirty.delete(submission);
+  }
   return chosen;
 };
 
@@ -94,47 +75,49 @@
   });
 };
 
+/** @returns Ends that may be acknowledged: every submission they touched must be written. */
+const writtenEnds = (owned: OwnedWork): LedgerWrite["ends"] =>
+  owned.dirty.size > 0
+    ? []
+    : [...owned.workers.values()]
+        .filter(({ seenSequence, durableSequence }) => seenSequence > durableSequence)
+        .map((worker) => ({ worker, sequence: worker.seenSequence }));
+
 /** Writes what has changed, and the owner's row with it; one write at a time. */
-const send = (turn: Turn, owned: OwnedWork, releases: boolean): void => {
-  const submissions = gather(owned);
-  for (const submission of submissions) {
-    submission.dirty = false;
-    owned.dirty.delete(submission);
-  }
-  const complete = owned.dirty.size === 0;
-  if (!complete) {
+const send = (turn: Turn, owned: OwnedWork): void => {
+  const { named, workers, waiting } = chooseStarts(owned.plannedStarts);
+  const submissions = gather(owned, STORE.MAX_ROWS - workers.size);
+  const leavesNone = owned.dirty.size === 0;
+  if (!leavesNone) {
     logLeftBehind(turn, owned);
   }
-  const owner = ownerRow(turn, owned, releases);
+  const left = STORE.MAX_ROWS - workers.size - submissions.length;
+  const leases = leaseRows(owned, [...workers, ...staleLeases(owned, workers, left)], leavesNone);
+  const releases = isLeaving(turn) && leavesNone && !hasStaleLeases(owned);
   const write: LedgerWrite = {
     commit: {
       commitId: newCommitId(turn.work),
       conditions: [{ row: { type: "owner" }, version: owned.rowVersion }],
       writes: [
-        { type: "owner", owner },
+        { type: "owner", owner: ownerRow(turn, owned, releases) },
+        ...leases.writes,
         ...submissions.map((submission) => ({
           type: "progress" as const,
           progress: progressOf(submission),
         })),
         ...waveReports(owned),
       ],
-      removes: [],
+      removes: leases.removes,
     },
     submissions: submissions.map((submission) => ({ submission, shows: submission.state })),
-    // Ends may be acknowledged only if every submission they touched is in this write.
-    ends: complete
-      ? [...owned.workers.values()]
-          .filter(({ seenSequence, durableSequence }) => seenSequence > durableSequence)
-          .map((worker) => ({ worker, sequence: worker.seenSequence }))
-      : [],
+    ends: writtenEnds(owned),
     releases,
-    starts: owned.plannedStarts,
+    starts: named,
     orders: owned.plannedOrders,
   };
-  owned.plannedStarts = [];
+  owned.plannedStarts = waiting;
   owned.plannedOrders = [];
   owned.ledger = write;
-  owned.releasing = releases;
   owned.needsRenewal = false;
   resend(turn, owned, write);
 };
@@ -166,9 +149,10 @@
     }
     return;
   }
-  const releases = turn.work.leavingAtMs !== null;
+  // Nothing is ordered any more once the work is being given back.
+  owned.releasing = isLeaving(turn);
   const sinceMs = turn.nowMs - owned.ledgerSentAtMs;
-  const due = sinceMs >= OWNERSHIP.RENEW_MS || owned.needsRenewal || releases;
+  const due = sinceMs >= OWNERSHIP.RENEW_MS || owned.needsRenewal || owned.releasing;
   const news =
     owned.active &&
     (owned.dirty.size > 0 ||
@@ -176,10 +160,8 @@
       wavesChanged(owned) ||
       owned.plannedOrders.length > 0 ||
       owned.plannedStarts.length > 0);
-  if (due) {
-    send(turn, owned, releases);
-  } else if (news && sinceMs >= STORE.LEDGER_GAP_MS) {
-    send(turn, owned, false);
+  if (due || (news && sinceMs >= STORE.LEDGER_GAP_MS)) {
+    send(turn, owned);
   } else if (news) {
     wakeAfter(turn, STORE.LEDGER_GAP_MS - sinceMs);
   }
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -1,18 +1,11 @@
 import type { HostId } from "@heatherferry/common";
-import { OWNERSHIP } from "./constants.js";
+import { OWNERSHIP, SCAN } from "./constants.js";
 import { logGivenUp } from "./givenUp.js";
 import { inheritOrders } from "./hosts.js";
 import type { StoreRow, WorkEvent } from "./events.js";
 import type { Claim, OwnedWork, WorkloadState } from "./state.js";
 import { logLine, loggedMs, newCommitId, type Turn } from "./turn.js";
-import {
-  fence,
-  storeVersion,
-  type LeasedWorker,
-  type OwnerRow,
-  type StoreVersion,
-  type WorkerId,
-} from "./types.js";
+import { fence, storeVersion, type OwnerRow, type StoreVersion } from "./types.js";
 
 type OwnerStoreRow = Extract<StoreRow, { type: "owner" }>;
 
@@ -101,7 +94,6 @@
     incarnation: work.identity.incarnation,
     fence: fence((view.row?.fence ?? 0) + 1),
     released: false,
-    leased: view.row?.leased ?? {},
     orderedHosts: view.row?.orderedHosts ?? {},
     pending: view.row?.pending ?? {},
   };
@@ -189,10 +181,12 @@
   takenVersion: version,
   rowVersion: version,
   confirmedAtMs: sentAtMs,
-  loads: new Set(["workers", "handIns", "progress"] as const),
+  loads: new Set([SCAN.WORKERS, SCAN.HAND_INS, SCAN.PROGRESS, SCAN.LEASES]),
   active: false,
   releasing: false,
-  unheard: new Map(Object.entries(before?.leased ?? {}) as [WorkerId, LeasedWorker][]),
+  leases: new Map(),
+  leaseChanges: new Set(),
+  unheard: new Map(),
   heldItems: new Map(),
   stopsUnknown: before !== null && !before.released,
   inheritedOrders,
--- a/packages/core/src/work/placement.ts
+++ b/packages/core/src/work/placement.ts
@@ -1,3 +1,4 @@
+import { STORE } from "./constants.js";
 import type { Item, OwnedWork, Submission, Worker } from "./state.js";
 import type { Turn } from "./turn.js";
 import type { Resources, StepSpec } from "./types.js";
@@ -5,6 +6,7 @@
 const fits = (worker: Worker, room: Resources): boolean => {
   const { capacity } = worker.report;
   return (
+    worker.runs.size < STORE.MAX_RUNS_NAMED &&
     worker.usedCpuMilli + room.cpuMilli <= capacity.cpuMilli &&
     worker.usedMemoryMb + room.memoryMb <= capacity.memoryMb &&
     worker.usedGpus + room.gpus <= capacity.gpus
--- a/packages/core/src/work/recovery.ts
+++ b/packages/core/src/work/recovery.ts
@@ -1,6 +1,7 @@
 import type { TeamId } from "@heatherferry/common";
 import { LEASE } from "./constants.js";
 import type { Scan, StoreRow, WorkEvent } from "./events.js";
+import { leaseChanged } from "./leaseRows.js";
 import { poolOf } from "./pools.js";
 import type { OwnedWork, TeamUse } from "./state.js";
 import { adoptHandIn, cancelOwned, findItem } from "./submissions.js";
@@ -39,7 +40,14 @@
   }
 };
 
-const holdItems = (owned: OwnedWork): void => {
+/** Holds back what may run on workers until they are heard. */
+const holdItems = (owned: OwnedWork, rows: readonly StoreRow[]): void => {
+  for (const row of rows) {
+    if (row.type === "lease") {
+      owned.leases.set(row.worker, row.lease);
+      owned.unheard.set(row.worker, row.lease);
+    }
+  }
   for (const [worker, { items }] of owned.unheard) {
     for (const [step, indexes] of Object.entries(items)) {
       for (const index of indexes) {
@@ -53,7 +61,7 @@
   const progress = new Map<SubmissionId, Progress>();
   const cancels: SubmissionId[] = [];
   owned.active = true;
-  holdItems(owned);
+  holdItems(owned, rows);
   for (const row of rows) {
     if (row.type === "worker") {
       workerReported(turn, owned, row.report);
@@ -125,6 +133,7 @@
 const workerHeard = (owned: OwnedWork, id: WorkerId): void => {
   const leased = owned.unheard.get(id);
   owned.unheard.delete(id);
+  leaseChanged(owned, id);
   for (const [item, worker] of owned.heldItems) {
     if (worker === id) {
       owned.heldItems.delete(item);
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -6,7 +6,7 @@
 import { emptyLeaving } from "./emptying.js";
 import { dispatch, recheckPools, stopStalled } from "./dispatch.js";
 import type { WorkEvent } from "./events.js";
-import { feedAnswered, feedFailed, feedRead, storeAnswered, tickFeeds } from "./feeds.js";
+import { feedAnswered, feedFailed, feedRead, isFeed, storeAnswered, tickFeeds } from "./feeds.js";
 import { forgetSettled, tickForget } from "./forget.js";
 import { logGivenUp } from "./givenUp.js";
 import { hostsListed } from "./hosts.js";
@@ -53,7 +53,7 @@
     ownerSeen(turn, event.rows, event.sentAtMs);
   } else if (work.owned?.loads.has(event.scan) === true) {
     tableLoaded(turn, work.owned, event);
-  } else if (event.scan !== SCAN.PROGRESS && work.feeds[event.scan].scanning) {
+  } else if (isFeed(event.scan) && work.feeds[event.scan].scanning) {
     feedRead(turn, event, event.scan);
   }
 };
@@ -65,7 +65,7 @@
     ownerScanFailed(turn);
   } else if (work.owned?.loads.has(event.scan) === true) {
     tableNotLoaded(turn, work.owned, event.scan);
-  } else if (event.scan !== SCAN.PROGRESS) {
+  } else if (isFeed(event.scan)) {
     const feed = work.feeds[event.scan];
     feed.scanning = false;
     feed.retryAtMs = turn.nowMs + STORE.FEED_RETRY_MS;
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -1,4 +1,5 @@
 import { ITEM_PHASE, ORDER, RUN_PHASE } from "./constants.js";
+import { leaseChanged } from "./leaseRows.js";
 import { isSure } from "./ownership.js";
 import { poolOf } from "./pools.js";
 import type { Item, OwnedWork, Run, TeamUse, Worker } from "./state.js";
@@ -73,6 +74,7 @@
     worker.busySinceMs = turn.nowMs;
   }
   worker.runs.set(item.key, run);
+  leaseChanged(owned, worker.report.id);
   charge(owned, worker, run, 1);
   return run;
 };
@@ -83,6 +85,7 @@
     return;
   }
   worker.runs.delete(run.item.key);
+  leaseChanged(owned, worker.report.id);
   charge(owned, worker, run, -1);
   if (run.item.run === run) {
     run.item.run = null;
@@ -116,6 +119,7 @@
 
 const sendStop = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run): void => {
   run.stopSentAtMs = turn.nowMs;
+  leaseChanged(owned, worker.report.id);
   if (!isSure(turn, owned)) {
     return;
   }
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -52,6 +52,10 @@
   active: boolean;
   /** It is being given back: nothing is ordered any more. */
   releasing: boolean;
+  /** What the store says may run on each worker. */
+  readonly leases: Map<WorkerId, LeasedWorker>;
+  /** Workers on which other work may run than their rows say. */
+  readonly leaseChanges: Set<WorkerId>;
   /** Workers of the owner before that were not heard yet. */
   readonly unheard: Map<WorkerId, LeasedWorker>;
   /** Items that may run on a worker that was not heard yet. */
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -108,8 +108,8 @@
 export interface LeasedWorker {
   readonly pool: PoolId;
   /**
-   * All that may run there, `submission.occurrence.step` to item numbers: an item is started only
-   * after a row that names it was written.
+   * All that may run there, `submission.occurrence.step` to item numbers. An item is started only
+   * after a row that names it was written, and named until its end is written too.
    */
   readonly items: Readonly<Record<string, readonly number[]>>;
   /** Runs are being stopped there, which takes room but is not listed as running. */
@@ -123,8 +123,6 @@
   readonly fence: Fence;
   /** True once the owner gave it back: anybody may take it at once. */
   readonly released: boolean;
-  /** Workers on which something may run under a lease of this owner. */
-  readonly leased: Readonly<Record<WorkerId, LeasedWorker>>;
   /**
    * Hosts ordered to move or to upkeep within the time in which holders must not take turns, with
    * the age of the order in ms when the row was written; null where it was yet to be sent.
--- a/packages/core/src/work/unseen.ts
+++ b/packages/core/src/work/unseen.ts
@@ -1,15 +1,17 @@
 import { LEASE, RUN_PHASE } from "./constants.js";
 import type { WorkEvent } from "./events.js";
 import { noteGivenUp } from "./givenUp.js";
+import { leaseChanged } from "./leaseRows.js";
 import { dropRun, stopRun } from "./runs.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { itemLost } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
 
-const forgetStrays = (worker: Worker, shown: ReadonlySet<string>): void => {
+const forgetStrays = (owned: OwnedWork, worker: Worker, shown: ReadonlySet<string>): void => {
   for (const name of worker.strayStops.keys()) {
     if (!shown.has(name)) {
       worker.strayStops.delete(name);
+      leaseChanged(owned, worker.report.id);
     }
   }
 };
@@ -25,7 +27,7 @@
   event: Extract<WorkEvent, { type: "worker/looked" }>,
 ): void => {
   const shown = new Set(event.running.map(({ item, run }) => `${item} ${run}`));
-  forgetStrays(worker, shown);
+  forgetStrays(owned, worker, shown);
   for (const run of [...worker.runs.values()]) {
     if (run.unansweredAtMs !== null && run.phase === RUN_PHASE.ORDERED) {
       if (event.sentAtMs >= run.unansweredAtMs) {
@@ -44,6 +46,7 @@
       run.missingSinceMs = null;
     } else {
       run.missingSinceMs ??= event.sentAtMs;
+      leaseChanged(owned, worker.report.id);
       if (turn.nowMs - run.missingSinceMs > turn.work.bounds.stopMs + LEASE.STOP_MARGIN_MS) {
         dropMissing(turn, owned, worker, run);
       }
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -1,6 +1,7 @@
 import { LEASE } from "./constants.js";
 import type { WorkEvent } from "./events.js";
 import { extendLease, hasStops, isSilent, noteClock, targetOf } from "./leases.js";
+import { leaseChanged } from "./leaseRows.js";
 import { isSure } from "./ownership.js";
 import { logOtherLife } from "./otherLife.js";
 import { paceFillers } from "./pacing.js";
@@ -68,6 +69,7 @@
 
 const forgetWorker = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
   owned.workers.delete(worker.report.id);
+  leaseChanged(owned, worker.report.id);
   loseRuns(turn, owned, worker, why);
   unbindHost(owned, worker);
   poolOf(owned, worker.report.pool).workers.delete(worker);
@@ -221,6 +223,7 @@
     }
     if (!worker.listed && worker.runs.size === 0 && worker.leaseEndsAtMs === null) {
       owned.workers.delete(worker.report.id);
+      leaseChanged(owned, worker.report.id);
       poolOf(owned, worker.report.pool).workers.delete(worker);
     } else {
       lookIfDue(turn, owned, worker);
--- a/packages/core/tests/work/memoryStore.ts
+++ b/packages/core/tests/work/memoryStore.ts
@@ -21,6 +21,8 @@
   switch (row.type) {
     case "owner":
       return "owner";
+    case "lease":
+      return `lease ${row.worker}`;
     case "waveReport":
       return `waveReport ${row.wave}`;
     case "handIn":
@@ -42,6 +44,17 @@
   progress: "progress",
   waveReport: "progress",
   owner: "owner",
+  lease: "leases",
+};
+
+/** Bytes that the platform's store takes of a row. */
+const ROW_BYTES = 65_536;
+
+const checkSize = (row: RowToWrite): void => {
+  const bytes = Buffer.byteLength(JSON.stringify(row));
+  if (bytes > ROW_BYTES) {
+    throw new Error(`ROW: ${nameOf(row)} has ${bytes} bytes`);
+  }
 };
 
 /** The platform's store in memory: one counter of versions, transactions, feeds. */
@@ -55,6 +68,7 @@
       return commit.conditions.flatMap(({ row }) => this.read(nameOf(row)));
     }
     this.version += 1;
+    commit.writes.forEach(checkSize);
     for (const row of commit.writes) {
       this.cells.set(nameOf(row), { version: this.version, row });
     }
--- a/packages/wire/src/work/workRows.ts
+++ b/packages/wire/src/work/workRows.ts
@@ -1,9 +1,11 @@
 import {
   storeVersion,
   submissionId,
+  workerId,
   WORK_TABLE,
   OWNER_KEY,
   type HandIn,
+  type LeasedWorker,
   type OwnerRow,
   type Progress,
   type RowName,
@@ -66,6 +68,8 @@
       return { table: WORK_TABLE.PROGRESS, part: OWNER_PART, key: name.id };
     case "owner":
       return { table: WORK_TABLE.OWNER, part: OWNER_PART, key: OWNER_KEY };
+    case "lease":
+      return { table: WORK_TABLE.LEASES, part: OWNER_PART, key: name.worker };
   }
 };
 
@@ -86,6 +90,8 @@
       };
     case "owner":
       return { ...locateRow({ type: "owner" }), text: JSON.stringify(row.owner) };
+    case "lease":
+      return { ...locateRow(row), text: JSON.stringify(row.lease) };
     case "waveReport": {
       const { wave, completed, seenWallMs, doneHosts } = row;
       const body: WaveProgress = { wave, completed, seenWallMs, doneHosts };
@@ -140,12 +146,12 @@
   if (table === WORK_TABLE.PROGRESS && has(body, ["id", "state", "done", "failures"])) {
     return { type: "progress", version: at, progress: body as Progress };
   }
-  if (
-    table === WORK_TABLE.OWNER &&
-    has(body, ["holder", "incarnation", "fence", "leased", "orderedHosts"])
-  ) {
+  if (table === WORK_TABLE.OWNER && has(body, ["holder", "incarnation", "fence", "orderedHosts"])) {
     return { type: "owner", version: at, owner: body as OwnerRow };
   }
+  if (table === WORK_TABLE.LEASES && has(body, ["pool", "items", "stopping"])) {
+    return { type: "lease", version: at, worker: workerId(key), lease: body as LeasedWorker };
+  }
   return null;
 };
 
