Tie answers of workers to the life, address and ownership that was asked

Callers would see an item run twice: all items of one worker start elsewhere while it works on them.

Cause: answers to starts, stops and looks carried the worker's id only. A look sent to the address of an earlier life and answered 421 by another tenant, late, was taken as said of the life that is there now, and all runs of that life were given up at once. A look without an answer made the new life unreachable. A look sent under an earlier fence marked a worker as having seen the present one, and an entry without `born` made a restart invisible.

Every order and look now names worker, address, start of the life, fence and a number of its own; its answer carries them back, and the reducer takes an answer only for the worker that still is what was asked. Orders whose answers can tell nothing any more are settled by looks and stops.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -108,6 +108,13 @@
   GANG_ALONE: "gangAlone",
 } as const;
 
+/** Which life of a worker is spoken of, beside the one that is known. */
+export const LIFE = {
+  EARLIER: "earlier",
+  SAME: "same",
+  NEXT: "next",
+} as const;
+
 export const HOST_ORDER_RESULT = {
   ACCEPTED: "accepted",
   BUSY: "busy",
--- a/packages/core/src/work/ends.ts
+++ b/packages/core/src/work/ends.ts
@@ -5,7 +5,7 @@
 import { findItem, isOver, itemBegan, itemDone, itemFailed, itemLost } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
 import type { EndLine, RunningLine } from "./types.js";
-import { targetOf } from "./leases.js";
+import { targetOf } from "./lives.js";
 
 const noteFailure = (turn: Turn, worker: Worker): void => {
   worker.failuresInRow += 1;
--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -5,6 +5,7 @@
   COMMIT_RESULT,
   FEED,
   HOST_ORDER_RESULT,
+  LIFE,
   SCAN,
   START_RESULT,
 } from "./constants.js";
@@ -33,6 +34,7 @@
 export type Feed = ValueOf<typeof FEED>;
 export type Scan = ValueOf<typeof SCAN>;
 export type StartResult = ValueOf<typeof START_RESULT>;
+export type Life = ValueOf<typeof LIFE>;
 export type HostOrderResult = ValueOf<typeof HOST_ORDER_RESULT>;
 
 /** A row of the store after decoding. Rows that cannot be read never get this far. */
@@ -160,45 +162,41 @@
         readonly progress: Progress | null;
       }
     | { readonly type: "store/lookUpFailed"; readonly callId: string; readonly reason: string }
-    | {
+    | ({
         readonly type: "worker/startAnswered";
-        readonly worker: WorkerId;
         readonly item: ItemKey;
         readonly run: number;
         readonly result: StartResult;
         readonly reason: string | null;
         readonly clockMs: number | null;
-      }
-    | {
+      } & WorkerTarget)
+    | ({
         readonly type: "worker/stopAnswered";
-        readonly worker: WorkerId;
         readonly item: ItemKey;
         readonly run: number;
         readonly settled: boolean;
         readonly wrongLife: boolean;
         readonly clockMs: number | null;
-      }
-    | {
+      } & WorkerTarget)
+    | ({
         readonly type: "worker/looked";
-        readonly worker: WorkerId;
         readonly sentAtMs: number;
         readonly clockMs: number;
-        readonly bornWallMs: number | null;
+        /** Start of the life that answered; null where it does not say. */
+        readonly seenBornWallMs: number | null;
         readonly running: readonly RunningLine[];
         readonly ends: readonly EndLine[];
-      }
-    | {
+      } & WorkerTarget)
+    | ({
         readonly type: "worker/lookFailed";
-        readonly worker: WorkerId;
         readonly wrongLife: boolean;
         readonly reason: string;
-      }
-    | {
+      } & WorkerTarget)
+    | ({
         readonly type: "worker/paceFailed";
-        readonly worker: WorkerId;
         readonly item: ItemKey;
         readonly run: number;
-      }
+      } & WorkerTarget)
     | {
         readonly type: "power/listed";
         readonly sentAtMs: number;
@@ -213,11 +211,18 @@
       }
   );
 
-/** Names the worker of an order and the life of it that is meant. */
+/**
+ * Names what an order or a look was for: the life of a worker, and the ownership that sent it. Its
+ * answer carries this back, since it says nothing of another life, address or ownership.
+ */
 export interface WorkerTarget {
   readonly worker: WorkerId;
   readonly address: string;
+  /** Start of the life that is meant; null where the worker does not say. */
+  readonly bornWallMs: number | null;
   readonly fence: Fence;
+  /** Numbers the orders and looks of an ownership. */
+  readonly order: number;
 }
 
 export type WorkEffect =
--- a/packages/core/src/work/leases.ts
+++ b/packages/core/src/work/leases.ts
@@ -1,15 +1,7 @@
 import { LEASE } from "./constants.js";
-import type { WorkerTarget } from "./events.js";
-import type { OwnedWork, Worker } from "./state.js";
+import type { Worker } from "./state.js";
 import type { Turn } from "./turn.js";
 
-/** @returns How an order names its worker. */
-export const targetOf = (owned: OwnedWork, worker: Worker): WorkerTarget => ({
-  worker: worker.report.id,
-  address: worker.report.address,
-  fence: owned.fence,
-});
-
 /** Keeps a sample of a worker's clock. */
 export const noteClock = (turn: Turn, worker: Worker, clockMs: number | null): void => {
   if (clockMs === null) {
--- /dev/null
+++ b/packages/core/src/work/lives.ts
@@ -0,0 +1,62 @@
+import { LIFE, RUN_PHASE } from "./constants.js";
+import type { Life, WorkerTarget } from "./events.js";
+import type { OwnedWork, Worker } from "./state.js";
+import type { Turn } from "./turn.js";
+import type { WorkerReport } from "./types.js";
+
+/** @returns How a new order or look names the life that it is for. */
+export const targetOf = (owned: OwnedWork, worker: Worker): WorkerTarget => {
+  const { id, address, bornWallMs } = worker.report;
+  owned.ordersSent += 1;
+  return { worker: id, address, bornWallMs, fence: owned.fence, order: owned.ordersSent };
+};
+
+/** @returns The part of an order that its answer carries back. */
+export const targetIn = (order: WorkerTarget): WorkerTarget => ({
+  worker: order.worker,
+  address: order.address,
+  bornWallMs: order.bornWallMs,
+  fence: order.fence,
+  order: order.order,
+});
+
+/**
+ * @returns The worker that an answer is about; null where it was sent under another ownership, or to
+ *   another life or address than the worker has now, so that it says nothing of it.
+ */
+export const workerAsked = (owned: OwnedWork, answer: WorkerTarget): Worker | null => {
+  const worker = owned.workers.get(answer.worker);
+  const same =
+    worker?.report.address === answer.address &&
+    worker.report.bornWallMs === answer.bornWallMs &&
+    owned.fence === answer.fence;
+  return same ? worker : null;
+};
+
+/** Answers to orders under way say nothing any more, so looks have to tell what runs. */
+export const doubtOrders = (turn: Turn, worker: Worker): void => {
+  for (const run of worker.runs.values()) {
+    if (run.phase === RUN_PHASE.ORDERED) {
+      run.unansweredAtMs ??= turn.nowMs;
+    }
+  }
+};
+
+/** @returns Which life of a worker something that tells its start speaks of. */
+export const lifeBornAt = (known: WorkerReport, bornWallMs: number | null): Life => {
+  if (known.bornWallMs === null || bornWallMs === null || known.bornWallMs === bornWallMs) {
+    return LIFE.SAME;
+  }
+  return bornWallMs > known.bornWallMs ? LIFE.NEXT : LIFE.EARLIER;
+};
+
+/** Takes what a worker says of itself now; a look at what it was before tells nothing any more. */
+export const updateReport = (turn: Turn, worker: Worker, report: WorkerReport): void => {
+  const { address, bornWallMs } = worker.report;
+  worker.report = { ...report, bornWallMs: report.bornWallMs ?? bornWallMs };
+  if (worker.report.address !== address || worker.report.bornWallMs !== bornWallMs) {
+    worker.lookOrder = null;
+    worker.nextLookAtMs = turn.nowMs;
+    doubtOrders(turn, worker);
+  }
+};
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -207,6 +207,7 @@
   ledgerRetryAtMs: 0,
   ledgerSentAtMs: nowMs,
   needsRenewal: false,
+  ordersSent: 0,
   hosts: new Map(),
   workersByHost: new Map(),
   moves: new Map(),
--- a/packages/core/src/work/pacing.ts
+++ b/packages/core/src/work/pacing.ts
@@ -3,7 +3,7 @@
 import { isSure } from "./ownership.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
-import { targetOf } from "./leases.js";
+import { targetOf, workerAsked } from "./lives.js";
 
 /** @returns The worst tail on the worker as a share of its target; null where none serves users. */
 const worstTailShare = (worker: Worker): number | null => {
@@ -64,7 +64,7 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/paceFailed" }>,
 ): void => {
-  const run = owned.workers.get(event.worker)?.runs.get(event.item);
+  const run = workerAsked(owned, event)?.runs.get(event.item);
   if (run?.number === event.run) {
     run.pacePercent = PACING.UNKNOWN_PERCENT;
   }
--- a/packages/core/src/work/runResults.ts
+++ b/packages/core/src/work/runResults.ts
@@ -1,6 +1,7 @@
 import { ORDER, RUN_PHASE, START_RESULT } from "./constants.js";
-import type { WorkEvent } from "./events.js";
+import type { WorkEvent, WorkerTarget } from "./events.js";
 import { noteClock } from "./leases.js";
+import { workerAsked } from "./lives.js";
 import { dropRun, stopRun } from "./runs.js";
 import { repeatStart } from "./starts.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
@@ -10,11 +11,11 @@
 
 const runOf = (
   owned: OwnedWork,
-  event: { worker: Worker["report"]["id"]; item: ItemKey; run: number },
+  event: WorkerTarget & { item: ItemKey; run: number },
 ): { worker: Worker; run: Run } | null => {
-  const worker = owned.workers.get(event.worker);
+  const worker = workerAsked(owned, event);
   const run = worker?.runs.get(event.item);
-  return worker !== undefined && run?.number === event.run ? { worker, run } : null;
+  return worker !== null && run?.number === event.run ? { worker, run } : null;
 };
 
 /** Takes a worker's answer to a start. */
@@ -102,8 +103,8 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/stopAnswered" }>,
 ): void => {
-  const worker = owned.workers.get(event.worker);
-  if (worker === undefined) {
+  const worker = workerAsked(owned, event);
+  if (worker === null) {
     return;
   }
   noteClock(turn, worker, event.clockMs);
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -4,7 +4,7 @@
 import type { Item, OwnedWork, Run, TeamUse, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
 import type { Resources, StepSpec } from "./types.js";
-import { targetOf } from "./leases.js";
+import { doubtOrders, targetOf } from "./lives.js";
 
 /** @returns What an item of a step takes of a worker's room. */
 export const roomOf = (spec: StepSpec): Resources =>
@@ -146,7 +146,8 @@
  * Hands runs to the next life of a worker: an order under way may have reached that life, so
  * looks at it have to tell.
  */
-export const carryRuns = (from: Worker, to: Worker): void => {
+export const carryRuns = (turn: Turn, from: Worker, to: Worker): void => {
+  doubtOrders(turn, from);
   for (const run of from.runs.values()) {
     if (!run.shown) {
       from.runs.delete(run.item.key);
--- a/packages/core/src/work/starts.ts
+++ b/packages/core/src/work/starts.ts
@@ -4,7 +4,8 @@
 import type { Item, OwnedWork, Run, Worker } from "./state.js";
 import { itemLost } from "./submissions.js";
 import { logLine, loggedMs, type Turn } from "./turn.js";
-import { extendLease, targetOf } from "./leases.js";
+import { extendLease } from "./leases.js";
+import { targetOf } from "./lives.js";
 
 /** Runs that one fence may order of an item; the next fence counts on from there. */
 const RUNS_OF_A_FENCE = 1_000;
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -74,6 +74,8 @@
   ledgerRetryAtMs: number;
   ledgerSentAtMs: number;
   needsRenewal: boolean;
+  /** Orders to workers and looks at them so far. */
+  ordersSent: number;
   readonly hosts: Map<HostId, HostListing>;
   /** The listed worker that each host runs. */
   readonly workersByHost: Map<HostId, Worker>;
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -14,7 +14,8 @@
   leaseUntilClockMs: number;
   /** It has seen this owner's fence, so no earlier owner can start work there. */
   fenced: boolean;
-  lookSentAtMs: number | null;
+  /** Order number of the look under way; null where none is, or what it asks is out of date. */
+  lookOrder: number | null;
   nextLookAtMs: number;
   answeredAtMs: number | null;
   /** The last look had no answer: nothing new starts there until one has. */
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -1,6 +1,7 @@
-import { LEASE } from "./constants.js";
+import { LEASE, LIFE } from "./constants.js";
 import type { WorkEvent } from "./events.js";
-import { extendLease, hasStops, isSilent, noteClock, targetOf } from "./leases.js";
+import { extendLease, hasStops, isSilent, noteClock } from "./leases.js";
+import { lifeBornAt, targetOf, updateReport, workerAsked } from "./lives.js";
 import { isSure } from "./ownership.js";
 import { paceFillers } from "./pacing.js";
 import { poolOf } from "./pools.js";
@@ -20,7 +21,7 @@
   leaseEndsAtMs: null,
   leaseUntilClockMs: 0,
   fenced: false,
-  lookSentAtMs: null,
+  lookOrder: null,
   nextLookAtMs: turn.nowMs,
   answeredAtMs: null,
   unreachable: false,
@@ -74,7 +75,7 @@
 /** The worker started again under its id. */
 const replaceLife = (turn: Turn, owned: OwnedWork, worker: Worker, report: WorkerReport): void => {
   const made = newWorker(turn, report);
-  carryRuns(worker, made);
+  carryRuns(turn, worker, made);
   forgetWorker(turn, owned, worker, "the worker started again");
   enlist(turn, owned, made);
 };
@@ -101,11 +102,11 @@
     enlist(turn, owned, newWorker(turn, report));
     return;
   }
-  const before = worker.report.bornWallMs;
-  if (before !== null && report.bornWallMs !== null && before !== report.bornWallMs) {
-    if (report.bornWallMs > before) {
-      replaceLife(turn, owned, worker, report);
-    }
+  const life = lifeBornAt(worker.report, report.bornWallMs);
+  if (life === LIFE.NEXT) {
+    replaceLife(turn, owned, worker, report);
+  }
+  if (life !== LIFE.SAME) {
     return;
   }
   if (worker.report.draining !== report.draining || !worker.listed) {
@@ -116,7 +117,7 @@
       wasListed: worker.listed,
     });
   }
-  worker.report = report;
+  updateReport(turn, worker, report);
   worker.listed = true;
   bindHost(owned, worker);
   poolOf(owned, report.pool).dirty = true;
@@ -142,20 +143,22 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/looked" }>,
 ): void => {
-  const worker = owned.workers.get(event.worker);
-  if (worker === undefined) {
+  const worker = workerAsked(owned, event);
+  if (worker?.lookOrder !== event.order) {
     return;
   }
-  worker.lookSentAtMs = null;
+  worker.lookOrder = null;
   worker.nextLookAtMs = turn.nowMs + LEASE.LOOK_GAP_MS;
-  const { bornWallMs } = worker.report;
-  if (event.bornWallMs !== null && bornWallMs !== null && event.bornWallMs !== bornWallMs) {
-    if (event.bornWallMs > bornWallMs) {
-      const report = { ...worker.report, bornWallMs: event.bornWallMs, clockMs: event.clockMs };
-      replaceLife(turn, owned, worker, report);
-    }
+  const bornWallMs = event.seenBornWallMs ?? worker.report.bornWallMs;
+  const report = { ...worker.report, bornWallMs, clockMs: event.clockMs };
+  const life = lifeBornAt(worker.report, bornWallMs);
+  if (life === LIFE.NEXT) {
+    replaceLife(turn, owned, worker, report);
+  }
+  if (life !== LIFE.SAME) {
     return;
   }
+  updateReport(turn, worker, report);
   noteClock(turn, worker, event.clockMs);
   worker.unreachable = false;
   if (!worker.fenced) {
@@ -186,11 +189,11 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/lookFailed" }>,
 ): void => {
-  const worker = owned.workers.get(event.worker);
-  if (worker === undefined) {
+  const worker = workerAsked(owned, event);
+  if (worker?.lookOrder !== event.order) {
     return;
   }
-  worker.lookSentAtMs = null;
+  worker.lookOrder = null;
   worker.unreachable = true;
   worker.nextLookAtMs = turn.nowMs + LEASE.LOOK_RETRY_MS;
   logLine(turn, "warn", "worker.lookFailed", {
@@ -231,7 +234,7 @@
     worker.notedSequence < worker.durableSequence);
 
 const lookIfDue = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
-  if (worker.lookSentAtMs !== null || !needsLook(worker) || !isSure(turn, owned)) {
+  if (worker.lookOrder !== null || !needsLook(worker) || !isSure(turn, owned)) {
     return;
   }
   if (turn.nowMs < worker.nextLookAtMs) {
@@ -239,8 +242,9 @@
     return;
   }
   const waits = worker.fenced && worker.runs.size > 0 && !isSilent(turn, worker);
-  worker.lookSentAtMs = turn.nowMs;
   worker.notedSequence = worker.durableSequence;
+  const target = targetOf(owned, worker);
+  worker.lookOrder = target.order;
   turn.effects.push({
     type: "worker/look",
     // A silent worker's lease runs out, so that its work can start elsewhere.
@@ -248,6 +252,6 @@
       worker.runs.size > 0 && !isSilent(turn, worker) ? extendLease(turn, worker) : null,
     notedSequence: worker.durableSequence,
     waitMs: waits && !hasStops(worker) ? LEASE.LOOK_WAIT_MS : 0,
-    ...targetOf(owned, worker),
+    ...target,
   });
 };
--- a/packages/core/tests/work/siteRemote.ts
+++ b/packages/core/tests/work/siteRemote.ts
@@ -1,6 +1,7 @@
 import {
   END_KIND,
   storeVersion,
+  targetIn,
   type Effect,
   type Event,
   type State,
@@ -33,15 +34,21 @@
 } as const;
 
 const failureOf = (order: WorkerOrder): Event => {
-  const { worker } = order;
+  const target = targetIn(order);
   switch (order.type) {
     case "worker/look":
-      return { type: "worker/lookFailed", worker, wrongLife: false, reason: "no answer", atMs: 0 };
+      return {
+        type: "worker/lookFailed",
+        ...target,
+        wrongLife: false,
+        reason: "no answer",
+        atMs: 0,
+      };
     case "worker/start": {
       const { item, run } = order;
       return {
         type: "worker/startAnswered",
-        worker,
+        ...target,
         item,
         run,
         result: "unanswered",
@@ -54,7 +61,7 @@
       const { item, run } = order;
       return {
         type: "worker/stopAnswered",
-        worker,
+        ...target,
         item,
         run,
         settled: false,
@@ -220,13 +227,14 @@
 
   protected obey(worker: MemoryWorker, order: WorkerOrder, sentAtMs: number): Event {
     const clockMs = worker.clockMs(this.nowMs);
+    const target = targetIn(order);
     if (order.type === "worker/start") {
       const how = this.chance(this.failPercent) ? END_KIND.FAILED : END_KIND.DONE;
       const answer = worker.start(order, this.nowMs, this.workMs ?? 200 + this.pick(900), how);
       const { item, run } = order;
       return {
         type: "worker/startAnswered",
-        worker: order.worker,
+        ...target,
         item,
         run,
         ...answer,
@@ -239,7 +247,7 @@
       const { item, run } = order;
       return {
         type: "worker/stopAnswered",
-        worker: order.worker,
+        ...target,
         item,
         run,
         settled,
@@ -249,21 +257,21 @@
       };
     }
     const seen = worker.look(order, this.nowMs);
-    const bornWallMs = worker.report.bornWallMs;
+    const seenBornWallMs = worker.report.bornWallMs;
     return seen === null
       ? {
           type: "worker/lookFailed",
-          worker: order.worker,
+          ...target,
           wrongLife: false,
           reason: "fence",
           atMs: 0,
         }
       : {
           type: "worker/looked",
-          worker: order.worker,
+          ...target,
           sentAtMs,
           clockMs,
-          bornWallMs,
+          seenBornWallMs,
           ...seen,
           atMs: 0,
         };
--- a/packages/runners/src/work/workEffects.ts
+++ b/packages/runners/src/work/workEffects.ts
@@ -1,5 +1,5 @@
 import { messageOf, type JsonLogger } from "@heatherferry/common";
-import type { Effect } from "@heatherferry/core";
+import { targetIn, type Effect } from "@heatherferry/core";
 import type { ExitSwitch } from "../daemon/closingExit.js";
 import { EffectRunner, EventLoop } from "../loop/eventLoop.js";
 import type { HostOrderAnswer, HostPower, WorkerLink } from "./workerLink.js";
@@ -133,29 +133,37 @@
 
   private async start(order: EffectOf<"worker/start">): Promise<void> {
     const { workers, loop } = this.parts;
-    const { worker, item, run } = order;
+    const { item, run } = order;
     const answer = await workers.start(order);
-    loop.handle({ type: "worker/startAnswered", worker, item, run, ...answer });
+    loop.handle({ type: "worker/startAnswered", ...targetIn(order), item, run, ...answer });
   }
 
   private async stop(order: EffectOf<"worker/stop">): Promise<void> {
     const { workers, loop } = this.parts;
-    const { worker, item, run } = order;
+    const { item, run } = order;
     const answer = await workers.stop(order);
-    loop.handle({ type: "worker/stopAnswered", worker, item, run, ...answer });
+    loop.handle({ type: "worker/stopAnswered", ...targetIn(order), item, run, ...answer });
   }
 
   private async look(order: EffectOf<"worker/look">): Promise<void> {
     const { workers, loop } = this.parts;
-    const { worker } = order;
     const sentAtMs = EventLoop.nowMs();
     const answer = await workers.look(order);
+    const target = targetIn(order);
     if (answer.type === "seen") {
       const { clockMs, bornWallMs, running, ends } = answer;
-      loop.handle({ type: "worker/looked", worker, sentAtMs, clockMs, bornWallMs, running, ends });
+      loop.handle({
+        type: "worker/looked",
+        ...target,
+        sentAtMs,
+        clockMs,
+        seenBornWallMs: bornWallMs,
+        running,
+        ends,
+      });
     } else {
       const { wrongLife, reason } = answer;
-      loop.handle({ type: "worker/lookFailed", worker, wrongLife, reason });
+      loop.handle({ type: "worker/lookFailed", ...target, wrongLife, reason });
     }
   }
 
@@ -164,7 +172,7 @@
     if (problem !== null) {
       const { worker, item, run, percent } = order;
       this.parts.log("warn", "run.paceFailed", { worker, item, run, percent, problem });
-      this.parts.loop.handle({ type: "worker/paceFailed", worker, item, run });
+      this.parts.loop.handle({ type: "worker/paceFailed", ...targetIn(order), item, run });
     }
   }
 
