Give runs up in one place, tied to the run, and put no item in line before its turn

Callers could see a step begin before the one before it was done (ORDER): an item that a look showed running too early was stopped and then put in line as if its turn had come.

Cause: whoever dropped a run put the item in line by itself, without looking at other runs of the item or at the steps before it. giveUpRun drops just the run that it is given, on the life it is booked on, and itemLost leaves an item alone while a run of it stands. All callers (lost leases, other lives, refusals, looks that do not show a run, starts that are not sent, gangs without room) use it.

Evidence: tests/work/giveUps.test.ts failed before. No path was found by reading on which an item was put in line while another run of it stood; the check keeps it so.

--- a/packages/core/src/work/gangs.ts
+++ b/packages/core/src/work/gangs.ts
@@ -1,7 +1,8 @@
 import { ITEM_PHASE } from "./constants.js";
-import { dropRun, roomOf } from "./runs.js";
+import { giveUpRun } from "./giveUps.js";
+import { roomOf } from "./runs.js";
 import type { Item, OwnedWork, Worker } from "./state.js";
-import { itemDone, itemLost } from "./submissions.js";
+import { itemDone } from "./submissions.js";
 import type { Turn } from "./turn.js";
 import { nextRunNumber, planStart } from "./starts.js";
 import { chooseWorker, withinCeiling } from "./placement.js";
@@ -14,9 +15,8 @@
   for (const item of items) {
     const worker = item.run === null ? undefined : owned.workers.get(item.run.worker);
     if (item.run !== null && worker !== undefined) {
-      dropRun(turn, owned, worker, item.run);
+      giveUpRun(turn, owned, worker, item.run, "its gang finds no room");
     }
-    itemLost(turn, owned, item);
   }
 };
 
--- a/packages/core/src/work/runResults.ts
+++ b/packages/core/src/work/runResults.ts
@@ -1,11 +1,12 @@
 import { ORDER, RUN_PHASE, START_RESULT } from "./constants.js";
 import type { WorkEvent, WorkerTarget } from "./events.js";
+import { giveUpRun } from "./giveUps.js";
 import { noteClock } from "./leases.js";
 import { workerAsked } from "./lives.js";
-import { dropRun, stopRun } from "./runs.js";
+import { stopRun } from "./runs.js";
 import { repeatStart } from "./starts.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
-import { itemBegan, itemLost } from "./submissions.js";
+import { itemBegan } from "./submissions.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
 import type { ItemKey } from "./types.js";
 
@@ -55,8 +56,7 @@
       startRefused(turn, owned, worker, run, event);
       return;
     case "wrongLife":
-      dropRun(turn, owned, worker, run);
-      itemLost(turn, owned, run.item);
+      giveUpRun(turn, owned, worker, run, "another life has its address");
       return;
     case "unanswered":
       if (!repeatStart(turn, owned, worker, run)) {
@@ -86,7 +86,7 @@
       return;
     }
   }
-  dropRun(turn, owned, worker, run);
+  giveUpRun(turn, owned, worker, run, "its start was refused");
   if (event.result === START_RESULT.STALE_FENCE) {
     turn.work.ownerView.nextPollAtMs = 0;
     owned.confirmedAtMs = -Infinity;
@@ -94,7 +94,6 @@
   } else {
     worker.restsUntilMs = Math.max(worker.restsUntilMs, turn.nowMs + ORDER.PAUSE_MS);
   }
-  itemLost(turn, owned, run.item);
 };
 
 /** Takes a worker's answer to a stop. */
@@ -113,8 +112,7 @@
     return;
   }
   if (event.wrongLife) {
-    dropRun(turn, owned, worker, run);
-    itemLost(turn, owned, run.item);
+    giveUpRun(turn, owned, worker, run, "another life has its address");
   } else if (event.settled) {
     run.stopConfirmedAtMs ??= turn.nowMs;
     worker.nextLookAtMs = turn.nowMs;
@@ -129,13 +127,6 @@
     if (planned && owned.workers.get(worker.report.id) === worker) {
       continue;
     }
-    dropRun(turn, owned, worker, run);
-    itemLost(turn, owned, run.item);
-    logLine(turn, "warn", "run.lost", {
-      item: run.item.key,
-      run: run.number,
-      worker: worker.report.id,
-      why,
-    });
+    giveUpRun(turn, owned, worker, run, why);
   }
 };
--- a/packages/core/src/work/starts.ts
+++ b/packages/core/src/work/starts.ts
@@ -1,8 +1,8 @@
 import { LEASE, ORDER, RUN_PHASE } from "./constants.js";
 import { isSure } from "./ownership.js";
-import { addRun, dropRun } from "./runs.js";
+import { giveUpRun } from "./giveUps.js";
+import { addRun } from "./runs.js";
 import type { Item, OwnedWork, Run, Worker } from "./state.js";
-import { itemLost } from "./submissions.js";
 import { logLine, loggedMs, type Turn } from "./turn.js";
 import { extendLease } from "./leases.js";
 import { targetOf } from "./lives.js";
@@ -31,9 +31,8 @@
 
 const unplan = (turn: Turn, owned: OwnedWork, run: Run): void => {
   const worker = owned.workers.get(run.worker);
-  if (worker?.runs.get(run.item.key) === run && run.phase === RUN_PHASE.PLANNED) {
-    dropRun(turn, owned, worker, run);
-    itemLost(turn, owned, run.item);
+  if (worker !== undefined && run.phase === RUN_PHASE.PLANNED) {
+    giveUpRun(turn, owned, worker, run, "it is not ordered");
   }
 };
 
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -36,10 +36,13 @@
   pool.dirty = true;
 };
 
+/** @returns Whether all that goes before an item is done. */
+const mayBegin = (occurrence: Occurrence, item: Item | undefined): boolean =>
+  item?.spec.after.every((earlier) => stepIsDone(occurrence, earlier)) ?? true;
+
 const unblockSteps = (turn: Turn, owned: OwnedWork, occurrence: Occurrence): void => {
   occurrence.steps.forEach((items) => {
-    const after = items[0]?.spec.after ?? [];
-    if (!after.every((earlier) => stepIsDone(occurrence, earlier))) {
+    if (!mayBegin(occurrence, items[0])) {
       return;
     }
     for (const item of items) {
@@ -226,15 +229,20 @@
       return;
     }
   }
-  if (item.run === null) {
-    makeReady(turn, owned, item);
-  }
+  itemLost(turn, owned, item);
 };
 
-/** An item lost its run through no fault of its own. */
+/** An item without a run is to run again, when it is its turn. */
 export const itemLost = (turn: Turn, owned: OwnedWork, item: Item): void => {
-  if (!isOver(item.submission.state) && item.phase !== ITEM_PHASE.DONE) {
+  const { submission } = item;
+  if (item.run !== null || isOver(submission.state) || item.phase === ITEM_PHASE.DONE) {
+    return;
+  }
+  const occurrence = submission.occurrences.get(item.occurrence);
+  if (occurrence !== undefined && mayBegin(occurrence, item)) {
     makeReady(turn, owned, item);
+  } else {
+    item.phase = ITEM_PHASE.BLOCKED;
   }
 };
 
--- a/packages/core/src/work/unseen.ts
+++ b/packages/core/src/work/unseen.ts
@@ -1,9 +1,9 @@
 import { LEASE, RUN_PHASE } from "./constants.js";
 import type { WorkEvent } from "./events.js";
-import { dropRun, stopRun } from "./runs.js";
-import type { OwnedWork, Run, Worker } from "./state.js";
-import { itemLost } from "./submissions.js";
-import { logLine, type Turn } from "./turn.js";
+import { giveUpRun } from "./giveUps.js";
+import { stopRun } from "./runs.js";
+import type { OwnedWork, Worker } from "./state.js";
+import type { Turn } from "./turn.js";
 
 const forgetStrays = (worker: Worker, shown: ReadonlySet<string>): void => {
   for (const name of worker.strayStops.keys()) {
@@ -43,19 +43,9 @@
     } else {
       run.missingSinceMs ??= event.sentAtMs;
       if (turn.nowMs - run.missingSinceMs > turn.work.bounds.stopMs + LEASE.STOP_MARGIN_MS) {
-        dropMissing(turn, owned, worker, run);
+        const stopped = run.stopConfirmedAtMs !== null;
+        giveUpRun(turn, owned, worker, run, stopped ? "it was stopped" : "looks do not show it");
       }
     }
   }
 };
-
-const dropMissing = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run): void => {
-  dropRun(turn, owned, worker, run);
-  itemLost(turn, owned, run.item);
-  logLine(turn, "info", "run.notThere", {
-    item: run.item.key,
-    run: run.number,
-    worker: worker.report.id,
-    stopped: run.stopConfirmedAtMs !== null,
-  });
-};
--- /dev/null
+++ b/packages/core/tests/work/giveUps.test.ts
@@ -0,0 +1,27 @@
+import test from "ava";
+import type { ItemKey } from "../../src/index.js";
+import { OwnerNode, reportOf } from "./ownerNode.js";
+import { stepOf, workOf } from "./workSpecs.js";
+
+const ID = "00000000000000aa";
+
+test("an item found running before its turn and stopped starts before the step before is done", (t) => {
+  const node = new OwnerNode();
+  node.list(reportOf("w", 100));
+  const look = node.lookAt("w");
+  node.submit(ID, workOf([stepOf(1, 500, []), stepOf(1, 500, [0])]));
+  const item = `${ID}.0.1.0` as ItemKey;
+  const line = { item, run: 1, checkpoint: "", percent: 10, load: null };
+  node.answerLook(look, { bornWallMs: 100, running: [line] });
+  t.deepEqual(
+    node.stops.map((stop) => stop.item),
+    [item],
+  );
+  const end = { sequence: 1, item, run: 1, kind: "stopped", checkpoint: "" } as const;
+  node.answerLook(node.nextLookAt("w"), { bornWallMs: 100, ends: [end] });
+  node.run(200);
+  t.deepEqual(
+    node.starts.map((start) => start.item),
+    [`${ID}.0.0.0`],
+  );
+});
