Give a run up only after two looks that were sent far enough apart

Callers could see an item run twice: a run that is still being stopped, or one that a worker lists a moment later, was given up after a single look, if that look's answer was read late (a long wait, or an owner short of processor time).

Cause: the time for which a run has to be missing was counted from when the first look was sent to when an answer was handled, so one look could be both. Now the times at which two looks were sent are compared.

Evidence: tests/work/giveUps.test.ts, "one look whose answer is read late gives a run up", failed before (2 orders in place of 1).

--- a/packages/core/src/work/itemState.ts
+++ b/packages/core/src/work/itemState.ts
@@ -36,7 +36,7 @@
   stopSentAtMs: number | null;
   /** When the worker confirmed the stop; it won't start this run any more. */
   stopConfirmedAtMs: number | null;
-  /** Since when looks do not show it although they should. */
+  /** When the first look was sent that does not show it although it should. */
   missingSinceMs: number | null;
 }
 
--- a/packages/core/src/work/unseen.ts
+++ b/packages/core/src/work/unseen.ts
@@ -14,8 +14,9 @@
 };
 
 /**
- * Drops runs that looks sent after their confirmation do not show. What is being stopped takes
- * room but is not shown, so a run has to be missing for as long as a stop may take.
+ * Gives up runs that looks sent after their confirmation do not show. What is being stopped takes
+ * room but is not shown, so two looks have to miss a run that were sent further apart than a stop
+ * may take, however late their answers are read.
  */
 export const dropUnseen = (
   turn: Turn,
@@ -42,7 +43,7 @@
       run.missingSinceMs = null;
     } else {
       run.missingSinceMs ??= event.sentAtMs;
-      if (turn.nowMs - run.missingSinceMs > turn.work.bounds.stopMs + LEASE.STOP_MARGIN_MS) {
+      if (event.sentAtMs - run.missingSinceMs > turn.work.bounds.stopMs + LEASE.STOP_MARGIN_MS) {
         const stopped = run.stopConfirmedAtMs !== null;
         giveUpRun(turn, owned, worker, run, stopped ? "it was stopped" : "looks do not show it");
       }
--- a/packages/core/tests/work/giveUps.test.ts
+++ b/packages/core/tests/work/giveUps.test.ts
@@ -25,3 +25,35 @@
     [`${ID}.0.0.0`],
   );
 });
+
+/** A node whose only run is confirmed on the first of two workers. */
+const nodeWithRun = (): OwnerNode => {
+  const node = new OwnerNode();
+  node.list(reportOf("w", 100));
+  node.answerLook(node.lookAt("w"), { bornWallMs: 100 });
+  node.submit(ID, workOf([stepOf(1, 500, [])]));
+  node.run(60);
+  node.starts.forEach((start) => {
+    node.answerStart(start, "started");
+  });
+  return node;
+};
+
+test("one look whose answer is read late gives a run up", (t) => {
+  const node = nodeWithRun();
+  const look = node.nextLookAt("w");
+  const sentAtMs = node.nowMs;
+  node.run(1_200);
+  node.answerLook(look, { bornWallMs: 100, sentAtMs });
+  node.run(200);
+  t.is(node.starts.length, 1);
+});
+
+test("a run that no look shows is kept for good", (t) => {
+  const node = nodeWithRun();
+  for (let looks = 0; looks < 10; looks += 1) {
+    node.answerLook(node.nextLookAt("w"), { bornWallMs: 100 });
+  }
+  node.run(200);
+  t.is(node.starts.length, 2);
+});
