Count a worker as heard only after a look that lists all its ends

Callers could see an item run again after its end was noted: a worker lists 500 ends at a time, and after a long outage or a take-over a look that listed the first 500 counted as having heard everything. Runs whose ends came after these were given up as missing, and a new owner let go of the items that it held back for that worker.

Looks say whether the list of ends is complete. A worker is `fenced` (and so heard, usable and out of the owner's unheard ones) only after a complete one, and no run is given up by a look whose list is not.

--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -186,6 +186,8 @@
         readonly seenBornWallMs: number | null;
         readonly running: readonly RunningLine[];
         readonly ends: readonly EndLine[];
+        /** False where the worker has more ends than it lists at a time. */
+        readonly endsComplete: boolean;
       } & WorkerTarget)
     | ({
         readonly type: "worker/lookFailed";
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -12,7 +12,7 @@
   leaseEndsAtMs: number | null;
   /** Last end of a lease asked for, on its clock. */
   leaseUntilClockMs: number;
-  /** It has seen this owner's fence, so no earlier owner can start work there. */
+  /** It has seen this owner's fence, so no earlier owner can start work there, and told all ends. */
   fenced: boolean;
   /** Order number of the look under way; null where none is, or what it asks is out of date. */
   lookOrder: number | null;
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -161,7 +161,7 @@
   updateReport(turn, worker, report);
   noteClock(turn, worker, event.clockMs);
   worker.unreachable = false;
-  if (!worker.fenced) {
+  if (!worker.fenced && event.endsComplete) {
     worker.fenced = true;
     // Where the owner before had nothing running, nothing can be under way to its stop.
     const before = owned.unheard.get(worker.report.id);
@@ -179,7 +179,9 @@
   for (const line of event.running) {
     runSeen(turn, owned, worker, line, event.sentAtMs);
   }
-  dropUnseen(turn, owned, worker, event);
+  if (event.endsComplete) {
+    dropUnseen(turn, owned, worker, event);
+  }
   paceFillers(turn, owned, worker);
 };
 
--- a/packages/core/tests/work/giveUps.test.ts
+++ b/packages/core/tests/work/giveUps.test.ts
@@ -57,3 +57,25 @@
   node.run(200);
   t.is(node.starts.length, 2);
 });
+
+test("a run is given up while its worker has more ends than it lists at a time", (t) => {
+  const node = nodeWithRun();
+  for (let looks = 0; looks < 10; looks += 1) {
+    node.answerLook(node.nextLookAt("w"), { bornWallMs: 100, endsComplete: false });
+  }
+  node.run(200);
+  t.is(node.starts.length, 1);
+});
+
+test("a new owner starts work on a worker whose ends it has heard in part", (t) => {
+  const node = new OwnerNode();
+  node.list(reportOf("w", 100));
+  node.answerLook(node.lookAt("w"), { bornWallMs: 100, endsComplete: false });
+  node.submit(ID, workOf([stepOf(1, 500, [])]));
+  node.answerLook(node.nextLookAt("w"), { bornWallMs: 100, endsComplete: false });
+  node.run(60);
+  t.deepEqual(node.starts, []);
+  node.answerLook(node.nextLookAt("w"), { bornWallMs: 100 });
+  node.run(60);
+  t.is(node.starts.length, 1);
+});
--- a/packages/core/tests/work/ownerNode.ts
+++ b/packages/core/tests/work/ownerNode.ts
@@ -149,6 +149,7 @@
       readonly clockMs?: number;
       readonly running?: readonly RunningLine[];
       readonly ends?: readonly EndLine[];
+      readonly endsComplete?: boolean;
       readonly sentAtMs?: number;
     },
   ): void {
@@ -160,6 +161,7 @@
       seenBornWallMs: seen.bornWallMs,
       running: seen.running ?? [],
       ends: seen.ends ?? [],
+      endsComplete: seen.endsComplete ?? true,
     });
   }
 
--- a/packages/core/tests/work/siteRemote.ts
+++ b/packages/core/tests/work/siteRemote.ts
@@ -273,6 +273,7 @@
           clockMs,
           seenBornWallMs,
           ...seen,
+          endsComplete: true,
           atMs: 0,
         };
   }
--- a/packages/runners/src/work/workEffects.ts
+++ b/packages/runners/src/work/workEffects.ts
@@ -151,7 +151,7 @@
     const answer = await workers.look(order);
     const target = targetIn(order);
     if (answer.type === "seen") {
-      const { clockMs, bornWallMs, running, ends } = answer;
+      const { bornWallMs, clockMs, running, ends, endsComplete } = answer;
       loop.handle({
         type: "worker/looked",
         ...target,
@@ -160,6 +160,7 @@
         seenBornWallMs: bornWallMs,
         running,
         ends,
+        endsComplete,
       });
     } else {
       const { wrongLife, reason } = answer;
--- a/packages/runners/src/work/workerLink.ts
+++ b/packages/runners/src/work/workerLink.ts
@@ -34,6 +34,8 @@
       readonly bornWallMs: number | null;
       readonly running: readonly RunningLine[];
       readonly ends: readonly EndLine[];
+      /** False where the worker may have more ends than it lists at a time. */
+      readonly endsComplete: boolean;
     }
   | { readonly type: "failed"; readonly wrongLife: boolean; readonly reason: string };
 
