--- a/packages/core/src/work/otherLife.ts
+++ b/packages/core/src/work/otherLife.ts
@@ -1,4 +1,6 @@
-import type { Worker } from "./state.js";
+import type { WorkerTarget } from "./events.js";
+import { workerAsked } from "./lives.js";
+import type { OwnedWork, Worker } from "./state.js";
 import { logLine, loggedMs, type Turn } from "./turn.js";
 
 /**
@@ -24,3 +26,16 @@
     runs: worker.runs.size,
   });
 };
+
+/** Logs an answer that was asked for of another life, at another address or under another owner. */
+export const logOutdatedAnswer = (
+  turn: Turn,
+  owned: OwnedWork,
+  answer: WorkerTarget,
+  asked: "look" | "start" | "stop",
+): void => {
+  const worker = owned.workers.get(answer.worker);
+  if (worker !== undefined && workerAsked(owned, answer) === null) {
+    logOtherLife(turn, worker, asked, answer.bornWallMs);
+  }
+};
--- a/packages/core/src/work/runResults.ts
+++ b/packages/core/src/work/runResults.ts
@@ -1,22 +1,23 @@
 import { ORDER, RUN_PHASE, START_RESULT } from "./constants.js";
-import type { WorkEvent } from "./events.js";
-import { noteGivenUp } from "./givenUp.js";
+import type { WorkEvent, WorkerTarget } from "./events.js";
+import { giveUpRun } from "./giveUps.js";
 import { noteClock } from "./leases.js";
-import { logOtherLife } from "./otherLife.js";
-import { dropRun, stopRun } from "./runs.js";
+import { workerAsked } from "./lives.js";
+import { logOutdatedAnswer } from "./otherLife.js";
+import { stopRun } from "./runs.js";
 import { repeatStart } from "./starts.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
-import { itemBegan, itemLost } from "./submissions.js";
+import { itemBegan } from "./submissions.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
 import type { ItemKey } from "./types.js";
 
 const runOf = (
   owned: OwnedWork,
-  event: { worker: Worker["report"]["id"]; item: ItemKey; run: number },
+  event: WorkerTarget & { item: ItemKey; run: number },
 ): { worker: Worker; run: Run } | null => {
-  const worker = owned.workers.get(event.worker);
+  const worker = workerAsked(owned, event);
   const run = worker?.runs.get(event.item);
-  return worker !== undefined && run?.number === event.run ? { worker, run } : null;
+  return worker !== null && run?.number === event.run ? { worker, run } : null;
 };
 
 /** Takes a worker's answer to a start. */
@@ -27,6 +28,7 @@
 ): void => {
   const found = runOf(owned, event);
   if (found === null) {
+    logOutdatedAnswer(turn, owned, event, "start");
     return;
   }
   const { worker, run } = found;
@@ -56,10 +58,7 @@
       startRefused(turn, owned, worker, run, event);
       return;
     case "wrongLife":
-      logOtherLife(turn, worker, "start", null);
-      noteGivenUp(turn, owned, worker, run, "another life answered the start");
-      dropRun(turn, owned, worker, run);
-      itemLost(turn, owned, run.item);
+      giveUpRun(turn, owned, worker, run, "another life answered the start");
       return;
     case "unanswered":
       if (!repeatStart(turn, owned, worker, run)) {
@@ -89,8 +88,7 @@
       return;
     }
   }
-  noteGivenUp(turn, owned, worker, run, `the start was refused: ${event.result}`);
-  dropRun(turn, owned, worker, run);
+  giveUpRun(turn, owned, worker, run, `the start was refused: ${event.result}`);
   if (event.result === START_RESULT.STALE_FENCE) {
     turn.work.ownerView.nextPollAtMs = 0;
     owned.confirmedAtMs = -Infinity;
@@ -98,7 +96,6 @@
   } else {
     worker.restsUntilMs = Math.max(worker.restsUntilMs, turn.nowMs + ORDER.PAUSE_MS);
   }
-  itemLost(turn, owned, run.item);
 };
 
 /** Takes a worker's answer to a stop. */
@@ -107,8 +104,8 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/stopAnswered" }>,
 ): void => {
-  const worker = owned.workers.get(event.worker);
-  if (worker === undefined) {
+  const worker = workerAsked(owned, event);
+  if (worker === null) {
     return;
   }
   noteClock(turn, worker, event.clockMs);
@@ -117,10 +114,7 @@
     return;
   }
   if (event.wrongLife) {
-    logOtherLife(turn, worker, "stop", null);
-    noteGivenUp(turn, owned, worker, run, "another life answered the stop");
-    dropRun(turn, owned, worker, run);
-    itemLost(turn, owned, run.item);
+    giveUpRun(turn, owned, worker, run, "another life answered the stop");
   } else if (event.settled) {
     run.stopConfirmedAtMs ??= turn.nowMs;
     worker.nextLookAtMs = turn.nowMs;
@@ -135,16 +129,6 @@
     if (planned && owned.workers.get(worker.report.id) === worker) {
       continue;
     }
-    if (!planned) {
-      noteGivenUp(turn, owned, worker, run, why);
-    }
-    dropRun(turn, owned, worker, run);
-    itemLost(turn, owned, run.item);
-    logLine(turn, "warn", "run.lost", {
-      item: run.item.key,
-      run: run.number,
-      worker: worker.report.id,
-      why,
-    });
+    giveUpRun(turn, owned, worker, run, why);
   }
 };
--- a/packages/core/src/work/unseen.ts
+++ b/packages/core/src/work/unseen.ts
@@ -1,11 +1,11 @@
 import { LEASE, RUN_PHASE } from "./constants.js";
 import type { WorkEvent } from "./events.js";
+import { giveUpRun } from "./giveUps.js";
 import { noteGivenUp } from "./givenUp.js";
 import { leaseChanged } from "./leaseRows.js";
-import { dropRun, stopRun } from "./runs.js";
-import type { OwnedWork, Run, Worker } from "./state.js";
-import { itemLost } from "./submissions.js";
-import { logLine, type Turn } from "./turn.js";
+import { stopRun } from "./runs.js";
+import type { OwnedWork, Worker } from "./state.js";
+import type { Turn } from "./turn.js";
 
 const forgetStrays = (owned: OwnedWork, worker: Worker, shown: ReadonlySet<string>): void => {
   for (const name of worker.strayStops.keys()) {
@@ -17,8 +17,9 @@
 };
 
 /**
- * Drops runs that looks sent after their confirmation do not show. What is being stopped takes
- * room but is not shown, so a run has to be missing for as long as a stop may take.
+ * Gives up runs that looks sent after their confirmation do not show. What is being stopped takes
+ * room but is not shown, so two looks have to miss a run that were sent further apart than a stop
+ * may take, however late their answers are read.
  */
 export const dropUnseen = (
   turn: Turn,
@@ -47,23 +48,11 @@
     } else {
       run.missingSinceMs ??= event.sentAtMs;
       leaseChanged(owned, worker.report.id);
-      if (turn.nowMs - run.missingSinceMs > turn.work.bounds.stopMs + LEASE.STOP_MARGIN_MS) {
-        dropMissing(turn, owned, worker, run);
+      if (event.sentAtMs - run.missingSinceMs > turn.work.bounds.stopMs + LEASE.STOP_MARGIN_MS) {
+        const stopped = run.stopConfirmedAtMs !== null;
+        const why = stopped ? "stopped, and looks do not show it" : "looks do not show it";
+        giveUpRun(turn, owned, worker, run, why);
       }
     }
   }
 };
-
-const dropMissing = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run): void => {
-  const stopped = run.stopConfirmedAtMs !== null;
-  const why = stopped ? "stopped, and looks do not show it" : "looks do not show it";
-  noteGivenUp(turn, owned, worker, run, why);
-  dropRun(turn, owned, worker, run);
-  itemLost(turn, owned, run.item);
-  logLine(turn, "info", "run.notThere", {
-    item: run.item.key,
-    run: run.number,
-    worker: worker.report.id,
-    stopped,
-  });
-};
--- a/packages/core/tests/work/logLines.test.ts
+++ b/packages/core/tests/work/logLines.test.ts
@@ -79,28 +79,35 @@
   const { site, worker } = busySite();
   const owned = site.nodes[0]?.state.work?.owned;
   const [mine] = owned?.workers.get(worker as WorkerId)?.runs.values() ?? [];
-  const other = [...(owned?.workers.keys() ?? [])].find((id) => id !== worker);
+  const other = [...(owned?.workers.values() ?? [])].find(({ report }) => report.id !== worker);
   t.truthy(mine);
   t.truthy(other);
-  if (mine === undefined || other === undefined) {
+  if (mine === undefined || other === undefined || owned == null) {
     return;
   }
+  const order = 1_000_000;
+  other.lookOrder = order;
   const { item, number } = mine;
   const line = { item: item.key, run: number - 1, checkpoint: "", percent: 0, load: null };
   site.tell({
     type: "worker/looked",
-    worker: other,
+    worker: other.report.id,
+    address: other.report.address,
+    bornWallMs: other.report.bornWallMs,
+    fence: owned.fence,
+    order,
     sentAtMs: 1_000 + site.nowMs,
     clockMs: 1,
-    bornWallMs: null,
+    seenBornWallMs: null,
     running: [line],
     ends: [],
+    endsComplete: true,
     atMs: 0,
   });
   t.like(linesOf(site, "run.twice")[0]?.fields, {
     item: item.key,
     run: number - 1,
-    worker: other,
+    worker: other.report.id,
     how: "running",
     otherRun: number,
     otherWorker: worker,
