Settle orders to a worker's earlier life on its next one before their items run elsewhere

Callers would see an item run twice: a worker that starts again under its id knows no fence, no stop and no ended run, so an order to the life before that had no answer may be carried out there, while the owner starts the item elsewhere at once.

Cause: only runs that no look had shown were handed to the next life.

Now every run with an order whose outcome no answer told is carried over, looked for, stopped there if it is not shown, and started elsewhere once that stop is settled. Until then, and while the worker is silent, the longest lease that the order could grant counts. When a lease ends, runs with such orders are kept for the time in which an order may be carried out late (ORDER.LATE_MS, 6 s after it was sent).

Not covered: an order carried out later than that, or after the item's stop was settled by a life that then starts again.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -180,6 +180,8 @@
   STOP_REPEAT_MS: 700,
   /** Orders to start a run before it is given up and stopped. */
   MOST_STARTS: 3,
+  /** An order without an answer may be carried out so long after it was sent. */
+  LATE_MS: 6_000,
 } as const;
 
 export const CALL = {
--- a/packages/core/src/work/itemState.ts
+++ b/packages/core/src/work/itemState.ts
@@ -19,16 +19,18 @@
   readonly room: Resources;
   phase: RunPhase;
   orderedAtMs: number;
-  /** Orders to start it that were sent; all but the last had no answer. */
+  /** Orders to start it that were sent. */
   startsSent: number;
+  /** Orders to start it whose outcome an answer told; the others may be carried out late. */
+  startsAnswered: number;
+  /** When the last order to start it was sent. */
+  startSentAtMs: number | null;
   /** Since when no order is under way although none was answered; looks sent later tell. */
   unansweredAtMs: number | null;
   /** State that it was started from; every member of a gang is given the same. */
   checkpoint: string | null;
   /** When the worker confirmed it; a look sent later must show it. */
   confirmedAtMs: number | null;
-  /** A look has shown it, so it belongs to the life of the worker that was looked at. */
-  shown: boolean;
   percent: number;
   percentSinceMs: number;
   load: number | null;
--- a/packages/core/src/work/leases.ts
+++ b/packages/core/src/work/leases.ts
@@ -15,6 +15,26 @@
 
 const leaseTermMs = (turn: Turn): number => Math.min(LEASE.TERM_MS, turn.work.bounds.holdMaxMs);
 
+/** @returns The end of the longest lease that an order to an earlier life may grant now. */
+const lateLeaseEndsAtMs = (turn: Turn, { clock, lateLeaseUntilClockMs }: Worker): number => {
+  if (lateLeaseUntilClockMs === null) {
+    return -Infinity;
+  }
+  const clockMs = clock === null ? 0 : clock.clockMs + (turn.nowMs - clock.atMs);
+  const leftMs = Math.min(turn.work.bounds.holdMaxMs, Math.max(0, lateLeaseUntilClockMs - clockMs));
+  return turn.nowMs + leftMs / LEASE.SLOWEST_CLOCK + LEASE.END_MARGIN_MS;
+};
+
+/**
+ * Counts on orders to an earlier life of a worker that this life may carry out late.
+ *
+ * @param untilClockMs - Last end of a lease that they grant, on whichever life's clock.
+ */
+export const expectLateLease = (turn: Turn, worker: Worker, untilClockMs: number): void => {
+  worker.lateLeaseUntilClockMs = untilClockMs;
+  worker.leaseEndsAtMs = lateLeaseEndsAtMs(turn, worker);
+};
+
 /**
  * Asks for a new lease: everything on the worker may run until then.
  *
@@ -28,7 +48,10 @@
   const untilClockMs = Math.round(clock.clockMs + (turn.nowMs - clock.atMs) + leaseTermMs(turn));
   worker.leaseUntilClockMs = Math.max(worker.leaseUntilClockMs, untilClockMs);
   const remainingMs = (worker.leaseUntilClockMs - clock.clockMs) / LEASE.SLOWEST_CLOCK;
-  worker.leaseEndsAtMs = clock.atMs + remainingMs + LEASE.END_MARGIN_MS;
+  worker.leaseEndsAtMs = Math.max(
+    clock.atMs + remainingMs + LEASE.END_MARGIN_MS,
+    lateLeaseEndsAtMs(turn, worker),
+  );
   return worker.leaseUntilClockMs;
 };
 
--- a/packages/core/src/work/runResults.ts
+++ b/packages/core/src/work/runResults.ts
@@ -3,7 +3,7 @@
 import { giveUpRun } from "./giveUps.js";
 import { noteClock } from "./leases.js";
 import { workerAsked } from "./lives.js";
-import { stopRun } from "./runs.js";
+import { hasLooseStart, stopRun } from "./runs.js";
 import { repeatStart } from "./starts.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { itemBegan } from "./submissions.js";
@@ -30,6 +30,7 @@
     return;
   }
   const { worker, run } = found;
+  run.startsAnswered += event.result === START_RESULT.UNANSWERED ? 0 : 1;
   noteClock(turn, worker, event.clockMs);
   if (event.result !== START_RESULT.STARTED) {
     logLine(turn, "warn", "run.notStarted", {
@@ -75,25 +76,21 @@
   run: Run,
   event: Extract<WorkEvent, { type: "worker/startAnswered" }>,
 ): void => {
-  if (run.startsSent > 1) {
-    if (event.result === START_RESULT.OVER_BEFORE) {
-      // An earlier order was carried out and the run is over: looks list its end.
-      run.confirmedAtMs ??= turn.nowMs;
-      return;
-    }
-    if (event.result !== START_RESULT.STALE_FENCE) {
-      stopRun(turn, owned, run, "an earlier order may still be carried out");
-      return;
-    }
-  }
-  giveUpRun(turn, owned, worker, run, "its start was refused");
   if (event.result === START_RESULT.STALE_FENCE) {
     turn.work.ownerView.nextPollAtMs = 0;
     owned.confirmedAtMs = -Infinity;
     owned.needsRenewal = true;
-  } else {
+  } else if (!hasLooseStart(run)) {
     worker.restsUntilMs = Math.max(worker.restsUntilMs, turn.nowMs + ORDER.PAUSE_MS);
   }
+  if (!hasLooseStart(run)) {
+    giveUpRun(turn, owned, worker, run, "its start was refused");
+  } else if (event.result === START_RESULT.OVER_BEFORE) {
+    // An earlier order was carried out and the run is over: looks list its end.
+    run.confirmedAtMs ??= turn.nowMs;
+  } else {
+    stopRun(turn, owned, run, "an earlier order may still be carried out");
+  }
 };
 
 /** Takes a worker's answer to a stop. */
@@ -119,14 +116,3 @@
     wakeAfter(turn, 1);
   }
 };
-
-/** Everything ordered on a worker has ended: its lease is over, or it is another life. */
-export const loseRuns = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
-  for (const run of [...worker.runs.values()]) {
-    const planned = run.phase === RUN_PHASE.PLANNED;
-    if (planned && owned.workers.get(worker.report.id) === worker) {
-      continue;
-    }
-    giveUpRun(turn, owned, worker, run, why);
-  }
-};
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -4,7 +4,7 @@
 import type { Item, OwnedWork, Run, TeamUse, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
 import type { Resources, StepSpec } from "./types.js";
-import { doubtOrders, targetOf } from "./lives.js";
+import { targetOf } from "./lives.js";
 
 /** @returns What an item of a step takes of a worker's room. */
 export const roomOf = (spec: StepSpec): Resources =>
@@ -52,10 +52,11 @@
     phase: RUN_PHASE.PLANNED,
     orderedAtMs: turn.nowMs,
     startsSent: 0,
+    startsAnswered: 0,
+    startSentAtMs: null,
     unansweredAtMs: null,
     checkpoint: null,
     confirmedAtMs: null,
-    shown: false,
     percent: 0,
     percentSinceMs: turn.nowMs,
     load: null,
@@ -142,19 +143,5 @@
   }
 };
 
-/**
- * Hands runs to the next life of a worker: an order under way may have reached that life, so
- * looks at it have to tell.
- */
-export const carryRuns = (turn: Turn, from: Worker, to: Worker): void => {
-  doubtOrders(turn, from);
-  for (const run of from.runs.values()) {
-    if (!run.shown) {
-      from.runs.delete(run.item.key);
-      to.runs.set(run.item.key, run);
-      to.usedCpuMilli += run.room.cpuMilli;
-      to.usedMemoryMb += run.room.memoryMb;
-      to.usedGpus += run.room.gpus;
-    }
-  }
-};
+/** @returns Whether an order to start a run may yet be carried out, as far as answers tell. */
+export const hasLooseStart = (run: Run): boolean => run.startsSent > run.startsAnswered;
--- a/packages/core/src/work/starts.ts
+++ b/packages/core/src/work/starts.ts
@@ -56,6 +56,7 @@
 ): void => {
   const { item } = run;
   run.startsSent += 1;
+  run.startSentAtMs = turn.nowMs;
   turn.effects.push({
     type: "worker/start",
     item: item.key,
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -12,6 +12,11 @@
   leaseEndsAtMs: number | null;
   /** Last end of a lease asked for, on its clock. */
   leaseUntilClockMs: number;
+  /**
+   * Last end of a lease, on this life's clock, that an order to an earlier life may grant here if it
+   * is carried out late; null if there is none.
+   */
+  lateLeaseUntilClockMs: number | null;
   /** It has seen this owner's fence, so no earlier owner can start work there, and told all ends. */
   fenced: boolean;
   /** Order number of the look under way; null where none is, or what it asks is out of date. */
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -6,8 +6,7 @@
 import { paceFillers } from "./pacing.js";
 import { poolOf } from "./pools.js";
 import { runEnded, runSeen } from "./ends.js";
-import { loseRuns } from "./runResults.js";
-import { carryRuns } from "./runs.js";
+import { carryRuns, leaseEnded, loseRuns } from "./giveUps.js";
 import type { OwnedWork, Worker } from "./state.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
 import { dropUnseen } from "./unseen.js";
@@ -20,6 +19,7 @@
   clock: report.clockMs === null ? null : { clockMs: report.clockMs, atMs: turn.nowMs },
   leaseEndsAtMs: null,
   leaseUntilClockMs: 0,
+  lateLeaseUntilClockMs: null,
   fenced: false,
   lookOrder: null,
   nextLookAtMs: turn.nowMs,
@@ -75,7 +75,7 @@
 /** The worker started again under its id. */
 const replaceLife = (turn: Turn, owned: OwnedWork, worker: Worker, report: WorkerReport): void => {
   const made = newWorker(turn, report);
-  carryRuns(turn, worker, made);
+  carryRuns(turn, owned, worker, made);
   forgetWorker(turn, owned, worker, "the worker started again");
   enlist(turn, owned, made);
 };
@@ -214,8 +214,7 @@
 export const tickWorkers = (turn: Turn, owned: OwnedWork): void => {
   for (const worker of [...owned.workers.values()]) {
     if (worker.leaseEndsAtMs !== null && turn.nowMs > worker.leaseEndsAtMs) {
-      worker.leaseEndsAtMs = null;
-      loseRuns(turn, owned, worker, "the lease ended");
+      leaseEnded(turn, owned, worker);
     }
     if (!worker.listed && worker.runs.size === 0 && worker.leaseEndsAtMs === null) {
       owned.workers.delete(worker.report.id);
--- a/packages/core/tests/work/ownerNode.ts
+++ b/packages/core/tests/work/ownerNode.ts
@@ -63,6 +63,7 @@
   private readonly state: State;
   private readonly feeds = new Map<Feed, EffectOf<"store/feed">>();
   private readonly due: { readonly atMs: number; readonly event: Untimed<Event> }[] = [];
+  private readonly settledLooks = new Set<LookEffect>();
   private version = 1;
 
   constructor() {
@@ -129,15 +130,14 @@
     return look;
   }
 
-  /** Runs on until there is a new look at a worker. */
+  /** Runs on until a look at a worker is under way. */
   nextLookAt(id: string): LookEffect {
-    const before = this.looks.length;
     for (let waitedMs = 0; waitedMs < 2_000; waitedMs += TICK_MS) {
-      this.run(TICK_MS);
-      const look = this.looks.slice(before).find(({ worker }) => worker === id);
-      if (look !== undefined) {
+      const look = this.looks.findLast(({ worker }) => worker === id);
+      if (look !== undefined && !this.settledLooks.has(look)) {
         return look;
       }
+      this.run(TICK_MS);
     }
     throw new Error(`no look at ${id}`);
   }
@@ -153,6 +153,7 @@
       readonly sentAtMs?: number;
     },
   ): void {
+    this.settledLooks.add(look);
     this.handle({
       type: "worker/looked",
       ...targetIn(look),
@@ -166,24 +167,24 @@
   }
 
   failLook(look: LookEffect, wrongLife: boolean): void {
+    this.settledLooks.add(look);
     this.handle({ type: "worker/lookFailed", ...targetIn(look), wrongLife, reason: "test" });
   }
 
   answerStart(
     start: StartEffect,
     result: "started" | "unanswered" | "unhealthy" | "refused",
+    answeredClockMs = this.nowMs,
   ): void {
     const { item, run } = start;
-    const clockMs = result === "unanswered" ? null : this.nowMs;
-    const target = targetIn(start);
     this.handle({
       type: "worker/startAnswered",
-      ...target,
+      ...targetIn(start),
       item,
       run,
       result,
       reason: null,
-      clockMs,
+      clockMs: result === "unanswered" ? null : answeredClockMs,
     });
   }
 
