Take the newest worker of a host as the one that it runs

Callers saw items run twice: one owner, with one fence, started items on a worker that had just come, gave all of them up 0.12 to 0.18 s later with the worker alive, and started them elsewhere.

The entry of a worker whose host was moved or failed stays for up to 4.5 s, and an idle worker is not looked at, so it goes on looking idle and open. It was chosen to be lent to the very pool that its host had come to (a move that the owner before ordered and that was carried out late, or a failed host). `move()` reserved and named whichever worker `workersByHost` held, here the new and busy one. The platform answers 200 to a move that is done already, and `moveAnswered` took that for the end of everything on the named worker.

`hostLives`, in virtual time: `host.moving from=mills to=mills`, then `run.lost why="its host was moved"` for a living worker 0.12 to 0.18 s after `run.ordered`; its items start again.

Now all listed workers of a host are kept; the one that it runs is the one born last (else the one that answers, else the one listed last). Only that one may be idle, take work or be moved, a move names and reserves the worker that was chosen, and a confirmed move ends only the life that was on the host when it was ordered and whose pool is not the target. That holds if the move was done before, too. A pool is not given its own idle hosts: such a move does nothing, and took them for gone (seen with a step that no worker of the pool may run).

--- a/packages/core/src/work/demand.ts
+++ b/packages/core/src/work/demand.ts
@@ -1,6 +1,7 @@
 import type { PoolId } from "@heatherferry/common";
 import { arrivingHosts, hostRoom, shareOf } from "./arrivals.js";
 import { LENDING } from "./constants.js";
+import { isReplaced } from "./hostWorkers.js";
 import { withinCeiling } from "./placement.js";
 import { roomOf } from "./runs.js";
 import type { OwnedWork, PoolWork, Worker } from "./state.js";
@@ -42,9 +43,10 @@
   worker.fenced ? !worker.unreachable : turn.nowMs - worker.enlistedAtMs < LENDING.FIRST_ANSWER_MS;
 
 /** @returns Whether a worker may get work now and later. */
-export const isOpen = (turn: Turn, worker: Worker): boolean =>
+export const isOpen = (turn: Turn, owned: OwnedWork, worker: Worker): boolean =>
   worker.listed &&
   !worker.departed &&
+  !isReplaced(owned, worker) &&
   !worker.report.draining &&
   !worker.reserved &&
   answers(turn, worker);
@@ -95,7 +97,7 @@
   for (const worker of pool.workers) {
     const shares = sharesOn(worker, host);
     runningHosts += shares.ending;
-    if (isOpen(turn, worker)) {
+    if (isOpen(turn, owned, worker)) {
       openWorkers.push(worker);
       hosts += Math.max(0, 1 - shares.lasting);
     }
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -1,6 +1,7 @@
 import type { PoolId } from "@heatherferry/common";
 import { HEALTH, RUN_PHASE } from "./constants.js";
 import { planGang } from "./gangs.js";
+import { isReplaced } from "./hostWorkers.js";
 import { isSure } from "./ownership.js";
 import { roomOf, stopRun } from "./runs.js";
 import { chooseWorker, withinCeiling } from "./placement.js";
@@ -14,7 +15,7 @@
 /** Submissions of a pool that may find no room before a pass ends. */
 const MISSES_OF_A_PASS = 12;
 
-const isUsable = (turn: Turn, worker: Worker): boolean =>
+const isUsable = (turn: Turn, owned: OwnedWork, worker: Worker): boolean =>
   worker.listed &&
   worker.fenced &&
   !worker.unreachable &&
@@ -22,6 +23,7 @@
   !worker.report.draining &&
   !worker.reserved &&
   !worker.departed &&
+  !isReplaced(owned, worker) &&
   worker.restsUntilMs <= turn.nowMs &&
   worker.roomKnownAtMs <= turn.nowMs &&
   !isSilent(turn, worker);
@@ -61,7 +63,7 @@
 
 const dispatchPool = (turn: Turn, owned: OwnedWork, pool: PoolWork): void => {
   pool.dirty = false;
-  const workers = [...pool.workers].filter((worker) => isUsable(turn, worker));
+  const workers = [...pool.workers].filter((worker) => isUsable(turn, owned, worker));
   if (workers.length === 0) {
     return;
   }
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -5,11 +5,11 @@
 import { demandOf, isOpen, logDemand, missingHosts, spareHosts, type Demand } from "./demand.js";
 import type { WorkEvent } from "./events.js";
 import { listHosts, mayOrderHost, planHostOrder } from "./hosts.js";
+import { findLife, isLife, lifeOf, workerDeparted, workerOn } from "./hostWorkers.js";
 import { isSure } from "./ownership.js";
 import { poolOf } from "./pools.js";
-import type { OwnedWork, Worker } from "./state.js";
+import type { HostMove, OwnedWork, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
-import { workerDeparted } from "./workers.js";
 
 const hostIsFree = (turn: Turn, owned: OwnedWork, host: HostId): boolean => {
   if (
@@ -21,7 +21,7 @@
   }
   for (const wave of owned.waves.values()) {
     const due = !wave.completed && wave.request.hosts.includes(host) && !wave.doneHosts.has(host);
-    if (due && (wave.outHosts.has(host) || owned.workersByHost.get(host)?.reserved === true)) {
+    if (due && (wave.outHosts.has(host) || workerOn(owned, host)?.reserved === true)) {
       return false;
     }
   }
@@ -29,45 +29,61 @@
 };
 
 /** @returns Hosts that are off and could be had at once. */
-const standbyHosts = (turn: Turn, owned: OwnedWork): HostId[] =>
+const standbyHosts = (turn: Turn, owned: OwnedWork): FreeHost[] =>
   [...owned.hosts.values()]
     .filter(
       ({ host, pool, up }) =>
         up &&
         isStandby(turn.work.catalog, pool) &&
-        !owned.workersByHost.has(host) &&
+        workerOn(owned, host) === null &&
         hostIsFree(turn, owned, host),
     )
-    .map(({ host }) => host);
+    .map(({ host }) => ({ host, worker: null }));
 
 const isIdle = (turn: Turn, owned: OwnedWork, worker: Worker, idleMs: number): boolean =>
-  isOpen(turn, worker) &&
+  isOpen(turn, owned, worker) &&
   worker.fenced &&
   worker.runs.size === 0 &&
   worker.strayStops.size === 0 &&
   worker.seenSequence === worker.notedSequence &&
   turn.nowMs - worker.idleSinceMs >= idleMs &&
   worker.report.host !== null &&
+  workerOn(owned, worker.report.host) === worker &&
   hostIsFree(turn, owned, worker.report.host);
 
-/** @returns Idle workers of a pool that it can do without, longest idle first. */
-const idleWorkers = (turn: Turn, owned: OwnedWork, demand: Demand, idleMs: number): Worker[] => {
+/** @returns Hosts of a pool whose workers it can do without, longest idle first. */
+const idleHosts = (turn: Turn, owned: OwnedWork, demand: Demand, idleMs: number): FreeHost[] => {
   const { pool } = demand;
   const spare = Math.min(demand.openWorkers.length - LENDING.LEAST_WORKERS, spareHosts(demand));
   return [...pool.workers]
     .filter((worker) => isIdle(turn, owned, worker, idleMs))
     .sort((one, other) => one.idleSinceMs - other.idleSinceMs)
-    .slice(0, Math.max(0, spare));
+    .slice(0, Math.max(0, spare))
+    .flatMap((worker) => {
+      const { host } = worker.report;
+      return host === null ? [] : [{ host, worker }];
+    });
 };
 
-const move = (turn: Turn, owned: OwnedWork, host: HostId, to: PoolId, why: string): void => {
-  const worker = owned.workersByHost.get(host) ?? null;
+/** A host that can be had, and the idle worker that it runs. */
+interface FreeHost {
+  readonly host: HostId;
+  readonly worker: Worker | null;
+}
+
+const move = (
+  turn: Turn,
+  owned: OwnedWork,
+  { host, worker }: FreeHost,
+  to: PoolId,
+  why: string,
+): void => {
   if (worker !== null) {
     worker.reserved = true;
   }
   owned.moves.set(host, {
     to,
-    worker: worker?.report.id ?? null,
+    worker: lifeOf(worker),
     orderedAtMs: turn.nowMs,
     confirmed: false,
   });
@@ -81,6 +97,12 @@
   });
 };
 
+/** @returns A host of another pool, which is taken from the list. */
+const takeIdle = (idle: FreeHost[], to: PoolId): FreeHost | undefined => {
+  const index = idle.findLastIndex(({ worker }) => worker?.report.pool !== to);
+  return index < 0 ? undefined : idle.splice(index, 1)[0];
+};
+
 /**
  * Gives hosts to pools that miss some, one each in turn, so that a surge in one pool does not leave
  * another with none.
@@ -96,15 +118,15 @@
     return false;
   }
   const off = standbyHosts(turn, owned);
-  const idle = demands.flatMap((demand) => idleWorkers(turn, owned, demand, LENDING.LEND_IDLE_MS));
+  const idle = demands.flatMap((demand) => idleHosts(turn, owned, demand, LENDING.LEND_IDLE_MS));
   const most = Math.max(...needy.map(({ missing }) => missing));
   for (let round = 0; round < most; round += 1) {
     for (const { demand } of needy.filter(({ missing }) => missing > round)) {
-      const host = idle.pop()?.report.host ?? off.pop();
-      if (host == null) {
+      const free = takeIdle(idle, demand.pool.id) ?? off.pop();
+      if (free === undefined) {
         return true;
       }
-      move(turn, owned, host, demand.pool.id, "work waits for room");
+      move(turn, owned, free, demand.pool.id, "work waits for room");
     }
   }
   return true;
@@ -117,28 +139,43 @@
     return;
   }
   for (const demand of demands) {
-    for (const { report } of idleWorkers(turn, owned, demand, LENDING.RETIRE_IDLE_MS)) {
-      if (report.host !== null) {
-        move(turn, owned, report.host, standby.id, "it was idle");
-      }
+    for (const free of idleHosts(turn, owned, demand, LENDING.RETIRE_IDLE_MS)) {
+      move(turn, owned, free, standby.id, "it was idle");
     }
   }
 };
 
+const release = (owned: OwnedWork, { worker }: HostMove): void => {
+  const reserved = findLife(owned, worker);
+  if (reserved !== null) {
+    reserved.reserved = false;
+  }
+};
+
+/** A move that was done before has left the worker that it brought alive. */
+const leaveBehind = (turn: Turn, owned: OwnedWork, { worker, to }: HostMove): void => {
+  const left = findLife(owned, worker);
+  if (left !== null && left.report.pool !== to) {
+    workerDeparted(turn, owned, left);
+  }
+};
+
 const settleMoves = (turn: Turn, owned: OwnedWork): void => {
   for (const [host, order] of owned.moves) {
-    const worker = owned.workersByHost.get(host) ?? null;
+    const worker = workerOn(owned, host);
     const waitedMs = turn.nowMs - order.orderedAtMs;
     const arrived =
-      worker !== null && worker.report.id !== order.worker && worker.report.pool === order.to;
+      worker !== null && !isLife(worker, order.worker) && worker.report.pool === order.to;
     const off =
       order.confirmed &&
       isStandby(turn.work.catalog, order.to) &&
       waitedMs >= turn.work.bounds.moveMs;
     if (arrived || off || waitedMs > HOSTS.RETURN_MS) {
       owned.moves.delete(host);
-      if (worker !== null) {
-        worker.reserved = false;
+      if (arrived) {
+        leaveBehind(turn, owned, order);
+      } else {
+        release(owned, order);
       }
     }
   }
@@ -178,10 +215,7 @@
   }
   if (event.result === "accepted") {
     order.confirmed = true;
-    const left = owned.workersByHost.get(event.host);
-    if (left?.report.id === order.worker) {
-      workerDeparted(turn, owned, left);
-    }
+    leaveBehind(turn, owned, order);
     const listing = owned.hosts.get(event.host);
     if (listing !== undefined) {
       owned.hosts.set(event.host, { ...listing, pool: order.to });
@@ -191,9 +225,6 @@
     owned.hostListSentAtMs = null;
   } else {
     owned.moves.delete(event.host);
-    const worker = owned.workersByHost.get(event.host);
-    if (worker !== undefined) {
-      worker.reserved = false;
-    }
+    release(owned, order);
   }
 };
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -18,10 +18,10 @@
   WorkerId,
 } from "./types.js";
 import type { Run, Submission } from "./itemState.js";
-import type { Worker, PoolWork, TeamUse } from "./workerState.js";
+import type { Worker, PoolWork, TeamUse, WorkerLife } from "./workerState.js";
 
 export type { Run, Item, Occurrence, Submission } from "./itemState.js";
-export type { Worker, Arrival, PoolWork, TeamUse } from "./workerState.js";
+export type { Worker, WorkerLife, Arrival, PoolWork, TeamUse } from "./workerState.js";
 
 /** A wave under way. */
 export interface WaveWork {
@@ -34,7 +34,7 @@
   /** Hosts ordered down, with the worker they had. */
   readonly outHosts: Map<
     HostId,
-    { readonly worker: WorkerId | null; orderedAtMs: number; confirmed: boolean }
+    { readonly worker: WorkerLife | null; orderedAtMs: number; confirmed: boolean }
   >;
   completed: boolean;
 }
@@ -75,8 +75,8 @@
   ledgerSentAtMs: number;
   needsRenewal: boolean;
   readonly hosts: Map<HostId, HostListing>;
-  /** The listed worker that each host runs. */
-  readonly workersByHost: Map<HostId, Worker>;
+  /** Listed workers by host: the one that it runs, and entries left over of those before. */
+  readonly workersByHost: Map<HostId, Set<Worker>>;
   readonly moves: Map<HostId, HostMove>;
   /** When each host was ordered last, or will be once the owner's row names it. */
   readonly hostOrders: Map<HostId, number>;
@@ -102,7 +102,8 @@
 /** A host on its way to another pool. */
 export interface HostMove {
   readonly to: PoolId;
-  readonly worker: WorkerId | null;
+  /** What it ran when the move was ordered. */
+  readonly worker: WorkerLife | null;
   readonly orderedAtMs: number;
   confirmed: boolean;
 }
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -2,6 +2,7 @@
 import { HOSTS, UPKEEP_WAVE } from "./constants.js";
 import { isOpen } from "./demand.js";
 import { listHosts, mayOrderHost, planHostOrder } from "./hosts.js";
+import { isLife, lifeOf, workerOn } from "./hostWorkers.js";
 import { poolOf } from "./pools.js";
 import type { StoreRow, WorkEvent } from "./events.js";
 import { isSure } from "./ownership.js";
@@ -56,15 +57,12 @@
   }
 };
 
-const workerOfHost = (owned: OwnedWork, host: HostId): Worker | null =>
-  owned.workersByHost.get(host) ?? null;
-
 /** Counts hosts as out that an owner before this one sent to upkeep. */
 const adoptOut = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
   for (const host of wave.request.hosts) {
     const out = owned.hosts.get(host)?.inUpkeep === true;
     if (out && !wave.doneHosts.has(host) && !wave.outHosts.has(host)) {
-      const worker = workerOfHost(owned, host)?.report.id ?? null;
+      const worker = lifeOf(workerOn(owned, host));
       wave.outHosts.set(host, { worker, orderedAtMs: turn.nowMs, confirmed: true });
     }
   }
@@ -72,9 +70,9 @@
 
 const finishReturned = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
   for (const [host, out] of wave.outHosts) {
-    const worker = workerOfHost(owned, host);
+    const worker = workerOn(owned, host);
     const listing = owned.hosts.get(host);
-    const returned = worker !== null && worker.report.id !== out.worker;
+    const returned = worker !== null && !isLife(worker, out.worker);
     const waitedMs = turn.nowMs - out.orderedAtMs;
     // An order for upkeep that was done before changes nothing, so the same worker stays.
     const doneBefore =
@@ -113,7 +111,7 @@
   }
   if (!wave.outHosts.has(host)) {
     wave.outHosts.set(host, {
-      worker: worker?.report.id ?? null,
+      worker: lifeOf(worker),
       orderedAtMs: turn.nowMs,
       confirmed: false,
     });
@@ -142,7 +140,7 @@
 /** How much of a wave's time is left over when its workers are emptied in rounds. */
 const spareMs = (turn: Turn, owned: OwnedWork, wave: WaveWork, left: readonly HostId[]): number => {
   const { durationMs, mostOut } = wave.request;
-  const workers = left.map((host) => workerOfHost(owned, host)).filter((worker) => worker !== null);
+  const workers = left.map((host) => workerOn(owned, host)).filter((worker) => worker !== null);
   const rounds = Math.max(1, Math.ceil(workers.length / Math.max(1, mostOut)));
   const lasting = workers.some((worker) => runsLasting(worker));
   return (
@@ -163,7 +161,7 @@
 
 const isLastOpen = (turn: Turn, owned: OwnedWork, worker: Worker): boolean =>
   ![...poolOf(owned, worker.report.pool).workers].some(
-    (other) => other !== worker && isOpen(turn, other),
+    (other) => other !== worker && isOpen(turn, owned, other),
   );
 
 /** A host without a known worker may still run one whose entry is missing. */
@@ -198,7 +196,7 @@
   const hurry = waitMs <= UPKEEP_WAVE.MARGIN_MS;
   const chosen = left
     .filter((host) => !owned.moves.has(host) && mayOrderHost(turn, owned, host))
-    .map((host) => ({ host, worker: workerOfHost(owned, host) }))
+    .map((host) => ({ host, worker: workerOn(owned, host) }))
     .filter(({ host, worker }) =>
       worker === null
         ? isOff(turn, owned, host) || (waitMs <= 0 && !runsUnlisted(owned, host))
@@ -239,7 +237,7 @@
     return;
   }
   for (const host of wave.request.hosts) {
-    const gone = !owned.hosts.has(host) && workerOfHost(owned, host) === null;
+    const gone = !owned.hosts.has(host) && workerOn(owned, host) === null;
     if (gone && !wave.doneHosts.has(host)) {
       wave.doneHosts.add(host);
       wave.outHosts.delete(host);
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -1,7 +1,13 @@
 import type { PoolId } from "@heatherferry/common";
-import type { ItemKey, WorkerReport } from "./types.js";
+import type { ItemKey, WorkerId, WorkerReport } from "./types.js";
 import type { Run, Submission } from "./itemState.js";
 
+/** Names one life of a worker. */
+export interface WorkerLife {
+  readonly id: WorkerId;
+  readonly bornWallMs: number | null;
+}
+
 export interface Worker {
   report: WorkerReport;
   readonly enlistedAtMs: number;
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -1,5 +1,6 @@
 import { LEASE } from "./constants.js";
 import type { WorkEvent } from "./events.js";
+import { bindHost, unbindHost } from "./hostWorkers.js";
 import { extendLease, hasStops, isSilent, noteClock, targetOf } from "./leases.js";
 import { isSure } from "./ownership.js";
 import { paceFillers } from "./pacing.js";
@@ -42,28 +43,6 @@
   departed: false,
 });
 
-const bindHost = (owned: OwnedWork, worker: Worker): void => {
-  const { host } = worker.report;
-  if (host !== null && !worker.departed) {
-    owned.workersByHost.set(host, worker);
-  }
-};
-
-const unbindHost = (owned: OwnedWork, worker: Worker): void => {
-  const { host } = worker.report;
-  if (host !== null && owned.workersByHost.get(host) === worker) {
-    owned.workersByHost.delete(host);
-  }
-};
-
-/** The platform took a worker's host from under it; everything there has ended. */
-export const workerDeparted = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
-  worker.departed = true;
-  worker.leaseEndsAtMs = null;
-  unbindHost(owned, worker);
-  loseRuns(turn, owned, worker, "its host was moved");
-};
-
 const forgetWorker = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
   owned.workers.delete(worker.report.id);
   loseRuns(turn, owned, worker, why);
@@ -116,6 +95,7 @@
       wasListed: worker.listed,
     });
   }
+  unbindHost(owned, worker);
   worker.report = report;
   worker.listed = true;
   bindHost(owned, worker);
--- a/packages/core/tests/work/siteHosts.ts
+++ b/packages/core/tests/work/siteHosts.ts
@@ -76,6 +76,22 @@
     }
   }
 
+  /** Carries out a move that an earlier owner ordered. */
+  moveLate(host: HostId, pool: PoolId): void {
+    const moved = this.hosts.get(host);
+    if (moved?.state === "up") {
+      this.takeDown(host, moved, "moving", pool, BOUNDS.moveMs);
+    }
+  }
+
+  /** The host fails and comes back with another worker; the entry of the old one stays a while. */
+  rebootHost(host: HostId): void {
+    const rebooted = this.hosts.get(host);
+    if (rebooted?.state === "up") {
+      this.takeDown(host, rebooted, "moving", rebooted.pool, BOUNDS.moveMs);
+    }
+  }
+
   protected listHosts(node: SiteNode, sentAtMs: number): void {
     const hosts: HostListing[] = [...this.hosts].map(([host, { pool, state, worker }]) => ({
       host,
