Take only the answer to its own order for a move or an upkeep

Callers would see a worker drop out of service for good while it is alive (its items would start twice if it had any), and work cut off by upkeep.

`power/orderAnswered` named only the host, and every answer was offered to waves and moves alike. An upkeep's answer, or one to an earlier move, confirmed the move under way, and what it was about was taken for gone. A repeated upkeep order was sent to whatever the host ran by then.

Now each order has a number that no other order of the process has, over all its ownerships; the answer carries it back, and a move or a wave takes only answers to its own orders. A refusal ends a wave's wait for a host only when no other order of it may still be carried out. A repeated upkeep waits until the worker that came meanwhile is reserved and emptied, and counts from that worker. Moves (`moves.ts`) and upkeep of single hosts (`upkeep.ts`) are modules apart from what decides on them.

The three tests of `hostAnswers` failed before. The stand-in of the platform now answers 200 for an upkeep that was done before, and loses, delays and answers orders late.

--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -14,6 +14,7 @@
   Fence,
   HandIn,
   HostListing,
+  HostOrderId,
   ItemKey,
   OwnerRow,
   Progress,
@@ -207,6 +208,7 @@
     | { readonly type: "power/listFailed"; readonly reason: string }
     | {
         readonly type: "power/orderAnswered";
+        readonly order: HostOrderId;
         readonly host: HostId;
         readonly result: HostOrderResult;
         readonly reason: string | null;
@@ -261,12 +263,14 @@
   | { readonly type: "power/list" }
   | {
       readonly type: "power/move";
+      readonly order: HostOrderId;
       readonly host: HostId;
       readonly pool: PoolId;
       readonly fence: Fence;
     }
   | {
       readonly type: "power/upkeep";
+      readonly order: HostOrderId;
       readonly host: HostId;
       readonly wave: number;
       readonly fence: Fence;
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -3,13 +3,13 @@
 import { isStandby } from "./catalog.js";
 import { HOSTS, LENDING } from "./constants.js";
 import { demandOf, isOpen, logDemand, missingHosts, spareHosts, type Demand } from "./demand.js";
-import type { WorkEvent } from "./events.js";
-import { listHosts, mayOrderHost, planHostOrder } from "./hosts.js";
-import { findLife, isLife, lifeOf, workerDeparted, workerOn } from "./hostWorkers.js";
+import { listHosts, mayOrderHost } from "./hosts.js";
+import { workerOn } from "./hostWorkers.js";
+import { moveHost, settleMoves, type FreeHost } from "./moves.js";
 import { isSure } from "./ownership.js";
 import { poolOf } from "./pools.js";
-import type { HostMove, OwnedWork, Worker } from "./state.js";
-import { logLine, type Turn } from "./turn.js";
+import type { OwnedWork, Worker } from "./state.js";
+import type { Turn } from "./turn.js";
 
 const hostIsFree = (turn: Turn, owned: OwnedWork, host: HostId): boolean => {
   if (
@@ -65,38 +65,6 @@
     });
 };
 
-/** A host that can be had, and the idle worker that it runs. */
-interface FreeHost {
-  readonly host: HostId;
-  readonly worker: Worker | null;
-}
-
-const move = (
-  turn: Turn,
-  owned: OwnedWork,
-  { host, worker }: FreeHost,
-  to: PoolId,
-  why: string,
-): void => {
-  if (worker !== null) {
-    worker.reserved = true;
-  }
-  owned.moves.set(host, {
-    to,
-    worker: lifeOf(worker),
-    orderedAtMs: turn.nowMs,
-    confirmed: false,
-  });
-  planHostOrder(turn, owned, { type: "power/move", host, pool: to, fence: owned.fence });
-  logLine(turn, "info", "host.moving", {
-    host,
-    from: worker?.report.pool ?? owned.hosts.get(host)?.pool ?? null,
-    to,
-    why,
-    fence: Number(owned.fence),
-  });
-};
-
 /** @returns A host of another pool, which is taken from the list. */
 const takeIdle = (idle: FreeHost[], to: PoolId): FreeHost | undefined => {
   const index = idle.findLastIndex(({ worker }) => worker?.report.pool !== to);
@@ -120,13 +88,12 @@
   const off = standbyHosts(turn, owned);
   const idle = demands.flatMap((demand) => idleHosts(turn, owned, demand, LENDING.LEND_IDLE_MS));
   const most = Math.max(...needy.map(({ missing }) => missing));
-  for (let round = 0; round < most; round += 1) {
+  for (let round = 0; round < most && idle.length + off.length > 0; round += 1) {
     for (const { demand } of needy.filter(({ missing }) => missing > round)) {
       const free = takeIdle(idle, demand.pool.id) ?? off.pop();
-      if (free === undefined) {
-        return true;
+      if (free !== undefined) {
+        moveHost(turn, owned, free, demand.pool.id, "work waits for room");
       }
-      move(turn, owned, free, demand.pool.id, "work waits for room");
     }
   }
   return true;
@@ -140,43 +107,7 @@
   }
   for (const demand of demands) {
     for (const free of idleHosts(turn, owned, demand, LENDING.RETIRE_IDLE_MS)) {
-      move(turn, owned, free, standby.id, "it was idle");
-    }
-  }
-};
-
-const release = (owned: OwnedWork, { worker }: HostMove): void => {
-  const reserved = findLife(owned, worker);
-  if (reserved !== null) {
-    reserved.reserved = false;
-  }
-};
-
-/** A move that was done before has left the worker that it brought alive. */
-const leaveBehind = (turn: Turn, owned: OwnedWork, { worker, to }: HostMove): void => {
-  const left = findLife(owned, worker);
-  if (left !== null && left.report.pool !== to) {
-    workerDeparted(turn, owned, left);
-  }
-};
-
-const settleMoves = (turn: Turn, owned: OwnedWork): void => {
-  for (const [host, order] of owned.moves) {
-    const worker = workerOn(owned, host);
-    const waitedMs = turn.nowMs - order.orderedAtMs;
-    const arrived =
-      worker !== null && !isLife(worker, order.worker) && worker.report.pool === order.to;
-    const off =
-      order.confirmed &&
-      isStandby(turn.work.catalog, order.to) &&
-      waitedMs >= turn.work.bounds.moveMs;
-    if (arrived || off || waitedMs > HOSTS.RETURN_MS) {
-      owned.moves.delete(host);
-      if (arrived) {
-        leaveBehind(turn, owned, order);
-      } else {
-        release(owned, order);
-      }
+      moveHost(turn, owned, free, standby.id, "it was idle");
     }
   }
 };
@@ -202,29 +133,3 @@
     retire(turn, owned, demands);
   }
 };
-
-/** Takes the answer to a move. */
-export const moveAnswered = (
-  turn: Turn,
-  owned: OwnedWork,
-  event: Extract<WorkEvent, { type: "power/orderAnswered" }>,
-): void => {
-  const order = owned.moves.get(event.host);
-  if (order === undefined || order.confirmed) {
-    return;
-  }
-  if (event.result === "accepted") {
-    order.confirmed = true;
-    leaveBehind(turn, owned, order);
-    const listing = owned.hosts.get(event.host);
-    if (listing !== undefined) {
-      owned.hosts.set(event.host, { ...listing, pool: order.to });
-    }
-  } else if (event.result === "unanswered") {
-    // It may still be carried out, so the host stays out until it shows itself.
-    owned.hostListSentAtMs = null;
-  } else {
-    owned.moves.delete(event.host);
-    release(owned, order);
-  }
-};
--- /dev/null
+++ b/packages/core/src/work/moves.ts
@@ -0,0 +1,106 @@
+import type { HostId, PoolId } from "@heatherferry/common";
+import { isStandby } from "./catalog.js";
+import { HOSTS } from "./constants.js";
+import type { WorkEvent } from "./events.js";
+import { planHostOrder } from "./hosts.js";
+import { findLife, isLife, lifeOf, workerDeparted, workerOn } from "./hostWorkers.js";
+import type { HostMove, OwnedWork, Worker } from "./state.js";
+import { logLine, newHostOrderId, type Turn } from "./turn.js";
+
+/** A host that can be had, and the idle worker that it runs. */
+export interface FreeHost {
+  readonly host: HostId;
+  readonly worker: Worker | null;
+}
+
+/** Orders a host to another pool; the worker that it runs gets no new work. */
+export const moveHost = (
+  turn: Turn,
+  owned: OwnedWork,
+  { host, worker }: FreeHost,
+  to: PoolId,
+  why: string,
+): void => {
+  const order = newHostOrderId(turn.work);
+  if (worker !== null) {
+    worker.reserved = true;
+  }
+  owned.moves.set(host, {
+    order,
+    to,
+    worker: lifeOf(worker),
+    orderedAtMs: turn.nowMs,
+    confirmed: false,
+  });
+  planHostOrder(turn, owned, { type: "power/move", order, host, pool: to, fence: owned.fence });
+  logLine(turn, "info", "host.moving", {
+    host,
+    from: worker?.report.pool ?? owned.hosts.get(host)?.pool ?? null,
+    to,
+    why,
+    fence: Number(owned.fence),
+  });
+};
+
+const release = (owned: OwnedWork, { worker }: HostMove): void => {
+  const reserved = findLife(owned, worker);
+  if (reserved !== null) {
+    reserved.reserved = false;
+  }
+};
+
+/** A move that was done before has left the worker that it brought alive. */
+const leaveBehind = (turn: Turn, owned: OwnedWork, { worker, to }: HostMove): void => {
+  const left = findLife(owned, worker);
+  if (left !== null && left.report.pool !== to) {
+    workerDeparted(turn, owned, left);
+  }
+};
+
+/** Ends moves whose host has come to its pool, is off, or does not show itself. */
+export const settleMoves = (turn: Turn, owned: OwnedWork): void => {
+  for (const [host, move] of owned.moves) {
+    const worker = workerOn(owned, host);
+    const waitedMs = turn.nowMs - move.orderedAtMs;
+    const arrived =
+      worker !== null && !isLife(worker, move.worker) && worker.report.pool === move.to;
+    const off =
+      move.confirmed &&
+      isStandby(turn.work.catalog, move.to) &&
+      waitedMs >= turn.work.bounds.moveMs;
+    if (arrived || off || waitedMs > HOSTS.RETURN_MS) {
+      owned.moves.delete(host);
+      if (arrived) {
+        leaveBehind(turn, owned, move);
+      } else {
+        release(owned, move);
+      }
+    }
+  }
+};
+
+/** Takes the answer to a move; one to another order says nothing of this one. */
+export const moveAnswered = (
+  turn: Turn,
+  owned: OwnedWork,
+  event: Extract<WorkEvent, { type: "power/orderAnswered" }>,
+): void => {
+  const move = owned.moves.get(event.host);
+  if (move?.order !== event.order) {
+    return;
+  }
+  if (event.result === "accepted") {
+    move.confirmed = true;
+    leaveBehind(turn, owned, move);
+    const listing = owned.hosts.get(event.host);
+    if (listing !== undefined) {
+      owned.hosts.set(event.host, { ...listing, pool: move.to });
+    }
+  } else if (event.result === "unanswered") {
+    // It may still be carried out, so the host stays out until it shows itself.
+    owned.hostListSentAtMs = null;
+  } else {
+    owned.moves.delete(event.host);
+    release(owned, move);
+  }
+};
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -10,7 +10,8 @@
 import { forgetSettled, tickForget } from "./forget.js";
 import { hostsListed } from "./hosts.js";
 import { ledgerSettled, tickLedger } from "./ledger.js";
-import { moveAnswered, tickLending } from "./lending.js";
+import { tickLending } from "./lending.js";
+import { moveAnswered } from "./moves.js";
 import { claimSettled, ownerScanFailed, ownerSeen, tickOwnership } from "./ownership.js";
 import { paceFailed } from "./pacing.js";
 import { tableLoaded, tableNotLoaded, tickRecovery } from "./recovery.js";
@@ -19,7 +20,8 @@
 import type { OwnedWork, WorkloadState } from "./state.js";
 import { makeDueOccurrences } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
-import { tickWaves, upkeepAnswered } from "./waves.js";
+import { upkeepAnswered } from "./upkeep.js";
+import { tickWaves } from "./waves.js";
 import { tickWorkers, workerLooked, workerLookFailed } from "./workers.js";
 
 /**
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -6,6 +6,7 @@
   Fence,
   HandIn,
   HostListing,
+  HostOrderId,
   ItemKey,
   LeasedWorker,
   OwnerRow,
@@ -31,11 +32,8 @@
   seenWallMs: number;
   readonly doneHosts: Set<HostId>;
   dirty: boolean;
-  /** Hosts ordered down, with the worker they had. */
-  readonly outHosts: Map<
-    HostId,
-    { readonly worker: WorkerLife | null; orderedAtMs: number; confirmed: boolean }
-  >;
+  /** Hosts ordered down. */
+  readonly outHosts: Map<HostId, HostOut>;
   completed: boolean;
 }
 
@@ -99,8 +97,19 @@
 
 export type HostOrder = Extract<WorkEffect, { type: "power/move" | "power/upkeep" }>;
 
+/** A host that was ordered down for upkeep. */
+export interface HostOut {
+  /** What it ran as of the last order. */
+  readonly worker: WorkerLife | null;
+  readonly orderedAtMs: number;
+  /** Orders that were carried out or may yet be. */
+  readonly orders: Set<HostOrderId>;
+  confirmed: boolean;
+}
+
 /** A host on its way to another pool. */
 export interface HostMove {
+  readonly order: HostOrderId;
   readonly to: PoolId;
   /** What it ran when the move was ordered. */
   readonly worker: WorkerLife | null;
@@ -188,6 +197,7 @@
   leavingAtMs: number | null;
   frontClosed: boolean;
   nextCommit: number;
+  nextHostOrder: number;
   /** When all that goes by time was looked at last. */
   tickedAtMs: number;
   wakeAtMs: number | null;
@@ -232,6 +242,7 @@
   leavingAtMs: null,
   frontClosed: false,
   nextCommit: 1,
+  nextHostOrder: 1,
   tickedAtMs: -Infinity,
   wakeAtMs: null,
 });
--- a/packages/core/src/work/turn.ts
+++ b/packages/core/src/work/turn.ts
@@ -1,5 +1,6 @@
 import type { Effect } from "../effect.js";
 import type { WorkloadState } from "./state.js";
+import type { HostOrderId } from "./types.js";
 
 /** What one event's handling works on. */
 export interface Turn {
@@ -40,6 +41,13 @@
   return id;
 };
 
+/** @returns A new id for an order to a host; no other order of this process has it. */
+export const newHostOrderId = (work: WorkloadState): HostOrderId => {
+  const id = work.nextHostOrder as HostOrderId;
+  work.nextHostOrder += 1;
+  return id;
+};
+
 /** @returns An age or a time for a log line: whole ms, null where there is none. */
 export const loggedMs = (ms: number): number | null =>
   Number.isFinite(ms) ? Math.round(ms) : null;
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -18,6 +18,8 @@
 export type WorkerId = Brand<string, "WorkerId">;
 /** Rises with each owner; workers obey the highest they have seen. */
 export type Fence = Brand<number, "Fence">;
+/** Names one order to a host among all that this process has sent. */
+export type HostOrderId = Brand<number, "HostOrderId">;
 /** Version of a row of the store; one counter for all rows. */
 export type StoreVersion = Brand<number, "StoreVersion">;
 
--- /dev/null
+++ b/packages/core/src/work/upkeep.ts
@@ -0,0 +1,148 @@
+import type { HostId } from "@heatherferry/common";
+import { HOST_ORDER_RESULT, HOSTS } from "./constants.js";
+import { emptyWorker } from "./emptying.js";
+import type { WorkEvent } from "./events.js";
+import { planHostOrder } from "./hosts.js";
+import { isLife, lifeOf, workerOn } from "./hostWorkers.js";
+import type { HostOut, OwnedWork, WaveWork, Worker } from "./state.js";
+import { logLine, newHostOrderId, type Turn } from "./turn.js";
+import type { HostOrderId } from "./types.js";
+
+/** Whether nothing runs on a worker, as far as is known; early in a wave that has to be fresh. */
+export const isEmptied = (worker: Worker, late: boolean): boolean =>
+  worker.runs.size === 0 &&
+  worker.strayStops.size === 0 &&
+  (late || (worker.fenced && !worker.unreachable));
+
+/** Counts hosts as out that an owner before this one sent to upkeep. */
+export const adoptOut = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
+  for (const host of wave.request.hosts) {
+    const out = owned.hosts.get(host)?.inUpkeep === true;
+    if (out && !wave.doneHosts.has(host) && !wave.outHosts.has(host)) {
+      const worker = lifeOf(workerOn(owned, host));
+      wave.outHosts.set(host, {
+        worker,
+        orderedAtMs: turn.nowMs,
+        orders: new Set(),
+        confirmed: true,
+      });
+    }
+  }
+};
+
+/** Counts hosts as done that are back from upkeep. */
+export const finishReturned = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
+  for (const [host, out] of wave.outHosts) {
+    const worker = workerOn(owned, host);
+    const listing = owned.hosts.get(host);
+    const returned = worker !== null && !isLife(worker, out.worker);
+    const waitedMs = turn.nowMs - out.orderedAtMs;
+    // An order for upkeep that was done before changes nothing, so the same worker stays.
+    const doneBefore =
+      worker !== null && waitedMs > turn.work.bounds.upkeepMs + HOSTS.DONE_BEFORE_MS;
+    // A host of a standby pool runs no worker; the list tells that it is back.
+    const listedBack =
+      listing?.up === true &&
+      (owned.hostViewAtMs ?? 0) - out.orderedAtMs > turn.work.bounds.upkeepMs;
+    const overdue = waitedMs > HOSTS.RETURN_MS && listing?.up !== false;
+    if (out.confirmed && (returned || doneBefore || (worker === null && listedBack) || overdue)) {
+      wave.outHosts.delete(host);
+      wave.doneHosts.add(host);
+      wave.dirty = true;
+      if (worker !== null) {
+        worker.reserved = false;
+      }
+      logLine(turn, "info", "wave.hostDone", {
+        wave: wave.request.wave,
+        host,
+        afterMs: Math.round(waitedMs),
+      });
+    }
+  }
+};
+
+/** An order without an answer may have brought another worker, which the next order would end. */
+const outAfter = (
+  turn: Turn,
+  before: HostOut | undefined,
+  worker: Worker | null,
+  order: HostOrderId,
+): HostOut => {
+  if (before !== undefined && (worker === null || isLife(worker, before.worker))) {
+    before.orders.add(order);
+    return before;
+  }
+  return {
+    worker: lifeOf(worker),
+    orderedAtMs: turn.nowMs,
+    orders: new Set([...(before?.orders ?? []), order]),
+    confirmed: false,
+  };
+};
+
+/** Orders a host to upkeep; the worker on it must be emptied. */
+export const orderUpkeep = (
+  turn: Turn,
+  owned: OwnedWork,
+  wave: WaveWork,
+  host: HostId,
+  worker: Worker | null,
+): void => {
+  const lastMs = owned.hostOrders.get(host) ?? -Infinity;
+  if (turn.nowMs - lastMs < HOSTS.ORDER_RETRY_MS) {
+    return;
+  }
+  const order = newHostOrderId(turn.work);
+  wave.outHosts.set(host, outAfter(turn, wave.outHosts.get(host), worker, order));
+  planHostOrder(turn, owned, {
+    type: "power/upkeep",
+    order,
+    host,
+    wave: wave.request.wave,
+    fence: owned.fence,
+  });
+  logLine(turn, "info", "wave.upkeepOrdered", {
+    wave: wave.request.wave,
+    host,
+    worker: worker?.report.id ?? null,
+    fence: Number(owned.fence),
+  });
+};
+
+/** Orders upkeep again that is not confirmed; what the host runs by now has to be empty, too. */
+export const repeatUpkeep = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
+  for (const [host, out] of wave.outHosts) {
+    const worker = workerOn(owned, host);
+    if (out.confirmed) {
+      continue;
+    }
+    if (worker !== null) {
+      worker.reserved = true;
+      emptyWorker(turn, owned, worker, "its host is due for upkeep");
+    }
+    if (worker === null || isEmptied(worker, isLife(worker, out.worker))) {
+      orderUpkeep(turn, owned, wave, host, worker);
+    }
+  }
+};
+
+/** Takes the answer to an order of upkeep; any of a host's orders may be the one carried out. */
+export const upkeepAnswered = (
+  owned: OwnedWork,
+  { order, host, result }: Extract<WorkEvent, { type: "power/orderAnswered" }>,
+): void => {
+  for (const wave of owned.waves.values()) {
+    const out = wave.outHosts.get(host);
+    if (out?.orders.has(order) !== true || out.confirmed) {
+      continue;
+    }
+    if (result === HOST_ORDER_RESULT.ACCEPTED) {
+      out.confirmed = true;
+    } else if (result !== HOST_ORDER_RESULT.UNANSWERED) {
+      out.orders.delete(order);
+      if (out.orders.size === 0) {
+        wave.outHosts.delete(host);
+      }
+    }
+  }
+};
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -1,16 +1,17 @@
 import type { HostId } from "@heatherferry/common";
 import { HOSTS, UPKEEP_WAVE } from "./constants.js";
 import { isOpen } from "./demand.js";
-import { listHosts, mayOrderHost, planHostOrder } from "./hosts.js";
-import { isLife, lifeOf, workerOn } from "./hostWorkers.js";
+import { listHosts, mayOrderHost } from "./hosts.js";
+import { workerOn } from "./hostWorkers.js";
 import { poolOf } from "./pools.js";
-import type { StoreRow, WorkEvent } from "./events.js";
+import type { StoreRow } from "./events.js";
 import { isSure } from "./ownership.js";
 import { isStandby } from "./catalog.js";
 import { emptyWorker } from "./emptying.js";
 import type { OwnedWork, WaveWork, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
 import type { WaveRequest } from "./types.js";
+import { adoptOut, finishReturned, isEmptied, orderUpkeep, repeatUpkeep } from "./upkeep.js";
 
 /** The operators asked for a wave of upkeep. */
 export const waveRequested = (turn: Turn, request: WaveRequest): void => {
@@ -57,79 +58,6 @@
   }
 };
 
-/** Counts hosts as out that an owner before this one sent to upkeep. */
-const adoptOut = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
-  for (const host of wave.request.hosts) {
-    const out = owned.hosts.get(host)?.inUpkeep === true;
-    if (out && !wave.doneHosts.has(host) && !wave.outHosts.has(host)) {
-      const worker = lifeOf(workerOn(owned, host));
-      wave.outHosts.set(host, { worker, orderedAtMs: turn.nowMs, confirmed: true });
-    }
-  }
-};
-
-const finishReturned = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
-  for (const [host, out] of wave.outHosts) {
-    const worker = workerOn(owned, host);
-    const listing = owned.hosts.get(host);
-    const returned = worker !== null && !isLife(worker, out.worker);
-    const waitedMs = turn.nowMs - out.orderedAtMs;
-    // An order for upkeep that was done before changes nothing, so the same worker stays.
-    const doneBefore =
-      worker !== null && waitedMs > turn.work.bounds.upkeepMs + HOSTS.DONE_BEFORE_MS;
-    // A host of a standby pool runs no worker; the list tells that it is back.
-    const listedBack =
-      listing?.up === true &&
-      (owned.hostViewAtMs ?? 0) - out.orderedAtMs > turn.work.bounds.upkeepMs;
-    const overdue = waitedMs > HOSTS.RETURN_MS && listing?.up !== false;
-    if (out.confirmed && (returned || doneBefore || (worker === null && listedBack) || overdue)) {
-      wave.outHosts.delete(host);
-      wave.doneHosts.add(host);
-      wave.dirty = true;
-      if (worker !== null) {
-        worker.reserved = false;
-      }
-      logLine(turn, "info", "wave.hostDone", {
-        wave: wave.request.wave,
-        host,
-        afterMs: Math.round(waitedMs),
-      });
-    }
-  }
-};
-
-const orderUpkeep = (
-  turn: Turn,
-  owned: OwnedWork,
-  wave: WaveWork,
-  host: HostId,
-  worker: Worker | null,
-): void => {
-  const lastMs = owned.hostOrders.get(host) ?? -Infinity;
-  if (turn.nowMs - lastMs < HOSTS.ORDER_RETRY_MS) {
-    return;
-  }
-  if (!wave.outHosts.has(host)) {
-    wave.outHosts.set(host, {
-      worker: lifeOf(worker),
-      orderedAtMs: turn.nowMs,
-      confirmed: false,
-    });
-  }
-  planHostOrder(turn, owned, {
-    type: "power/upkeep",
-    host,
-    wave: wave.request.wave,
-    fence: owned.fence,
-  });
-  logLine(turn, "info", "wave.upkeepOrdered", {
-    wave: wave.request.wave,
-    host,
-    worker: worker?.report.id ?? null,
-    fence: Number(owned.fence),
-  });
-};
-
 /** @returns Hosts of the wave that the owner before may just have sent to upkeep. */
 const inheritedOut = (turn: Turn, owned: OwnedWork, wave: WaveWork): number =>
   wave.request.hosts.filter(
@@ -173,21 +101,11 @@
 const runsUnlisted = (owned: OwnedWork, host: HostId): boolean =>
   [...owned.workers.values()].some(({ report, runs }) => report.host === host && runs.size > 0);
 
-/** Whether nothing runs on a worker, as far as is known; early in a wave that has to be fresh. */
-const isEmptied = (worker: Worker, late: boolean): boolean =>
-  worker.runs.size === 0 &&
-  worker.strayStops.size === 0 &&
-  (late || (worker.fenced && !worker.unreachable));
-
 /** Frees hosts of a wave and sends them to upkeep, as many at once as the operators allow. */
 const advance = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
   adoptOut(turn, owned, wave);
   finishReturned(turn, owned, wave);
-  for (const [host, out] of wave.outHosts) {
-    if (!out.confirmed) {
-      orderUpkeep(turn, owned, wave, host, null);
-    }
-  }
+  repeatUpkeep(turn, owned, wave);
   let slots = wave.request.mostOut - wave.outHosts.size - inheritedOut(turn, owned, wave);
   const left = wave.request.hosts.filter(
     (host) => !wave.doneHosts.has(host) && !wave.outHosts.has(host),
@@ -267,20 +185,3 @@
     advance(turn, owned, wave);
   }
 };
-
-/** Takes the answer to an order of upkeep. */
-export const upkeepAnswered = (
-  owned: OwnedWork,
-  event: Extract<WorkEvent, { type: "power/orderAnswered" }>,
-): void => {
-  for (const wave of owned.waves.values()) {
-    const out = wave.outHosts.get(event.host);
-    if (out !== undefined && !out.confirmed) {
-      if (event.result === "accepted") {
-        out.confirmed = true;
-      } else if (event.result !== "unanswered") {
-        wave.outHosts.delete(event.host);
-      }
-    }
-  }
-};
--- /dev/null
+++ b/packages/core/tests/work/hostAnswers.test.ts
@@ -0,0 +1,103 @@
+import { hostId, type HostId } from "@heatherferry/common";
+import test from "ava";
+import { storeVersion, type StepSpec } from "../../src/index.js";
+import { stepOf, workOf } from "./workSpecs.js";
+import { WorkSite } from "./workSite.js";
+
+const ID = "00000000000000aa";
+
+/** One item to a worker of the site. */
+const wideStep = (count: number, memoryMb = 6_000): StepSpec => ({
+  ...stepOf(count, 1_000, []),
+  needs: { cpuMilli: 500, memoryMb, gpus: 0 },
+});
+
+const askForWave = (site: WorkSite, hosts: readonly HostId[], mostOut: number): void => {
+  const request = { wave: 1, hosts, durationMs: 6_000, mostOut };
+  site.store.put("wave 1", { type: "wave", version: storeVersion(0), request });
+};
+
+const runUntil = (site: WorkSite, holds: () => boolean): void => {
+  for (let slice = 0; !holds(); slice += 1) {
+    if (slice > 2_000) {
+      throw new Error("what the test waits for did not come");
+    }
+    site.run(10);
+  }
+};
+
+const movesOf = (site: WorkSite, host: HostId): number =>
+  site.effects.filter((effect) => effect.type === "power/move" && effect.host === host).length;
+
+const workerOf = (site: WorkSite, host: HostId): string | null =>
+  site.hosts.get(host)?.worker ?? null;
+
+/** The owner orders the host off, which gets lost like all moves. */
+const loseNextMove = (site: WorkSite, host: HostId): void => {
+  const before = movesOf(site, host);
+  site.hostAnswerMs = 2;
+  for (const any of site.hosts.keys()) {
+    site.lostOrders.add(any);
+  }
+  runUntil(site, () => movesOf(site, host) > before);
+};
+
+test("a late answer to a move ends a worker whose move was ordered later and is lost", (t) => {
+  const site = new WorkSite(5, 1, 2, 1);
+  const host = hostId("m-spare-0");
+  site.run(500);
+  site.workMs = 60_000;
+  site.submit(ID, "mills", workOf([wideStep(2)]), 0);
+  site.run(100);
+  site.workMs = 1_000;
+  site.hostAnswerMs = 5_000;
+  site.submit("00000000000000bb", "mills", workOf([wideStep(1, 9_000)]), 0);
+  runUntil(site, () => workerOf(site, host) !== null);
+  const worker = workerOf(site, host) ?? "";
+  loseNextMove(site, host);
+  site.submit("00000000000000cc", "mills", workOf([wideStep(1, 9_000)]), 0);
+  site.workMs = 5_000;
+  site.run(9_000);
+  t.is(site.workers.get(worker)?.runs.size, 1);
+});
+
+test("a late answer to an upkeep ends a worker whose move was ordered later and is lost", (t) => {
+  const site = new WorkSite(5, 1, 3);
+  const host = hostId("m-mills-2");
+  site.run(300);
+  site.workMs = 60_000;
+  site.submit(ID, "mills", workOf([wideStep(2)]), 0);
+  site.run(200);
+  site.hostAnswerMs = 6_000;
+  askForWave(site, [host], 1);
+  runUntil(site, () => workerOf(site, host) === null);
+  site.hostAnswerMs = 2;
+  runUntil(site, () => workerOf(site, host) !== null);
+  const worker = workerOf(site, host) ?? "";
+  loseNextMove(site, host);
+  site.submit("00000000000000bb", "mills", workOf([wideStep(1, 9_000)]), 0);
+  site.run(9_000);
+  t.is(site.workers.get(worker)?.runs.size, 1);
+});
+
+test("an order of upkeep that is repeated ends work on a worker that came meanwhile", (t) => {
+  const site = new WorkSite(5, 1, 3);
+  const host = hostId("m-mills-2");
+  site.run(300);
+  site.workMs = 20_000;
+  site.submit(ID, "mills", workOf([wideStep(2)]), 0);
+  site.run(200);
+  site.workMs = 3_000;
+  site.lostOrders.add(host);
+  askForWave(site, [host], 1);
+  site.run(600);
+  site.rebootHost(host);
+  runUntil(site, () => workerOf(site, host) !== null);
+  site.submit("00000000000000bb", "mills", workOf([wideStep(1)]), 0);
+  site.run(300);
+  site.lostOrders.clear();
+  site.run(20_000);
+  t.is(site.runsCutOff, 0);
+  t.is(site.hosts.get(host)?.upkeeps, 1);
+  t.deepEqual(site.unfinished(), []);
+});
--- a/packages/core/tests/work/siteHosts.ts
+++ b/packages/core/tests/work/siteHosts.ts
@@ -27,6 +27,8 @@
   state: "up" | "moving" | "upkeep";
   fence: number;
   upkeeps: number;
+  /** Waves that had it down, for which more orders change nothing. */
+  readonly waves: Set<number>;
 }
 
 type HostOrder = Extract<Effect, { type: "power/move" | "power/upkeep" }>;
@@ -34,6 +36,9 @@
 /** How long the entry of a worker that has gone stays in the store. */
 const ENTRY_KEPT_MS = 4_500;
 
+/** How long a node waits for the answer to an order. */
+const HOST_TIMEOUT_MS = 2_000;
+
 const CAPACITY = { cpuMilli: 4_000, memoryMb: 10_000, gpus: 0 };
 
 /** Hosts that are moved between pools and taken down for upkeep, and the workers on them. */
@@ -43,6 +48,10 @@
   mostInUpkeep = 0;
   /** Runs that ended since their host was taken from under them. */
   runsCutOff = 0;
+  /** How long answers to orders take. */
+  hostAnswerMs = 2;
+  /** Hosts whose orders get lost on their way. */
+  readonly lostOrders = new Set<HostId>();
   private nextWorker = 0;
 
   /** @param startupMs - When lasting work is at work; null where runs progress to their end. */
@@ -63,6 +72,7 @@
       state: "up",
       fence: 0,
       upkeeps: 0,
+      waves: new Set(),
     });
     if (!off) {
       this.addWorker(name, host, pool);
@@ -104,13 +114,24 @@
   }
 
   protected orderHost(node: SiteNode, order: HostOrder): void {
-    const result = this.obeyHostOrder(order);
-    const { host } = order;
-    const answer = { type: "power/orderAnswered" as const, host, atMs: 0 };
-    if (this.chance(this.faults.lostPercent)) {
-      this.answerLater(node, 2_000, { ...answer, result: "unanswered", reason: "no answer" });
+    const { order: id, host } = order;
+    const answer = { type: "power/orderAnswered" as const, order: id, host, atMs: 0 };
+    const unanswered = { ...answer, result: HOST_ORDER_RESULT.UNANSWERED, reason: "no answer" };
+    if (this.lostOrders.has(host)) {
+      this.answerLater(node, HOST_TIMEOUT_MS, unanswered);
+    } else if (this.chance(this.faults.latePercent)) {
+      this.at(this.pick(6_000), () => {
+        this.obeyHostOrder(order);
+      });
+      this.answerLater(node, HOST_TIMEOUT_MS, unanswered);
     } else {
-      this.answerLater(node, 2, { ...answer, result, reason: null });
+      const result = this.obeyHostOrder(order);
+      const lost = this.chance(this.faults.lostPercent);
+      this.answerLater(
+        node,
+        lost ? HOST_TIMEOUT_MS : this.hostAnswerMs,
+        lost ? unanswered : { ...answer, result, reason: null },
+      );
     }
   }
 
@@ -123,7 +144,11 @@
       return HOST_ORDER_RESULT.FENCED;
     }
     host.fence = Number(order.fence);
+    if (order.type === "power/upkeep" && host.waves.has(order.wave)) {
+      return HOST_ORDER_RESULT.ACCEPTED;
+    }
     if (order.type === "power/upkeep") {
+      host.waves.add(order.wave);
       this.takeDown(order.host, host, "upkeep", host.pool, BOUNDS.upkeepMs);
     } else if (order.pool !== host.pool) {
       this.takeDown(order.host, host, "moving", order.pool, BOUNDS.moveMs);
--- a/packages/runners/src/work/workEffects.ts
+++ b/packages/runners/src/work/workEffects.ts
@@ -179,9 +179,9 @@
   }
 
   private async hostOrder(
-    { host }: EffectOf<"power/move" | "power/upkeep">,
+    { order, host }: EffectOf<"power/move" | "power/upkeep">,
     answer: Promise<HostOrderAnswer>,
   ): Promise<void> {
-    this.parts.loop.handle({ type: "power/orderAnswered", host, ...(await answer) });
+    this.parts.loop.handle({ type: "power/orderAnswered", order, host, ...(await answer) });
   }
 }
