--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -15,6 +15,7 @@
   Fence,
   HandIn,
   HostListing,
+  HostOrderId,
   ItemKey,
   LeasedWorker,
   OwnerRow,
@@ -217,6 +218,7 @@
     | { readonly type: "power/listFailed"; readonly reason: string }
     | {
         readonly type: "power/orderAnswered";
+        readonly order: HostOrderId;
         readonly host: HostId;
         readonly result: HostOrderResult;
         readonly reason: string | null;
@@ -278,12 +280,14 @@
   | { readonly type: "power/list" }
   | {
       readonly type: "power/move";
+      readonly order: HostOrderId;
       readonly host: HostId;
       readonly pool: PoolId;
       readonly fence: Fence;
     }
   | {
       readonly type: "power/upkeep";
+      readonly order: HostOrderId;
       readonly host: HostId;
       readonly wave: number;
       readonly fence: Fence;
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -6,6 +6,7 @@
   Fence,
   HandIn,
   HostListing,
+  HostOrderId,
   ItemKey,
   LeasedWorker,
   OwnerRow,
@@ -18,10 +19,10 @@
   WorkerId,
 } from "./types.js";
 import type { Run, Submission } from "./itemState.js";
-import type { GivenUpRuns, Worker, PoolWork, TeamUse } from "./workerState.js";
+import type { GivenUpRuns, Worker, PoolWork, TeamUse, WorkerLife } from "./workerState.js";
 
 export type { Run, Item, Occurrence, Submission } from "./itemState.js";
-export type { GivenUpRuns, Worker, Arrival, PoolWork, TeamUse } from "./workerState.js";
+export type { GivenUpRuns, Worker, WorkerLife, Arrival, PoolWork, TeamUse } from "./workerState.js";
 
 /** A wave under way. */
 export interface WaveWork {
@@ -31,11 +32,8 @@
   seenWallMs: number;
   readonly doneHosts: Set<HostId>;
   dirty: boolean;
-  /** Hosts ordered down, with the worker they had. */
-  readonly outHosts: Map<
-    HostId,
-    { readonly worker: WorkerId | null; orderedAtMs: number; confirmed: boolean }
-  >;
+  /** Hosts ordered down. */
+  readonly outHosts: Map<HostId, HostOut>;
   completed: boolean;
 }
 
@@ -81,8 +79,8 @@
   /** Orders to workers and looks at them so far. */
   ordersSent: number;
   readonly hosts: Map<HostId, HostListing>;
-  /** The listed worker that each host runs. */
-  readonly workersByHost: Map<HostId, Worker>;
+  /** Listed workers by host: the one that it runs, and entries left over of those before. */
+  readonly workersByHost: Map<HostId, Set<Worker>>;
   readonly moves: Map<HostId, HostMove>;
   /** When each host was ordered last, or will be once the owner's row names it. */
   readonly hostOrders: Map<HostId, number>;
@@ -107,10 +105,22 @@
 
 export type HostOrder = Extract<WorkEffect, { type: "power/move" | "power/upkeep" }>;
 
+/** A host that was ordered down for upkeep. */
+export interface HostOut {
+  /** What it ran as of the last order. */
+  readonly worker: WorkerLife | null;
+  readonly orderedAtMs: number;
+  /** Orders that were carried out or may yet be. */
+  readonly orders: Set<HostOrderId>;
+  confirmed: boolean;
+}
+
 /** A host on its way to another pool. */
 export interface HostMove {
+  readonly order: HostOrderId;
   readonly to: PoolId;
-  readonly worker: WorkerId | null;
+  /** What it ran when the move was ordered. */
+  readonly worker: WorkerLife | null;
   readonly orderedAtMs: number;
   confirmed: boolean;
 }
@@ -202,6 +212,7 @@
   leavingAtMs: number | null;
   frontClosed: boolean;
   nextCommit: number;
+  nextHostOrder: number;
   /** When all that goes by time was looked at last. */
   tickedAtMs: number;
   wakeAtMs: number | null;
@@ -247,6 +258,7 @@
   leavingAtMs: null,
   frontClosed: false,
   nextCommit: 1,
+  nextHostOrder: 1,
   tickedAtMs: -Infinity,
   wakeAtMs: null,
   lag: { loggedAtMs: -Infinity, turns: 0, worstMs: 0 },
