Let the callers of the virtual site judge what they are shown

The callers and the store of the virtual site move to files of their own. Callers ask for states and throw where an accepted submission is said to be unknown or is shown as completed or cancelled without cause; an order of a submission sent more than 3 s after its cancel was acknowledged throws too. Scans may read the parts of a table at different moments, and the store may forget its history.

--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -236,6 +236,8 @@
   readonly graceMs: number;
   readonly drainMs: number;
   readonly statusKeptMs: number;
+  /** Time until an accepted submission has to be among those shown. */
+  readonly visibleMs: number;
   /** Holders of host orders must not take turns within this time. */
   readonly dutyLeaseMs: number;
   readonly noticeMs: number;
--- a/packages/core/tests/work/memoryStore.ts
+++ b/packages/core/tests/work/memoryStore.ts
@@ -47,6 +47,8 @@
 /** The platform's store in memory: one counter of versions, transactions, feeds. */
 export class MemoryStore {
   version = 1;
+  /** Changes up to this version are not kept any more. */
+  forgottenUpTo = 0;
   private readonly cells = new Map<string, Cell>();
 
   /** @returns Null if every condition holds and the commit was done, else the rows in the way. */
--- a/packages/core/tests/work/siteFixtures.ts
+++ b/packages/core/tests/work/siteFixtures.ts
@@ -10,6 +10,7 @@
   graceMs: 6_000,
   drainMs: 2_000,
   statusKeptMs: 120_000,
+  visibleMs: 3_000,
   dutyLeaseMs: 3_000,
   noticeMs: 4_500,
   impactMs: 4_000,
--- a/packages/core/tests/work/siteHosts.ts
+++ b/packages/core/tests/work/siteHosts.ts
@@ -18,7 +18,8 @@
 } from "../../src/index.js";
 import { MemoryWorker } from "./memoryWorker.js";
 import { BOUNDS, STANDBY } from "./siteFixtures.js";
-import { SiteRemote, type SiteNode } from "./siteRemote.js";
+import { SiteRemote } from "./siteRemote.js";
+import type { SiteNode } from "./siteStore.js";
 
 interface MemoryHost {
   pool: PoolId;
--- a/packages/core/tests/work/siteRemote.ts
+++ b/packages/core/tests/work/siteRemote.ts
@@ -1,27 +1,6 @@
-import {
-  END_KIND,
-  storeVersion,
-  type Effect,
-  type Event,
-  type State,
-  type SubmissionId,
-} from "../../src/index.js";
-import { MemoryStore } from "./memoryStore.js";
+import { END_KIND, type Effect, type Event } from "../../src/index.js";
 import type { MemoryWorker } from "./memoryWorker.js";
-import { SiteJudge } from "./siteJudge.js";
-
-export interface SiteNode {
-  readonly name: string;
-  state: State;
-  /** Time that the node's steady clock missed. */
-  frozenMs: number;
-  frozenUntilMs: number;
-  life: number;
-  up: boolean;
-  refusedUntilMs: number;
-}
-
-const FAULTLESS = { lostPercent: 0, latePercent: 0 };
+import { SiteStore, type SiteNode } from "./siteStore.js";
 
 type WorkerOrder = Extract<Effect, { type: "worker/start" | "worker/stop" | "worker/look" }>;
 
@@ -66,119 +45,18 @@
   }
 };
 
-/** The store and the workers as nodes reach them: slow, lossy, down or late as the day has it. */
-export abstract class SiteRemote extends SiteJudge {
-  readonly store = new MemoryStore();
+/** The workers as nodes reach them: cut off, lossy or late as the day has it. */
+export abstract class SiteRemote extends SiteStore {
   readonly cutWorkers = new Map<string, number>();
-  faults: { lostPercent: number; latePercent: number } = FAULTLESS;
   failPercent = 0;
   /** Run time of every item; drawn for each where it is null. */
   workMs: number | null = null;
-  storeDownUntilMs = 0;
   /** Starts that were sent to workers that had gone. */
   startsOnGoneWorkers = 0;
   /** So many of the next starts have no answer, and are carried out at once, or late. */
   startsToLose = 0;
   lostStartsAreLate = false;
 
-  /** Hands an event to a node, now. */
-  protected abstract handle(node: SiteNode, event: Event): void;
-
-  protected answerLater(node: SiteNode, delayMs: number, event: Event): void {
-    const { life } = node;
-    this.at(delayMs, () => {
-      if (node.life === life) {
-        this.handle(node, event);
-      }
-    });
-  }
-
-  protected storeServes(node: SiteNode): boolean {
-    return this.nowMs >= this.storeDownUntilMs && this.nowMs >= node.refusedUntilMs;
-  }
-
-  protected feed(
-    node: SiteNode,
-    life: number,
-    effect: Extract<Effect, { type: "store/feed" }>,
-    untilMs: number,
-  ): void {
-    const { feed, sentAtMs } = effect;
-    this.at(this.pick(6) + 2, () => {
-      if (node.life !== life) {
-        return;
-      }
-      if (!this.storeServes(node)) {
-        this.handle(node, {
-          type: "store/feedFailed",
-          feed,
-          sentAtMs,
-          historyLost: false,
-          reason: "down",
-          atMs: 0,
-        });
-        return;
-      }
-      const rows = this.store.changes(feed, Number(effect.after));
-      if (rows.length > 0 || this.nowMs >= untilMs) {
-        const version = storeVersion(this.store.version);
-        this.handle(node, { type: "store/feedAnswered", feed, sentAtMs, rows, version, atMs: 0 });
-      } else {
-        this.at(20, () => {
-          this.feed(node, life, effect, untilMs);
-        });
-      }
-    });
-  }
-
-  protected commit(
-    node: SiteNode,
-    commit: Extract<Effect, { type: "store/commit" }>,
-    sentAtMs: number,
-  ): void {
-    const { commitId } = commit;
-    const settled = { type: "store/commitSettled" as const, commitId, sentAtMs, atMs: 0 };
-    const nothing = { version: null, rows: [], reason: "down" };
-    if (!this.storeServes(node)) {
-      this.answerLater(node, 2, { ...settled, ...nothing, result: "refused" });
-      return;
-    }
-    if (this.chance(this.faults.lostPercent)) {
-      this.at(this.chance(50) ? 0 : this.pick(3_000), () => {
-        this.store.commit(commit);
-      });
-      this.answerLater(node, 1_000, { ...settled, ...nothing, result: "unanswered" });
-      return;
-    }
-    const rows = this.store.commit(commit);
-    const version = storeVersion(this.store.version);
-    this.answerLater(
-      node,
-      4,
-      rows === null
-        ? { ...settled, result: "committed", version, rows: [], reason: null }
-        : { ...settled, result: "conflicted", version: null, rows, reason: "conflict" },
-    );
-  }
-
-  protected lookUp(node: SiteNode, callId: string, id: SubmissionId): void {
-    if (!this.storeServes(node)) {
-      this.answerLater(node, 2, { type: "store/lookUpFailed", callId, reason: "down", atMs: 0 });
-      return;
-    }
-    const rows = this.store.lookUp(id);
-    const handIn = rows.find((row) => row.type === "handIn");
-    const progress = rows.find((row) => row.type === "progress");
-    this.answerLater(node, 3, {
-      type: "store/lookedUp",
-      callId,
-      handIn: handIn === undefined ? null : { handIn: handIn.handIn, version: handIn.version },
-      cancelled: rows.some((row) => row.type === "cancel"),
-      progress: progress?.progress ?? null,
-      atMs: 0,
-    });
-  }
-
   /** Delivers an order: at once, late, or not at all; its answer may be lost too. */
   protected sendOrder(node: SiteNode, order: WorkerOrder, sentAtMs: number): void {
     const cut = this.nowMs < (this.cutWorkers.get(order.worker) ?? 0);
--- /dev/null
+++ b/packages/core/tests/work/siteStore.ts
@@ -0,0 +1,170 @@
+import {
+  storeVersion,
+  type Effect,
+  type Event,
+  type Scan,
+  type State,
+  type StoreRow,
+  type SubmissionId,
+} from "../../src/index.js";
+import { MemoryStore } from "./memoryStore.js";
+import { SiteJudge } from "./siteJudge.js";
+
+export interface SiteNode {
+  readonly name: string;
+  state: State;
+  /** Time that the node's steady clock missed. */
+  frozenMs: number;
+  frozenUntilMs: number;
+  life: number;
+  up: boolean;
+  refusedUntilMs: number;
+}
+
+type StoreEffect<Type extends Effect["type"]> = Extract<Effect, { type: Type }>;
+
+const FAULTLESS = { lostPercent: 0, latePercent: 0 };
+
+/** Parts that a scan reads one by one, each at its own moment. */
+const SCAN_PARTS = 4;
+
+const partOf = (row: StoreRow): number => {
+  const id = row.type === "handIn" ? row.handIn.id : row.type === "cancel" ? row.id : "0";
+  return Number.parseInt(id.slice(-1), 16) % SCAN_PARTS;
+};
+
+/** The store as nodes reach it: slow, lossy, down or forgetful as the day has it. */
+export abstract class SiteStore extends SiteJudge {
+  readonly store = new MemoryStore();
+  faults: { lostPercent: number; latePercent: number } = FAULTLESS;
+  storeDownUntilMs = 0;
+  /** The parts of a scan are read within this time, each at its own moment. */
+  scanMs: Partial<Record<Scan, number>> = {};
+
+  /** Hands an event to a node, now. */
+  protected abstract handle(node: SiteNode, event: Event): void;
+
+  protected answerLater(node: SiteNode, delayMs: number, event: Event): void {
+    const { life } = node;
+    this.at(delayMs, () => {
+      if (node.life === life) {
+        this.handle(node, event);
+      }
+    });
+  }
+
+  protected storeServes(node: SiteNode): boolean {
+    return this.nowMs >= this.storeDownUntilMs && this.nowMs >= node.refusedUntilMs;
+  }
+
+  protected scan(node: SiteNode, { scan }: StoreEffect<"store/scan">, sentAtMs: number): void {
+    const spreadMs = this.scanMs[scan] ?? 0;
+    const firstMs = 2 + this.pick(8);
+    const rows: StoreRow[] = [];
+    let version = Infinity;
+    let refused = false;
+    for (let part = 0; part < SCAN_PARTS; part += 1) {
+      this.at(firstMs + (spreadMs > 0 ? this.pick(spreadMs) : 0), () => {
+        refused ||= !this.storeServes(node);
+        rows.push(...this.store.scan(scan).filter((row) => partOf(row) === part));
+        version = Math.min(version, this.store.version);
+      });
+    }
+    this.at(firstMs + spreadMs, () => {
+      this.answerLater(
+        node,
+        2,
+        refused
+          ? { type: "store/scanFailed", scan, reason: "down", atMs: 0 }
+          : {
+              type: "store/scanned",
+              scan,
+              sentAtMs,
+              rows,
+              version: storeVersion(version),
+              atMs: 0,
+            },
+      );
+    });
+  }
+
+  protected feed(
+    node: SiteNode,
+    life: number,
+    effect: StoreEffect<"store/feed">,
+    untilMs: number,
+  ): void {
+    const { feed, sentAtMs } = effect;
+    this.at(this.pick(6) + 2, () => {
+      if (node.life !== life) {
+        return;
+      }
+      const historyLost = Number(effect.after) < this.store.forgottenUpTo;
+      if (historyLost || !this.storeServes(node)) {
+        const reason = historyLost ? "history lost" : "down";
+        this.handle(node, {
+          type: "store/feedFailed",
+          feed,
+          sentAtMs,
+          historyLost,
+          reason,
+          atMs: 0,
+        });
+        return;
+      }
+      const rows = this.store.changes(feed, Number(effect.after));
+      if (rows.length > 0 || this.nowMs >= untilMs) {
+        const version = storeVersion(this.store.version);
+        this.handle(node, { type: "store/feedAnswered", feed, sentAtMs, rows, version, atMs: 0 });
+      } else {
+        this.at(20, () => {
+          this.feed(node, life, effect, untilMs);
+        });
+      }
+    });
+  }
+
+  protected commit(node: SiteNode, commit: StoreEffect<"store/commit">, sentAtMs: number): void {
+    const { commitId } = commit;
+    const settled = { type: "store/commitSettled" as const, commitId, sentAtMs, atMs: 0 };
+    const nothing = { version: null, rows: [], reason: "down" };
+    if (!this.storeServes(node)) {
+      this.answerLater(node, 2, { ...settled, ...nothing, result: "refused" });
+      return;
+    }
+    if (this.chance(this.faults.lostPercent)) {
+      this.at(this.chance(50) ? 0 : this.pick(3_000), () => {
+        this.store.commit(commit);
+      });
+      this.answerLater(node, 1_000, { ...settled, ...nothing, result: "unanswered" });
+      return;
+    }
+    const rows = this.store.commit(commit);
+    const version = storeVersion(this.store.version);
+    this.answerLater(
+      node,
+      4,
+      rows === null
+        ? { ...settled, result: "committed", version, rows: [], reason: null }
+        : { ...settled, result: "conflicted", version: null, rows, reason: "conflict" },
+    );
+  }
+
+  protected lookUp(node: SiteNode, callId: string, id: SubmissionId): void {
+    if (!this.storeServes(node)) {
+      this.answerLater(node, 2, { type: "store/lookUpFailed", callId, reason: "down", atMs: 0 });
+      return;
+    }
+    const rows = this.store.lookUp(id);
+    const handIn = rows.find((row) => row.type === "handIn");
+    const progress = rows.find((row) => row.type === "progress");
+    this.answerLater(node, 3, {
+      type: "store/lookedUp",
+      callId,
+      handIn: handIn === undefined ? null : { handIn: handIn.handIn, version: handIn.version },
+      cancelled: rows.some((row) => row.type === "cancel"),
+      progress: progress?.progress ?? null,
+      atMs: 0,
+    });
+  }
+}
--- a/packages/core/tests/work/workChaos.test.ts
+++ b/packages/core/tests/work/workChaos.test.ts
@@ -40,19 +40,40 @@
       site.kill(node, 800 + site.pick(200));
     });
   },
+  (site) => {
+    site.store.forgottenUpTo = site.store.version;
+  },
+  (site) => {
+    const scanMs = site.pick(2_500) + 10;
+    site.scanMs = { handIns: scanMs, progress: site.pick(scanMs) + 1, workers: scanMs };
+  },
 ];
 
+const SUBMISSIONS = 60;
+
 const TRAFFIC_MS = 20_000;
 
 /** Long enough for the longest take-over, the longest lease and what waits. */
 const SETTLE_MS = 40_000;
 
+const ASK_MS = 250;
+
+/** Every node is asked for the state of a submission. */
+const askOften = (site: WorkSite): void => {
+  for (const node of [0, 1, 2]) {
+    site.askState(idOf(site.pick(SUBMISSIONS)), node);
+  }
+  site.at(ASK_MS, () => {
+    askOften(site);
+  });
+};
+
 const playDay = (seed: number, troubles: number): WorkSite => {
   const site = new WorkSite(seed, 3, 3, 3);
   site.run(3_000);
   site.faults = { lostPercent: 3, latePercent: 2 };
   site.failPercent = 5;
-  for (let number = 0; number < 60; number += 1) {
+  for (let number = 0; number < SUBMISSIONS; number += 1) {
     site.at(site.pick(TRAFFIC_MS), () => {
       const pool = POOLS[site.pick(2)] ?? "mills";
       const body = work(site);
@@ -77,8 +98,10 @@
       TROUBLE[site.pick(TROUBLE.length)]?.(site);
     });
   }
+  askOften(site);
   site.run(TRAFFIC_MS);
   site.faults = { lostPercent: 0, latePercent: 0 };
+  site.scanMs = {};
   site.run(SETTLE_MS);
   return site;
 };
--- a/packages/core/tests/work/workSite.ts
+++ b/packages/core/tests/work/workSite.ts
@@ -1,46 +1,22 @@
-import {
-  address,
-  availabilityZoneId,
-  entryHostId,
-  incarnation,
-  poolId,
-  queueId,
-  teamId,
-} from "@heatherferry/common";
+import { address, availabilityZoneId, entryHostId, incarnation } from "@heatherferry/common";
 import {
   initialState,
   initialWork,
   NODE_ROLE,
   reduce,
-  SUBMISSION_STATE,
   storeVersion,
   type Effect,
   type Event,
-  type HandIn,
   type State,
-  type SubmissionId,
-  type WorkSpec,
 } from "../../src/index.js";
-import { partsOf } from "./memoryWorker.js";
 import { BOUNDS, CATALOG, STANDBY } from "./siteFixtures.js";
-import { SiteHosts } from "./siteHosts.js";
-import type { SiteNode } from "./siteRemote.js";
-
-interface Submitted {
-  readonly handIn: HandIn;
-  /** A cancel may take effect although its answer was lost. */
-  cancelAsked: boolean;
-  cancelled: boolean;
-}
+import { SiteCallers } from "./siteCallers.js";
+import type { SiteNode } from "./siteStore.js";
 
 /** Several nodes, a store and workers on one virtual clock; it throws when a promise is broken. */
-export class WorkSite extends SiteHosts {
-  readonly nodes: SiteNode[] = [];
+export class WorkSite extends SiteCallers {
   /** All that the nodes decided. */
   readonly effects: Effect[] = [];
-  readonly accepted = new Map<SubmissionId, Submitted>();
-  readonly answers = new Map<string, string>();
-  private readonly pendingCalls = new Map<string, HandIn>();
 
   constructor(
     seed: number,
@@ -64,56 +40,6 @@
     }
   }
 
-  submit(id: string, pool: string, work: WorkSpec, nodeIndex: number): void {
-    const node = this.nodes[nodeIndex % this.nodes.length];
-    if (node?.up !== true) {
-      return;
-    }
-    const callId = `${id} ${this.order}`;
-    const handIn = {
-      id: id as SubmissionId,
-      queue: queueId(pool),
-      pool: poolId(pool),
-      team: teamId("lots"),
-      acceptedWallMs: 0,
-      work,
-    };
-    this.specs.set(id, handIn);
-    this.pendingCalls.set(callId, handIn);
-    this.call(node, callId, "submit", `/${pool}/${id}`, work);
-  }
-
-  cancel(id: string, nodeIndex: number): void {
-    const node = this.nodes[nodeIndex % this.nodes.length];
-    const submitted = this.accepted.get(id as SubmissionId);
-    if (node?.up === true && submitted !== undefined) {
-      submitted.cancelAsked = true;
-      this.call(node, `cancel ${id}`, "cancel", `/${submitted.handIn.pool}/${id}`, null);
-    }
-  }
-
-  private call(
-    node: SiteNode,
-    callId: string,
-    kind: "submit" | "cancel",
-    path: string,
-    work: WorkSpec | null,
-  ): void {
-    this.handle(node, {
-      type: "call/arrived",
-      callId,
-      kind,
-      callerHost: "site.example",
-      path,
-      key: "key",
-      waitMs: 3_000,
-      bodyBytes: 100,
-      work,
-      problem: null,
-      atMs: 0,
-    });
-  }
-
   kill(nodeIndex: number, downMs: number): void {
     const node = this.nodes[nodeIndex];
     if (node?.up === true) {
@@ -139,29 +65,6 @@
     }
   }
 
-  /** @returns Submissions that nobody cancelled and that the store does not show as ended. */
-  unfinished(): readonly string[] {
-    return [...this.accepted.values()]
-      .filter(({ handIn, cancelAsked }) => {
-        const progress = this.store.lookUp(handIn.id).find((row) => row.type === "progress");
-        const state = progress?.progress.state ?? SUBMISSION_STATE.QUEUED;
-        return (
-          !cancelAsked && state !== SUBMISSION_STATE.COMPLETED && state !== SUBMISSION_STATE.FAILED
-        );
-      })
-      .map(({ handIn }) => handIn.id);
-  }
-
-  /** @returns Items of cancelled submissions that still run. */
-  runningThoughCancelled(): readonly string[] {
-    return [...this.workers.values()].flatMap((worker) => {
-      worker.advance(this.nowMs);
-      return [...worker.runs.keys()].filter(
-        (item) => this.accepted.get(partsOf(item)[0] as SubmissionId)?.cancelled === true,
-      );
-    });
-  }
-
   private addNode(name: string): void {
     const node: SiteNode = {
       name,
@@ -234,7 +137,7 @@
     };
     switch (effect.type) {
       case "call/answer":
-        this.answered(effect.callId, effect.kind);
+        this.answered(effect);
         return;
       case "clock/wake":
         this.answerLater(node, effect.delayMs, { type: "clock/ticked", atMs: 0 });
@@ -243,23 +146,7 @@
         this.kill(this.nodes.indexOf(node), 600);
         return;
       case "store/scan":
-        remote(() => {
-          const { scan } = effect;
-          this.answerLater(
-            node,
-            2,
-            this.storeServes(node)
-              ? {
-                  type: "store/scanned",
-                  scan,
-                  sentAtMs,
-                  rows: this.store.scan(scan),
-                  version: storeVersion(this.store.version),
-                  atMs: 0,
-                }
-              : { type: "store/scanFailed", scan, reason: "down", atMs: 0 },
-          );
-        });
+        this.scan(node, effect, sentAtMs);
         return;
       case "store/feed":
         this.feed(node, life, effect, this.nowMs + effect.waitMs);
@@ -275,6 +162,9 @@
         });
         return;
       case "worker/start":
+        this.judgeOrder(effect);
+        this.sendOrder(node, effect, sentAtMs);
+        return;
       case "worker/stop":
       case "worker/look":
         this.sendOrder(node, effect, sentAtMs);
@@ -293,19 +183,4 @@
       default:
     }
   }
-
-  private answered(callId: string, kind: string): void {
-    this.answers.set(callId, kind);
-    const handIn = this.pendingCalls.get(callId);
-    if (handIn !== undefined && kind === "accepted") {
-      if (!this.accepted.has(handIn.id)) {
-        this.accepted.set(handIn.id, { handIn, cancelAsked: false, cancelled: false });
-      }
-    }
-    const cancelledId = /^cancel (\S+)/u.exec(callId)?.[1];
-    const submitted = this.accepted.get((cancelledId ?? "") as SubmissionId);
-    if (submitted !== undefined && kind === "cancelled") {
-      submitted.cancelled = true;
-    }
-  }
 }
