Tell how much work waits only from a count that is known to be young

Callers saw "0 jobs are said to wait; 4 have waited" after a take-over (MIXED). A successor that was still loading wrote an empty count into the owner's row as soon as its row was due, a claim copied its predecessor's count as if it were new, other nodes told what the row said however long it stood still, and an owner told its own count although it had heard of no hand-in for seconds.

The count in the row now names the time of the owner's newest view of the hand-ins on the store's steady clock; it is null in a claim and while an owner loads. Nodes compare it with the store's clock in their own view of the row, so neither a late or repeated write nor a claim makes a count look young; one older than 2 s is refused at once with the time to come back. The owner counts for itself while its view of the hand-ins is younger than visible_ms. Reading the hand-ins from the store instead would take 18 reads a call.

--- a/packages/core/src/work/calls.ts
+++ b/packages/core/src/work/calls.ts
@@ -1,9 +1,9 @@
 import type { QueueId } from "@heatherferry/common";
 import { answer, sendCommit, unavailable } from "./answers.js";
 import { findQueue, mayHonourKeys, teamOfKey } from "./catalog.js";
-import { ANSWER_KIND, CALL, CALL_KIND, STORE } from "./constants.js";
+import { ANSWER_KIND, CALL, CALL_KIND } from "./constants.js";
 import type { CallArrival } from "./events.js";
-import { pendingByQueue } from "./pending.js";
+import { knownPending } from "./pending.js";
 import type { OpenCall } from "./state.js";
 import { logLine, newCommitId, type Turn } from "./turn.js";
 import {
@@ -114,23 +114,13 @@
 };
 
 const pendingOf = (turn: Turn, callId: string, queue: QueueId): void => {
-  const { owned, ownerView } = turn.work;
-  if (owned?.active === true) {
-    const pending = pendingByQueue(turn)[queue] ?? 0;
-    answer(turn, { callId, kind: ANSWER_KIND.PENDING, pending }, { queue, from: "owner" });
+  const pending = knownPending(turn, queue);
+  if (pending === null) {
+    unavailable(turn, callId, "no count of what waits is young enough");
     return;
   }
-  const ageMs = ownerView.viewAtMs === null ? Infinity : turn.nowMs - ownerView.viewAtMs;
-  if (ownerView.row === null || ageMs > STORE.LOST_MS) {
-    unavailable(turn, callId, "no fresh view of the owner's row");
-    return;
-  }
-  const pending = ownerView.row.pending[queue] ?? 0;
-  answer(
-    turn,
-    { callId, kind: ANSWER_KIND.PENDING, pending },
-    { queue, viewAgeMs: Math.round(ageMs) },
-  );
+  const from = turn.work.owned?.active === true ? "owner" : "row";
+  answer(turn, { callId, kind: ANSWER_KIND.PENDING, pending }, { queue, from });
 };
 
 const authorise = (turn: Turn, arrival: CallArrival, queue: Queue): Team | null | "refused" => {
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -175,6 +175,11 @@
   MOST_STARTS: 3,
 } as const;
 
+export const PENDING_COUNT = {
+  /** Callers may be told of a number this old. */
+  MOST_AGE_MS: 2_000,
+} as const;
+
 export const CALL = {
   /** Kept back of a caller's wait for the answer's way. */
   ANSWER_MARGIN_MS: 200,
--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -125,6 +125,8 @@
         readonly rows: readonly StoreRow[];
         /** The store's newest version as of the first page. */
         readonly version: StoreVersion;
+        /** The store's steady clock as of the first page; null where it did not tell. */
+        readonly storeMs: number | null;
       }
     | { readonly type: "store/scanFailed"; readonly scan: Scan; readonly reason: string }
     | {
@@ -133,6 +135,8 @@
         readonly sentAtMs: number;
         readonly rows: readonly StoreRow[];
         readonly version: StoreVersion;
+        /** The store's steady clock; null where it did not tell. */
+        readonly storeMs: number | null;
       }
     | {
         readonly type: "store/feedFailed";
--- a/packages/core/src/work/feeds.ts
+++ b/packages/core/src/work/feeds.ts
@@ -63,6 +63,7 @@
   feed.sentAtMs = null;
   feed.after = event.version;
   feed.viewAtMs = event.sentAtMs;
+  feed.viewStoreMs = event.storeMs;
   feed.retryAtMs = turn.nowMs;
   rowsChanged(turn, event.rows);
 };
@@ -98,6 +99,7 @@
   feed.scanning = false;
   feed.after = event.version;
   feed.viewAtMs = event.sentAtMs;
+  feed.viewStoreMs = event.storeMs;
   feed.retryAtMs = turn.nowMs;
   if (name === FEED.WORKERS) {
     unlistMissing(turn, event.rows);
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -1,4 +1,4 @@
-import { pendingByQueue } from "./pending.js";
+import { countPending } from "./pending.js";
 import { OWNERSHIP, STORE } from "./constants.js";
 import type { RowToWrite, WorkEvent } from "./events.js";
 import { orderedHosts, sendHostOrders } from "./hosts.js";
@@ -41,7 +41,7 @@
   released,
   leased: leasedWorkers(owned),
   orderedHosts: orderedHosts(turn, owned),
-  pending: pendingByQueue(turn),
+  pending: countPending(turn, owned),
 });
 
 const gather = (owned: OwnedWork): Submission[] => {
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -39,13 +39,17 @@
 };
 
 /** Takes a fresh view of the owner's row. */
-export const ownerSeen = (turn: Turn, rows: readonly StoreRow[], sentAtMs: number): void => {
+export const ownerSeen = (
+  turn: Turn,
+  { rows, sentAtMs, storeMs }: Extract<WorkEvent, { type: "store/scanned" }>,
+): void => {
   const { work, nowMs } = turn;
   const view = work.ownerView;
   const row = ownerRowIn(rows);
   view.pollSentAtMs = null;
   view.nextPollAtMs = nowMs + OWNERSHIP.POLL_MS;
   view.viewAtMs = sentAtMs;
+  view.viewStoreMs = storeMs;
   const version = row?.version ?? storeVersion(0);
   if (view.row === null || version !== view.version) {
     if (row !== null && row.owner.holder !== view.row?.holder) {
@@ -102,7 +106,7 @@
     released: false,
     leased: view.row?.leased ?? {},
     orderedHosts: view.row?.orderedHosts ?? {},
-    pending: view.row?.pending ?? {},
+    pending: null,
   };
   logLine(turn, "info", "owner.claiming", {
     fence: Number(owner.fence),
@@ -166,6 +170,7 @@
     feed.after = null;
     feed.sentAtMs = null;
     feed.viewAtMs = null;
+    feed.viewStoreMs = null;
   }
   logLine(turn, "info", "owner.taken", {
     fence: Number(work.owned.fence),
--- a/packages/core/src/work/recovery.ts
+++ b/packages/core/src/work/recovery.ts
@@ -24,6 +24,7 @@
     const feed = work.feeds[event.scan];
     feed.after = event.version;
     feed.viewAtMs = event.sentAtMs;
+    feed.viewStoreMs = event.storeMs;
   }
   if (owned.loads.size === 0) {
     const rows = owned.loadedRows;
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -36,6 +36,7 @@
   }
   logLine(turn, "warn", "clock.jumped", { byMs: Math.round(jumpMs) });
   work.ownerView.sinceMs = nowMs;
+  work.ownerView.viewAtMs = null;
   for (const feed of Object.values(work.feeds)) {
     feed.viewAtMs = null;
   }
@@ -48,7 +49,7 @@
 const scanned = (turn: Turn, event: Extract<WorkEvent, { type: "store/scanned" }>): void => {
   const { work } = turn;
   if (event.scan === SCAN.OWNER) {
-    ownerSeen(turn, event.rows, event.sentAtMs);
+    ownerSeen(turn, event);
   } else if (work.owned?.loads.has(event.scan) === true) {
     tableLoaded(turn, work.owned, event);
   } else if (event.scan !== SCAN.PROGRESS && work.feeds[event.scan].scanning) {
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -136,6 +136,8 @@
   retryAtMs: number;
   /** When the newest complete view was asked for. */
   viewAtMs: number | null;
+  /** The same view's time on the store's steady clock. */
+  viewStoreMs: number | null;
   scanning: boolean;
 }
 
@@ -155,7 +157,9 @@
   version: StoreVersion;
   /** When this version was first seen. */
   sinceMs: number;
+  /** When the newest view was asked for, and its time on the store's steady clock. */
   viewAtMs: number | null;
+  viewStoreMs: number | null;
   pollSentAtMs: number | null;
   nextPollAtMs: number;
   claim: Claim | null;
@@ -197,6 +201,7 @@
   sentAtMs: null,
   retryAtMs: 0,
   viewAtMs: null,
+  viewStoreMs: null,
   scanning: false,
 });
 
@@ -219,6 +224,7 @@
     version: 0 as StoreVersion,
     sinceMs: 0,
     viewAtMs: null,
+    viewStoreMs: null,
     pollSentAtMs: null,
     nextPollAtMs: 0,
     claim: null,
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -116,6 +116,14 @@
   readonly stopping: boolean;
 }
 
+/** How many submissions wait, and what the number goes by. */
+export interface PendingCount {
+  /** Hand-ins stored until then are counted; on the store's steady clock. */
+  readonly asOfStoreMs: number;
+  /** Accepted submissions without a started item, by queue. */
+  readonly byQueue: Readonly<Record<string, number>>;
+}
+
 /** The owner's row; the owner renews it with every write. */
 export interface OwnerRow {
   readonly holder: string;
@@ -130,8 +138,8 @@
    * the age of the order in ms when the row was written; null where it was yet to be sent.
    */
   readonly orderedHosts: Readonly<Record<HostId, number | null>>;
-  /** Accepted submissions without a started item, a queue. */
-  readonly pending: Readonly<Record<string, number>>;
+  /** Null while the owner has not counted. */
+  readonly pending: PendingCount | null;
 }
 
 export interface Queue {
--- a/packages/core/tests/work/claims.test.ts
+++ b/packages/core/tests/work/claims.test.ts
@@ -40,7 +40,7 @@
   const version = storeVersion(1);
   handle({ type: "clock/ticked", atMs: 1_000, wallMs: 1_000 });
   const catalog = { type: "catalog", version, catalog: CATALOG } as const;
-  const seen = { type: "store/scanned", sentAtMs: 1_000, version } as const;
+  const seen = { type: "store/scanned", sentAtMs: 1_000, version, storeMs: null } as const;
   handle({ ...seen, scan: "operators", rows: [catalog], atMs: 1_010 });
   handle({ ...seen, scan: "owner", rows: [], atMs: 1_020 });
   handle({ type: "clock/ticked", atMs: 1_400, wallMs: 1_400 });
--- a/packages/core/tests/work/siteStore.ts
+++ b/packages/core/tests/work/siteStore.ts
@@ -2,6 +2,7 @@
   storeVersion,
   type Effect,
   type Event,
+  type Feed,
   type Scan,
   type State,
   type StoreRow,
@@ -38,6 +39,8 @@
   readonly store = new MemoryStore();
   faults: { lostPercent: number; latePercent: number } = FAULTLESS;
   storeDownUntilMs = 0;
+  /** The store tells of no changes of a table until then. */
+  feedDownUntilMs: Partial<Record<Feed, number>> = {};
   /** The parts of a scan are read within this time, each at its own moment. */
   scanMs: Partial<Record<Scan, number>> = {};
 
@@ -53,6 +56,11 @@
     });
   }
 
+  /** The store's steady clock, which is none of the nodes'. */
+  private storeMs(): number {
+    return 5_000 + this.nowMs;
+  }
+
   protected storeServes(node: SiteNode): boolean {
     return this.nowMs >= this.storeDownUntilMs && this.nowMs >= node.refusedUntilMs;
   }
@@ -62,12 +70,14 @@
     const firstMs = 2 + this.pick(8);
     const rows: StoreRow[] = [];
     let version = Infinity;
+    let storeMs = Infinity;
     let refused = false;
     for (let part = 0; part < SCAN_PARTS; part += 1) {
       this.at(firstMs + (spreadMs > 0 ? this.pick(spreadMs) : 0), () => {
         refused ||= !this.storeServes(node);
         rows.push(...this.store.scan(scan).filter((row) => partOf(row) === part));
         version = Math.min(version, this.store.version);
+        storeMs = Math.min(storeMs, this.storeMs());
       });
     }
     this.at(firstMs + spreadMs, () => {
@@ -82,6 +92,7 @@
               sentAtMs,
               rows,
               version: storeVersion(version),
+              storeMs,
               atMs: 0,
             },
       );
@@ -100,7 +111,11 @@
         return;
       }
       const historyLost = Number(effect.after) < this.store.forgottenUpTo;
-      if (historyLost || !this.storeServes(node)) {
+      if (
+        historyLost ||
+        this.nowMs < (this.feedDownUntilMs[feed] ?? 0) ||
+        !this.storeServes(node)
+      ) {
         const reason = historyLost ? "history lost" : "down";
         this.handle(node, {
           type: "store/feedFailed",
@@ -115,7 +130,16 @@
       const rows = this.store.changes(feed, Number(effect.after));
       if (rows.length > 0 || this.nowMs >= untilMs) {
         const version = storeVersion(this.store.version);
-        this.handle(node, { type: "store/feedAnswered", feed, sentAtMs, rows, version, atMs: 0 });
+        const storeMs = this.storeMs();
+        this.handle(node, {
+          type: "store/feedAnswered",
+          feed,
+          sentAtMs,
+          rows,
+          version,
+          storeMs,
+          atMs: 0,
+        });
       } else {
         this.at(20, () => {
           this.feed(node, life, effect, untilMs);
--- a/packages/core/tests/work/workChaos.test.ts
+++ b/packages/core/tests/work/workChaos.test.ts
@@ -58,9 +58,12 @@
 
 const ASK_MS = 250;
 
-/** Every node is asked for the state of a submission. */
+/** Every node is asked for what waits, and for the state of a submission. */
 const askOften = (site: WorkSite): void => {
   for (const node of [0, 1, 2]) {
+    POOLS.forEach((pool) => {
+      site.askPending(pool, node);
+    });
     site.askState(idOf(site.pick(SUBMISSIONS)), node);
   }
   site.at(ASK_MS, () => {
@@ -115,7 +118,15 @@
   t.true(site.accepted.size > 50);
 });
 
-for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed += 1) {
+/** Days on which a promise was broken once. */
+const BROKEN_ONCE: readonly number[] = [42];
+
+const seeds = new Set([
+  ...Array.from({ length: SEEDS }, (_, index) => FIRST_SEED + index),
+  ...BROKEN_ONCE,
+]);
+
+for (const seed of seeds) {
   test(`seed ${seed}: promises hold through kills, freezes, cuts and a failing store`, (t) => {
     const site = playDay(seed, 6);
     t.deepEqual(site.unfinished(), []);
--- a/packages/runners/src/work/workEffects.ts
+++ b/packages/runners/src/work/workEffects.ts
@@ -91,8 +91,8 @@
     const { store, loop } = this.parts;
     const sentAtMs = EventLoop.nowMs();
     try {
-      const { rows, version } = await store.scan(scan);
-      loop.handle({ type: "store/scanned", scan, sentAtMs, rows, version });
+      const view = await store.scan(scan);
+      loop.handle({ type: "store/scanned", scan, sentAtMs, ...view });
     } catch (error) {
       loop.handle({ type: "store/scanFailed", scan, reason: messageOf(error) });
     }
@@ -101,12 +101,12 @@
   private async feed({ feed, after, waitMs, sentAtMs }: EffectOf<"store/feed">): Promise<void> {
     const { store, loop } = this.parts;
     try {
-      const { rows, version, historyLost } = await store.feed(feed, after, waitMs);
+      const { historyLost, ...view } = await store.feed(feed, after, waitMs);
       if (historyLost) {
         const reason = "the store dropped its history";
         loop.handle({ type: "store/feedFailed", feed, sentAtMs, historyLost, reason });
       } else {
-        loop.handle({ type: "store/feedAnswered", feed, sentAtMs, rows, version });
+        loop.handle({ type: "store/feedAnswered", feed, sentAtMs, ...view });
       }
     } catch (error) {
       const reason = messageOf(error);
--- a/packages/runners/src/work/workStore.ts
+++ b/packages/runners/src/work/workStore.ts
@@ -13,6 +13,8 @@
 export interface StoreView {
   readonly rows: readonly StoreRow[];
   readonly version: StoreVersion;
+  /** The store's steady clock at the read; null where it did not tell. */
+  readonly storeMs: number | null;
 }
 
 export interface FeedView extends StoreView {
@@ -37,7 +39,7 @@
 export abstract class WorkStore {
   /**
    * @param scan - What to read whole.
-   * @returns Its rows, and the store's version when the read began.
+   * @returns Its rows, and the store's version and clock when the read began.
    * @throws PlatformError when the store does not answer.
    */
   abstract scan(scan: Scan): Promise<StoreView>;
