Pause before a new owner reads a table again that could not be read

A new owner repeated a failed read of a table at once. A store that turned its reads away, for want of rate or because it was down, was asked again within milliseconds, each time for all 18 parts; that uses up the reads that all nodes share, and the processor of the node that has to take over.

Reads are repeated after 200 ms, as those of the feeds are.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -132,6 +132,7 @@
 export const STORE = {
   FEED_WAIT_MS: 1_000,
   FEED_RETRY_MS: 200,
+  SCAN_RETRY_MS: 200,
   /** Nodes count the store as lost after this long without an answer. */
   LOST_MS: 1_300,
   /** Pause before a failed owner's write is sent again. */
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -194,6 +194,7 @@
   rowVersion: version,
   confirmedAtMs: sentAtMs,
   loads: new Set(["workers", "handIns", "progress"] as const),
+  loadRetries: new Map(),
   active: false,
   releasing: false,
   unheard: new Map(Object.entries(before?.leased ?? {}) as [WorkerId, LeasedWorker][]),
--- a/packages/core/src/work/recovery.ts
+++ b/packages/core/src/work/recovery.ts
@@ -1,10 +1,10 @@
 import type { TeamId } from "@heatherferry/common";
-import { LEASE } from "./constants.js";
+import { LEASE, STORE } from "./constants.js";
 import type { Scan, StoreRow, WorkEvent } from "./events.js";
 import { poolOf } from "./pools.js";
 import type { OwnedWork, TeamUse } from "./state.js";
 import { adoptHandIn, cancelOwned, findItem } from "./submissions.js";
-import { logLine, type Turn } from "./turn.js";
+import { logLine, wakeAfter, type Turn } from "./turn.js";
 import type { ItemKey, Progress, SubmissionId, WorkerId } from "./types.js";
 import { waveReported } from "./waves.js";
 import { workerReported } from "./workers.js";
@@ -35,8 +35,17 @@
 
 /** A table could not be read: it is read again, since nothing can be decided without it. */
 export const tableNotLoaded = (turn: Turn, owned: OwnedWork, scan: Scan): void => {
-  if (owned.loads.has(scan)) {
-    turn.effects.push({ type: "store/scan", scan });
+  owned.loadRetries.set(scan, turn.nowMs + STORE.SCAN_RETRY_MS);
+  wakeAfter(turn, STORE.SCAN_RETRY_MS);
+};
+
+/** Reads tables again whose read has failed. */
+export const tickLoads = (turn: Turn, owned: OwnedWork): void => {
+  for (const [scan, atMs] of owned.loadRetries) {
+    if (turn.nowMs >= atMs) {
+      owned.loadRetries.delete(scan);
+      turn.effects.push({ type: "store/scan", scan });
+    }
   }
 };
 
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -13,7 +13,7 @@
 import { moveAnswered, tickLending } from "./lending.js";
 import { claimSettled, ownerScanFailed, ownerSeen, tickOwnership } from "./ownership.js";
 import { paceFailed } from "./pacing.js";
-import { tableLoaded, tableNotLoaded, tickRecovery } from "./recovery.js";
+import { tableLoaded, tableNotLoaded, tickLoads, tickRecovery } from "./recovery.js";
 import { startAnswered, stopAnswered } from "./runResults.js";
 import { repeatStops } from "./runs.js";
 import type { OwnedWork, WorkloadState } from "./state.js";
@@ -209,6 +209,8 @@
       tickRecovery(turn, owned);
       dispatch(turn, owned);
       tickWorkers(turn, owned);
+    } else {
+      tickLoads(turn, owned);
     }
     tickLedger(turn, owned);
   }
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -48,7 +48,10 @@
   rowVersion: StoreVersion;
   /** When the last confirmed write was sent. */
   confirmedAtMs: number;
+  /** Tables that are to be read before anything is decided. */
   readonly loads: Set<Scan>;
+  /** When a table is read again whose read has failed. */
+  readonly loadRetries: Map<Scan, number>;
   active: boolean;
   /** It is being given back: nothing is ordered any more. */
   releasing: boolean;
