--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -142,6 +142,7 @@
 export const STORE = {
   FEED_WAIT_MS: 1_000,
   FEED_RETRY_MS: 200,
+  SCAN_RETRY_MS: 200,
   /** Nodes count the store as lost after this long without an answer. */
   LOST_MS: 1_300,
   /** Pause before a failed owner's write is sent again. */
@@ -191,6 +192,11 @@
   LATE_MS: 6_000,
 } as const;
 
+export const PENDING_COUNT = {
+  /** Callers may be told of a number this old. */
+  MOST_AGE_MS: 2_000,
+} as const;
+
 export const CALL = {
   /** Kept back of a caller's wait for the answer's way. */
   ANSWER_MARGIN_MS: 200,
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -16,7 +16,7 @@
 import { moveAnswered } from "./moves.js";
 import { claimSettled, ownerScanFailed, ownerSeen, tickOwnership } from "./ownership.js";
 import { paceFailed } from "./pacing.js";
-import { tableLoaded, tableNotLoaded, tickRecovery } from "./recovery.js";
+import { tableLoaded, tableNotLoaded, tickLoads, tickRecovery } from "./recovery.js";
 import { startAnswered, stopAnswered } from "./runResults.js";
 import { repeatStops } from "./runs.js";
 import type { OwnedWork, WorkloadState } from "./state.js";
@@ -40,6 +40,7 @@
   }
   logLine(turn, "warn", "clock.jumped", { byMs: Math.round(jumpMs) });
   work.ownerView.sinceMs = nowMs;
+  work.ownerView.viewAtMs = null;
   for (const feed of Object.values(work.feeds)) {
     feed.viewAtMs = null;
   }
@@ -52,7 +53,7 @@
 const scanned = (turn: Turn, event: Extract<WorkEvent, { type: "store/scanned" }>): void => {
   const { work } = turn;
   if (event.scan === SCAN.OWNER) {
-    ownerSeen(turn, event.rows, event.sentAtMs);
+    ownerSeen(turn, event);
   } else if (work.owned?.loads.has(event.scan) === true) {
     tableLoaded(turn, work.owned, event);
   } else if (isFeed(event.scan) && work.feeds[event.scan].scanning) {
@@ -213,6 +214,8 @@
       tickRecovery(turn, owned);
       dispatch(turn, owned);
       tickWorkers(turn, owned);
+    } else {
+      tickLoads(turn, owned);
     }
     tickLedger(turn, owned);
   }
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -46,7 +46,10 @@
   rowVersion: StoreVersion;
   /** When the last confirmed write was sent. */
   confirmedAtMs: number;
+  /** Tables that are to be read before anything is decided. */
   readonly loads: Set<Scan>;
+  /** When a table is read again whose read has failed. */
+  readonly loadRetries: Map<Scan, number>;
   active: boolean;
   /** It is being given back: nothing is ordered any more. */
   releasing: boolean;
@@ -154,6 +157,8 @@
   retryAtMs: number;
   /** When the newest complete view was asked for. */
   viewAtMs: number | null;
+  /** The same view's time on the store's steady clock. */
+  viewStoreMs: number | null;
   scanning: boolean;
 }
 
@@ -173,7 +178,9 @@
   version: StoreVersion;
   /** When this version was first seen. */
   sinceMs: number;
+  /** When the newest view was asked for, and its time on the store's steady clock. */
   viewAtMs: number | null;
+  viewStoreMs: number | null;
   pollSentAtMs: number | null;
   nextPollAtMs: number;
   claim: Claim | null;
@@ -224,6 +231,7 @@
   sentAtMs: null,
   retryAtMs: 0,
   viewAtMs: null,
+  viewStoreMs: null,
   scanning: false,
 });
 
@@ -246,6 +254,7 @@
     version: 0 as StoreVersion,
     sinceMs: 0,
     viewAtMs: null,
+    viewStoreMs: null,
     pollSentAtMs: null,
     nextPollAtMs: 0,
     claim: null,
--- a/packages/core/tests/work/memoryStore.ts
+++ b/packages/core/tests/work/memoryStore.ts
@@ -60,6 +60,8 @@
 /** The platform's store in memory: one counter of versions, transactions, feeds. */
 export class MemoryStore {
   version = 1;
+  /** Changes up to this version are not kept any more. */
+  forgottenUpTo = 0;
   private readonly cells = new Map<string, Cell>();
 
   /** @returns Null if every condition holds and the commit was done, else the rows in the way. */
