Count a start as of the next life until a look has shown the run

What callers saw: an item runs on two workers at once.

Cause: a run whose orders were all answered was taken to have ended with the earlier life. An answer to a start says that it runs, not in which life.

Fix: what no look has shown is handed to the next life, looked for, and stopped there if it is not shown, before its item starts elsewhere. A run that a look has shown belongs to the life that was looked at, and starts elsewhere at once.

--- a/packages/core/src/work/giveUps.ts
+++ b/packages/core/src/work/giveUps.ts
@@ -77,6 +77,7 @@
   }
   run.unansweredAtMs = turn.nowMs;
   run.confirmedAtMs = null;
+  run.shown = false;
   run.missingSinceMs = null;
   run.stopConfirmedAtMs = null;
   run.stopSentAtMs = run.stopSentAtMs === null ? null : -Infinity;
@@ -84,11 +85,12 @@
 
 /**
  * Hands the runs of a worker's earlier life to its next one, which knows no fence and no ended run:
- * an order without an answer may be carried out there. All else ended with the earlier life.
+ * an order without an answer may be carried out there, and one with an answer may have been before
+ * the new life was known. What looks have shown ended with the earlier life.
  */
 export const carryRuns = (turn: Turn, owned: OwnedWork, from: Worker, to: Worker): void => {
   for (const run of [...from.runs.values()]) {
-    if (run.phase === RUN_PHASE.PLANNED || !hasLooseStart(run)) {
+    if (run.phase === RUN_PHASE.PLANNED || (run.shown && !hasLooseStart(run))) {
       giveUpRun(turn, owned, from, run, "the worker started again");
       continue;
     }
--- a/packages/core/src/work/itemState.ts
+++ b/packages/core/src/work/itemState.ts
@@ -31,6 +31,8 @@
   checkpoint: string | null;
   /** When the worker confirmed it; a look sent later must show it. */
   confirmedAtMs: number | null;
+  /** A look has shown it. Only then is sure which life has it, as an answer to a start names none. */
+  shown: boolean;
   percent: number;
   percentSinceMs: number;
   load: number | null;
