Give each reservation of a worker an owner

Callers would see items start on a worker whose host is about to go down.

`reserved` was one flag that moves and waves set and cleared alike, so whatever ended first freed the worker for all.

A reservation now names its purpose and the number of its order or wave. Only its owner releases it, a worker that is kept for one thing is not taken for another, and a wave also frees the worker that it sent off.

The test calls the two functions, which were not there before.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -116,6 +116,12 @@
   UNANSWERED: "unanswered",
 } as const;
 
+/** What a worker is kept free for. */
+export const RESERVATION = {
+  MOVE: "move",
+  UPKEEP: "upkeep",
+} as const;
+
 export const OWNERSHIP = {
   /** How often others look at the owner's row. */
   POLL_MS: 200,
--- a/packages/core/src/work/demand.ts
+++ b/packages/core/src/work/demand.ts
@@ -48,7 +48,7 @@
   !worker.departed &&
   !isReplaced(owned, worker) &&
   !worker.report.draining &&
-  !worker.reserved &&
+  worker.reservedFor === null &&
   answers(turn, worker);
 
 const sharesOn = (worker: Worker, host: Resources): { lasting: number; ending: number } => {
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -21,7 +21,7 @@
   !worker.unreachable &&
   worker.clock !== null &&
   !worker.report.draining &&
-  !worker.reserved &&
+  worker.reservedFor === null &&
   !worker.departed &&
   !isReplaced(owned, worker) &&
   worker.restsUntilMs <= turn.nowMs &&
--- a/packages/core/src/work/hostWorkers.ts
+++ b/packages/core/src/work/hostWorkers.ts
@@ -1,6 +1,6 @@
 import type { HostId } from "@heatherferry/common";
 import { loseRuns } from "./runResults.js";
-import type { OwnedWork, Worker, WorkerLife } from "./state.js";
+import type { OwnedWork, Reservation, Worker, WorkerLife } from "./state.js";
 import type { Turn } from "./turn.js";
 
 /** @returns What names a worker's life; null where there is no worker. */
@@ -80,6 +80,23 @@
   );
 };
 
+/** @returns Whether a worker is kept free for this. */
+export const isReservedFor = (worker: Worker, { purpose, number }: Reservation): boolean =>
+  worker.reservedFor?.purpose === purpose && worker.reservedFor.number === number;
+
+/** @returns Whether a worker is kept free for this from now on; it may be for something else. */
+export const reserve = (worker: Worker, reservation: Reservation): boolean => {
+  worker.reservedFor ??= reservation;
+  return isReservedFor(worker, reservation);
+};
+
+/** Lets a worker have work again, if it was kept free for this. */
+export const release = (worker: Worker | null, reservation: Reservation): void => {
+  if (worker !== null && isReservedFor(worker, reservation)) {
+    worker.reservedFor = null;
+  }
+};
+
 /** The platform took a worker's host from under it; everything there has ended. */
 export const workerDeparted = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
   worker.departed = true;
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -21,7 +21,7 @@
   }
   for (const wave of owned.waves.values()) {
     const due = !wave.completed && wave.request.hosts.includes(host) && !wave.doneHosts.has(host);
-    if (due && (wave.outHosts.has(host) || workerOn(owned, host)?.reserved === true)) {
+    if (due && wave.outHosts.has(host)) {
       return false;
     }
   }
--- a/packages/core/src/work/moves.ts
+++ b/packages/core/src/work/moves.ts
@@ -1,11 +1,20 @@
 import type { HostId, PoolId } from "@heatherferry/common";
 import { isStandby } from "./catalog.js";
-import { HOSTS } from "./constants.js";
+import { HOSTS, RESERVATION } from "./constants.js";
 import type { WorkEvent } from "./events.js";
 import { planHostOrder } from "./hosts.js";
-import { findLife, isLife, lifeOf, workerDeparted, workerOn } from "./hostWorkers.js";
-import type { HostMove, OwnedWork, Worker } from "./state.js";
+import {
+  findLife,
+  isLife,
+  lifeOf,
+  release,
+  reserve,
+  workerDeparted,
+  workerOn,
+} from "./hostWorkers.js";
+import type { HostMove, OwnedWork, Reservation, Worker } from "./state.js";
 import { logLine, newHostOrderId, type Turn } from "./turn.js";
+import type { HostOrderId } from "./types.js";
 
 /** A host that can be had, and the idle worker that it runs. */
 export interface FreeHost {
@@ -13,6 +22,11 @@
   readonly worker: Worker | null;
 }
 
+const reservationOf = (order: HostOrderId): Reservation => ({
+  purpose: RESERVATION.MOVE,
+  number: order,
+});
+
 /** Orders a host to another pool; the worker that it runs gets no new work. */
 export const moveHost = (
   turn: Turn,
@@ -23,7 +37,7 @@
 ): void => {
   const order = newHostOrderId(turn.work);
   if (worker !== null) {
-    worker.reserved = true;
+    reserve(worker, reservationOf(order));
   }
   owned.moves.set(host, {
     order,
@@ -42,11 +56,8 @@
   });
 };
 
-const release = (owned: OwnedWork, { worker }: HostMove): void => {
-  const reserved = findLife(owned, worker);
-  if (reserved !== null) {
-    reserved.reserved = false;
-  }
+const giveUp = (owned: OwnedWork, { worker, order }: HostMove): void => {
+  release(findLife(owned, worker), reservationOf(order));
 };
 
 /** A move that was done before has left the worker that it brought alive. */
@@ -73,7 +84,7 @@
       if (arrived) {
         leaveBehind(turn, owned, move);
       } else {
-        release(owned, move);
+        giveUp(owned, move);
       }
     }
   }
@@ -101,6 +112,6 @@
     owned.hostListSentAtMs = null;
   } else {
     owned.moves.delete(event.host);
-    release(owned, move);
+    giveUp(owned, move);
   }
 };
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -22,7 +22,7 @@
 import type { Worker, PoolWork, TeamUse, WorkerLife } from "./workerState.js";
 
 export type { Run, Item, Occurrence, Submission } from "./itemState.js";
-export type { Worker, WorkerLife, Arrival, PoolWork, TeamUse } from "./workerState.js";
+export type { Worker, WorkerLife, Reservation, Arrival, PoolWork, TeamUse } from "./workerState.js";
 
 /** A wave under way. */
 export interface WaveWork {
--- a/packages/core/src/work/upkeep.ts
+++ b/packages/core/src/work/upkeep.ts
@@ -1,10 +1,18 @@
 import type { HostId } from "@heatherferry/common";
-import { HOST_ORDER_RESULT, HOSTS } from "./constants.js";
+import { HOST_ORDER_RESULT, HOSTS, RESERVATION } from "./constants.js";
 import { emptyWorker } from "./emptying.js";
 import type { WorkEvent } from "./events.js";
 import { planHostOrder } from "./hosts.js";
-import { isLife, lifeOf, workerOn } from "./hostWorkers.js";
-import type { HostOut, OwnedWork, WaveWork, Worker } from "./state.js";
+import {
+  findLife,
+  isLife,
+  isReservedFor,
+  lifeOf,
+  release,
+  reserve,
+  workerOn,
+} from "./hostWorkers.js";
+import type { HostOut, OwnedWork, Reservation, WaveWork, Worker } from "./state.js";
 import { logLine, newHostOrderId, type Turn } from "./turn.js";
 import type { HostOrderId } from "./types.js";
 
@@ -14,6 +22,28 @@
   worker.strayStops.size === 0 &&
   (late || (worker.fenced && !worker.unreachable));
 
+const upkeepOf = (wave: WaveWork): Reservation => ({
+  purpose: RESERVATION.UPKEEP,
+  number: wave.request.wave,
+});
+
+/** @returns Whether a worker is kept free for this wave. */
+export const isKeptFree = (wave: WaveWork, worker: Worker): boolean =>
+  isReservedFor(worker, upkeepOf(wave));
+
+/**
+ * Reserves a worker for the upkeep of its host and moves its lasting work away.
+ *
+ * @returns Whether it is kept free for this wave.
+ */
+export const keepFree = (turn: Turn, owned: OwnedWork, wave: WaveWork, worker: Worker): boolean => {
+  const mine = reserve(worker, upkeepOf(wave));
+  if (mine) {
+    emptyWorker(turn, owned, worker, "its host is due for upkeep");
+  }
+  return mine;
+};
+
 /** Counts hosts as out that an owner before this one sent to upkeep. */
 export const adoptOut = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
   for (const host of wave.request.hosts) {
@@ -49,9 +79,8 @@
       wave.outHosts.delete(host);
       wave.doneHosts.add(host);
       wave.dirty = true;
-      if (worker !== null) {
-        worker.reserved = false;
-      }
+      release(worker, upkeepOf(wave));
+      release(findLife(owned, out.worker), upkeepOf(wave));
       logLine(turn, "info", "wave.hostDone", {
         wave: wave.request.wave,
         host,
@@ -116,11 +145,10 @@
     if (out.confirmed) {
       continue;
     }
-    if (worker !== null) {
-      worker.reserved = true;
-      emptyWorker(turn, owned, worker, "its host is due for upkeep");
-    }
-    if (worker === null || isEmptied(worker, isLife(worker, out.worker))) {
+    if (
+      worker === null ||
+      (keepFree(turn, owned, wave, worker) && isEmptied(worker, isLife(worker, out.worker)))
+    ) {
       orderUpkeep(turn, owned, wave, host, worker);
     }
   }
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -7,11 +7,18 @@
 import type { StoreRow } from "./events.js";
 import { isSure } from "./ownership.js";
 import { isStandby } from "./catalog.js";
-import { emptyWorker } from "./emptying.js";
 import type { OwnedWork, WaveWork, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
 import type { WaveRequest } from "./types.js";
-import { adoptOut, finishReturned, isEmptied, orderUpkeep, repeatUpkeep } from "./upkeep.js";
+import {
+  adoptOut,
+  finishReturned,
+  isEmptied,
+  isKeptFree,
+  keepFree,
+  orderUpkeep,
+  repeatUpkeep,
+} from "./upkeep.js";
 
 /** The operators asked for a wave of upkeep. */
 export const waveRequested = (turn: Turn, request: WaveRequest): void => {
@@ -118,17 +125,18 @@
     .filter(({ host, worker }) =>
       worker === null
         ? isOff(turn, owned, host) || (waitMs <= 0 && !runsUnlisted(owned, host))
-        : hurry || worker.reserved,
+        : worker.reservedFor === null
+          ? hurry
+          : isKeptFree(wave, worker),
     )
     .sort((one, other) => rank(one.worker) - rank(other.worker))
     .slice(0, Math.max(0, slots));
   for (const { host, worker } of chosen) {
     if (worker !== null) {
-      if (!worker.reserved && waitMs > 0 && isLastOpen(turn, owned, worker)) {
+      const last = worker.reservedFor === null && waitMs > 0 && isLastOpen(turn, owned, worker);
+      if (last || !keepFree(turn, owned, wave, worker)) {
         continue;
       }
-      worker.reserved = true;
-      emptyWorker(turn, owned, worker, "its host is due for upkeep");
     }
     const up = owned.hosts.get(host)?.up === true;
     if (up && slots > 0 && (worker === null || isEmptied(worker, waitMs <= 0))) {
@@ -148,7 +156,7 @@
 
 /** Hosts that are off or reserved already go first, then those with the least work. */
 const rank = (worker: Worker | null): number =>
-  worker === null || worker.reserved ? -1 : worker.runs.size;
+  worker?.reservedFor === null ? worker.runs.size : -1;
 
 const lapseMissing = (owned: OwnedWork, wave: WaveWork): void => {
   if (owned.hostListAtMs === null) {
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -1,4 +1,5 @@
-import type { PoolId } from "@heatherferry/common";
+import type { PoolId, ValueOf } from "@heatherferry/common";
+import type { RESERVATION } from "./constants.js";
 import type { ItemKey, WorkerId, WorkerReport } from "./types.js";
 import type { Run, Submission } from "./itemState.js";
 
@@ -8,6 +9,13 @@
   readonly bornWallMs: number | null;
 }
 
+/** Only the one that made a reservation may end it. */
+export interface Reservation {
+  readonly purpose: ValueOf<typeof RESERVATION>;
+  /** Of the order to move, or of the wave. */
+  readonly number: number;
+}
+
 export interface Worker {
   report: WorkerReport;
   readonly enlistedAtMs: number;
@@ -46,7 +54,7 @@
   /** Its free room is not known before, since an earlier owner stopped runs there. */
   roomKnownAtMs: number;
   /** Its host is due for upkeep or a move: nothing new starts there. */
-  reserved: boolean;
+  reservedFor: Reservation | null;
   /** Its host was taken from under it; its entry lapses later. */
   departed: boolean;
 }
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -39,7 +39,7 @@
   failuresInRow: 0,
   restsUntilMs: 0,
   roomKnownAtMs: 0,
-  reserved: false,
+  reservedFor: null,
   departed: false,
 });
 
--- a/packages/core/tests/work/hostAnswers.test.ts
+++ b/packages/core/tests/work/hostAnswers.test.ts
@@ -12,8 +12,8 @@
   needs: { cpuMilli: 500, memoryMb, gpus: 0 },
 });
 
-const askForWave = (site: WorkSite, hosts: readonly HostId[], mostOut: number): void => {
-  const request = { wave: 1, hosts, durationMs: 6_000, mostOut };
+const askForWave = (site: WorkSite, host: HostId): void => {
+  const request = { wave: 1, hosts: [host], durationMs: 6_000, mostOut: 1 };
   site.store.put("wave 1", { type: "wave", version: storeVersion(0), request });
 };
 
@@ -69,7 +69,7 @@
   site.submit(ID, "mills", workOf([wideStep(2)]), 0);
   site.run(200);
   site.hostAnswerMs = 6_000;
-  askForWave(site, [host], 1);
+  askForWave(site, host);
   runUntil(site, () => workerOf(site, host) === null);
   site.hostAnswerMs = 2;
   runUntil(site, () => workerOf(site, host) !== null);
@@ -89,7 +89,7 @@
   site.run(200);
   site.workMs = 3_000;
   site.lostOrders.add(host);
-  askForWave(site, [host], 1);
+  askForWave(site, host);
   site.run(600);
   site.rebootHost(host);
   runUntil(site, () => workerOf(site, host) !== null);
--- /dev/null
+++ b/packages/core/tests/work/reservations.test.ts
@@ -0,0 +1,30 @@
+import test from "ava";
+import { RESERVATION, type Reservation, type Worker } from "../../src/index.js";
+import { release, reserve } from "../../src/work/hostWorkers.js";
+import { WorkSite } from "./workSite.js";
+
+const MOVE: Reservation = { purpose: RESERVATION.MOVE, number: 1 };
+const WAVE: Reservation = { purpose: RESERVATION.UPKEEP, number: 1 };
+
+const anyWorker = (): Worker | null => {
+  const site = new WorkSite(5, 1, 3);
+  site.run(500);
+  const owned = site.nodes[0]?.state.work?.owned;
+  return [...(owned?.workers.values() ?? [])][0] ?? null;
+};
+
+test("a worker is let go by a move although a wave keeps it free", (t) => {
+  const worker = anyWorker();
+  if (worker === null) {
+    t.fail();
+    return;
+  }
+  t.true(reserve(worker, WAVE));
+  t.false(reserve(worker, MOVE));
+  release(worker, MOVE);
+  t.deepEqual(worker.reservedFor, WAVE);
+  release(worker, { ...WAVE, number: 2 });
+  t.deepEqual(worker.reservedFor, WAVE);
+  release(worker, WAVE);
+  t.is(worker.reservedFor, null);
+});
