Drop planned host orders whose grounds are gone, and free what they held

Callers would see a worker idle for 8 s beside waiting work, and hosts taken from workers that were never chosen.

A planned order waits for the write that names its host. When that write settled while ownership was not sure, the order was dropped silently, and its worker stayed reserved and its move counted as on its way. When the write was refused for seconds and then went through, the order was sent whatever the host ran by then.

Now an order goes out only if its move or wave still waits for it, the host runs the worker of then, and that worker is empty; else, and when ownership is not sure, its reservation ends at once (`dropHostOrders`, called in `ledger.ts` beside `dropStarts`). Orders to hosts have a module of their own.

Both tests of `plannedOrders` failed before.

--- a/packages/core/src/work/hosts.ts
+++ b/packages/core/src/work/hosts.ts
@@ -1,7 +1,7 @@
 import type { HostId } from "@heatherferry/common";
 import { HOSTS, OWNERSHIP } from "./constants.js";
 import type { WorkEvent } from "./events.js";
-import type { HostOrder, OwnedWork } from "./state.js";
+import type { OwnedWork } from "./state.js";
 import type { Turn } from "./turn.js";
 import type { OwnerRow } from "./types.js";
 
@@ -73,21 +73,3 @@
 
 export const mayOrderHost = (turn: Turn, owned: OwnedWork, host: HostId): boolean =>
   turn.nowMs >= (owned.inheritedOrders.get(host) ?? -Infinity);
-
-/** Plans an order; it goes out once the owner's row names the host, so that a successor knows. */
-export const planHostOrder = (turn: Turn, owned: OwnedWork, order: HostOrder): void => {
-  owned.hostOrders.set(order.host, turn.nowMs);
-  owned.plannedOrders.push(order);
-};
-
-/** Sends orders whose hosts the owner's row names now. */
-export const sendHostOrders = (
-  turn: Turn,
-  owned: OwnedWork,
-  orders: readonly HostOrder[],
-): void => {
-  for (const order of orders) {
-    owned.hostOrders.set(order.host, turn.nowMs);
-    turn.effects.push(order);
-  }
-};
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -1,7 +1,8 @@
 import { pendingByQueue } from "./pending.js";
 import { OWNERSHIP, STORE } from "./constants.js";
 import type { RowToWrite, WorkEvent } from "./events.js";
-import { orderedHosts, sendHostOrders } from "./hosts.js";
+import { dropHostOrders, sendHostOrders } from "./hostOrders.js";
+import { orderedHosts } from "./hosts.js";
 import { endOwning, isSure, stillOwner } from "./ownership.js";
 import type { LedgerWrite, OwnedWork, Submission, Worker } from "./state.js";
 import { progressOf } from "./submissions.js";
@@ -211,6 +212,7 @@
     sendHostOrders(turn, owned, write.orders);
     sendStarts(turn, owned, write.starts);
   } else {
+    dropHostOrders(turn, owned, write.orders);
     dropStarts(turn, owned, write.starts);
   }
   if (write.releases) {
--- a/packages/core/src/work/moves.ts
+++ b/packages/core/src/work/moves.ts
@@ -1,20 +1,11 @@
 import type { HostId, PoolId } from "@heatherferry/common";
 import { isStandby } from "./catalog.js";
-import { HOSTS, RESERVATION } from "./constants.js";
+import { HOSTS } from "./constants.js";
 import type { WorkEvent } from "./events.js";
-import { planHostOrder } from "./hosts.js";
-import {
-  findLife,
-  isLife,
-  lifeOf,
-  release,
-  reserve,
-  workerDeparted,
-  workerOn,
-} from "./hostWorkers.js";
-import type { HostMove, OwnedWork, Reservation, Worker } from "./state.js";
+import { giveUpMove, planHostOrder, reservationOf } from "./hostOrders.js";
+import { findLife, isLife, lifeOf, reserve, workerDeparted, workerOn } from "./hostWorkers.js";
+import type { HostMove, OwnedWork, Worker } from "./state.js";
 import { logLine, newHostOrderId, type Turn } from "./turn.js";
-import type { HostOrderId } from "./types.js";
 
 /** A host that can be had, and the idle worker that it runs. */
 export interface FreeHost {
@@ -22,11 +13,6 @@
   readonly worker: Worker | null;
 }
 
-const reservationOf = (order: HostOrderId): Reservation => ({
-  purpose: RESERVATION.MOVE,
-  number: order,
-});
-
 /** Orders a host to another pool; the worker that it runs gets no new work. */
 export const moveHost = (
   turn: Turn,
@@ -56,10 +42,6 @@
   });
 };
 
-const giveUp = (owned: OwnedWork, { worker, order }: HostMove): void => {
-  release(findLife(owned, worker), reservationOf(order));
-};
-
 /** A move that was done before has left the worker that it brought alive. */
 const leaveBehind = (turn: Turn, owned: OwnedWork, { worker, to }: HostMove): void => {
   const left = findLife(owned, worker);
@@ -84,7 +66,7 @@
       if (arrived) {
         leaveBehind(turn, owned, move);
       } else {
-        giveUp(owned, move);
+        giveUpMove(owned, move);
       }
     }
   }
@@ -112,6 +94,6 @@
     owned.hostListSentAtMs = null;
   } else {
     owned.moves.delete(event.host);
-    giveUp(owned, move);
+    giveUpMove(owned, move);
   }
 };
--- a/packages/core/src/work/upkeep.ts
+++ b/packages/core/src/work/upkeep.ts
@@ -2,7 +2,7 @@
 import { HOST_ORDER_RESULT, HOSTS, RESERVATION } from "./constants.js";
 import { emptyWorker } from "./emptying.js";
 import type { WorkEvent } from "./events.js";
-import { planHostOrder } from "./hosts.js";
+import { planHostOrder } from "./hostOrders.js";
 import {
   findLife,
   isLife,
--- /dev/null
+++ b/packages/core/tests/work/plannedOrders.test.ts
@@ -0,0 +1,54 @@
+import { hostId } from "@heatherferry/common";
+import test from "ava";
+import type { StepSpec } from "../../src/index.js";
+import { stepOf, workOf } from "./workSpecs.js";
+import { WorkSite } from "./workSite.js";
+
+const HOST = hostId("m-mills-0");
+
+/** One item to a worker of the site. */
+const wideStep = (count: number): StepSpec => ({
+  ...stepOf(count, 1_000, []),
+  needs: { cpuMilli: 500, memoryMb: 6_000, gpus: 0 },
+});
+
+/** A site whose owner just planned to turn a host off; the write that names it is yet to come. */
+const siteWithPlannedMove = (): WorkSite => {
+  const site = new WorkSite(5, 1, 3);
+  const isPlanned = (): boolean =>
+    site.effects.some(
+      (effect) =>
+        effect.type === "log/write" &&
+        effect.event === "host.moving" &&
+        effect.fields.host === HOST,
+    );
+  while (!isPlanned()) {
+    site.run(1);
+  }
+  return site;
+};
+
+const movesOf = (site: WorkSite): number =>
+  site.effects.filter((effect) => effect.type === "power/move" && effect.host === HOST).length;
+
+test("a worker gets no work for seconds after the order to move its host was dropped", (t) => {
+  const site = siteWithPlannedMove();
+  site.workMs = 10_000;
+  site.writeAnswerMs = 1_300;
+  site.run(1_400);
+  site.writeAnswerMs = 4;
+  t.is(movesOf(site), 0);
+  site.submit("00000000000000aa", "mills", workOf([wideStep(3)]), 0);
+  site.run(2_000);
+  t.is(site.workers.get("mills-0")?.runs.size, 1);
+});
+
+test("a planned move takes the host from a worker that came while it waited for the store", (t) => {
+  const site = siteWithPlannedMove();
+  site.writesRefusedUntilMs = site.nowMs + 2_500;
+  site.run(100);
+  site.rebootHost(HOST);
+  site.run(2_600);
+  t.is(movesOf(site), 0);
+  t.truthy(site.hosts.get(HOST)?.worker);
+});
--- a/packages/core/tests/work/siteRemote.ts
+++ b/packages/core/tests/work/siteRemote.ts
@@ -75,6 +75,10 @@
   /** Run time of every item; drawn for each where it is null. */
   workMs: number | null = null;
   storeDownUntilMs = 0;
+  /** Writes are refused until then, reads are not. */
+  writesRefusedUntilMs = 0;
+  /** How long the answer to a write takes. */
+  writeAnswerMs = 4;
   /** Starts that were sent to workers that had gone. */
   startsOnGoneWorkers = 0;
   /** So many of the next starts have no answer, and are carried out at once, or late. */
@@ -139,7 +143,7 @@
     const { commitId } = commit;
     const settled = { type: "store/commitSettled" as const, commitId, sentAtMs, atMs: 0 };
     const nothing = { version: null, rows: [], reason: "down" };
-    if (!this.storeServes(node)) {
+    if (!this.storeServes(node) || this.nowMs < this.writesRefusedUntilMs) {
       this.answerLater(node, 2, { ...settled, ...nothing, result: "refused" });
       return;
     }
@@ -154,7 +158,7 @@
     const version = storeVersion(this.store.version);
     this.answerLater(
       node,
-      4,
+      this.writeAnswerMs,
       rows === null
         ? { ...settled, result: "committed", version, rows: [], reason: null }
         : { ...settled, result: "conflicted", version: null, rows, reason: "conflict" },
