--- a/packages/core/src/work/moves.ts
+++ b/packages/core/src/work/moves.ts
@@ -2,8 +2,8 @@
 import { isStandby } from "./catalog.js";
 import { HOSTS } from "./constants.js";
 import type { WorkEvent } from "./events.js";
-import { planHostOrder } from "./hosts.js";
-import { findLife, isLife, lifeOf, workerDeparted, workerOn } from "./hostWorkers.js";
+import { giveUpMove, planHostOrder, reservationOf } from "./hostOrders.js";
+import { findLife, isLife, lifeOf, reserve, workerDeparted, workerOn } from "./hostWorkers.js";
 import type { HostMove, OwnedWork, Worker } from "./state.js";
 import { logLine, newHostOrderId, type Turn } from "./turn.js";
 
@@ -23,7 +23,7 @@
 ): void => {
   const order = newHostOrderId(turn.work);
   if (worker !== null) {
-    worker.reserved = true;
+    reserve(worker, reservationOf(order));
   }
   owned.moves.set(host, {
     order,
@@ -42,13 +42,6 @@
   });
 };
 
-const release = (owned: OwnedWork, { worker }: HostMove): void => {
-  const reserved = findLife(owned, worker);
-  if (reserved !== null) {
-    reserved.reserved = false;
-  }
-};
-
 /** A move that was done before has left the worker that it brought alive. */
 const leaveBehind = (turn: Turn, owned: OwnedWork, { worker, to }: HostMove): void => {
   const left = findLife(owned, worker);
@@ -73,7 +66,7 @@
       if (arrived) {
         leaveBehind(turn, owned, move);
       } else {
-        release(owned, move);
+        giveUpMove(owned, move);
       }
     }
   }
@@ -101,6 +94,6 @@
     owned.hostListSentAtMs = null;
   } else {
     owned.moves.delete(event.host);
-    release(owned, move);
+    giveUpMove(owned, move);
   }
 };
