Take for a new ownership only what was read since it began

An item ran a second time after its end was noted (TWICE): a node that lost the work while it loaded, and owned it again before its earlier read of the progress rows was answered, took that read for the new one. What others had finished in between was unknown to it. The same way a read of the hand-ins from an earlier ownership could move the feed on past hand-ins and cancels that were dropped because other tables were still missing.

Answers to reads that were sent before the node took over are dropped, and a read of the whole hand-ins or workers is no longer awaited from before.

--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -171,6 +171,7 @@
     feed.sentAtMs = null;
     feed.viewAtMs = null;
     feed.viewStoreMs = null;
+    feed.scanning = false;
   }
   logLine(turn, "info", "owner.taken", {
     fence: Number(work.owned.fence),
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -46,10 +46,18 @@
   }
 };
 
+/** Asked for by an earlier ownership of this node: others may have changed what it read. */
+const isOutdated = (
+  { owned }: WorkloadState,
+  { scan, sentAtMs }: Extract<WorkEvent, { type: "store/scanned" }>,
+): boolean => scan !== SCAN.OPERATORS && owned !== null && sentAtMs < owned.takenAtMs;
+
 const scanned = (turn: Turn, event: Extract<WorkEvent, { type: "store/scanned" }>): void => {
   const { work } = turn;
   if (event.scan === SCAN.OWNER) {
     ownerSeen(turn, event);
+  } else if (isOutdated(work, event)) {
+    logLine(turn, "info", "scan.outdated", { scan: event.scan });
   } else if (work.owned?.loads.has(event.scan) === true) {
     tableLoaded(turn, work.owned, event);
   } else if (event.scan !== SCAN.PROGRESS && work.feeds[event.scan].scanning) {
--- a/packages/core/tests/work/loading.test.ts
+++ b/packages/core/tests/work/loading.test.ts
@@ -25,3 +25,38 @@
   t.deepEqual(site.unfinished(), []);
   t.is(site.accepted.size, 1);
 });
+
+const untilOwner = (site: WorkSite, node: number): void => {
+  while (site.nodes[node]?.state.work?.owned == null) {
+    site.run(1);
+  }
+};
+
+test("what a node read as an earlier owner is taken for what its next ownership has to know", (t) => {
+  const site = new WorkSite(5, 2, 2);
+  site.workMs = 300;
+  site.run(2_000);
+  const first = ownerOf(site);
+  const other = 1 - first;
+  // The next owner reads while the work is yet to be done, and loses the work before it hears.
+  site.scanAnswerMs = { progress: 12_000 };
+  site.stopGracefully(first);
+  untilOwner(site, other);
+  site.submit(ID, "mills", workOf([stepOf(1, 500, [])]), other);
+  site.run(20);
+  const cut = site.nodes[other];
+  t.truthy(cut);
+  if (cut !== undefined) {
+    cut.refusedUntilMs = site.nowMs + 8_000;
+  }
+  site.run(100);
+  site.scanAnswerMs = {};
+  untilOwner(site, first);
+  site.run(4_000);
+  t.deepEqual(site.unfinished(), []);
+  site.scanAnswerMs = { progress: 5_000 };
+  site.stopGracefully(first);
+  untilOwner(site, other);
+  site.run(8_000);
+  t.is(site.starts, 1);
+});
--- a/packages/core/tests/work/siteStore.ts
+++ b/packages/core/tests/work/siteStore.ts
@@ -43,6 +43,8 @@
   feedDownUntilMs: Partial<Record<Feed, number>> = {};
   /** The parts of a scan are read within this time, each at its own moment. */
   scanMs: Partial<Record<Scan, number>> = {};
+  /** What a scan has read is on its way for so long. */
+  scanAnswerMs: Partial<Record<Scan, number>> = {};
 
   /** Hands an event to a node, now. */
   protected abstract handle(node: SiteNode, event: Event): void;
@@ -83,7 +85,7 @@
     this.at(firstMs + spreadMs, () => {
       this.answerLater(
         node,
-        2,
+        this.scanAnswerMs[scan] ?? 2,
         refused
           ? { type: "store/scanFailed", scan, reason: "down", atMs: 0 }
           : {
