--- a/apps/work/src/boundedSink.ts
+++ b/apps/work/src/boundedSink.ts
@@ -14,6 +14,9 @@
   [LOG_CLASS.KEPT]: { linesPerS: 500, burstLines: 4_000, maxWaitingBytes: 2_097_152 },
 };
 
+/** Bytes of one write: a pipe takes so many whole, so that its reader gets whole lines. */
+export const MAX_WRITE_BYTES = 4_096;
+
 /** Least time between two lines that say how many were dropped. */
 export const DROPPED_LINE_GAP_MS = 1_000;
 
@@ -55,8 +58,9 @@
   }
 
   override write(line: string): void {
-    this.waiting.push(line);
-    this.waitingBytes += line.length + 1;
+    const ended = `${line}\n`;
+    this.waiting.push(ended);
+    this.waitingBytes += Buffer.byteLength(ended);
     if (!this.writing) {
       this.writing = true;
       setImmediate(() => {
@@ -96,11 +100,24 @@
     );
   }
 
+  /** @returns The oldest waiting lines, as many as one write takes, but at least one. */
+  private takeLines(): Buffer {
+    let lines = 1;
+    let bytes = this.bytesOf(0);
+    while (lines < this.waiting.length && bytes + this.bytesOf(lines) <= MAX_WRITE_BYTES) {
+      bytes += this.bytesOf(lines);
+      lines += 1;
+    }
+    this.waitingBytes -= bytes;
+    return Buffer.from(this.waiting.splice(0, lines).join(""));
+  }
+
+  private bytesOf(index: number): number {
+    return Buffer.byteLength(this.waiting[index] ?? "");
+  }
+
   private flush(): void {
-    const bytes = Buffer.from(`${this.waiting.join("\n")}\n`);
-    this.waiting = [];
-    this.waitingBytes = 0;
-    this.output.write(bytes, (failed) => {
+    this.output.write(this.takeLines(), (failed) => {
       if (failed) {
         // Nobody can be told that the log itself is broken but by the count.
         this.dropped.kept += 1;
--- a/apps/work/tests/boundedSink.test.ts
+++ b/apps/work/tests/boundedSink.test.ts
@@ -1,16 +1,18 @@
 import { LOG_CLASS, type LogClass } from "@heatherferry/common";
 import { install, type Clock } from "@sinonjs/fake-timers";
 import test from "ava";
-import { BoundedSink, DROPPED_LINE_GAP_MS, LOG_BOUND } from "../src/boundedSink.js";
+import { BoundedSink, DROPPED_LINE_GAP_MS, LOG_BOUND, MAX_WRITE_BYTES } from "../src/boundedSink.js";
 import { LineOutput } from "../src/lineOutput.js";
 
 /** Keeps what is written; while it is blocked, writes are not done. */
 class MemoryOutput extends LineOutput {
   readonly lines: string[] = [];
+  mostBytes = 0;
   blocked = false;
   private done: ((failed: boolean) => void) | null = null;
 
   override write(bytes: Buffer, done: (failed: boolean) => void): void {
+    this.mostBytes = Math.max(this.mostBytes, bytes.length);
     this.lines.push(...bytes.toString().trimEnd().split("\n"));
     if (this.blocked) {
       this.done = done;
@@ -71,6 +73,17 @@
   t.is(sink.dropped.routine, 1 + LOG_BOUND.routine.linesPerS / 2);
 });
 
+test.serial("many lines of one turn reach the reader in writes that a pipe takes whole", (t) => {
+  const { sink, output } = newSink();
+  const lines = Array.from({ length: 300 }, (_, index) => `${index} ${"á".repeat(100)}`);
+  for (const line of lines) {
+    sink.write(line);
+  }
+  clock.tick(1);
+  t.deepEqual(output.lines, lines);
+  t.true(output.mostBytes <= MAX_WRITE_BYTES);
+});
+
 test.serial("an endless flood writes one line a second on what was dropped, by class", (t) => {
   const { sink, output } = newSink();
   for (let turn = 0; turn < 100; turn += 1) {
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -92,6 +92,7 @@
     worker: report.id,
     pool: report.pool,
     address: report.address,
+    bornWallMs: report.bornWallMs,
     draining: report.draining,
   });
 };
