--- a/apps/work/tests/boundedSink.test.ts
+++ b/apps/work/tests/boundedSink.test.ts
@@ -1,7 +1,12 @@
 import { LOG_CLASS, type LogClass } from "@heatherferry/common";
 import { install, type Clock } from "@sinonjs/fake-timers";
 import test from "ava";
-import { BoundedSink, DROPPED_LINE_GAP_MS, LOG_BOUND, MAX_WRITE_BYTES } from "../src/boundedSink.js";
+import {
+  BoundedSink,
+  DROPPED_LINE_GAP_MS,
+  LOG_BOUND,
+  MAX_WRITE_BYTES,
+} from "../src/boundedSink.js";
 import { LineOutput } from "../src/lineOutput.js";
 
 /** Keeps what is written; while it is blocked, writes are not done. */
