--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -16,6 +16,7 @@
   HandIn,
   HostListing,
   ItemKey,
+  LeasedWorker,
   OwnerRow,
   Progress,
   RunningLine,
@@ -37,6 +38,12 @@
 export type Life = ValueOf<typeof LIFE>;
 export type HostOrderResult = ValueOf<typeof HOST_ORDER_RESULT>;
 
+/** What may run on a worker. */
+export interface WorkerLease {
+  readonly worker: WorkerId;
+  readonly lease: LeasedWorker;
+}
+
 /** A row of the store after decoding. Rows that cannot be read never get this far. */
 export type StoreRow =
   | { readonly type: "catalog"; readonly version: StoreVersion; readonly catalog: Catalog }
@@ -47,6 +54,7 @@
   | { readonly type: "cancel"; readonly version: StoreVersion; readonly id: SubmissionId }
   | { readonly type: "progress"; readonly version: StoreVersion; readonly progress: Progress }
   | { readonly type: "owner"; readonly version: StoreVersion; readonly owner: OwnerRow }
+  | ({ readonly type: "lease"; readonly version: StoreVersion } & WorkerLease)
   | {
       readonly type: "waveReport";
       readonly version: StoreVersion;
@@ -61,6 +69,7 @@
   | { readonly type: "cancel"; readonly id: SubmissionId }
   | { readonly type: "progress"; readonly progress: Progress }
   | { readonly type: "owner"; readonly owner: OwnerRow }
+  | ({ readonly type: "lease" } & WorkerLease)
   | {
       readonly type: "waveReport";
       readonly wave: number;
@@ -71,6 +80,7 @@
 
 export type RowName =
   | { readonly type: "handIn" | "cancel" | "progress"; readonly id: SubmissionId }
+  | { readonly type: "lease"; readonly worker: WorkerId }
   | { readonly type: "owner" };
 
 /** The row must still be at this version; 0 says that it must not exist. */
--- a/packages/core/src/work/lives.ts
+++ b/packages/core/src/work/lives.ts
@@ -1,5 +1,6 @@
 import { LIFE, RUN_PHASE } from "./constants.js";
 import type { Life, WorkerTarget } from "./events.js";
+import { logOtherLife, type Asked } from "./otherLife.js";
 import type { OwnedWork, Worker } from "./state.js";
 import type { Turn } from "./turn.js";
 import type { WorkerReport } from "./types.js";
@@ -21,15 +22,26 @@
 });
 
 /**
- * @returns The worker that an answer is about; null where it was sent under another ownership, or to
+ * @param asked - What the answer answers.
+ * @returns The worker that an answer is about; null where it was asked under another ownership, or of
  *   another life or address than the worker has now, so that it says nothing of it.
  */
-export const workerAsked = (owned: OwnedWork, answer: WorkerTarget): Worker | null => {
+export const workerAsked = (
+  turn: Turn,
+  owned: OwnedWork,
+  answer: WorkerTarget,
+  asked: Asked,
+): Worker | null => {
   const worker = owned.workers.get(answer.worker);
+  if (worker === undefined) {
+    return null;
+  }
+  const { address, bornWallMs } = worker.report;
   const same =
-    worker?.report.address === answer.address &&
-    worker.report.bornWallMs === answer.bornWallMs &&
-    owned.fence === answer.fence;
+    address === answer.address && bornWallMs === answer.bornWallMs && owned.fence === answer.fence;
+  if (!same) {
+    logOtherLife(turn, worker, asked, answer.bornWallMs);
+  }
   return same ? worker : null;
 };
 
--- a/packages/core/src/work/giveUps.ts
+++ b/packages/core/src/work/lostRuns.ts
@@ -1,4 +1,5 @@
 import { ORDER, RUN_PHASE } from "./constants.js";
+import { noteGivenUp } from "./givenUp.js";
 import { expectLateLease } from "./leases.js";
 import { dropRun, hasLooseStart } from "./runs.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
@@ -25,6 +26,7 @@
   dropRun(turn, owned, worker, run);
   itemLost(turn, owned, run.item);
   if (run.phase !== RUN_PHASE.PLANNED) {
+    noteGivenUp(turn, owned, worker, run, why);
     logLine(turn, "warn", "run.lost", {
       item: run.item.key,
       run: run.number,
--- a/packages/core/src/work/runResults.ts
+++ b/packages/core/src/work/runResults.ts
@@ -1,23 +1,14 @@
 import { ORDER, RUN_PHASE, START_RESULT } from "./constants.js";
-import type { WorkEvent, WorkerTarget } from "./events.js";
-import { giveUpRun } from "./giveUps.js";
+import type { WorkEvent } from "./events.js";
+import { giveUpRun } from "./lostRuns.js";
 import { noteClock } from "./leases.js";
 import { workerAsked } from "./lives.js";
+import { logOtherLife } from "./otherLife.js";
 import { hasLooseStart, stopRun } from "./runs.js";
 import { repeatStart } from "./starts.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { itemBegan } from "./submissions.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
-import type { ItemKey } from "./types.js";
-
-const runOf = (
-  owned: OwnedWork,
-  event: WorkerTarget & { item: ItemKey; run: number },
-): { worker: Worker; run: Run } | null => {
-  const worker = workerAsked(owned, event);
-  const run = worker?.runs.get(event.item);
-  return worker !== null && run?.number === event.run ? { worker, run } : null;
-};
 
 /** Takes a worker's answer to a start. */
 export const startAnswered = (
@@ -25,11 +16,11 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/startAnswered" }>,
 ): void => {
-  const found = runOf(owned, event);
-  if (found === null) {
+  const worker = workerAsked(turn, owned, event, "start");
+  const run = worker?.runs.get(event.item);
+  if (worker === null || run?.number !== event.run) {
     return;
   }
-  const { worker, run } = found;
   run.startsAnswered += event.result === START_RESULT.UNANSWERED ? 0 : 1;
   noteClock(turn, worker, event.clockMs);
   if (event.result !== START_RESULT.STARTED) {
@@ -57,7 +48,8 @@
       startRefused(turn, owned, worker, run, event);
       return;
     case "wrongLife":
-      giveUpRun(turn, owned, worker, run, "another life has its address");
+      logOtherLife(turn, worker, "start", null);
+      giveUpRun(turn, owned, worker, run, "another life answered the start");
       return;
     case "unanswered":
       if (!repeatStart(turn, owned, worker, run)) {
@@ -84,7 +76,7 @@
     worker.restsUntilMs = Math.max(worker.restsUntilMs, turn.nowMs + ORDER.PAUSE_MS);
   }
   if (!hasLooseStart(run)) {
-    giveUpRun(turn, owned, worker, run, "its start was refused");
+    giveUpRun(turn, owned, worker, run, `the start was refused: ${event.result}`);
   } else if (event.result === START_RESULT.OVER_BEFORE) {
     // An earlier order was carried out and the run is over: looks list its end.
     run.confirmedAtMs ??= turn.nowMs;
@@ -99,7 +91,7 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/stopAnswered" }>,
 ): void => {
-  const worker = workerAsked(owned, event);
+  const worker = workerAsked(turn, owned, event, "stop");
   if (worker === null) {
     return;
   }
@@ -109,7 +101,8 @@
     return;
   }
   if (event.wrongLife) {
-    giveUpRun(turn, owned, worker, run, "another life has its address");
+    logOtherLife(turn, worker, "stop", null);
+    giveUpRun(turn, owned, worker, run, "another life answered the stop");
   } else if (event.settled) {
     run.stopConfirmedAtMs ??= turn.nowMs;
     worker.nextLookAtMs = turn.nowMs;
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -1,4 +1,5 @@
 import { ITEM_PHASE, ORDER, RUN_PHASE } from "./constants.js";
+import { leaseChanged } from "./leaseRows.js";
 import { isSure } from "./ownership.js";
 import { poolOf } from "./pools.js";
 import type { Item, OwnedWork, Run, TeamUse, Worker } from "./state.js";
@@ -74,6 +75,7 @@
     worker.busySinceMs = turn.nowMs;
   }
   worker.runs.set(item.key, run);
+  leaseChanged(owned, worker.report.id);
   charge(owned, worker, run, 1);
   return run;
 };
@@ -84,6 +86,7 @@
     return;
   }
   worker.runs.delete(run.item.key);
+  leaseChanged(owned, worker.report.id);
   charge(owned, worker, run, -1);
   if (run.item.run === run) {
     run.item.run = null;
@@ -117,6 +120,7 @@
 
 const sendStop = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run): void => {
   run.stopSentAtMs = turn.nowMs;
+  leaseChanged(owned, worker.report.id);
   if (!isSure(turn, owned)) {
     return;
   }
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -18,10 +18,10 @@
   WorkerId,
 } from "./types.js";
 import type { Run, Submission } from "./itemState.js";
-import type { Worker, PoolWork, TeamUse } from "./workerState.js";
+import type { GivenUpRuns, Worker, PoolWork, TeamUse } from "./workerState.js";
 
 export type { Run, Item, Occurrence, Submission } from "./itemState.js";
-export type { Worker, Arrival, PoolWork, TeamUse } from "./workerState.js";
+export type { GivenUpRuns, Worker, Arrival, PoolWork, TeamUse } from "./workerState.js";
 
 /** A wave under way. */
 export interface WaveWork {
@@ -52,6 +52,10 @@
   active: boolean;
   /** It is being given back: nothing is ordered any more. */
   releasing: boolean;
+  /** What the store says may run on each worker. */
+  readonly leases: Map<WorkerId, LeasedWorker>;
+  /** Workers on which other work may run than their rows say. */
+  readonly leaseChanges: Set<WorkerId>;
   /** Workers of the owner before that were not heard yet. */
   readonly unheard: Map<WorkerId, LeasedWorker>;
   /** Items that may run on a worker that was not heard yet. */
@@ -92,6 +96,8 @@
   hostViewAtMs: number | null;
   readonly waves: Map<number, WaveWork>;
   demandLoggedAtMs: number;
+  /** Given up since the clock turned last, by worker and reason. */
+  readonly givenUp: Map<string, GivenUpRuns>;
   forgetAtMs: number;
   /** Hand-ins that are being removed, by the write that does it. */
   readonly forgetting: Map<string, SubmissionId>;
@@ -164,6 +170,13 @@
   claimAtMs: number | null;
 }
 
+/** Turns of the clock that were handled late and that no line tells of yet. */
+export interface LoopLag {
+  loggedAtMs: number;
+  turns: number;
+  worstMs: number;
+}
+
 export interface WorkIdentity {
   readonly holder: string;
   readonly incarnation: string;
@@ -192,6 +205,7 @@
   /** When all that goes by time was looked at last. */
   tickedAtMs: number;
   wakeAtMs: number | null;
+  lag: LoopLag;
 }
 
 const newFeed = (): FeedState => ({
@@ -235,4 +249,5 @@
   nextCommit: 1,
   tickedAtMs: -Infinity,
   wakeAtMs: null,
+  lag: { loggedAtMs: -Infinity, turns: 0, worstMs: 0 },
 });
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -1,5 +1,5 @@
-import type { PoolId } from "@heatherferry/common";
-import type { ItemKey, WorkerReport } from "./types.js";
+import type { Address, PoolId } from "@heatherferry/common";
+import type { ItemKey, WorkerId, WorkerReport } from "./types.js";
 import type { Run, Submission } from "./itemState.js";
 
 export interface Worker {
@@ -21,6 +21,8 @@
   fenced: boolean;
   /** Order number of the look under way; null where none is, or what it asks is out of date. */
   lookOrder: number | null;
+  /** When the newest look was sent, answered or not. */
+  lastLookAtMs: number | null;
   nextLookAtMs: number;
   answeredAtMs: number | null;
   /** The last look had no answer: nothing new starts there until one has. */
@@ -51,6 +53,22 @@
   departed: boolean;
 }
 
+/** Ordered runs of one worker that were given up for one reason, gathered for one log line. */
+export interface GivenUpRuns {
+  readonly worker: WorkerId;
+  readonly why: string;
+  readonly address: Address;
+  readonly bornWallMs: number | null;
+  /** When the first of them was given up, and how old the worker's last answer was then. */
+  readonly sinceMs: number;
+  readonly answerAgeMs: number | null;
+  /** Age of the newest look at the worker, answered or not. */
+  readonly lookAgeMs: number | null;
+  count: number;
+  /** The first few, as item and run. */
+  readonly first: string[];
+}
+
 /** Work handed in to a pool. */
 export interface Arrival {
   readonly atMs: number;
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -1,12 +1,14 @@
 import { LEASE, LIFE } from "./constants.js";
 import type { WorkEvent } from "./events.js";
 import { extendLease, hasStops, isSilent, noteClock } from "./leases.js";
+import { leaseChanged } from "./leaseRows.js";
 import { lifeBornAt, targetOf, updateReport, workerAsked } from "./lives.js";
 import { isSure } from "./ownership.js";
+import { logOtherLife } from "./otherLife.js";
 import { paceFillers } from "./pacing.js";
 import { poolOf } from "./pools.js";
 import { runEnded, runSeen } from "./ends.js";
-import { carryRuns, leaseEnded, loseRuns } from "./giveUps.js";
+import { carryRuns, leaseEnded, loseRuns } from "./lostRuns.js";
 import type { OwnedWork, Worker } from "./state.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
 import { dropUnseen } from "./unseen.js";
@@ -22,6 +24,7 @@
   lateLeaseUntilClockMs: null,
   fenced: false,
   lookOrder: null,
+  lastLookAtMs: null,
   nextLookAtMs: turn.nowMs,
   answeredAtMs: null,
   unreachable: false,
@@ -67,6 +70,7 @@
 
 const forgetWorker = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
   owned.workers.delete(worker.report.id);
+  leaseChanged(owned, worker.report.id);
   loseRuns(turn, owned, worker, why);
   unbindHost(owned, worker);
   poolOf(owned, worker.report.pool).workers.delete(worker);
@@ -143,7 +147,7 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/looked" }>,
 ): void => {
-  const worker = workerAsked(owned, event);
+  const worker = workerAsked(turn, owned, event, "look");
   if (worker?.lookOrder !== event.order) {
     return;
   }
@@ -152,6 +156,9 @@
   const bornWallMs = event.seenBornWallMs ?? worker.report.bornWallMs;
   const report = { ...worker.report, bornWallMs, clockMs: event.clockMs };
   const life = lifeBornAt(worker.report, bornWallMs);
+  if (life !== LIFE.SAME) {
+    logOtherLife(turn, worker, "look", bornWallMs);
+  }
   if (life === LIFE.NEXT) {
     replaceLife(turn, owned, worker, report);
   }
@@ -191,7 +198,7 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/lookFailed" }>,
 ): void => {
-  const worker = workerAsked(owned, event);
+  const worker = workerAsked(turn, owned, event, "look");
   if (worker?.lookOrder !== event.order) {
     return;
   }
@@ -206,6 +213,7 @@
     silentMs: worker.answeredAtMs === null ? null : Math.round(turn.nowMs - worker.answeredAtMs),
   });
   if (event.wrongLife) {
+    logOtherLife(turn, worker, "look", null);
     forgetWorker(turn, owned, worker, "another life has its address");
   }
 };
@@ -218,6 +226,7 @@
     }
     if (!worker.listed && worker.runs.size === 0 && worker.leaseEndsAtMs === null) {
       owned.workers.delete(worker.report.id);
+      leaseChanged(owned, worker.report.id);
       poolOf(owned, worker.report.pool).workers.delete(worker);
     } else {
       lookIfDue(turn, owned, worker);
@@ -243,6 +252,7 @@
     return;
   }
   const waits = worker.fenced && worker.runs.size > 0 && !isSilent(turn, worker);
+  worker.lastLookAtMs = turn.nowMs;
   worker.notedSequence = worker.durableSequence;
   const target = targetOf(owned, worker);
   worker.lookOrder = target.order;
