--- a/packages/core/src/work/ends.ts
+++ b/packages/core/src/work/ends.ts
@@ -87,6 +87,7 @@
   const run = worker.runs.get(line.item);
   if (run?.number === line.run) {
     run.confirmedAtMs ??= sentAtMs;
+    run.shown = true;
     run.load = line.load;
     if (line.percent !== run.percent) {
       run.percent = line.percent;
@@ -153,6 +154,7 @@
   const run = addRun(turn, owned, worker, item, line.run);
   run.phase = RUN_PHASE.RUNNING;
   run.confirmedAtMs = sentAtMs;
+  run.shown = true;
   run.percent = line.percent;
   run.load = line.load;
   logLine(turn, "info", "run.takenOver", {
--- a/packages/core/src/work/itemState.ts
+++ b/packages/core/src/work/itemState.ts
@@ -31,6 +31,8 @@
   checkpoint: string | null;
   /** When the worker confirmed it; a look sent later must show it. */
   confirmedAtMs: number | null;
+  /** A look has shown it on this life of the worker; answers to orders do not say which life acted. */
+  shown: boolean;
   percent: number;
   percentSinceMs: number;
   load: number | null;
--- a/packages/core/src/work/lostRuns.ts
+++ b/packages/core/src/work/lostRuns.ts
@@ -77,18 +77,24 @@
   }
   run.unansweredAtMs = turn.nowMs;
   run.confirmedAtMs = null;
+  run.shown = false;
   run.missingSinceMs = null;
   run.stopConfirmedAtMs = null;
   run.stopSentAtMs = run.stopSentAtMs === null ? null : -Infinity;
 };
 
+/** @returns Whether a run can only have been on the life of the worker that is known. */
+const isOfKnownLife = (run: Run): boolean =>
+  run.phase === RUN_PHASE.PLANNED || (run.shown && !hasLooseStart(run));
+
 /**
- * Hands the runs of a worker's earlier life to its next one, which knows no fence and no ended run:
- * an order without an answer may be carried out there. All else ended with the earlier life.
+ * Hands the runs of a worker's earlier life to its next one, which knows no fence and no ended run.
+ * Orders without an answer may be carried out there, and answers do not tell which life gave them;
+ * what a look has shown, and was ordered but once, ended with the earlier life.
  */
 export const carryRuns = (turn: Turn, owned: OwnedWork, from: Worker, to: Worker): void => {
   for (const run of [...from.runs.values()]) {
-    if (run.phase === RUN_PHASE.PLANNED || !hasLooseStart(run)) {
+    if (isOfKnownLife(run)) {
       giveUpRun(turn, owned, from, run, "the worker started again");
       continue;
     }
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -58,6 +58,7 @@
     unansweredAtMs: null,
     checkpoint: null,
     confirmedAtMs: null,
+    shown: false,
     percent: 0,
     percentSinceMs: turn.nowMs,
     load: null,
--- /dev/null
+++ b/packages/core/tests/work/chaosDay.ts
@@ -0,0 +1,134 @@
+import type { SubmissionId, WorkSpec } from "../../src/index.js";
+import { stepOf, workOf } from "./workSpecs.js";
+import { WorkSite } from "./workSite.js";
+
+/** Something that goes wrong on a site. */
+export type Trouble = (site: WorkSite) => void;
+
+/** Troubles of nodes, workers and the store. */
+export const TROUBLE: readonly Trouble[] = [
+  (site) => {
+    site.kill(site.pick(3), 300 + site.pick(3_000));
+  },
+  (site) => {
+    site.freeze(site.pick(3), 500 + site.pick(4_000));
+  },
+  (site) => {
+    site.stopGracefully(site.pick(3));
+  },
+  (site) => {
+    site.cutWorkers.set(`mills-${site.pick(3)}`, site.nowMs + 1_000 + site.pick(6_000));
+  },
+  (site) => {
+    site.crashWorker(`dies-${site.pick(3)}`);
+  },
+  (site) => {
+    site.storeDownUntilMs = site.nowMs + 500 + site.pick(4_000);
+  },
+  (site) => {
+    const node = site.nodes[site.pick(3)];
+    if (node !== undefined) {
+      node.refusedUntilMs = site.nowMs + 1_000 + site.pick(6_000);
+    }
+  },
+  (site) => {
+    [0, 1, 2].forEach((node) => {
+      site.kill(node, 800 + site.pick(200));
+    });
+  },
+];
+
+const work = (site: WorkSite): WorkSpec =>
+  workOf([stepOf(1 + site.pick(4), 300 + site.pick(900), []), stepOf(1 + site.pick(3), 500, [0])]);
+
+const idOf = (number: number): string => number.toString(16).padStart(16, "0");
+
+const POOLS = ["mills", "dies"] as const;
+
+const workerOf = (site: WorkSite): string =>
+  `${POOLS[site.pick(POOLS.length)] ?? "mills"}-${site.pick(3)}`;
+
+/** Workers that start again under their ids, and what makes their answers late. */
+export const LIFE_TROUBLE: readonly Trouble[] = [
+  (site) => {
+    site.restartWorker(workerOf(site), 1 + site.pick(100), false);
+  },
+  (site) => {
+    site.restartWorker(workerOf(site), 200 + site.pick(4_000), false);
+  },
+  (site) => {
+    site.restartWorker(workerOf(site), 200 + site.pick(4_000), true);
+  },
+  (site) => {
+    site.restartWorker(workerOf(site), 200 + site.pick(2_000), site.chance(50));
+    [0, 1, 2].forEach((node) => {
+      site.kill(node, 200 + site.pick(500));
+    });
+  },
+  ...TROUBLE,
+];
+
+const TRAFFIC_MS = 20_000;
+
+/** Long enough for the longest take-over, the longest lease and what waits. */
+const SETTLE_MS = 40_000;
+
+/**
+ * Plays a day with traffic and troubles, and then waits until all that is under way has settled.
+ *
+ * @param troubles - So many troubles are drawn.
+ * @param list - What they are drawn of.
+ * @param prepare - Sets the site up before anything happens.
+ */
+export const playDay = (
+  seed: number,
+  troubles: number,
+  list: readonly Trouble[],
+  prepare: (site: WorkSite) => void = () => undefined,
+): WorkSite => {
+  const site = new WorkSite(seed, 3, 3, 3);
+  prepare(site);
+  site.run(3_000);
+  site.faults = { lostPercent: 3, latePercent: 2 };
+  site.failPercent = 5;
+  for (let number = 0; number < 60; number += 1) {
+    site.at(site.pick(TRAFFIC_MS), () => {
+      const pool = POOLS[site.pick(2)] ?? "mills";
+      const body = work(site);
+      const attempt = (tries: number): void => {
+        if (tries > 0 && !site.accepted.has(idOf(number) as SubmissionId)) {
+          site.submit(idOf(number), pool, body, site.pick(3));
+          site.at(1_500, () => {
+            attempt(tries - 1);
+          });
+        }
+      };
+      attempt(5);
+      if (site.chance(10)) {
+        site.at(2_000, () => {
+          site.cancel(idOf(number), site.pick(3));
+        });
+      }
+    });
+  }
+  for (let count = 0; count < troubles; count += 1) {
+    site.at(1_000 + site.pick(TRAFFIC_MS), () => {
+      list[site.pick(list.length)]?.(site);
+    });
+  }
+  site.run(TRAFFIC_MS);
+  site.faults = { lostPercent: 0, latePercent: 0 };
+  site.run(SETTLE_MS);
+  return site;
+};
+
+/** Plays a day on which workers start again, and orders to one life may reach the next. */
+export const playLifeDay = (
+  seed: number,
+  prepare: (site: WorkSite) => void = () => undefined,
+): WorkSite =>
+  playDay(seed, 12, LIFE_TROUBLE, (site) => {
+    site.ordersFindTenants = true;
+    site.slowPercent = 20;
+    prepare(site);
+  });
--- a/packages/core/tests/work/memoryWorker.ts
+++ b/packages/core/tests/work/memoryWorker.ts
@@ -9,6 +9,7 @@
   type WorkEffect,
   type WorkerReport,
 } from "../../src/index.js";
+import { BOUNDS } from "./siteFixtures.js";
 
 export interface WorkerRun {
   readonly item: ItemKey;
@@ -95,7 +96,7 @@
     if (order.untilClockMs <= this.clockMs(nowMs)) {
       return { result: START_RESULT.LEASE_OVER, reason: "late" };
     }
-    this.leaseUntilClockMs = Math.max(this.leaseUntilClockMs, order.untilClockMs);
+    this.grant(order.untilClockMs, nowMs);
     if (order.run <= (this.refusedRuns.get(order.item) ?? 0)) {
       return { result: START_RESULT.OVER_BEFORE, reason: "old" };
     }
@@ -138,7 +139,7 @@
       return null;
     }
     this.fence = Number(order.fence);
-    this.leaseUntilClockMs = Math.max(this.leaseUntilClockMs, order.untilClockMs ?? 0);
+    this.grant(order.untilClockMs ?? 0, nowMs);
     for (const end of this.ends) {
       if (end.sequence <= order.notedSequence && !this.outdatedEnds.has(end)) {
         this.judge.noted(end);
@@ -161,6 +162,12 @@
     return { running, ends: this.ends };
   }
 
+  /** Takes a longer lease; one that is too long is cut. */
+  private grant(untilClockMs: number, nowMs: number): void {
+    const longestMs = this.clockMs(nowMs) + BOUNDS.holdMaxMs;
+    this.leaseUntilClockMs = Math.max(this.leaseUntilClockMs, Math.min(untilClockMs, longestMs));
+  }
+
   private end(run: WorkerRun, kind: EndKind): void {
     this.runs.delete(run.item);
     this.refuse(run.item, run.run);
--- a/packages/core/tests/work/nextLife.test.ts
+++ b/packages/core/tests/work/nextLife.test.ts
@@ -86,14 +86,24 @@
   t.is(startsAgain(), 1);
 });
 
-test("a run that was confirmed at once waits for a life that is over", (t) => {
+test("a run that a look showed waits for a life that is over", (t) => {
   const { node, start } = nodeWithOrder();
   node.answerStart(start, "started");
+  node.answerLook(node.nextLookAt("w"), { bornWallMs: BORN, running: [lineOf(start)] });
   node.list(reportOf("w", NEXT_BORN));
   node.run(100);
   t.is(startsElsewhere(node), 1);
 });
 
+test("an order confirmed by a life that was not known yet is started elsewhere beside it", (t) => {
+  const { node, start } = nodeWithOrder();
+  node.answerStart(start, "started");
+  node.answerLook(node.nextLookAt("w"), { bornWallMs: NEXT_BORN, running: [lineOf(start)] });
+  node.answerLook(node.nextLookAt("w"), { bornWallMs: NEXT_BORN, running: [lineOf(start)] });
+  node.run(300);
+  t.is(startsElsewhere(node), 0);
+});
+
 test("a stop that the life before confirmed counts for a life that never had it", (t) => {
   const { node } = nodeWithOrder();
   for (let orders = 1; orders <= 3; orders += 1) {
--- a/packages/core/tests/work/siteHosts.ts
+++ b/packages/core/tests/work/siteHosts.ts
@@ -4,6 +4,7 @@
   hostId,
   poolId,
   rackId,
+  type Address,
   type HostId,
   type PoolId,
 } from "@heatherferry/common";
@@ -31,6 +32,9 @@
 
 type HostOrder = Extract<Effect, { type: "power/move" | "power/upkeep" }>;
 
+/** A worker that has started again may write its entry this late. */
+const ENTRY_LATE_MS = 800;
+
 /** How long the entry of a worker that has gone stays in the store. */
 const ENTRY_KEPT_MS = 4_500;
 
@@ -44,6 +48,7 @@
   /** Runs that ended since their host was taken from under them. */
   runsCutOff = 0;
   private nextWorker = 0;
+  private nextAddress = 0;
 
   /** @param startupMs - When lasting work is at work; null where runs progress to their end. */
   constructor(
@@ -69,6 +74,32 @@
     }
   }
 
+  /**
+   * A worker dies and starts again under its id.
+   *
+   * @param darkMs - Time between its lives.
+   * @param moves - Whether it comes back at another address, and a stranger takes the old one.
+   */
+  restartWorker(id: string, darkMs: number, moves: boolean): void {
+    const { host, pool, address: at } = this.workers.get(id)?.report ?? {};
+    if (host == null || pool === undefined || at === undefined) {
+      return;
+    }
+    this.workers.get(id)?.advance(this.nowMs);
+    this.workers.delete(id);
+    if (moves) {
+      this.at(this.pick(darkMs), () => {
+        this.strangers.add(at);
+      });
+    }
+    this.at(darkMs, () => {
+      const there = this.hosts.get(host);
+      if (there?.worker === id && there.state === "up") {
+        this.addWorker(id, host, pool, moves ? this.newAddress() : at, this.pick(ENTRY_LATE_MS));
+      }
+    });
+  }
+
   crashWorker(id: string): void {
     const worker = this.workers.get(id);
     if (worker?.report.host != null) {
@@ -147,12 +178,23 @@
     });
   }
 
-  private addWorker(id: string, host: HostId, pool: string): void {
+  private newAddress(): Address {
+    this.nextAddress += 1;
+    return address(`10.0.0.${this.nextAddress}:1`);
+  }
+
+  private addWorker(
+    id: string,
+    host: HostId,
+    pool: string,
+    at: Address = this.workers.get(id)?.report.address ?? this.newAddress(),
+    entryLateMs = 0,
+  ): void {
     const report: WorkerReport = {
       id: workerId(id),
       host,
       pool: poolId(pool),
-      address: address("10.0.0.1:1"),
+      address: at,
       availabilityZone: availabilityZoneId("a"),
       rack: rackId("r"),
       labels: [],
@@ -165,6 +207,15 @@
     const worker = new MemoryWorker(report, this.nowMs, this);
     worker.startupMs = this.startupMs;
     this.workers.set(id, worker);
-    this.store.put(`worker ${id}`, { type: "worker", version: storeVersion(0), report });
+    const list = (): void => {
+      if (this.workers.get(id) === worker) {
+        this.store.put(`worker ${id}`, { type: "worker", version: storeVersion(0), report });
+      }
+    };
+    if (entryLateMs > 0) {
+      this.at(entryLateMs, list);
+    } else {
+      list();
+    }
   }
 }
--- a/packages/core/tests/work/workChaos.test.ts
+++ b/packages/core/tests/work/workChaos.test.ts
@@ -1,100 +1,18 @@
 import test from "ava";
-import type { SubmissionId, WorkSpec } from "../../src/index.js";
-import { stepOf, workOf } from "./workSpecs.js";
-import { WorkSite } from "./workSite.js";
-
-const work = (site: WorkSite): WorkSpec =>
-  workOf([stepOf(1 + site.pick(4), 300 + site.pick(900), []), stepOf(1 + site.pick(3), 500, [0])]);
-
-const idOf = (number: number): string => number.toString(16).padStart(16, "0");
-
-const POOLS = ["mills", "dies"] as const;
-
-const TROUBLE: readonly ((site: WorkSite) => void)[] = [
-  (site) => {
-    site.kill(site.pick(3), 300 + site.pick(3_000));
-  },
-  (site) => {
-    site.freeze(site.pick(3), 500 + site.pick(4_000));
-  },
-  (site) => {
-    site.stopGracefully(site.pick(3));
-  },
-  (site) => {
-    site.cutWorkers.set(`mills-${site.pick(3)}`, site.nowMs + 1_000 + site.pick(6_000));
-  },
-  (site) => {
-    site.crashWorker(`dies-${site.pick(3)}`);
-  },
-  (site) => {
-    site.storeDownUntilMs = site.nowMs + 500 + site.pick(4_000);
-  },
-  (site) => {
-    const node = site.nodes[site.pick(3)];
-    if (node !== undefined) {
-      node.refusedUntilMs = site.nowMs + 1_000 + site.pick(6_000);
-    }
-  },
-  (site) => {
-    [0, 1, 2].forEach((node) => {
-      site.kill(node, 800 + site.pick(200));
-    });
-  },
-];
-
-const TRAFFIC_MS = 20_000;
-
-/** Long enough for the longest take-over, the longest lease and what waits. */
-const SETTLE_MS = 40_000;
-
-const playDay = (seed: number, troubles: number): WorkSite => {
-  const site = new WorkSite(seed, 3, 3, 3);
-  site.run(3_000);
-  site.faults = { lostPercent: 3, latePercent: 2 };
-  site.failPercent = 5;
-  for (let number = 0; number < 60; number += 1) {
-    site.at(site.pick(TRAFFIC_MS), () => {
-      const pool = POOLS[site.pick(2)] ?? "mills";
-      const body = work(site);
-      const attempt = (tries: number): void => {
-        if (tries > 0 && !site.accepted.has(idOf(number) as SubmissionId)) {
-          site.submit(idOf(number), pool, body, site.pick(3));
-          site.at(1_500, () => {
-            attempt(tries - 1);
-          });
-        }
-      };
-      attempt(5);
-      if (site.chance(10)) {
-        site.at(2_000, () => {
-          site.cancel(idOf(number), site.pick(3));
-        });
-      }
-    });
-  }
-  for (let count = 0; count < troubles; count += 1) {
-    site.at(1_000 + site.pick(TRAFFIC_MS), () => {
-      TROUBLE[site.pick(TROUBLE.length)]?.(site);
-    });
-  }
-  site.run(TRAFFIC_MS);
-  site.faults = { lostPercent: 0, latePercent: 0 };
-  site.run(SETTLE_MS);
-  return site;
-};
+import { playDay, TROUBLE } from "./chaosDay.js";
 
 const SEEDS = Number(process.env.WORK_SEEDS ?? "40");
 const FIRST_SEED = Number(process.env.WORK_FIRST_SEED ?? "1");
 
 test("a calm day ends with everything done and nothing started twice", (t) => {
-  const site = playDay(7, 0);
+  const site = playDay(7, 0, TROUBLE);
   t.deepEqual(site.unfinished(), []);
   t.true(site.accepted.size > 50);
 });
 
 for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed += 1) {
   test(`seed ${seed}: promises hold through kills, freezes, cuts and a failing store`, (t) => {
-    const site = playDay(seed, 6);
+    const site = playDay(seed, 6, TROUBLE);
     t.deepEqual(site.unfinished(), []);
     t.deepEqual(site.runningThoughCancelled(), []);
     t.true(site.starts > 50);
