Acknowledge ends only to a life of a worker that has just answered

Callers would see an item run again after it was done: a look carries the number up to which the worker forgets its ends. If the worker has started again by then, it numbers its ends anew, so it forgets ends of its own that nobody has heard; the owner looks for the run in vain and starts the item elsewhere.

A look now acknowledges ends only within 0.3 s after an answer of the life that is known (1.5 s after a look that acknowledged none to find out), else it acknowledges none and does not wait, and the next look does. What remains is a worker that starts again and ends an item within that time.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -1,3 +1,5 @@
+export { END_KIND, LIFE, START_RESULT } from "./answerKinds.js";
+
 /** Tables of the platform's store that belong to the product. */
 export const WORK_TABLE = {
   /** What callers handed in, and their cancels. Written once a row, by any node. */
@@ -85,39 +87,6 @@
   DONE: "done",
 } as const;
 
-export const START_RESULT = {
-  STARTED: "started",
-  /** A newer owner has been at the worker. */
-  STALE_FENCE: "staleFence",
-  /** This run, or a later one of the item, was stopped or has ended there. */
-  OVER_BEFORE: "overBefore",
-  /** The lease that the order grants is over. */
-  LEASE_OVER: "leaseOver",
-  /** Refused for another reason, such as no room or a bad ticket. */
-  REFUSED: "refused",
-  /** An unhealthy worker that did nothing. */
-  UNHEALTHY: "unhealthy",
-  /** Another life answered at this address. */
-  WRONG_LIFE: "wrongLife",
-  UNANSWERED: "unanswered",
-} as const;
-
-export const END_KIND = {
-  DONE: "done",
-  FAILED: "failed",
-  STOPPED: "stopped",
-  LAPSED: "lapsed",
-  GANG_BROKEN: "gangBroken",
-  GANG_ALONE: "gangAlone",
-} as const;
-
-/** Which life of a worker is spoken of, beside the one that is known. */
-export const LIFE = {
-  EARLIER: "earlier",
-  SAME: "same",
-  NEXT: "next",
-} as const;
-
 export const HOST_ORDER_RESULT = {
   ACCEPTED: "accepted",
   BUSY: "busy",
@@ -171,6 +140,10 @@
   /** Pause between two looks at a worker. */
   LOOK_GAP_MS: 100,
   LOOK_RETRY_MS: 300,
+  /** Ends are acknowledged to a life that answered a look so lately; a new one numbers its own. */
+  SAME_LIFE_MS: 300,
+  /** The same, after a look that acknowledged none to find out. */
+  SAME_LIFE_ASKED_MS: 1_500,
   /** A worker whose answer is this much overdue counts as silent. */
   SILENT_MARGIN_MS: 300,
   /** Workers' clocks may be this much slow, so a lease may last this much longer. */
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -29,8 +29,12 @@
   unreachable: boolean;
   seenSequence: number;
   durableSequence: number;
-  /** Acknowledged to the worker, which forgets these ends. */
+  /** Acknowledged to the worker, which forgets these ends; 0 where that is not known. */
   notedSequence: number;
+  /** When this life answered a look last. */
+  lookedAtMs: number | null;
+  /** The last look acknowledged no end, since it was not sure to meet this life. */
+  endsWithheld: boolean;
   readonly runs: Map<ItemKey, Run>;
   /** Stops of runs that we do not keep, by item and run. */
   readonly strayStops: Map<string, number>;
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -31,6 +31,8 @@
   seenSequence: 0,
   durableSequence: 0,
   notedSequence: 0,
+  lookedAtMs: null,
+  endsWithheld: false,
   runs: new Map(),
   strayStops: new Map(),
   usedCpuMilli: 0,
@@ -165,6 +167,7 @@
   if (life !== LIFE.SAME) {
     return;
   }
+  worker.lookedAtMs = turn.nowMs;
   updateReport(turn, worker, report);
   noteClock(turn, worker, event.clockMs);
   worker.unreachable = false;
@@ -203,6 +206,7 @@
     return;
   }
   worker.lookOrder = null;
+  worker.notedSequence = 0;
   worker.unreachable = true;
   worker.nextLookAtMs = turn.nowMs + LEASE.LOOK_RETRY_MS;
   logLine(turn, "warn", "worker.lookFailed", {
@@ -243,6 +247,16 @@
     worker.seenSequence > worker.durableSequence ||
     worker.notedSequence < worker.durableSequence);
 
+/**
+ * A worker's next life would forget its own ends up to the number that is acknowledged, unheard. So
+ * a look acknowledges ends only soon after an answer of this life.
+ */
+const acknowledgedSequence = (turn: Turn, worker: Worker): number => {
+  const { lookedAtMs, endsWithheld, durableSequence } = worker;
+  const withinMs = endsWithheld ? LEASE.SAME_LIFE_ASKED_MS : LEASE.SAME_LIFE_MS;
+  return lookedAtMs !== null && turn.nowMs - lookedAtMs <= withinMs ? durableSequence : 0;
+};
+
 const lookIfDue = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
   if (worker.lookOrder !== null || !needsLook(worker) || !isSure(turn, owned)) {
     return;
@@ -253,7 +267,9 @@
   }
   const waits = worker.fenced && worker.runs.size > 0 && !isSilent(turn, worker);
   worker.lastLookAtMs = turn.nowMs;
-  worker.notedSequence = worker.durableSequence;
+  const acknowledged = acknowledgedSequence(turn, worker);
+  worker.endsWithheld = acknowledged < worker.durableSequence;
+  worker.notedSequence = Math.max(worker.notedSequence, acknowledged);
   const target = targetOf(owned, worker);
   worker.lookOrder = target.order;
   turn.effects.push({
@@ -261,8 +277,8 @@
     // A silent worker's lease runs out, so that its work can start elsewhere.
     untilClockMs:
       worker.runs.size > 0 && !isSilent(turn, worker) ? extendLease(turn, worker) : null,
-    notedSequence: worker.durableSequence,
-    waitMs: waits && !hasStops(worker) ? LEASE.LOOK_WAIT_MS : 0,
+    notedSequence: acknowledged,
+    waitMs: waits && !hasStops(worker) && !worker.endsWithheld ? LEASE.LOOK_WAIT_MS : 0,
     ...target,
   });
 };
--- a/packages/core/tests/work/lives.test.ts
+++ b/packages/core/tests/work/lives.test.ts
@@ -104,3 +104,24 @@
   t.is(node.lookAt("w").address, "10.0.0.9:1");
   t.is(node.starts.length, 3);
 });
+
+test("a worker's next life forgets ends unheard that the owner acknowledges to the life before", (t) => {
+  const { node } = nodeWithMovedWorker();
+  const [start] = startItems(node);
+  t.truthy(start);
+  if (start === undefined) {
+    return;
+  }
+  const { item, run } = start;
+  const end = { sequence: 1, item, run, kind: "done", checkpoint: "" } as const;
+  node.answerLook(node.nextLookAt("w"), { bornWallMs: 200, ends: [end] });
+  const acknowledging = node.nextLookAt("w");
+  t.is(acknowledging.notedSequence, 1);
+  node.run(1_000);
+  node.failLook(acknowledging, false);
+  const careful = node.nextLookAt("w");
+  t.is(careful.notedSequence, 0);
+  t.is(careful.waitMs, 0);
+  node.answerLook(careful, { bornWallMs: 200, ends: [end] });
+  t.is(node.nextLookAt("w").notedSequence, 1);
+});
