--- a/packages/core/src/work/gangs.ts
+++ b/packages/core/src/work/gangs.ts
@@ -1,5 +1,5 @@
 import { ITEM_PHASE } from "./constants.js";
-import { giveUpRun } from "./giveUps.js";
+import { giveUpRun } from "./lostRuns.js";
 import { roomOf } from "./runs.js";
 import type { Item, OwnedWork, Worker } from "./state.js";
 import { itemDone } from "./submissions.js";
--- a/packages/core/src/work/otherLife.ts
+++ b/packages/core/src/work/otherLife.ts
@@ -1,8 +1,9 @@
-import type { WorkerTarget } from "./events.js";
-import { workerAsked } from "./lives.js";
-import type { OwnedWork, Worker } from "./state.js";
+import type { Worker } from "./state.js";
 import { logLine, loggedMs, type Turn } from "./turn.js";
 
+/** What a worker was asked. */
+export type Asked = "look" | "start" | "stop" | "pace";
+
 /**
  * Logs that an answer is not of the life of a worker that is known, or was asked for before that
  * life, or this ownership, was known.
@@ -13,7 +14,7 @@
 export const logOtherLife = (
   turn: Turn,
   worker: Worker,
-  asked: "look" | "start" | "stop",
+  asked: Asked,
   bornWallMs: number | null,
 ): void => {
   logLine(turn, "warn", "worker.otherLife", {
@@ -26,16 +27,3 @@
     runs: worker.runs.size,
   });
 };
-
-/** Logs an answer that was asked for of another life, at another address or under another owner. */
-export const logOutdatedAnswer = (
-  turn: Turn,
-  owned: OwnedWork,
-  answer: WorkerTarget,
-  asked: "look" | "start" | "stop",
-): void => {
-  const worker = owned.workers.get(answer.worker);
-  if (worker !== undefined && workerAsked(owned, answer) === null) {
-    logOtherLife(turn, worker, asked, answer.bornWallMs);
-  }
-};
--- a/packages/core/src/work/pacing.ts
+++ b/packages/core/src/work/pacing.ts
@@ -61,10 +61,11 @@
 
 /** A worker did not confirm a pace: what it was told is not known, so it is told again. */
 export const paceFailed = (
+  turn: Turn,
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/paceFailed" }>,
 ): void => {
-  const run = workerAsked(owned, event)?.runs.get(event.item);
+  const run = workerAsked(turn, owned, event, "pace")?.runs.get(event.item);
   if (run?.number === event.run) {
     run.pacePercent = PACING.UNKNOWN_PERCENT;
   }
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -146,7 +146,7 @@
       workerLookFailed(turn, owned, event);
       return;
     case "worker/paceFailed":
-      paceFailed(owned, event);
+      paceFailed(turn, owned, event);
       return;
     case "power/listed":
       hostsListed(turn, owned, event);
--- a/packages/core/src/work/runResults.ts
+++ b/packages/core/src/work/runResults.ts
@@ -1,24 +1,14 @@
 import { ORDER, RUN_PHASE, START_RESULT } from "./constants.js";
-import type { WorkEvent, WorkerTarget } from "./events.js";
-import { giveUpRun } from "./giveUps.js";
+import type { WorkEvent } from "./events.js";
+import { giveUpRun } from "./lostRuns.js";
 import { noteClock } from "./leases.js";
 import { workerAsked } from "./lives.js";
-import { logOutdatedAnswer } from "./otherLife.js";
+import { logOtherLife } from "./otherLife.js";
 import { hasLooseStart, stopRun } from "./runs.js";
 import { repeatStart } from "./starts.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { itemBegan } from "./submissions.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
-import type { ItemKey } from "./types.js";
-
-const runOf = (
-  owned: OwnedWork,
-  event: WorkerTarget & { item: ItemKey; run: number },
-): { worker: Worker; run: Run } | null => {
-  const worker = workerAsked(owned, event);
-  const run = worker?.runs.get(event.item);
-  return worker !== null && run?.number === event.run ? { worker, run } : null;
-};
 
 /** Takes a worker's answer to a start. */
 export const startAnswered = (
@@ -26,12 +16,11 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/startAnswered" }>,
 ): void => {
-  const found = runOf(owned, event);
-  if (found === null) {
-    logOutdatedAnswer(turn, owned, event, "start");
+  const worker = workerAsked(turn, owned, event, "start");
+  const run = worker?.runs.get(event.item);
+  if (worker === null || run?.number !== event.run) {
     return;
   }
-  const { worker, run } = found;
   run.startsAnswered += event.result === START_RESULT.UNANSWERED ? 0 : 1;
   noteClock(turn, worker, event.clockMs);
   if (event.result !== START_RESULT.STARTED) {
@@ -59,6 +48,7 @@
       startRefused(turn, owned, worker, run, event);
       return;
     case "wrongLife":
+      logOtherLife(turn, worker, "start", null);
       giveUpRun(turn, owned, worker, run, "another life answered the start");
       return;
     case "unanswered":
@@ -101,7 +91,7 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/stopAnswered" }>,
 ): void => {
-  const worker = workerAsked(owned, event);
+  const worker = workerAsked(turn, owned, event, "stop");
   if (worker === null) {
     return;
   }
@@ -111,6 +101,7 @@
     return;
   }
   if (event.wrongLife) {
+    logOtherLife(turn, worker, "stop", null);
     giveUpRun(turn, owned, worker, run, "another life answered the stop");
   } else if (event.settled) {
     run.stopConfirmedAtMs ??= turn.nowMs;
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -5,11 +5,11 @@
 import { leaseChanged } from "./leaseRows.js";
 import { lifeBornAt, targetOf, updateReport, workerAsked } from "./lives.js";
 import { isSure } from "./ownership.js";
-import { logOtherLife, logOutdatedAnswer } from "./otherLife.js";
+import { logOtherLife } from "./otherLife.js";
 import { paceFillers } from "./pacing.js";
 import { poolOf } from "./pools.js";
 import { runEnded, runSeen } from "./ends.js";
-import { carryRuns, leaseEnded, loseRuns } from "./giveUps.js";
+import { carryRuns, leaseEnded, loseRuns } from "./lostRuns.js";
 import type { OwnedWork, Worker } from "./state.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
 import { dropUnseen } from "./unseen.js";
@@ -32,6 +32,8 @@
   seenSequence: 0,
   durableSequence: 0,
   notedSequence: 0,
+  lookedAtMs: null,
+  endsWithheld: false,
   runs: new Map(),
   strayStops: new Map(),
   usedCpuMilli: 0,
@@ -128,9 +130,8 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/looked" }>,
 ): void => {
-  const worker = workerAsked(owned, event);
+  const worker = workerAsked(turn, owned, event, "look");
   if (worker?.lookOrder !== event.order) {
-    logOutdatedAnswer(turn, owned, event, "look");
     return;
   }
   worker.lookOrder = null;
@@ -138,13 +139,16 @@
   const bornWallMs = event.seenBornWallMs ?? worker.report.bornWallMs;
   const report = { ...worker.report, bornWallMs, clockMs: event.clockMs };
   const life = lifeBornAt(worker.report, bornWallMs);
+  if (life !== LIFE.SAME) {
+    logOtherLife(turn, worker, "look", bornWallMs);
+  }
   if (life === LIFE.NEXT) {
     replaceLife(turn, owned, worker, report);
   }
   if (life !== LIFE.SAME) {
-    logOtherLife(turn, worker, "look", bornWallMs);
     return;
   }
+  worker.lookedAtMs = turn.nowMs;
   updateReport(turn, worker, report);
   noteClock(turn, worker, event.clockMs);
   worker.unreachable = false;
@@ -178,12 +182,12 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/lookFailed" }>,
 ): void => {
-  const worker = workerAsked(owned, event);
+  const worker = workerAsked(turn, owned, event, "look");
   if (worker?.lookOrder !== event.order) {
-    logOutdatedAnswer(turn, owned, event, "look");
     return;
   }
   worker.lookOrder = null;
+  worker.notedSequence = 0;
   worker.unreachable = true;
   worker.nextLookAtMs = turn.nowMs + LEASE.LOOK_RETRY_MS;
   logLine(turn, "warn", "worker.lookFailed", {
@@ -224,6 +228,16 @@
     worker.seenSequence > worker.durableSequence ||
     worker.notedSequence < worker.durableSequence);
 
+/**
+ * A worker's next life would forget its own ends up to the number that is acknowledged, unheard. So
+ * a look acknowledges ends only soon after an answer of this life.
+ */
+const acknowledgedSequence = (turn: Turn, worker: Worker): number => {
+  const { lookedAtMs, endsWithheld, durableSequence } = worker;
+  const withinMs = endsWithheld ? LEASE.SAME_LIFE_ASKED_MS : LEASE.SAME_LIFE_MS;
+  return lookedAtMs !== null && turn.nowMs - lookedAtMs <= withinMs ? durableSequence : 0;
+};
+
 const lookIfDue = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
   if (worker.lookOrder !== null || !needsLook(worker) || !isSure(turn, owned)) {
     return;
@@ -234,7 +248,9 @@
   }
   const waits = worker.fenced && worker.runs.size > 0 && !isSilent(turn, worker);
   worker.lastLookAtMs = turn.nowMs;
-  worker.notedSequence = worker.durableSequence;
+  const acknowledged = acknowledgedSequence(turn, worker);
+  worker.endsWithheld = acknowledged < worker.durableSequence;
+  worker.notedSequence = Math.max(worker.notedSequence, acknowledged);
   const target = targetOf(owned, worker);
   worker.lookOrder = target.order;
   turn.effects.push({
@@ -242,8 +258,8 @@
     // A silent worker's lease runs out, so that its work can start elsewhere.
     untilClockMs:
       worker.runs.size > 0 && !isSilent(turn, worker) ? extendLease(turn, worker) : null,
-    notedSequence: worker.durableSequence,
-    waitMs: waits && !hasStops(worker) ? LEASE.LOOK_WAIT_MS : 0,
+    notedSequence: acknowledged,
+    waitMs: waits && !hasStops(worker) && !worker.endsWithheld ? LEASE.LOOK_WAIT_MS : 0,
     ...target,
   });
 };
