Stop a cancelled run again that a look shows after its stop was confirmed

A work item could run on to its end after the cancel was acknowledged (UNASKED): a run whose start had no answer was stopped, the worker confirmed the stop and began a new life under its id, and the start was carried out late there. The run was still booked as stopped for good, so nothing told the new life, which looks showed at work.

A worker does not list what it was told to stop, so a run that a look sent after the confirmation shows was not told: its stop counts as unconfirmed and is sent again. The test failed before: no stop is sent.

--- a/packages/core/src/work/ends.ts
+++ b/packages/core/src/work/ends.ts
@@ -96,6 +96,10 @@
     if (run.phase === RUN_PHASE.ORDERED) {
       run.phase = RUN_PHASE.RUNNING;
     }
+    if (run.stopConfirmedAtMs !== null && sentAtMs > run.stopConfirmedAtMs) {
+      // It runs in a life of the worker that was not told to stop it.
+      run.stopConfirmedAtMs = null;
+    }
     itemBegan(owned, run.item.submission);
     return;
   }
--- /dev/null
+++ b/packages/core/tests/work/cancels.test.ts
@@ -0,0 +1,40 @@
+import test from "ava";
+import { reduce, type Effect, type RunningLine } from "../../src/index.js";
+import { stepOf, workOf } from "./workSpecs.js";
+import { WorkSite } from "./workSite.js";
+
+const ID = "00000000000000aa";
+
+type Start = Extract<Effect, { type: "worker/start" }>;
+
+const startsOf = (effects: readonly Effect[]): Start[] =>
+  effects.filter((effect) => effect.type === "worker/start");
+
+test("a cancelled item that a new life of its worker has begun runs on", (t) => {
+  const site = new WorkSite(5, 1, 3);
+  site.workMs = 60_000;
+  site.run(2_000);
+  site.submit(ID, "mills", workOf([stepOf(1, 500, [])]), 0);
+  site.run(1_000);
+  const [start] = startsOf(site.effects);
+  const state = site.nodes[0]?.state;
+  t.truthy(start);
+  t.truthy(state);
+  if (start === undefined || state === undefined) {
+    return;
+  }
+  site.cancel(ID, 0);
+  site.run(100);
+  const atMs = 1_000 + site.nowMs;
+  const { worker, item, run } = start;
+  const line: RunningLine = { item, run, checkpoint: "", percent: 1, load: null };
+  const clockMs = 10_000;
+  const looked = { type: "worker/looked", worker, clockMs, bornWallMs: null, ends: [] } as const;
+  reduce(state, { ...looked, running: [line], sentAtMs: atMs, atMs: atMs + 2 });
+  const later = { type: "clock/ticked", atMs: atMs + 900, wallMs: 1e6 + site.nowMs + 900 } as const;
+  const effects = reduce(state, later);
+  t.like(
+    effects.find(({ type }) => type === "worker/stop"),
+    { worker, item, run },
+  );
+});
