Keep work waiting whose queue moves to a pool that the owner has not met

A submission was accepted and never run (LOST): when a config led its queue to a pool of which the owner knew no worker yet, the submission was taken out of the line of the pool before and put into none.

The new pool's line is made on the spot. The test failed before: the submission is unfinished.

--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -2,6 +2,7 @@
 import { HEALTH, RUN_PHASE } from "./constants.js";
 import { planGang } from "./gangs.js";
 import { isSure } from "./ownership.js";
+import { poolOf } from "./pools.js";
 import { roomOf, stopRun } from "./runs.js";
 import { chooseWorker, withinCeiling } from "./placement.js";
 import { inOrder } from "./ranking.js";
@@ -85,11 +86,9 @@
   to: PoolId,
 ): void => {
   from.waiting.delete(submission);
-  const pool = owned.pools.get(to);
-  if (pool !== undefined) {
-    pool.waiting.add(submission);
-    pool.dirty = true;
-  }
+  const pool = poolOf(owned, to);
+  pool.waiting.add(submission);
+  pool.dirty = true;
 };
 
 /** Starts what is ready and finds room, in every pool where something changed. */
