Take nothing as confirmed by an answer to what was sent before a suspension

The owner before ordered an item after another had taken over: its machine was suspended while its write was under way, the answer came on waking, and its steady clock, which had stood still, made that write look just sent, so that the node was sure of its ownership and sent the starts that the write named. Only the fences of workers that the new owner had reached kept that from being a second run. Views of keys, hand-ins and the owner's row were dated the same way.

The time of the last jump between the clocks is kept; an answer to what was sent before it vouches for no time.

--- a/packages/core/src/work/feeds.ts
+++ b/packages/core/src/work/feeds.ts
@@ -3,7 +3,7 @@
 import type { Feed, StoreRow, WorkEvent } from "./events.js";
 import type { FeedState } from "./state.js";
 import { adoptHandIn, cancelOwned } from "./submissions.js";
-import { logLine, loggedMs, type Turn } from "./turn.js";
+import { logLine, loggedMs, vouchedAtMs, type Turn } from "./turn.js";
 import { waveRequested } from "./waves.js";
 import { workerReported, workerUnlisted } from "./workers.js";
 
@@ -62,7 +62,7 @@
   }
   feed.sentAtMs = null;
   feed.after = event.version;
-  feed.viewAtMs = event.sentAtMs;
+  feed.viewAtMs = vouchedAtMs(turn, event.sentAtMs);
   feed.viewStoreMs = event.storeMs;
   feed.retryAtMs = turn.nowMs;
   rowsChanged(turn, event.rows);
@@ -98,7 +98,7 @@
   const feed = turn.work.feeds[name];
   feed.scanning = false;
   feed.after = event.version;
-  feed.viewAtMs = event.sentAtMs;
+  feed.viewAtMs = vouchedAtMs(turn, event.sentAtMs);
   feed.viewStoreMs = event.storeMs;
   feed.retryAtMs = turn.nowMs;
   if (name === FEED.WORKERS) {
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -5,7 +5,7 @@
 import { endOwning, isSure, stillOwner } from "./ownership.js";
 import type { LedgerWrite, OwnedWork, Submission, Worker } from "./state.js";
 import { progressOf } from "./submissions.js";
-import { logLine, loggedMs, newCommitId, wakeAfter, type Turn } from "./turn.js";
+import { logLine, loggedMs, newCommitId, vouchedAtMs, wakeAfter, type Turn } from "./turn.js";
 import type { LeasedWorker, OwnerRow, WorkerId } from "./types.js";
 import { dropStarts, sendStarts } from "./starts.js";
 import { hasStops } from "./leases.js";
@@ -182,7 +182,7 @@
   if (event.result === "committed" && event.version !== null) {
     owned.ledger = null;
     owned.rowVersion = event.version;
-    owned.confirmedAtMs = Math.max(owned.confirmedAtMs, event.sentAtMs);
+    owned.confirmedAtMs = Math.max(owned.confirmedAtMs, vouchedAtMs(turn, event.sentAtMs));
     showWritten(turn, owned, write);
   } else if (event.result === "conflicted") {
     if (stillOwner(turn, owned, event.rows, event.sentAtMs)) {
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -3,7 +3,7 @@
 import { inheritOrders } from "./hosts.js";
 import type { StoreRow, WorkEvent } from "./events.js";
 import type { Claim, OwnedWork, WorkloadState } from "./state.js";
-import { logLine, loggedMs, newCommitId, type Turn } from "./turn.js";
+import { logLine, loggedMs, newCommitId, vouchedAtMs, type Turn } from "./turn.js";
 import {
   fence,
   storeVersion,
@@ -48,7 +48,7 @@
   const row = ownerRowIn(rows);
   view.pollSentAtMs = null;
   view.nextPollAtMs = nowMs + OWNERSHIP.POLL_MS;
-  view.viewAtMs = sentAtMs;
+  view.viewAtMs = vouchedAtMs(turn, sentAtMs);
   view.viewStoreMs = storeMs;
   const version = row?.version ?? storeVersion(0);
   if (view.row === null || version !== view.version) {
@@ -165,7 +165,8 @@
   const { work, nowMs } = turn;
   const { before, sentAtMs } = claim;
   const inherited = inheritOrders(turn, before, claim.beforeSinceMs);
-  work.owned = newOwnedWork(nowMs, version, sentAtMs, before, inherited);
+  const confirmedAtMs = vouchedAtMs(turn, sentAtMs);
+  work.owned = newOwnedWork(nowMs, version, confirmedAtMs, before, inherited);
   for (const feed of [work.feeds.workers, work.feeds.handIns]) {
     feed.after = null;
     feed.sentAtMs = null;
@@ -185,7 +186,7 @@
 const newOwnedWork = (
   nowMs: number,
   version: StoreVersion,
-  sentAtMs: number,
+  confirmedAtMs: number,
   before: OwnerRow | null,
   inheritedOrders: ReadonlyMap<HostId, number>,
 ): OwnedWork => ({
@@ -193,7 +194,7 @@
   takenAtMs: nowMs,
   takenVersion: version,
   rowVersion: version,
-  confirmedAtMs: sentAtMs,
+  confirmedAtMs,
   loads: new Set(["workers", "handIns", "progress"] as const),
   loadRetries: new Map(),
   active: false,
@@ -264,6 +265,6 @@
     return false;
   }
   owned.rowVersion = row.version;
-  owned.confirmedAtMs = Math.max(owned.confirmedAtMs, sentAtMs);
+  owned.confirmedAtMs = Math.max(owned.confirmedAtMs, vouchedAtMs(turn, sentAtMs));
   return true;
 };
--- a/packages/core/src/work/recovery.ts
+++ b/packages/core/src/work/recovery.ts
@@ -4,7 +4,7 @@
 import { poolOf } from "./pools.js";
 import type { OwnedWork, TeamUse } from "./state.js";
 import { adoptHandIn, cancelOwned, findItem } from "./submissions.js";
-import { logLine, wakeAfter, type Turn } from "./turn.js";
+import { logLine, vouchedAtMs, wakeAfter, type Turn } from "./turn.js";
 import type { ItemKey, Progress, SubmissionId, WorkerId } from "./types.js";
 import { waveReported } from "./waves.js";
 import { workerReported } from "./workers.js";
@@ -23,7 +23,7 @@
   if (event.scan === "workers" || event.scan === "handIns") {
     const feed = work.feeds[event.scan];
     feed.after = event.version;
-    feed.viewAtMs = event.sentAtMs;
+    feed.viewAtMs = vouchedAtMs(turn, event.sentAtMs);
     feed.viewStoreMs = event.storeMs;
   }
   if (owned.loads.size === 0) {
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -35,6 +35,7 @@
     return;
   }
   logLine(turn, "warn", "clock.jumped", { byMs: Math.round(jumpMs) });
+  work.resumedAtMs = nowMs;
   work.ownerView.sinceMs = nowMs;
   work.ownerView.viewAtMs = null;
   for (const feed of Object.values(work.feeds)) {
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -179,6 +179,8 @@
   readonly bounds: WorkBounds;
   /** Wall clock less steady clock, as of the last turn. */
   wallOffsetMs: number | null;
+  /** When the clocks were last found to have jumped apart. */
+  resumedAtMs: number;
   catalog: Catalog | null;
   /** Team by key, of the catalog in force. */
   readonly teamOfKey: Map<string, Team>;
@@ -217,6 +219,7 @@
   identity,
   bounds,
   wallOffsetMs: null,
+  resumedAtMs: -Infinity,
   catalog: null,
   teamOfKey: new Map(),
   feeds: { operators: newFeed(), workers: newFeed(), handIns: newFeed() },
--- a/packages/core/src/work/turn.ts
+++ b/packages/core/src/work/turn.ts
@@ -33,6 +33,16 @@
   effects.push({ type: "clock/wake", delayMs: Math.max(1, delayMs) });
 };
 
+/**
+ * What was sent before the machine was suspended says nothing of the time since, however young it
+ * looks on a clock that stood still meanwhile.
+ *
+ * @param sentAtMs - When something was sent that has an answer now.
+ * @returns The time up to which the answer vouches for what it tells.
+ */
+export const vouchedAtMs = ({ work }: Turn, sentAtMs: number): number =>
+  sentAtMs < work.resumedAtMs ? -Infinity : sentAtMs;
+
 /** @returns A new id for a transaction of this node. */
 export const newCommitId = (work: WorkloadState): string => {
   const id = `${work.identity.incarnation}-${work.nextCommit}`;
