Keep an ended submission known while all hand-ins are read anew

An ended submission was run again (TWICE; UNASKED where it had been cancelled): the store had dropped its history, so the owner read all hand-ins anew; between that read and its answer the owner removed the rows of the submission, which was to be forgotten, and forgot it. The answer still brought its hand-in, and it was adopted as new, without its progress.

The test failed before: TWICE, run 2 after its end was noted.

--- a/packages/core/src/work/forget.ts
+++ b/packages/core/src/work/forget.ts
@@ -54,7 +54,11 @@
   });
 };
 
-/** @returns Whether the settled write removed a hand-in; one that failed is tried again later. */
+/**
+ * A hand-in stays known while all of them are read anew: the read may still bring its row.
+ *
+ * @returns Whether the settled write removed a hand-in; one that failed is tried again later.
+ */
 export const forgetSettled = (
   turn: Turn,
   event: Extract<WorkEvent, { type: "store/commitSettled" }>,
@@ -65,7 +69,7 @@
     return false;
   }
   owned.forgetting.delete(event.commitId);
-  if (event.result === "committed") {
+  if (event.result === "committed" && !turn.work.feeds.handIns.scanning) {
     forget(turn, owned, id);
   }
   return true;
