--- a/packages/core/src/work/ends.ts
+++ b/packages/core/src/work/ends.ts
@@ -1,11 +1,13 @@
 import { END_KIND, HEALTH, ITEM_PHASE, ORDER, RUN_PHASE } from "./constants.js";
 import { gangDone } from "./gangs.js";
+import { checkEndedTwice, checkRunningTwice } from "./runTwice.js";
+import { leaseChanged } from "./leaseRows.js";
 import { addRun, dropRun, stopRun } from "./runs.js";
 import type { Item, OwnedWork, Worker } from "./state.js";
 import { findItem, isOver, itemBegan, itemDone, itemFailed, itemLost } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
 import type { EndLine, RunningLine } from "./types.js";
-import { targetOf } from "./leases.js";
+import { targetOf } from "./lives.js";
 
 const noteFailure = (turn: Turn, worker: Worker): void => {
   worker.failuresInRow += 1;
@@ -24,6 +26,7 @@
   const held = worker.runs.get(end.item);
   const run = held?.number === end.run ? held : undefined;
   const item = run?.item ?? findItem(owned, end.item);
+  checkEndedTwice(turn, worker, item, end);
   if (run !== undefined) {
     dropRun(turn, owned, worker, run);
   }
@@ -124,7 +127,9 @@
   if (lastMs !== undefined && turn.nowMs - lastMs < ORDER.PAUSE_MS) {
     return;
   }
+  checkRunningTwice(turn, worker, item, line);
   worker.strayStops.set(name, turn.nowMs);
+  leaseChanged(owned, worker.report.id);
   turn.effects.push({
     type: "worker/stop",
     item: line.item,
--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -5,6 +5,7 @@
   COMMIT_RESULT,
   FEED,
   HOST_ORDER_RESULT,
+  LIFE,
   SCAN,
   START_RESULT,
 } from "./constants.js";
@@ -14,7 +15,9 @@
   Fence,
   HandIn,
   HostListing,
+  HostOrderId,
   ItemKey,
+  LeasedWorker,
   OwnerRow,
   Progress,
   RunningLine,
@@ -33,8 +36,15 @@
 export type Feed = ValueOf<typeof FEED>;
 export type Scan = ValueOf<typeof SCAN>;
 export type StartResult = ValueOf<typeof START_RESULT>;
+export type Life = ValueOf<typeof LIFE>;
 export type HostOrderResult = ValueOf<typeof HOST_ORDER_RESULT>;
 
+/** What may run on a worker. */
+export interface WorkerLease {
+  readonly worker: WorkerId;
+  readonly lease: LeasedWorker;
+}
+
 /** A row of the store after decoding. Rows that cannot be read never get this far. */
 export type StoreRow =
   | { readonly type: "catalog"; readonly version: StoreVersion; readonly catalog: Catalog }
@@ -45,6 +55,7 @@
   | { readonly type: "cancel"; readonly version: StoreVersion; readonly id: SubmissionId }
   | { readonly type: "progress"; readonly version: StoreVersion; readonly progress: Progress }
   | { readonly type: "owner"; readonly version: StoreVersion; readonly owner: OwnerRow }
+  | ({ readonly type: "lease"; readonly version: StoreVersion } & WorkerLease)
   | {
       readonly type: "waveReport";
       readonly version: StoreVersion;
@@ -59,6 +70,7 @@
   | { readonly type: "cancel"; readonly id: SubmissionId }
   | { readonly type: "progress"; readonly progress: Progress }
   | { readonly type: "owner"; readonly owner: OwnerRow }
+  | ({ readonly type: "lease" } & WorkerLease)
   | {
       readonly type: "waveReport";
       readonly wave: number;
@@ -69,6 +81,7 @@
 
 export type RowName =
   | { readonly type: "handIn" | "cancel" | "progress"; readonly id: SubmissionId }
+  | { readonly type: "lease"; readonly worker: WorkerId }
   | { readonly type: "owner" };
 
 /** The row must still be at this version; 0 says that it must not exist. */
@@ -164,45 +177,43 @@
         readonly progress: Progress | null;
       }
     | { readonly type: "store/lookUpFailed"; readonly callId: string; readonly reason: string }
-    | {
+    | ({
         readonly type: "worker/startAnswered";
-        readonly worker: WorkerId;
         readonly item: ItemKey;
         readonly run: number;
         readonly result: StartResult;
         readonly reason: string | null;
         readonly clockMs: number | null;
-      }
-    | {
+      } & WorkerTarget)
+    | ({
         readonly type: "worker/stopAnswered";
-        readonly worker: WorkerId;
         readonly item: ItemKey;
         readonly run: number;
         readonly settled: boolean;
         readonly wrongLife: boolean;
         readonly clockMs: number | null;
-      }
-    | {
+      } & WorkerTarget)
+    | ({
         readonly type: "worker/looked";
-        readonly worker: WorkerId;
         readonly sentAtMs: number;
         readonly clockMs: number;
-        readonly bornWallMs: number | null;
+        /** Start of the life that answered; null where it does not say. */
+        readonly seenBornWallMs: number | null;
         readonly running: readonly RunningLine[];
         readonly ends: readonly EndLine[];
-      }
-    | {
+        /** False where the worker has more ends than it lists at a time. */
+        readonly endsComplete: boolean;
+      } & WorkerTarget)
+    | ({
         readonly type: "worker/lookFailed";
-        readonly worker: WorkerId;
         readonly wrongLife: boolean;
         readonly reason: string;
-      }
-    | {
+      } & WorkerTarget)
+    | ({
         readonly type: "worker/paceFailed";
-        readonly worker: WorkerId;
         readonly item: ItemKey;
         readonly run: number;
-      }
+      } & WorkerTarget)
     | {
         readonly type: "power/listed";
         readonly sentAtMs: number;
@@ -211,17 +222,25 @@
     | { readonly type: "power/listFailed"; readonly reason: string }
     | {
         readonly type: "power/orderAnswered";
+        readonly order: HostOrderId;
         readonly host: HostId;
         readonly result: HostOrderResult;
         readonly reason: string | null;
       }
   );
 
-/** Names the worker of an order and the life of it that is meant. */
+/**
+ * Names what an order or a look was for: the life of a worker, and the ownership that sent it. Its
+ * answer carries this back, since it says nothing of another life, address or ownership.
+ */
 export interface WorkerTarget {
   readonly worker: WorkerId;
   readonly address: string;
+  /** Start of the life that is meant; null where the worker does not say. */
+  readonly bornWallMs: number | null;
   readonly fence: Fence;
+  /** Numbers the orders and looks of an ownership. */
+  readonly order: number;
 }
 
 export type WorkEffect =
@@ -265,12 +284,14 @@
   | { readonly type: "power/list" }
   | {
       readonly type: "power/move";
+      readonly order: HostOrderId;
       readonly host: HostId;
       readonly pool: PoolId;
       readonly fence: Fence;
     }
   | {
       readonly type: "power/upkeep";
+      readonly order: HostOrderId;
       readonly host: HostId;
       readonly wave: number;
       readonly fence: Fence;
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -1,17 +1,11 @@
 import type { HostId } from "@heatherferry/common";
-import { OWNERSHIP } from "./constants.js";
+import { OWNERSHIP, SCAN } from "./constants.js";
+import { logGivenUp } from "./givenUp.js";
 import { inheritOrders } from "./hosts.js";
 import type { StoreRow, WorkEvent } from "./events.js";
 import type { Claim, OwnedWork, WorkloadState } from "./state.js";
 import { logLine, loggedMs, newCommitId, vouchedAtMs, type Turn } from "./turn.js";
-import {
-  fence,
-  storeVersion,
-  type LeasedWorker,
-  type OwnerRow,
-  type StoreVersion,
-  type WorkerId,
-} from "./types.js";
+import { fence, storeVersion, type OwnerRow, type StoreVersion } from "./types.js";
 
 type OwnerStoreRow = Extract<StoreRow, { type: "owner" }>;
 
@@ -104,7 +98,6 @@
     incarnation: work.identity.incarnation,
     fence: fence((view.row?.fence ?? 0) + 1),
     released: false,
-    leased: view.row?.leased ?? {},
     orderedHosts: view.row?.orderedHosts ?? {},
     pending: null,
   };
@@ -195,11 +188,13 @@
   takenVersion: version,
   rowVersion: version,
   confirmedAtMs,
-  loads: new Set(["workers", "handIns", "progress"] as const),
+  loads: new Set([SCAN.WORKERS, SCAN.HAND_INS, SCAN.PROGRESS, SCAN.LEASES]),
   loadRetries: new Map(),
   active: false,
   releasing: false,
-  unheard: new Map(Object.entries(before?.leased ?? {}) as [WorkerId, LeasedWorker][]),
+  leases: new Map(),
+  leaseChanges: new Set(),
+  unheard: new Map(),
   heldItems: new Map(),
   stopsUnknown: before !== null && !before.released,
   inheritedOrders,
@@ -215,6 +210,7 @@
   ledgerRetryAtMs: 0,
   ledgerSentAtMs: nowMs,
   needsRenewal: false,
+  ordersSent: 0,
   hosts: new Map(),
   workersByHost: new Map(),
   moves: new Map(),
@@ -226,6 +222,7 @@
   hostViewAtMs: null,
   waves: new Map(),
   demandLoggedAtMs: nowMs,
+  givenUp: new Map(),
   forgetAtMs: nowMs,
   forgetting: new Map(),
   loadedRows: [],
@@ -237,6 +234,7 @@
   if (work.owned === null) {
     return;
   }
+  logGivenUp(turn, work.owned);
   logLine(turn, "warn", "owner.ended", {
     fence: Number(work.owned.fence),
     why,
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -6,11 +6,14 @@
 import { emptyLeaving } from "./emptying.js";
 import { dispatch, recheckPools, stopStalled } from "./dispatch.js";
 import type { WorkEvent } from "./events.js";
-import { feedAnswered, feedFailed, feedRead, storeAnswered, tickFeeds } from "./feeds.js";
+import { feedAnswered, feedFailed, feedRead, isFeed, storeAnswered, tickFeeds } from "./feeds.js";
 import { forgetSettled, tickForget } from "./forget.js";
+import { logGivenUp } from "./givenUp.js";
 import { hostsListed } from "./hosts.js";
 import { ledgerSettled, tickLedger } from "./ledger.js";
-import { moveAnswered, tickLending } from "./lending.js";
+import { tickLending } from "./lending.js";
+import { noteLag } from "./loopLag.js";
+import { moveAnswered } from "./moves.js";
 import { claimSettled, ownerScanFailed, ownerSeen, tickOwnership } from "./ownership.js";
 import { paceFailed } from "./pacing.js";
 import { tableLoaded, tableNotLoaded, tickLoads, tickRecovery } from "./recovery.js";
@@ -19,7 +22,8 @@
 import type { OwnedWork, WorkloadState } from "./state.js";
 import { makeDueOccurrences } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
-import { tickWaves, upkeepAnswered } from "./waves.js";
+import { upkeepAnswered } from "./upkeep.js";
+import { tickWaves } from "./waves.js";
 import { tickWorkers, workerLooked, workerLookFailed } from "./workers.js";
 
 /**
@@ -61,7 +65,7 @@
     logLine(turn, "info", "scan.outdated", { scan: event.scan });
   } else if (work.owned?.loads.has(event.scan) === true) {
     tableLoaded(turn, work.owned, event);
-  } else if (event.scan !== SCAN.PROGRESS && work.feeds[event.scan].scanning) {
+  } else if (isFeed(event.scan) && work.feeds[event.scan].scanning) {
     feedRead(turn, event, event.scan);
   }
 };
@@ -73,7 +77,7 @@
     ownerScanFailed(turn);
   } else if (work.owned?.loads.has(event.scan) === true) {
     tableNotLoaded(turn, work.owned, event.scan);
-  } else if (event.scan !== SCAN.PROGRESS) {
+  } else if (isFeed(event.scan)) {
     const feed = work.feeds[event.scan];
     feed.scanning = false;
     feed.retryAtMs = turn.nowMs + STORE.FEED_RETRY_MS;
@@ -176,6 +180,7 @@
   tickLending(turn, owned);
   tickForget(turn, owned);
   recheckPools(owned);
+  logGivenUp(turn, owned);
 };
 
 const tickLeaving = (turn: Turn): void => {
@@ -254,6 +259,7 @@
       work.leavingAtMs ??= event.atMs;
       break;
     case "clock/ticked":
+      noteLag(turn, event.lateMs ?? 0);
       break;
     default:
       reduceStoreEvent(turn, event as WorkEvent);
--- a/packages/core/src/work/runResults.ts
+++ b/packages/core/src/work/runResults.ts
@@ -1,20 +1,23 @@
 import { ORDER, RUN_PHASE, START_RESULT } from "./constants.js";
-import type { WorkEvent } from "./events.js";
+import type { WorkEvent, WorkerTarget } from "./events.js";
+import { giveUpRun } from "./giveUps.js";
 import { noteClock } from "./leases.js";
-import { dropRun, stopRun } from "./runs.js";
+import { workerAsked } from "./lives.js";
+import { logOutdatedAnswer } from "./otherLife.js";
+import { hasLooseStart, stopRun } from "./runs.js";
 import { repeatStart } from "./starts.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
-import { itemBegan, itemLost } from "./submissions.js";
+import { itemBegan } from "./submissions.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
 import type { ItemKey } from "./types.js";
 
 const runOf = (
   owned: OwnedWork,
-  event: { worker: Worker["report"]["id"]; item: ItemKey; run: number },
+  event: WorkerTarget & { item: ItemKey; run: number },
 ): { worker: Worker; run: Run } | null => {
-  const worker = owned.workers.get(event.worker);
+  const worker = workerAsked(owned, event);
   const run = worker?.runs.get(event.item);
-  return worker !== undefined && run?.number === event.run ? { worker, run } : null;
+  return worker !== null && run?.number === event.run ? { worker, run } : null;
 };
 
 /** Takes a worker's answer to a start. */
@@ -25,9 +28,11 @@
 ): void => {
   const found = runOf(owned, event);
   if (found === null) {
+    logOutdatedAnswer(turn, owned, event, "start");
     return;
   }
   const { worker, run } = found;
+  run.startsAnswered += event.result === START_RESULT.UNANSWERED ? 0 : 1;
   noteClock(turn, worker, event.clockMs);
   if (event.result !== START_RESULT.STARTED) {
     logLine(turn, "warn", "run.notStarted", {
@@ -54,8 +59,7 @@
       startRefused(turn, owned, worker, run, event);
       return;
     case "wrongLife":
-      dropRun(turn, owned, worker, run);
-      itemLost(turn, owned, run.item);
+      giveUpRun(turn, owned, worker, run, "another life answered the start");
       return;
     case "unanswered":
       if (!repeatStart(turn, owned, worker, run)) {
@@ -74,26 +78,21 @@
   run: Run,
   event: Extract<WorkEvent, { type: "worker/startAnswered" }>,
 ): void => {
-  if (run.startsSent > 1) {
-    if (event.result === START_RESULT.OVER_BEFORE) {
-      // An earlier order was carried out and the run is over: looks list its end.
-      run.confirmedAtMs ??= turn.nowMs;
-      return;
-    }
-    if (event.result !== START_RESULT.STALE_FENCE) {
-      stopRun(turn, owned, run, "an earlier order may still be carried out");
-      return;
-    }
-  }
-  dropRun(turn, owned, worker, run);
   if (event.result === START_RESULT.STALE_FENCE) {
     turn.work.ownerView.nextPollAtMs = 0;
     owned.confirmedAtMs = -Infinity;
     owned.needsRenewal = true;
-  } else {
+  } else if (!hasLooseStart(run)) {
     worker.restsUntilMs = Math.max(worker.restsUntilMs, turn.nowMs + ORDER.PAUSE_MS);
   }
-  itemLost(turn, owned, run.item);
+  if (!hasLooseStart(run)) {
+    giveUpRun(turn, owned, worker, run, `the start was refused: ${event.result}`);
+  } else if (event.result === START_RESULT.OVER_BEFORE) {
+    // An earlier order was carried out and the run is over: looks list its end.
+    run.confirmedAtMs ??= turn.nowMs;
+  } else {
+    stopRun(turn, owned, run, "an earlier order may still be carried out");
+  }
 };
 
 /** Takes a worker's answer to a stop. */
@@ -102,8 +101,8 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/stopAnswered" }>,
 ): void => {
-  const worker = owned.workers.get(event.worker);
-  if (worker === undefined) {
+  const worker = workerAsked(owned, event);
+  if (worker === null) {
     return;
   }
   noteClock(turn, worker, event.clockMs);
@@ -112,29 +111,10 @@
     return;
   }
   if (event.wrongLife) {
-    dropRun(turn, owned, worker, run);
-    itemLost(turn, owned, run.item);
+    giveUpRun(turn, owned, worker, run, "another life answered the stop");
   } else if (event.settled) {
     run.stopConfirmedAtMs ??= turn.nowMs;
     worker.nextLookAtMs = turn.nowMs;
     wakeAfter(turn, 1);
   }
 };
-
-/** Everything ordered on a worker has ended: its lease is over, or it is another life. */
-export const loseRuns = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
-  for (const run of [...worker.runs.values()]) {
-    const planned = run.phase === RUN_PHASE.PLANNED;
-    if (planned && owned.workers.get(worker.report.id) === worker) {
-      continue;
-    }
-    dropRun(turn, owned, worker, run);
-    itemLost(turn, owned, run.item);
-    logLine(turn, "warn", "run.lost", {
-      item: run.item.key,
-      run: run.number,
-      worker: worker.report.id,
-      why,
-    });
-  }
-};
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -6,6 +6,7 @@
   Fence,
   HandIn,
   HostListing,
+  HostOrderId,
   ItemKey,
   LeasedWorker,
   OwnerRow,
@@ -18,10 +19,18 @@
   WorkerId,
 } from "./types.js";
 import type { Run, Submission } from "./itemState.js";
-import type { Worker, PoolWork, TeamUse } from "./workerState.js";
+import type { GivenUpRuns, Worker, PoolWork, TeamUse, WorkerLife } from "./workerState.js";
 
 export type { Run, Item, Occurrence, Submission } from "./itemState.js";
-export type { Worker, Arrival, PoolWork, TeamUse } from "./workerState.js";
+export type {
+  GivenUpRuns,
+  Worker,
+  WorkerLife,
+  Reservation,
+  Arrival,
+  PoolWork,
+  TeamUse,
+} from "./workerState.js";
 
 /** A wave under way. */
 export interface WaveWork {
@@ -31,11 +40,8 @@
   seenWallMs: number;
   readonly doneHosts: Set<HostId>;
   dirty: boolean;
-  /** Hosts ordered down, with the worker they had. */
-  readonly outHosts: Map<
-    HostId,
-    { readonly worker: WorkerId | null; orderedAtMs: number; confirmed: boolean }
-  >;
+  /** Hosts ordered down. */
+  readonly outHosts: Map<HostId, HostOut>;
   completed: boolean;
 }
 
@@ -55,6 +61,10 @@
   active: boolean;
   /** It is being given back: nothing is ordered any more. */
   releasing: boolean;
+  /** What the store says may run on each worker. */
+  readonly leases: Map<WorkerId, LeasedWorker>;
+  /** Workers on which other work may run than their rows say. */
+  readonly leaseChanges: Set<WorkerId>;
   /** Workers of the owner before that were not heard yet. */
   readonly unheard: Map<WorkerId, LeasedWorker>;
   /** Items that may run on a worker that was not heard yet. */
@@ -77,9 +87,11 @@
   ledgerRetryAtMs: number;
   ledgerSentAtMs: number;
   needsRenewal: boolean;
+  /** Orders to workers and looks at them so far. */
+  ordersSent: number;
   readonly hosts: Map<HostId, HostListing>;
-  /** The listed worker that each host runs. */
-  readonly workersByHost: Map<HostId, Worker>;
+  /** Listed workers by host: the one that it runs, and entries left over of those before. */
+  readonly workersByHost: Map<HostId, Set<Worker>>;
   readonly moves: Map<HostId, HostMove>;
   /** When each host was ordered last, or will be once the owner's row names it. */
   readonly hostOrders: Map<HostId, number>;
@@ -93,6 +105,8 @@
   hostViewAtMs: number | null;
   readonly waves: Map<number, WaveWork>;
   demandLoggedAtMs: number;
+  /** Given up since the clock turned last, by worker and reason. */
+  readonly givenUp: Map<string, GivenUpRuns>;
   forgetAtMs: number;
   /** Hand-ins that are being removed, by the write that does it. */
   readonly forgetting: Map<string, SubmissionId>;
@@ -102,10 +116,22 @@
 
 export type HostOrder = Extract<WorkEffect, { type: "power/move" | "power/upkeep" }>;
 
+/** A host that was ordered down for upkeep. */
+export interface HostOut {
+  /** What it ran as of the last order. */
+  readonly worker: WorkerLife | null;
+  readonly orderedAtMs: number;
+  /** Orders that were carried out or may yet be. */
+  readonly orders: Set<HostOrderId>;
+  confirmed: boolean;
+}
+
 /** A host on its way to another pool. */
 export interface HostMove {
+  readonly order: HostOrderId;
   readonly to: PoolId;
-  readonly worker: WorkerId | null;
+  /** What it ran when the move was ordered. */
+  readonly worker: WorkerLife | null;
   readonly orderedAtMs: number;
   confirmed: boolean;
 }
@@ -169,6 +195,13 @@
   claimAtMs: number | null;
 }
 
+/** Turns of the clock that were handled late and that no line tells of yet. */
+export interface LoopLag {
+  loggedAtMs: number;
+  turns: number;
+  worstMs: number;
+}
+
 export interface WorkIdentity {
   readonly holder: string;
   readonly incarnation: string;
@@ -196,9 +229,11 @@
   leavingAtMs: number | null;
   frontClosed: boolean;
   nextCommit: number;
+  nextHostOrder: number;
   /** When all that goes by time was looked at last. */
   tickedAtMs: number;
   wakeAtMs: number | null;
+  lag: LoopLag;
 }
 
 const newFeed = (): FeedState => ({
@@ -243,6 +278,8 @@
   leavingAtMs: null,
   frontClosed: false,
   nextCommit: 1,
+  nextHostOrder: 1,
   tickedAtMs: -Infinity,
   wakeAtMs: null,
+  lag: { loggedAtMs: -Infinity, turns: 0, worstMs: 0 },
 });
--- a/packages/core/src/work/turn.ts
+++ b/packages/core/src/work/turn.ts
@@ -1,5 +1,7 @@
 import type { Effect } from "../effect.js";
+import { logClassOf } from "./keptEvents.js";
 import type { WorkloadState } from "./state.js";
+import type { HostOrderId } from "./types.js";
 
 /** What one event's handling works on. */
 export interface Turn {
@@ -12,14 +14,14 @@
 
 type Fields = Readonly<Record<string, string | number | boolean | null>>;
 
-/** Adds a log line. */
+/** Adds a log line, of the class that its event has. */
 export const logLine = (
   turn: Turn,
   level: "debug" | "info" | "warn" | "error",
   event: string,
   fields: Fields,
 ): void => {
-  turn.effects.push({ type: "log/write", level, event, fields });
+  turn.effects.push({ type: "log/write", level, event, fields, lineClass: logClassOf(event) });
 };
 
 /** Asks for a turn of the clock after a delay, once for the soonest of all that ask. */
@@ -50,6 +52,13 @@
   return id;
 };
 
+/** @returns A new id for an order to a host; no other order of this process has it. */
+export const newHostOrderId = (work: WorkloadState): HostOrderId => {
+  const id = work.nextHostOrder as HostOrderId;
+  work.nextHostOrder += 1;
+  return id;
+};
+
 /** @returns An age or a time for a log line: whole ms, null where there is none. */
 export const loggedMs = (ms: number): number | null =>
   Number.isFinite(ms) ? Math.round(ms) : null;
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -1,12 +1,15 @@
-import { LEASE } from "./constants.js";
+import { LEASE, LIFE } from "./constants.js";
 import type { WorkEvent } from "./events.js";
-import { extendLease, hasStops, isSilent, noteClock, targetOf } from "./leases.js";
+import { bindHost, unbindHost } from "./hostWorkers.js";
+import { extendLease, hasStops, isSilent, noteClock } from "./leases.js";
+import { leaseChanged } from "./leaseRows.js";
+import { lifeBornAt, targetOf, updateReport, workerAsked } from "./lives.js";
 import { isSure } from "./ownership.js";
+import { logOtherLife, logOutdatedAnswer } from "./otherLife.js";
 import { paceFillers } from "./pacing.js";
 import { poolOf } from "./pools.js";
 import { runEnded, runSeen } from "./ends.js";
-import { loseRuns } from "./runResults.js";
-import { carryRuns } from "./runs.js";
+import { carryRuns, leaseEnded, loseRuns } from "./giveUps.js";
 import type { OwnedWork, Worker } from "./state.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
 import { dropUnseen } from "./unseen.js";
@@ -19,8 +22,10 @@
   clock: report.clockMs === null ? null : { clockMs: report.clockMs, atMs: turn.nowMs },
   leaseEndsAtMs: null,
   leaseUntilClockMs: 0,
+  lateLeaseUntilClockMs: null,
   fenced: false,
-  lookSentAtMs: null,
+  lookOrder: null,
+  lastLookAtMs: null,
   nextLookAtMs: turn.nowMs,
   answeredAtMs: null,
   unreachable: false,
@@ -38,34 +43,13 @@
   failuresInRow: 0,
   restsUntilMs: 0,
   roomKnownAtMs: 0,
-  reserved: false,
+  reservedFor: null,
   departed: false,
 });
 
-const bindHost = (owned: OwnedWork, worker: Worker): void => {
-  const { host } = worker.report;
-  if (host !== null && !worker.departed) {
-    owned.workersByHost.set(host, worker);
-  }
-};
-
-const unbindHost = (owned: OwnedWork, worker: Worker): void => {
-  const { host } = worker.report;
-  if (host !== null && owned.workersByHost.get(host) === worker) {
-    owned.workersByHost.delete(host);
-  }
-};
-
-/** The platform took a worker's host from under it; everything there has ended. */
-export const workerDeparted = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
-  worker.departed = true;
-  worker.leaseEndsAtMs = null;
-  unbindHost(owned, worker);
-  loseRuns(turn, owned, worker, "its host was moved");
-};
-
 const forgetWorker = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
   owned.workers.delete(worker.report.id);
+  leaseChanged(owned, worker.report.id);
   loseRuns(turn, owned, worker, why);
   unbindHost(owned, worker);
   poolOf(owned, worker.report.pool).workers.delete(worker);
@@ -74,7 +58,7 @@
 /** The worker started again under its id. */
 const replaceLife = (turn: Turn, owned: OwnedWork, worker: Worker, report: WorkerReport): void => {
   const made = newWorker(turn, report);
-  carryRuns(worker, made);
+  carryRuns(turn, owned, worker, made);
   forgetWorker(turn, owned, worker, "the worker started again");
   enlist(turn, owned, made);
 };
@@ -90,6 +74,7 @@
     worker: report.id,
     pool: report.pool,
     address: report.address,
+    bornWallMs: report.bornWallMs,
     draining: report.draining,
   });
 };
@@ -101,11 +86,11 @@
     enlist(turn, owned, newWorker(turn, report));
     return;
   }
-  const before = worker.report.bornWallMs;
-  if (before !== null && report.bornWallMs !== null && before !== report.bornWallMs) {
-    if (report.bornWallMs > before) {
-      replaceLife(turn, owned, worker, report);
-    }
+  const life = lifeBornAt(worker.report, report.bornWallMs);
+  if (life === LIFE.NEXT) {
+    replaceLife(turn, owned, worker, report);
+  }
+  if (life !== LIFE.SAME) {
     return;
   }
   if (worker.report.draining !== report.draining || !worker.listed) {
@@ -116,7 +101,8 @@
       wasListed: worker.listed,
     });
   }
-  worker.report = report;
+  unbindHost(owned, worker);
+  updateReport(turn, worker, report);
   worker.listed = true;
   bindHost(owned, worker);
   poolOf(owned, report.pool).dirty = true;
@@ -142,23 +128,27 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/looked" }>,
 ): void => {
-  const worker = owned.workers.get(event.worker);
-  if (worker === undefined) {
+  const worker = workerAsked(owned, event);
+  if (worker?.lookOrder !== event.order) {
+    logOutdatedAnswer(turn, owned, event, "look");
     return;
   }
-  worker.lookSentAtMs = null;
+  worker.lookOrder = null;
   worker.nextLookAtMs = turn.nowMs + LEASE.LOOK_GAP_MS;
-  const { bornWallMs } = worker.report;
-  if (event.bornWallMs !== null && bornWallMs !== null && event.bornWallMs !== bornWallMs) {
-    if (event.bornWallMs > bornWallMs) {
-      const report = { ...worker.report, bornWallMs: event.bornWallMs, clockMs: event.clockMs };
-      replaceLife(turn, owned, worker, report);
-    }
+  const bornWallMs = event.seenBornWallMs ?? worker.report.bornWallMs;
+  const report = { ...worker.report, bornWallMs, clockMs: event.clockMs };
+  const life = lifeBornAt(worker.report, bornWallMs);
+  if (life === LIFE.NEXT) {
+    replaceLife(turn, owned, worker, report);
+  }
+  if (life !== LIFE.SAME) {
+    logOtherLife(turn, worker, "look", bornWallMs);
     return;
   }
+  updateReport(turn, worker, report);
   noteClock(turn, worker, event.clockMs);
   worker.unreachable = false;
-  if (!worker.fenced) {
+  if (!worker.fenced && event.endsComplete) {
     worker.fenced = true;
     // Where the owner before had nothing running, nothing can be under way to its stop.
     const before = owned.unheard.get(worker.report.id);
@@ -176,7 +166,9 @@
   for (const line of event.running) {
     runSeen(turn, owned, worker, line, event.sentAtMs);
   }
-  dropUnseen(turn, owned, worker, event);
+  if (event.endsComplete) {
+    dropUnseen(turn, owned, worker, event);
+  }
   paceFillers(turn, owned, worker);
 };
 
@@ -186,11 +178,12 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/lookFailed" }>,
 ): void => {
-  const worker = owned.workers.get(event.worker);
-  if (worker === undefined) {
+  const worker = workerAsked(owned, event);
+  if (worker?.lookOrder !== event.order) {
+    logOutdatedAnswer(turn, owned, event, "look");
     return;
   }
-  worker.lookSentAtMs = null;
+  worker.lookOrder = null;
   worker.unreachable = true;
   worker.nextLookAtMs = turn.nowMs + LEASE.LOOK_RETRY_MS;
   logLine(turn, "warn", "worker.lookFailed", {
@@ -201,6 +194,7 @@
     silentMs: worker.answeredAtMs === null ? null : Math.round(turn.nowMs - worker.answeredAtMs),
   });
   if (event.wrongLife) {
+    logOtherLife(turn, worker, "look", null);
     forgetWorker(turn, owned, worker, "another life has its address");
   }
 };
@@ -209,11 +203,11 @@
 export const tickWorkers = (turn: Turn, owned: OwnedWork): void => {
   for (const worker of [...owned.workers.values()]) {
     if (worker.leaseEndsAtMs !== null && turn.nowMs > worker.leaseEndsAtMs) {
-      worker.leaseEndsAtMs = null;
-      loseRuns(turn, owned, worker, "the lease ended");
+      leaseEnded(turn, owned, worker);
     }
     if (!worker.listed && worker.runs.size === 0 && worker.leaseEndsAtMs === null) {
       owned.workers.delete(worker.report.id);
+      leaseChanged(owned, worker.report.id);
       poolOf(owned, worker.report.pool).workers.delete(worker);
     } else {
       lookIfDue(turn, owned, worker);
@@ -231,7 +225,7 @@
     worker.notedSequence < worker.durableSequence);
 
 const lookIfDue = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
-  if (worker.lookSentAtMs !== null || !needsLook(worker) || !isSure(turn, owned)) {
+  if (worker.lookOrder !== null || !needsLook(worker) || !isSure(turn, owned)) {
     return;
   }
   if (turn.nowMs < worker.nextLookAtMs) {
@@ -239,8 +233,10 @@
     return;
   }
   const waits = worker.fenced && worker.runs.size > 0 && !isSilent(turn, worker);
-  worker.lookSentAtMs = turn.nowMs;
+  worker.lastLookAtMs = turn.nowMs;
   worker.notedSequence = worker.durableSequence;
+  const target = targetOf(owned, worker);
+  worker.lookOrder = target.order;
   turn.effects.push({
     type: "worker/look",
     // A silent worker's lease runs out, so that its work can start elsewhere.
@@ -248,6 +244,6 @@
       worker.runs.size > 0 && !isSilent(turn, worker) ? extendLease(turn, worker) : null,
     notedSequence: worker.durableSequence,
     waitMs: waits && !hasStops(worker) ? LEASE.LOOK_WAIT_MS : 0,
-    ...targetOf(owned, worker),
+    ...target,
   });
 };
--- a/packages/core/tests/work/cancels.test.ts
+++ b/packages/core/tests/work/cancels.test.ts
@@ -7,6 +7,11 @@
 
 type Start = Extract<Effect, { type: "worker/start" }>;
 
+type Look = Extract<Effect, { type: "worker/look" }>;
+
+const looksOf = (effects: readonly Effect[]): Look[] =>
+  effects.filter((effect) => effect.type === "worker/look");
+
 const startsOf = (effects: readonly Effect[]): Start[] =>
   effects.filter((effect) => effect.type === "worker/start");
 
@@ -24,13 +29,34 @@
     return;
   }
   site.cancel(ID, 0);
-  site.run(100);
+  site.run(60);
+  while (state.work?.owned?.workers.get(start.worker)?.lookOrder === null) {
+    site.run(1);
+  }
+  const look = looksOf(site.effects).findLast(({ worker }) => worker === start.worker);
+  t.truthy(look);
+  if (look === undefined) {
+    return;
+  }
   const atMs = 1_000 + site.nowMs;
-  const { worker, item, run } = start;
+  const { worker, address, fence, order, bornWallMs } = look;
+  const { item, run } = start;
   const line: RunningLine = { item, run, checkpoint: "", percent: 1, load: null };
-  const clockMs = 10_000;
-  const looked = { type: "worker/looked", worker, clockMs, bornWallMs: null, ends: [] } as const;
-  reduce(state, { ...looked, running: [line], sentAtMs: atMs, atMs: atMs + 2 });
+  reduce(state, {
+    type: "worker/looked",
+    worker,
+    address,
+    fence,
+    order,
+    bornWallMs,
+    seenBornWallMs: bornWallMs,
+    clockMs: 10_000,
+    running: [line],
+    ends: [],
+    endsComplete: true,
+    sentAtMs: atMs,
+    atMs: atMs + 2,
+  });
   const later = { type: "clock/ticked", atMs: atMs + 900, wallMs: 1e6 + site.nowMs + 900 } as const;
   const effects = reduce(state, later);
   t.like(
--- a/packages/core/tests/work/siteRemote.ts
+++ b/packages/core/tests/work/siteRemote.ts
@@ -1,4 +1,4 @@
-import { END_KIND, type Effect, type Event } from "../../src/index.js";
+import { END_KIND, targetIn, type Effect, type Event } from "../../src/index.js";
 import type { MemoryWorker } from "./memoryWorker.js";
 import { SiteStore, type SiteNode } from "./siteStore.js";
 
@@ -11,16 +11,25 @@
   "worker/look": 1_000,
 } as const;
 
+/** A start that is to come late comes after all repeats of it. */
+const LATE_START_MS = 3_000;
+
 const failureOf = (order: WorkerOrder): Event => {
-  const { worker } = order;
+  const target = targetIn(order);
   switch (order.type) {
     case "worker/look":
-      return { type: "worker/lookFailed", worker, wrongLife: false, reason: "no answer", atMs: 0 };
+      return {
+        type: "worker/lookFailed",
+        ...target,
+        wrongLife: false,
+        reason: "no answer",
+        atMs: 0,
+      };
     case "worker/start": {
       const { item, run } = order;
       return {
         type: "worker/startAnswered",
-        worker,
+        ...target,
         item,
         run,
         result: "unanswered",
@@ -33,7 +42,7 @@
       const { item, run } = order;
       return {
         type: "worker/stopAnswered",
-        worker,
+        ...target,
         item,
         run,
         settled: false,
@@ -68,7 +77,7 @@
     const lost = cut || late || chosen || this.chance(this.faults.lostPercent);
     const target = this.workers.get(order.worker);
     if (!cut) {
-      this.at(late ? 1_000 + this.pick(6_000) : 1 + this.pick(5), () => {
+      this.at(this.deliveryMs(late, chosen), () => {
         this.deliver(node, order, sentAtMs, target, lost);
       });
     }
@@ -77,6 +86,13 @@
     }
   }
 
+  private deliveryMs(late: boolean, chosen: boolean): number {
+    if (!late) {
+      return 1 + this.pick(5);
+    }
+    return chosen ? LATE_START_MS : 1_000 + this.pick(6_000);
+  }
+
   protected deliver(
     node: SiteNode,
     order: WorkerOrder,
@@ -98,13 +114,14 @@
 
   protected obey(worker: MemoryWorker, order: WorkerOrder, sentAtMs: number): Event {
     const clockMs = worker.clockMs(this.nowMs);
+    const target = targetIn(order);
     if (order.type === "worker/start") {
       const how = this.chance(this.failPercent) ? END_KIND.FAILED : END_KIND.DONE;
       const answer = worker.start(order, this.nowMs, this.workMs ?? 200 + this.pick(900), how);
       const { item, run } = order;
       return {
         type: "worker/startAnswered",
-        worker: order.worker,
+        ...target,
         item,
         run,
         ...answer,
@@ -117,7 +134,7 @@
       const { item, run } = order;
       return {
         type: "worker/stopAnswered",
-        worker: order.worker,
+        ...target,
         item,
         run,
         settled,
@@ -127,22 +144,23 @@
       };
     }
     const seen = worker.look(order, this.nowMs);
-    const bornWallMs = worker.report.bornWallMs;
+    const seenBornWallMs = worker.report.bornWallMs;
     return seen === null
       ? {
           type: "worker/lookFailed",
-          worker: order.worker,
+          ...target,
           wrongLife: false,
           reason: "fence",
           atMs: 0,
         }
       : {
           type: "worker/looked",
-          worker: order.worker,
+          ...target,
           sentAtMs,
           clockMs,
-          bornWallMs,
+          seenBornWallMs,
           ...seen,
+          endsComplete: true,
           atMs: 0,
         };
   }
--- a/packages/core/tests/work/siteStore.ts
+++ b/packages/core/tests/work/siteStore.ts
@@ -39,6 +39,10 @@
   readonly store = new MemoryStore();
   faults: { lostPercent: number; latePercent: number } = FAULTLESS;
   storeDownUntilMs = 0;
+  /** Writes are refused until then, reads are not. */
+  writesRefusedUntilMs = 0;
+  /** How long the answer to a write takes. */
+  writeAnswerMs = 4;
   /** The store tells of no changes of a table until then. */
   feedDownUntilMs: Partial<Record<Feed, number>> = {};
   /** The parts of a scan are read within this time, each at its own moment. */
@@ -154,7 +158,7 @@
     const { commitId } = commit;
     const settled = { type: "store/commitSettled" as const, commitId, sentAtMs, atMs: 0 };
     const nothing = { version: null, rows: [], reason: "down" };
-    if (!this.storeServes(node)) {
+    if (!this.storeServes(node) || this.nowMs < this.writesRefusedUntilMs) {
       this.answerLater(node, 2, { ...settled, ...nothing, result: "refused" });
       return;
     }
@@ -169,7 +173,7 @@
     const version = storeVersion(this.store.version);
     this.answerLater(
       node,
-      4,
+      this.writeAnswerMs,
       rows === null
         ? { ...settled, result: "committed", version, rows: [], reason: null }
         : { ...settled, result: "conflicted", version: null, rows, reason: "conflict" },
--- a/packages/runners/src/work/workEffects.ts
+++ b/packages/runners/src/work/workEffects.ts
@@ -1,5 +1,5 @@
 import { messageOf, type JsonLogger } from "@heatherferry/common";
-import type { Effect } from "@heatherferry/core";
+import { targetIn, type Effect } from "@heatherferry/core";
 import type { ExitSwitch } from "../daemon/closingExit.js";
 import { EffectRunner, EventLoop } from "../loop/eventLoop.js";
 import type { HostOrderAnswer, HostPower, WorkerLink } from "./workerLink.js";
@@ -28,7 +28,7 @@
     const { log, front, loop, exitSwitch } = this.parts;
     switch (effect.type) {
       case "log/write":
-        log(effect.level, effect.event, effect.fields);
+        log(effect.level, effect.event, effect.fields, effect.lineClass);
         return;
       case "call/answer":
         front.answer(effect);
@@ -133,29 +133,38 @@
 
   private async start(order: EffectOf<"worker/start">): Promise<void> {
     const { workers, loop } = this.parts;
-    const { worker, item, run } = order;
+    const { item, run } = order;
     const answer = await workers.start(order);
-    loop.handle({ type: "worker/startAnswered", worker, item, run, ...answer });
+    loop.handle({ type: "worker/startAnswered", ...targetIn(order), item, run, ...answer });
   }
 
   private async stop(order: EffectOf<"worker/stop">): Promise<void> {
     const { workers, loop } = this.parts;
-    const { worker, item, run } = order;
+    const { item, run } = order;
     const answer = await workers.stop(order);
-    loop.handle({ type: "worker/stopAnswered", worker, item, run, ...answer });
+    loop.handle({ type: "worker/stopAnswered", ...targetIn(order), item, run, ...answer });
   }
 
   private async look(order: EffectOf<"worker/look">): Promise<void> {
     const { workers, loop } = this.parts;
-    const { worker } = order;
     const sentAtMs = EventLoop.nowMs();
     const answer = await workers.look(order);
+    const target = targetIn(order);
     if (answer.type === "seen") {
-      const { clockMs, bornWallMs, running, ends } = answer;
-      loop.handle({ type: "worker/looked", worker, sentAtMs, clockMs, bornWallMs, running, ends });
+      const { bornWallMs, clockMs, running, ends, endsComplete } = answer;
+      loop.handle({
+        type: "worker/looked",
+        ...target,
+        sentAtMs,
+        clockMs,
+        seenBornWallMs: bornWallMs,
+        running,
+        ends,
+        endsComplete,
+      });
     } else {
       const { wrongLife, reason } = answer;
-      loop.handle({ type: "worker/lookFailed", worker, wrongLife, reason });
+      loop.handle({ type: "worker/lookFailed", ...target, wrongLife, reason });
     }
   }
 
@@ -164,7 +173,7 @@
     if (problem !== null) {
       const { worker, item, run, percent } = order;
       this.parts.log("warn", "run.paceFailed", { worker, item, run, percent, problem });
-      this.parts.loop.handle({ type: "worker/paceFailed", worker, item, run });
+      this.parts.loop.handle({ type: "worker/paceFailed", ...targetIn(order), item, run });
     }
   }
 
@@ -179,9 +188,9 @@
   }
 
   private async hostOrder(
-    { host }: EffectOf<"power/move" | "power/upkeep">,
+    { order, host }: EffectOf<"power/move" | "power/upkeep">,
     answer: Promise<HostOrderAnswer>,
   ): Promise<void> {
-    this.parts.loop.handle({ type: "power/orderAnswered", host, ...(await answer) });
+    this.parts.loop.handle({ type: "power/orderAnswered", order, host, ...(await answer) });
   }
 }
