Tell calls that never left from those that may have been received

Callers of a busy owner saw orders repeated that had been carried out, runs stopped that were fine, and hosts held for 8 s by orders that nobody had got.

A call that waited for a connection until its time was over failed like one without an answer, or was written at its last moment and aborted at once, so that it might be carried out unheard.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -96,6 +96,8 @@
   UNHEALTHY: "unhealthy",
   /** Another life answered at this address. */
   WRONG_LIFE: "wrongLife",
+  /** The order never left this node. */
+  NOT_SENT: "notSent",
   UNANSWERED: "unanswered",
 } as const;
 
--- a/packages/core/src/work/runResults.ts
+++ b/packages/core/src/work/runResults.ts
@@ -57,13 +57,24 @@
       dropRun(turn, owned, worker, run);
       itemLost(turn, owned, run.item);
       return;
-    case "unanswered":
-      if (!repeatStart(turn, owned, worker, run)) {
-        run.unansweredAtMs = turn.nowMs;
-        worker.nextLookAtMs = turn.nowMs;
-        wakeAfter(turn, 1);
+    case "notSent":
+      if (run.startsSent > 1) {
+        startUnanswered(turn, owned, worker, run);
+      } else {
+        startRefused(turn, owned, worker, run, event);
       }
       return;
+    case "unanswered":
+      startUnanswered(turn, owned, worker, run);
+      return;
+  }
+};
+
+const startUnanswered = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run): void => {
+  if (!repeatStart(turn, owned, worker, run)) {
+    run.unansweredAtMs = turn.nowMs;
+    worker.nextLookAtMs = turn.nowMs;
+    wakeAfter(turn, 1);
   }
 };
 
--- /dev/null
+++ b/packages/core/tests/work/unsentStarts.test.ts
@@ -0,0 +1,55 @@
+import test from "ava";
+import { START_RESULT, type Effect } from "../../src/index.js";
+import type { SiteNode } from "./siteRemote.js";
+import { stepOf, workOf } from "./workSpecs.js";
+import { WorkSite } from "./workSite.js";
+
+type WorkerOrder = Extract<Effect, { type: "worker/start" | "worker/stop" | "worker/look" }>;
+
+/** The first start of each item reaches its worker, and no repeat leaves the owner. */
+class SiteOfUnsentRepeats extends WorkSite {
+  /** Looks reach workers only from then on. */
+  looksFromMs = 0;
+  private readonly sent = new Set<string>();
+
+  protected override sendOrder(node: SiteNode, order: WorkerOrder, sentAtMs: number): void {
+    if (order.type === "worker/look" && this.nowMs < this.looksFromMs) {
+      this.at(this.looksFromMs - this.nowMs, () => {
+        super.sendOrder(node, order, sentAtMs);
+      });
+      return;
+    }
+    if (order.type !== "worker/start" || !this.sent.has(order.item)) {
+      this.sent.add(order.type === "worker/start" ? order.item : "");
+      super.sendOrder(node, order, sentAtMs);
+      return;
+    }
+    const { worker, item, run } = order;
+    this.answerLater(node, 5, {
+      type: "worker/startAnswered",
+      worker,
+      item,
+      run,
+      result: START_RESULT.NOT_SENT,
+      reason: "no connection was free in time",
+      clockMs: null,
+      atMs: 0,
+    });
+  }
+}
+
+test("an item that runs is stopped since a repeat of its start never left the owner", (t) => {
+  const site = new SiteOfUnsentRepeats(5, 1, 3);
+  site.workMs = 2_000;
+  site.run(2_000);
+  site.startsToLose = 1;
+  site.looksFromMs = site.nowMs + 900;
+  site.submit("00000000000000aa", "mills", workOf([stepOf(1, 500, [])]), 0);
+  site.run(6_000);
+  t.deepEqual(
+    site.effects.filter(({ type }) => type === "worker/stop"),
+    [],
+  );
+  t.is(site.starts, 1);
+  t.deepEqual(site.unfinished(), []);
+});
