--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -6,6 +6,8 @@
   PROGRESS: "heatherferry-progress",
   /** Who decides. */
   OWNER: "heatherferry-owner",
+  /** What may run on each worker. Written by the owner alone. */
+  LEASES: "heatherferry-leases",
 } as const;
 
 /** The one row that names the owner. */
@@ -63,6 +65,7 @@
   ...FEED,
   PROGRESS: "progress",
   OWNER: "owner",
+  LEASES: "leases",
 } as const;
 
 export const RUN_PHASE = {
@@ -110,6 +113,13 @@
   GANG_ALONE: "gangAlone",
 } as const;
 
+/** Which life of a worker is spoken of, beside the one that is known. */
+export const LIFE = {
+  EARLIER: "earlier",
+  SAME: "same",
+  NEXT: "next",
+} as const;
+
 export const HOST_ORDER_RESULT = {
   ACCEPTED: "accepted",
   BUSY: "busy",
@@ -140,12 +150,17 @@
 export const STORE = {
   FEED_WAIT_MS: 1_000,
   FEED_RETRY_MS: 200,
+  SCAN_RETRY_MS: 200,
   /** Nodes count the store as lost after this long without an answer. */
   LOST_MS: 1_300,
   /** Pause before a failed owner's write is sent again. */
   COMMIT_RETRY_MS: 100,
   /** Rows of one transaction; the store takes 100 entries, the owner's row among them. */
   MAX_ROWS: 90,
+  /** Of these, rows of workers with new work; the others are left to what has ended. */
+  MAX_START_ROWS: 50,
+  /** Most runs on a worker; its row, which names them all, holds 65,536 bytes. */
+  MAX_RUNS_NAMED: 1_000,
   /** Pause between two writes of the owner, so that one carries what gathers meanwhile. */
   LEDGER_GAP_MS: 20,
 } as const;
@@ -181,6 +196,13 @@
   STOP_REPEAT_MS: 700,
   /** Orders to start a run before it is given up and stopped. */
   MOST_STARTS: 3,
+  /** An order without an answer may be carried out so long after it was sent. */
+  LATE_MS: 6_000,
+} as const;
+
+export const PENDING_COUNT = {
+  /** Callers may be told of a number this old. */
+  MOST_AGE_MS: 2_000,
 } as const;
 
 export const CALL = {
@@ -193,6 +215,14 @@
 export const CLOCK_TURN = {
   /** Least time between two looks at all that goes by time. */
   GAP_MS: 40,
+  /** A turn handled so late is logged. */
+  LATE_MS: 200,
+  LATE_LOG_GAP_MS: 1_000,
+} as const;
+
+export const GIVEN_UP = {
+  /** Runs that a line names. */
+  NAMED_RUNS: 5,
 } as const;
 
 export const CLOCK_JUMP = {
--- a/packages/core/src/work/feeds.ts
+++ b/packages/core/src/work/feeds.ts
@@ -1,12 +1,15 @@
 import { catalogAgeMs, applyCatalog } from "./catalog.js";
 import { FEED, STORE, CATALOG_VIEW } from "./constants.js";
-import type { Feed, StoreRow, WorkEvent } from "./events.js";
+import type { Feed, Scan, StoreRow, WorkEvent } from "./events.js";
 import type { FeedState } from "./state.js";
 import { adoptHandIn, cancelOwned } from "./submissions.js";
 import { logLine, loggedMs, type Turn } from "./turn.js";
 import { waveRequested } from "./waves.js";
 import { workerReported, workerUnlisted } from "./workers.js";
 
+/** @returns Whether a table is followed, and not just read by a new owner. */
+export const isFeed = (scan: Scan): scan is Feed => Object.values<Scan>(FEED).includes(scan);
+
 /** Takes changed rows in the order of their versions. */
 export const rowsChanged = (turn: Turn, rows: readonly StoreRow[]): void => {
   const { owned } = turn.work;
@@ -63,6 +66,7 @@
   feed.sentAtMs = null;
   feed.after = event.version;
   feed.viewAtMs = event.sentAtMs;
+  feed.viewStoreMs = event.storeMs;
   feed.retryAtMs = turn.nowMs;
   rowsChanged(turn, event.rows);
 };
@@ -98,6 +102,7 @@
   feed.scanning = false;
   feed.after = event.version;
   feed.viewAtMs = event.sentAtMs;
+  feed.viewStoreMs = event.storeMs;
   feed.retryAtMs = turn.nowMs;
   if (name === FEED.WORKERS) {
     unlistMissing(turn, event.rows);
--- a/packages/core/src/work/hostWorkers.ts
+++ b/packages/core/src/work/hostWorkers.ts
@@ -1,5 +1,5 @@
 import type { HostId } from "@heatherferry/common";
-import { loseRuns } from "./runResults.js";
+import { loseRuns } from "./giveUps.js";
 import type { OwnedWork, Reservation, Worker, WorkerLife } from "./state.js";
 import type { Turn } from "./turn.js";
 
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -1,17 +1,11 @@
 import type { HostId } from "@heatherferry/common";
-import { OWNERSHIP } from "./constants.js";
+import { OWNERSHIP, SCAN } from "./constants.js";
+import { logGivenUp } from "./givenUp.js";
 import { inheritOrders } from "./hosts.js";
 import type { StoreRow, WorkEvent } from "./events.js";
 import type { Claim, OwnedWork, WorkloadState } from "./state.js";
 import { logLine, loggedMs, newCommitId, type Turn } from "./turn.js";
-import {
-  fence,
-  storeVersion,
-  type LeasedWorker,
-  type OwnerRow,
-  type StoreVersion,
-  type WorkerId,
-} from "./types.js";
+import { fence, storeVersion, type OwnerRow, type StoreVersion } from "./types.js";
 
 type OwnerStoreRow = Extract<StoreRow, { type: "owner" }>;
 
@@ -39,13 +33,17 @@
 };
 
 /** Takes a fresh view of the owner's row. */
-export const ownerSeen = (turn: Turn, rows: readonly StoreRow[], sentAtMs: number): void => {
+export const ownerSeen = (
+  turn: Turn,
+  { rows, sentAtMs, storeMs }: Extract<WorkEvent, { type: "store/scanned" }>,
+): void => {
   const { work, nowMs } = turn;
   const view = work.ownerView;
   const row = ownerRowIn(rows);
   view.pollSentAtMs = null;
   view.nextPollAtMs = nowMs + OWNERSHIP.POLL_MS;
   view.viewAtMs = sentAtMs;
+  view.viewStoreMs = storeMs;
   const version = row?.version ?? storeVersion(0);
   if (view.row === null || version !== view.version) {
     if (row !== null && row.owner.holder !== view.row?.holder) {
@@ -100,9 +98,8 @@
     incarnation: work.identity.incarnation,
     fence: fence((view.row?.fence ?? 0) + 1),
     released: false,
-    leased: view.row?.leased ?? {},
     orderedHosts: view.row?.orderedHosts ?? {},
-    pending: view.row?.pending ?? {},
+    pending: null,
   };
   logLine(turn, "info", "owner.claiming", {
     fence: Number(owner.fence),
@@ -166,6 +163,8 @@
     feed.after = null;
     feed.sentAtMs = null;
     feed.viewAtMs = null;
+    feed.viewStoreMs = null;
+    feed.scanning = false;
   }
   logLine(turn, "info", "owner.taken", {
     fence: Number(work.owned.fence),
@@ -188,10 +187,13 @@
   takenVersion: version,
   rowVersion: version,
   confirmedAtMs: sentAtMs,
-  loads: new Set(["workers", "handIns", "progress"] as const),
+  loads: new Set([SCAN.WORKERS, SCAN.HAND_INS, SCAN.PROGRESS, SCAN.LEASES]),
+  loadRetries: new Map(),
   active: false,
   releasing: false,
-  unheard: new Map(Object.entries(before?.leased ?? {}) as [WorkerId, LeasedWorker][]),
+  leases: new Map(),
+  leaseChanges: new Set(),
+  unheard: new Map(),
   heldItems: new Map(),
   stopsUnknown: before !== null && !before.released,
   inheritedOrders,
@@ -207,6 +209,7 @@
   ledgerRetryAtMs: 0,
   ledgerSentAtMs: nowMs,
   needsRenewal: false,
+  ordersSent: 0,
   hosts: new Map(),
   workersByHost: new Map(),
   moves: new Map(),
@@ -218,6 +221,7 @@
   hostViewAtMs: null,
   waves: new Map(),
   demandLoggedAtMs: nowMs,
+  givenUp: new Map(),
   forgetAtMs: nowMs,
   forgetting: new Map(),
   loadedRows: [],
@@ -229,6 +233,7 @@
   if (work.owned === null) {
     return;
   }
+  logGivenUp(turn, work.owned);
   logLine(turn, "warn", "owner.ended", {
     fence: Number(work.owned.fence),
     why,
--- a/packages/core/src/work/recovery.ts
+++ b/packages/core/src/work/recovery.ts
@@ -1,10 +1,11 @@
 import type { TeamId } from "@heatherferry/common";
-import { LEASE } from "./constants.js";
+import { LEASE, STORE } from "./constants.js";
 import type { Scan, StoreRow, WorkEvent } from "./events.js";
+import { leaseChanged } from "./leaseRows.js";
 import { poolOf } from "./pools.js";
 import type { OwnedWork, TeamUse } from "./state.js";
 import { adoptHandIn, cancelOwned, findItem } from "./submissions.js";
-import { logLine, type Turn } from "./turn.js";
+import { logLine, wakeAfter, type Turn } from "./turn.js";
 import type { ItemKey, Progress, SubmissionId, WorkerId } from "./types.js";
 import { waveReported } from "./waves.js";
 import { workerReported } from "./workers.js";
@@ -24,6 +25,7 @@
     const feed = work.feeds[event.scan];
     feed.after = event.version;
     feed.viewAtMs = event.sentAtMs;
+    feed.viewStoreMs = event.storeMs;
   }
   if (owned.loads.size === 0) {
     const rows = owned.loadedRows;
@@ -34,12 +36,28 @@
 
 /** A table could not be read: it is read again, since nothing can be decided without it. */
 export const tableNotLoaded = (turn: Turn, owned: OwnedWork, scan: Scan): void => {
-  if (owned.loads.has(scan)) {
-    turn.effects.push({ type: "store/scan", scan });
+  owned.loadRetries.set(scan, turn.nowMs + STORE.SCAN_RETRY_MS);
+  wakeAfter(turn, STORE.SCAN_RETRY_MS);
+};
+
+/** Reads tables again whose read has failed. */
+export const tickLoads = (turn: Turn, owned: OwnedWork): void => {
+  for (const [scan, atMs] of owned.loadRetries) {
+    if (turn.nowMs >= atMs) {
+      owned.loadRetries.delete(scan);
+      turn.effects.push({ type: "store/scan", scan });
+    }
   }
 };
 
-const holdItems = (owned: OwnedWork): void => {
+/** Holds back what may run on workers until they are heard. */
+const holdItems = (owned: OwnedWork, rows: readonly StoreRow[]): void => {
+  for (const row of rows) {
+    if (row.type === "lease") {
+      owned.leases.set(row.worker, row.lease);
+      owned.unheard.set(row.worker, row.lease);
+    }
+  }
   for (const [worker, { items }] of owned.unheard) {
     for (const [step, indexes] of Object.entries(items)) {
       for (const index of indexes) {
@@ -53,7 +71,7 @@
   const progress = new Map<SubmissionId, Progress>();
   const cancels: SubmissionId[] = [];
   owned.active = true;
-  holdItems(owned);
+  holdItems(owned, rows);
   for (const row of rows) {
     if (row.type === "worker") {
       workerReported(turn, owned, row.report);
@@ -125,6 +143,7 @@
 const workerHeard = (owned: OwnedWork, id: WorkerId): void => {
   const leased = owned.unheard.get(id);
   owned.unheard.delete(id);
+  leaseChanged(owned, id);
   for (const [item, worker] of owned.heldItems) {
     if (worker === id) {
       owned.heldItems.delete(item);
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -6,15 +6,17 @@
 import { emptyLeaving } from "./emptying.js";
 import { dispatch, recheckPools, stopStalled } from "./dispatch.js";
 import type { WorkEvent } from "./events.js";
-import { feedAnswered, feedFailed, feedRead, storeAnswered, tickFeeds } from "./feeds.js";
+import { feedAnswered, feedFailed, feedRead, isFeed, storeAnswered, tickFeeds } from "./feeds.js";
 import { forgetSettled, tickForget } from "./forget.js";
+import { logGivenUp } from "./givenUp.js";
 import { hostsListed } from "./hosts.js";
 import { ledgerSettled, tickLedger } from "./ledger.js";
 import { tickLending } from "./lending.js";
+import { noteLag } from "./loopLag.js";
 import { moveAnswered } from "./moves.js";
 import { claimSettled, ownerScanFailed, ownerSeen, tickOwnership } from "./ownership.js";
 import { paceFailed } from "./pacing.js";
-import { tableLoaded, tableNotLoaded, tickRecovery } from "./recovery.js";
+import { tableLoaded, tableNotLoaded, tickLoads, tickRecovery } from "./recovery.js";
 import { startAnswered, stopAnswered } from "./runResults.js";
 import { repeatStops } from "./runs.js";
 import type { OwnedWork, WorkloadState } from "./state.js";
@@ -38,6 +40,7 @@
   }
   logLine(turn, "warn", "clock.jumped", { byMs: Math.round(jumpMs) });
   work.ownerView.sinceMs = nowMs;
+  work.ownerView.viewAtMs = null;
   for (const feed of Object.values(work.feeds)) {
     feed.viewAtMs = null;
   }
@@ -47,13 +50,21 @@
   }
 };
 
+/** Asked for by an earlier ownership of this node: others may have changed what it read. */
+const isOutdated = (
+  { owned }: WorkloadState,
+  { scan, sentAtMs }: Extract<WorkEvent, { type: "store/scanned" }>,
+): boolean => scan !== SCAN.OPERATORS && owned !== null && sentAtMs < owned.takenAtMs;
+
 const scanned = (turn: Turn, event: Extract<WorkEvent, { type: "store/scanned" }>): void => {
   const { work } = turn;
   if (event.scan === SCAN.OWNER) {
-    ownerSeen(turn, event.rows, event.sentAtMs);
+    ownerSeen(turn, event);
+  } else if (isOutdated(work, event)) {
+    logLine(turn, "info", "scan.outdated", { scan: event.scan });
   } else if (work.owned?.loads.has(event.scan) === true) {
     tableLoaded(turn, work.owned, event);
-  } else if (event.scan !== SCAN.PROGRESS && work.feeds[event.scan].scanning) {
+  } else if (isFeed(event.scan) && work.feeds[event.scan].scanning) {
     feedRead(turn, event, event.scan);
   }
 };
@@ -65,7 +76,7 @@
     ownerScanFailed(turn);
   } else if (work.owned?.loads.has(event.scan) === true) {
     tableNotLoaded(turn, work.owned, event.scan);
-  } else if (event.scan !== SCAN.PROGRESS) {
+  } else if (isFeed(event.scan)) {
     const feed = work.feeds[event.scan];
     feed.scanning = false;
     feed.retryAtMs = turn.nowMs + STORE.FEED_RETRY_MS;
@@ -168,6 +179,7 @@
   tickLending(turn, owned);
   tickForget(turn, owned);
   recheckPools(owned);
+  logGivenUp(turn, owned);
 };
 
 const tickLeaving = (turn: Turn): void => {
@@ -210,6 +222,8 @@
       tickRecovery(turn, owned);
       dispatch(turn, owned);
       tickWorkers(turn, owned);
+    } else {
+      tickLoads(turn, owned);
     }
     tickLedger(turn, owned);
   }
@@ -244,6 +258,7 @@
       work.leavingAtMs ??= event.atMs;
       break;
     case "clock/ticked":
+      noteLag(turn, event.lateMs ?? 0);
       break;
     default:
       reduceStoreEvent(turn, event as WorkEvent);
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -1,10 +1,11 @@
 import { ITEM_PHASE, ORDER, RUN_PHASE } from "./constants.js";
+import { leaseChanged } from "./leaseRows.js";
 import { isSure } from "./ownership.js";
 import { poolOf } from "./pools.js";
 import type { Item, OwnedWork, Run, TeamUse, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
 import type { Resources, StepSpec } from "./types.js";
-import { targetOf } from "./leases.js";
+import { targetOf } from "./lives.js";
 
 /** @returns What an item of a step takes of a worker's room. */
 export const roomOf = (spec: StepSpec): Resources =>
@@ -52,6 +53,8 @@
     phase: RUN_PHASE.PLANNED,
     orderedAtMs: turn.nowMs,
     startsSent: 0,
+    startsAnswered: 0,
+    startSentAtMs: null,
     unansweredAtMs: null,
     checkpoint: null,
     confirmedAtMs: null,
@@ -73,6 +76,7 @@
     worker.busySinceMs = turn.nowMs;
   }
   worker.runs.set(item.key, run);
+  leaseChanged(owned, worker.report.id);
   charge(owned, worker, run, 1);
   return run;
 };
@@ -83,6 +87,7 @@
     return;
   }
   worker.runs.delete(run.item.key);
+  leaseChanged(owned, worker.report.id);
   charge(owned, worker, run, -1);
   if (run.item.run === run) {
     run.item.run = null;
@@ -116,6 +121,7 @@
 
 const sendStop = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run): void => {
   run.stopSentAtMs = turn.nowMs;
+  leaseChanged(owned, worker.report.id);
   if (!isSure(turn, owned)) {
     return;
   }
@@ -142,18 +148,5 @@
   }
 };
 
-/**
- * Hands runs to the next life of a worker: an order under way may have reached that life, so
- * looks at it have to tell.
- */
-export const carryRuns = (from: Worker, to: Worker): void => {
-  for (const run of from.runs.values()) {
-    if (!run.shown) {
-      from.runs.delete(run.item.key);
-      to.runs.set(run.item.key, run);
-      to.usedCpuMilli += run.room.cpuMilli;
-      to.usedMemoryMb += run.room.memoryMb;
-      to.usedGpus += run.room.gpus;
-    }
-  }
-};
+/** @returns Whether an order to start a run may yet be carried out, as far as answers tell. */
+export const hasLooseStart = (run: Run): boolean => run.startsSent > run.startsAnswered;
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -19,10 +19,18 @@
   WorkerId,
 } from "./types.js";
 import type { Run, Submission } from "./itemState.js";
-import type { Worker, PoolWork, TeamUse, WorkerLife } from "./workerState.js";
+import type { GivenUpRuns, Worker, PoolWork, TeamUse, WorkerLife } from "./workerState.js";
 
 export type { Run, Item, Occurrence, Submission } from "./itemState.js";
-export type { Worker, WorkerLife, Reservation, Arrival, PoolWork, TeamUse } from "./workerState.js";
+export type {
+  GivenUpRuns,
+  Worker,
+  WorkerLife,
+  Reservation,
+  Arrival,
+  PoolWork,
+  TeamUse,
+} from "./workerState.js";
 
 /** A wave under way. */
 export interface WaveWork {
@@ -46,10 +54,17 @@
   rowVersion: StoreVersion;
   /** When the last confirmed write was sent. */
   confirmedAtMs: number;
+  /** Tables that are to be read before anything is decided. */
   readonly loads: Set<Scan>;
+  /** When a table is read again whose read has failed. */
+  readonly loadRetries: Map<Scan, number>;
   active: boolean;
   /** It is being given back: nothing is ordered any more. */
   releasing: boolean;
+  /** What the store says may run on each worker. */
+  readonly leases: Map<WorkerId, LeasedWorker>;
+  /** Workers on which other work may run than their rows say. */
+  readonly leaseChanges: Set<WorkerId>;
   /** Workers of the owner before that were not heard yet. */
   readonly unheard: Map<WorkerId, LeasedWorker>;
   /** Items that may run on a worker that was not heard yet. */
@@ -72,6 +87,8 @@
   ledgerRetryAtMs: number;
   ledgerSentAtMs: number;
   needsRenewal: boolean;
+  /** Orders to workers and looks at them so far. */
+  ordersSent: number;
   readonly hosts: Map<HostId, HostListing>;
   /** Listed workers by host: the one that it runs, and entries left over of those before. */
   readonly workersByHost: Map<HostId, Set<Worker>>;
@@ -88,6 +105,8 @@
   hostViewAtMs: number | null;
   readonly waves: Map<number, WaveWork>;
   demandLoggedAtMs: number;
+  /** Given up since the clock turned last, by worker and reason. */
+  readonly givenUp: Map<string, GivenUpRuns>;
   forgetAtMs: number;
   /** Hand-ins that are being removed, by the write that does it. */
   readonly forgetting: Map<string, SubmissionId>;
@@ -146,6 +165,8 @@
   retryAtMs: number;
   /** When the newest complete view was asked for. */
   viewAtMs: number | null;
+  /** The same view's time on the store's steady clock. */
+  viewStoreMs: number | null;
   scanning: boolean;
 }
 
@@ -165,13 +186,22 @@
   version: StoreVersion;
   /** When this version was first seen. */
   sinceMs: number;
+  /** When the newest view was asked for, and its time on the store's steady clock. */
   viewAtMs: number | null;
+  viewStoreMs: number | null;
   pollSentAtMs: number | null;
   nextPollAtMs: number;
   claim: Claim | null;
   claimAtMs: number | null;
 }
 
+/** Turns of the clock that were handled late and that no line tells of yet. */
+export interface LoopLag {
+  loggedAtMs: number;
+  turns: number;
+  worstMs: number;
+}
+
 export interface WorkIdentity {
   readonly holder: string;
   readonly incarnation: string;
@@ -201,6 +231,7 @@
   /** When all that goes by time was looked at last. */
   tickedAtMs: number;
   wakeAtMs: number | null;
+  lag: LoopLag;
 }
 
 const newFeed = (): FeedState => ({
@@ -208,6 +239,7 @@
   sentAtMs: null,
   retryAtMs: 0,
   viewAtMs: null,
+  viewStoreMs: null,
   scanning: false,
 });
 
@@ -230,6 +262,7 @@
     version: 0 as StoreVersion,
     sinceMs: 0,
     viewAtMs: null,
+    viewStoreMs: null,
     pollSentAtMs: null,
     nextPollAtMs: 0,
     claim: null,
@@ -245,4 +278,5 @@
   nextHostOrder: 1,
   tickedAtMs: -Infinity,
   wakeAtMs: null,
+  lag: { loggedAtMs: -Infinity, turns: 0, worstMs: 0 },
 });
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -110,14 +110,22 @@
 export interface LeasedWorker {
   readonly pool: PoolId;
   /**
-   * All that may run there, `submission.occurrence.step` to item numbers: an item is started only
-   * after a row that names it was written.
+   * All that may run there, `submission.occurrence.step` to item numbers. An item is started only
+   * after a row that names it was written, and named until its end is written too.
    */
   readonly items: Readonly<Record<string, readonly number[]>>;
   /** Runs are being stopped there, which takes room but is not listed as running. */
   readonly stopping: boolean;
 }
 
+/** How many submissions wait, and what the number goes by. */
+export interface PendingCount {
+  /** Hand-ins stored until then are counted; on the store's steady clock. */
+  readonly asOfStoreMs: number;
+  /** Accepted submissions without a started item, by queue. */
+  readonly byQueue: Readonly<Record<string, number>>;
+}
+
 /** The owner's row; the owner renews it with every write. */
 export interface OwnerRow {
   readonly holder: string;
@@ -125,15 +133,13 @@
   readonly fence: Fence;
   /** True once the owner gave it back: anybody may take it at once. */
   readonly released: boolean;
-  /** Workers on which something may run under a lease of this owner. */
-  readonly leased: Readonly<Record<WorkerId, LeasedWorker>>;
   /**
    * Hosts ordered to move or to upkeep within the time in which holders must not take turns, with
    * the age of the order in ms when the row was written; null where it was yet to be sent.
    */
   readonly orderedHosts: Readonly<Record<HostId, number | null>>;
-  /** Accepted submissions without a started item, a queue. */
-  readonly pending: Readonly<Record<string, number>>;
+  /** Null while the owner has not counted. */
+  readonly pending: PendingCount | null;
 }
 
 export interface Queue {
@@ -238,6 +244,8 @@
   readonly graceMs: number;
   readonly drainMs: number;
   readonly statusKeptMs: number;
+  /** Time until an accepted submission has to be among those shown. */
+  readonly visibleMs: number;
   /** Holders of host orders must not take turns within this time. */
   readonly dutyLeaseMs: number;
   readonly noticeMs: number;
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -1,4 +1,4 @@
-import type { PoolId, ValueOf } from "@heatherferry/common";
+import type { Address, PoolId, ValueOf } from "@heatherferry/common";
 import type { RESERVATION } from "./constants.js";
 import type { ItemKey, WorkerId, WorkerReport } from "./types.js";
 import type { Run, Submission } from "./itemState.js";
@@ -26,9 +26,17 @@
   leaseEndsAtMs: number | null;
   /** Last end of a lease asked for, on its clock. */
   leaseUntilClockMs: number;
-  /** It has seen this owner's fence, so no earlier owner can start work there. */
+  /**
+   * Last end of a lease, on this life's clock, that an order to an earlier life may grant here if it
+   * is carried out late; null if there is none.
+   */
+  lateLeaseUntilClockMs: number | null;
+  /** It has seen this owner's fence, so no earlier owner can start work there, and told all ends. */
   fenced: boolean;
-  lookSentAtMs: number | null;
+  /** Order number of the look under way; null where none is, or what it asks is out of date. */
+  lookOrder: number | null;
+  /** When the newest look was sent, answered or not. */
+  lastLookAtMs: number | null;
   nextLookAtMs: number;
   answeredAtMs: number | null;
   /** The last look had no answer: nothing new starts there until one has. */
@@ -59,6 +67,22 @@
   departed: boolean;
 }
 
+/** Ordered runs of one worker that were given up for one reason, gathered for one log line. */
+export interface GivenUpRuns {
+  readonly worker: WorkerId;
+  readonly why: string;
+  readonly address: Address;
+  readonly bornWallMs: number | null;
+  /** When the first of them was given up, and how old the worker's last answer was then. */
+  readonly sinceMs: number;
+  readonly answerAgeMs: number | null;
+  /** Age of the newest look at the worker, answered or not. */
+  readonly lookAgeMs: number | null;
+  count: number;
+  /** The first few, as item and run. */
+  readonly first: string[];
+}
+
 /** Work handed in to a pool. */
 export interface Arrival {
   readonly atMs: number;
--- a/packages/core/tests/work/memoryStore.ts
+++ b/packages/core/tests/work/memoryStore.ts
@@ -21,6 +21,8 @@
   switch (row.type) {
     case "owner":
       return "owner";
+    case "lease":
+      return `lease ${row.worker}`;
     case "waveReport":
       return `waveReport ${row.wave}`;
     case "handIn":
@@ -42,11 +44,24 @@
   progress: "progress",
   waveReport: "progress",
   owner: "owner",
+  lease: "leases",
+};
+
+/** Bytes that the platform's store takes of a row. */
+const ROW_BYTES = 65_536;
+
+const checkSize = (row: RowToWrite): void => {
+  const bytes = Buffer.byteLength(JSON.stringify(row));
+  if (bytes > ROW_BYTES) {
+    throw new Error(`ROW: ${nameOf(row)} has ${bytes} bytes`);
+  }
 };
 
 /** The platform's store in memory: one counter of versions, transactions, feeds. */
 export class MemoryStore {
   version = 1;
+  /** Changes up to this version are not kept any more. */
+  forgottenUpTo = 0;
   private readonly cells = new Map<string, Cell>();
 
   /** @returns Null if every condition holds and the commit was done, else the rows in the way. */
@@ -55,6 +70,7 @@
       return commit.conditions.flatMap(({ row }) => this.read(nameOf(row)));
     }
     this.version += 1;
+    commit.writes.forEach(checkSize);
     for (const row of commit.writes) {
       this.cells.set(nameOf(row), { version: this.version, row });
     }
