--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -15,6 +15,7 @@
   Fence,
   HandIn,
   HostListing,
+  HostOrderId,
   ItemKey,
   LeasedWorker,
   OwnerRow,
@@ -137,6 +138,8 @@
         readonly rows: readonly StoreRow[];
         /** The store's newest version as of the first page. */
         readonly version: StoreVersion;
+        /** The store's steady clock as of the first page; null where it did not tell. */
+        readonly storeMs: number | null;
       }
     | { readonly type: "store/scanFailed"; readonly scan: Scan; readonly reason: string }
     | {
@@ -145,6 +148,8 @@
         readonly sentAtMs: number;
         readonly rows: readonly StoreRow[];
         readonly version: StoreVersion;
+        /** The store's steady clock; null where it did not tell. */
+        readonly storeMs: number | null;
       }
     | {
         readonly type: "store/feedFailed";
@@ -217,6 +222,7 @@
     | { readonly type: "power/listFailed"; readonly reason: string }
     | {
         readonly type: "power/orderAnswered";
+        readonly order: HostOrderId;
         readonly host: HostId;
         readonly result: HostOrderResult;
         readonly reason: string | null;
@@ -278,12 +284,14 @@
   | { readonly type: "power/list" }
   | {
       readonly type: "power/move";
+      readonly order: HostOrderId;
       readonly host: HostId;
       readonly pool: PoolId;
       readonly fence: Fence;
     }
   | {
       readonly type: "power/upkeep";
+      readonly order: HostOrderId;
       readonly host: HostId;
       readonly wave: number;
       readonly fence: Fence;
--- a/packages/core/src/work/feeds.ts
+++ b/packages/core/src/work/feeds.ts
@@ -66,6 +66,7 @@
   feed.sentAtMs = null;
   feed.after = event.version;
   feed.viewAtMs = event.sentAtMs;
+  feed.viewStoreMs = event.storeMs;
   feed.retryAtMs = turn.nowMs;
   rowsChanged(turn, event.rows);
 };
@@ -101,6 +102,7 @@
   feed.scanning = false;
   feed.after = event.version;
   feed.viewAtMs = event.sentAtMs;
+  feed.viewStoreMs = event.storeMs;
   feed.retryAtMs = turn.nowMs;
   if (name === FEED.WORKERS) {
     unlistMissing(turn, event.rows);
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -1,7 +1,8 @@
-import { pendingByQueue } from "./pending.js";
+import { countPending } from "./pending.js";
 import { OWNERSHIP, STORE } from "./constants.js";
 import type { RowToWrite, WorkEvent } from "./events.js";
-import { orderedHosts, sendHostOrders } from "./hosts.js";
+import { dropHostOrders, sendHostOrders } from "./hostOrders.js";
+import { orderedHosts } from "./hosts.js";
 import { endOwning, isSure, stillOwner } from "./ownership.js";
 import { chooseStarts, hasStaleLeases, leaseRows, staleLeases } from "./leaseRows.js";
 import type { LedgerWrite, OwnedWork, Submission } from "./state.js";
@@ -18,7 +19,7 @@
   fence: owned.fence,
   released,
   orderedHosts: orderedHosts(turn, owned),
-  pending: pendingByQueue(turn),
+  pending: countPending(turn, owned),
 });
 
 const gather = (owned: OwnedWork, most: number): Submission[] => {
@@ -209,6 +210,7 @@
     sendHostOrders(turn, owned, write.orders);
     sendStarts(turn, owned, write.starts);
   } else {
+    dropHostOrders(turn, owned, write.orders);
     dropStarts(turn, owned, write.starts);
   }
   if (write.releases) {
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -3,13 +3,13 @@
 import { isStandby } from "./catalog.js";
 import { HOSTS, LENDING } from "./constants.js";
 import { demandOf, isOpen, logDemand, missingHosts, spareHosts, type Demand } from "./demand.js";
-import type { WorkEvent } from "./events.js";
-import { listHosts, mayOrderHost, planHostOrder } from "./hosts.js";
+import { listHosts, mayOrderHost } from "./hosts.js";
+import { workerOn } from "./hostWorkers.js";
+import { moveHost, settleMoves, type FreeHost } from "./moves.js";
 import { isSure } from "./ownership.js";
 import { poolOf } from "./pools.js";
 import type { OwnedWork, Worker } from "./state.js";
-import { logLine, type Turn } from "./turn.js";
-import { workerDeparted } from "./workers.js";
+import type { Turn } from "./turn.js";
 
 const hostIsFree = (turn: Turn, owned: OwnedWork, host: HostId): boolean => {
   if (
@@ -21,7 +21,7 @@
   }
   for (const wave of owned.waves.values()) {
     const due = !wave.completed && wave.request.hosts.includes(host) && !wave.doneHosts.has(host);
-    if (due && (wave.outHosts.has(host) || owned.workersByHost.get(host)?.reserved === true)) {
+    if (due && wave.outHosts.has(host)) {
       return false;
     }
   }
@@ -29,56 +29,46 @@
 };
 
 /** @returns Hosts that are off and could be had at once. */
-const standbyHosts = (turn: Turn, owned: OwnedWork): HostId[] =>
+const standbyHosts = (turn: Turn, owned: OwnedWork): FreeHost[] =>
   [...owned.hosts.values()]
     .filter(
       ({ host, pool, up }) =>
         up &&
         isStandby(turn.work.catalog, pool) &&
-        !owned.workersByHost.has(host) &&
+        workerOn(owned, host) === null &&
         hostIsFree(turn, owned, host),
     )
-    .map(({ host }) => host);
+    .map(({ host }) => ({ host, worker: null }));
 
 const isIdle = (turn: Turn, owned: OwnedWork, worker: Worker, idleMs: number): boolean =>
-  isOpen(turn, worker) &&
+  isOpen(turn, owned, worker) &&
   worker.fenced &&
   worker.runs.size === 0 &&
   worker.strayStops.size === 0 &&
   worker.seenSequence === worker.notedSequence &&
   turn.nowMs - worker.idleSinceMs >= idleMs &&
   worker.report.host !== null &&
+  workerOn(owned, worker.report.host) === worker &&
   hostIsFree(turn, owned, worker.report.host);
 
-/** @returns Idle workers of a pool that it can do without, longest idle first. */
-const idleWorkers = (turn: Turn, owned: OwnedWork, demand: Demand, idleMs: number): Worker[] => {
+/** @returns Hosts of a pool whose workers it can do without, longest idle first. */
+const idleHosts = (turn: Turn, owned: OwnedWork, demand: Demand, idleMs: number): FreeHost[] => {
   const { pool } = demand;
   const spare = Math.min(demand.openWorkers.length - LENDING.LEAST_WORKERS, spareHosts(demand));
   return [...pool.workers]
     .filter((worker) => isIdle(turn, owned, worker, idleMs))
     .sort((one, other) => one.idleSinceMs - other.idleSinceMs)
-    .slice(0, Math.max(0, spare));
+    .slice(0, Math.max(0, spare))
+    .flatMap((worker) => {
+      const { host } = worker.report;
+      return host === null ? [] : [{ host, worker }];
+    });
 };
 
-const move = (turn: Turn, owned: OwnedWork, host: HostId, to: PoolId, why: string): void => {
-  const worker = owned.workersByHost.get(host) ?? null;
-  if (worker !== null) {
-    worker.reserved = true;
-  }
-  owned.moves.set(host, {
-    to,
-    worker: worker?.report.id ?? null,
-    orderedAtMs: turn.nowMs,
-    confirmed: false,
-  });
-  planHostOrder(turn, owned, { type: "power/move", host, pool: to, fence: owned.fence });
-  logLine(turn, "info", "host.moving", {
-    host,
-    from: worker?.report.pool ?? owned.hosts.get(host)?.pool ?? null,
-    to,
-    why,
-    fence: Number(owned.fence),
-  });
+/** @returns A host of another pool, which is taken from the list. */
+const takeIdle = (idle: FreeHost[], to: PoolId): FreeHost | undefined => {
+  const index = idle.findLastIndex(({ worker }) => worker?.report.pool !== to);
+  return index < 0 ? undefined : idle.splice(index, 1)[0];
 };
 
 /**
@@ -96,15 +86,14 @@
     return false;
   }
   const off = standbyHosts(turn, owned);
-  const idle = demands.flatMap((demand) => idleWorkers(turn, owned, demand, LENDING.LEND_IDLE_MS));
+  const idle = demands.flatMap((demand) => idleHosts(turn, owned, demand, LENDING.LEND_IDLE_MS));
   const most = Math.max(...needy.map(({ missing }) => missing));
-  for (let round = 0; round < most; round += 1) {
+  for (let round = 0; round < most && idle.length + off.length > 0; round += 1) {
     for (const { demand } of needy.filter(({ missing }) => missing > round)) {
-      const host = idle.pop()?.report.host ?? off.pop();
-      if (host == null) {
-        return true;
+      const free = takeIdle(idle, demand.pool.id) ?? off.pop();
+      if (free !== undefined) {
+        moveHost(turn, owned, free, demand.pool.id, "work waits for room");
       }
-      move(turn, owned, host, demand.pool.id, "work waits for room");
     }
   }
   return true;
@@ -117,29 +106,8 @@
     return;
   }
   for (const demand of demands) {
-    for (const { report } of idleWorkers(turn, owned, demand, LENDING.RETIRE_IDLE_MS)) {
-      if (report.host !== null) {
-        move(turn, owned, report.host, standby.id, "it was idle");
-      }
-    }
-  }
-};
-
-const settleMoves = (turn: Turn, owned: OwnedWork): void => {
-  for (const [host, order] of owned.moves) {
-    const worker = owned.workersByHost.get(host) ?? null;
-    const waitedMs = turn.nowMs - order.orderedAtMs;
-    const arrived =
-      worker !== null && worker.report.id !== order.worker && worker.report.pool === order.to;
-    const off =
-      order.confirmed &&
-      isStandby(turn.work.catalog, order.to) &&
-      waitedMs >= turn.work.bounds.moveMs;
-    if (arrived || off || waitedMs > HOSTS.RETURN_MS) {
-      owned.moves.delete(host);
-      if (worker !== null) {
-        worker.reserved = false;
-      }
+    for (const free of idleHosts(turn, owned, demand, LENDING.RETIRE_IDLE_MS)) {
+      moveHost(turn, owned, free, standby.id, "it was idle");
     }
   }
 };
@@ -165,35 +133,3 @@
     retire(turn, owned, demands);
   }
 };
-
-/** Takes the answer to a move. */
-export const moveAnswered = (
-  turn: Turn,
-  owned: OwnedWork,
-  event: Extract<WorkEvent, { type: "power/orderAnswered" }>,
-): void => {
-  const order = owned.moves.get(event.host);
-  if (order === undefined || order.confirmed) {
-    return;
-  }
-  if (event.result === "accepted") {
-    order.confirmed = true;
-    const left = owned.workersByHost.get(event.host);
-    if (left?.report.id === order.worker) {
-      workerDeparted(turn, owned, left);
-    }
-    const listing = owned.hosts.get(event.host);
-    if (listing !== undefined) {
-      owned.hosts.set(event.host, { ...listing, pool: order.to });
-    }
-  } else if (event.result === "unanswered") {
-    // It may still be carried out, so the host stays out until it shows itself.
-    owned.hostListSentAtMs = null;
-  } else {
-    owned.moves.delete(event.host);
-    const worker = owned.workersByHost.get(event.host);
-    if (worker !== undefined) {
-      worker.reserved = false;
-    }
-  }
-};
--- a/packages/core/src/work/lives.ts
+++ b/packages/core/src/work/lives.ts
@@ -1,6 +1,5 @@
 import { LIFE, RUN_PHASE } from "./constants.js";
 import type { Life, WorkerTarget } from "./events.js";
-import { logOtherLife, type Asked } from "./otherLife.js";
 import type { OwnedWork, Worker } from "./state.js";
 import type { Turn } from "./turn.js";
 import type { WorkerReport } from "./types.js";
@@ -22,26 +21,15 @@
 });
 
 /**
- * @param asked - What the answer answers.
- * @returns The worker that an answer is about; null where it was asked under another ownership, or of
+ * @returns The worker that an answer is about; null where it was sent under another ownership, or to
  *   another life or address than the worker has now, so that it says nothing of it.
  */
-export const workerAsked = (
-  turn: Turn,
-  owned: OwnedWork,
-  answer: WorkerTarget,
-  asked: Asked,
-): Worker | null => {
+export const workerAsked = (owned: OwnedWork, answer: WorkerTarget): Worker | null => {
   const worker = owned.workers.get(answer.worker);
-  if (worker === undefined) {
-    return null;
-  }
-  const { address, bornWallMs } = worker.report;
   const same =
-    address === answer.address && bornWallMs === answer.bornWallMs && owned.fence === answer.fence;
-  if (!same) {
-    logOtherLife(turn, worker, asked, answer.bornWallMs);
-  }
+    worker?.report.address === answer.address &&
+    worker.report.bornWallMs === answer.bornWallMs &&
+    owned.fence === answer.fence;
   return same ? worker : null;
 };
 
--- a/packages/core/src/work/otherLife.ts
+++ b/packages/core/src/work/otherLife.ts
@@ -1,9 +1,8 @@
-import type { Worker } from "./state.js";
+import type { WorkerTarget } from "./events.js";
+import { workerAsked } from "./lives.js";
+import type { OwnedWork, Worker } from "./state.js";
 import { logLine, loggedMs, type Turn } from "./turn.js";
 
-/** What a worker was asked. */
-export type Asked = "look" | "start" | "stop" | "pace";
-
 /**
  * Logs that an answer is not of the life of a worker that is known, or was asked for before that
  * life, or this ownership, was known.
@@ -14,7 +13,7 @@
 export const logOtherLife = (
   turn: Turn,
   worker: Worker,
-  asked: Asked,
+  asked: "look" | "start" | "stop",
   bornWallMs: number | null,
 ): void => {
   logLine(turn, "warn", "worker.otherLife", {
@@ -27,3 +26,16 @@
     runs: worker.runs.size,
   });
 };
+
+/** Logs an answer that was asked for of another life, at another address or under another owner. */
+export const logOutdatedAnswer = (
+  turn: Turn,
+  owned: OwnedWork,
+  answer: WorkerTarget,
+  asked: "look" | "start" | "stop",
+): void => {
+  const worker = owned.workers.get(answer.worker);
+  if (worker !== undefined && workerAsked(owned, answer) === null) {
+    logOtherLife(turn, worker, asked, answer.bornWallMs);
+  }
+};
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -11,17 +11,19 @@
 import { logGivenUp } from "./givenUp.js";
 import { hostsListed } from "./hosts.js";
 import { ledgerSettled, tickLedger } from "./ledger.js";
+import { tickLending } from "./lending.js";
 import { noteLag } from "./loopLag.js";
-import { moveAnswered, tickLending } from "./lending.js";
+import { moveAnswered } from "./moves.js";
 import { claimSettled, ownerScanFailed, ownerSeen, tickOwnership } from "./ownership.js";
 import { paceFailed } from "./pacing.js";
-import { tableLoaded, tableNotLoaded, tickRecovery } from "./recovery.js";
+import { tableLoaded, tableNotLoaded, tickLoads, tickRecovery } from "./recovery.js";
 import { startAnswered, stopAnswered } from "./runResults.js";
 import { repeatStops } from "./runs.js";
 import type { OwnedWork, WorkloadState } from "./state.js";
 import { makeDueOccurrences } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
-import { tickWaves, upkeepAnswered } from "./waves.js";
+import { upkeepAnswered } from "./upkeep.js";
+import { tickWaves } from "./waves.js";
 import { tickWorkers, workerLooked, workerLookFailed } from "./workers.js";
 
 /**
@@ -38,6 +40,7 @@
   }
   logLine(turn, "warn", "clock.jumped", { byMs: Math.round(jumpMs) });
   work.ownerView.sinceMs = nowMs;
+  work.ownerView.viewAtMs = null;
   for (const feed of Object.values(work.feeds)) {
     feed.viewAtMs = null;
   }
@@ -47,10 +50,18 @@
   }
 };
 
+/** Asked for by an earlier ownership of this node: others may have changed what it read. */
+const isOutdated = (
+  { owned }: WorkloadState,
+  { scan, sentAtMs }: Extract<WorkEvent, { type: "store/scanned" }>,
+): boolean => scan !== SCAN.OPERATORS && owned !== null && sentAtMs < owned.takenAtMs;
+
 const scanned = (turn: Turn, event: Extract<WorkEvent, { type: "store/scanned" }>): void => {
   const { work } = turn;
   if (event.scan === SCAN.OWNER) {
-    ownerSeen(turn, event.rows, event.sentAtMs);
+    ownerSeen(turn, event);
+  } else if (isOutdated(work, event)) {
+    logLine(turn, "info", "scan.outdated", { scan: event.scan });
   } else if (work.owned?.loads.has(event.scan) === true) {
     tableLoaded(turn, work.owned, event);
   } else if (isFeed(event.scan) && work.feeds[event.scan].scanning) {
@@ -135,7 +146,7 @@
       workerLookFailed(turn, owned, event);
       return;
     case "worker/paceFailed":
-      paceFailed(turn, owned, event);
+      paceFailed(owned, event);
       return;
     case "power/listed":
       hostsListed(turn, owned, event);
@@ -211,6 +222,8 @@
       tickRecovery(turn, owned);
       dispatch(turn, owned);
       tickWorkers(turn, owned);
+    } else {
+      tickLoads(turn, owned);
     }
     tickLedger(turn, owned);
   }
--- a/packages/core/src/work/starts.ts
+++ b/packages/core/src/work/starts.ts
@@ -1,6 +1,6 @@
 import { LEASE, ORDER, RUN_PHASE } from "./constants.js";
 import { isSure } from "./ownership.js";
-import { giveUpRun } from "./lostRuns.js";
+import { giveUpRun } from "./giveUps.js";
 import { addRun } from "./runs.js";
 import type { Item, OwnedWork, Run, Worker } from "./state.js";
 import { logLine, loggedMs, type Turn } from "./turn.js";
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -6,6 +6,7 @@
   Fence,
   HandIn,
   HostListing,
+  HostOrderId,
   ItemKey,
   LeasedWorker,
   OwnerRow,
@@ -18,10 +19,18 @@
   WorkerId,
 } from "./types.js";
 import type { Run, Submission } from "./itemState.js";
-import type { GivenUpRuns, Worker, PoolWork, TeamUse } from "./workerState.js";
+import type { GivenUpRuns, Worker, PoolWork, TeamUse, WorkerLife } from "./workerState.js";
 
 export type { Run, Item, Occurrence, Submission } from "./itemState.js";
-export type { GivenUpRuns, Worker, Arrival, PoolWork, TeamUse } from "./workerState.js";
+export type {
+  GivenUpRuns,
+  Worker,
+  WorkerLife,
+  Reservation,
+  Arrival,
+  PoolWork,
+  TeamUse,
+} from "./workerState.js";
 
 /** A wave under way. */
 export interface WaveWork {
@@ -31,11 +40,8 @@
   seenWallMs: number;
   readonly doneHosts: Set<HostId>;
   dirty: boolean;
-  /** Hosts ordered down, with the worker they had. */
-  readonly outHosts: Map<
-    HostId,
-    { readonly worker: WorkerId | null; orderedAtMs: number; confirmed: boolean }
-  >;
+  /** Hosts ordered down. */
+  readonly outHosts: Map<HostId, HostOut>;
   completed: boolean;
 }
 
@@ -48,7 +54,10 @@
   rowVersion: StoreVersion;
   /** When the last confirmed write was sent. */
   confirmedAtMs: number;
+  /** Tables that are to be read before anything is decided. */
   readonly loads: Set<Scan>;
+  /** When a table is read again whose read has failed. */
+  readonly loadRetries: Map<Scan, number>;
   active: boolean;
   /** It is being given back: nothing is ordered any more. */
   releasing: boolean;
@@ -81,8 +90,8 @@
   /** Orders to workers and looks at them so far. */
   ordersSent: number;
   readonly hosts: Map<HostId, HostListing>;
-  /** The listed worker that each host runs. */
-  readonly workersByHost: Map<HostId, Worker>;
+  /** Listed workers by host: the one that it runs, and entries left over of those before. */
+  readonly workersByHost: Map<HostId, Set<Worker>>;
   readonly moves: Map<HostId, HostMove>;
   /** When each host was ordered last, or will be once the owner's row names it. */
   readonly hostOrders: Map<HostId, number>;
@@ -107,10 +116,22 @@
 
 export type HostOrder = Extract<WorkEffect, { type: "power/move" | "power/upkeep" }>;
 
+/** A host that was ordered down for upkeep. */
+export interface HostOut {
+  /** What it ran as of the last order. */
+  readonly worker: WorkerLife | null;
+  readonly orderedAtMs: number;
+  /** Orders that were carried out or may yet be. */
+  readonly orders: Set<HostOrderId>;
+  confirmed: boolean;
+}
+
 /** A host on its way to another pool. */
 export interface HostMove {
+  readonly order: HostOrderId;
   readonly to: PoolId;
-  readonly worker: WorkerId | null;
+  /** What it ran when the move was ordered. */
+  readonly worker: WorkerLife | null;
   readonly orderedAtMs: number;
   confirmed: boolean;
 }
@@ -144,6 +165,8 @@
   retryAtMs: number;
   /** When the newest complete view was asked for. */
   viewAtMs: number | null;
+  /** The same view's time on the store's steady clock. */
+  viewStoreMs: number | null;
   scanning: boolean;
 }
 
@@ -163,7 +186,9 @@
   version: StoreVersion;
   /** When this version was first seen. */
   sinceMs: number;
+  /** When the newest view was asked for, and its time on the store's steady clock. */
   viewAtMs: number | null;
+  viewStoreMs: number | null;
   pollSentAtMs: number | null;
   nextPollAtMs: number;
   claim: Claim | null;
@@ -202,6 +227,7 @@
   leavingAtMs: number | null;
   frontClosed: boolean;
   nextCommit: number;
+  nextHostOrder: number;
   /** When all that goes by time was looked at last. */
   tickedAtMs: number;
   wakeAtMs: number | null;
@@ -213,6 +239,7 @@
   sentAtMs: null,
   retryAtMs: 0,
   viewAtMs: null,
+  viewStoreMs: null,
   scanning: false,
 });
 
@@ -235,6 +262,7 @@
     version: 0 as StoreVersion,
     sinceMs: 0,
     viewAtMs: null,
+    viewStoreMs: null,
     pollSentAtMs: null,
     nextPollAtMs: 0,
     claim: null,
@@ -247,6 +275,7 @@
   leavingAtMs: null,
   frontClosed: false,
   nextCommit: 1,
+  nextHostOrder: 1,
   tickedAtMs: -Infinity,
   wakeAtMs: null,
   lag: { loggedAtMs: -Infinity, turns: 0, worstMs: 0 },
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -18,6 +18,8 @@
 export type WorkerId = Brand<string, "WorkerId">;
 /** Rises with each owner; workers obey the highest they have seen. */
 export type Fence = Brand<number, "Fence">;
+/** Names one order to a host among all that this process has sent. */
+export type HostOrderId = Brand<number, "HostOrderId">;
 /** Version of a row of the store; one counter for all rows. */
 export type StoreVersion = Brand<number, "StoreVersion">;
 
@@ -116,6 +118,14 @@
   readonly stopping: boolean;
 }
 
+/** How many submissions wait, and what the number goes by. */
+export interface PendingCount {
+  /** Hand-ins stored until then are counted; on the store's steady clock. */
+  readonly asOfStoreMs: number;
+  /** Accepted submissions without a started item, by queue. */
+  readonly byQueue: Readonly<Record<string, number>>;
+}
+
 /** The owner's row; the owner renews it with every write. */
 export interface OwnerRow {
   readonly holder: string;
@@ -128,8 +138,8 @@
    * the age of the order in ms when the row was written; null where it was yet to be sent.
    */
   readonly orderedHosts: Readonly<Record<HostId, number | null>>;
-  /** Accepted submissions without a started item, a queue. */
-  readonly pending: Readonly<Record<string, number>>;
+  /** Null while the owner has not counted. */
+  readonly pending: PendingCount | null;
 }
 
 export interface Queue {
@@ -234,6 +244,8 @@
   readonly graceMs: number;
   readonly drainMs: number;
   readonly statusKeptMs: number;
+  /** Time until an accepted submission has to be among those shown. */
+  readonly visibleMs: number;
   /** Holders of host orders must not take turns within this time. */
   readonly dutyLeaseMs: number;
   readonly noticeMs: number;
--- a/packages/core/src/work/unseen.ts
+++ b/packages/core/src/work/unseen.ts
@@ -1,6 +1,6 @@
 import { LEASE, RUN_PHASE } from "./constants.js";
 import type { WorkEvent } from "./events.js";
-import { giveUpRun } from "./lostRuns.js";
+import { giveUpRun } from "./giveUps.js";
 import { noteGivenUp } from "./givenUp.js";
 import { leaseChanged } from "./leaseRows.js";
 import { stopRun } from "./runs.js";
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -1,7 +1,21 @@
-import type { Address, PoolId } from "@heatherferry/common";
+import type { Address, PoolId, ValueOf } from "@heatherferry/common";
+import type { RESERVATION } from "./constants.js";
 import type { ItemKey, WorkerId, WorkerReport } from "./types.js";
 import type { Run, Submission } from "./itemState.js";
 
+/** Names one life of a worker. */
+export interface WorkerLife {
+  readonly id: WorkerId;
+  readonly bornWallMs: number | null;
+}
+
+/** Only the one that made a reservation may end it. */
+export interface Reservation {
+  readonly purpose: ValueOf<typeof RESERVATION>;
+  /** Of the order to move, or of the wave. */
+  readonly number: number;
+}
+
 export interface Worker {
   report: WorkerReport;
   readonly enlistedAtMs: number;
@@ -52,7 +66,7 @@
   /** Its free room is not known before, since an earlier owner stopped runs there. */
   roomKnownAtMs: number;
   /** Its host is due for upkeep or a move: nothing new starts there. */
-  reserved: boolean;
+  reservedFor: Reservation | null;
   /** Its host was taken from under it; its entry lapses later. */
   departed: boolean;
 }
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -1,14 +1,15 @@
 import { LEASE, LIFE } from "./constants.js";
 import type { WorkEvent } from "./events.js";
+import { bindHost, unbindHost } from "./hostWorkers.js";
 import { extendLease, hasStops, isSilent, noteClock } from "./leases.js";
 import { leaseChanged } from "./leaseRows.js";
 import { lifeBornAt, targetOf, updateReport, workerAsked } from "./lives.js";
 import { isSure } from "./ownership.js";
-import { logOtherLife } from "./otherLife.js";
+import { logOtherLife, logOutdatedAnswer } from "./otherLife.js";
 import { paceFillers } from "./pacing.js";
 import { poolOf } from "./pools.js";
 import { runEnded, runSeen } from "./ends.js";
-import { carryRuns, leaseEnded, loseRuns } from "./lostRuns.js";
+import { carryRuns, leaseEnded, loseRuns } from "./giveUps.js";
 import type { OwnedWork, Worker } from "./state.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
 import { dropUnseen } from "./unseen.js";
@@ -44,32 +45,10 @@
   failuresInRow: 0,
   restsUntilMs: 0,
   roomKnownAtMs: 0,
-  reserved: false,
+  reservedFor: null,
   departed: false,
 });
 
-const bindHost = (owned: OwnedWork, worker: Worker): void => {
-  const { host } = worker.report;
-  if (host !== null && !worker.departed) {
-    owned.workersByHost.set(host, worker);
-  }
-};
-
-const unbindHost = (owned: OwnedWork, worker: Worker): void => {
-  const { host } = worker.report;
-  if (host !== null && owned.workersByHost.get(host) === worker) {
-    owned.workersByHost.delete(host);
-  }
-};
-
-/** The platform took a worker's host from under it; everything there has ended. */
-export const workerDeparted = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
-  worker.departed = true;
-  worker.leaseEndsAtMs = null;
-  unbindHost(owned, worker);
-  loseRuns(turn, owned, worker, "its host was moved");
-};
-
 const forgetWorker = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
   owned.workers.delete(worker.report.id);
   leaseChanged(owned, worker.report.id);
@@ -97,6 +76,7 @@
     worker: report.id,
     pool: report.pool,
     address: report.address,
+    bornWallMs: report.bornWallMs,
     draining: report.draining,
   });
 };
@@ -123,6 +103,7 @@
       wasListed: worker.listed,
     });
   }
+  unbindHost(owned, worker);
   updateReport(turn, worker, report);
   worker.listed = true;
   bindHost(owned, worker);
@@ -149,8 +130,9 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/looked" }>,
 ): void => {
-  const worker = workerAsked(turn, owned, event, "look");
+  const worker = workerAsked(owned, event);
   if (worker?.lookOrder !== event.order) {
+    logOutdatedAnswer(turn, owned, event, "look");
     return;
   }
   worker.lookOrder = null;
@@ -158,13 +140,11 @@
   const bornWallMs = event.seenBornWallMs ?? worker.report.bornWallMs;
   const report = { ...worker.report, bornWallMs, clockMs: event.clockMs };
   const life = lifeBornAt(worker.report, bornWallMs);
-  if (life !== LIFE.SAME) {
-    logOtherLife(turn, worker, "look", bornWallMs);
-  }
   if (life === LIFE.NEXT) {
     replaceLife(turn, owned, worker, report);
   }
   if (life !== LIFE.SAME) {
+    logOtherLife(turn, worker, "look", bornWallMs);
     return;
   }
   worker.lookedAtMs = turn.nowMs;
@@ -201,8 +181,9 @@
   owned: OwnedWork,
   event: Extract<WorkEvent, { type: "worker/lookFailed" }>,
 ): void => {
-  const worker = workerAsked(turn, owned, event, "look");
+  const worker = workerAsked(owned, event);
   if (worker?.lookOrder !== event.order) {
+    logOutdatedAnswer(turn, owned, event, "look");
     return;
   }
   worker.lookOrder = null;
--- a/packages/core/tests/work/chaosDay.ts
+++ b/packages/core/tests/work/chaosDay.ts
@@ -2,6 +2,8 @@
 import { stepOf, workOf } from "./workSpecs.js";
 import { WorkSite } from "./workSite.js";
 
+const POOLS = ["mills", "dies"] as const;
+
 /** Something that goes wrong on a site. */
 export type Trouble = (site: WorkSite) => void;
 
@@ -36,15 +38,15 @@
       site.kill(node, 800 + site.pick(200));
     });
   },
+  (site) => {
+    site.store.forgottenUpTo = site.store.version;
+  },
+  (site) => {
+    const scanMs = site.pick(2_500) + 10;
+    site.scanMs = { handIns: scanMs, progress: site.pick(scanMs) + 1, workers: scanMs };
+  },
 ];
 
-const work = (site: WorkSite): WorkSpec =>
-  workOf([stepOf(1 + site.pick(4), 300 + site.pick(900), []), stepOf(1 + site.pick(3), 500, [0])]);
-
-const idOf = (number: number): string => number.toString(16).padStart(16, "0");
-
-const POOLS = ["mills", "dies"] as const;
-
 const workerOf = (site: WorkSite): string =>
   `${POOLS[site.pick(POOLS.length)] ?? "mills"}-${site.pick(3)}`;
 
@@ -68,11 +70,33 @@
   ...TROUBLE,
 ];
 
+const work = (site: WorkSite): WorkSpec =>
+  workOf([stepOf(1 + site.pick(4), 300 + site.pick(900), []), stepOf(1 + site.pick(3), 500, [0])]);
+
+const idOf = (number: number): string => number.toString(16).padStart(16, "0");
+
+const SUBMISSIONS = 60;
+
 const TRAFFIC_MS = 20_000;
 
 /** Long enough for the longest take-over, the longest lease and what waits. */
 const SETTLE_MS = 40_000;
 
+const ASK_MS = 250;
+
+/** Every node is asked for what waits, and for the state of a submission. */
+const askOften = (site: WorkSite): void => {
+  for (const node of [0, 1, 2]) {
+    POOLS.forEach((pool) => {
+      site.askPending(pool, node);
+    });
+    site.askState(idOf(site.pick(SUBMISSIONS)), node);
+  }
+  site.at(ASK_MS, () => {
+    askOften(site);
+  });
+};
+
 /**
  * Plays a day with traffic and troubles, and then waits until all that is under way has settled.
  *
@@ -83,7 +107,7 @@
 export const playDay = (
   seed: number,
   troubles: number,
-  list: readonly Trouble[],
+  list: readonly Trouble[] = TROUBLE,
   prepare: (site: WorkSite) => void = () => undefined,
 ): WorkSite => {
   const site = new WorkSite(seed, 3, 3, 3);
@@ -91,7 +115,7 @@
   site.run(3_000);
   site.faults = { lostPercent: 3, latePercent: 2 };
   site.failPercent = 5;
-  for (let number = 0; number < 60; number += 1) {
+  for (let number = 0; number < SUBMISSIONS; number += 1) {
     site.at(site.pick(TRAFFIC_MS), () => {
       const pool = POOLS[site.pick(2)] ?? "mills";
       const body = work(site);
@@ -116,8 +140,10 @@
       list[site.pick(list.length)]?.(site);
     });
   }
+  askOften(site);
   site.run(TRAFFIC_MS);
   site.faults = { lostPercent: 0, latePercent: 0 };
+  site.scanMs = {};
   site.run(SETTLE_MS);
   return site;
 };
--- /dev/null
+++ b/packages/core/tests/work/loading.test.ts
@@ -0,0 +1,62 @@
+import test from "ava";
+import { stepOf, workOf } from "./workSpecs.js";
+import { WorkSite } from "./workSite.js";
+
+const ID = "00000000000000aa";
+
+const ownerOf = (site: WorkSite): number =>
+  site.nodes.findIndex(({ state }) => state.work?.owned != null);
+
+const scansOf = (site: WorkSite, scan: string): number =>
+  site.effects.filter((effect) => effect.type === "store/scan" && effect.scan === scan).length;
+
+test("a store that turns a new owner's reads away is asked again without a pause", (t) => {
+  const site = new WorkSite(5, 1, 2);
+  while (ownerOf(site) < 0) {
+    site.run(1);
+  }
+  const before = scansOf(site, "handIns");
+  site.storeDownUntilMs = site.nowMs + 3_000;
+  site.run(3_000);
+  t.true(scansOf(site, "handIns") - before <= 3_000 / 200);
+  site.run(2_000);
+  site.submit(ID, "mills", workOf([stepOf(1, 500, [])]), 0);
+  site.run(3_000);
+  t.deepEqual(site.unfinished(), []);
+  t.is(site.accepted.size, 1);
+});
+
+const untilOwner = (site: WorkSite, node: number): void => {
+  while (site.nodes[node]?.state.work?.owned == null) {
+    site.run(1);
+  }
+};
+
+test("what a node read as an earlier owner is taken for what its next ownership has to know", (t) => {
+  const site = new WorkSite(5, 2, 2);
+  site.workMs = 300;
+  site.run(2_000);
+  const first = ownerOf(site);
+  const other = 1 - first;
+  // The next owner reads while the work is yet to be done, and loses the work before it hears.
+  site.scanAnswerMs = { progress: 12_000 };
+  site.stopGracefully(first);
+  untilOwner(site, other);
+  site.submit(ID, "mills", workOf([stepOf(1, 500, [])]), other);
+  site.run(20);
+  const cut = site.nodes[other];
+  t.truthy(cut);
+  if (cut !== undefined) {
+    cut.refusedUntilMs = site.nowMs + 8_000;
+  }
+  site.run(100);
+  site.scanAnswerMs = {};
+  untilOwner(site, first);
+  site.run(4_000);
+  t.deepEqual(site.unfinished(), []);
+  site.scanAnswerMs = { progress: 5_000 };
+  site.stopGracefully(first);
+  untilOwner(site, other);
+  site.run(8_000);
+  t.is(site.starts, 1);
+});
--- a/packages/core/tests/work/ownerNode.ts
+++ b/packages/core/tests/work/ownerNode.ts
@@ -208,8 +208,8 @@
     }
     this.version += 1;
     const version = storeVersion(this.version);
-    const { sentAtMs } = asked;
-    this.handle({ type: "store/feedAnswered", feed, sentAtMs, rows: [row], version });
+    const answered = { sentAtMs: asked.sentAtMs, version, storeMs: this.nowMs };
+    this.handle({ type: "store/feedAnswered", feed, rows: [row], ...answered });
   }
 
   private carryOut(effect: Effect): void {
@@ -245,11 +245,12 @@
     }
   }
 
-  private scanned(): { type: "store/scanned"; sentAtMs: number; version: StoreRow["version"] } {
+  private scanned(): Omit<Extract<Event, { type: "store/scanned" }>, "scan" | "rows" | "atMs"> {
     return {
       type: "store/scanned",
       sentAtMs: this.nowMs,
       version: storeVersion(this.version),
+      storeMs: this.nowMs,
     };
   }
 
