--- a/packages/core/tests/work/unsentStarts.test.ts
+++ b/packages/core/tests/work/unsentStarts.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
-import { START_RESULT, type Effect } from "../../src/index.js";
-import type { SiteNode } from "./siteRemote.js";
+import { START_RESULT, targetIn, type Effect } from "../../src/index.js";
+import type { SiteNode } from "./siteStore.js";
 import { stepOf, workOf } from "./workSpecs.js";
 import { WorkSite } from "./workSite.js";
 
@@ -24,10 +24,10 @@
       super.sendOrder(node, order, sentAtMs);
       return;
     }
-    const { worker, item, run } = order;
+    const { item, run } = order;
     this.answerLater(node, 5, {
       type: "worker/startAnswered",
-      worker,
+      ...targetIn(order),
       item,
       run,
       result: START_RESULT.NOT_SENT,
