Leave the first claim, and claims after a strong owner, to nodes with more processor

What callers saw: on the grown sites, whose machines have 0.324 or 1.35 of a core, whichever node happened to claim first decided for all pools.

Fix: a node that falls short of a core waits before the very first claim; the owner's row carries the most processor that an owner had so far, and nodes well below it leave the others 0.4 s. Nodes that are all alike wait for nobody.

--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -89,6 +89,7 @@
     {
       holder: `${settings.nodeName}@${settings.ip}`,
       incarnation: life,
+      processorMilli: settings.processorMilli,
     },
     settings.bounds,
   );
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -112,6 +112,11 @@
   SILENCE_MS: 1_500,
   /** Spread of first claims, so that not all nodes write at once. */
   CLAIM_SPREAD_MS: 150,
+  /** Wait before the very first claim for each time that a node's processor falls short of a core. */
+  FIRST_CLAIM_MS: 200,
+  /** A node with less than this share of the strongest owner's processor leaves others the lead. */
+  STRONG_SHARE: 0.75,
+  WEAK_CLAIM_MS: 400,
 } as const;
 
 export const STORE = {
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -1,4 +1,5 @@
 import { countPending } from "./pending.js";
+import { strongestMilli } from "./claimDelay.js";
 import { OWNERSHIP, STORE } from "./constants.js";
 import type { RowToWrite, WorkEvent } from "./events.js";
 import { dropHostOrders, sendHostOrders } from "./hostOrders.js";
@@ -19,6 +20,7 @@
   fence: owned.fence,
   released,
   orderedHosts: orderedHosts(turn, owned),
+  strongestMilli: strongestMilli(turn.work),
   pending: countPending(turn, owned),
 });
 
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -1,4 +1,5 @@
 import type { HostId } from "@heatherferry/common";
+import { claimDelayMs, strongestMilli } from "./claimDelay.js";
 import { OWNERSHIP, SCAN } from "./constants.js";
 import { logGivenUp } from "./givenUp.js";
 import { inheritOrders } from "./hosts.js";
@@ -23,15 +24,6 @@
 const ownerRowIn = (rows: readonly StoreRow[]): OwnerStoreRow | null =>
   rows.find((row): row is OwnerStoreRow => row.type === "owner") ?? null;
 
-/** @returns A spread by name, so that nodes do not all claim at once; in ms. */
-const claimDelayMs = (work: WorkloadState): number => {
-  let sum = 0;
-  for (const char of work.identity.incarnation) {
-    sum = (sum * 31 + char.charCodeAt(0)) % 1_000;
-  }
-  return (OWNERSHIP.CLAIM_SPREAD_MS * sum) / 1_000;
-};
-
 /** Takes a fresh view of the owner's row. */
 export const ownerSeen = (
   turn: Turn,
@@ -100,6 +92,7 @@
     released: false,
     orderedHosts: view.row?.orderedHosts ?? {},
     pending: null,
+    strongestMilli: strongestMilli(work),
   };
   logLine(turn, "info", "owner.claiming", {
     fence: Number(owner.fence),
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -205,6 +205,8 @@
 export interface WorkIdentity {
   readonly holder: string;
   readonly incarnation: string;
+  /** Processor time that the node may use, in thousandths of a core. */
+  readonly processorMilli: number;
 }
 
 export interface WorkloadState {
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -140,6 +140,8 @@
   readonly orderedHosts: Readonly<Record<HostId, number | null>>;
   /** Null while the owner has not counted. */
   readonly pending: PendingCount | null;
+  /** The most processor time that an owner had so far, in thousandths of a core. */
+  readonly strongestMilli: number;
 }
 
 export interface Queue {
--- a/packages/core/tests/work/ownerNode.ts
+++ b/packages/core/tests/work/ownerNode.ts
@@ -76,7 +76,10 @@
       peerAddress: address(""),
     };
     this.state = initialState(identity, 1, 0);
-    this.state.work = initialWork({ holder: "n0", incarnation: "n0-1" }, BOUNDS);
+    this.state.work = initialWork(
+      { holder: "n0", incarnation: "n0-1", processorMilli: 1_000 },
+      BOUNDS,
+    );
     this.run(1_000);
   }
 
--- a/packages/core/tests/work/workSite.ts
+++ b/packages/core/tests/work/workSite.ts
@@ -89,7 +89,8 @@
       peerAddress: address(""),
     };
     const state = initialState(identity, 1, 0);
-    state.work = initialWork({ holder: name, incarnation: `${name}-${life}` }, BOUNDS);
+    const self = { holder: name, incarnation: `${name}-${life}`, processorMilli: 1_000 };
+    state.work = initialWork(self, BOUNDS);
     return state;
   }
 
