Hold an item for every worker whose row names it; take begun occurrences over though not due

An item may be named by the rows of two workers: it was given up on one, ordered on another, and the first row not yet rewritten. The successor held it for whichever row came last, and let it go when that worker was heard, though the other was not. It is held for each of them now. Test: heldItems, written with the fix; the map of one worker an item that it replaces could not pass it.

Occurrences were taken over only if they were due by the successor's time of day. One that an owner with a clock ahead had run was made anew later, without what is written of it. All that the progress row or a worker's row names is taken over now.

--- a/packages/core/src/work/occurrences.ts
+++ b/packages/core/src/work/occurrences.ts
@@ -51,17 +51,33 @@
   };
 };
 
-/**
- * @param inherited - It was known before this owner took over.
- * @param progress - What is known of it for good.
- * @returns One time that the steps of a submission run.
- */
+/** What is known of a submission from earlier owners. */
+export interface KnownWork {
+  /** What is written of it for good. */
+  readonly progress: Progress | null;
+  /** It was stored before this owner took over. */
+  readonly inherited: boolean;
+  /** The last occurrence that was begun; clocks of nodes differ, so it may lie in the future here. */
+  readonly lastBegun: number;
+}
+
+export const NOTHING_KNOWN: KnownWork = { progress: null, inherited: false, lastBegun: -1 };
+
+/** @returns The last occurrence of which something is written; -1 where nothing is. */
+export const lastWritten = (progress: Progress | null): number =>
+  Math.max(
+    -1,
+    ...[...Object.keys(progress?.done ?? {}), ...Object.keys(progress?.failures ?? {})].map((key) =>
+      Number(key.split(".")[0]),
+    ),
+  );
+
+/** @returns One time that the steps of a submission run. */
 export const makeOccurrence = (
   turn: Turn,
   submission: Submission,
   number: number,
-  inherited: boolean,
-  progress: Progress | null,
+  { progress, inherited }: KnownWork,
 ): Occurrence => {
   const doneInStep: number[] = [];
   const steps = submission.handIn.work.steps.map((spec, step) => {
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -189,6 +189,7 @@
   leaseChanges: new Set(),
   unheard: new Map(),
   heldItems: new Map(),
+  begunOccurrences: new Map(),
   stopsUnknown: before !== null && !before.released,
   inheritedOrders,
   submissions: new Map(),
--- a/packages/core/src/work/recovery.ts
+++ b/packages/core/src/work/recovery.ts
@@ -1,12 +1,13 @@
 import type { TeamId } from "@heatherferry/common";
 import { LEASE, STORE } from "./constants.js";
 import type { Scan, StoreRow, WorkEvent } from "./events.js";
+import { releaseItems, takeLeases } from "./heldItems.js";
 import { leaseChanged } from "./leaseRows.js";
 import { poolOf } from "./pools.js";
 import type { OwnedWork, TeamUse } from "./state.js";
 import { adoptHandIn, cancelOwned, findItem } from "./submissions.js";
 import { logLine, vouchedAtMs, wakeAfter, type Turn } from "./turn.js";
-import type { ItemKey, Progress, SubmissionId, WorkerId } from "./types.js";
+import type { Progress, SubmissionId, WorkerId } from "./types.js";
 import { waveReported } from "./waves.js";
 import { workerReported } from "./workers.js";
 
@@ -50,28 +51,11 @@
   }
 };
 
-/** Holds back what may run on workers until they are heard. */
-const holdItems = (owned: OwnedWork, rows: readonly StoreRow[]): void => {
-  for (const row of rows) {
-    if (row.type === "lease") {
-      owned.leases.set(row.worker, row.lease);
-      owned.unheard.set(row.worker, row.lease);
-    }
-  }
-  for (const [worker, { items }] of owned.unheard) {
-    for (const [step, indexes] of Object.entries(items)) {
-      for (const index of indexes) {
-        owned.heldItems.set(`${step}.${index}` as ItemKey, worker);
-      }
-    }
-  }
-};
-
 const begin = (turn: Turn, owned: OwnedWork, rows: readonly StoreRow[]): void => {
   const progress = new Map<SubmissionId, Progress>();
   const cancels: SubmissionId[] = [];
   owned.active = true;
-  holdItems(owned, rows);
+  takeLeases(owned, rows);
   for (const row of rows) {
     if (row.type === "worker") {
       workerReported(turn, owned, row.report);
@@ -144,11 +128,7 @@
   const leased = owned.unheard.get(id);
   owned.unheard.delete(id);
   leaseChanged(owned, id);
-  for (const [item, worker] of owned.heldItems) {
-    if (worker === id) {
-      owned.heldItems.delete(item);
-    }
-  }
+  releaseItems(owned.heldItems, id);
   if (leased !== undefined) {
     poolOf(owned, leased.pool).dirty = true;
   }
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -20,6 +20,7 @@
 import { startAnswered, stopAnswered } from "./runResults.js";
 import { repeatStops } from "./runs.js";
 import type { OwnedWork, WorkloadState } from "./state.js";
+import { NOTHING_KNOWN } from "./occurrences.js";
 import { makeDueOccurrences } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
 import { upkeepAnswered } from "./upkeep.js";
@@ -171,7 +172,7 @@
 
 const tickOwned = (turn: Turn, owned: OwnedWork): void => {
   for (const submission of [...owned.scheduled]) {
-    makeDueOccurrences(turn, owned, submission, null, false);
+    makeDueOccurrences(turn, owned, submission, NOTHING_KNOWN);
   }
   repeatStops(turn, owned);
   stopStalled(turn, owned);
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -1,4 +1,5 @@
 import type { HostId, PoolId, TeamId } from "@heatherferry/common";
+import type { HeldItems } from "./heldItems.js";
 import type { Allowance } from "./allowance.js";
 import type { CallArrival, Commit, Feed, Scan, StoreRow, WorkEffect } from "./events.js";
 import type {
@@ -7,7 +8,6 @@
   HandIn,
   HostListing,
   HostOrderId,
-  ItemKey,
   LeasedWorker,
   OwnerRow,
   StoreVersion,
@@ -68,7 +68,9 @@
   /** Workers of the owner before that were not heard yet. */
   readonly unheard: Map<WorkerId, LeasedWorker>;
   /** Items that may run on a worker that was not heard yet. */
-  readonly heldItems: Map<ItemKey, WorkerId>;
+  readonly heldItems: HeldItems;
+  /** The last occurrence of each submission that rows of workers name. */
+  readonly begunOccurrences: Map<SubmissionId, number>;
   /** The owner before ended without a last word, so it may just have stopped something. */
   readonly stopsUnknown: boolean;
   /** Hosts that the owner before may have ordered of late, and when this one may order them. */
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -4,7 +4,7 @@
 import { ITEM_PHASE, SUBMISSION_STATE } from "./constants.js";
 import { chainsMs } from "./estimates.js";
 import { noteArrival } from "./arrivals.js";
-import { makeOccurrence, stepIsDone } from "./occurrences.js";
+import { type KnownWork, lastWritten, makeOccurrence, stepIsDone } from "./occurrences.js";
 import { poolOf } from "./pools.js";
 import { stopRun } from "./runs.js";
 import type { Item, Occurrence, OwnedWork, Submission } from "./state.js";
@@ -53,25 +53,24 @@
   });
 };
 
-/** Makes the occurrences whose time has come. */
+/** Makes the occurrences whose time has come, and those that an earlier owner has begun. */
 export const makeDueOccurrences = (
   turn: Turn,
   owned: OwnedWork,
   submission: Submission,
-  progress: Progress | null,
-  inherited: boolean,
+  known: KnownWork,
 ): void => {
   const { work } = submission.handIn;
   const total = Math.max(1, work.occurrences);
   while (submission.madeOccurrences < total && !isOver(submission.state)) {
     const number = submission.madeOccurrences;
     const dueWallMs = work.occurrences === 0 ? 0 : work.firstDueWallMs + number * work.intervalMs;
-    if (turn.wallMs < dueWallMs) {
+    if (turn.wallMs < dueWallMs && number > known.lastBegun) {
       owned.scheduled.add(submission);
       return;
     }
     submission.madeOccurrences += 1;
-    const occurrence = makeOccurrence(turn, submission, number, inherited, progress);
+    const occurrence = makeOccurrence(turn, submission, number, known);
     submission.occurrences.set(number, occurrence);
     if (occurrence.steps.every((_, step) => stepIsDone(occurrence, step))) {
       submission.doneOccurrences += 1;
@@ -138,7 +137,9 @@
   if (!inherited) {
     noteArrival(turn, poolOf(owned, poolOfSubmission(turn, handIn)), handIn.work);
   }
-  makeDueOccurrences(turn, owned, submission, progress, inherited);
+  const named = owned.begunOccurrences.get(handIn.id) ?? -1;
+  const lastBegun = Math.max(named, lastWritten(progress));
+  makeDueOccurrences(turn, owned, submission, { progress, inherited, lastBegun });
 };
 
 const lastOccurrence = (submission: Submission): Occurrence | undefined =>
--- /dev/null
+++ b/packages/core/tests/work/heldItems.test.ts
@@ -0,0 +1,17 @@
+import test from "ava";
+import { itemKeyOf, submissionId, workerId } from "../../src/index.js";
+import { holdItem, releaseItems, type HeldItems } from "../../src/work/heldItems.js";
+
+test("an item that rows of two workers name is free once one of them was heard", (t) => {
+  const item = itemKeyOf(submissionId("00000000000000aa"), 0, 0, 1);
+  const [first, second] = [workerId("w1"), workerId("w2")];
+  for (const heardFirst of [first, second]) {
+    const held: HeldItems = new Map();
+    holdItem(held, item, first);
+    holdItem(held, item, second);
+    releaseItems(held, heardFirst);
+    t.true(held.has(item));
+    releaseItems(held, heardFirst === first ? second : first);
+    t.false(held.has(item));
+  }
+});
--- a/packages/core/tests/work/occurrences.test.ts
+++ b/packages/core/tests/work/occurrences.test.ts
@@ -51,3 +51,28 @@
   t.is(site.starts, 4);
   t.deepEqual(site.unfinished(), []);
 });
+
+test("an occurrence that ran early runs again under a successor whose clock is behind", (t) => {
+  const site = new WorkSite(5, 2);
+  site.workMs = 300;
+  ["n0", "n1"].forEach((name) => site.wallAheadMs.set(name, 3_000));
+  site.run(2_000);
+  const work = {
+    ...workOf([stepOf(2, 500, [])]),
+    occurrences: 3,
+    firstDueWallMs: SITE_WALL_MS + 3_000,
+    intervalMs: 4_000,
+  };
+  site.submit(ID, "mills", work, 0);
+  site.run(3_000);
+  t.is(site.starts, 4);
+  site.wallAheadMs.clear();
+  [0, 1].forEach((node) => {
+    site.kill(node, 500);
+  });
+  site.run(2_900);
+  t.is(site.starts, 4);
+  site.run(8_000);
+  t.is(site.starts, 6);
+  t.deepEqual(site.unfinished(), []);
+});
--- a/packages/core/tests/work/workSite.ts
+++ b/packages/core/tests/work/workSite.ts
@@ -17,6 +17,8 @@
 export class WorkSite extends SiteCallers {
   /** All that the nodes decided. */
   readonly effects: Effect[] = [];
+  /** Nodes whose time of day is ahead of the others', by so much. */
+  readonly wallAheadMs = new Map<string, number>();
 
   constructor(
     seed: number,
@@ -123,7 +125,11 @@
       });
       return;
     }
-    const timed = { ...event, atMs: 1_000 + this.nowMs - node.frozenMs, wallMs: 1e6 + this.nowMs };
+    const timed = {
+      ...event,
+      atMs: 1_000 + this.nowMs - node.frozenMs,
+      wallMs: 1e6 + this.nowMs + (this.wallAheadMs.get(node.name) ?? 0),
+    };
     for (const effect of reduce(node.state, timed)) {
       this.carryOut(node, effect);
     }
