--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -9,27 +9,32 @@
   SCAN,
   START_RESULT,
 } from "./constants.js";
+import type { Commit, StoreRow } from "./storeRows.js";
 import type {
-  Catalog,
   EndLine,
   Fence,
   HandIn,
   HostListing,
   HostOrderId,
   ItemKey,
-  LeasedWorker,
-  OwnerRow,
   Progress,
   RunningLine,
   StoreVersion,
   SubmissionId,
   SubmissionState,
-  WaveRequest,
   WorkerId,
-  WorkerReport,
   WorkSpec,
 } from "./types.js";
 
+export type {
+  WorkerLease,
+  StoreRow,
+  RowToWrite,
+  RowName,
+  CommitCondition,
+  Commit,
+} from "./storeRows.js";
+
 export type CallKind = ValueOf<typeof CALL_KIND>;
 export type AnswerKind = ValueOf<typeof ANSWER_KIND>;
 export type CommitResult = ValueOf<typeof COMMIT_RESULT>;
@@ -39,65 +44,6 @@
 export type Life = ValueOf<typeof LIFE>;
 export type HostOrderResult = ValueOf<typeof HOST_ORDER_RESULT>;
 
-/** What may run on a worker. */
-export interface WorkerLease {
-  readonly worker: WorkerId;
-  readonly lease: LeasedWorker;
-}
-
-/** A row of the store after decoding. Rows that cannot be read never get this far. */
-export type StoreRow =
-  | { readonly type: "catalog"; readonly version: StoreVersion; readonly catalog: Catalog }
-  | { readonly type: "wave"; readonly version: StoreVersion; readonly request: WaveRequest }
-  | { readonly type: "worker"; readonly version: StoreVersion; readonly report: WorkerReport }
-  | { readonly type: "workerGone"; readonly version: StoreVersion; readonly id: WorkerId }
-  | { readonly type: "handIn"; readonly version: StoreVersion; readonly handIn: HandIn }
-  | { readonly type: "cancel"; readonly version: StoreVersion; readonly id: SubmissionId }
-  | { readonly type: "progress"; readonly version: StoreVersion; readonly progress: Progress }
-  | { readonly type: "owner"; readonly version: StoreVersion; readonly owner: OwnerRow }
-  | ({ readonly type: "lease"; readonly version: StoreVersion } & WorkerLease)
-  | {
-      readonly type: "waveReport";
-      readonly version: StoreVersion;
-      readonly wave: number;
-      readonly seenWallMs: number;
-      readonly doneHosts: readonly HostId[];
-    };
-
-/** A row to be written, named by what it holds. */
-export type RowToWrite =
-  | { readonly type: "handIn"; readonly handIn: HandIn }
-  | { readonly type: "cancel"; readonly id: SubmissionId }
-  | { readonly type: "progress"; readonly progress: Progress }
-  | { readonly type: "owner"; readonly owner: OwnerRow }
-  | ({ readonly type: "lease" } & WorkerLease)
-  | {
-      readonly type: "waveReport";
-      readonly wave: number;
-      readonly completed: boolean;
-      readonly seenWallMs: number;
-      readonly doneHosts: readonly HostId[];
-    };
-
-export type RowName =
-  | { readonly type: "handIn" | "cancel" | "progress"; readonly id: SubmissionId }
-  | { readonly type: "lease"; readonly worker: WorkerId }
-  | { readonly type: "owner" };
-
-/** The row must still be at this version; 0 says that it must not exist. */
-export interface CommitCondition {
-  readonly row: RowName;
-  readonly version: StoreVersion;
-}
-
-/** One transaction. */
-export interface Commit {
-  readonly commitId: string;
-  readonly conditions: readonly CommitCondition[];
-  readonly writes: readonly RowToWrite[];
-  readonly removes: readonly RowName[];
-}
-
 /** A call of a caller; `problem` says what is wrong with its body. */
 export interface CallArrival {
   readonly callId: string;
--- a/packages/core/src/work/forget.ts
+++ b/packages/core/src/work/forget.ts
@@ -69,7 +69,8 @@
     return false;
   }
   owned.forgetting.delete(event.commitId);
-  if (event.result === "committed" && !turn.work.feeds.handIns.scanning) {
+  const settled = event.result === "committed" && isSure(turn, owned);
+  if (settled && !turn.work.feeds.handIns.scanning) {
     forget(turn, owned, id);
   }
   return true;
