--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -295,6 +295,8 @@
   RETURN_MS: 8_000,
   /** A worker that is listed so long after its host's upkeep should be over was not touched. */
   DONE_BEFORE_MS: 1_500,
+  /** An order that was sent is carried out by then or never: its connection is reset. */
+  ORDER_LIFE_MS: 3_000,
   /** On top of the time in which two holders must not take turns. */
   DUTY_MARGIN_MS: 300,
 } as const;
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -2,7 +2,7 @@
 import { HEALTH, RUN_PHASE } from "./constants.js";
 import { planGang } from "./gangs.js";
 import { isReplaced } from "./hostWorkers.js";
-import { isSure } from "./ownership.js";
+import { isSure } from "./certainty.js";
 import { poolOf } from "./pools.js";
 import { roomOf, stopRun } from "./runs.js";
 import { chooseWorker, withinCeiling } from "./placement.js";
--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -189,6 +189,34 @@
   readonly order: number;
 }
 
+interface HostOrderName {
+  readonly order: HostOrderId;
+  readonly host: HostId;
+  readonly fence: Fence;
+}
+
+/** Moves a host to another pool. */
+export interface MoveOrder extends HostOrderName {
+  readonly pool: PoolId;
+}
+
+/** Takes a host down for the upkeep of a wave. */
+export interface UpkeepOrder extends HostOrderName {
+  readonly wave: number;
+}
+
+/** An order of the owner, which must not be sent by a node that may have been replaced. */
+export interface Perishable {
+  /**
+   * Ownership is sure until then, on this node's steady clock. An order that still waits for a
+   * connection at that time is not sent.
+   */
+  readonly leaveByMs: number;
+}
+
+/** Names the life of a worker that an order or a look is for, and the time to send it in. */
+export type OrderTarget = WorkerTarget & Perishable;
+
 export type WorkEffect =
   | ({ readonly type: "call/answer" } & CallAnswer)
   | { readonly type: "store/scan"; readonly scan: Scan }
@@ -209,39 +237,27 @@
       readonly payload: string;
       readonly untilClockMs: number;
       readonly checkpoint: string | null;
-    } & WorkerTarget)
+    } & OrderTarget)
   | ({
       readonly type: "worker/stop";
       readonly item: ItemKey;
       readonly run: number;
-    } & WorkerTarget)
+    } & OrderTarget)
   | ({
       readonly type: "worker/look";
       readonly untilClockMs: number | null;
       readonly notedSequence: number;
       readonly waitMs: number;
-    } & WorkerTarget)
+    } & OrderTarget)
   | ({
       readonly type: "worker/pace";
       readonly item: ItemKey;
       readonly run: number;
       readonly percent: number;
-    } & WorkerTarget)
+    } & OrderTarget)
   | { readonly type: "power/list" }
-  | {
-      readonly type: "power/move";
-      readonly order: HostOrderId;
-      readonly host: HostId;
-      readonly pool: PoolId;
-      readonly fence: Fence;
-    }
-  | {
-      readonly type: "power/upkeep";
-      readonly order: HostOrderId;
-      readonly host: HostId;
-      readonly wave: number;
-      readonly fence: Fence;
-    }
+  | ({ readonly type: "power/move" } & MoveOrder & Perishable)
+  | ({ readonly type: "power/upkeep" } & UpkeepOrder & Perishable)
   | { readonly type: "node/readiness"; readonly ready: boolean }
   | { readonly type: "node/closeFront" }
   /** Turn the clock after this time, earlier than it would turn by itself. */
--- a/packages/core/src/work/forget.ts
+++ b/packages/core/src/work/forget.ts
@@ -1,6 +1,6 @@
 import { FORGET, STORE, SUBMISSION_STATE } from "./constants.js";
 import type { WorkEvent } from "./events.js";
-import { isSure } from "./ownership.js";
+import { isSure } from "./certainty.js";
 import type { OwnedWork, Submission } from "./state.js";
 import { logLine, newCommitId, type Turn } from "./turn.js";
 import type { SubmissionId } from "./types.js";
--- a/packages/core/src/work/hostOrders.ts
+++ b/packages/core/src/work/hostOrders.ts
@@ -1,4 +1,5 @@
 import { RESERVATION } from "./constants.js";
+import { sureUntilMs } from "./certainty.js";
 import { findLife, isLife, release, workerOn } from "./hostWorkers.js";
 import type { HostMove, HostOrder, HostOut, OwnedWork, Reservation, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
@@ -46,7 +47,7 @@
   const out = outOf(owned, order);
   return (
     out !== null &&
-    !out.confirmed &&
+    out.back === null &&
     (worker === null || (isLife(worker, out.worker) && isEmpty(worker)))
   );
 };
@@ -59,7 +60,7 @@
     giveUpMove(owned, move);
   }
   out?.orders.delete(order.order);
-  if (order.type === "power/upkeep" && out?.orders.size === 0 && !out.confirmed) {
+  if (order.type === "power/upkeep" && out?.orders.size === 0 && out.back === null) {
     owned.waves.get(order.wave)?.outHosts.delete(order.host);
   }
   logLine(turn, "info", "host.orderDropped", { host: order.host, order: order.order, why });
@@ -74,7 +75,7 @@
   for (const order of orders) {
     if (stillHolds(owned, order)) {
       owned.hostOrders.set(order.host, turn.nowMs);
-      turn.effects.push(order);
+      turn.effects.push({ ...order, leaveByMs: sureUntilMs(owned) });
     } else {
       drop(turn, owned, order, "what the host runs has changed");
     }
--- a/packages/core/src/work/hosts.ts
+++ b/packages/core/src/work/hosts.ts
@@ -31,7 +31,9 @@
   owned.hostViewAtMs = event.sentAtMs;
 };
 
-const exclusiveMs = (turn: Turn): number => turn.work.bounds.dutyLeaseMs + HOSTS.DUTY_MARGIN_MS;
+/** How long a host that was ordered is left alone by the next owner. */
+const exclusiveMs = ({ work }: Turn): number =>
+  Math.max(work.bounds.dutyLeaseMs, HOSTS.ORDER_LIFE_MS) + HOSTS.DUTY_MARGIN_MS;
 
 /** @returns What a successor has to know of orders to hosts. */
 export const orderedHosts = (turn: Turn, owned: OwnedWork): Record<HostId, number | null> => {
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -6,7 +6,7 @@
 import { listHosts, mayOrderHost } from "./hosts.js";
 import { workerOn } from "./hostWorkers.js";
 import { moveHost, settleMoves, type FreeHost } from "./moves.js";
-import { isSure } from "./ownership.js";
+import { isSure } from "./certainty.js";
 import { poolOf } from "./pools.js";
 import type { OwnedWork, Worker } from "./state.js";
 import type { Turn } from "./turn.js";
--- a/packages/core/src/work/lives.ts
+++ b/packages/core/src/work/lives.ts
@@ -1,15 +1,23 @@
+import { sureUntilMs } from "./certainty.js";
 import { LIFE, RUN_PHASE } from "./constants.js";
-import type { Life, WorkerTarget } from "./events.js";
+import type { Life, OrderTarget, WorkerTarget } from "./events.js";
 import { logOtherLife, type Asked } from "./otherLife.js";
 import type { OwnedWork, Worker } from "./state.js";
 import type { Turn } from "./turn.js";
 import type { WorkerReport } from "./types.js";
 
 /** @returns How a new order or look names the life that it is for. */
-export const targetOf = (owned: OwnedWork, worker: Worker): WorkerTarget => {
+export const targetOf = (owned: OwnedWork, worker: Worker): OrderTarget => {
   const { id, address, bornWallMs } = worker.report;
   owned.ordersSent += 1;
-  return { worker: id, address, bornWallMs, fence: owned.fence, order: owned.ordersSent };
+  return {
+    worker: id,
+    address,
+    bornWallMs,
+    fence: owned.fence,
+    order: owned.ordersSent,
+    leaveByMs: sureUntilMs(owned),
+  };
 };
 
 /** @returns The part of an order that its answer carries back. */
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -10,10 +10,6 @@
 
 type OwnerStoreRow = Extract<StoreRow, { type: "owner" }>;
 
-/** @returns Whether no other node can have taken over since the last confirmed write. */
-export const isSure = (turn: Turn, owned: OwnedWork): boolean =>
-  owned.active && !owned.releasing && turn.nowMs - owned.confirmedAtMs <= OWNERSHIP.SURE_MS;
-
 const isMine = (work: WorkloadState, row: OwnerRow): boolean =>
   row.holder === work.identity.holder && row.incarnation === work.identity.incarnation;
 
--- a/packages/core/src/work/pacing.ts
+++ b/packages/core/src/work/pacing.ts
@@ -1,6 +1,6 @@
 import { PACING, RUN_PHASE } from "./constants.js";
 import type { WorkEvent } from "./events.js";
-import { isSure } from "./ownership.js";
+import { isSure } from "./certainty.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
 import { targetOf, workerAsked } from "./lives.js";
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -162,7 +162,7 @@
         result: event.result,
         reason: event.reason,
       });
-      upkeepAnswered(owned, event);
+      upkeepAnswered(turn, owned, event);
       moveAnswered(turn, owned, event);
       return;
     default:
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -1,6 +1,6 @@
 import { ITEM_PHASE, ORDER, RUN_PHASE } from "./constants.js";
 import { leaseChanged } from "./leaseRows.js";
-import { isSure } from "./ownership.js";
+import { isSure } from "./certainty.js";
 import { poolOf } from "./pools.js";
 import type { Item, OwnedWork, Run, TeamUse, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
--- a/packages/core/src/work/starts.ts
+++ b/packages/core/src/work/starts.ts
@@ -1,5 +1,5 @@
 import { LEASE, ORDER, RUN_PHASE } from "./constants.js";
-import { isSure } from "./ownership.js";
+import { isSure } from "./certainty.js";
 import { giveUpRun } from "./lostRuns.js";
 import { addRun } from "./runs.js";
 import type { Item, OwnedWork, Run, Worker } from "./state.js";
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -1,7 +1,15 @@
 import type { HostId, PoolId, TeamId } from "@heatherferry/common";
 import type { HeldItems } from "./heldItems.js";
 import type { Allowance } from "./allowance.js";
-import type { CallArrival, Commit, Feed, Scan, StoreRow, WorkEffect } from "./events.js";
+import type {
+  CallArrival,
+  Commit,
+  Feed,
+  MoveOrder,
+  Scan,
+  StoreRow,
+  UpkeepOrder,
+} from "./events.js";
 import type {
   Catalog,
   Fence,
@@ -116,7 +124,9 @@
   loadedRows: StoreRow[];
 }
 
-export type HostOrder = Extract<WorkEffect, { type: "power/move" | "power/upkeep" }>;
+/** An order to a host that waits until the owner's row names it. */
+export type HostOrder =
+  ({ readonly type: "power/move" } & MoveOrder) | ({ readonly type: "power/upkeep" } & UpkeepOrder);
 
 /** A host that was ordered down for upkeep. */
 export interface HostOut {
@@ -125,7 +135,16 @@
   readonly orderedAtMs: number;
   /** Orders that were carried out or may yet be. */
   readonly orders: Set<HostOrderId>;
-  confirmed: boolean;
+  /** Null until it is known to be down. */
+  back: HostReturn | null;
+}
+
+/** When a host that is known to be down for upkeep can be back. */
+export interface HostReturn {
+  /** Until then a worker on the host is a left-over entry, or one that went down with it. */
+  readonly workersFromMs: number;
+  /** A list of hosts that was asked for after this time tells whether it is back. */
+  readonly listsFromMs: number;
 }
 
 /** A host on its way to another pool. */
--- a/packages/core/src/work/upkeep.ts
+++ b/packages/core/src/work/upkeep.ts
@@ -54,28 +54,42 @@
         worker,
         orderedAtMs: turn.nowMs,
         orders: new Set(),
-        confirmed: true,
+        back: {
+          workersFromMs: turn.nowMs + turn.work.bounds.upkeepMs,
+          listsFromMs: owned.hostViewAtMs ?? turn.nowMs,
+        },
       });
     }
   }
 };
 
+/** @returns Whether a host that was ordered down for upkeep is back from it. */
+const isBack = (
+  turn: Turn,
+  owned: OwnedWork,
+  host: HostId,
+  { worker: before, back }: HostOut,
+): boolean => {
+  if (back === null) {
+    return false;
+  }
+  const worker = workerOn(owned, host);
+  const listing = owned.hosts.get(host);
+  const dueSinceMs = turn.nowMs - back.workersFromMs;
+  const returned = worker !== null && !isLife(worker, before) && dueSinceMs >= 0;
+  // An order for upkeep that was done before changes nothing, so the same worker stays.
+  const doneBefore = worker !== null && dueSinceMs > HOSTS.DONE_BEFORE_MS;
+  // A host of a standby pool runs no worker; the list tells that it is back.
+  const listedBack = listing?.up === true && (owned.hostViewAtMs ?? 0) > back.listsFromMs;
+  const overdue = dueSinceMs > HOSTS.RETURN_MS && listing?.up !== false;
+  return returned || doneBefore || listedBack || overdue;
+};
+
 /** Counts hosts as done that are back from upkeep. */
 export const finishReturned = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
   for (const [host, out] of wave.outHosts) {
     const worker = workerOn(owned, host);
-    const listing = owned.hosts.get(host);
-    const returned = worker !== null && !isLife(worker, out.worker);
-    const waitedMs = turn.nowMs - out.orderedAtMs;
-    // An order for upkeep that was done before changes nothing, so the same worker stays.
-    const doneBefore =
-      worker !== null && waitedMs > turn.work.bounds.upkeepMs + HOSTS.DONE_BEFORE_MS;
-    // A host of a standby pool runs no worker; the list tells that it is back.
-    const listedBack =
-      listing?.up === true &&
-      (owned.hostViewAtMs ?? 0) - out.orderedAtMs > turn.work.bounds.upkeepMs;
-    const overdue = waitedMs > HOSTS.RETURN_MS && listing?.up !== false;
-    if (out.confirmed && (returned || doneBefore || (worker === null && listedBack) || overdue)) {
+    if (isBack(turn, owned, host, out)) {
       wave.outHosts.delete(host);
       wave.doneHosts.add(host);
       wave.dirty = true;
@@ -84,7 +98,7 @@
       logLine(turn, "info", "wave.hostDone", {
         wave: wave.request.wave,
         host,
-        afterMs: Math.round(waitedMs),
+        afterMs: Math.round(turn.nowMs - out.orderedAtMs),
       });
     }
   }
@@ -105,7 +119,7 @@
     worker: lifeOf(worker),
     orderedAtMs: turn.nowMs,
     orders: new Set([...(before?.orders ?? []), order]),
-    confirmed: false,
+    back: null,
   };
 };
 
@@ -142,7 +156,7 @@
 export const repeatUpkeep = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
   for (const [host, out] of wave.outHosts) {
     const worker = workerOn(owned, host);
-    if (out.confirmed) {
+    if (out.back !== null) {
       continue;
     }
     if (
@@ -156,16 +170,19 @@
 
 /** Takes the answer to an order of upkeep; any of a host's orders may be the one carried out. */
 export const upkeepAnswered = (
+  turn: Turn,
   owned: OwnedWork,
   { order, host, result }: Extract<WorkEvent, { type: "power/orderAnswered" }>,
 ): void => {
   for (const wave of owned.waves.values()) {
     const out = wave.outHosts.get(host);
-    if (out?.orders.has(order) !== true || out.confirmed) {
+    if (out?.orders.has(order) !== true || out.back !== null) {
       continue;
     }
     if (result === HOST_ORDER_RESULT.ACCEPTED) {
-      out.confirmed = true;
+      // It went down by now at the latest, whichever of its orders did it.
+      const backFromMs = turn.nowMs + turn.work.bounds.upkeepMs;
+      out.back = { workersFromMs: backFromMs, listsFromMs: backFromMs };
     } else if (result !== HOST_ORDER_RESULT.UNANSWERED) {
       out.orders.delete(order);
       if (out.orders.size === 0) {
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -5,7 +5,7 @@
 import { workerOn } from "./hostWorkers.js";
 import { poolOf } from "./pools.js";
 import type { StoreRow } from "./events.js";
-import { isSure } from "./ownership.js";
+import { isSure } from "./certainty.js";
 import { isStandby } from "./catalog.js";
 import type { OwnedWork, WaveWork, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -4,7 +4,7 @@
 import { extendLease, hasStops, isSilent, noteClock } from "./leases.js";
 import { leaseChanged } from "./leaseRows.js";
 import { lifeBornAt, targetOf, updateReport, workerAsked } from "./lives.js";
-import { isSure } from "./ownership.js";
+import { isSure } from "./certainty.js";
 import { logOtherLife } from "./otherLife.js";
 import { paceFillers } from "./pacing.js";
 import { poolOf } from "./pools.js";
--- a/packages/core/tests/work/chaosDay.ts
+++ b/packages/core/tests/work/chaosDay.ts
@@ -169,3 +169,10 @@
     site.slowPercent = 20;
     prepare(site);
   });
+
+/** Plays a day on which hosts obey whoever orders them, and orders wait before they leave. */
+export const playUnfencedDay = (seed: number): WorkSite =>
+  playDay(seed, 10, TROUBLE, (site) => {
+    site.hostsCheckFences = false;
+    site.waitPercent = 30;
+  });
--- a/packages/core/tests/work/siteStore.ts
+++ b/packages/core/tests/work/siteStore.ts
@@ -24,6 +24,9 @@
 
 type StoreEffect<Type extends Effect["type"]> = Extract<Effect, { type: Type }>;
 
+/** Steady clocks of nodes are ahead of the site's by this much. */
+const CLOCK_AHEAD_MS = 1_000;
+
 const FAULTLESS = { lostPercent: 0, latePercent: 0 };
 
 /** Parts that a scan reads one by one, each at its own moment. */
@@ -50,6 +53,11 @@
   /** What a scan has read is on its way for so long. */
   scanAnswerMs: Partial<Record<Scan, number>> = {};
 
+  /** @returns The node's steady clock, which stands still while it is frozen. */
+  protected clockOf(node: SiteNode): number {
+    return CLOCK_AHEAD_MS + this.nowMs - node.frozenMs;
+  }
+
   /** Hands an event to a node, now. */
   protected abstract handle(node: SiteNode, event: Event): void;
 
--- a/packages/runners/src/work/workEffects.ts
+++ b/packages/runners/src/work/workEffects.ts
@@ -73,15 +73,9 @@
       case "power/list":
         return this.listHosts();
       case "power/move":
-        return this.hostOrder(
-          effect,
-          this.parts.hosts.move(effect.host, effect.pool, effect.fence),
-        );
+        return this.hostOrder(effect, this.parts.hosts.move(effect));
       case "power/upkeep":
-        return this.hostOrder(
-          effect,
-          this.parts.hosts.upkeep(effect.host, effect.wave, effect.fence),
-        );
+        return this.hostOrder(effect, this.parts.hosts.upkeep(effect));
       default:
         this.parts.log("error", "effect.notOfThisRole", { type: effect.type });
     }
--- a/packages/runners/src/work/workerLink.ts
+++ b/packages/runners/src/work/workerLink.ts
@@ -1,9 +1,7 @@
 import type {
   EndLine,
-  HostId,
   HostListing,
   HostOrderResult,
-  PoolId,
   RunningLine,
   StartResult,
   WorkEffect,
@@ -13,6 +11,8 @@
 export type StopOrder = Extract<WorkEffect, { type: "worker/stop" }>;
 export type LookOrder = Extract<WorkEffect, { type: "worker/look" }>;
 export type PaceOrder = Extract<WorkEffect, { type: "worker/pace" }>;
+export type MoveEffect = Extract<WorkEffect, { type: "power/move" }>;
+export type UpkeepEffect = Extract<WorkEffect, { type: "power/upkeep" }>;
 
 export interface StartAnswer {
   readonly result: StartResult;
@@ -39,7 +39,10 @@
     }
   | { readonly type: "failed"; readonly wrongLife: boolean; readonly reason: string };
 
-/** Orders to workers. No method throws: what went wrong is in the answer. */
+/**
+ * Orders to workers. No method throws: what went wrong is in the answer. An order does not leave
+ * after its `leaveByMs`.
+ */
 export abstract class WorkerLink {
   abstract start(order: StartOrder): Promise<StartAnswer>;
   abstract stop(order: StopOrder): Promise<StopAnswer>;
@@ -54,11 +57,11 @@
   readonly reason: string | null;
 }
 
-/** The platform's orders to hosts. */
+/** The platform's orders to hosts. An order does not leave after its `leaveByMs`. */
 export abstract class HostPower {
   /** @throws PlatformError when the platform does not answer. */
   abstract list(): Promise<readonly HostListing[]>;
-  abstract move(host: HostId, pool: PoolId, fence: number): Promise<HostOrderAnswer>;
-  abstract upkeep(host: HostId, wave: number, fence: number): Promise<HostOrderAnswer>;
+  abstract move(order: MoveEffect): Promise<HostOrderAnswer>;
+  abstract upkeep(order: UpkeepEffect): Promise<HostOrderAnswer>;
   abstract close(): Promise<void>;
 }
