Read a changed settings file again, with SIGHUP or without

Change: every daemon reads its file again at the signal and when the file changes (looked at every 2 s), checks it whole, and takes it or leaves the old in force; one line names the file, the keys and the remedy. heatherferry-work takes bounds and processor time, the others the log level; all else needs a restart.

--- a/apps/entry/src/main.ts
+++ b/apps/entry/src/main.ts
@@ -22,12 +22,13 @@
 class EntryProgram extends DaemonProgram<EntrySettings> {
   override readonly name = "heatherferry-entry";
   override readonly usage = USAGE;
+  override readonly settingsInPlace = ["log"];
 
   override load(path: string): EntrySettings {
     return loadEntrySettings(path);
   }
 
-  override async start(settings: EntrySettings): Promise<RunningDaemon> {
+  override async start(settings: EntrySettings): Promise<RunningDaemon<EntrySettings>> {
     return wireEntry(settings);
   }
 }
--- a/apps/entry/src/wireEntry.ts
+++ b/apps/entry/src/wireEntry.ts
@@ -2,6 +2,7 @@
   address,
   availabilityZoneId,
   createLogger,
+  LogThreshold,
   entryHostId,
   type RequestId,
 } from "@heatherferry/common";
@@ -94,8 +95,9 @@
  * @param settings - Checked settings.
  * @returns The running entry host.
  */
-export const wireEntry = async (settings: EntrySettings): Promise<RunningDaemon> => {
-  const log = createLogger("heatherferry-entry", settings.log?.level);
+export const wireEntry = async (settings: EntrySettings): Promise<RunningDaemon<EntrySettings>> => {
+  const threshold = new LogThreshold(settings.log?.level);
+  const log = createLogger("heatherferry-entry", threshold);
   const life = newIncarnation();
   const arrivals = new LoopArrivals();
   const signer = new TicketSigner();
@@ -169,6 +171,10 @@
       httpCallers.beginLeaving();
       loop.handle({ type: "node/shutdownRequested" });
     },
+    takeSettings: (changed) => {
+      threshold.level = changed.log?.level ?? new LogThreshold().level;
+    },
+    log,
     ended,
   };
 };
--- a/apps/maintainer/src/main.ts
+++ b/apps/maintainer/src/main.ts
@@ -17,12 +17,13 @@
 class MaintainerProgram extends DaemonProgram<MaintainerSettings> {
   override readonly name = "heatherferry-maintainer";
   override readonly usage = USAGE;
+  override readonly settingsInPlace = ["log"];
 
   override load(path: string): MaintainerSettings {
     return loadMaintainerSettings(path);
   }
 
-  override async start(settings: MaintainerSettings): Promise<RunningDaemon> {
+  override async start(settings: MaintainerSettings): Promise<RunningDaemon<MaintainerSettings>> {
     return wireMaintainer(settings);
   }
 }
--- a/apps/maintainer/src/wireMaintainer.ts
+++ b/apps/maintainer/src/wireMaintainer.ts
@@ -1,4 +1,10 @@
-import { address, availabilityZoneId, createLogger, entryHostId } from "@heatherferry/common";
+import {
+  address,
+  availabilityZoneId,
+  createLogger,
+  LogThreshold,
+  entryHostId,
+} from "@heatherferry/common";
 import {
   defaultPolicies,
   initialState,
@@ -41,8 +47,11 @@
  * @param settings - Checked settings.
  * @returns The running maintainer.
  */
-export const wireMaintainer = async (settings: MaintainerSettings): Promise<RunningDaemon> => {
-  const log = createLogger("heatherferry-maintainer", settings.log?.level);
+export const wireMaintainer = async (
+  settings: MaintainerSettings,
+): Promise<RunningDaemon<MaintainerSettings>> => {
+  const threshold = new LogThreshold(settings.log?.level);
+  const log = createLogger("heatherferry-maintainer", threshold);
   const state = initialState(identityOf(settings), newSeed(), EventLoop.nowMs());
   const metrics = new NodeMetrics(state);
   const watch = new InvariantWatch(maintainerInvariants(), metrics.registry, log);
@@ -78,6 +87,10 @@
       log("info", "shuttingDown", {});
       loop.handle({ type: "node/shutdownRequested" });
     },
+    takeSettings: (changed) => {
+      threshold.level = changed.log?.level ?? new LogThreshold().level;
+    },
+    log,
     ended,
   };
 };
--- a/apps/work/src/main.ts
+++ b/apps/work/src/main.ts
@@ -14,6 +14,7 @@
 class WorkProgram extends DaemonProgram<PlatformSettings> {
   override readonly name = "heatherferry-work";
   override readonly usage = USAGE;
+  override readonly settingsInPlace = ["bounds", "processorMilli"];
 
   override defaultSettingsPath(): string {
     return process.env[SETTINGS_FILE.VARIABLE] ?? SETTINGS_FILE.DEFAULT_PATH;
@@ -23,7 +24,7 @@
     return loadPlatformSettings(path);
   }
 
-  override async start(settings: PlatformSettings): Promise<RunningDaemon> {
+  override async start(settings: PlatformSettings): Promise<RunningDaemon<PlatformSettings>> {
     return wireWork(settings);
   }
 }
--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -4,6 +4,7 @@
   createLogger,
   entryHostId,
   LOG_CLASS,
+  LogThreshold,
 } from "@heatherferry/common";
 import {
   defaultPolicies,
@@ -67,9 +68,11 @@
  * @param settings - Checked settings.
  * @returns The running node.
  */
-export const wireWork = async (settings: PlatformSettings): Promise<RunningDaemon> => {
+export const wireWork = async (
+  settings: PlatformSettings,
+): Promise<RunningDaemon<PlatformSettings>> => {
   const sink = new BoundedSink(settings.nodeName);
-  const log = createLogger(settings.nodeName, "info", sink);
+  const log = createLogger(settings.nodeName, new LogThreshold(), sink);
   const life = newIncarnation();
   const calls = new LoopCalls();
   const front = new PlatformFront(calls, life);
@@ -89,9 +92,9 @@
     {
       holder: `${settings.nodeName}@${settings.ip}`,
       incarnation: life,
-      processorMilli: settings.processorMilli,
     },
     settings.bounds,
+    settings.processorMilli,
   );
   const metrics = new WorkMetrics(state, sink);
   const loop = new EventLoop(state, defaultPolicies(), [metrics]);
@@ -133,6 +136,12 @@
       front.beginLeaving();
       loop.handle({ type: "node/shutdownRequested" });
     },
+    takeSettings: ({ bounds, processorMilli }) => {
+      loop.handle({ type: "node/settingsTaken", bounds, processorMilli });
+    },
+    log: (level, event, fields) => {
+      log(level, event, fields, LOG_CLASS.KEPT);
+    },
     ended,
   };
 };
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./ids.js";
 export * from "./logging/createLogger.js";
 export * from "./logging/logClass.js";
+export * from "./settings/changedKeys.js";
 export * from "./settings/errors.js";
 export * from "./settings/loadSettings.js";
 export * from "./valueOf.js";
--- a/packages/common/src/logging/createLogger.ts
+++ b/packages/common/src/logging/createLogger.ts
@@ -8,6 +8,11 @@
 
 export type LogLevel = keyof typeof LEVEL;
 
+/** The least level that is written, which may change while the logger is in use. */
+export class LogThreshold {
+  constructor(public level: LogLevel = "info") {}
+}
+
 /** Takes finished log lines. */
 export abstract class LineSink {
   /**
@@ -43,18 +48,17 @@
 
 /**
  * @param program - Name of the binary, kept in each line.
- * @param minLevel - Lines below this level are dropped.
+ * @param threshold - Lines below its level are dropped.
  * @param sink - Where lines go.
  * @returns A function that writes one JSON line a call.
  */
 export const createLogger = (
   program: string,
-  minLevel: LogLevel = "info",
+  threshold: LogThreshold = new LogThreshold(),
   sink: LineSink = new StandardErrorSink(),
 ): JsonLogger => {
   const logger = new Logger<Record<string, unknown>>({
     type: "hidden",
-    minLevel: LEVEL[minLevel],
     hideLogPositionForProduction: true,
   });
   logger.attachTransport((record) => {
@@ -71,7 +75,7 @@
     );
   });
   return (level, event, fields, lineClass = LOG_CLASS.ROUTINE) => {
-    if (LEVEL[level] >= LEVEL[minLevel] && sink.admit(lineClass)) {
+    if (LEVEL[level] >= LEVEL[threshold.level] && sink.admit(lineClass)) {
       logger[level]({ event, ...fields });
     }
   };
--- a/packages/common/tests/createLogger.test.ts
+++ b/packages/common/tests/createLogger.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { createLogger, LineSink, LOG_CLASS, type LogClass } from "../src/index.js";
+import { createLogger, LineSink, LOG_CLASS, LogThreshold, type LogClass } from "../src/index.js";
 
 class ChoosySink extends LineSink {
   readonly lines: string[] = [];
@@ -15,7 +15,7 @@
 
 test("a line that the sink has no room for is not formatted", (t) => {
   const sink = new ChoosySink();
-  const log = createLogger("n0", "info", sink);
+  const log = createLogger("n0", new LogThreshold(), sink);
   let reads = 0;
   const fields = {
     get run(): number {
@@ -34,6 +34,6 @@
 
 test("a line below the least level is not asked for", (t) => {
   const sink = new ChoosySink();
-  createLogger("n0", "warn", sink)("info", "owner.taken", {}, LOG_CLASS.KEPT);
+  createLogger("n0", new LogThreshold("warn"), sink)("info", "owner.taken", {}, LOG_CLASS.KEPT);
   t.deepEqual(sink.lines, []);
 });
--- a/packages/core/src/work/claimDelay.ts
+++ b/packages/core/src/work/claimDelay.ts
@@ -13,8 +13,8 @@
 };
 
 /** @returns The most processor time that an owner had so far, or that this node has; in milli-cores. */
-export const strongestMilli = ({ identity, ownerView }: WorkloadState): number =>
-  Math.max(identity.processorMilli, ownerView.row?.strongestMilli ?? 0);
+export const strongestMilli = ({ processorMilli, ownerView }: WorkloadState): number =>
+  Math.max(processorMilli, ownerView.row?.strongestMilli ?? 0);
 
 /**
  * One node decides for all pools and is bound by its processor, so those with the most go first.
@@ -22,7 +22,7 @@
  * @returns How long a node that may claim the work waits before it does, in ms.
  */
 export const claimDelayMs = (work: WorkloadState): number => {
-  const { processorMilli } = work.identity;
+  const { processorMilli } = work;
   if (work.ownerView.row === null) {
     const coresShort = CORE_MILLI / Math.max(1, processorMilli) - 1;
     return spreadMs(work) + OWNERSHIP.FIRST_CLAIM_MS * Math.max(0, coresShort);
--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -22,6 +22,7 @@
   StoreVersion,
   SubmissionId,
   SubmissionState,
+  WorkBounds,
   WorkerId,
   WorkSpec,
 } from "./types.js";
@@ -75,6 +76,13 @@
 
 export type WorkEvent = Timed &
   (
+    | {
+        /** The settings file has changed. */
+        readonly type: "node/settingsTaken";
+        readonly bounds: WorkBounds;
+        /** Processor time that the node may use, in thousandths of a core. */
+        readonly processorMilli: number;
+      }
     | ({ readonly type: "call/arrived" } & CallArrival)
     | { readonly type: "call/abandoned"; readonly callId: string }
     | {
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -259,6 +259,10 @@
     case "node/shutdownRequested":
       work.leavingAtMs ??= event.atMs;
       break;
+    case "node/settingsTaken":
+      work.bounds = event.bounds;
+      work.processorMilli = event.processorMilli;
+      break;
     case "clock/ticked":
       noteLag(turn, event.lateMs ?? 0);
       break;
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -226,13 +226,13 @@
 export interface WorkIdentity {
   readonly holder: string;
   readonly incarnation: string;
-  /** Processor time that the node may use, in thousandths of a core. */
-  readonly processorMilli: number;
 }
 
 export interface WorkloadState {
   readonly identity: WorkIdentity;
-  readonly bounds: WorkBounds;
+  bounds: WorkBounds;
+  /** Processor time that the node may use, in thousandths of a core. */
+  processorMilli: number;
   /** Wall clock less steady clock, as of the last turn. */
   wallOffsetMs: number | null;
   /** When the clocks were last found to have jumped apart. */
@@ -271,11 +271,17 @@
 /**
  * @param identity - Who the node is.
  * @param bounds - The installation's bounds.
+ * @param processorMilli - Processor time that the node may use, in thousandths of a core.
  * @returns The state of a node that knows nothing yet.
  */
-export const initialWork = (identity: WorkIdentity, bounds: WorkBounds): WorkloadState => ({
+export const initialWork = (
+  identity: WorkIdentity,
+  bounds: WorkBounds,
+  processorMilli: number,
+): WorkloadState => ({
   identity,
   bounds,
+  processorMilli,
   wallOffsetMs: null,
   resumedAtMs: -Infinity,
   catalog: null,
--- a/packages/core/tests/work/claimDelay.test.ts
+++ b/packages/core/tests/work/claimDelay.test.ts
@@ -4,7 +4,7 @@
 import { BOUNDS } from "./siteFixtures.js";
 
 const nodeWith = (processorMilli: number, strongestOwnerMilli: number | null): WorkloadState => {
-  const work = initialWork({ holder: "n", incarnation: "n-1", processorMilli }, BOUNDS);
+  const work = initialWork({ holder: "n", incarnation: "n-1" }, BOUNDS, processorMilli);
   const row: OwnerRow = {
     holder: "m",
     incarnation: "m-1",
--- a/packages/core/tests/work/claims.test.ts
+++ b/packages/core/tests/work/claims.test.ts
@@ -32,7 +32,7 @@
     1,
     0,
   );
-  state.work = initialWork({ holder: "n0", incarnation: "n0-1", processorMilli: 1_000 }, BOUNDS);
+  state.work = initialWork({ holder: "n0", incarnation: "n0-1" }, BOUNDS, 1_000);
   const effects: Effect[] = [];
   const handle = (event: Event): void => {
     effects.push(...reduce(state, event));
--- a/packages/core/tests/work/ownerNode.ts
+++ b/packages/core/tests/work/ownerNode.ts
@@ -76,10 +76,7 @@
       peerAddress: address(""),
     };
     this.state = initialState(identity, 1, 0);
-    this.state.work = initialWork(
-      { holder: "n0", incarnation: "n0-1", processorMilli: 1_000 },
-      BOUNDS,
-    );
+    this.state.work = initialWork({ holder: "n0", incarnation: "n0-1" }, BOUNDS, 1_000);
     this.run(1_000);
   }
 
--- a/packages/core/tests/work/workSite.ts
+++ b/packages/core/tests/work/workSite.ts
@@ -91,8 +91,8 @@
       peerAddress: address(""),
     };
     const state = initialState(identity, 1, 0);
-    const self = { holder: name, incarnation: `${name}-${life}`, processorMilli: 1_000 };
-    state.work = initialWork(self, BOUNDS);
+    const self = { holder: name, incarnation: `${name}-${life}` };
+    state.work = initialWork(self, BOUNDS, 1_000);
     return state;
   }
 
--- a/packages/runners/src/index.ts
+++ b/packages/runners/src/index.ts
@@ -26,6 +26,7 @@
 export * from "./callers/requestBody.js";
 export * from "./callers/types.js";
 export * from "./fleet/fleetRunner.js";
+export * from "./daemon/settingsWatch.js";
 export * from "./loop/eventLoop.js";
 export * from "./metrics/nodeMetrics.js";
 export * from "./metrics/watchGauge.js";
