Keep room for work that lasts; drain hosts for pools whose work can be in time

Change: work that lasts is moved only to a worker that has room for it at once, which keeps that room; in a full pool a worker keeps free for it what comes free. Where hosts are short, they are divided by what can be in time, small needs first, and workers of pools above their part get no new work until their hosts can move. Short work goes to hosts that lasting work keeps on.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -99,6 +99,8 @@
 export const RESERVATION = {
   MOVE: "move",
   UPKEEP: "upkeep",
+  /** Its host goes to another pool once what runs there has ended. */
+  DRAIN: "drain",
 } as const;
 
 export const OWNERSHIP = {
@@ -161,6 +163,8 @@
   /** Workers' clocks may be this much slow, so a lease may last this much longer. */
   SLOWEST_CLOCK: 0.98,
   END_MARGIN_MS: 100,
+  /** What lasts is stopped on a worker that may leave so soon: later its end would be noticed late. */
+  LEAVING_MS: 1_000,
   /** On top of the time that a stop may take. */
   STOP_MARGIN_MS: 200,
 } as const;
@@ -255,6 +259,10 @@
   RETIRE_IDLE_MS: 1_200,
   /** What waits should be done within this time. */
   DRAIN_MS: 800,
+  /** The same for what is too late to be worth anything. */
+  WORTHLESS_DRAIN_MS: 8_000,
+  /** A host that is not empty so long after it was to be drained stays in its pool. */
+  DRAIN_GIVE_UP_MS: 4_000,
   /** Time over which the rate of arriving work is averaged. */
   STEADY_MS: 1_500,
   /** Times over which a sudden rise is looked for. */
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -1,34 +1,21 @@
 import type { PoolId } from "@heatherferry/common";
 import { HEALTH, RUN_PHASE } from "./constants.js";
 import { planGang } from "./gangs.js";
-import { isReplaced } from "./hostWorkers.js";
 import { isSure } from "./certainty.js";
 import { poolOf } from "./pools.js";
-import { roomOf, stopRun } from "./runs.js";
-import { chooseWorker, withinCeiling } from "./placement.js";
+import { findRoom, usableWorkers } from "./places.js";
+import { withinCeiling } from "./placement.js";
+import { withdrawRoom } from "./room.js";
+import { stopRun } from "./runs.js";
 import { inOrder } from "./ranking.js";
 import { nextRunNumber, planStart } from "./starts.js";
 import type { OwnedWork, PoolWork, Submission, Worker } from "./state.js";
 import { poolOfSubmission } from "./submissions.js";
 import type { Turn } from "./turn.js";
-import { isSilent } from "./leases.js";
 
 /** Submissions of a pool that may find no room before a pass ends. */
 const MISSES_OF_A_PASS = 12;
 
-const isUsable = (turn: Turn, owned: OwnedWork, worker: Worker): boolean =>
-  worker.listed &&
-  worker.fenced &&
-  !worker.unreachable &&
-  worker.clock !== null &&
-  !worker.report.draining &&
-  worker.reservedFor === null &&
-  !worker.departed &&
-  !isReplaced(owned, worker) &&
-  worker.restsUntilMs <= turn.nowMs &&
-  worker.roomKnownAtMs <= turn.nowMs &&
-  !isSilent(turn, worker);
-
 const placeItems = (
   turn: Turn,
   owned: OwnedWork,
@@ -46,12 +33,10 @@
       gangSteps.add(step);
       continue;
     }
-    const waits =
-      fullSteps.has(step) ||
-      owned.heldItems.has(item.key) ||
-      !withinCeiling(turn, owned, submission, item.spec);
-    if (!waits) {
-      const worker = chooseWorker(workers, item, roomOf(item.spec));
+    if (owned.heldItems.has(item.key) || !withinCeiling(turn, owned, submission, item.spec)) {
+      withdrawRoom(owned, item);
+    } else if (item.place !== null || !fullSteps.has(step)) {
+      const worker = findRoom(turn, owned, workers, item);
       if (worker === null) {
         fullSteps.add(step);
       } else {
@@ -64,7 +49,7 @@
 
 const dispatchPool = (turn: Turn, owned: OwnedWork, pool: PoolWork): void => {
   pool.dirty = false;
-  const workers = [...pool.workers].filter((worker) => isUsable(turn, owned, worker));
+  const workers = usableWorkers(turn, owned, pool);
   if (workers.length === 0) {
     return;
   }
--- a/packages/core/src/work/emptying.ts
+++ b/packages/core/src/work/emptying.ts
@@ -1,5 +1,8 @@
-import { RUN_PHASE } from "./constants.js";
+import { LEASE, RUN_PHASE } from "./constants.js";
+import { hostRoom, shareOf } from "./arrivals.js";
 import { isSilent } from "./leases.js";
+import { reserveNextPlace, usableWorkers } from "./places.js";
+import { poolOf } from "./pools.js";
 import { stopRun } from "./runs.js";
 import type { Item, OwnedWork, Run, Worker } from "./state.js";
 import type { Turn } from "./turn.js";
@@ -32,11 +35,33 @@
   return !lasting || maxUnavailable === null || awayOthers(turn, owned, run) < maxUnavailable;
 };
 
-/** Stops lasting work on a worker that is to be emptied, as its steps allow; the rest ends by itself. */
-export const emptyWorker = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
+/**
+ * Moves lasting work off a worker that is to be emptied, as its steps allow and as others have room
+ * for it at once; the rest ends by itself.
+ *
+ * @param last - There is no time left to wait for room on others.
+ */
+export const emptyWorker = (
+  turn: Turn,
+  owned: OwnedWork,
+  worker: Worker,
+  why: string,
+  last: boolean,
+): void => {
+  if (worker.lastingRuns === 0) {
+    return;
+  }
+  const pool = poolOf(owned, worker.report.pool);
+  const others = usableWorkers(turn, owned, pool).filter((other) => other !== worker);
   for (const run of worker.runs.values()) {
-    if (run.item.spec.lasting && run.phase === RUN_PHASE.RUNNING && mayStop(turn, owned, run)) {
+    const moves = run.item.spec.lasting && run.phase === RUN_PHASE.RUNNING;
+    if (!moves || !mayStop(turn, owned, run)) {
+      continue;
+    }
+    if (reserveNextPlace(turn, owned, others, run.item) || last) {
       stopRun(turn, owned, run, why);
+    } else {
+      pool.displacedHosts += shareOf(run.room, hostRoom(pool));
     }
   }
 };
@@ -45,7 +70,9 @@
 export const emptyLeaving = (turn: Turn, owned: OwnedWork): void => {
   for (const worker of owned.workers.values()) {
     if (worker.report.draining && worker.listed) {
-      emptyWorker(turn, owned, worker, "the worker is leaving");
+      const { drainRemainingMs } = worker.report;
+      const leavesNow = drainRemainingMs === null || drainRemainingMs < LEASE.LEAVING_MS;
+      emptyWorker(turn, owned, worker, "the worker is leaving", leavesNow);
     }
   }
 };
--- a/packages/core/src/work/gangs.ts
+++ b/packages/core/src/work/gangs.ts
@@ -1,6 +1,6 @@
 import { ITEM_PHASE } from "./constants.js";
 import { giveUpRun } from "./lostRuns.js";
-import { roomOf } from "./runs.js";
+import { roomOf } from "./room.js";
 import type { Item, OwnedWork, Worker } from "./state.js";
 import { itemDone } from "./submissions.js";
 import type { Turn } from "./turn.js";
--- a/packages/core/src/work/itemState.ts
+++ b/packages/core/src/work/itemState.ts
@@ -60,6 +60,8 @@
   checkpoint: string | null;
   /** Worker of the last failed run; another one is tried first. */
   avoid: WorkerId | null;
+  /** The worker that keeps room for it. */
+  place: WorkerId | null;
   /** It was known before this owner took over, and may run where nobody has looked. */
   inherited: boolean;
 }
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -3,6 +3,7 @@
 import { isStandby } from "./catalog.js";
 import { HOSTS, LENDING } from "./constants.js";
 import { demandOf, isOpen, logDemand, missingHosts, spareHosts, type Demand } from "./demand.js";
+import { balanceHosts, isEmpty, settleDrains } from "./drains.js";
 import { listHosts, mayOrderHost } from "./hosts.js";
 import { workerOn } from "./hostWorkers.js";
 import { moveHost, settleMoves, type FreeHost } from "./moves.js";
@@ -15,6 +16,7 @@
   if (
     !mayOrderHost(turn, owned, host) ||
     owned.moves.has(host) ||
+    owned.drains.has(host) ||
     turn.nowMs - (owned.hostOrders.get(host) ?? -Infinity) < HOSTS.ORDER_RETRY_MS
   ) {
     return false;
@@ -43,9 +45,8 @@
 const isIdle = (turn: Turn, owned: OwnedWork, worker: Worker, idleMs: number): boolean =>
   isOpen(turn, owned, worker) &&
   worker.fenced &&
-  worker.runs.size === 0 &&
-  worker.strayStops.size === 0 &&
-  worker.seenSequence === worker.notedSequence &&
+  isEmpty(worker) &&
+  worker.promised.size === 0 &&
   turn.nowMs - worker.idleSinceMs >= idleMs &&
   worker.report.host !== null &&
   workerOn(owned, worker.report.host) === worker &&
@@ -122,6 +123,7 @@
     return;
   }
   settleMoves(turn, owned);
+  settleDrains(turn, owned);
   owned.pools.forEach((pool) => {
     ageArrivals(turn, pool);
   });
@@ -129,7 +131,9 @@
     .filter(({ standby }) => !standby)
     .map(({ id }) => demandOf(turn, owned, poolOf(owned, id)));
   logDemand(turn, owned, demands);
-  if (!lend(turn, owned, demands)) {
+  if (lend(turn, owned, demands)) {
+    balanceHosts(turn, owned, demands);
+  } else {
     retire(turn, owned, demands);
   }
 };
--- a/packages/core/src/work/occurrences.ts
+++ b/packages/core/src/work/occurrences.ts
@@ -47,6 +47,7 @@
     run: null,
     checkpoint: null,
     avoid: null,
+    place: null,
     inherited,
   };
 };
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -204,6 +204,7 @@
   hosts: new Map(),
   workersByHost: new Map(),
   moves: new Map(),
+  drains: new Map(),
   hostOrders: new Map(),
   plannedStarts: [],
   plannedOrders: [],
--- a/packages/core/src/work/placement.ts
+++ b/packages/core/src/work/placement.ts
@@ -13,21 +13,32 @@
   );
 };
 
-const sameStepRuns = (worker: Worker, item: Item): number => {
+const isSameStep = (item: Item, other: Item): boolean =>
+  other !== item &&
+  other.submission === item.submission &&
+  other.step === item.step &&
+  other.occurrence === item.occurrence;
+
+const sameStepItems = (worker: Worker, item: Item): number => {
   let count = 0;
   for (const run of worker.runs.values()) {
-    const other = run.item;
-    if (
-      other.submission === item.submission &&
-      other.step === item.step &&
-      other.occurrence === item.occurrence
-    ) {
-      count += 1;
-    }
+    count += isSameStep(item, run.item) ? 1 : 0;
+  }
+  for (const other of worker.promised) {
+    count += isSameStep(item, other) ? 1 : 0;
   }
   return count;
 };
 
+/** @returns Whether an item may run on a worker, whatever room there is. */
+export const mayRunOn = (worker: Worker, item: Item): boolean => {
+  const { requiredLabel, maxPerWorker } = item.spec;
+  return (
+    (requiredLabel === null || worker.report.labels.includes(requiredLabel)) &&
+    (maxPerWorker === null || sameStepItems(worker, item) < maxPerWorker)
+  );
+};
+
 const disturbs = (worker: Worker, item: Item): boolean => {
   for (const { item: other } of worker.runs.values()) {
     if (item.spec.filler ? other.spec.tailTargetMs !== null : other.spec.filler) {
@@ -41,17 +52,14 @@
 const cost = (worker: Worker, item: Item, room: Resources): number | null => {
   const { spec } = item;
   const { report } = worker;
-  if (
-    !fits(worker, room) ||
-    (spec.requiredLabel !== null && !report.labels.includes(spec.requiredLabel))
-  ) {
+  if (!fits(worker, room) || !mayRunOn(worker, item)) {
     return null;
   }
-  if (spec.maxPerWorker !== null && sameStepRuns(worker, item) >= spec.maxPerWorker) {
-    return null;
-  }
-  // Full workers first: empty ones can be lent or turned off.
+  // Full workers first: empty ones can be lent or turned off. Work that lasts keeps its host on.
   let points = 1 - worker.usedCpuMilli / Math.max(1, report.capacity.cpuMilli);
+  if (worker.lastingRuns > 0) {
+    points -= 1;
+  }
   if (spec.preferredRack !== null && report.rack !== spec.preferredRack) {
     points += 10;
   }
--- a/packages/core/src/work/pools.ts
+++ b/packages/core/src/work/pools.ts
@@ -12,6 +12,7 @@
       dirty: true,
       arrivals: [],
       steadyHosts: 0,
+      displacedHosts: 0,
       rateAtMs: 0,
     };
     owned.pools.set(id, pool);
--- a/packages/core/src/work/ranking.ts
+++ b/packages/core/src/work/ranking.ts
@@ -48,6 +48,20 @@
   return { rank: tight ? RANK.TIGHT : RANK.IN_TIME, dueAtMs };
 };
 
+/** What room for a submission that waits is worth to its caller. */
+export interface Prospect {
+  /** It can still be in time, and is within its team's right. */
+  readonly inTime: boolean;
+  /** It is too late to be worth anything. */
+  readonly worthless: boolean;
+}
+
+/** @returns What a submission that waits has to expect. */
+export const prospectOf = (turn: Turn, submission: Submission): Prospect => {
+  const { rank } = rankOf(turn, submission);
+  return { inTime: rank <= RANK.TIGHT, worthless: rank === RANK.WORTHLESS };
+};
+
 /** @returns The submissions that wait for room in a pool, in the order in which they get it. */
 export const inOrder = (turn: Turn, pool: PoolWork): readonly Submission[] => {
   const ranked: Ranked[] = [];
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -176,6 +176,9 @@
   }
   repeatStops(turn, owned);
   stopStalled(turn, owned);
+  for (const pool of owned.pools.values()) {
+    pool.displacedHosts = 0;
+  }
   emptyLeaving(turn, owned);
   tickWaves(turn, owned);
   tickLending(turn, owned);
--- /dev/null
+++ b/packages/core/src/work/room.ts
@@ -0,0 +1,33 @@
+import type { Item, OwnedWork, Worker } from "./state.js";
+import type { Resources, StepSpec } from "./types.js";
+
+/** What work takes of a worker. */
+export const RESOURCES = ["cpuMilli", "memoryMb", "gpus"] as const;
+
+/** @returns What an item of a step takes of a worker's room. */
+export const roomOf = (spec: StepSpec): Resources =>
+  spec.filler ? { ...spec.needs, cpuMilli: 0 } : spec.needs;
+
+/** Takes room of a worker, or gives it back. */
+export const chargeRoom = (worker: Worker, room: Resources, sign: 1 | -1): void => {
+  worker.usedCpuMilli += sign * room.cpuMilli;
+  worker.usedMemoryMb += sign * room.memoryMb;
+  worker.usedGpus += sign * room.gpus;
+};
+
+/** Keeps room on a worker for an item; no other work takes it. */
+export const promiseRoom = (owned: OwnedWork, worker: Worker, item: Item): void => {
+  withdrawRoom(owned, item);
+  item.place = worker.report.id;
+  worker.promised.add(item);
+  chargeRoom(worker, roomOf(item.spec), 1);
+};
+
+/** Gives up the room that is kept for an item, if any. */
+export const withdrawRoom = (owned: OwnedWork, item: Item): void => {
+  const worker = item.place === null ? undefined : owned.workers.get(item.place);
+  item.place = null;
+  if (worker?.promised.delete(item) === true) {
+    chargeRoom(worker, roomOf(item.spec), -1);
+  }
+};
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -2,15 +2,11 @@
 import { leaseChanged } from "./leaseRows.js";
 import { isSure } from "./certainty.js";
 import { poolOf } from "./pools.js";
+import { chargeRoom, roomOf, withdrawRoom } from "./room.js";
 import type { Item, OwnedWork, Run, TeamUse, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
-import type { Resources, StepSpec } from "./types.js";
 import { targetOf } from "./lives.js";
 
-/** @returns What an item of a step takes of a worker's room. */
-export const roomOf = (spec: StepSpec): Resources =>
-  spec.filler ? { ...spec.needs, cpuMilli: 0 } : spec.needs;
-
 const teamUse = (owned: OwnedWork, item: Item): TeamUse | null => {
   const { team } = item.submission.handIn;
   if (team === null) {
@@ -25,9 +21,8 @@
 };
 
 const charge = (owned: OwnedWork, worker: Worker, run: Run, sign: 1 | -1): void => {
-  worker.usedCpuMilli += sign * run.room.cpuMilli;
-  worker.usedMemoryMb += sign * run.room.memoryMb;
-  worker.usedGpus += sign * run.room.gpus;
+  chargeRoom(worker, run.room, sign);
+  worker.lastingRuns += run.item.spec.lasting ? sign : 0;
   const use = teamUse(owned, run.item);
   if (use !== null) {
     const { needs } = run.item.spec;
@@ -67,6 +62,7 @@
     stopConfirmedAtMs: null,
     missingSinceMs: null,
   };
+  withdrawRoom(owned, item);
   item.run = run;
   item.lastRun = Math.max(item.lastRun, number);
   item.phase = ITEM_PHASE.PLACED;
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -103,6 +103,8 @@
   /** Listed workers by host: the one that it runs, and entries left over of those before. */
   readonly workersByHost: Map<HostId, Set<Worker>>;
   readonly moves: Map<HostId, HostMove>;
+  /** Hosts that go to another pool once their workers are empty. */
+  readonly drains: Map<HostId, HostDrain>;
   /** When each host was ordered last, or will be once the owner's row names it. */
   readonly hostOrders: Map<HostId, number>;
   /** Runs that wait for the owner's row to name them. */
@@ -147,6 +149,14 @@
   readonly listsFromMs: number;
 }
 
+/** A host whose worker gets no new work, so that another pool can have it. */
+export interface HostDrain {
+  readonly order: HostOrderId;
+  readonly worker: WorkerLife;
+  readonly to: PoolId;
+  readonly sinceMs: number;
+}
+
 /** A host on its way to another pool. */
 export interface HostMove {
   readonly order: HostOrderId;
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -6,6 +6,7 @@
 import { noteArrival } from "./arrivals.js";
 import { type KnownWork, lastWritten, makeOccurrence, stepIsDone } from "./occurrences.js";
 import { poolOf } from "./pools.js";
+import { withdrawRoom } from "./room.js";
 import { stopRun } from "./runs.js";
 import type { Item, Occurrence, OwnedWork, Submission } from "./state.js";
 import { logLine, loggedMs, type Turn } from "./turn.js";
@@ -160,6 +161,7 @@
   markDirty(owned, submission);
   for (const occurrence of submission.occurrences.values()) {
     for (const item of occurrence.steps.flat()) {
+      withdrawRoom(owned, item);
       if (item.run !== null) {
         stopRun(turn, owned, item.run, why);
       }
--- a/packages/core/src/work/upkeep.ts
+++ b/packages/core/src/work/upkeep.ts
@@ -34,12 +34,19 @@
 /**
  * Reserves a worker for the upkeep of its host and moves its lasting work away.
  *
+ * @param late - The wave can't wait for room for that work on others.
  * @returns Whether it is kept free for this wave.
  */
-export const keepFree = (turn: Turn, owned: OwnedWork, wave: WaveWork, worker: Worker): boolean => {
+export const keepFree = (
+  turn: Turn,
+  owned: OwnedWork,
+  wave: WaveWork,
+  worker: Worker,
+  late: boolean,
+): boolean => {
   const mine = reserve(worker, upkeepOf(wave));
   if (mine) {
-    emptyWorker(turn, owned, worker, "its host is due for upkeep");
+    emptyWorker(turn, owned, worker, "its host is due for upkeep", late);
   }
   return mine;
 };
@@ -161,7 +168,7 @@
     }
     if (
       worker === null ||
-      (keepFree(turn, owned, wave, worker) && isEmptied(worker, isLife(worker, out.worker)))
+      (keepFree(turn, owned, wave, worker, true) && isEmptied(worker, isLife(worker, out.worker)))
     ) {
       orderUpkeep(turn, owned, wave, host, worker);
     }
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -77,7 +77,7 @@
   const { durationMs, mostOut } = wave.request;
   const workers = left.map((host) => workerOn(owned, host)).filter((worker) => worker !== null);
   const rounds = Math.max(1, Math.ceil(workers.length / Math.max(1, mostOut)));
-  const lasting = workers.some((worker) => runsLasting(worker));
+  const lasting = workers.some(({ lastingRuns }) => lastingRuns > 0);
   return (
     wave.seenAtMs +
     durationMs -
@@ -87,9 +87,6 @@
   );
 };
 
-const runsLasting = (worker: Worker): boolean =>
-  [...worker.runs.values()].some(({ item }) => item.spec.lasting);
-
 /** Upkeep of hosts that are off costs nothing, and most hosts are off now and then. */
 const canWaitForOffHosts = (turn: Turn): boolean =>
   turn.work.catalog?.pools.some(({ standby }) => standby) === true;
@@ -134,7 +131,7 @@
   for (const { host, worker } of chosen) {
     if (worker !== null) {
       const last = worker.reservedFor === null && waitMs > 0 && isLastOpen(turn, owned, worker);
-      if (last || !keepFree(turn, owned, wave, worker)) {
+      if (last || !keepFree(turn, owned, wave, worker, waitMs <= 0)) {
         continue;
       }
     }
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -1,7 +1,7 @@
 import type { Address, PoolId, ValueOf } from "@heatherferry/common";
 import type { RESERVATION } from "./constants.js";
 import type { ItemKey, WorkerId, WorkerReport } from "./types.js";
-import type { Run, Submission } from "./itemState.js";
+import type { Item, Run, Submission } from "./itemState.js";
 
 /** Names one life of a worker. */
 export interface WorkerLife {
@@ -50,11 +50,15 @@
   /** The last look acknowledged no end, since it was not sure to meet this life. */
   endsWithheld: boolean;
   readonly runs: Map<ItemKey, Run>;
+  /** Items that it keeps room for; what they take counts as used. */
+  readonly promised: Set<Item>;
   /** Stops of runs that we do not keep, by item and run. */
   readonly strayStops: Map<string, number>;
   usedCpuMilli: number;
   usedMemoryMb: number;
   usedGpus: number;
+  /** Runs there that last until their submission is cancelled. */
+  lastingRuns: number;
   /** Since when nothing runs there. */
   idleSinceMs: number;
   /** Since when something runs there, or is about to. */
@@ -105,6 +109,8 @@
   /** Hosts that arriving work keeps busy, averaged over a longer time. */
   steadyHosts: number;
   rateAtMs: number;
+  /** Hosts for work that lasts and has to leave its workers, and finds no room on others. */
+  displacedHosts: number;
 }
 
 /** What a team has running over all pools. */
