--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -76,7 +76,7 @@
  * Gives hosts to pools that miss some, one each in turn, so that a surge in one pool does not leave
  * another with none.
  *
- * @returns Whether some pool misses hosts.
+ * @returns Whether some pool still misses hosts.
  */
 const lend = (turn: Turn, owned: OwnedWork, demands: readonly Demand[]): boolean => {
   const needy = demands
@@ -89,15 +89,16 @@
   const off = standbyHosts(turn, owned);
   const idle = demands.flatMap((demand) => idleHosts(turn, owned, demand, LENDING.LEND_IDLE_MS));
   const most = Math.max(...needy.map(({ missing }) => missing));
-  for (let round = 0; round < most && idle.length + off.length > 0; round += 1) {
+  for (let round = 0; round < most; round += 1) {
     for (const { demand } of needy.filter(({ missing }) => missing > round)) {
       const free = takeIdle(idle, demand.pool.id) ?? off.pop();
-      if (free !== undefined) {
-        moveHost(turn, owned, free, demand.pool.id, "work waits for room");
+      if (free === undefined) {
+        return true;
       }
+      moveHost(turn, owned, free, demand.pool.id, "work waits for room");
     }
   }
-  return true;
+  return false;
 };
 
 /** Turns hosts off that have had nothing to do for a while. */
