Read tables over thin links part by part

After power loss the new owner reads the hand-ins, some 500 rows, over 2 Mbit/s, which takes seconds; each page was given up after 1 s, and four reads at once kept the renewals of the owner's row waiting until the next node took over and began anew: seven owners in 20 s, none of which loaded its tables.

--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -98,7 +98,7 @@
   );
   const metrics = new WorkMetrics(state, sink);
   const loop = new EventLoop(state, defaultPolicies(), [metrics]);
-  const store = new PlatformStore(settings.storeAddress, log);
+  const store = new PlatformStore(settings.storeAddress, settings.linkMbps, log);
   const workers = new PlatformWorkers();
   const hosts = new PlatformHosts(settings.hostsAddress, settings.nodeName);
   const admin = new AdminServer(metrics.registry, new WorkHealth(state));
