Bound the looks of a turn; count held use when a worker is heard, not at every event

Cause: after a take-over on the large San Vicente the turn that sends the first 330 looks, each on a new connection, took 0.8 s (owner.loaded logged 0.8 s after the last table came in), and what held items use was counted again at every event.

Change: a turn sends 32 looks at most and goes on in the next one.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -195,6 +195,10 @@
 export const CLOCK_TURN = {
   /** Least time between two looks at all that goes by time. */
   GAP_MS: 40,
+  /** Looks at workers that one turn sends. */
+  MOST_LOOKS: 32,
+  /** When a turn goes on that left something undone. */
+  SOON_MS: 1,
   /** A turn handled so late is logged. */
   LATE_MS: 200,
   LATE_LOG_GAP_MS: 1_000,
--- a/packages/core/src/work/demand.ts
+++ b/packages/core/src/work/demand.ts
@@ -219,6 +219,7 @@
         pool: pool.id,
         workers: openWorkers.length,
         busyWorkers: busy,
+        lastingWorkers: openWorkers.filter(({ lastingRuns }) => lastingRuns > 0).length,
         waitingSubmissions: pool.waiting.size,
         waitingHosts: rounded(demand.waitingHosts),
         waitingInTimeHosts: rounded(demand.waitingInTimeHosts),
--- a/packages/core/src/work/recovery.ts
+++ b/packages/core/src/work/recovery.ts
@@ -93,11 +93,15 @@
   }
   const longestLeaseMs = LEASE.TERM_MS / LEASE.SLOWEST_CLOCK + LEASE.END_MARGIN_MS;
   const leasesOver = turn.nowMs - owned.takenAtMs > longestLeaseMs;
+  const unheardBefore = owned.unheard.size;
   for (const id of [...owned.unheard.keys()]) {
     if (leasesOver || owned.workers.get(id)?.fenced === true) {
       workerHeard(owned, id);
     }
   }
+  if (owned.unheard.size === unheardBefore) {
+    return;
+  }
   owned.heldUse = heldUse(owned);
   if (owned.unheard.size === 0) {
     logLine(turn, "info", "owner.allHeard", {
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -1,4 +1,4 @@
-import { LEASE, LIFE } from "./constants.js";
+import { CLOCK_TURN, LEASE, LIFE } from "./constants.js";
 import type { WorkEvent } from "./events.js";
 import { bindHost, unbindHost } from "./hostWorkers.js";
 import { extendLease, hasStops, isSilent, noteClock } from "./leases.js";
@@ -205,8 +205,12 @@
   }
 };
 
-/** Looks at workers that are due and ends leases that are over. */
+/**
+ * Looks at workers that are due and ends leases that are over. Hundreds of looks, each perhaps on a
+ * new connection, would hold up the owner's row and callers, so the rest goes on in the next turn.
+ */
 export const tickWorkers = (turn: Turn, owned: OwnedWork): void => {
+  let looksLeft: number = CLOCK_TURN.MOST_LOOKS;
   for (const worker of [...owned.workers.values()]) {
     if (worker.leaseEndsAtMs !== null && turn.nowMs > worker.leaseEndsAtMs) {
       leaseEnded(turn, owned, worker);
@@ -215,10 +219,13 @@
       owned.workers.delete(worker.report.id);
       leaseChanged(owned, worker.report.id);
       poolOf(owned, worker.report.pool).workers.delete(worker);
-    } else {
-      lookIfDue(turn, owned, worker);
+    } else if (looksLeft > 0) {
+      looksLeft -= lookIfDue(turn, owned, worker) ? 1 : 0;
     }
   }
+  if (looksLeft === 0) {
+    wakeAfter(turn, CLOCK_TURN.SOON_MS);
+  }
 };
 
 const needsLook = (worker: Worker): boolean =>
@@ -240,13 +247,14 @@
   return lookedAtMs !== null && turn.nowMs - lookedAtMs <= withinMs ? durableSequence : 0;
 };
 
-const lookIfDue = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
+/** @returns Whether a look was sent. */
+const lookIfDue = (turn: Turn, owned: OwnedWork, worker: Worker): boolean => {
   if (worker.lookOrder !== null || !needsLook(worker) || !isSure(turn, owned)) {
-    return;
+    return false;
   }
   if (turn.nowMs < worker.nextLookAtMs) {
     wakeAfter(turn, worker.nextLookAtMs - turn.nowMs);
-    return;
+    return false;
   }
   const waits = worker.fenced && worker.runs.size > 0 && !isSilent(turn, worker);
   worker.lastLookAtMs = turn.nowMs;
@@ -264,4 +272,5 @@
     waitMs: waits && !hasStops(worker) && !worker.endsWithheld ? LEASE.LOOK_WAIT_MS : 0,
     ...target,
   });
+  return true;
 };
