--- a/packages/core/src/work/forget.ts
+++ b/packages/core/src/work/forget.ts
@@ -1,5 +1,5 @@
 import { FORGET, STORE, SUBMISSION_STATE } from "./constants.js";
-import type { WorkEvent } from "./events.js";
+import type { RowName, WorkEvent } from "./events.js";
 import { isSure } from "./certainty.js";
 import type { OwnedWork, Submission } from "./state.js";
 import { logLine, newCommitId, type Turn } from "./turn.js";
@@ -44,14 +44,21 @@
 
 const forget = (turn: Turn, owned: OwnedWork, id: SubmissionId): void => {
   owned.submissions.delete(id);
+  owned.forgotten.add(id);
   logLine(turn, "info", "submission.forgotten", { submission: id });
-  turn.effects.push({
-    type: "store/commit",
-    commitId: newCommitId(turn.work),
-    conditions: [],
-    writes: [],
-    removes: [{ type: "progress", id }],
-  });
+};
+
+/**
+ * What is known of a forgotten submission goes with a write of the owner: a node that has been
+ * replaced must not remove it.
+ *
+ * @param most - Rows that the write still takes.
+ * @returns The rows to remove, which are not asked for again.
+ */
+export const takeForgotten = (owned: OwnedWork, most: number): RowName[] => {
+  const ids = [...owned.forgotten].slice(0, Math.max(0, most));
+  ids.forEach((id) => owned.forgotten.delete(id));
+  return ids.map((id) => ({ type: "progress", id }));
 };
 
 /**
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -2,6 +2,7 @@
 import { strongestMilli } from "./claimDelay.js";
 import { OWNERSHIP, STORE } from "./constants.js";
 import type { RowToWrite, WorkEvent } from "./events.js";
+import { takeForgotten } from "./forget.js";
 import { dropHostOrders, sendHostOrders } from "./hostOrders.js";
 import { orderedHosts } from "./hosts.js";
 import { isSure } from "./certainty.js";
@@ -97,6 +98,7 @@
   }
   const left = STORE.MAX_ROWS - workers.size - submissions.length;
   const leases = leaseRows(owned, [...workers, ...staleLeases(owned, workers, left)], leavesNone);
+  const forgotten = takeForgotten(owned, left - leases.writes.length - leases.removes.length);
   const releases = isLeaving(turn) && leavesNone && !hasStaleLeases(owned);
   const write: LedgerWrite = {
     commit: {
@@ -111,7 +113,7 @@
         })),
         ...waveReports(owned),
       ],
-      removes: leases.removes,
+      removes: [...leases.removes, ...forgotten],
     },
     submissions: submissions.map((submission) => ({ submission, shows: submission.state })),
     ends: writtenEnds(owned),
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -216,6 +216,7 @@
   givenUp: new Map(),
   forgetAtMs: nowMs,
   forgetting: new Map(),
+  forgotten: new Set(),
   loadedRows: [],
 });
 
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -1,21 +1,12 @@
 import type { HostId, PoolId, TeamId } from "@heatherferry/common";
 import type { HeldItems } from "./heldItems.js";
 import type { Allowance } from "./allowance.js";
-import type {
-  CallArrival,
-  Commit,
-  Feed,
-  MoveOrder,
-  Scan,
-  StoreRow,
-  UpkeepOrder,
-} from "./events.js";
+import type { CallArrival, Commit, Feed, Scan, StoreRow } from "./events.js";
 import type {
   Catalog,
   Fence,
   HandIn,
   HostListing,
-  HostOrderId,
   LeasedWorker,
   OwnerRow,
   StoreVersion,
@@ -26,9 +17,11 @@
   WorkBounds,
   WorkerId,
 } from "./types.js";
+import type { HostDrain, HostMove, HostOrder, WaveWork } from "./hostState.js";
 import type { Run, Submission } from "./itemState.js";
-import type { GivenUpRuns, Worker, PoolWork, TeamUse, WorkerLife } from "./workerState.js";
+import type { GivenUpRuns, Worker, PoolWork, TeamUse } from "./workerState.js";
 
+export type { WaveWork, HostOrder, HostOut, HostReturn, HostDrain, HostMove } from "./hostState.js";
 export type { Run, Item, Occurrence, Submission } from "./itemState.js";
 export type {
   GivenUpRuns,
@@ -40,19 +33,6 @@
   TeamUse,
 } from "./workerState.js";
 
-/** A wave under way. */
-export interface WaveWork {
-  readonly request: WaveRequest;
-  /** When an owner first saw the request, on this node's clock and by the time of day. */
-  seenAtMs: number;
-  seenWallMs: number;
-  readonly doneHosts: Set<HostId>;
-  dirty: boolean;
-  /** Hosts ordered down. */
-  readonly outHosts: Map<HostId, HostOut>;
-  completed: boolean;
-}
-
 /** All that the owner knows; made anew at each take-over. */
 export interface OwnedWork {
   readonly fence: Fence;
@@ -122,51 +102,12 @@
   forgetAtMs: number;
   /** Hand-ins that are being removed, by the write that does it. */
   readonly forgetting: Map<string, SubmissionId>;
+  /** Submissions whose hand-ins are gone; what is known of them goes with the next write. */
+  readonly forgotten: Set<SubmissionId>;
   /** Rows of the store that were read before all of them were there. */
   loadedRows: StoreRow[];
 }
 
-/** An order to a host that waits until the owner's row names it. */
-export type HostOrder =
-  ({ readonly type: "power/move" } & MoveOrder) | ({ readonly type: "power/upkeep" } & UpkeepOrder);
-
-/** A host that was ordered down for upkeep. */
-export interface HostOut {
-  /** What it ran as of the last order. */
-  readonly worker: WorkerLife | null;
-  readonly orderedAtMs: number;
-  /** Orders that were carried out or may yet be. */
-  readonly orders: Set<HostOrderId>;
-  /** Null until it is known to be down. */
-  back: HostReturn | null;
-}
-
-/** When a host that is known to be down for upkeep can be back. */
-export interface HostReturn {
-  /** Until then a worker on the host is a left-over entry, or one that went down with it. */
-  readonly workersFromMs: number;
-  /** A list of hosts that was asked for after this time tells whether it is back. */
-  readonly listsFromMs: number;
-}
-
-/** A host whose worker gets no new work, so that another pool can have it. */
-export interface HostDrain {
-  readonly order: HostOrderId;
-  readonly worker: WorkerLife;
-  readonly to: PoolId;
-  readonly sinceMs: number;
-}
-
-/** A host on its way to another pool. */
-export interface HostMove {
-  readonly order: HostOrderId;
-  readonly to: PoolId;
-  /** What it ran when the move was ordered. */
-  readonly worker: WorkerLife | null;
-  readonly orderedAtMs: number;
-  confirmed: boolean;
-}
-
 /** The owner's write in flight. */
 export interface LedgerWrite {
   readonly commit: Commit;
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -1,5 +1,5 @@
 import { CLOCK_TURN, LEASE, LIFE } from "./constants.js";
-import type { WorkEvent } from "./events.js";
+import type { Life, WorkEvent } from "./events.js";
 import { bindHost, unbindHost } from "./hostWorkers.js";
 import { extendLease, hasStops, isSilent, noteClock } from "./leases.js";
 import { leaseChanged } from "./leaseRows.js";
@@ -126,6 +126,17 @@
   }
 };
 
+/**
+ * A life that answers what was sent after the known one was listed came after it, also where its
+ * host's time of day has stepped back in between.
+ *
+ * @returns Which life of a worker has answered a look.
+ */
+const lifeSeen = (worker: Worker, bornWallMs: number | null, sentAtMs: number): Life => {
+  const life = lifeBornAt(worker.report, bornWallMs);
+  return life === LIFE.EARLIER && sentAtMs > worker.enlistedAtMs ? LIFE.NEXT : life;
+};
+
 /** Takes a worker's lists of what runs and what has ended. */
 export const workerLooked = (
   turn: Turn,
@@ -140,7 +151,7 @@
   worker.nextLookAtMs = turn.nowMs + LEASE.LOOK_GAP_MS;
   const bornWallMs = event.seenBornWallMs ?? worker.report.bornWallMs;
   const report = { ...worker.report, bornWallMs, clockMs: event.clockMs };
-  const life = lifeBornAt(worker.report, bornWallMs);
+  const life = lifeSeen(worker, bornWallMs, event.sentAtMs);
   if (life !== LIFE.SAME) {
     logOtherLife(turn, worker, "look", bornWallMs);
   }
--- a/packages/core/tests/work/forget.test.ts
+++ b/packages/core/tests/work/forget.test.ts
@@ -4,6 +4,9 @@
 import { stepOf, workOf } from "./workSpecs.js";
 import { WorkSite } from "./workSite.js";
 
+/** Long enough for an ended submission to be forgotten. */
+const FORGOTTEN_AFTER_MS = 60_000;
+
 const ID = "00000000000000aa";
 
 test("a submission runs again whose rows go while all hand-ins are read anew", (t) => {
@@ -21,3 +24,22 @@
   t.is(site.starts, 1);
   t.deepEqual(site.store.lookUp(ID as SubmissionId), []);
 });
+
+test("a node that has been replaced removes what is known of a submission", (t) => {
+  const site = new WorkSite(5, 2, 2);
+  site.workMs = 300;
+  site.run(2_000);
+  site.submit(ID, "mills", workOf([stepOf(1, 500, [])]), 0);
+  site.run(BOUNDS.statusKeptMs + FORGOTTEN_AFTER_MS);
+  t.deepEqual(site.store.lookUp(ID as SubmissionId), []);
+  const removals = site.effects.filter(
+    (effect) =>
+      effect.type === "store/commit" && effect.removes.some(({ type }) => type === "progress"),
+  );
+  t.true(removals.length > 0);
+  for (const removal of removals) {
+    t.true(
+      removal.type === "store/commit" && removal.conditions.some(({ row }) => row.type === "owner"),
+    );
+  }
+});
--- a/packages/core/tests/work/lives.test.ts
+++ b/packages/core/tests/work/lives.test.ts
@@ -125,3 +125,19 @@
   node.answerLook(careful, { bornWallMs: 200, ends: [end] });
   t.is(node.nextLookAt("w").notedSequence, 1);
 });
+
+test("a worker whose time of day stepped back before it started again is never used again", (t) => {
+  const node = new OwnerNode();
+  node.list(reportOf("w", 2_000));
+  node.answerLook(node.lookAt("w"), { bornWallMs: 2_000 });
+  node.submit(ID, workOf([stepOf(1, 500, [])]));
+  node.run(60);
+  node.starts.forEach((start) => {
+    node.answerStart(start, "started");
+  });
+  node.answerLook(node.nextLookAt("w"), { bornWallMs: 500 });
+  node.answerLook(node.nextLookAt("w"), { bornWallMs: 500 });
+  node.run(8_000);
+  t.is(node.starts.length, 2);
+  t.is(node.starts[1]?.bornWallMs, 500);
+});
