Let an event or effect that fails cost what it asked for, not the process

Cause: an error thrown by the reducer or by carrying an effect out went up through the timer or the promise that had brought the event, and ended the process.

Change: the loop logs it with its cause and goes on; an owner gives its state up, which may be half changed, and leaves the work to others for 3 s.

--- a/packages/common/src/settings/changedKeys.ts
+++ b/packages/common/src/settings/changedKeys.ts
@@ -9,7 +9,7 @@
     if (isGroup(value)) {
       addLeaves(leaves, value, key);
     } else {
-      leaves.set(key, String(JSON.stringify(value)));
+      leaves.set(key, JSON.stringify([value]));
     }
   }
 };
--- a/packages/core/src/node/types.ts
+++ b/packages/core/src/node/types.ts
@@ -41,7 +41,14 @@
       /** How late the turn is handled, where it was due at a certain time. */
       readonly lateMs?: number;
     }
-  | { readonly type: "node/shutdownRequested"; readonly atMs: number };
+  | { readonly type: "node/shutdownRequested"; readonly atMs: number }
+  /** An event could not be handled, so what it left of the state may be half changed. */
+  | {
+      readonly type: "node/eventFailed";
+      readonly atMs: number;
+      readonly wallMs?: number;
+      readonly failedType: string;
+    };
 
 export type NodeEffect =
   /** Nothing is in flight any more: the process may exit. */
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -120,6 +120,8 @@
   /** A node with less than this share of the strongest owner's processor leaves others the lead. */
   STRONG_SHARE: 0.75,
   WEAK_CLAIM_MS: 400,
+  /** A node that failed to handle an event leaves the work to others for so long. */
+  REST_MS: 3_000,
 } as const;
 
 export const STORE = {
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -55,6 +55,7 @@
   if (
     work.owned !== null ||
     work.leavingAtMs !== null ||
+    nowMs < work.claimsFromMs ||
     view.claim !== null ||
     work.catalog === null
   ) {
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -2,7 +2,7 @@
 import type { Event } from "../event.js";
 import { callCommitSettled, callLookedUp, callLookUpFailed, tickCalls } from "./callResults.js";
 import { callAbandoned, callArrived } from "./calls.js";
-import { CLOCK_JUMP, CLOCK_TURN, LEAVING, SCAN, STORE } from "./constants.js";
+import { CLOCK_JUMP, CLOCK_TURN, LEAVING, OWNERSHIP, SCAN, STORE } from "./constants.js";
 import { emptyLeaving } from "./emptying.js";
 import { dispatch, recheckPools, stopStalled } from "./dispatch.js";
 import type { WorkEvent } from "./events.js";
@@ -14,7 +14,7 @@
 import { tickLending } from "./lending.js";
 import { noteLag } from "./loopLag.js";
 import { moveAnswered } from "./moves.js";
-import { claimSettled, ownerScanFailed, ownerSeen, tickOwnership } from "./ownership.js";
+import { claimSettled, endOwning, ownerScanFailed, ownerSeen, tickOwnership } from "./ownership.js";
 import { paceFailed } from "./pacing.js";
 import { tableLoaded, tableNotLoaded, tickLoads, tickRecovery } from "./recovery.js";
 import { startAnswered, stopAnswered } from "./runResults.js";
@@ -262,6 +262,10 @@
     case "node/shutdownRequested":
       work.leavingAtMs ??= event.atMs;
       break;
+    case "node/eventFailed":
+      endOwning(turn, `an event failed: ${event.failedType}`);
+      work.claimsFromMs = turn.nowMs + OWNERSHIP.REST_MS;
+      break;
     case "node/settingsTaken":
       work.bounds = event.bounds;
       work.processorMilli = event.processorMilli;
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -195,6 +195,8 @@
   readonly waveRequests: Map<number, WaveRequest>;
   readonly calls: Map<string, OpenCall>;
   ownerView: OwnerView;
+  /** It does not claim the work before. */
+  claimsFromMs: number;
   owned: OwnedWork | null;
   ready: boolean;
   storeLost: boolean;
@@ -240,6 +242,7 @@
   feeds: { operators: newFeed(), workers: newFeed(), handIns: newFeed() },
   waveRequests: new Map(),
   calls: new Map(),
+  claimsFromMs: -Infinity,
   ownerView: {
     row: null,
     version: 0 as StoreVersion,
--- a/packages/core/tests/work/workSite.ts
+++ b/packages/core/tests/work/workSite.ts
@@ -59,6 +59,14 @@
     }
   }
 
+  /** Tells a node that it failed to handle an event. */
+  failEvent(nodeIndex: number): void {
+    const node = this.nodes[nodeIndex];
+    if (node !== undefined) {
+      this.handle(node, { type: "node/eventFailed", atMs: 0, failedType: "worker/looked" });
+    }
+  }
+
   freeze(nodeIndex: number, forMs: number): void {
     const node = this.nodes[nodeIndex];
     if (node !== undefined) {
--- a/packages/runners/src/loop/eventLoop.ts
+++ b/packages/runners/src/loop/eventLoop.ts
@@ -1,4 +1,5 @@
 import { performance } from "node:perf_hooks";
+import { LOG_CLASS, messageOf } from "@heatherferry/common";
 import {
   CLOCK,
   reduce,
@@ -110,12 +111,49 @@
   }
 
   private handleOne(event: Event): void {
-    const effects = reduce(this.state, event, this.policies);
+    const effects = this.reduceOrReport(event);
     for (const effect of effects) {
-      this.runner?.run(effect);
+      this.runOrReport(effect);
     }
     for (const observer of this.observers) {
       observer.observe(event, effects, this.state);
     }
   }
+
+  /** An event that fails costs what it asked for, and not the process. */
+  private reduceOrReport(event: Event): readonly Effect[] {
+    try {
+      return reduce(this.state, event, this.policies);
+    } catch (error) {
+      this.report("event.failed", event.type, error);
+      if (event.type !== "node/eventFailed") {
+        this.waiting.push({ type: "node/eventFailed", failedType: event.type });
+      }
+      return [];
+    }
+  }
+
+  private runOrReport(effect: Effect): void {
+    try {
+      this.runner?.run(effect);
+    } catch (error) {
+      this.report("effect.failed", effect.type, error);
+    }
+  }
+
+  private report(line: string, failed: string, error: unknown): void {
+    const stack = error instanceof Error ? (error.stack ?? null) : null;
+    const fields = { failed, problem: messageOf(error), stack };
+    try {
+      this.runner?.run({
+        type: "log/write",
+        level: "error",
+        event: line,
+        fields,
+        lineClass: LOG_CLASS.KEPT,
+      });
+    } catch (logError) {
+      process.stderr.write(`${line} ${failed}: ${fields.problem}; ${messageOf(logError)}\n`);
+    }
+  }
 }
