--- a/packages/wire/src/work/workRows.ts
+++ b/packages/wire/src/work/workRows.ts
@@ -14,6 +14,7 @@
   type SubmissionId,
 } from "@heatherferry/core";
 import type { HostId } from "@heatherferry/common";
+import { ROW_CHECK } from "./rowChecks.js";
 
 /** Where a row lies, and its text. */
 export interface EncodedRow {
@@ -105,9 +106,6 @@
   }
 };
 
-const has = (value: unknown, fields: readonly string[]): boolean =>
-  typeof value === "object" && value !== null && fields.every((field) => field in value);
-
 /**
  * @param table - Table of the row.
  * @param key - Its key.
@@ -129,27 +127,20 @@
   if (table === WORK_TABLE.HAND_INS && key.endsWith(CANCEL_SUFFIX)) {
     return { type: "cancel", version: at, id: submissionId(key.slice(0, -CANCEL_SUFFIX.length)) };
   }
-  if (
-    table === WORK_TABLE.HAND_INS &&
-    has(body, ["id", "queue", "pool", "work", "acceptedWallMs"])
-  ) {
+  if (table === WORK_TABLE.HAND_INS && ROW_CHECK.HAND_IN(body)) {
     return { type: "handIn", version: at, handIn: body as HandIn };
   }
-  if (
-    table === WORK_TABLE.PROGRESS &&
-    key.startsWith(WAVE_PREFIX) &&
-    has(body, ["wave", "seenWallMs", "doneHosts"])
-  ) {
+  if (table === WORK_TABLE.PROGRESS && key.startsWith(WAVE_PREFIX) && ROW_CHECK.WAVE(body)) {
     const { wave, seenWallMs, doneHosts } = body as WaveProgress;
     return { type: "waveReport", version: at, wave, seenWallMs, doneHosts };
   }
-  if (table === WORK_TABLE.PROGRESS && has(body, ["id", "state", "done", "failures"])) {
+  if (table === WORK_TABLE.PROGRESS && ROW_CHECK.PROGRESS(body)) {
     return { type: "progress", version: at, progress: body as Progress };
   }
-  if (table === WORK_TABLE.OWNER && has(body, ["holder", "incarnation", "fence", "orderedHosts"])) {
+  if (table === WORK_TABLE.OWNER && ROW_CHECK.OWNER(body)) {
     return { type: "owner", version: at, owner: body as OwnerRow };
   }
-  if (table === WORK_TABLE.LEASES && has(body, ["pool", "items", "stopping"])) {
+  if (table === WORK_TABLE.LEASES && ROW_CHECK.LEASE(body)) {
     return { type: "lease", version: at, worker: workerId(key), lease: body as LeasedWorker };
   }
   return null;
