--- a/apps/maintainer/tests/maintainer.test.ts
+++ b/apps/maintainer/tests/maintainer.test.ts
@@ -58,3 +58,13 @@
   maintainer.kill("SIGTERM");
   t.is((await exited)[0], 0);
 });
+
+test("a maintainer ends at SIGHUP", async (t) => {
+  const maintainer = start(SETTINGS);
+  const exited = once(maintainer, "exit");
+  const admin = await adminAddress(maintainer);
+  maintainer.kill("SIGHUP");
+  t.is((await fetch(`http://${admin}/livez`)).status, 200);
+  maintainer.kill("SIGTERM");
+  t.is((await exited)[0], 0);
+});
--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -214,16 +214,16 @@
 }
 
 /** An order of the owner, which must not be sent by a node that may have been replaced. */
-export interface Perishable {
+export interface SendDeadline {
   /**
    * Ownership is sure until then, on this node's steady clock. An order that still waits for a
    * connection at that time is not sent.
    */
-  readonly leaveByMs: number;
+  readonly sendDeadlineMs: number;
 }
 
 /** Names the life of a worker that an order or a look is for, and the time to send it in. */
-export type OrderTarget = WorkerTarget & Perishable;
+export type OrderTarget = WorkerTarget & SendDeadline;
 
 export type WorkEffect =
   | ({ readonly type: "call/answer" } & CallAnswer)
@@ -264,8 +264,8 @@
       readonly percent: number;
     } & OrderTarget)
   | { readonly type: "power/list" }
-  | ({ readonly type: "power/move" } & MoveOrder & Perishable)
-  | ({ readonly type: "power/upkeep" } & UpkeepOrder & Perishable)
+  | ({ readonly type: "power/move" } & MoveOrder & SendDeadline)
+  | ({ readonly type: "power/upkeep" } & UpkeepOrder & SendDeadline)
   | { readonly type: "node/readiness"; readonly ready: boolean }
   | { readonly type: "node/closeFront" }
   /** Turn the clock after this time, earlier than it would turn by itself. */
--- a/packages/core/src/work/hostOrders.ts
+++ b/packages/core/src/work/hostOrders.ts
@@ -75,7 +75,7 @@
   for (const order of orders) {
     if (stillHolds(owned, order)) {
       owned.hostOrders.set(order.host, turn.nowMs);
-      turn.effects.push({ ...order, leaveByMs: sureUntilMs(owned) });
+      turn.effects.push({ ...order, sendDeadlineMs: sureUntilMs(owned) });
     } else {
       drop(turn, owned, order, "what the host runs has changed");
     }
--- a/packages/core/src/work/lives.ts
+++ b/packages/core/src/work/lives.ts
@@ -16,7 +16,7 @@
     bornWallMs,
     fence: owned.fence,
     order: owned.ordersSent,
-    leaveByMs: sureUntilMs(owned),
+    sendDeadlineMs: sureUntilMs(owned),
   };
 };
 
--- a/packages/core/tests/work/siteHosts.ts
+++ b/packages/core/tests/work/siteHosts.ts
@@ -186,7 +186,7 @@
   }
 
   private leave(node: SiteNode, order: HostOrder, suspended: boolean): void {
-    if (suspended || this.clockOf(node) > order.leaveByMs) {
+    if (suspended || this.clockOf(node) > order.sendDeadlineMs) {
       this.answerLater(node, 1, {
         type: "power/orderAnswered",
         order: order.order,
--- a/packages/runners/src/work/workerLink.ts
+++ b/packages/runners/src/work/workerLink.ts
@@ -41,7 +41,7 @@
 
 /**
  * Orders to workers. No method throws: what went wrong is in the answer. An order does not leave
- * after its `leaveByMs`.
+ * after its `sendDeadlineMs`.
  */
 export abstract class WorkerLink {
   abstract start(order: StartOrder): Promise<StartAnswer>;
@@ -57,7 +57,7 @@
   readonly reason: string | null;
 }
 
-/** The platform's orders to hosts. An order does not leave after its `leaveByMs`. */
+/** The platform's orders to hosts. An order does not leave after its `sendDeadlineMs`. */
 export abstract class HostPower {
   /** @throws PlatformError when the platform does not answer. */
   abstract list(): Promise<readonly HostListing[]>;
