--- a/packages/runners/src/daemon/settingsWatch.ts
+++ b/packages/runners/src/daemon/settingsWatch.ts
@@ -6,10 +6,8 @@
 
 type ReloadCause = ValueOf<typeof RELOAD_CAUSE>;
 
-const SETTINGS_FILE = {
-  /** How often the file is looked at for a change that no signal told of. */
-  POLL_MS: 2_000,
-} as const;
+/** How often the file is looked at for a change that no signal told of. */
+const POLL_MS = 2_000;
 
 /** Reads settings again and hands them to what runs. */
 export abstract class SettingsTaker<Settings extends object> {
@@ -56,7 +54,7 @@
   start(): void {
     this.timer = setInterval(() => {
       this.lookAtFile();
-    }, SETTINGS_FILE.POLL_MS);
+    }, POLL_MS);
     this.timer.unref();
   }
 
