--- a/packages/core/src/work/drains.ts
+++ b/packages/core/src/work/drains.ts
@@ -51,16 +51,25 @@
   logLine(turn, "info", "host.draining", { host, from: pool, to, runs: worker.runs.size });
 };
 
+/** A worker that does not answer may run more than is known. */
+const isDrained = (turn: Turn, worker: Worker): boolean =>
+  isEmpty(worker) &&
+  worker.listed &&
+  worker.fenced &&
+  !worker.unreachable &&
+  turn.nowMs - worker.idleSinceMs >= LENDING.LEND_IDLE_MS;
+
 /** Moves hosts whose workers are empty by now, and gives up drains that take too long. */
 export const settleDrains = (turn: Turn, owned: OwnedWork): void => {
   for (const [host, begun] of owned.drains) {
     const worker = findLife(owned, begun.worker);
     const here = worker !== null && workerOn(owned, host) === worker;
     const late = turn.nowMs - begun.sinceMs > LENDING.DRAIN_GIVE_UP_MS;
-    if (!here || late || isEmpty(worker)) {
+    const drained = here && isDrained(turn, worker);
+    if (!here || late || drained) {
       owned.drains.delete(host);
       release(worker, drainOf(begun));
-      if (here && isEmpty(worker)) {
+      if (drained) {
         moveHost(turn, owned, { host, worker }, begun.to, "it was drained");
       }
     }
--- a/packages/core/src/work/lostRuns.ts
+++ b/packages/core/src/work/lostRuns.ts
@@ -1,7 +1,7 @@
 import { ORDER, RUN_PHASE } from "./constants.js";
 import { noteGivenUp } from "./givenUp.js";
 import { expectLateLease } from "./leases.js";
-import { dropRun, hasLooseStart } from "./runs.js";
+import { chargeRun, dropRun, hasLooseStart } from "./runs.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { itemLost } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
@@ -101,9 +101,7 @@
     doubtRun(turn, run);
     from.runs.delete(run.item.key);
     to.runs.set(run.item.key, run);
-    to.usedCpuMilli += run.room.cpuMilli;
-    to.usedMemoryMb += run.room.memoryMb;
-    to.usedGpus += run.room.gpus;
+    chargeRun(to, run, 1);
   }
   if (to.runs.size > 0) {
     expectLateLease(turn, to, Math.max(from.leaseUntilClockMs, from.lateLeaseUntilClockMs ?? 0));
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -20,9 +20,14 @@
   return use;
 };
 
-const charge = (owned: OwnedWork, worker: Worker, run: Run, sign: 1 | -1): void => {
+/** Takes a run's room of a worker, or gives it back. */
+export const chargeRun = (worker: Worker, run: Run, sign: 1 | -1): void => {
   chargeRoom(worker, run.room, sign);
   worker.lastingRuns += run.item.spec.lasting ? sign : 0;
+};
+
+const charge = (owned: OwnedWork, worker: Worker, run: Run, sign: 1 | -1): void => {
+  chargeRun(worker, run, sign);
   const use = teamUse(owned, run.item);
   if (use !== null) {
     const { needs } = run.item.spec;
