Take no host down whose worker a new owner has not heard

Change: a worker that an earlier owner left work on is not empty before it answered.

Test: places (failed before).

--- a/packages/core/src/work/upkeep.ts
+++ b/packages/core/src/work/upkeep.ts
@@ -16,8 +16,12 @@
 import { logLine, newHostOrderId, type Turn } from "./turn.js";
 import type { HostOrderId } from "./types.js";
 
-/** Whether nothing runs on a worker, as far as is known; early in a wave that has to be fresh. */
-export const isEmptied = (worker: Worker, late: boolean): boolean =>
+/**
+ * Whether nothing runs on a worker, as far as is known; early in a wave that has to be fresh. What
+ * an owner before this one left running is not known before the worker has answered.
+ */
+export const isEmptied = (owned: OwnedWork, worker: Worker, late: boolean): boolean =>
+  !owned.unheard.has(worker.report.id) &&
   worker.runs.size === 0 &&
   worker.strayStops.size === 0 &&
   (late || (worker.fenced && !worker.unreachable));
@@ -168,7 +172,8 @@
     }
     if (
       worker === null ||
-      (keepFree(turn, owned, wave, worker, true) && isEmptied(worker, isLife(worker, out.worker)))
+      (keepFree(turn, owned, wave, worker, true) &&
+        isEmptied(owned, worker, isLife(worker, out.worker)))
     ) {
       orderUpkeep(turn, owned, wave, host, worker);
     }
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -136,7 +136,7 @@
       }
     }
     const up = owned.hosts.get(host)?.up === true;
-    if (up && slots > 0 && (worker === null || isEmptied(worker, waitMs <= 0))) {
+    if (up && slots > 0 && (worker === null || isEmptied(owned, worker, waitMs <= 0))) {
       slots -= 1;
       orderUpkeep(turn, owned, wave, host, worker);
     }
--- a/packages/core/tests/work/places.test.ts
+++ b/packages/core/tests/work/places.test.ts
@@ -88,3 +88,24 @@
   );
   t.is(starts.length, 2);
 });
+
+test("a new owner takes hosts down whose workers it has not heard, since a wave is late", (t) => {
+  const site = new WorkSite(5, 2, 3, 0, STARTUP_MS);
+  site.workMs = 600_000;
+  site.run(300);
+  const spread = { ...stepOf(3, 900, []), lasting: true, maxPerWorker: 1, maxUnavailable: 1 };
+  site.submit(LASTING, "mills", workOf([spread]), 0);
+  site.run(1_000);
+  const hosts = [0, 1, 2].map((index) => hostId(`m-mills-${index}`));
+  site.kill(
+    site.nodes.findIndex(({ state }) => state.work?.owned != null),
+    60_000,
+  );
+  const request = { wave: 1, hosts, durationMs: 1_000, mostOut: 3 };
+  site.store.put("wave 1", { type: "wave", version: storeVersion(0), request });
+  for (const name of site.workers.keys()) {
+    site.cutWorkers.set(name, site.nowMs + 2_500);
+  }
+  site.run(3_500);
+  t.is(site.runsCutOff, 0);
+});
