Take a host for gone after it was missing for 5 s, not in one list

Inferred: a list that is read page by page while hosts move left them out.

Test: upkeepReturn, a wave counts a host as done that one list has missed (failed before).

--- a/packages/core/src/work/hostConstants.ts
+++ b/packages/core/src/work/hostConstants.ts
@@ -40,6 +40,8 @@
   LIST_MS: 1_000,
   IDLE_LIST_MS: 4_000,
   ORDER_RETRY_MS: 700,
+  /** A host that no list names for so long has been taken away for good. */
+  MISSING_MS: 5_000,
   /** After this long a confirmed order counts as carried out even without a new worker. */
   RETURN_MS: 8_000,
   /** A worker that is listed so long after its host's upkeep should be over was not touched. */
--- a/packages/core/src/work/hostState.ts
+++ b/packages/core/src/work/hostState.ts
@@ -11,6 +11,8 @@
   seenWallMs: number;
   readonly doneHosts: Set<HostId>;
   dirty: boolean;
+  /** Since when hosts of the wave are in no list. */
+  readonly missingSinceMs: Map<HostId, number>;
   /** Hosts ordered down. */
   readonly outHosts: Map<HostId, HostOut>;
   completed: boolean;
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -43,6 +43,7 @@
       doneHosts: new Set(),
       dirty: true,
       outHosts: new Map(),
+      missingSinceMs: new Map(),
       completed: false,
     };
     owned.waves.set(request.wave, wave);
@@ -155,12 +156,19 @@
 const rank = (worker: Worker | null): number =>
   worker?.reservedFor === null ? worker.runs.size : -1;
 
-const lapseMissing = (owned: OwnedWork, wave: WaveWork): void => {
+/** A list that is read page by page while hosts move may miss one, so one list does not decide. */
+const lapseMissing = (turn: Turn, owned: OwnedWork, wave: WaveWork): void => {
   if (owned.hostListAtMs === null) {
     return;
   }
   for (const host of wave.request.hosts) {
-    const gone = !owned.hosts.has(host) && workerOn(owned, host) === null;
+    if (owned.hosts.has(host) || workerOn(owned, host) !== null) {
+      wave.missingSinceMs.delete(host);
+      continue;
+    }
+    const sinceMs = wave.missingSinceMs.get(host) ?? turn.nowMs;
+    wave.missingSinceMs.set(host, sinceMs);
+    const gone = turn.nowMs - sinceMs >= HOSTS.MISSING_MS;
     if (gone && !wave.doneHosts.has(host)) {
       wave.doneHosts.add(host);
       wave.outHosts.delete(host);
@@ -186,7 +194,7 @@
     return;
   }
   for (const wave of open) {
-    lapseMissing(owned, wave);
+    lapseMissing(turn, owned, wave);
     advance(turn, owned, wave);
   }
 };
--- a/packages/core/tests/work/siteHosts.ts
+++ b/packages/core/tests/work/siteHosts.ts
@@ -66,6 +66,8 @@
   hostOrdersObeyed = 0;
   /** Share of orders that wait for a connection for a while, in percent. */
   waitPercent = 0;
+  /** Hosts that lists leave out. */
+  readonly hiddenHosts = new Set<HostId>();
   /** Hosts whose orders get lost on their way. */
   readonly lostOrders = new Set<HostId>();
   private nextWorker = 0;
@@ -146,7 +148,8 @@
   }
 
   protected listHosts(node: SiteNode, sentAtMs: number): void {
-    const hosts: HostListing[] = [...this.hosts].map(([host, { pool, state, worker }]) => ({
+    const listed = [...this.hosts].filter(([host]) => !this.hiddenHosts.has(host));
+    const hosts: HostListing[] = listed.map(([host, { pool, state, worker }]) => ({
       host,
       pool,
       up: state === "up",
--- a/packages/core/tests/work/upkeepReturn.test.ts
+++ b/packages/core/tests/work/upkeepReturn.test.ts
@@ -62,3 +62,14 @@
   t.is(site.mostInUpkeep, 1);
   t.deepEqual(upkeepsOf(site), [1, 1]);
 });
+
+test("a wave counts a host as done that one list has missed", (t) => {
+  const site = siteInWave((young) => {
+    HOSTS.slice(1).forEach((host) => young.hiddenHosts.add(host));
+    young.run(5_000);
+  });
+  site.run(1_500);
+  site.hiddenHosts.clear();
+  site.run(20_000);
+  t.deepEqual(upkeepsOf(site), [1, 1]);
+});
