Count what a decision looks at one by one

An overloaded owner cannot be told from a slow store or network today: nothing says what an event costs. Counted, not timed, so that the same events always cost the same: the virtual site can charge processor time by it, and a test can bound it. No decision changes.

--- a/packages/core/src/work/callResults.ts
+++ b/packages/core/src/work/callResults.ts
@@ -1,5 +1,6 @@
 import { answer, sendCommit, unavailable } from "./answers.js";
 import { ANSWER_KIND, CALL_KIND, STORE, SUBMISSION_STATE } from "./constants.js";
+import { lookedAt } from "./effort.js";
 import type { WorkEvent } from "./events.js";
 import type { OpenCall } from "./state.js";
 import { adoptHandIn, cancelOwned } from "./submissions.js";
@@ -46,6 +47,7 @@
   turn: Turn,
   event: Extract<WorkEvent, { type: "store/commitSettled" }>,
 ): boolean => {
+  lookedAt(turn, turn.work.calls.size);
   const call = [...turn.work.calls.values()].find(
     ({ commit }) => commit?.commitId === event.commitId,
   );
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -1,5 +1,6 @@
 import type { PoolId } from "@heatherferry/common";
 import { HEALTH, RUN_PHASE } from "./constants.js";
+import { lookedAt } from "./effort.js";
 import { planGang } from "./gangs.js";
 import { isSure } from "./certainty.js";
 import { poolOf } from "./pools.js";
@@ -24,6 +25,7 @@
 ): boolean => {
   const fullSteps = new Set<string>();
   const gangSteps = new Set<string>();
+  lookedAt(turn, submission.ready.size);
   for (const item of [...submission.ready]) {
     const step = `${item.occurrence}.${item.step}`;
     if (item.spec.gang) {
@@ -93,6 +95,7 @@
 /** Stops runs that make no progress, so that they start elsewhere. */
 export const stopStalled = (turn: Turn, owned: OwnedWork): void => {
   for (const worker of owned.workers.values()) {
+    lookedAt(turn, 1 + worker.runs.size);
     for (const run of worker.runs.values()) {
       const sinceMs = Math.max(run.percentSinceMs, run.orderedAtMs);
       const stalled =
--- a/packages/core/src/work/gangs.ts
+++ b/packages/core/src/work/gangs.ts
@@ -1,4 +1,5 @@
 import { ITEM_PHASE } from "./constants.js";
+import { lookedAt } from "./effort.js";
 import { giveUpRun } from "./lostRuns.js";
 import { roomOf } from "./room.js";
 import type { Item, OwnedWork, Worker } from "./state.js";
@@ -40,6 +41,7 @@
   const checkpoint = members.find((item) => item.checkpoint !== null)?.checkpoint ?? null;
   const planned: Item[] = [];
   for (const item of members) {
+    lookedAt(turn, workers.length);
     const allowed = withinCeiling(turn, owned, item.submission, item.spec);
     const worker = allowed ? chooseWorker(workers, item, roomOf(item.spec)) : null;
     if (worker === null) {
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -1,6 +1,7 @@
 import { countPending } from "./pending.js";
 import { strongestMilli } from "./claimDelay.js";
 import { OWNERSHIP, STORE } from "./constants.js";
+import { lookedAt } from "./effort.js";
 import type { RowToWrite, WorkEvent } from "./events.js";
 import { takeForgotten } from "./forget.js";
 import { dropHostOrders, sendHostOrders } from "./hostOrders.js";
@@ -90,6 +91,7 @@
 
 /** Writes what has changed, and the owner's row with it; one write at a time. */
 const send = (turn: Turn, owned: OwnedWork): void => {
+  lookedAt(turn, owned.workers.size);
   const { named, workers, waiting } = chooseStarts(owned.plannedStarts);
   const submissions = gather(owned, STORE.MAX_ROWS - workers.size);
   const leavesNone = owned.dirty.size === 0;
@@ -138,8 +140,9 @@
   });
 };
 
-const endsWait = (owned: OwnedWork): boolean => {
+const endsWait = (turn: Turn, owned: OwnedWork): boolean => {
   for (const worker of owned.workers.values()) {
+    lookedAt(turn, 1);
     if (worker.seenSequence > worker.durableSequence) {
       return true;
     }
@@ -162,7 +165,7 @@
   const news =
     owned.active &&
     (owned.dirty.size > 0 ||
-      endsWait(owned) ||
+      endsWait(turn, owned) ||
       wavesChanged(owned) ||
       owned.plannedOrders.length > 0 ||
       owned.plannedStarts.length > 0);
--- a/packages/core/src/work/looks.ts
+++ b/packages/core/src/work/looks.ts
@@ -1,5 +1,6 @@
 import { isSure } from "./certainty.js";
 import { CLOCK_TURN, LEASE } from "./constants.js";
+import { lookedAt } from "./effort.js";
 import { extendLease, hasStops, isSilent } from "./leases.js";
 import { leaseChanged } from "./leaseRows.js";
 import { targetOf } from "./lives.js";
@@ -16,6 +17,7 @@
  */
 export const tickWorkers = (turn: Turn, owned: OwnedWork): void => {
   let looksLeft: number = CLOCK_TURN.MOST_LOOKS;
+  lookedAt(turn, owned.workers.size);
   for (const worker of [...owned.workers.values()]) {
     if (worker.leaseEndsAtMs !== null && turn.nowMs > worker.leaseEndsAtMs) {
       leaseEnded(turn, owned, worker);
--- a/packages/core/src/work/places.ts
+++ b/packages/core/src/work/places.ts
@@ -1,3 +1,4 @@
+import { lookedAt } from "./effort.js";
 import { isReplaced } from "./hostWorkers.js";
 import { isSilent } from "./leases.js";
 import { chooseWorker, mayRunOn } from "./placement.js";
@@ -20,8 +21,10 @@
   !isSilent(turn, worker);
 
 /** @returns Workers of a pool that take new work now. */
-export const usableWorkers = (turn: Turn, owned: OwnedWork, pool: PoolWork): Worker[] =>
-  [...pool.workers].filter((worker) => isUsable(turn, owned, worker));
+export const usableWorkers = (turn: Turn, owned: OwnedWork, pool: PoolWork): Worker[] => {
+  lookedAt(turn, pool.workers.size);
+  return [...pool.workers].filter((worker) => isUsable(turn, owned, worker));
+};
 
 const promise = (turn: Turn, owned: OwnedWork, worker: Worker, item: Item): void => {
   promiseRoom(owned, worker, item);
@@ -87,6 +90,7 @@
     return roomIsFree(promised) ? promised : null;
   }
   withdrawRoom(owned, item);
+  lookedAt(turn, workers.length);
   const worker = chooseWorker(workers, item, roomOf(item.spec));
   if (worker === null && item.spec.lasting) {
     const later = chooseLater(workers, item);
--- a/packages/core/src/work/ranking.ts
+++ b/packages/core/src/work/ranking.ts
@@ -1,5 +1,6 @@
 import { queueById } from "./catalog.js";
 import { ORDERING, SUBMISSION_STATE } from "./constants.js";
+import { lookedAt } from "./effort.js";
 import type { PoolWork, Submission } from "./state.js";
 import type { Turn } from "./turn.js";
 
@@ -65,6 +66,7 @@
 /** @returns The submissions that wait for room in a pool, in the order in which they get it. */
 export const inOrder = (turn: Turn, pool: PoolWork): readonly Submission[] => {
   const ranked: Ranked[] = [];
+  lookedAt(turn, pool.waiting.size);
   for (const submission of pool.waiting) {
     if (submission.ready.size === 0) {
       pool.waiting.delete(submission);
--- a/packages/core/src/work/runningWork.ts
+++ b/packages/core/src/work/runningWork.ts
@@ -1,4 +1,5 @@
 import { shareOf } from "./arrivals.js";
+import { lookedAt } from "./effort.js";
 import { RESOURCES } from "./room.js";
 import type { Item, PoolWork, Worker } from "./state.js";
 import type { Turn } from "./turn.js";
@@ -25,6 +26,7 @@
   let hosts = 0;
   let inTimeHosts = 0;
   for (const worker of pool.workers) {
+    lookedAt(turn, 1 + worker.runs.size);
     for (const { item, room } of worker.runs.values()) {
       if (!item.spec.lasting) {
         const share = shareOf(room, host);
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -1,4 +1,5 @@
 import { ITEM_PHASE, ORDER, RUN_PHASE } from "./constants.js";
+import { lookedAt } from "./effort.js";
 import { leaseChanged } from "./leaseRows.js";
 import { isSure } from "./certainty.js";
 import { poolOf } from "./pools.js";
@@ -120,6 +121,7 @@
 /** Sends stops again that had no answer. */
 export const repeatStops = (turn: Turn, owned: OwnedWork): void => {
   for (const worker of owned.workers.values()) {
+    lookedAt(turn, 1 + worker.runs.size);
     for (const run of worker.runs.values()) {
       const due =
         run.phase === RUN_PHASE.STOPPING &&
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -1,6 +1,7 @@
 import type { HostId, PoolId, TeamId } from "@heatherferry/common";
 import type { HeldItems } from "./heldItems.js";
 import type { Allowance } from "./allowance.js";
+import type { Effort } from "./effort.js";
 import type { CallArrival, Commit, Feed, Scan, StoreRow } from "./events.js";
 import type {
   Catalog,
@@ -211,6 +212,7 @@
   tickedAtMs: number;
   wakeAtMs: number | null;
   lag: LoopLag;
+  readonly effort: Effort;
 }
 
 const newFeed = (): FeedState => ({
@@ -266,4 +268,5 @@
   tickedAtMs: -Infinity,
   wakeAtMs: null,
   lag: { loggedAtMs: -Infinity, turns: 0, worstMs: 0 },
+  effort: { steps: 0 },
 });
--- a/packages/core/src/work/waitingWork.ts
+++ b/packages/core/src/work/waitingWork.ts
@@ -1,5 +1,6 @@
 import { shareOf } from "./arrivals.js";
 import { LENDING } from "./constants.js";
+import { lookedAt } from "./effort.js";
 import { withinCeiling } from "./placement.js";
 import { prospectOf } from "./ranking.js";
 import { roomOf } from "./room.js";
@@ -62,6 +63,7 @@
   let largestWorthless = 0;
   let spread = 0;
   for (const submission of pool.waiting) {
+    lookedAt(turn, 1 + submission.ready.size);
     const items = allowedItems(turn, owned, submission);
     const { inTime, worthless } = prospectOf(turn, submission);
     if (worthless) {
