Say once a second what keeps an owner or a lagging node busy

Cause: logs and metrics could not tell whether an owner is late by its decisions, by carrying them out, or by reading and decoding.

Change: the event loop times each event: how long it waited, was decided on, and took to begin its effects. LoopLoad adds these up by kind of event.

--- /dev/null
+++ b/apps/work/src/loadMetrics.ts
@@ -0,0 +1,63 @@
+import { watchGauge, type LoopLoad } from "@heatherferry/runners";
+import { Counter, type Registry } from "prom-client";
+import type { LoadLines } from "./loadLines.js";
+import type { ProcessorTime } from "./processorTime.js";
+
+const MS_PER_S = 1_000;
+
+/**
+ * Adds metrics of what keeps the process busy; they are read when they are collected.
+ *
+ * @param registry - Takes them.
+ * @param load - What each kind of event took.
+ * @param lines - Knows how old events have become.
+ * @param processor - Tells what the process uses.
+ */
+export const watchLoad = (
+  registry: Registry,
+  load: LoopLoad,
+  lines: LoadLines,
+  processor: ProcessorTime,
+): void => {
+  const registers = [registry];
+  const events = new Counter({
+    name: "heatherferry_events_total",
+    help: "Events handled, by type",
+    labelNames: ["type"],
+    registers,
+    collect: () => {
+      events.reset();
+      for (const [type, kind] of load.kinds) {
+        events.inc({ type }, kind.events);
+      }
+    },
+  });
+  const busy = new Counter({
+    name: "heatherferry_event_busy_seconds_total",
+    help: "Time spent on events, by type: deciding, and beginning what was decided",
+    labelNames: ["type", "part"],
+    registers,
+    collect: () => {
+      busy.reset();
+      for (const [type, { reduceMs, effectsMs }] of load.kinds) {
+        busy.inc({ type, part: "reduce" }, reduceMs / MS_PER_S);
+        busy.inc({ type, part: "effects" }, effectsMs / MS_PER_S);
+      }
+    },
+  });
+  const used = new Counter({
+    name: "heatherferry_processor_seconds_total",
+    help: "Processor time that the process has used",
+    registers,
+    collect: () => {
+      used.reset();
+      used.inc(processor.usedMs() / MS_PER_S);
+    },
+  });
+  watchGauge(
+    registry,
+    "heatherferry_oldest_event_seconds",
+    "Age of the oldest event that was handled in the last second",
+    () => lines.oldestMs / MS_PER_S,
+  );
+};
--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -27,12 +27,16 @@
   ClosingExit,
   EventLoop,
   HealthSource,
+  LoopLoad,
   newIncarnation,
   newSeed,
   WorkEffects,
   type RunningDaemon,
 } from "@heatherferry/runners";
 import { BoundedSink } from "./boundedSink.js";
+import { LoadLines } from "./loadLines.js";
+import { watchLoad } from "./loadMetrics.js";
+import { CountedProcessorTime } from "./processorTime.js";
 import { WorkMetrics } from "./workMetrics.js";
 
 const NO_ADDRESS = address("");
@@ -97,7 +101,11 @@
     settings.processorMilli,
   );
   const metrics = new WorkMetrics(state, sink);
-  const loop = new EventLoop(state, defaultPolicies(), [metrics]);
+  const load = new LoopLoad();
+  const processor = new CountedProcessorTime();
+  const lines = new LoadLines(load, processor, log);
+  watchLoad(metrics.registry, load, lines, processor);
+  const loop = new EventLoop(state, defaultPolicies(), [metrics, load, lines]);
   const store = new PlatformStore(settings.storeAddress, settings.linkMbps, log);
   const workers = new PlatformWorkers();
   const hosts = new PlatformHosts(settings.hostsAddress, settings.nodeName);
--- a/packages/runners/src/index.ts
+++ b/packages/runners/src/index.ts
@@ -28,6 +28,7 @@
 export * from "./fleet/fleetRunner.js";
 export * from "./daemon/settingsWatch.js";
 export * from "./loop/eventLoop.js";
+export * from "./loop/loopLoad.js";
 export * from "./metrics/nodeMetrics.js";
 export * from "./metrics/watchGauge.js";
 export * from "./platform/tableRunner.js";
--- a/packages/runners/src/loop/eventLoop.ts
+++ b/packages/runners/src/loop/eventLoop.ts
@@ -1,4 +1,3 @@
-import { performance } from "node:perf_hooks";
 import { LOG_CLASS, messageOf } from "@heatherferry/common";
 import {
   CLOCK,
@@ -24,14 +23,36 @@
   abstract run(effect: Effect): void;
 }
 
+/** How long an event waited, and how long the process was busy with it. */
+export interface EventTiming {
+  /** From when it arose to when the reducer got it; a turn of the clock arises when it is due. */
+  readonly waitedMs: number;
+  readonly reduceMs: number;
+  /** Until its effects were begun; what they wait for is not in it. */
+  readonly effectsMs: number;
+}
+
 /** Hears of every event and its effects, in order. */
 export abstract class EventObserver {
-  abstract observe(event: Event, effects: readonly Effect[], state: State): void;
+  abstract observe(
+    event: Event,
+    effects: readonly Effect[],
+    state: State,
+    timing: EventTiming,
+  ): void;
 }
 
+interface WaitingEvent {
+  readonly event: UntimedEvent;
+  readonly aroseAtMs: number;
+}
+
+const latenessOf = (event: Event): number =>
+  event.type === "clock/ticked" ? (event.lateMs ?? 0) : 0;
+
 /** Hands events to the reducer one at a time and its effects to the runner, in the same turn. */
 export class EventLoop {
-  private readonly waiting: UntimedEvent[] = [];
+  private readonly waiting: WaitingEvent[] = [];
   private running = false;
   private timer: NodeJS.Timeout | null = null;
   private turnDueAtMs = 0;
@@ -89,7 +110,7 @@
    * @param event - What happened; it is given the present time.
    */
   handle(event: UntimedEvent): void {
-    this.waiting.push(event);
+    this.waiting.push({ event, aroseAtMs: EventLoop.nowMs() });
     if (this.running) {
       return;
     }
@@ -104,19 +125,26 @@
   private drainWaiting(): void {
     let next = this.waiting.shift();
     while (next !== undefined) {
-      const timed = { ...next, atMs: EventLoop.nowMs(), wallMs: Date.now() };
-      this.handleOne(timed);
+      const atMs = EventLoop.nowMs();
+      const timed = { ...next.event, atMs, wallMs: Date.now() };
+      this.handleOne(timed, atMs - next.aroseAtMs + latenessOf(timed));
       next = this.waiting.shift();
     }
   }
 
-  private handleOne(event: Event): void {
+  private handleOne(event: Event, waitedMs: number): void {
     const effects = this.reduceOrReport(event);
+    const reducedAtMs = EventLoop.nowMs();
     for (const effect of effects) {
       this.runOrReport(effect);
     }
+    const timing = {
+      waitedMs,
+      reduceMs: reducedAtMs - event.atMs,
+      effectsMs: EventLoop.nowMs() - reducedAtMs,
+    };
     for (const observer of this.observers) {
-      observer.observe(event, effects, this.state);
+      observer.observe(event, effects, this.state, timing);
     }
   }
 
@@ -127,7 +155,7 @@
     } catch (error) {
       this.report("event.failed", event.type, error);
       if (event.type !== "node/eventFailed") {
-        this.waiting.push({ type: "node/eventFailed", failedType: event.type });
+        this.handle({ type: "node/eventFailed", failedType: event.type });
       }
       return [];
     }
--- a/packages/runners/tests/eventLoop.test.ts
+++ b/packages/runners/tests/eventLoop.test.ts
@@ -5,10 +5,19 @@
   initialWork,
   NODE_ROLE,
   type Effect,
+  type Event,
   type State,
 } from "@heatherferry/core";
+import { install } from "@sinonjs/fake-timers";
 import test from "ava";
-import { EffectRunner, EventLoop, type UntimedEvent } from "../src/index.js";
+import {
+  EffectRunner,
+  EventLoop,
+  EventObserver,
+  LoopLoad,
+  type EventTiming,
+  type UntimedEvent,
+} from "../src/index.js";
 
 const BOUND_MS = 3_000;
 
@@ -97,3 +106,68 @@
   t.true(runner.logged("effect.failed") > 0);
   t.true(runner.effects.filter(({ type }) => type === "store/scan").length > 0);
 });
+
+const EFFECT_MS = 30;
+
+/** Takes a while for each effect, and tells the loop of an event that arises before that. */
+class SlowRunner extends EffectRunner {
+  loop: EventLoop | null = null;
+  private told = false;
+
+  constructor(private readonly passMs: (ms: number) => void) {
+    super();
+  }
+
+  override run(): void {
+    if (!this.told) {
+      this.told = true;
+      this.loop?.handle({ type: "node/shutdownRequested" });
+    }
+    this.passMs(EFFECT_MS);
+  }
+}
+
+class TimingObserver extends EventObserver {
+  readonly timings: (EventTiming & { readonly type: Event["type"]; readonly effects: number })[] =
+    [];
+
+  override observe(
+    { type }: Event,
+    effects: readonly Effect[],
+    _state: State,
+    timing: EventTiming,
+  ): void {
+    this.timings.push({ type, effects: effects.length, ...timing });
+  }
+}
+
+test.serial("an event that arose behind a slow one counts as handled at once", (t) => {
+  const clock = install();
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const observer = new TimingObserver();
+  const load = new LoopLoad();
+  const loop = new EventLoop(newState(), defaultPolicies(), [observer, load]);
+  const runner = new SlowRunner((ms) => {
+    clock.tick(ms);
+  });
+  loop.runner = runner;
+  runner.loop = loop;
+  loop.turnClock();
+  const [tick, shutdown] = observer.timings;
+  const tickEffectsMs = (tick?.effects ?? 0) * EFFECT_MS;
+  t.true(tickEffectsMs > 0);
+  t.like(tick, { type: "clock/ticked", waitedMs: 0, reduceMs: 0, effectsMs: tickEffectsMs });
+  t.like(shutdown, { type: "node/shutdownRequested", waitedMs: tickEffectsMs });
+  t.like(load.kinds.get("clock/ticked"), { events: 1, effectsMs: tickEffectsMs });
+  t.is(load.takeLongestWaitMs(), tickEffectsMs);
+  t.is(load.takeLongestWaitMs(), 0);
+});
+
+test.serial("a turn of the clock that the process was too busy for counts as on time", (t) => {
+  const observer = new TimingObserver();
+  const loop = new EventLoop(newState(), defaultPolicies(), [observer]);
+  loop.handle({ type: "clock/ticked", lateMs: 300 });
+  t.true((observer.timings[0]?.waitedMs ?? 0) >= 300);
+});
