Give the virtual site's nodes a processor, and its clock a heap

No test could see an owner that falls behind: on the virtual site an event took no time. A node may now have a share of a core; an event occupies it by its type, by what the reducer looked at (effort.steps) and by what it sends, what arrives meanwhile waits in order, and what it brings about happens at the end.

The clock kept a list that it scanned for each event; now a heap.

--- a/packages/core/tests/work/siteClock.ts
+++ b/packages/core/tests/work/siteClock.ts
@@ -1,11 +1,12 @@
 import { unsafeUniformIntDistribution, xoroshiro128plus, type RandomGenerator } from "pure-rand";
+import { DueHeap } from "./dueHeap.js";
 import { WorkerJudge } from "./memoryWorker.js";
 
 /** A virtual clock with seeded luck. */
 export abstract class SiteClock extends WorkerJudge {
   nowMs = 0;
   private readonly random: RandomGenerator;
-  private readonly due: { atMs: number; order: number; act: () => void }[] = [];
+  private readonly due = new DueHeap();
   protected order = 0;
 
   constructor(seed: number) {
@@ -29,21 +30,11 @@
   run(forMs: number): void {
     const untilMs = this.nowMs + forMs;
     for (;;) {
-      let next = -1;
-      this.due.forEach((entry, index) => {
-        const best = this.due[next];
-        const sooner =
-          best === undefined ||
-          entry.atMs < best.atMs ||
-          (entry.atMs === best.atMs && entry.order < best.order);
-        next = sooner ? index : next;
-      });
-      const entry = this.due[next];
-      if (entry === undefined || entry.atMs > untilMs) {
+      const entry = this.due.popUntil(untilMs);
+      if (entry === null) {
         this.nowMs = untilMs;
         return;
       }
-      this.due.splice(next, 1);
       this.nowMs = Math.max(this.nowMs, entry.atMs);
       entry.act();
     }
--- a/packages/core/tests/work/siteHosts.ts
+++ b/packages/core/tests/work/siteHosts.ts
@@ -108,7 +108,8 @@
     });
   }
 
-  private whenAwake(node: SiteNode, act: () => void): void {
+  /** Waits while a node is frozen. */
+  protected whenAwake(node: SiteNode, act: () => void): void {
     const frozenMs = node.frozenUntilMs - this.nowMs;
     if (frozenMs > 0) {
       this.at(frozenMs, act);
--- a/packages/core/tests/work/siteStore.ts
+++ b/packages/core/tests/work/siteStore.ts
@@ -10,6 +10,7 @@
 } from "../../src/index.js";
 import { MemoryStore } from "./memoryStore.js";
 import { SiteJudge } from "./siteJudge.js";
+import type { NodeProcessor } from "./siteProcessor.js";
 
 export interface SiteNode {
   readonly name: string;
@@ -20,6 +21,10 @@
   life: number;
   up: boolean;
   refusedUntilMs: number;
+  /** Its share of a processor, in cores; null where events take no time. */
+  readonly cores: number | null;
+  /** The processor of its present life. */
+  processor: NodeProcessor | null;
 }
 
 type StoreEffect<Type extends Effect["type"]> = Extract<Effect, { type: Type }>;
--- a/packages/core/tests/work/workSite.ts
+++ b/packages/core/tests/work/workSite.ts
@@ -11,14 +11,21 @@
 } from "../../src/index.js";
 import { BOUNDS, CATALOG, STANDBY } from "./siteFixtures.js";
 import { SiteCallers } from "./siteCallers.js";
+import { NodeProcessor } from "./siteProcessor.js";
 import type { SiteNode } from "./siteStore.js";
 
+const CORE_MILLI = 1_000;
+
+const stepsOf = ({ state }: SiteNode): number => state.work?.effort.steps ?? 0;
+
 /** Several nodes, a store and workers on one virtual clock; it throws when a promise is broken. */
 export class WorkSite extends SiteCallers {
   /** All that the nodes decided. */
   readonly effects: Effect[] = [];
   /** Nodes whose time of day is ahead of the others', by so much. */
   readonly wallAheadMs = new Map<string, number>();
+  /** Times that events cost what they usually do, on nodes that have a share of a processor. */
+  processorPrice = 1;
 
   constructor(
     seed: number,
@@ -75,21 +82,28 @@
     }
   }
 
-  private addNode(name: string): void {
+  /** @param cores - Its share of a processor; null where events take no time. */
+  protected addNode(name: string, cores: number | null = null): void {
     const node: SiteNode = {
       name,
-      state: this.newState(name, 1),
+      state: this.newState(name, 1, cores),
       frozenMs: 0,
       frozenUntilMs: 0,
       life: 1,
       up: true,
       refusedUntilMs: 0,
+      cores,
+      processor: this.newProcessor(cores),
     };
     this.nodes.push(node);
     this.tick(node, 1);
   }
 
-  private newState(name: string, life: number): State {
+  private newProcessor(cores: number | null): NodeProcessor | null {
+    return cores === null ? null : new NodeProcessor(cores, this.processorPrice);
+  }
+
+  private newState(name: string, life: number, cores: number | null): State {
     const identity = {
       role: NODE_ROLE.WORK,
       entryHostId: entryHostId(name),
@@ -100,13 +114,14 @@
     };
     const state = initialState(identity, 1, 0);
     const self = { holder: name, incarnation: `${name}-${life}` };
-    state.work = initialWork(self, BOUNDS, 1_000);
+    state.work = initialWork(self, BOUNDS, CORE_MILLI * (cores ?? 1));
     return state;
   }
 
   private revive(node: SiteNode): void {
     node.life += 1;
-    node.state = this.newState(node.name, node.life);
+    node.state = this.newState(node.name, node.life, node.cores);
+    node.processor = this.newProcessor(node.cores);
     node.up = true;
     this.tick(node, node.life);
   }
@@ -133,12 +148,45 @@
       });
       return;
     }
+    if (node.processor === null) {
+      this.carryOutAll(node, this.reduced(node, event));
+    } else {
+      node.processor.arrive(event, this.nowMs);
+      this.handleNext(node, node.processor);
+    }
+  }
+
+  /** Handles the event whose turn it is; what it brings about happens once its time is over. */
+  private handleNext(node: SiteNode, processor: NodeProcessor): void {
+    const event = node.up ? processor.begin(this.nowMs) : null;
+    if (event === null) {
+      return;
+    }
+    const stepsBefore = stepsOf(node);
+    const effects = this.reduced(node, event);
+    const forMs = processor.charge(event, stepsOf(node) - stepsBefore, effects);
+    this.at(forMs, () => {
+      this.whenAwake(node, () => {
+        if (node.up && node.processor === processor) {
+          this.carryOutAll(node, effects);
+          processor.end();
+          this.handleNext(node, processor);
+        }
+      });
+    });
+  }
+
+  private reduced(node: SiteNode, event: Event): readonly Effect[] {
     const timed = {
       ...event,
       atMs: this.clockOf(node),
       wallMs: 1e6 + this.nowMs + (this.wallAheadMs.get(node.name) ?? 0),
     };
-    for (const effect of reduce(node.state, timed)) {
+    return reduce(node.state, timed);
+  }
+
+  private carryOutAll(node: SiteNode, effects: readonly Effect[]): void {
+    for (const effect of effects) {
       this.carryOut(node, effect);
     }
   }
