--- a/packages/core/src/work/calls.ts
+++ b/packages/core/src/work/calls.ts
@@ -171,7 +171,7 @@
     unavailable(turn, callId, "no catalog yet");
     return;
   }
-  const queue = findQueue(catalog, arrival.callerHost, arrival.path);
+  const queue = findQueue(turn.work, arrival.callerHost, arrival.path);
   if (queue === null) {
     answer(turn, { callId, kind: ANSWER_KIND.NO_SUCH_QUEUE }, { path: arrival.path });
     return;
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -126,6 +126,8 @@
 
 export const STORE = {
   FEED_WAIT_MS: 1_000,
+  /** Pause between an answer of a feed and the next call, so that one carries what gathers meanwhile. */
+  FEED_GAP_MS: { operators: 0, workers: 100, handIns: 15 },
   FEED_RETRY_MS: 200,
   SCAN_RETRY_MS: 200,
   /** Nodes count the store as lost after this long without an answer. */
@@ -136,6 +138,8 @@
   MAX_ROWS: 90,
   /** Of these, rows of workers with new work; the others are left to what has ended. */
   MAX_START_ROWS: 50,
+  /** Runs that wait for a row to name them; more would hold up looks and renewals as they leave. */
+  MAX_PLANNED_STARTS: 96,
   /** Most runs on a worker; its row, which names them all, holds 65,536 bytes. */
   MAX_RUNS_NAMED: 1_000,
   /** Pause between two writes of the owner, so that one carries what gathers meanwhile. */
@@ -202,6 +206,10 @@
   MOST_LOOKS: 32,
   /** When a turn goes on that left something undone. */
   SOON_MS: 1,
+  /** What is due within so long of each other is done in one turn. */
+  GRAIN_MS: 8,
+  /** Pause before what needs a sure ownership is looked at again. */
+  UNSURE_MS: 50,
   /** A turn handled so late is logged. */
   LATE_MS: 200,
   LATE_LOG_GAP_MS: 1_000,
@@ -255,6 +263,17 @@
   BURST_S: 1,
 } as const;
 
+export const PLACING = {
+  /** Submissions of a pool that may find no room before a pass ends. */
+  MOST_MISSES: 12,
+  /** Submissions that a pass looks at; the next one goes on. */
+  MOST_TRIED: 128,
+  /** Submissions of a team that may meet its ceiling before a pass leaves the team out. */
+  MOST_CAPPED: 8,
+  /** Pause between two passes over work that waits for workers or ceilings. */
+  RECHECK_MS: 100,
+} as const;
+
 export const ORDERING = {
   /** Room above the estimated chain of a submission that has not begun, as a part of it. */
   CHAIN_ROOM: 0.25,
--- a/packages/core/src/work/demand.ts
+++ b/packages/core/src/work/demand.ts
@@ -2,7 +2,7 @@
 import { arrivingHosts, hostRoom } from "./arrivals.js";
 import { LENDING } from "./constants.js";
 import { isReplaced } from "./hostWorkers.js";
-import { roomForEnding, runningIn } from "./runningWork.js";
+import { roomForEnding, runningIn, runningInTimeHosts } from "./runningWork.js";
 import type { OwnedWork, PoolWork, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
 import { waitingIn } from "./waitingWork.js";
@@ -13,8 +13,6 @@
   readonly openWorkers: readonly Worker[];
   /** Hosts that running work which ends keeps busy. */
   readonly runningHosts: number;
-  /** The part of them whose work can be in time. */
-  readonly runningInTimeHosts: number;
   /** Hosts that would work off in time what waits for room. */
   readonly waitingHosts: number;
   /** The part of them whose work can be in time. */
@@ -62,7 +60,7 @@
 /** @returns What a pool asks for and has. */
 export const demandOf = (turn: Turn, owned: OwnedWork, pool: PoolWork): Demand => {
   const host = hostRoom(pool);
-  const waiting = waitingIn(turn, owned, pool, host);
+  const waiting = waitingIn(turn, owned, pool);
   const running = runningIn(turn, pool, host);
   const coming = comingHosts(owned, pool.id);
   const openWorkers = [...pool.workers].filter((worker) => isOpen(turn, owned, worker));
@@ -71,7 +69,6 @@
     pool,
     openWorkers,
     runningHosts: running.hosts,
-    runningInTimeHosts: running.inTimeHosts,
     waitingHosts: waiting.hosts + pool.displacedHosts,
     waitingInTimeHosts: waiting.inTimeHosts + pool.displacedHosts,
     arrivingHosts: arrivingHosts(turn, pool),
@@ -97,8 +94,8 @@
   Math.max(0, Math.floor(demand.hosts - demand.comingHosts - wantedHosts(demand)));
 
 /** @returns Hosts that a pool needs for work that can be in time, whatever else it has. */
-export const neededHosts = (demand: Demand): number =>
-  LENDING.ROOM * Math.max(demand.runningInTimeHosts, demand.pool.steadyHosts) +
+export const neededHosts = (turn: Turn, demand: Demand): number =>
+  LENDING.ROOM * Math.max(runningInTimeHosts(turn, demand.pool), demand.pool.steadyHosts) +
   demand.waitingInTimeHosts;
 
 const rounded = (value: number): number => Math.round(value * 100) / 100;
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -1,118 +1,173 @@
-import type { PoolId } from "@heatherferry/common";
-import { HEALTH, RUN_PHASE } from "./constants.js";
+import type { PoolId, TeamId } from "@heatherferry/common";
+import { hostRoom } from "./arrivals.js";
+import { PLACING, STORE } from "./constants.js";
 import { lookedAt } from "./effort.js";
 import { planGang } from "./gangs.js";
 import { isSure } from "./certainty.js";
 import { poolOf } from "./pools.js";
 import { findRoom, usableWorkers } from "./places.js";
 import { withinCeiling } from "./placement.js";
-import { withdrawRoom } from "./room.js";
-import { stopRun } from "./runs.js";
-import { inOrder } from "./ranking.js";
+import { RESOURCES, roomOf, withdrawRoom } from "./room.js";
 import { nextRunNumber, planStart } from "./starts.js";
-import type { OwnedWork, PoolWork, Submission, Worker } from "./state.js";
+import type { Item, OwnedWork, PoolWork, Submission, Worker } from "./state.js";
 import { poolOfSubmission } from "./submissions.js";
 import type { Turn } from "./turn.js";
+import type { Resources, StepSpec } from "./types.js";
+import { LinePass } from "./waitingLine.js";
 
-/** Submissions of a pool that may find no room before a pass ends. */
-const MISSES_OF_A_PASS = 12;
+/** What a pass over a pool's waiting work has found out so far. */
+interface PlacingPass {
+  readonly workers: readonly Worker[];
+  /** Room that no worker has, whatever else an item asks for; it only grows less in a pass. */
+  readonly tooMuch: Resources[];
+  /** Submissions that have met the ceiling of their team, by team. */
+  readonly capped: Map<TeamId | null, number>;
+}
+
+/** Why some items of a submission were not placed; null where all were. */
+type Shortage = "room" | "ceiling" | null;
+
+const fitsNowhere = ({ tooMuch }: PlacingPass, spec: StepSpec): boolean => {
+  const room = roomOf(spec);
+  return tooMuch.some((missing) =>
+    RESOURCES.every((resource) => room[resource] >= missing[resource]),
+  );
+};
+
+const noteMissing = (pass: PlacingPass, { spec }: Item): void => {
+  if (spec.requiredLabel === null && spec.maxPerWorker === null) {
+    pass.tooMuch.push(roomOf(spec));
+  }
+};
+
+/** Plans a start where there is room. */
+const placeItem = (turn: Turn, owned: OwnedWork, pass: PlacingPass, item: Item): boolean => {
+  // For work that lasts, room that comes free later is kept.
+  if (item.place === null && !item.spec.lasting && fitsNowhere(pass, item.spec)) {
+    return false;
+  }
+  const worker = findRoom(turn, owned, pass.workers, item);
+  if (worker === null) {
+    noteMissing(pass, item);
+    return false;
+  }
+  planStart(turn, owned, worker, item, nextRunNumber(owned, item));
+  return true;
+};
 
 const placeItems = (
   turn: Turn,
   owned: OwnedWork,
-  workers: readonly Worker[],
+  pass: PlacingPass,
   submission: Submission,
-): boolean => {
+): Shortage => {
   const fullSteps = new Set<string>();
   const gangSteps = new Set<string>();
+  let capped = false;
   lookedAt(turn, submission.ready.size);
   for (const item of [...submission.ready]) {
     const step = `${item.occurrence}.${item.step}`;
     if (item.spec.gang) {
-      if (!gangSteps.has(step) && !planGang(turn, owned, workers, item)) {
+      if (!gangSteps.has(step) && !planGang(turn, owned, pass.workers, item)) {
         fullSteps.add(step);
       }
       gangSteps.add(step);
-      continue;
-    }
-    if (owned.heldItems.has(item.key) || !withinCeiling(turn, owned, submission, item.spec)) {
+    } else if (owned.heldItems.has(item.key)) {
+      withdrawRoom(owned, item);
+    } else if (!withinCeiling(turn, owned, submission, item.spec)) {
       withdrawRoom(owned, item);
+      capped = true;
     } else if (item.place !== null || !fullSteps.has(step)) {
-      const worker = findRoom(turn, owned, workers, item);
-      if (worker === null) {
+      if (!placeItem(turn, owned, pass, item)) {
         fullSteps.add(step);
-      } else {
-        planStart(turn, owned, worker, item, nextRunNumber(owned, item));
       }
     }
   }
-  return fullSteps.size === 0;
+  if (fullSteps.size > 0) {
+    return "room";
+  }
+  return capped ? "ceiling" : null;
 };
 
-const dispatchPool = (turn: Turn, owned: OwnedWork, pool: PoolWork): void => {
+/** @returns Whether a team has met its ceiling so often in a pass that the rest has to wait too. */
+const isCapped = ({ capped }: PlacingPass, { handIn }: Submission): boolean => {
+  const times = (capped.get(handIn.team) ?? 0) + 1;
+  capped.set(handIn.team, times);
+  return times >= PLACING.MOST_CAPPED;
+};
+
+/**
+ * Places what waits in a pool, the first in line first. A pass is bounded: what it leaves goes on
+ * in the next one.
+ */
+const placeInPool = (turn: Turn, owned: OwnedWork, pool: PoolWork, mostStarts: number): void => {
+  const startsBefore = owned.plannedStarts.length;
+  const isFull = (): boolean => owned.plannedStarts.length - startsBefore >= mostStarts;
   pool.dirty = false;
-  const workers = usableWorkers(turn, owned, pool);
-  if (workers.length === 0) {
+  pool.waiting.refresh(turn, hostRoom(pool));
+  const pass: PlacingPass = {
+    workers: usableWorkers(turn, owned, pool),
+    tooMuch: [],
+    capped: new Map(),
+  };
+  if (pass.workers.length === 0) {
     return;
   }
+  const inLine = new LinePass(pool.waiting);
   let misses = 0;
-  for (const submission of inOrder(turn, pool)) {
-    if (poolOfSubmission(turn, submission.handIn) !== pool.id) {
-      moveWaiting(owned, pool, submission, poolOfSubmission(turn, submission.handIn));
-    } else if (!placeItems(turn, owned, workers, submission)) {
-      misses += 1;
-      if (misses >= MISSES_OF_A_PASS) {
-        return;
+  let tried = 0;
+  let submission = inLine.next();
+  while (
+    submission !== null &&
+    !isFull() &&
+    misses < PLACING.MOST_MISSES &&
+    tried < PLACING.MOST_TRIED
+  ) {
+    tried += 1;
+    const to = poolOfSubmission(turn, submission.handIn);
+    if (to === pool.id) {
+      const shortage = placeItems(turn, owned, pass, submission);
+      misses += shortage === "room" ? 1 : 0;
+      if (shortage === "ceiling" && isCapped(pass, submission)) {
+        inLine.skipTeam();
       }
+    } else {
+      moveWaiting(owned, submission, to);
     }
+    submission = inLine.next();
   }
+  inLine.end();
+  pool.dirty ||= isFull() || tried >= PLACING.MOST_TRIED;
 };
 
-const moveWaiting = (
-  owned: OwnedWork,
-  from: PoolWork,
-  submission: Submission,
-  to: PoolId,
-): void => {
-  from.waiting.delete(submission);
+const moveWaiting = (owned: OwnedWork, submission: Submission, to: PoolId): void => {
   const pool = poolOf(owned, to);
   pool.waiting.add(submission);
   pool.dirty = true;
 };
 
-/** Starts what is ready and finds room, in every pool where something changed. */
+const poolsToPlaceIn = (owned: OwnedWork): PoolWork[] =>
+  [...owned.pools.values()].filter((pool) => pool.dirty && pool.waiting.size > 0);
+
+/** @returns Whether something changed where work waits. */
+export const mayPlace = (owned: OwnedWork): boolean => poolsToPlaceIn(owned).length > 0;
+
+/**
+ * Plans starts of what waits and finds room, in every pool where something changed. Each of them
+ * gets its part of the starts that may wait for the next write.
+ */
 export const dispatch = (turn: Turn, owned: OwnedWork): void => {
-  if (!isSure(turn, owned)) {
+  const pools = poolsToPlaceIn(owned);
+  const left = STORE.MAX_PLANNED_STARTS - owned.plannedStarts.length;
+  if (left <= 0 || !isSure(turn, owned)) {
     return;
   }
-  for (const pool of owned.pools.values()) {
-    if (pool.dirty && pool.waiting.size > 0) {
-      dispatchPool(turn, owned, pool);
-    }
-  }
-};
-
-/** Stops runs that make no progress, so that they start elsewhere. */
-export const stopStalled = (turn: Turn, owned: OwnedWork): void => {
-  for (const worker of owned.workers.values()) {
-    lookedAt(turn, 1 + worker.runs.size);
-    for (const run of worker.runs.values()) {
-      const sinceMs = Math.max(run.percentSinceMs, run.orderedAtMs);
-      const stalled =
-        run.phase === RUN_PHASE.RUNNING &&
-        run.pacePercent === 100 &&
-        !(run.item.spec.lasting && run.percent >= 100) &&
-        (worker.lookedAtMs ?? 0) > sinceMs + HEALTH.STALL_MS;
-      if (stalled) {
-        run.item.avoid = worker.report.id;
-        worker.restsUntilMs = Math.max(worker.restsUntilMs, turn.nowMs + HEALTH.REST_MS);
-        stopRun(turn, owned, run, "no progress");
-      }
-    }
+  for (const pool of pools) {
+    placeInPool(turn, owned, pool, Math.ceil(left / pools.length));
   }
 };
 
-/** Marks pools whose workers rest or wait no longer, once a tick. */
+/** Marks pools with work that waits: workers rest no longer, ceilings have room again. */
 export const recheckPools = (owned: OwnedWork): void => {
   for (const pool of owned.pools.values()) {
     pool.dirty ||= pool.waiting.size > 0;
--- a/packages/core/src/work/drains.ts
+++ b/packages/core/src/work/drains.ts
@@ -91,7 +91,10 @@
  */
 export const balanceHosts = (turn: Turn, owned: OwnedWork, demands: readonly Demand[]): void => {
   const total = demands.reduce((sum, { hosts }) => sum + hosts, 0);
-  const parts = divideHosts(demands.map(neededHosts), total);
+  const parts = divideHosts(
+    demands.map((demand) => neededHosts(turn, demand)),
+    total,
+  );
   const balances: Balance[] = demands.map((demand, index) => ({
     demand,
     surplus: demand.hosts - (parts[index] ?? 0),
--- a/packages/core/src/work/emptying.ts
+++ b/packages/core/src/work/emptying.ts
@@ -68,8 +68,8 @@
 
 /** Moves lasting work off workers that are about to leave, as its steps allow. */
 export const emptyLeaving = (turn: Turn, owned: OwnedWork): void => {
-  for (const worker of owned.workers.values()) {
-    if (worker.report.draining && worker.listed) {
+  for (const worker of owned.leavingWorkers) {
+    if (worker.listed) {
       const { drainRemainingMs } = worker.report;
       const leavesNow = drainRemainingMs === null || drainRemainingMs < LEASE.LEAVING_MS;
       emptyWorker(turn, owned, worker, "the worker is leaving", leavesNow);
--- a/packages/core/src/work/feeds.ts
+++ b/packages/core/src/work/feeds.ts
@@ -3,7 +3,7 @@
 import type { Feed, Scan, StoreRow, WorkEvent } from "./events.js";
 import type { FeedState } from "./state.js";
 import { adoptHandIn, cancelOwned } from "./submissions.js";
-import { logLine, loggedMs, vouchedAtMs, type Turn } from "./turn.js";
+import { logLine, loggedMs, vouchedAtMs, wakeAfter, type Turn } from "./turn.js";
 import { waveRequested } from "./waves.js";
 import { workerReported, workerUnlisted } from "./workers.js";
 
@@ -19,6 +19,7 @@
         if (applyCatalog(turn, row.catalog)) {
           owned?.pools.forEach((pool) => {
             pool.dirty = true;
+            pool.waiting.allChanged();
           });
         }
         break;
@@ -67,8 +68,12 @@
   feed.after = event.version;
   feed.viewAtMs = vouchedAtMs(turn, event.sentAtMs);
   feed.viewStoreMs = event.storeMs;
-  feed.retryAtMs = turn.nowMs;
   rowsChanged(turn, event.rows);
+  const gapMs = event.rows.length === 0 ? 0 : STORE.FEED_GAP_MS[event.feed];
+  feed.retryAtMs = turn.nowMs + gapMs;
+  if (gapMs > 0) {
+    wakeAfter(turn, gapMs);
+  }
 };
 
 export const feedFailed = (
--- a/packages/core/src/work/itemState.ts
+++ b/packages/core/src/work/itemState.ts
@@ -1,3 +1,4 @@
+import type { WaitingLine } from "./waitingLine.js";
 import type {
   HandIn,
   ItemKey,
@@ -17,6 +18,8 @@
   readonly worker: WorkerId;
   /** What it takes of the worker's room. */
   readonly room: Resources;
+  /** The same as a part of the worker, by the resource of which it takes most. */
+  readonly share: number;
   phase: RunPhase;
   orderedAtMs: number;
   /** Orders to start it that were sent. */
@@ -97,4 +100,8 @@
   dirty: boolean;
   /** Items that wait for room, oldest first. */
   readonly ready: Set<Item>;
+  /** How many of them each step has. */
+  readonly readyInStep: number[];
+  /** Where it waits for room. */
+  line: WaitingLine | null;
 }
--- a/packages/core/src/work/leaseRows.ts
+++ b/packages/core/src/work/leaseRows.ts
@@ -2,6 +2,7 @@
 import type { RowName, RowToWrite } from "./events.js";
 import { hasStops } from "./leases.js";
 import { runsNothing } from "./room.js";
+import { workerChanged } from "./workerTimers.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { itemIndexOf, stepNameOf, type LeasedWorker, type WorkerId } from "./types.js";
 
@@ -14,6 +15,10 @@
 /** Notes that other work may run on a worker than its row says. */
 export const leaseChanged = (owned: OwnedWork, worker: WorkerId): void => {
   owned.leaseChanges.add(worker);
+  const known = owned.workers.get(worker);
+  if (known !== undefined) {
+    workerChanged(owned, known);
+  }
 };
 
 const namesOf = (worker: Worker): Record<string, number[]> => {
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -1,7 +1,6 @@
 import { countPending } from "./pending.js";
 import { strongestMilli } from "./claimDelay.js";
 import { OWNERSHIP, STORE } from "./constants.js";
-import { lookedAt } from "./effort.js";
 import type { RowToWrite, WorkEvent } from "./events.js";
 import { takeForgotten } from "./forget.js";
 import { dropHostOrders, sendHostOrders } from "./hostOrders.js";
@@ -14,6 +13,7 @@
 import { logLine, loggedMs, newCommitId, vouchedAtMs, wakeAfter, type Turn } from "./turn.js";
 import type { OwnerRow } from "./types.js";
 import { dropStarts, sendStarts } from "./starts.js";
+import { workerChanged } from "./workerTimers.js";
 
 const isLeaving = ({ work }: Turn): boolean => work.leavingAtMs !== null;
 
@@ -71,7 +71,7 @@
 /** Ends of what is left behind are in no row until the next write. */
 const logLeftBehind = (turn: Turn, owned: OwnedWork): void => {
   let endsLeft = 0;
-  for (const { seenSequence, durableSequence } of owned.workers.values()) {
+  for (const { seenSequence, durableSequence } of owned.endsToWrite) {
     endsLeft += seenSequence - durableSequence;
   }
   logLine(turn, "warn", "owner.leftBehind", {
@@ -85,13 +85,10 @@
 const writtenEnds = (owned: OwnedWork): LedgerWrite["ends"] =>
   owned.dirty.size > 0
     ? []
-    : [...owned.workers.values()]
-        .filter(({ seenSequence, durableSequence }) => seenSequence > durableSequence)
-        .map((worker) => ({ worker, sequence: worker.seenSequence }));
+    : [...owned.endsToWrite].map((worker) => ({ worker, sequence: worker.seenSequence }));
 
 /** Writes what has changed, and the owner's row with it; one write at a time. */
 const send = (turn: Turn, owned: OwnedWork): void => {
-  lookedAt(turn, owned.workers.size);
   const { named, workers, waiting } = chooseStarts(owned.plannedStarts);
   const submissions = gather(owned, STORE.MAX_ROWS - workers.size);
   const leavesNone = owned.dirty.size === 0;
@@ -140,15 +137,9 @@
   });
 };
 
-const endsWait = (turn: Turn, owned: OwnedWork): boolean => {
-  for (const worker of owned.workers.values()) {
-    lookedAt(turn, 1);
-    if (worker.seenSequence > worker.durableSequence) {
-      return true;
-    }
-  }
-  return false;
-};
+/** @returns How long it takes until the next write may be sent; infinite while one is under way. */
+export const untilWriteMs = ({ nowMs }: Turn, { ledger, ledgerSentAtMs }: OwnedWork): number =>
+  ledger === null ? Math.max(0, ledgerSentAtMs + STORE.LEDGER_GAP_MS - nowMs) : Infinity;
 
 /** Starts a write when something waits for it or the owner's row is due. */
 export const tickLedger = (turn: Turn, owned: OwnedWork): void => {
@@ -165,7 +156,7 @@
   const news =
     owned.active &&
     (owned.dirty.size > 0 ||
-      endsWait(turn, owned) ||
+      owned.endsToWrite.size > 0 ||
       wavesChanged(owned) ||
       owned.plannedOrders.length > 0 ||
       owned.plannedStarts.length > 0);
@@ -213,6 +204,10 @@
   }
   for (const { worker, sequence } of write.ends) {
     worker.durableSequence = Math.max(worker.durableSequence, sequence);
+    if (worker.seenSequence === worker.durableSequence) {
+      owned.endsToWrite.delete(worker);
+    }
+    workerChanged(owned, worker);
   }
   if (isSure(turn, owned)) {
     sendHostOrders(turn, owned, write.orders);
--- a/packages/core/src/work/lending.ts
+++ b/packages/core/src/work/lending.ts
@@ -36,7 +36,7 @@
     .filter(
       ({ host, pool, up }) =>
         up &&
-        isStandby(turn.work.catalog, pool) &&
+        isStandby(turn.work, pool) &&
         workerOn(owned, host) === null &&
         hostIsFree(turn, owned, host),
     )
--- a/packages/core/src/work/looks.ts
+++ b/packages/core/src/work/looks.ts
@@ -2,48 +2,61 @@
 import { CLOCK_TURN, LEASE } from "./constants.js";
 import { lookedAt } from "./effort.js";
 import { extendLease, hasStops, isSilent } from "./leases.js";
-import { leaseChanged } from "./leaseRows.js";
 import { targetOf } from "./lives.js";
 import { leaseEnded } from "./lostRuns.js";
-import { poolOf } from "./pools.js";
 import { runsNothing } from "./room.js";
 import type { OwnedWork, Worker } from "./state.js";
 import { tickStrays } from "./strays.js";
 import { wakeAfter, type Turn } from "./turn.js";
+import { needsLook, setTimer, takeDueWorkers } from "./workerTimers.js";
+import { leaveOut } from "./workerSet.js";
+
+/** Lets go of a worker whose entry is gone once nothing can run there. */
+const endUnlisted = (owned: OwnedWork, worker: Worker): boolean => {
+  if (worker.listed || !runsNothing(worker) || worker.leaseEndsAtMs !== null) {
+    return false;
+  }
+  leaveOut(owned, worker);
+  return true;
+};
 
 /**
- * Looks at workers that are due and ends leases that are over. Hundreds of looks, each perhaps on a
- * new connection, would hold up the owner's row and callers, so the rest goes on in the next turn.
+ * Visits workers that have changed or are due: looks at them, and ends leases that are over.
+ * Hundreds of looks, each perhaps on a new connection, would hold up the owner's row and callers, so
+ * the rest goes on in the next turn.
  */
 export const tickWorkers = (turn: Turn, owned: OwnedWork): void => {
   let looksLeft: number = CLOCK_TURN.MOST_LOOKS;
-  lookedAt(turn, owned.workers.size);
-  for (const worker of [...owned.workers.values()]) {
+  const due = takeDueWorkers(turn, owned);
+  lookedAt(turn, due.size);
+  for (const worker of due) {
+    if (owned.workers.get(worker.report.id) !== worker) {
+      owned.workerTimers.delete(worker);
+      continue;
+    }
     if (worker.leaseEndsAtMs !== null && turn.nowMs > worker.leaseEndsAtMs) {
       leaseEnded(turn, owned, worker);
     }
     tickStrays(turn, owned, worker);
-    if (!worker.listed && runsNothing(worker) && worker.leaseEndsAtMs === null) {
-      owned.workers.delete(worker.report.id);
-      leaseChanged(owned, worker.report.id);
-      poolOf(owned, worker.report.pool).workers.delete(worker);
-    } else if (looksLeft > 0) {
-      looksLeft -= lookIfDue(turn, owned, worker) ? 1 : 0;
+    if (endUnlisted(owned, worker)) {
+      continue;
     }
+    looksLeft -= looksLeft > 0 && lookIfDue(turn, owned, worker) ? 1 : 0;
+    owned.changedWorkers.delete(worker);
+    setTimer(turn, owned, worker);
   }
-  if (looksLeft === 0) {
+  wakeForNext(turn, owned);
+};
+
+const wakeForNext = (turn: Turn, { changedWorkers, workerTimers }: OwnedWork): void => {
+  const waitMs = workerTimers.nextAtMs() - turn.nowMs;
+  if (changedWorkers.size > 0 || waitMs <= 0) {
     wakeAfter(turn, CLOCK_TURN.SOON_MS);
+  } else if (Number.isFinite(waitMs)) {
+    wakeAfter(turn, Math.max(waitMs, CLOCK_TURN.GRAIN_MS));
   }
 };
 
-const needsLook = (worker: Worker): boolean =>
-  !worker.departed &&
-  (!worker.fenced ||
-    worker.unreachable ||
-    !runsNothing(worker) ||
-    worker.seenSequence > worker.durableSequence ||
-    worker.notedSequence < worker.durableSequence);
-
 /**
  * A worker's next life would forget its own ends up to the number that is acknowledged, unheard. So
  * a look acknowledges ends only soon after an answer of this life.
@@ -60,7 +73,6 @@
     return false;
   }
   if (turn.nowMs < worker.nextLookAtMs) {
-    wakeAfter(turn, worker.nextLookAtMs - turn.nowMs);
     return false;
   }
   const waits = worker.fenced && worker.runs.size > 0 && !isSilent(turn, worker);
--- a/packages/core/src/work/lostRuns.ts
+++ b/packages/core/src/work/lostRuns.ts
@@ -1,7 +1,8 @@
 import { ORDER, RUN_PHASE } from "./constants.js";
 import { noteGivenUp } from "./givenUp.js";
 import { expectLateLease } from "./leases.js";
-import { chargeRun, dropRun, hasLooseStart } from "./runs.js";
+import { chargeRun } from "./room.js";
+import { dropRun, hasLooseStart } from "./runs.js";
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { itemLost } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
--- a/packages/core/src/work/moves.ts
+++ b/packages/core/src/work/moves.ts
@@ -58,9 +58,7 @@
     const arrived =
       worker !== null && !isLife(worker, move.worker) && worker.report.pool === move.to;
     const off =
-      move.confirmed &&
-      isStandby(turn.work.catalog, move.to) &&
-      waitedMs >= turn.work.bounds.moveMs;
+      move.confirmed && isStandby(turn.work, move.to) && waitedMs >= turn.work.bounds.moveMs;
     if (arrived || off || waitedMs > HOSTS.RETURN_MS) {
       owned.moves.delete(host);
       if (arrived) {
--- a/packages/core/src/work/occurrences.ts
+++ b/packages/core/src/work/occurrences.ts
@@ -10,7 +10,7 @@
   { handIn, chainsMs }: Submission,
   number: number,
 ): { dueAtMs: number; worthlessAtMs: number } => {
-  const queue = queueById(turn.work.catalog, handIn.queue);
+  const queue = queueById(turn.work, handIn.queue);
   const { occurrences, firstDueWallMs, intervalMs } = handIn.work;
   const beginsWallMs =
     occurrences === 0 ? handIn.acceptedWallMs : firstDueWallMs + number * intervalMs;
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -1,4 +1,5 @@
 import type { HostId } from "@heatherferry/common";
+import { DueQueue } from "@heatherferry/coordination";
 import { claimDelayMs, strongestMilli } from "./claimDelay.js";
 import { OWNERSHIP, SCAN } from "./constants.js";
 import { logGivenUp } from "./givenUp.js";
@@ -191,15 +192,23 @@
   inheritedOrders,
   submissions: new Map(),
   workers: new Map(),
+  workerTimers: new DueQueue(),
+  changedWorkers: new Set(),
+  leavingWorkers: new Set(),
+  endsToWrite: new Set(),
+  stoppingRuns: new Set(),
   pools: new Map(),
   teams: new Map(),
   allowances: new Map(),
   heldUse: new Map(),
   dirty: new Set(),
+  queuedCounts: new Map(),
   scheduled: new Set(),
   ledger: null,
   ledgerRetryAtMs: 0,
   ledgerSentAtMs: nowMs,
+  placedAtMs: -Infinity,
+  dividedAtMs: -Infinity,
   needsRenewal: false,
   ordersSent: 0,
   hosts: new Map(),
--- a/packages/core/src/work/placement.ts
+++ b/packages/core/src/work/placement.ts
@@ -1,3 +1,4 @@
+import { teamById } from "./catalog.js";
 import { STORE } from "./constants.js";
 import { NO_ROOM } from "./room.js";
 import type { Item, OwnedWork, Submission, Worker } from "./state.js";
@@ -100,7 +101,7 @@
   { needs }: StepSpec,
 ): boolean => {
   const { team } = submission.handIn;
-  const ceiling = turn.work.catalog?.teams.find(({ id }) => id === team)?.ceiling;
+  const ceiling = teamById(turn.work, team)?.ceiling;
   if (team === null || ceiling === undefined) {
     return true;
   }
--- a/packages/core/src/work/pools.ts
+++ b/packages/core/src/work/pools.ts
@@ -1,5 +1,6 @@
 import type { PoolId } from "@heatherferry/common";
 import type { OwnedWork, PoolWork } from "./state.js";
+import { WaitingLine } from "./waitingLine.js";
 
 /** @returns The owner's view of a pool, made when first asked for. */
 export const poolOf = (owned: OwnedWork, id: PoolId): PoolWork => {
@@ -8,7 +9,7 @@
     pool = {
       id,
       workers: new Set(),
-      waiting: new Set(),
+      waiting: new WaitingLine(),
       dirty: true,
       arrivals: [],
       steadyHosts: 0,
--- a/packages/core/src/work/ranking.ts
+++ b/packages/core/src/work/ranking.ts
@@ -1,11 +1,11 @@
 import { queueById } from "./catalog.js";
 import { ORDERING, SUBMISSION_STATE } from "./constants.js";
-import { lookedAt } from "./effort.js";
-import type { PoolWork, Submission } from "./state.js";
+import type { Submission } from "./state.js";
 import type { Turn } from "./turn.js";
+import type { ValueOf } from "@heatherferry/common";
 
 /** What earns callers most goes first. */
-const RANK = {
+export const RANK = {
   IN_TIME: 0,
   /** In time only if it starts at once and its estimate holds. */
   TIGHT: 1,
@@ -17,68 +17,70 @@
   WORTHLESS: 4,
 } as const;
 
-interface Ranked {
-  readonly submission: Submission;
+export type Rank = ValueOf<typeof RANK>;
+
+/** Where a submission stands among those that wait for room. */
+export interface Standing {
+  readonly rank: Rank;
   readonly priority: number;
-  readonly rank: number;
   readonly dueAtMs: number;
+  /** When its rank falls, if nothing of it starts before. */
+  readonly changesAtMs: number;
 }
 
-const rankOf = (turn: Turn, submission: Submission): Omit<Ranked, "submission" | "priority"> => {
-  const [first] = submission.ready;
-  const occurrence = submission.occurrences.get(first?.occurrence ?? 0);
-  const dueAtMs = occurrence?.dueAtMs ?? Infinity;
-  if (first === undefined || occurrence === undefined || first.spec.lasting) {
-    return { rank: RANK.IN_TIME, dueAtMs };
+/** @returns Whether one gets room before the other. */
+export const goesBefore = (one: Standing, other: Standing): boolean => {
+  if (one.rank !== other.rank) {
+    return one.rank < other.rank;
   }
-  const chainMs = submission.chainsMs[first.step] ?? 0;
-  const doneAtMs = turn.nowMs + chainMs;
-  if (doneAtMs > occurrence.worthlessAtMs) {
-    return { rank: RANK.WORTHLESS, dueAtMs };
-  }
-  if (submission.excess) {
-    return { rank: RANK.EXCESS, dueAtMs };
-  }
-  if (doneAtMs > dueAtMs) {
-    return { rank: RANK.LATE, dueAtMs };
-  }
-  // Work that is begun and then waits has taken room in vain.
-  const begun = submission.state !== SUBMISSION_STATE.QUEUED;
-  const roomMs = chainMs * ORDERING.CHAIN_ROOM + ORDERING.START_MS;
-  const tight = !begun && doneAtMs + roomMs > dueAtMs;
-  return { rank: tight ? RANK.TIGHT : RANK.IN_TIME, dueAtMs };
+  return one.priority === other.priority
+    ? one.dueAtMs < other.dueAtMs
+    : one.priority < other.priority;
 };
 
-/** What room for a submission that waits is worth to its caller. */
-export interface Prospect {
-  /** It can still be in time, and is within its team's right. */
-  readonly inTime: boolean;
-  /** It is too late to be worth anything. */
-  readonly worthless: boolean;
+/** How long a rank holds. */
+interface RankFor {
+  readonly rank: Rank;
+  readonly untilMs: number;
 }
 
-/** @returns What a submission that waits has to expect. */
-export const prospectOf = (turn: Turn, submission: Submission): Prospect => {
-  const { rank } = rankOf(turn, submission);
-  return { inTime: rank <= RANK.TIGHT, worthless: rank === RANK.WORTHLESS };
+const rankOf = (
+  { nowMs }: Turn,
+  { excess, state }: Submission,
+  times: { readonly dueAtMs: number; readonly worthlessAtMs: number },
+  chainMs: number,
+): RankFor => {
+  // The last moments to start at for the work to end in time, or to be worth anything.
+  const lateFromMs = times.dueAtMs - chainMs;
+  const worthlessFromMs = times.worthlessAtMs - chainMs;
+  if (nowMs > worthlessFromMs) {
+    return { rank: RANK.WORTHLESS, untilMs: Infinity };
+  }
+  if (excess) {
+    return { rank: RANK.EXCESS, untilMs: worthlessFromMs };
+  }
+  if (nowMs > lateFromMs) {
+    return { rank: RANK.LATE, untilMs: worthlessFromMs };
+  }
+  // Work that is begun and then waits has taken room in vain.
+  const begun = state !== SUBMISSION_STATE.QUEUED;
+  const tightFromMs = lateFromMs - (chainMs * ORDERING.CHAIN_ROOM + ORDERING.START_MS);
+  if (begun || nowMs <= tightFromMs) {
+    return { rank: RANK.IN_TIME, untilMs: begun ? lateFromMs : tightFromMs };
+  }
+  return { rank: RANK.TIGHT, untilMs: lateFromMs };
 };
 
-/** @returns The submissions that wait for room in a pool, in the order in which they get it. */
-export const inOrder = (turn: Turn, pool: PoolWork): readonly Submission[] => {
-  const ranked: Ranked[] = [];
-  lookedAt(turn, pool.waiting.size);
-  for (const submission of pool.waiting) {
-    if (submission.ready.size === 0) {
-      pool.waiting.delete(submission);
-    } else {
-      const queue = queueById(turn.work.catalog, submission.handIn.queue);
-      const priority = queue?.priority ?? 0;
-      ranked.push({ submission, priority, ...rankOf(turn, submission) });
-    }
+/** @returns Where a submission stands now. */
+export const standingOf = (turn: Turn, submission: Submission): Standing => {
+  const [first] = submission.ready;
+  const occurrence = submission.occurrences.get(first?.occurrence ?? 0);
+  const dueAtMs = occurrence?.dueAtMs ?? Infinity;
+  const priority = queueById(turn.work, submission.handIn.queue)?.priority ?? 0;
+  if (first === undefined || occurrence === undefined || first.spec.lasting) {
+    return { rank: RANK.IN_TIME, priority, dueAtMs, changesAtMs: Infinity };
   }
-  ranked.sort(
-    (one, other) =>
-      one.rank - other.rank || one.priority - other.priority || one.dueAtMs - other.dueAtMs,
-  );
-  return ranked.map(({ submission }) => submission);
+  const chainMs = submission.chainsMs[first.step] ?? 0;
+  const { rank, untilMs } = rankOf(turn, submission, occurrence, chainMs);
+  return { rank, priority, dueAtMs, changesAtMs: untilMs };
 };
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -3,15 +3,13 @@
 import { callCommitSettled, callLookedUp, callLookUpFailed, tickCalls } from "./callResults.js";
 import { callAbandoned, callArrived } from "./calls.js";
 import { CLOCK_JUMP, CLOCK_TURN, LEAVING, OWNERSHIP, SCAN, STORE } from "./constants.js";
-import { emptyLeaving } from "./emptying.js";
-import { dispatch, recheckPools, stopStalled } from "./dispatch.js";
+import { placeAndDivide } from "./planning.js";
 import type { WorkEvent } from "./events.js";
 import { feedAnswered, feedFailed, feedRead, isFeed, storeAnswered, tickFeeds } from "./feeds.js";
 import { forgetSettled, tickForget } from "./forget.js";
 import { logGivenUp } from "./givenUp.js";
 import { hostsListed } from "./hosts.js";
 import { ledgerSettled, tickLedger } from "./ledger.js";
-import { tickLending } from "./lending.js";
 import { noteLag } from "./loopLag.js";
 import { moveAnswered } from "./moves.js";
 import { claimSettled, endOwning, ownerScanFailed, ownerSeen, tickOwnership } from "./ownership.js";
@@ -24,7 +22,6 @@
 import { makeDueOccurrences } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
 import { upkeepAnswered } from "./upkeep.js";
-import { tickWaves } from "./waves.js";
 import { tickWorkers } from "./looks.js";
 import { workerLooked, workerLookFailed } from "./workers.js";
 
@@ -176,15 +173,7 @@
     makeDueOccurrences(turn, owned, submission, NOTHING_KNOWN);
   }
   repeatStops(turn, owned);
-  stopStalled(turn, owned);
-  for (const pool of owned.pools.values()) {
-    pool.displacedHosts = 0;
-  }
-  emptyLeaving(turn, owned);
-  tickWaves(turn, owned);
-  tickLending(turn, owned);
   tickForget(turn, owned);
-  recheckPools(owned);
   logGivenUp(turn, owned);
 };
 
@@ -226,8 +215,8 @@
         tickOwned(turn, owned);
       }
       tickRecovery(turn, owned);
-      dispatch(turn, owned);
       tickWorkers(turn, owned);
+      placeAndDivide(turn, owned);
     } else {
       tickLoads(turn, owned);
     }
--- a/packages/core/src/work/room.ts
+++ b/packages/core/src/work/room.ts
@@ -1,4 +1,4 @@
-import type { Item, OwnedWork, Worker } from "./state.js";
+import type { Item, OwnedWork, Run, Worker } from "./state.js";
 import type { Resources, StepSpec } from "./types.js";
 
 /** What work takes of a worker. */
@@ -17,6 +17,18 @@
   worker.usedGpus += sign * room.gpus;
 };
 
+/** Takes a run's room of a worker, or gives it back. */
+export const chargeRun = (worker: Worker, { room, share, item }: Run, sign: 1 | -1): void => {
+  const { lasting } = item.spec;
+  const use = lasting ? worker.lastingUse : worker.endingUse;
+  chargeRoom(worker, room, sign);
+  worker.lastingRuns += lasting ? sign : 0;
+  worker.endingHosts += lasting ? 0 : sign * share;
+  for (const resource of RESOURCES) {
+    use[resource] += sign * room[resource];
+  }
+};
+
 /** @returns Whether nothing runs on a worker, as far as is known. */
 export const runsNothing = ({ runs, strays }: Worker): boolean =>
   runs.size === 0 && strays.size === 0;
--- a/packages/core/src/work/runResults.ts
+++ b/packages/core/src/work/runResults.ts
@@ -9,6 +9,7 @@
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { itemBegan } from "./submissions.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
+import { workerChanged } from "./workerTimers.js";
 
 /** Takes a worker's answer to a start. */
 export const startAnswered = (
@@ -68,6 +69,7 @@
   if (!repeatStart(turn, owned, worker, run)) {
     run.unansweredAtMs = turn.nowMs;
     worker.nextLookAtMs = turn.nowMs;
+    workerChanged(owned, worker);
     wakeAfter(turn, 1);
   }
 };
@@ -117,6 +119,7 @@
   } else if (event.settled) {
     run.stopConfirmedAtMs ??= turn.nowMs;
     worker.nextLookAtMs = turn.nowMs;
+    workerChanged(owned, worker);
     wakeAfter(turn, 1);
   }
 };
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -1,20 +1,16 @@
+import { shareOf } from "./arrivals.js";
 import { ITEM_PHASE, ORDER, RUN_PHASE } from "./constants.js";
 import { lookedAt } from "./effort.js";
 import { leaseChanged } from "./leaseRows.js";
 import { isSure } from "./certainty.js";
 import { poolOf } from "./pools.js";
-import { chargeRoom, roomOf, withdrawRoom } from "./room.js";
+import { removeReady } from "./readyItems.js";
+import { chargeRun, roomOf, withdrawRoom } from "./room.js";
 import type { Item, OwnedWork, Run, Worker } from "./state.js";
 import { chargeTeam } from "./teamUse.js";
 import { logLine, type Turn } from "./turn.js";
 import { targetOf } from "./lives.js";
 
-/** Takes a run's room of a worker, or gives it back. */
-export const chargeRun = (worker: Worker, run: Run, sign: 1 | -1): void => {
-  chargeRoom(worker, run.room, sign);
-  worker.lastingRuns += run.item.spec.lasting ? sign : 0;
-};
-
 const charge = (owned: OwnedWork, worker: Worker, run: Run, sign: 1 | -1): void => {
   const { submission, spec } = run.item;
   chargeRun(worker, run, sign);
@@ -29,11 +25,13 @@
   item: Item,
   number: number,
 ): Run => {
+  const room = roomOf(item.spec);
   const run: Run = {
     item,
     number,
     worker: worker.report.id,
-    room: roomOf(item.spec),
+    room,
+    share: shareOf(room, worker.report.capacity),
     phase: RUN_PHASE.PLANNED,
     orderedAtMs: turn.nowMs,
     startsSent: 0,
@@ -56,7 +54,7 @@
   item.lastRun = Math.max(item.lastRun, number);
   item.phase = ITEM_PHASE.PLACED;
   item.inherited = false;
-  item.submission.ready.delete(item);
+  removeReady(item);
   if (worker.runs.size === 0) {
     worker.busySinceMs = turn.nowMs;
   }
@@ -95,6 +93,7 @@
     return;
   }
   run.phase = RUN_PHASE.STOPPING;
+  owned.stoppingRuns.add(run);
   sendStop(turn, owned, worker, run);
   logLine(turn, "info", "run.stopping", {
     item: run.item.key,
@@ -120,16 +119,16 @@
 
 /** Sends stops again that had no answer. */
 export const repeatStops = (turn: Turn, owned: OwnedWork): void => {
-  for (const worker of owned.workers.values()) {
-    lookedAt(turn, 1 + worker.runs.size);
-    for (const run of worker.runs.values()) {
-      const due =
-        run.phase === RUN_PHASE.STOPPING &&
-        run.stopConfirmedAtMs === null &&
-        turn.nowMs - (run.stopSentAtMs ?? 0) >= ORDER.STOP_REPEAT_MS;
-      if (due) {
-        sendStop(turn, owned, worker, run);
-      }
+  lookedAt(turn, owned.stoppingRuns.size);
+  for (const run of owned.stoppingRuns) {
+    const worker = owned.workers.get(run.worker);
+    if (worker?.runs.get(run.item.key) !== run) {
+      owned.stoppingRuns.delete(run);
+    } else if (
+      run.stopConfirmedAtMs === null &&
+      turn.nowMs - (run.stopSentAtMs ?? 0) >= ORDER.STOP_REPEAT_MS
+    ) {
+      sendStop(turn, owned, worker, run);
     }
   }
 };
--- /dev/null
+++ b/packages/core/src/work/stalled.ts
@@ -0,0 +1,21 @@
+import { HEALTH, RUN_PHASE } from "./constants.js";
+import { stopRun } from "./runs.js";
+import type { OwnedWork, Worker } from "./state.js";
+import type { Turn } from "./turn.js";
+
+/** Stops runs of a worker that looks show to make no progress, so that they start elsewhere. */
+export const stopStalled = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
+  for (const run of worker.runs.values()) {
+    const sinceMs = Math.max(run.percentSinceMs, run.orderedAtMs);
+    const stalled =
+      run.phase === RUN_PHASE.RUNNING &&
+      run.pacePercent === 100 &&
+      !(run.item.spec.lasting && run.percent >= 100) &&
+      (worker.lookedAtMs ?? 0) > sinceMs + HEALTH.STALL_MS;
+    if (stalled) {
+      run.item.avoid = worker.report.id;
+      worker.restsUntilMs = Math.max(worker.restsUntilMs, turn.nowMs + HEALTH.REST_MS);
+      stopRun(turn, owned, run, "no progress");
+    }
+  }
+};
--- a/packages/core/src/work/starts.ts
+++ b/packages/core/src/work/starts.ts
@@ -7,6 +7,7 @@
 import { logLine, loggedMs, type Turn } from "./turn.js";
 import { extendLease } from "./leases.js";
 import { targetOf } from "./lives.js";
+import { workerChanged } from "./workerTimers.js";
 
 /** Runs that one fence may order of an item; the next fence counts on from there. */
 const RUNS_OF_A_FENCE = 1_000;
@@ -85,6 +86,7 @@
   run.orderedAtMs = turn.nowMs;
   run.checkpoint = item.checkpoint;
   worker.nextLookAtMs = Math.max(worker.nextLookAtMs, turn.nowMs + LEASE.LOOK_GAP_MS);
+  workerChanged(owned, worker);
   send(turn, owned, worker, run, untilClockMs);
   logLine(turn, "info", "run.ordered", {
     item: item.key,
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -1,6 +1,8 @@
-import type { HostId, PoolId, TeamId } from "@heatherferry/common";
+import type { HostId, PoolId, QueueId, TeamId } from "@heatherferry/common";
+import type { DueQueue } from "@heatherferry/coordination";
 import type { HeldItems } from "./heldItems.js";
 import type { Allowance } from "./allowance.js";
+import { indexCatalog, type CatalogIndex } from "./catalog.js";
 import type { Effort } from "./effort.js";
 import type { CallArrival, Commit, Feed, Scan, StoreRow } from "./events.js";
 import type {
@@ -13,7 +15,6 @@
   StoreVersion,
   SubmissionId,
   SubmissionState,
-  Team,
   WaveRequest,
   WorkBounds,
   WorkerId,
@@ -67,17 +68,32 @@
   readonly inheritedOrders: ReadonlyMap<HostId, number>;
   readonly submissions: Map<SubmissionId, Submission>;
   readonly workers: Map<WorkerId, Worker>;
+  /** When each worker is to be visited for what goes by time. */
+  readonly workerTimers: DueQueue<Worker>;
+  /** Workers of which something has changed since they were visited. */
+  readonly changedWorkers: Set<Worker>;
+  /** Workers that are about to leave. */
+  readonly leavingWorkers: Set<Worker>;
+  /** Workers with ends that are not written. */
+  readonly endsToWrite: Set<Worker>;
+  /** Runs that are told to stop. */
+  readonly stoppingRuns: Set<Run>;
   readonly pools: Map<PoolId, PoolWork>;
   readonly teams: Map<TeamId, TeamUse>;
   readonly allowances: Map<TeamId, Allowance>;
   /** What teams may have running on workers that were not heard yet. */
   heldUse: ReadonlyMap<TeamId, TeamUse>;
   readonly dirty: Set<Submission>;
+  /** Accepted submissions without a started item, by queue. */
+  readonly queuedCounts: Map<QueueId, number>;
   /** Occurrences to come, with their times. */
   readonly scheduled: Set<Submission>;
   ledger: LedgerWrite | null;
   ledgerRetryAtMs: number;
   ledgerSentAtMs: number;
+  /** When work was placed last, and when hosts were divided. */
+  placedAtMs: number;
+  dividedAtMs: number;
   needsRenewal: boolean;
   /** Orders to workers and looks at them so far. */
   ordersSent: number;
@@ -191,8 +207,7 @@
   /** When the clocks were last found to have jumped apart. */
   resumedAtMs: number;
   catalog: Catalog | null;
-  /** Team by key, of the catalog in force. */
-  readonly teamOfKey: Map<string, Team>;
+  catalogIndex: CatalogIndex;
   readonly feeds: Record<Feed, FeedState>;
   readonly waveRequests: Map<number, WaveRequest>;
   readonly calls: Map<string, OpenCall>;
@@ -241,7 +256,7 @@
   wallOffsetMs: null,
   resumedAtMs: -Infinity,
   catalog: null,
-  teamOfKey: new Map(),
+  catalogIndex: indexCatalog(null),
   feeds: { operators: newFeed(), workers: newFeed(), handIns: newFeed() },
   waveRequests: new Map(),
   calls: new Map(),
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -1,12 +1,13 @@
 import type { PoolId } from "@heatherferry/common";
 import { takeAllowance } from "./allowance.js";
-import { queueById } from "./catalog.js";
+import { queueById, teamById } from "./catalog.js";
 import { ITEM_PHASE, SUBMISSION_STATE } from "./constants.js";
 import { chainsMs } from "./estimates.js";
 import { noteArrival } from "./arrivals.js";
 import { type KnownWork, lastWritten, makeOccurrence, stepIsDone } from "./occurrences.js";
 import { poolOf } from "./pools.js";
 import { withdrawRoom } from "./room.js";
+import { addReady, clearReady, removeReady } from "./readyItems.js";
 import { stopRun } from "./runs.js";
 import type { Item, Occurrence, OwnedWork, Submission } from "./state.js";
 import { logLine, loggedMs, type Turn } from "./turn.js";
@@ -20,7 +21,7 @@
 
 /** @returns The pool that runs a submission's work by the catalog in force. */
 export const poolOfSubmission = (turn: Turn, handIn: HandIn): PoolId =>
-  queueById(turn.work.catalog, handIn.queue)?.pool ?? handIn.pool;
+  queueById(turn.work, handIn.queue)?.pool ?? handIn.pool;
 
 /** @returns Whether a submission has ended. */
 export const isOver = (state: SubmissionState): boolean =>
@@ -30,7 +31,7 @@
 export const makeReady = (turn: Turn, owned: OwnedWork, item: Item): void => {
   const { submission } = item;
   item.phase = ITEM_PHASE.READY;
-  submission.ready.add(item);
+  addReady(item);
   const pool = poolOf(owned, poolOfSubmission(turn, submission.handIn));
   pool.waiting.add(submission);
   pool.dirty = true;
@@ -82,8 +83,8 @@
 };
 
 const isExcess = (turn: Turn, owned: OwnedWork, handIn: HandIn): boolean => {
-  const team = turn.work.catalog?.teams.find(({ id }) => id === handIn.team);
-  if (team === undefined) {
+  const team = teamById(turn.work, handIn.team);
+  if (team === null) {
     return false;
   }
   let allowance = owned.allowances.get(team.id);
@@ -94,6 +95,20 @@
   return !takeAllowance(allowance, team.weight, turn.nowMs);
 };
 
+/** Counts a submission among those that have not begun, while it is one. */
+const countQueued = (owned: OwnedWork, { state, handIn }: Submission, sign: 1 | -1): void => {
+  if (state === SUBMISSION_STATE.QUEUED) {
+    const { queue } = handIn;
+    owned.queuedCounts.set(queue, (owned.queuedCounts.get(queue) ?? 0) + sign);
+  }
+};
+
+const enterState = (owned: OwnedWork, submission: Submission, state: SubmissionState): void => {
+  countQueued(owned, submission, -1);
+  submission.state = state;
+  countQueued(owned, submission, 1);
+};
+
 /** Marks a submission for the owner's next write. */
 export const markDirty = (owned: OwnedWork, submission: Submission): void => {
   submission.dirty = true;
@@ -132,8 +147,11 @@
     endedWallMs: progress?.endedWallMs ?? null,
     dirty: false,
     ready: new Set(),
+    readyInStep: handIn.work.steps.map(() => 0),
+    line: null,
   };
   owned.submissions.set(handIn.id, submission);
+  countQueued(owned, submission, 1);
   if (!inherited) {
     noteArrival(turn, poolOf(owned, poolOfSubmission(turn, handIn)), handIn.work);
   }
@@ -153,9 +171,9 @@
   state: SubmissionState,
   why: string,
 ): void => {
-  submission.state = state;
+  enterState(owned, submission, state);
   submission.endedWallMs = Math.round(turn.wallMs);
-  submission.ready.clear();
+  clearReady(submission);
   owned.scheduled.delete(submission);
   markDirty(owned, submission);
   for (const occurrence of submission.occurrences.values()) {
@@ -201,7 +219,7 @@
     return;
   }
   item.phase = ITEM_PHASE.DONE;
-  submission.ready.delete(item);
+  removeReady(item);
   occurrence.doneInStep[item.step] = (occurrence.doneInStep[item.step] ?? 0) + 1;
   markDirty(owned, submission);
   if (isOver(submission.state)) {
@@ -225,7 +243,7 @@
   if (!spec.lasting) {
     item.failedRuns.add(run);
     markDirty(owned, submission);
-    const queue = queueById(turn.work.catalog, submission.handIn.queue);
+    const queue = queueById(turn.work, submission.handIn.queue);
     if (queue !== null && item.failedRuns.size >= queue.maxAttempts) {
       endSubmission(turn, owned, submission, SUBMISSION_STATE.FAILED, `item ${item.key} failed`);
       return;
@@ -251,7 +269,8 @@
 /** An item of the submission has begun. */
 export const itemBegan = (owned: OwnedWork, submission: Submission): void => {
   if (submission.state === SUBMISSION_STATE.QUEUED) {
-    submission.state = SUBMISSION_STATE.RUNNING;
+    enterState(owned, submission, SUBMISSION_STATE.RUNNING);
+    submission.line?.changed(submission);
     markDirty(owned, submission);
   }
 };
--- a/packages/core/src/work/waitingWork.ts
+++ b/packages/core/src/work/waitingWork.ts
@@ -1,80 +1,85 @@
 import { shareOf } from "./arrivals.js";
 import { LENDING } from "./constants.js";
-import { lookedAt } from "./effort.js";
 import { withinCeiling } from "./placement.js";
-import { prospectOf } from "./ranking.js";
+import { RANK, type Rank } from "./ranking.js";
 import { roomOf } from "./room.js";
-import type { Item, OwnedWork, PoolWork, Submission } from "./state.js";
+import type { OwnedWork, PoolWork, Submission } from "./state.js";
 import type { Turn } from "./turn.js";
-import type { Resources } from "./types.js";
+import type { Resources, StepSpec } from "./types.js";
+import type { TeamLine } from "./waitingLine.js";
 
-/** What waits for room in a pool, counted in hosts. */
-export interface WaitingWork {
+/** Hosts that the waiting items of one submission want. */
+export interface HostsWanted {
+  /** Hosts that would work them off in time. */
   readonly hosts: number;
-  readonly inTimeHosts: number;
-  /** Workers missing for the widest step with a bound a worker. */
+  /** The part of a host that the largest takes. */
+  readonly largest: number;
+  /** Workers that the widest step wants, by its bound a worker. */
   readonly spread: number;
 }
 
-/** @returns Items of a submission that wait for nothing but room. */
-const allowedItems = (turn: Turn, owned: OwnedWork, submission: Submission): Item[] => {
-  const allowed = new Map<number, boolean>();
-  return [...submission.ready].filter(({ spec, step }) => {
-    const within = allowed.get(step) ?? withinCeiling(turn, owned, submission, spec);
-    allowed.set(step, within);
-    return within;
-  });
-};
+export const NO_WANT: HostsWanted = { hosts: 0, largest: 0, spread: 0 };
 
 /** A host runs short items one after another, long ones take it for as long as they last. */
-const hostsFor = ({ spec }: Item, host: Resources, drainMs: number): number =>
-  shareOf(roomOf(spec), host) * (spec.lasting ? 1 : Math.min(1, spec.estimateMs / drainMs));
+const timeShare = ({ lasting, estimateMs }: StepSpec, drainMs: number): number =>
+  lasting ? 1 : Math.min(1, estimateMs / drainMs);
 
-const hostsForAll = (items: readonly Item[], host: Resources, drainMs: number): number =>
-  items.reduce((sum, item) => sum + hostsFor(item, host, drainMs), 0);
-
-/** @returns Workers that the widest of the items' steps wants, by its bound a worker. */
-const spreadOf = (items: readonly Item[]): number => {
-  const perStep = new Map<number, number>();
-  for (const { spec, step } of items) {
-    perStep.set(step, (perStep.get(step) ?? 0) + 1 / (spec.maxPerWorker ?? Infinity));
-  }
-  return Math.max(0, ...perStep.values());
+/**
+ * Work that is worth nothing any more is done in time that others leave.
+ *
+ * @returns What a submission's waiting items want of hosts of a pool.
+ */
+export const hostsToWant = (submission: Submission, host: Resources, rank: Rank): HostsWanted => {
+  const drainMs = rank === RANK.WORTHLESS ? LENDING.WORTHLESS_DRAIN_MS : LENDING.DRAIN_MS;
+  let { hosts, largest, spread } = NO_WANT;
+  submission.handIn.work.steps.forEach((spec, step) => {
+    const count = submission.readyInStep[step] ?? 0;
+    if (count === 0) {
+      return;
+    }
+    const share = shareOf(roomOf(spec), host);
+    hosts += count * share * timeShare(spec, drainMs);
+    largest = Math.max(largest, share);
+    spread = Math.max(spread, count / (spec.maxPerWorker ?? Infinity));
+  });
+  return { hosts, largest, spread };
 };
 
-const largestShare = (items: readonly Item[], host: Resources): number =>
-  Math.max(0, ...items.map(({ spec }) => shareOf(roomOf(spec), host)));
+/** What waits for room in a pool, counted in hosts. */
+export interface WaitingWork {
+  readonly hosts: number;
+  readonly inTimeHosts: number;
+  /** Workers missing for the widest step with a bound a worker. */
+  readonly spread: number;
+}
+
+/** @returns Whether a team that has reached its ceiling waits for that, and not for room. */
+const waitsForCeiling = (turn: Turn, owned: OwnedWork, team: TeamLine): boolean => {
+  const first = team.heap.first();
+  const [item] = first?.ready ?? [];
+  return first !== null && item !== undefined && !withinCeiling(turn, owned, first, item.spec);
+};
 
 /**
- * Work that is worth nothing any more is done in time that others leave, but room for its largest
- * item lets it through, one item after another.
+ * Room for the largest item of work that is worth nothing any more lets it through, one item after
+ * another.
  *
  * @returns What waits for room in a pool.
  */
-export const waitingIn = (
-  turn: Turn,
-  owned: OwnedWork,
-  pool: PoolWork,
-  host: Resources,
-): WaitingWork => {
+export const waitingIn = (turn: Turn, owned: OwnedWork, pool: PoolWork): WaitingWork => {
   let hosts = 0;
   let inTimeHosts = 0;
   let worthlessHosts = 0;
   let largestWorthless = 0;
   let spread = 0;
-  for (const submission of pool.waiting) {
-    lookedAt(turn, 1 + submission.ready.size);
-    const items = allowedItems(turn, owned, submission);
-    const { inTime, worthless } = prospectOf(turn, submission);
-    if (worthless) {
-      worthlessHosts += hostsForAll(items, host, LENDING.WORTHLESS_DRAIN_MS);
-      largestWorthless = Math.max(largestWorthless, largestShare(items, host));
-    } else {
-      const wanted = hostsForAll(items, host, LENDING.DRAIN_MS);
-      hosts += wanted;
-      inTimeHosts += inTime ? wanted : 0;
+  for (const team of pool.waiting.byTeam()) {
+    if (team.heap.size > 0 && !waitsForCeiling(turn, owned, team)) {
+      hosts += team.hosts;
+      inTimeHosts += team.inTimeHosts;
+      worthlessHosts += team.worthlessHosts;
+      largestWorthless = Math.max(largestWorthless, team.worthlessItems.firstKey() ?? 0);
+      spread = Math.max(spread, team.spreads.firstKey() ?? 0);
     }
-    spread = Math.max(spread, spreadOf(items));
   }
   hosts += Math.max(worthlessHosts, largestWorthless);
   return { hosts, inTimeHosts, spread: Math.ceil(spread) };
--- a/packages/core/src/work/waves.ts
+++ b/packages/core/src/work/waves.ts
@@ -100,7 +100,7 @@
 /** A host without a known worker may still run one whose entry is missing. */
 const isOff = (turn: Turn, owned: OwnedWork, host: HostId): boolean => {
   const pool = owned.hosts.get(host)?.pool;
-  return pool !== undefined && isStandby(turn.work.catalog, pool);
+  return pool !== undefined && isStandby(turn.work, pool);
 };
 
 const runsUnlisted = (owned: OwnedWork, host: HostId): boolean =>
--- /dev/null
+++ b/packages/core/src/work/workerSet.ts
@@ -0,0 +1,34 @@
+import { leaseChanged } from "./leaseRows.js";
+import { poolOf } from "./pools.js";
+import type { OwnedWork, Worker } from "./state.js";
+import { workerChanged } from "./workerTimers.js";
+
+/** Takes a worker's life into the owner's care. */
+export const takeIn = (owned: OwnedWork, worker: Worker): void => {
+  const { id, pool } = worker.report;
+  owned.workers.set(id, worker);
+  poolOf(owned, pool).workers.add(worker);
+  workerChanged(owned, worker);
+  noteLeaving(owned, worker);
+};
+
+/** Keeps account of the workers that are about to leave. */
+export const noteLeaving = (owned: OwnedWork, worker: Worker): void => {
+  if (worker.report.draining) {
+    owned.leavingWorkers.add(worker);
+  } else {
+    owned.leavingWorkers.delete(worker);
+  }
+};
+
+/** Lets go of a worker's life. */
+export const leaveOut = (owned: OwnedWork, worker: Worker): void => {
+  const { id, pool } = worker.report;
+  owned.workers.delete(id);
+  owned.workerTimers.delete(worker);
+  owned.changedWorkers.delete(worker);
+  owned.leavingWorkers.delete(worker);
+  owned.endsToWrite.delete(worker);
+  poolOf(owned, pool).workers.delete(worker);
+  leaseChanged(owned, id);
+};
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -1,7 +1,8 @@
 import type { Address, PoolId, TeamId, ValueOf } from "@heatherferry/common";
 import type { RESERVATION } from "./constants.js";
 import type { ItemKey, Resources, WorkerId, WorkerReport } from "./types.js";
-import type { Item, Run, Submission } from "./itemState.js";
+import type { Item, Run } from "./itemState.js";
+import type { WaitingLine } from "./waitingLine.js";
 
 /** Names one life of a worker. */
 export interface WorkerLife {
@@ -79,6 +80,11 @@
   usedCpuMilli: number;
   usedMemoryMb: number;
   usedGpus: number;
+  /** What runs there take that end by themselves, and those that last. */
+  readonly endingUse: UsedRoom;
+  readonly lastingUse: UsedRoom;
+  /** What the former take, as parts of hosts by the resource of which each takes most. */
+  endingHosts: number;
   /** Runs there that last until their submission is cancelled. */
   lastingRuns: number;
   /** Since when nothing runs there. */
@@ -124,7 +130,7 @@
   readonly id: PoolId;
   readonly workers: Set<Worker>;
   /** Submissions with ready items. */
-  readonly waiting: Set<Submission>;
+  readonly waiting: WaitingLine;
   dirty: boolean;
   /** What was handed in of late, oldest first. */
   arrivals: Arrival[];
@@ -135,9 +141,12 @@
   displacedHosts: number;
 }
 
-/** What a team has running over all pools. */
-export interface TeamUse {
+/** What work takes, kept as it comes and goes. */
+export interface UsedRoom {
   cpuMilli: number;
   memoryMb: number;
   gpus: number;
 }
+
+/** What a team has running over all pools. */
+export type TeamUse = UsedRoom;
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -2,7 +2,6 @@
 import type { Life, WorkEvent } from "./events.js";
 import { bindHost, unbindHost } from "./hostWorkers.js";
 import { noteClock } from "./leases.js";
-import { leaseChanged } from "./leaseRows.js";
 import { lifeBornAt, updateReport, workerAsked } from "./lives.js";
 import { logOtherLife } from "./otherLife.js";
 import { paceFillers } from "./pacing.js";
@@ -14,6 +13,10 @@
 import { logLine, type Turn } from "./turn.js";
 import { endStrays } from "./strays.js";
 import { dropUnseen } from "./unseen.js";
+import { stopStalled } from "./stalled.js";
+import { NO_ROOM } from "./room.js";
+import { leaveOut, noteLeaving, takeIn } from "./workerSet.js";
+import { workerChanged } from "./workerTimers.js";
 import type { WorkerId, WorkerReport } from "./types.js";
 
 const newWorker = (turn: Turn, report: WorkerReport, kindKnown: boolean): Worker => ({
@@ -44,6 +47,9 @@
   usedCpuMilli: 0,
   usedMemoryMb: 0,
   usedGpus: 0,
+  endingUse: { ...NO_ROOM },
+  lastingUse: { ...NO_ROOM },
+  endingHosts: 0,
   lastingRuns: 0,
   idleSinceMs: turn.nowMs,
   busySinceMs: turn.nowMs,
@@ -56,12 +62,10 @@
 });
 
 const forgetWorker = (turn: Turn, owned: OwnedWork, worker: Worker, why: string): void => {
-  owned.workers.delete(worker.report.id);
-  leaseChanged(owned, worker.report.id);
+  leaveOut(owned, worker);
   loseRuns(turn, owned, worker, why);
   endStrays(owned, worker);
   unbindHost(owned, worker);
-  poolOf(owned, worker.report.pool).workers.delete(worker);
 };
 
 /**
@@ -84,11 +88,9 @@
 
 const enlist = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
   const { report } = worker;
-  owned.workers.set(report.id, worker);
+  takeIn(owned, worker);
   bindHost(owned, worker);
-  const pool = poolOf(owned, report.pool);
-  pool.workers.add(worker);
-  pool.dirty = true;
+  poolOf(owned, report.pool).dirty = true;
   logLine(turn, "info", "worker.listed", {
     worker: report.id,
     pool: report.pool,
@@ -115,7 +117,8 @@
   if (life !== LIFE.SAME) {
     return;
   }
-  if (worker.report.draining !== report.draining || !worker.listed) {
+  const changed = worker.report.draining !== report.draining || !worker.listed;
+  if (changed) {
     logLine(turn, "info", "worker.changed", {
       worker: report.id,
       pool: report.pool,
@@ -128,7 +131,9 @@
   worker.listed = true;
   worker.kindKnown = true;
   bindHost(owned, worker);
-  poolOf(owned, report.pool).dirty = true;
+  workerChanged(owned, worker);
+  noteLeaving(owned, worker);
+  poolOf(owned, report.pool).dirty ||= changed;
 };
 
 /** A worker's entry is gone; what runs there counts until its lease ends. */
@@ -137,6 +142,7 @@
   if (worker?.listed === true) {
     worker.listed = false;
     unbindHost(owned, worker);
+    workerChanged(owned, worker);
     logLine(turn, "info", "worker.unlisted", {
       worker: id,
       pool: worker.report.pool,
@@ -168,6 +174,7 @@
   }
   worker.lookOrder = null;
   worker.nextLookAtMs = turn.nowMs + LEASE.LOOK_GAP_MS;
+  workerChanged(owned, worker);
   const bornWallMs = event.seenBornWallMs ?? worker.report.bornWallMs;
   const report = { ...worker.report, bornWallMs, clockMs: event.clockMs };
   const life = lifeSeen(worker, bornWallMs, event.sentAtMs);
@@ -200,6 +207,7 @@
     if (end.sequence > worker.seenSequence) {
       runEnded(turn, owned, worker, end);
       worker.seenSequence = end.sequence;
+      owned.endsToWrite.add(worker);
     }
   }
   for (const line of event.running) {
@@ -210,6 +218,7 @@
     dropUnseen(turn, owned, worker, event);
   }
   paceFillers(turn, owned, worker);
+  stopStalled(turn, owned, worker);
 };
 
 /** A look had no answer, or another life answered at the address. */
@@ -226,6 +235,7 @@
   worker.notedSequence = 0;
   worker.unreachable = true;
   worker.nextLookAtMs = turn.nowMs + LEASE.LOOK_RETRY_MS;
+  workerChanged(owned, worker);
   logLine(turn, "warn", "worker.lookFailed", {
     worker: event.worker,
     pool: worker.report.pool,
--- a/packages/core/tests/work/ownerNode.ts
+++ b/packages/core/tests/work/ownerNode.ts
@@ -230,16 +230,26 @@
   }
 
   private feed(feed: Feed, row: StoreRow): void {
-    const asked = this.feeds.get(feed);
-    if (asked === undefined) {
-      throw new Error(`${feed} is not followed`);
-    }
+    const asked = this.nextFeed(feed);
+    this.feeds.delete(feed);
     this.version += 1;
     const version = storeVersion(this.version);
     const answered = { sentAtMs: asked.sentAtMs, version, storeMs: this.nowMs };
     this.handle({ type: "store/feedAnswered", feed, rows: [row], ...answered });
   }
 
+  /** Runs on until a feed is asked for. */
+  private nextFeed(feed: Feed): EffectOf<"store/feed"> {
+    for (let waitedMs = 0; waitedMs < 1_000; waitedMs += COMMIT_MS) {
+      const asked = this.feeds.get(feed);
+      if (asked !== undefined) {
+        return asked;
+      }
+      this.run(COMMIT_MS);
+    }
+    throw new Error(`${feed} is not followed`);
+  }
+
   private carryOut(effect: Effect): void {
     switch (effect.type) {
       case "worker/look":
