--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -160,6 +160,10 @@
   LOOK_WAIT_MS: 1_000,
   /** Pause between two looks at a worker. */
   LOOK_GAP_MS: 100,
+  /** The same at most, where the owner is late: one look then tells of more ends. */
+  MOST_LOOK_GAP_MS: 400,
+  /** What a ms that the owner is late adds to the pause, in ms. */
+  GAP_FOR_LAG: 3,
   LOOK_RETRY_MS: 300,
   /** Ends are acknowledged to a life that answered a look so lately; a new one numbers its own. */
   SAME_LIFE_MS: 300,
@@ -213,6 +217,8 @@
   /** A turn handled so late is logged. */
   LATE_MS: 200,
   LATE_LOG_GAP_MS: 1_000,
+  /** Part of an earlier lag that the present one keeps at each turn. */
+  LAG_KEPT: 0.8,
 } as const;
 
 export const GIVEN_UP = {
--- a/packages/core/src/work/ends.ts
+++ b/packages/core/src/work/ends.ts
@@ -77,16 +77,24 @@
   }
 };
 
+/** The look whose answer is taken. */
+export interface AnsweredLook {
+  readonly order: number;
+  readonly sentAtMs: number;
+}
+
 /** Takes what a worker lists as running. */
 export const runSeen = (
   turn: Turn,
   owned: OwnedWork,
   worker: Worker,
   line: RunningLine,
-  sentAtMs: number,
+  look: AnsweredLook,
 ): void => {
+  const { order, sentAtMs } = look;
   const run = worker.runs.get(line.item);
   if (run?.number === line.run) {
+    run.shownByLook = order;
     run.confirmedAtMs ??= sentAtMs;
     run.shown = true;
     run.load = line.load;
@@ -107,7 +115,7 @@
     itemBegan(owned, run.item.submission);
     return;
   }
-  unknownRunSeen(turn, owned, worker, line, sentAtMs);
+  unknownRunSeen(turn, owned, worker, line, look);
 };
 
 /** Takes over a run that an earlier owner started, or stops one that should not be there. */
@@ -116,14 +124,14 @@
   owned: OwnedWork,
   worker: Worker,
   line: RunningLine,
-  sentAtMs: number,
+  look: AnsweredLook,
 ): void => {
   const item = findItem(owned, line.item);
   if (item?.run === null) {
-    takeOver(turn, owned, worker, item, line, sentAtMs);
+    takeOver(turn, owned, worker, item, line, look);
     return;
   }
-  strayListed(turn, owned, worker, line);
+  strayListed(turn, owned, worker, line, look.order);
 };
 
 /** Books a run that was found; it goes on if its item waits for just that, else it is stopped. */
@@ -133,7 +141,7 @@
   worker: Worker,
   item: Item,
   line: RunningLine,
-  sentAtMs: number,
+  { order, sentAtMs }: AnsweredLook,
 ): void => {
   const { phase, inherited } = item;
   const wanted = phase === ITEM_PHASE.READY && inherited && !isOver(item.submission.state);
@@ -141,6 +149,7 @@
   run.phase = RUN_PHASE.RUNNING;
   run.confirmedAtMs = sentAtMs;
   run.shown = true;
+  run.shownByLook = order;
   run.percent = line.percent;
   run.load = line.load;
   logLine(turn, "info", "run.takenOver", {
--- a/packages/core/src/work/itemState.ts
+++ b/packages/core/src/work/itemState.ts
@@ -36,6 +36,8 @@
   confirmedAtMs: number | null;
   /** A look has shown it on this life of the worker; answers to orders do not say which life acted. */
   shown: boolean;
+  /** The look that listed it last. */
+  shownByLook: number | null;
   percent: number;
   percentSinceMs: number;
   load: number | null;
--- a/packages/core/src/work/listedRoom.ts
+++ b/packages/core/src/work/listedRoom.ts
@@ -11,19 +11,36 @@
   readonly unknownRuns: number;
 }
 
-const listedRoom = (owned: OwnedWork, running: readonly RunningLine[]): ListedRoom => {
+/** @returns What a listed run takes; null where that is not known. */
+const roomOfLine = (
+  owned: OwnedWork,
+  { runs }: Worker,
+  { item }: RunningLine,
+): Resources | null => {
+  const booked = runs.get(item);
+  if (booked !== undefined) {
+    return booked.room;
+  }
+  const spec = specOf(owned, item);
+  return spec === null ? null : roomOf(spec);
+};
+
+const listedRoom = (
+  owned: OwnedWork,
+  worker: Worker,
+  running: readonly RunningLine[],
+): ListedRoom => {
   const room = { cpuMilli: 0, memoryMb: 0, gpus: 0 };
   let unknownRuns = 0;
   for (const line of running) {
-    const spec = specOf(owned, line.item);
-    if (spec === null) {
+    const taken = roomOfLine(owned, worker, line);
+    if (taken === null) {
       unknownRuns += 1;
       continue;
     }
-    const taken = roomOf(spec);
-    RESOURCES.forEach((resource) => {
+    for (const resource of RESOURCES) {
       room[resource] += taken[resource];
-    });
+    }
   }
   return { room, unknownRuns };
 };
@@ -36,7 +53,7 @@
   running: readonly RunningLine[],
 ): void => {
   const { capacity, id } = worker.report;
-  const { room, unknownRuns } = listedRoom(owned, running);
+  const { room, unknownRuns } = listedRoom(owned, worker, running);
   if (RESOURCES.every((resource) => room[resource] <= capacity[resource])) {
     return;
   }
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -10,7 +10,7 @@
 import { logGivenUp } from "./givenUp.js";
 import { hostsListed } from "./hosts.js";
 import { ledgerSettled, tickLedger } from "./ledger.js";
-import { noteLag } from "./loopLag.js";
+import { clockTurned } from "./loopLag.js";
 import { moveAnswered } from "./moves.js";
 import { claimSettled, endOwning, ownerScanFailed, ownerSeen, tickOwnership } from "./ownership.js";
 import { paceFailed } from "./pacing.js";
@@ -261,7 +261,7 @@
       work.processorMilli = event.processorMilli;
       break;
     case "clock/ticked":
-      noteLag(turn, event.lateMs ?? 0);
+      clockTurned(turn, event.lateMs);
       break;
     default:
       reduceStoreEvent(turn, event as WorkEvent);
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -41,6 +41,7 @@
     checkpoint: null,
     confirmedAtMs: null,
     shown: false,
+    shownByLook: null,
     percent: 0,
     percentSinceMs: turn.nowMs,
     load: null,
--- a/packages/core/src/work/starts.ts
+++ b/packages/core/src/work/starts.ts
@@ -1,4 +1,4 @@
-import { LEASE, ORDER, RUN_PHASE } from "./constants.js";
+import { ORDER, RUN_PHASE } from "./constants.js";
 import { isSure } from "./certainty.js";
 import { giveUpRun } from "./lostRuns.js";
 import { holdsRuns } from "./room.js";
@@ -7,6 +7,7 @@
 import { logLine, loggedMs, type Turn } from "./turn.js";
 import { extendLease } from "./leases.js";
 import { targetOf } from "./lives.js";
+import { lookGapMs } from "./loopLag.js";
 import { workerChanged } from "./workerTimers.js";
 
 /** Runs that one fence may order of an item; the next fence counts on from there. */
@@ -85,7 +86,7 @@
   run.phase = RUN_PHASE.ORDERED;
   run.orderedAtMs = turn.nowMs;
   run.checkpoint = item.checkpoint;
-  worker.nextLookAtMs = Math.max(worker.nextLookAtMs, turn.nowMs + LEASE.LOOK_GAP_MS);
+  worker.nextLookAtMs = Math.max(worker.nextLookAtMs, turn.nowMs + lookGapMs(turn.work));
   workerChanged(owned, worker);
   send(turn, owned, worker, run, untilClockMs);
   logLine(turn, "info", "run.ordered", {
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -187,6 +187,8 @@
 
 /** Turns of the clock that were handled late and that no line tells of yet. */
 export interface LoopLag {
+  /** How late turns of the clock are of late, smoothed. */
+  recentMs: number;
   loggedAtMs: number;
   turns: number;
   worstMs: number;
@@ -282,6 +284,6 @@
   nextHostOrder: 1,
   tickedAtMs: -Infinity,
   wakeAtMs: null,
-  lag: { loggedAtMs: -Infinity, turns: 0, worstMs: 0 },
+  lag: { recentMs: 0, loggedAtMs: -Infinity, turns: 0, worstMs: 0 },
   effort: { steps: 0 },
 });
--- a/packages/core/src/work/strays.ts
+++ b/packages/core/src/work/strays.ts
@@ -32,6 +32,7 @@
     leaseEndsAtMs:
       turn.nowMs + turn.work.bounds.holdMaxMs / LEASE.SLOWEST_CLOCK + LEASE.END_MARGIN_MS,
     stopSentAtMs: null,
+    shownByLook: null,
     missingSinceMs: null,
   };
 };
@@ -55,12 +56,15 @@
 /**
  * Takes a run that a look lists and that should not be there: it is stopped, and takes room until
  * it is gone.
+ *
+ * @param look - Number of the look.
  */
 export const strayListed = (
   turn: Turn,
   owned: OwnedWork,
   worker: Worker,
   line: RunningLine,
+  look: number,
 ): void => {
   const name = runNameOf(line);
   let stray = worker.strays.get(name);
@@ -71,6 +75,7 @@
     leaseChanged(owned, worker.report.id);
     charge(owned, worker, stray, 1);
   }
+  stray.shownByLook = look;
   const sinceStopMs = turn.nowMs - (stray.stopSentAtMs ?? -Infinity);
   if (sinceStopMs >= ORDER.STOP_REPEAT_MS && isSure(turn, owned)) {
     sendStop(turn, owned, worker, stray);
--- a/packages/core/src/work/unseen.ts
+++ b/packages/core/src/work/unseen.ts
@@ -1,11 +1,12 @@
 import { LEASE, RUN_PHASE } from "./constants.js";
 import type { WorkEvent } from "./events.js";
 import { giveUpRun } from "./lostRuns.js";
+import type { AnsweredLook } from "./ends.js";
 import { noteGivenUp } from "./givenUp.js";
 import { leaseChanged } from "./leaseRows.js";
 import { stopRun } from "./runs.js";
 import type { OwnedWork, Worker } from "./state.js";
-import { runNameOf, strayEnded } from "./strays.js";
+import { strayEnded } from "./strays.js";
 import type { Turn } from "./turn.js";
 
 /** What looks have to show, and since when they do not. */
@@ -31,11 +32,10 @@
   turn: Turn,
   owned: OwnedWork,
   worker: Worker,
-  shown: ReadonlySet<string>,
-  sentAtMs: number,
+  { order, sentAtMs }: AnsweredLook,
 ): void => {
-  for (const [name, stray] of worker.strays) {
-    if (shown.has(name)) {
+  for (const stray of worker.strays.values()) {
+    if (stray.shownByLook === order) {
       stray.missingSinceMs = null;
     } else if (isGone(turn, stray, sentAtMs)) {
       strayEnded(owned, worker, stray);
@@ -50,8 +50,7 @@
   worker: Worker,
   event: Extract<WorkEvent, { type: "worker/looked" }>,
 ): void => {
-  const shown = new Set(event.running.map(runNameOf));
-  dropStrays(turn, owned, worker, shown, event.sentAtMs);
+  dropStrays(turn, owned, worker, event);
   for (const run of [...worker.runs.values()]) {
     if (run.unansweredAtMs !== null && run.phase === RUN_PHASE.ORDERED) {
       if (event.sentAtMs >= run.unansweredAtMs) {
@@ -62,11 +61,7 @@
       continue;
     }
     const sureSince = run.stopConfirmedAtMs ?? run.confirmedAtMs;
-    if (
-      sureSince === null ||
-      sureSince >= event.sentAtMs ||
-      shown.has(runNameOf({ item: run.item.key, run: run.number }))
-    ) {
+    if (sureSince === null || sureSince >= event.sentAtMs || run.shownByLook === event.order) {
       run.missingSinceMs = null;
     } else {
       leaseChanged(owned, worker.report.id);
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -29,6 +29,8 @@
   /** It has ended by then, on our clock, unless the worker's lease is longer. */
   readonly leaseEndsAtMs: number;
   stopSentAtMs: number | null;
+  /** The look that listed it last. */
+  shownByLook: number | null;
   /** When the first look was answered that does not show it. */
   missingSinceMs: number | null;
 }
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -13,6 +13,7 @@
 import { logLine, type Turn } from "./turn.js";
 import { endStrays } from "./strays.js";
 import { dropUnseen } from "./unseen.js";
+import { lookGapMs } from "./loopLag.js";
 import { stopStalled } from "./stalled.js";
 import { NO_ROOM } from "./room.js";
 import { leaveOut, noteLeaving, takeIn } from "./workerSet.js";
@@ -173,7 +174,7 @@
     return;
   }
   worker.lookOrder = null;
-  worker.nextLookAtMs = turn.nowMs + LEASE.LOOK_GAP_MS;
+  worker.nextLookAtMs = turn.nowMs + lookGapMs(turn.work);
   workerChanged(owned, worker);
   const bornWallMs = event.seenBornWallMs ?? worker.report.bornWallMs;
   const report = { ...worker.report, bornWallMs, clockMs: event.clockMs };
@@ -211,7 +212,7 @@
     }
   }
   for (const line of event.running) {
-    runSeen(turn, owned, worker, line, event.sentAtMs);
+    runSeen(turn, owned, worker, line, event);
   }
   checkListedRoom(turn, owned, worker, event.running);
   if (event.endsComplete) {
--- a/packages/core/tests/work/nextLife.test.ts
+++ b/packages/core/tests/work/nextLife.test.ts
@@ -35,12 +35,12 @@
 const startsElsewhere = (node: OwnerNode): number =>
   node.starts.filter(({ worker }) => worker === "other").length;
 
-/** The first worker is dark for a time. */
+/** No worker answers for a time. */
 const failLooks = (node: OwnerNode, forMs: number): void => {
   const untilMs = node.nowMs + forMs;
   while (node.nowMs < untilMs) {
     node.run(500);
-    node.looks.slice(-1).forEach((look) => {
+    node.openLooks().forEach((look) => {
       node.failLook(look, false);
     });
   }
--- a/packages/core/tests/work/ownerNode.ts
+++ b/packages/core/tests/work/ownerNode.ts
@@ -158,6 +158,11 @@
     return look;
   }
 
+  /** @returns Looks that have no answer yet, oldest first. */
+  openLooks(): LookEffect[] {
+    return this.looks.filter((look) => !this.settledLooks.has(look));
+  }
+
   /** Runs on until a look at a worker is under way. */
   nextLookAt(id: string): LookEffect {
     for (let waitedMs = 0; waitedMs < 2_000; waitedMs += TICK_MS) {
