--- /dev/null
+++ b/bench/src/slopes/eventCosts.ts
@@ -0,0 +1,52 @@
+/** What handling events of one kind has cost. */
+interface Cost {
+  readonly us: number[];
+  steps: number;
+}
+
+export interface CostLine {
+  readonly kind: string;
+  readonly count: number;
+  readonly medianUs: number;
+  readonly meanUs: number;
+  readonly steps: number;
+}
+
+const sumOf = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0);
+
+/** Gathers what events cost, by kind. */
+export class EventCosts {
+  private readonly kinds = new Map<string, Cost>();
+
+  note(kind: string, us: number, steps: number): void {
+    let cost = this.kinds.get(kind);
+    if (cost === undefined) {
+      cost = { us: [], steps: 0 };
+      this.kinds.set(kind, cost);
+    }
+    cost.us.push(us);
+    cost.steps += steps;
+  }
+
+  clear(): void {
+    this.kinds.clear();
+  }
+
+  /** @returns Microseconds of all events. */
+  totalUs(): number {
+    return sumOf([...this.kinds.values()].map(({ us }) => sumOf(us)));
+  }
+
+  /** @returns A line for each kind, in the order of their names. */
+  lines(): CostLine[] {
+    return [...this.kinds]
+      .map(([kind, { us, steps }]) => ({
+        kind,
+        count: us.length,
+        medianUs: [...us].sort((one, other) => one - other)[us.length >> 1] ?? 0,
+        meanUs: sumOf(us) / us.length,
+        steps: steps / us.length,
+      }))
+      .sort((one, other) => one.kind.localeCompare(other.kind));
+  }
+}
--- a/bench/src/slopes/heap.ts
+++ b/bench/src/slopes/heap.ts
@@ -1,6 +1,7 @@
 const ROUNDS = 3;
 
-const usedHeapBytes = (): number => {
+/** @returns Bytes of the heap in use, after garbage is collected. */
+export const usedHeapBytes = (): number => {
   for (let round = 0; round < ROUNDS; round += 1) {
     globalThis.gc?.();
   }
--- a/bench/src/slopes/main.ts
+++ b/bench/src/slopes/main.ts
@@ -5,6 +5,7 @@
 import { designRules, hostRowAt, memberRowAt, rulesHeadRow, zoneRows } from "./designRows.js";
 import { DESIGN_SIZE } from "./designSize.js";
 import { heapBytesEach } from "./heap.js";
+import { measureSubmissions } from "./submissions.js";
 import { microsecondsEach } from "./timing.js";
 
 const CALLS = 20_000;
@@ -160,9 +161,23 @@
   sayFigure("the same by copies", copyUs, "µs");
 };
 
-measureRequests();
-measureTicks();
-measureReads();
-measureHeap();
-measureBytes();
-measureContainers();
+const PARTS = {
+  control: () => {
+    measureRequests();
+    measureTicks();
+    measureReads();
+    measureHeap();
+    measureBytes();
+    measureContainers();
+  },
+  submissions: () => {
+    measureSubmissions(say);
+  },
+} as const;
+
+const asked = process.argv.slice(2);
+for (const [name, measurePart] of Object.entries(PARTS)) {
+  if (asked.length === 0 || asked.includes(name)) {
+    measurePart();
+  }
+}
