A new owner counts what teams may have running once a worker, not all of it each time

Callers saw starts late after a change of the owner on sites of hundreds of workers.

Cause: for each worker that a new owner hears, tickRecovery let go of the worker's items by walking all that is held (releaseItems) and counted the use of all teams by held items anew (heldUse, with four look-ups of a split key for each item). So a take-over took workers times items; and every event walked all workers that were not heard yet. It was the largest part of what a new owner did in its first seconds.

Change: what a held item counts is kept by item and changes when a worker that names it is heard; its own row tells which items those are. Items that rows of several workers name, or of which a run is booked, are looked at again at each hearing, since their run may end before. Workers that have seen the fence are noted when they do.

'a new owner walks all items that are held for each worker that it hears' fails on the code before. 'a team's items that may run unheard' holds on both: the count stays the same. heldItems.test.ts names the worker's items in its calls now, and asks the same of them.

--- a/packages/core/src/work/recovery.ts
+++ b/packages/core/src/work/recovery.ts
@@ -1,13 +1,11 @@
-import type { TeamId } from "@heatherferry/common";
 import { LEASE, STORE } from "./constants.js";
+import { lookedAt } from "./effort.js";
 import type { Scan, StoreRow, WorkEvent } from "./events.js";
-import { releaseItems, takeLeases } from "./heldItems.js";
+import { chargeHeldItems, itemsNamed, releaseItems, takeLeases } from "./heldItems.js";
 import { leaseChanged } from "./leaseRows.js";
 import { poolOf } from "./pools.js";
-import type { OwnedWork, TeamUse } from "./state.js";
-import { findItem, specOf, teamOf } from "./itemLookup.js";
+import type { OwnedWork } from "./state.js";
 import { adoptHandIn, cancelOwned } from "./submissions.js";
-import { chargeTeam } from "./teamUse.js";
 import { logLine, vouchedAtMs, wakeAfter, type Turn } from "./turn.js";
 import type { Progress, SubmissionId, WorkerId } from "./types.js";
 import { waveReported } from "./waves.js";
@@ -78,7 +76,7 @@
   cancels.forEach((id) => {
     cancelOwned(turn, id);
   });
-  owned.heldUse = heldUse(owned);
+  chargeHeldItems(owned, owned.heldItems.keys());
   logLine(turn, "info", "owner.loaded", {
     fence: Number(owned.fence),
     submissions: owned.submissions.size,
@@ -95,17 +93,13 @@
   }
   const longestLeaseMs = LEASE.TERM_MS / LEASE.SLOWEST_CLOCK + LEASE.END_MARGIN_MS;
   const leasesOver = turn.nowMs - owned.takenAtMs > longestLeaseMs;
-  const unheardBefore = owned.unheard.size;
-  for (const id of [...owned.unheard.keys()]) {
-    if (leasesOver || owned.workers.get(id)?.fenced === true) {
-      workerHeard(owned, id);
-    }
-  }
-  if (owned.unheard.size === unheardBefore) {
-    return;
+  const heard = leasesOver ? [...owned.unheard.keys()] : [...owned.newlyFenced];
+  owned.newlyFenced.clear();
+  lookedAt(turn, heard.length);
+  for (const id of heard) {
+    workerHeard(turn, owned, id);
   }
-  owned.heldUse = heldUse(owned);
-  if (owned.unheard.size === 0) {
+  if (heard.length > 0 && owned.unheard.size === 0) {
     logLine(turn, "info", "owner.allHeard", {
       leasesOver,
       afterMs: Math.round(turn.nowMs - owned.takenAtMs),
@@ -113,25 +107,17 @@
   }
 };
 
-/** @returns What teams may have running as items that are held. */
-const heldUse = (owned: OwnedWork): ReadonlyMap<TeamId, TeamUse> => {
-  const uses = new Map<TeamId, TeamUse>();
-  for (const key of owned.heldItems.keys()) {
-    const spec = specOf(owned, key);
-    const booked = (findItem(owned, key)?.run ?? null) !== null;
-    if (spec !== null && !booked) {
-      chargeTeam(uses, teamOf(owned, key), spec.needs, 1);
-    }
-  }
-  return uses;
-};
-
-const workerHeard = (owned: OwnedWork, id: WorkerId): void => {
+const workerHeard = (turn: Turn, owned: OwnedWork, id: WorkerId): void => {
   const leased = owned.unheard.get(id);
+  if (leased === undefined) {
+    return;
+  }
+  const items = itemsNamed(leased);
+  lookedAt(turn, items.length + owned.heldUncharged.size);
   owned.unheard.delete(id);
   leaseChanged(owned, id);
-  releaseItems(owned.heldItems, id);
-  if (leased !== undefined) {
-    poolOf(owned, leased.pool).dirty = true;
-  }
+  releaseItems(owned.heldItems, id, items);
+  chargeHeldItems(owned, items);
+  chargeHeldItems(owned, [...owned.heldUncharged]);
+  poolOf(owned, leased.pool).dirty = true;
 };
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -1,5 +1,5 @@
 import type { HostId, PoolId, TeamId } from "@heatherferry/common";
-import type { HeldItems } from "./heldItems.js";
+import type { HeldCharge, HeldItems } from "./heldItems.js";
 import type { Allowance } from "./allowance.js";
 import type { Effort } from "./effort.js";
 import type { CallArrival, Commit, Feed, Scan, StoreRow } from "./events.js";
@@ -8,6 +8,7 @@
   Fence,
   HandIn,
   HostListing,
+  ItemKey,
   LeasedWorker,
   OwnerRow,
   StoreVersion,
@@ -71,7 +72,13 @@
   readonly teams: Map<TeamId, TeamUse>;
   readonly allowances: Map<TeamId, Allowance>;
   /** What teams may have running on workers that were not heard yet. */
-  heldUse: ReadonlyMap<TeamId, TeamUse>;
+  readonly heldUse: Map<TeamId, TeamUse>;
+  /** The part of it that each item that is held makes up. */
+  readonly heldCharges: Map<ItemKey, HeldCharge>;
+  /** Items that are held and count otherwise, or not at all. */
+  readonly heldUncharged: Set<ItemKey>;
+  /** Workers that have seen this owner's fence since what they held back was last looked at. */
+  readonly newlyFenced: Set<WorkerId>;
   readonly dirty: Set<Submission>;
   /** Occurrences to come, with their times. */
   readonly scheduled: Set<Submission>;
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -191,6 +191,9 @@
     worker.fenced = true;
     // Where the owner before had nothing running, nothing can be under way to its stop.
     const before = owned.unheard.get(worker.report.id);
+    if (before !== undefined) {
+      owned.newlyFenced.add(worker.report.id);
+    }
     if (before !== undefined && (before.stopping || owned.stopsUnknown)) {
       worker.roomKnownAtMs = turn.nowMs + turn.work.bounds.stopMs;
     }
--- a/packages/core/tests/work/heldItems.test.ts
+++ b/packages/core/tests/work/heldItems.test.ts
@@ -9,9 +9,9 @@
     const held: HeldItems = new Map();
     holdItem(held, item, first);
     holdItem(held, item, second);
-    releaseItems(held, heardFirst);
+    releaseItems(held, heardFirst, [item]);
     t.true(held.has(item));
-    releaseItems(held, heardFirst === first ? second : first);
+    releaseItems(held, heardFirst === first ? second : first, [item]);
     t.false(held.has(item));
   }
 });
--- /dev/null
+++ b/packages/core/tests/work/heldUse.test.ts
@@ -0,0 +1,107 @@
+import { teamId } from "@heatherferry/common";
+import test from "ava";
+import {
+  itemKeyOf,
+  storeVersion,
+  submissionId,
+  workerId,
+  type ItemKey,
+  type OwnedWork,
+  type StoreRow,
+} from "../../src/index.js";
+import { handInOf, OwnerNode, reportOf } from "./ownerNode.js";
+import { stepOf, workOf } from "./workSpecs.js";
+
+const ID = "00000000000000aa";
+const WORKERS = 30;
+const ITEMS = 300;
+const CPU_MILLI = 10;
+const version = storeVersion(1);
+
+const itemAt = (index: number): ItemKey => itemKeyOf(submissionId(ID), 0, 0, index);
+
+/** Each worker's row names ten items, and one that the row of the worker after it names too. */
+const namedBy = (worker: number): number[] => [
+  ...Array.from({ length: 10 }, (_, offset) => worker * 10 + offset),
+  ((worker + 1) % WORKERS) * 10,
+];
+
+const takenOver = (): OwnerNode => {
+  const indexes = Array.from({ length: WORKERS }, (_, index) => index);
+  const leases: StoreRow[] = indexes.map((index) => ({
+    type: "lease",
+    version,
+    worker: workerId(`w${index}`),
+    lease: {
+      pool: reportOf("w", 0).pool,
+      items: { [`${ID}.0.0`]: namedBy(index) },
+      stopping: false,
+    },
+  }));
+  const handIn = handInOf(ID, workOf([stepOf(ITEMS, CPU_MILLI, [])]));
+  return new OwnerNode({
+    workers: indexes.map((index) => ({
+      type: "worker",
+      version,
+      report: reportOf(`w${index}`, 100),
+    })),
+    handIns: [{ type: "handIn", version, handIn }],
+    leases,
+  });
+};
+
+const ownedBy = (node: OwnerNode): OwnedWork => {
+  const owned = node.state.work?.owned;
+  if (owned == null) {
+    throw new Error("the node owns nothing");
+  }
+  return owned;
+};
+
+const heldCpuMilli = (owned: OwnedWork): number => owned.heldUse.get(teamId("lots"))?.cpuMilli ?? 0;
+
+test("a team's items that may run unheard are counted wrongly once rows of two workers name one", (t) => {
+  const node = takenOver();
+  const owned = ownedBy(node);
+  t.is(owned.unheard.size, WORKERS);
+  t.is(heldCpuMilli(owned), ITEMS * CPU_MILLI);
+  for (let worker = 0; worker < WORKERS; worker += 1) {
+    // Of the items that two rows name, every other one is found on the worker that is heard first.
+    const running = worker % 2 === 0 ? [itemAt(((worker + 1) % WORKERS) * 10)] : [];
+    node.answerLook(node.lookAt(`w${worker}`), {
+      bornWallMs: 100,
+      running: running.map((item) => ({ item, run: 1, checkpoint: "", percent: 1, load: null })),
+    });
+    const unbooked = [...owned.heldItems.keys()].filter((key) => {
+      const index = Number(key.slice(key.lastIndexOf(".") + 1));
+      return (
+        owned.submissions.get(submissionId(ID))?.occurrences.get(0)?.steps[0]?.[index]?.run === null
+      );
+    });
+    t.is(heldCpuMilli(owned), unbooked.length * CPU_MILLI);
+  }
+  t.is(owned.unheard.size, 0);
+  t.is(heldCpuMilli(owned), 0);
+});
+
+test("a new owner walks all items that are held for each worker that it hears", (t) => {
+  const node = takenOver();
+  const owned = ownedBy(node);
+  let walked = 0;
+  const { heldItems } = owned;
+  const keys = heldItems.keys.bind(heldItems);
+  const entries = heldItems.entries.bind(heldItems);
+  heldItems.keys = () => {
+    walked += heldItems.size;
+    return keys();
+  };
+  heldItems[Symbol.iterator] = () => {
+    walked += heldItems.size;
+    return entries();
+  };
+  for (let worker = 0; worker < WORKERS; worker += 1) {
+    node.answerLook(node.lookAt(`w${worker}`), { bornWallMs: 100 });
+  }
+  t.is(owned.unheard.size, 0);
+  t.true(walked <= ITEMS);
+});
--- a/packages/core/tests/work/ownerNode.ts
+++ b/packages/core/tests/work/ownerNode.ts
@@ -76,7 +76,7 @@
   readonly stops: EffectOf<"worker/stop">[] = [];
   private readonly lines: EffectOf<"log/write">[] = [];
   private readonly written: RowToWrite[] = [];
-  private readonly state: State;
+  readonly state: State;
   private readonly feeds = new Map<Feed, EffectOf<"store/feed">>();
   private readonly due: { readonly atMs: number; readonly event: Untimed<Event> }[] = [];
   private readonly settledLooks = new Set<LookEffect>();
