--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -1,6 +1,6 @@
 import type { HostId, PoolId, QueueId, TeamId } from "@heatherferry/common";
 import type { DueQueue } from "@heatherferry/coordination";
-import type { HeldItems } from "./heldItems.js";
+import type { HeldCharge, HeldItems } from "./heldItems.js";
 import type { Allowance } from "./allowance.js";
 import { indexCatalog, type CatalogIndex } from "./catalog.js";
 import type { Effort } from "./effort.js";
@@ -10,6 +10,7 @@
   Fence,
   HandIn,
   HostListing,
+  ItemKey,
   LeasedWorker,
   OwnerRow,
   StoreVersion,
@@ -82,7 +83,13 @@
   readonly teams: Map<TeamId, TeamUse>;
   readonly allowances: Map<TeamId, Allowance>;
   /** What teams may have running on workers that were not heard yet. */
-  heldUse: ReadonlyMap<TeamId, TeamUse>;
+  readonly heldUse: Map<TeamId, TeamUse>;
+  /** The part of it that each item that is held makes up. */
+  readonly heldCharges: Map<ItemKey, HeldCharge>;
+  /** Items that are held and count otherwise, or not at all. */
+  readonly heldUncharged: Set<ItemKey>;
+  /** Workers that have seen this owner's fence since what they held back was last looked at. */
+  readonly newlyFenced: Set<WorkerId>;
   readonly dirty: Set<Submission>;
   /** Accepted submissions without a started item, by queue. */
   readonly queuedCounts: Map<QueueId, number>;
