--- a/packages/core/tests/work/ownerNode.ts
+++ b/packages/core/tests/work/ownerNode.ts
@@ -80,7 +80,7 @@
   private readonly feeds = new Map<Feed, EffectOf<"store/feed">>();
   private readonly due: { readonly atMs: number; readonly event: Untimed<Event> }[] = [];
   private readonly settledLooks = new Set<LookEffect>();
-  private version = 1;
+  protected version = 1;
 
   /** @param rows - What the store holds when the node takes over. */
   constructor(private readonly rows: Partial<Record<Scan, readonly StoreRow[]>> = {}) {
@@ -234,7 +234,7 @@
     });
   }
 
-  private feed(feed: Feed, row: StoreRow): void {
+  protected feed(feed: Feed, row: StoreRow): void {
     const asked = this.nextFeed(feed);
     this.feeds.delete(feed);
     this.version += 1;
