Measure what an owner and a node at the door take under a site's load

npm run bench:owner runs one owner and four nodes at the door as real processes on loopback, against stand-ins of the store and of 250 executors that report themselves every 1.5 s.

The stand-ins of store and executor move from the tests of platform to the stand-ins, since the bench must not import tests.

--- /dev/null
+++ b/apps/standins/src/processes/freePort.ts
@@ -0,0 +1,13 @@
+import { createServer } from "node:net";
+
+/** @returns A port of 127.0.0.1 that nothing listened on a moment ago. */
+export const freePort = async (): Promise<number> =>
+  new Promise((resolve) => {
+    const server = createServer();
+    server.listen(0, "127.0.0.1", () => {
+      const bound = server.address();
+      server.close(() => {
+        resolve(typeof bound === "object" && bound !== null ? bound.port : 0);
+      });
+    });
+  });
--- a/platform/tests/standIn/jsonServer.ts
+++ b/apps/standins/src/work/jsonServer.ts
@@ -8,6 +8,9 @@
   readonly lost?: boolean;
 }
 
+/** Callers may leave a connection idle for so long. */
+const IDLE_MS = 65_000;
+
 const readText = async (request: IncomingMessage): Promise<string> => {
   const chunks: Buffer[] = [];
   for await (const chunk of request) {
@@ -21,7 +24,7 @@
   private readonly server: Server;
 
   constructor() {
-    this.server = createServer((request, response) => {
+    this.server = createServer({ keepAliveTimeout: IDLE_MS }, (request, response) => {
       void this.serve(request, response);
     });
   }
--- a/platform/tests/standIn/storeStandIn.ts
+++ b/apps/standins/src/work/storeStandIn.ts
@@ -1,14 +1,8 @@
 import { JsonServer, type Reply } from "./jsonServer.js";
+import { StoreTable, type RowPlace } from "./storeTable.js";
 
-interface Place {
+interface Place extends RowPlace {
   readonly table: string;
-  readonly part: string;
-  readonly key: string;
-}
-
-interface Row extends Place {
-  readonly value: string | null;
-  readonly ver: number;
 }
 
 interface Transaction {
@@ -17,13 +11,9 @@
   readonly remove: readonly Place[];
 }
 
-const nameOf = ({ table, part, key }: Place): string => `${table}\n${part}\n${key}`;
-
-const POLL_MS = 10;
-
 /** The platform's store after its protocol: rows, transactions, ranges, feeds. */
 export class StoreStandIn extends JsonServer {
-  private readonly rows = new Map<string, Row>();
+  private readonly tables = new Map<string, StoreTable>();
   private version = 1;
   /** Transactions whose reply is lost after they took effect. */
   loseReplies = 0;
@@ -42,12 +32,12 @@
     const value = Buffer.from(typeof body === "string" ? body : JSON.stringify(body));
     this.version += 1;
     const row = { table, part: "", key, value: value.toString("base64"), ver: this.version };
-    this.rows.set(nameOf(row), row);
+    this.table(table).set(row);
   }
 
   /** @returns A row's text, or null. */
   text(table: string, part: string, key: string): string | null {
-    const value = this.rows.get(nameOf({ table, part, key }))?.value;
+    const value = this.table(table).get({ part, key })?.value;
     return value == null ? null : Buffer.from(value, "base64").toString("utf8");
   }
 
@@ -72,20 +62,31 @@
     }
   }
 
+  private table(name: string): StoreTable {
+    let table = this.tables.get(name);
+    if (table === undefined) {
+      table = new StoreTable();
+      this.tables.set(name, table);
+    }
+    return table;
+  }
+
   private transact(transaction: Transaction): Reply {
     const held = transaction.expectedRev.every(
-      (place) => (this.rows.get(nameOf(place))?.ver ?? 0) === place.ver,
+      (place) => (this.table(place.table).get(place)?.ver ?? 0) === place.ver,
     );
     if (!held) {
-      const rows = transaction.expectedRev.flatMap((place) => this.rows.get(nameOf(place)) ?? []);
+      const rows = transaction.expectedRev.flatMap(
+        (place) => this.table(place.table).get(place) ?? [],
+      );
       return { status: 412, body: { rows, ver: this.version, nowMs: performance.now() } };
     }
     this.version += 1;
     for (const row of transaction.write) {
-      this.rows.set(nameOf(row), { ...row, ver: this.version });
+      this.table(row.table).set({ ...row, ver: this.version });
     }
     for (const place of transaction.remove) {
-      this.rows.delete(nameOf(place));
+      this.table(place.table).remove(place, this.version);
     }
     const lost = this.loseReplies > 0;
     this.loseReplies -= lost ? 1 : 0;
@@ -94,17 +95,11 @@
 
   private range(query: URLSearchParams): unknown {
     const limit = Number(query.get("limit") ?? 500);
-    const from = query.get("from") ?? "";
-    const until = query.get("target");
-    const rows = [...this.rows.values()]
-      .filter(
-        ({ table, part, key }) =>
-          table === query.get("table") &&
-          part === query.get("part") &&
-          key >= from &&
-          (until === null || key < until),
-      )
-      .sort((one, other) => (one.key < other.key ? -1 : 1));
+    const rows = this.table(query.get("table") ?? "").range(
+      query.get("part") ?? "",
+      query.get("from") ?? "",
+      query.get("target"),
+    );
     return {
       rows: rows.slice(0, limit),
       hasMore: rows.length > limit,
@@ -118,14 +113,13 @@
     if (after < this.forgottenUpTo) {
       return { status: 410 };
     }
-    for (let waitedMs = 0; ; waitedMs += POLL_MS) {
-      const rows = [...this.rows.values()]
-        .filter(({ table, ver }) => table === query.get("table") && ver > after)
-        .sort((one, other) => one.ver - other.ver);
-      if (rows.length > 0 || waitedMs >= Number(query.get("waitMs"))) {
-        return { status: 200, body: { rows, ver: this.version, nowMs: performance.now() } };
-      }
-      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    const table = this.table(query.get("table") ?? "");
+    const untilMs = performance.now() + Number(query.get("waitMs"));
+    let rows = table.changedAfter(after);
+    while (rows.length === 0 && performance.now() < untilMs) {
+      await table.nextChange(untilMs - performance.now());
+      rows = table.changedAfter(after);
     }
+    return { status: 200, body: { rows, ver: this.version, nowMs: performance.now() } };
   }
 }
--- /dev/null
+++ b/apps/standins/src/work/storeTable.ts
@@ -0,0 +1,81 @@
+/** Where a row lies within its table. */
+export interface RowPlace {
+  readonly part: string;
+  readonly key: string;
+}
+
+/** A row as the store answers it. */
+export interface StandInRow extends RowPlace {
+  readonly table: string;
+  readonly value: string | null;
+  readonly ver: number;
+  readonly deleted?: boolean;
+}
+
+/** One table: its rows, and all its changes in order. */
+export class StoreTable {
+  private readonly parts = new Map<string, Map<string, StandInRow>>();
+  private readonly changes: StandInRow[] = [];
+  private readonly waiting = new Set<() => void>();
+
+  get({ part, key }: RowPlace): StandInRow | null {
+    return this.parts.get(part)?.get(key) ?? null;
+  }
+
+  set(row: StandInRow): void {
+    let rows = this.parts.get(row.part);
+    if (rows === undefined) {
+      rows = new Map();
+      this.parts.set(row.part, rows);
+    }
+    rows.set(row.key, row);
+    this.changed(row);
+  }
+
+  remove({ part, key }: RowPlace, ver: number): void {
+    const row = this.parts.get(part)?.get(key);
+    if (row !== undefined) {
+      this.parts.get(part)?.delete(key);
+      this.changed({ ...row, value: null, ver, deleted: true });
+    }
+  }
+
+  /** @returns Rows of a part by key, from one key to before another. */
+  range(part: string, from: string, until: string | null): readonly StandInRow[] {
+    return [...(this.parts.get(part)?.values() ?? [])]
+      .filter(({ key }) => key >= from && (until === null || key < until))
+      .sort((one, other) => (one.key < other.key ? -1 : 1));
+  }
+
+  /** @returns The newest change of each row that changed after a version, in order. */
+  changedAfter(version: number): readonly StandInRow[] {
+    const from = this.changes.findLastIndex(({ ver }) => ver <= version) + 1;
+    const newest = new Map<string, StandInRow>();
+    for (const row of this.changes.slice(from)) {
+      const name = `${row.part}\n${row.key}`;
+      newest.delete(name);
+      newest.set(name, row);
+    }
+    return [...newest.values()];
+  }
+
+  /** Until the next change, or the time is over. */
+  async nextChange(waitMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const wake = (): void => {
+        clearTimeout(timer);
+        this.waiting.delete(wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, waitMs);
+      this.waiting.add(wake);
+    });
+  }
+
+  private changed(row: StandInRow): void {
+    this.changes.push(row);
+    [...this.waiting].forEach((wake) => {
+      wake();
+    });
+  }
+}
