--- a/packages/core/tests/work/ownerNode.ts
+++ b/packages/core/tests/work/ownerNode.ts
@@ -206,7 +206,7 @@
 
   answerStart(
     start: StartEffect,
-    result: "started" | "unanswered" | "unhealthy" | "refused",
+    result: "started" | "unanswered" | "unhealthy" | "refused" | "heldUp",
     answeredClockMs = this.nowMs,
   ): void {
     const { item, run } = start;
@@ -217,7 +217,7 @@
       run,
       result,
       reason: null,
-      clockMs: result === "unanswered" ? null : answeredClockMs,
+      clockMs: result === "unanswered" || result === "heldUp" ? null : answeredClockMs,
     });
   }
 
