Work that lasts uses whatever room is free, and keeps room for each of its items

Cause: an item with room kept on a worker waited for that room alone, and made its whole step wait; only one item of a step had room kept; a pass ended after twelve submissions without room, however small what waited behind them was.

Change: an item tries the room that is kept, then any other; each item of a lasting step has room kept, on the worker with the least of it; a pass ends after so many searches of the workers, and what fits nowhere is not searched for again.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -270,10 +270,10 @@
 } as const;
 
 export const PLACING = {
-  /** Submissions of a pool that may find no room before a pass ends. */
+  /** Searches of all workers of a pool that may find no room before a pass ends. */
   MOST_MISSES: 12,
-  /** Submissions that a pass looks at; the next one goes on. */
-  MOST_TRIED: 128,
+  /** Submissions that a pass looks at. */
+  MOST_TRIED: 512,
   /** Submissions of a team that may meet its ceiling before a pass leaves the team out. */
   MOST_CAPPED: 8,
   /** Pause between two passes over work that waits for workers or ceilings. */
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -5,7 +5,7 @@
 import { planGang } from "./gangs.js";
 import { isSure } from "./certainty.js";
 import { poolOf } from "./pools.js";
-import { findRoom, usableWorkers } from "./places.js";
+import { findRoom, keepRoom, keptPlace, usableWorkers } from "./places.js";
 import { withinCeiling } from "./placement.js";
 import { RESOURCES, roomOf, withdrawRoom } from "./room.js";
 import { nextRunNumber, planStart } from "./starts.js";
@@ -20,6 +20,10 @@
   readonly workers: readonly Worker[];
   /** Room that no worker has, whatever else an item asks for; it only grows less in a pass. */
   readonly tooMuch: Resources[];
+  /** The same for what comes free when work ends. */
+  readonly tooMuchLater: Resources[];
+  /** Searches of all workers that found none. */
+  misses: number;
   /** Submissions that have met the ceiling of their team, by team. */
   readonly capped: Map<TeamId | null, number>;
 }
@@ -27,32 +31,46 @@
 /** Why some items of a submission were not placed; null where all were. */
 type Shortage = "room" | "ceiling" | null;
 
-const fitsNowhere = ({ tooMuch }: PlacingPass, spec: StepSpec): boolean => {
+const fitsNowhere = (tooMuch: readonly Resources[], spec: StepSpec): boolean => {
   const room = roomOf(spec);
   return tooMuch.some((missing) =>
     RESOURCES.every((resource) => room[resource] >= missing[resource]),
   );
 };
 
-const noteMissing = (pass: PlacingPass, { spec }: Item): void => {
+const noteMiss = (pass: PlacingPass, tooMuch: Resources[], spec: StepSpec): void => {
+  pass.misses += 1;
   if (spec.requiredLabel === null && spec.maxPerWorker === null) {
-    pass.tooMuch.push(roomOf(spec));
+    tooMuch.push(roomOf(spec));
   }
 };
 
-/** Plans a start where there is room. */
-const placeItem = (turn: Turn, owned: OwnedWork, pass: PlacingPass, item: Item): boolean => {
-  // For work that lasts, room that comes free later is kept.
-  if (item.place === null && !item.spec.lasting && fitsNowhere(pass, item.spec)) {
-    return false;
+/** @returns The worker to start an item on now, or null where it has to wait. */
+const findPlace = (turn: Turn, owned: OwnedWork, pass: PlacingPass, item: Item): Worker | null => {
+  const kept = keptPlace(turn, owned, item);
+  if (kept !== null || fitsNowhere(pass.tooMuch, item.spec)) {
+    return kept;
   }
-  const worker = findRoom(turn, owned, pass.workers, item);
+  const worker = findRoom(turn, pass.workers, item);
   if (worker === null) {
-    noteMissing(pass, item);
-    return false;
+    noteMiss(pass, pass.tooMuch, item.spec);
+  }
+  return worker;
+};
+
+/** Plans a start where there is room; for work that lasts, what comes free later is kept. */
+const placeItem = (turn: Turn, owned: OwnedWork, pass: PlacingPass, item: Item): boolean => {
+  const { spec } = item;
+  const worker = findPlace(turn, owned, pass, item);
+  if (worker !== null) {
+    planStart(turn, owned, worker, item, nextRunNumber(owned, item));
+    return true;
+  }
+  const keeps = spec.lasting && item.place === null && !fitsNowhere(pass.tooMuchLater, spec);
+  if (keeps && !keepRoom(turn, owned, pass.workers, item)) {
+    noteMiss(pass, pass.tooMuchLater, spec);
   }
-  planStart(turn, owned, worker, item, nextRunNumber(owned, item));
-  return true;
+  return false;
 };
 
 const placeItems = (
@@ -77,7 +95,7 @@
     } else if (!withinCeiling(turn, owned, submission, item.spec)) {
       withdrawRoom(owned, item);
       capped = true;
-    } else if (item.place !== null || !fullSteps.has(step)) {
+    } else if (item.spec.lasting || !fullSteps.has(step)) {
       if (!placeItem(turn, owned, pass, item)) {
         fullSteps.add(step);
       }
@@ -108,26 +126,26 @@
   const pass: PlacingPass = {
     workers: usableWorkers(turn, owned, pool),
     tooMuch: [],
+    tooMuchLater: [],
+    misses: 0,
     capped: new Map(),
   };
   if (pass.workers.length === 0) {
     return;
   }
   const inLine = new LinePass(pool.waiting);
-  let misses = 0;
   let tried = 0;
   let submission = inLine.next();
   while (
     submission !== null &&
     !isFull() &&
-    misses < PLACING.MOST_MISSES &&
+    pass.misses < PLACING.MOST_MISSES &&
     tried < PLACING.MOST_TRIED
   ) {
     tried += 1;
     const to = poolOfSubmission(turn, submission.handIn);
     if (to === pool.id) {
       const shortage = placeItems(turn, owned, pass, submission);
-      misses += shortage === "room" ? 1 : 0;
       if (shortage === "ceiling" && isCapped(pass, submission)) {
         inLine.skipTeam();
       }
--- a/packages/core/src/work/places.ts
+++ b/packages/core/src/work/places.ts
@@ -36,9 +36,15 @@
   });
 };
 
-/** @returns The worker that keeps room for an item, among those that take work. */
-const promisedPlace = (workers: readonly Worker[], item: Item): Worker | null =>
-  item.place === null ? null : (workers.find(({ promised }) => promised.has(item)) ?? null);
+/** @returns The worker that keeps room for an item, if it takes work; else the item keeps no room. */
+const promisedPlace = (turn: Turn, owned: OwnedWork, item: Item): Worker | null => {
+  const worker = item.place === null ? undefined : owned.workers.get(item.place);
+  if (worker?.promised.has(item) === true && isUsable(turn, owned, worker)) {
+    return worker;
+  }
+  withdrawRoom(owned, item);
+  return null;
+};
 
 const roomIsFree = (worker: Worker): boolean =>
   worker.usedCpuMilli <= worker.report.capacity.cpuMilli &&
@@ -60,45 +66,53 @@
   });
 };
 
+const comesFreeBefore = (worker: Worker, other: Worker): boolean =>
+  worker.promised.size === other.promised.size
+    ? worker.runs.size < other.runs.size
+    : worker.promised.size < other.promised.size;
+
 /** @returns The worker on which room for an item comes free soonest, or null. */
 const chooseLater = (workers: readonly Worker[], item: Item): Worker | null => {
   let best: Worker | null = null;
   for (const worker of workers) {
-    const fewer = best === null || worker.runs.size < best.runs.size;
-    if (fewer && mayRunOn(worker, item) && fitsLater(worker, item)) {
+    const sooner = best === null || comesFreeBefore(worker, best);
+    if (sooner && mayRunOn(worker, item) && fitsLater(worker, item)) {
       best = worker;
     }
   }
   return best;
 };
 
+/** @returns The worker on which the room that is kept for an item is free by now, or null. */
+export const keptPlace = (turn: Turn, owned: OwnedWork, item: Item): Worker | null => {
+  const promised = promisedPlace(turn, owned, item);
+  return promised !== null && roomIsFree(promised) ? promised : null;
+};
+
+/** @returns The worker that suits an item best now, or null where none of them has room. */
+export const findRoom = (turn: Turn, workers: readonly Worker[], item: Item): Worker | null => {
+  lookedAt(turn, workers.length);
+  return chooseWorker(workers, item, roomOf(item.spec));
+};
+
 /**
- * Finds room for an item. Work that lasts is restarted within seconds however full its pool is, so
- * where none has room, a worker keeps free what comes free there.
+ * Keeps what comes free on a worker for an item. Work that lasts is restarted within seconds however
+ * full its pool is.
  *
- * @param workers - Those that take work.
- * @returns The worker to start it on, or null where it has to wait.
+ * @returns Whether a worker will have room for it.
  */
-export const findRoom = (
+export const keepRoom = (
   turn: Turn,
   owned: OwnedWork,
   workers: readonly Worker[],
   item: Item,
-): Worker | null => {
-  const promised = promisedPlace(workers, item);
-  if (promised !== null) {
-    return roomIsFree(promised) ? promised : null;
-  }
-  withdrawRoom(owned, item);
+): boolean => {
   lookedAt(turn, workers.length);
-  const worker = chooseWorker(workers, item, roomOf(item.spec));
-  if (worker === null && item.spec.lasting) {
-    const later = chooseLater(workers, item);
-    if (later !== null) {
-      promise(turn, owned, later, item);
-    }
+  const later = chooseLater(workers, item);
+  if (later !== null) {
+    promise(turn, owned, later, item);
   }
-  return worker;
+  return later !== null;
 };
 
 /**
@@ -113,14 +127,12 @@
   workers: readonly Worker[],
   item: Item,
 ): boolean => {
-  if (promisedPlace(workers, item) === null) {
-    withdrawRoom(owned, item);
-    const worker = chooseWorker(workers, item, roomOf(item.spec)) ?? chooseLater(workers, item);
+  if (promisedPlace(turn, owned, item) === null) {
+    const worker = findRoom(turn, workers, item);
     if (worker === null) {
-      return false;
+      return keepRoom(turn, owned, workers, item) && keptPlace(turn, owned, item) !== null;
     }
     promise(turn, owned, worker, item);
   }
-  const place = promisedPlace(workers, item);
-  return place !== null && roomIsFree(place);
+  return keptPlace(turn, owned, item) !== null;
 };
