--- a/packages/core/tests/work/memoryStore.ts
+++ b/packages/core/tests/work/memoryStore.ts
@@ -17,6 +17,12 @@
   row: RowToWrite | StoreRow | null;
 }
 
+interface Table {
+  /** Version of the newest change. */
+  version: number;
+  readonly cells: Map<string, Cell>;
+}
+
 const nameOf = (row: RowName | RowToWrite): string => {
   switch (row.type) {
     case "owner":
@@ -34,7 +40,7 @@
   }
 };
 
-const TABLE_OF_TYPE: Readonly<Record<string, Scan>> = {
+const TABLE_OF_TYPE: Readonly<Record<RowToWrite["type"] | StoreRow["type"], Scan>> = {
   catalog: "operators",
   wave: "operators",
   worker: "workers",
@@ -63,6 +69,7 @@
   /** Changes up to this version are not kept any more. */
   forgottenUpTo = 0;
   private readonly cells = new Map<string, Cell>();
+  private readonly tables = new Map<Scan, Table>();
 
   /** @returns Null if every condition holds and the commit was done, else the rows in the way. */
   commit(commit: Commit): readonly StoreRow[] | null {
@@ -72,10 +79,11 @@
     this.version += 1;
     commit.writes.forEach(checkSize);
     for (const row of commit.writes) {
-      this.cells.set(nameOf(row), { version: this.version, row });
+      this.set(nameOf(row), row);
     }
     for (const name of commit.removes) {
       this.cells.delete(nameOf(name));
+      this.tableOf(name.type).cells.delete(nameOf(name));
     }
     return null;
   }
@@ -83,7 +91,7 @@
   /** Writes a row that the operators or a worker own. */
   put(name: string, row: StoreRow): void {
     this.version += 1;
-    this.cells.set(name, { version: this.version, row });
+    this.set(name, row);
   }
 
   scan(scan: Scan): readonly StoreRow[] {
@@ -91,8 +99,12 @@
   }
 
   changes(feed: Scan | Feed, after: number): readonly StoreRow[] {
-    return [...this.cells.entries()]
-      .filter(([, { row, version }]) => version > after && TABLE_OF_TYPE[row?.type ?? ""] === feed)
+    const table = this.tables.get(feed);
+    if (table === undefined || table.version <= after) {
+      return [];
+    }
+    return [...table.cells.entries()]
+      .filter(([, { version }]) => version > after)
       .sort(([, one], [, other]) => one.version - other.version)
       .flatMap(([name]) => this.read(name));
   }
@@ -105,6 +117,21 @@
     this.put(`worker ${id}`, { type: "workerGone", version: storeVersion(0), id });
   }
 
+  private set(name: string, row: RowToWrite | StoreRow): void {
+    const cell = { version: this.version, row };
+    const table = this.tableOf(row.type);
+    table.version = this.version;
+    table.cells.set(name, cell);
+    this.cells.set(name, cell);
+  }
+
+  private tableOf(type: RowToWrite["type"] | StoreRow["type"]): Table {
+    const name = TABLE_OF_TYPE[type];
+    const table = this.tables.get(name) ?? { version: 0, cells: new Map<string, Cell>() };
+    this.tables.set(name, table);
+    return table;
+  }
+
   private holds({ row, version }: CommitCondition): boolean {
     return (this.cells.get(nameOf(row))?.version ?? 0) === Number(version);
   }
--- a/packages/core/tests/work/siteJudge.ts
+++ b/packages/core/tests/work/siteJudge.ts
@@ -53,7 +53,7 @@
     this.judgeRoom(worker, run);
   }
 
-  private judgeRoom(worker: MemoryWorker, run: WorkerRun): void {
+  protected judgeRoom(worker: MemoryWorker, run: WorkerRun): void {
     let teamCpu = this.cpuOf(run.item);
     for (const other of this.workers.values()) {
       other.advance(this.nowMs);
@@ -70,7 +70,7 @@
   }
 
   /** What is being stopped counts; the processor of what fills does not. */
-  private judgeCapacity(worker: MemoryWorker, run: WorkerRun): void {
+  protected judgeCapacity(worker: MemoryWorker, run: WorkerRun): void {
     const { capacity, id } = worker.report;
     const items = [...worker.runs.keys(), run.item];
     for (const resource of ["cpuMilli", "memoryMb", "gpus"] as const) {
--- a/packages/core/tests/work/siteOrders.ts
+++ b/packages/core/tests/work/siteOrders.ts
@@ -1,4 +1,4 @@
-import { END_KIND, targetIn, type Effect, type Event } from "../../src/index.js";
+import { END_KIND, targetIn, type Effect, type Event, type ItemKey } from "../../src/index.js";
 import type { MemoryWorker } from "./memoryWorker.js";
 import { SiteStore, type SiteNode } from "./siteStore.js";
 
@@ -205,17 +205,16 @@
     return [...this.workers.values()].find(({ report }) => report.address === address) ?? null;
   }
 
+  /** Run times of items, drawn or by what they are; in ms. */
+  protected durationMs: (item: ItemKey) => number = () =>
+    this.workMs ?? 200 + this.pick(this.workSpreadMs);
+
   protected obey(worker: MemoryWorker, order: WorkerOrder, sentAtMs: number): Event {
     const clockMs = worker.clockMs(this.nowMs);
     const target = targetIn(order);
     if (order.type === "worker/start") {
       const how = this.chance(this.failPercent) ? END_KIND.FAILED : END_KIND.DONE;
-      const answer = worker.start(
-        order,
-        this.nowMs,
-        this.workMs ?? 200 + this.pick(this.workSpreadMs),
-        how,
-      );
+      const answer = worker.start(order, this.nowMs, this.durationMs(order.item), how);
       const { item, run } = order;
       return {
         type: "worker/startAnswered",
--- a/packages/core/tests/work/siteProcessor.ts
+++ b/packages/core/tests/work/siteProcessor.ts
@@ -3,26 +3,34 @@
 /** Time on one core that handling events takes. */
 export const PRICE_US = {
   /** An event that brings a call or the answer to one: HTTP, JSON and the reducer's own. */
-  MESSAGE: 150,
+  MESSAGE: 200,
   /** A turn of the clock. */
   TURN: 20,
   /** Each thing that the reducer looks at one by one. */
-  STEP: 0.2,
+  STEP: 0.25,
   /** A call sent, or one answered. */
-  CALL: 100,
-  LOG_LINE: 5,
+  CALL: 150,
+  /** Each row of a table that is read or written. */
+  ROW: 10,
+  LOG_LINE: 10,
 } as const;
 
 const US_PER_MS = 1_000;
 
-const isMessage = ({ type }: Event): boolean =>
+const isCall = ({ type }: Event | Effect): boolean =>
   !type.startsWith("clock/") && !type.startsWith("node/");
 
-const effectUs = ({ type }: Effect): number => {
-  if (type === "log/write") {
+const arrivalUs = (event: Event): number => {
+  const rows = "rows" in event ? event.rows.length : 0;
+  return (isCall(event) ? PRICE_US.MESSAGE : PRICE_US.TURN) + rows * PRICE_US.ROW;
+};
+
+const effectUs = (effect: Effect): number => {
+  if (effect.type === "log/write") {
     return PRICE_US.LOG_LINE;
   }
-  return type.startsWith("clock/") || type.startsWith("node/") ? 0 : PRICE_US.CALL;
+  const rows = effect.type === "store/commit" ? effect.writes.length + effect.removes.length : 0;
+  return (isCall(effect) ? PRICE_US.CALL : 0) + rows * PRICE_US.ROW;
 };
 
 /**
@@ -30,10 +38,7 @@
  * @returns Time on one core that an event takes, in microseconds.
  */
 export const eventUs = (event: Event, steps: number, effects: readonly Effect[]): number =>
-  effects.reduce(
-    (sum, effect) => sum + effectUs(effect),
-    (isMessage(event) ? PRICE_US.MESSAGE : PRICE_US.TURN) + steps * PRICE_US.STEP,
-  );
+  effects.reduce((sum, effect) => sum + effectUs(effect), arrivalUs(event) + steps * PRICE_US.STEP);
 
 interface Arrived {
   readonly event: Event;
--- a/packages/core/tests/work/siteStore.ts
+++ b/packages/core/tests/work/siteStore.ts
@@ -21,9 +21,9 @@
   life: number;
   up: boolean;
   refusedUntilMs: number;
-  /** Its share of a processor, in cores; null where events take no time. */
-  readonly cores: number | null;
-  /** The processor of its present life. */
+  /** Its share of a processor, in cores. */
+  readonly cores: number;
+  /** The processor of its present life; null where events take no time. */
   processor: NodeProcessor | null;
 }
 
--- a/packages/core/tests/work/workSite.ts
+++ b/packages/core/tests/work/workSite.ts
@@ -24,8 +24,8 @@
   readonly effects: Effect[] = [];
   /** Nodes whose time of day is ahead of the others', by so much. */
   readonly wallAheadMs = new Map<string, number>();
-  /** Times that events cost what they usually do, on nodes that have a share of a processor. */
-  processorPrice = 1;
+  /** Times that events cost what they usually do; null where they take no time. */
+  protected readonly processorPrice: number | null = null;
 
   constructor(
     seed: number,
@@ -82,8 +82,8 @@
     }
   }
 
-  /** @param cores - Its share of a processor; null where events take no time. */
-  protected addNode(name: string, cores: number | null = null): void {
+  /** @param cores - Its share of a processor. */
+  protected addNode(name: string, cores = 1): void {
     const node: SiteNode = {
       name,
       state: this.newState(name, 1, cores),
@@ -99,11 +99,11 @@
     this.tick(node, 1);
   }
 
-  private newProcessor(cores: number | null): NodeProcessor | null {
-    return cores === null ? null : new NodeProcessor(cores, this.processorPrice);
+  private newProcessor(cores: number): NodeProcessor | null {
+    return this.processorPrice === null ? null : new NodeProcessor(cores, this.processorPrice);
   }
 
-  private newState(name: string, life: number, cores: number | null): State {
+  private newState(name: string, life: number, cores: number): State {
     const identity = {
       role: NODE_ROLE.WORK,
       entryHostId: entryHostId(name),
@@ -114,7 +114,7 @@
     };
     const state = initialState(identity, 1, 0);
     const self = { holder: name, incarnation: `${name}-${life}` };
-    state.work = initialWork(self, BOUNDS, CORE_MILLI * (cores ?? 1));
+    state.work = initialWork(self, BOUNDS, CORE_MILLI * cores);
     return state;
   }
 
