--- a/packages/core/tests/work/ownerNode.ts
+++ b/packages/core/tests/work/ownerNode.ts
@@ -76,11 +76,11 @@
   readonly stops: EffectOf<"worker/stop">[] = [];
   private readonly lines: EffectOf<"log/write">[] = [];
   private readonly written: RowToWrite[] = [];
-  private readonly state: State;
+  protected readonly state: State;
   private readonly feeds = new Map<Feed, EffectOf<"store/feed">>();
   private readonly due: { readonly atMs: number; readonly event: Untimed<Event> }[] = [];
   private readonly settledLooks = new Set<LookEffect>();
-  private version = 1;
+  protected version = 1;
 
   /** @param rows - What the store holds when the node takes over. */
   constructor(private readonly rows: Partial<Record<Scan, readonly StoreRow[]>> = {}) {
@@ -229,7 +229,7 @@
     });
   }
 
-  private feed(feed: Feed, row: StoreRow): void {
+  protected feed(feed: Feed, row: StoreRow): void {
     const asked = this.feeds.get(feed);
     if (asked === undefined) {
       throw new Error(`${feed} is not followed`);
