A worker of the virtual site answers a look with the ends that it had then

An answer carried the worker's own list of ends, so that ends which came while it was on its way, or waited for its turn, stood in it beside their runs. The owner took the end, found the run listed as running, took it over as one that nobody wants and stopped it.

--- a/packages/core/tests/work/memoryWorker.ts
+++ b/packages/core/tests/work/memoryWorker.ts
@@ -159,7 +159,7 @@
         ),
         load: this.load,
       }));
-    return { running, ends: this.ends };
+    return { running, ends: [...this.ends] };
   }
 
   /** Takes a longer lease; one that is too long is cut. */
