Write a log line without copying it three times

Cause: the logging library copied each line's fields to mask some, copied them again into a record, and added data on the place in the code, which the transport took off again; the owner writes up to 900 lines a second.

Change: the library's own hooks are told that lines are flat, and make the line in one step. Its masking of a field 'password' goes; no line has one.

--- a/packages/common/src/logging/createLogger.ts
+++ b/packages/common/src/logging/createLogger.ts
@@ -1,4 +1,4 @@
-import { Logger } from "tslog";
+import { Logger, type ILogObjMeta } from "tslog";
 import { LOG_CLASS, type LogClass } from "./logClass.js";
 
 /** Fields of one log line. */
@@ -60,19 +60,23 @@
   const logger = new Logger<Record<string, unknown>>({
     type: "hidden",
     hideLogPositionForProduction: true,
-  });
-  logger.attachTransport((record) => {
-    const { _meta, ...fields } = record as Record<string, unknown> & {
-      _meta: { date: Date; logLevelName: string };
-    };
-    sink.write(
-      JSON.stringify({
-        at: _meta.date.toISOString(),
-        level: _meta.logLevelName.toLowerCase(),
-        program,
-        ...fields,
-      }),
-    );
+    overwrite: {
+      // Fields are flat and hold no secrets, so they need no copies.
+      mask: (args) => args,
+      toLogObj: ([fields]) => fields as Record<string, unknown>,
+      addMeta: (fields, _id, level) => {
+        const line: Record<string, unknown> = {
+          at: new Date().toISOString(),
+          level: level.toLowerCase(),
+          program,
+          ...fields,
+        };
+        return line as Record<string, unknown> & ILogObjMeta;
+      },
+      transportJSON: (line) => {
+        sink.write(JSON.stringify(line));
+      },
+    },
   });
   return (level, event, fields, lineClass = LOG_CLASS.ROUTINE) => {
     if (LEVEL[level] >= LEVEL[threshold.level] && sink.admit(lineClass)) {
