Count effects and time events without copies or label look-ups

Cause: the loop copied each event to give it its time, queued it also where nothing was ahead of it, and the metrics looked labels up for each effect.

Change: the event is the loop's once it is handed over and gets its time in place; it is queued only behind another; effects are counted in a map that the metrics read when they are collected.

--- a/apps/work/src/workMetrics.ts
+++ b/apps/work/src/workMetrics.ts
@@ -9,7 +9,7 @@
 export class WorkMetrics extends EventObserver {
   readonly registry = new Registry();
   private readonly answers: Counter<"outcome">;
-  private readonly orders: Counter<"type">;
+  private readonly effects = new Map<Effect["type"], number>();
   private readonly ends: Counter<"how">;
   private readonly answerTime: Histogram;
   private readonly commitTime: Histogram<"result">;
@@ -29,11 +29,17 @@
       labelNames: ["outcome"],
       registers,
     });
-    this.orders = new Counter({
+    const orders = new Counter({
       name: "heatherferry_effects_total",
       help: "Effects carried out, by type",
       labelNames: ["type"],
       registers,
+      collect: () => {
+        orders.reset();
+        for (const [type, count] of this.effects) {
+          orders.inc({ type }, count);
+        }
+      },
     });
     this.ends = new Counter({
       name: "heatherferry_run_ends_total",
@@ -107,7 +113,7 @@
       }
     }
     for (const effect of effects) {
-      this.orders.inc({ type: effect.type });
+      this.effects.set(effect.type, (this.effects.get(effect.type) ?? 0) + 1);
       if (effect.type === "call/answer") {
         this.answers.inc({ outcome: effect.kind });
         this.answerTime.observe(
--- a/packages/runners/src/loop/eventLoop.ts
+++ b/packages/runners/src/loop/eventLoop.ts
@@ -107,15 +107,17 @@
   /**
    * Takes an event. One that arises while another is being handled waits for its turn.
    *
-   * @param event - What happened; it is given the present time.
+   * @param event - What happened; it is the loop's from here on, and given the present time.
    */
   handle(event: UntimedEvent): void {
-    this.waiting.push({ event, aroseAtMs: EventLoop.nowMs() });
+    const nowMs = EventLoop.nowMs();
     if (this.running) {
+      this.waiting.push({ event, aroseAtMs: nowMs });
       return;
     }
     this.running = true;
     try {
+      this.handleOne(event, nowMs);
       this.drainWaiting();
     } finally {
       this.running = false;
@@ -125,21 +127,22 @@
   private drainWaiting(): void {
     let next = this.waiting.shift();
     while (next !== undefined) {
-      const atMs = EventLoop.nowMs();
-      const timed = { ...next.event, atMs, wallMs: Date.now() };
-      this.handleOne(timed, atMs - next.aroseAtMs + latenessOf(timed));
+      this.handleOne(next.event, next.aroseAtMs);
       next = this.waiting.shift();
     }
   }
 
-  private handleOne(event: Event, waitedMs: number): void {
+  private handleOne(untimed: UntimedEvent, aroseAtMs: number): void {
+    const atMs = EventLoop.nowMs();
+    // A copy of each event would cost more than its time.
+    const event: Event = Object.assign(untimed, { atMs, wallMs: Date.now() });
     const effects = this.reduceOrReport(event);
     const reducedAtMs = EventLoop.nowMs();
     for (const effect of effects) {
       this.runOrReport(effect);
     }
     const timing = {
-      waitedMs,
+      waitedMs: atMs - aroseAtMs + latenessOf(event),
       reduceMs: reducedAtMs - event.atMs,
       effectsMs: EventLoop.nowMs() - reducedAtMs,
     };
