--- a/apps/standins/src/work/storeStandIn.ts
+++ b/apps/standins/src/work/storeStandIn.ts
@@ -35,6 +35,12 @@
     this.table(table).set(row);
   }
 
+  /** Removes a row, as the store does with entries of workers that are silent. */
+  remove(table: string, key: string): void {
+    this.version += 1;
+    this.table(table).remove({ part: "", key }, this.version);
+  }
+
   /** @returns A row's text, or null. */
   text(table: string, part: string, key: string): string | null {
     const value = this.table(table).get({ part, key })?.value;
