--- a/packages/core/tests/work/workSite.ts
+++ b/packages/core/tests/work/workSite.ts
@@ -25,7 +25,9 @@
   /** Nodes whose time of day is ahead of the others', by so much. */
   readonly wallAheadMs = new Map<string, number>();
   /** Times that events cost what they usually do; null where they take no time. */
-  protected readonly processorPrice: number | null = null;
+  protected processorPrice: number | null = null;
+  /** Hears of an event that was waiting once its node has come to it. */
+  protected eventTaken: ((event: Event) => void) | null = null;
 
   constructor(
     seed: number,
@@ -162,6 +164,7 @@
     if (event === null) {
       return;
     }
+    this.eventTaken?.(event);
     const stepsBefore = stepsOf(node);
     const effects = this.reduced(node, event);
     const forMs = processor.charge(event, stepsOf(node) - stepsBefore, effects);
