A call costs what it waits for: writes by their id, calls by the time they are due

Cause: each write's answer walked all open calls for the one that waits for it, and each look at what goes by time walked them all again. A node at the door that callers press, or whose store is slow, has hundreds open, so the price of an answer grew with the lateness of the others.

What callers are told, and when, stays.

Evidence: 'each write's answer and each turn of the clock walks all open calls' finds 150 walks over 300 calls on the code before, none now. The other test holds the times of repeats and of the last answer, and that nothing is left of a call that was answered or given up.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -9,3 +9,5 @@
 export * from "./escrow/types.js";
 export * from "./tickets/ticketSigner.js";
 export * from "./tickets/types.js";
+export * from "./keyedHeap/dueQueue.js";
+export * from "./keyedHeap/keyedHeap.js";
--- a/packages/core/src/work/answers.ts
+++ b/packages/core/src/work/answers.ts
@@ -1,6 +1,7 @@
 import { catalogAgeMs } from "./catalog.js";
 import { ANSWER_KIND, CALL } from "./constants.js";
 import type { CallAnswer, Commit } from "./events.js";
+import { awaitCommit, closeCall } from "./openCalls.js";
 import type { OpenCall } from "./state.js";
 import { logLine, loggedMs, type Turn } from "./turn.js";
 
@@ -10,7 +11,7 @@
   call: CallAnswer,
   inputs: Record<string, string | number | null> = {},
 ): void => {
-  turn.work.calls.delete(call.callId);
+  closeCall(turn.work, call.callId);
   turn.effects.push({ type: "call/answer", ...call });
   const level =
     call.kind === ANSWER_KIND.UNKNOWN || call.kind === ANSWER_KIND.UNAVAILABLE ? "warn" : "info";
@@ -35,7 +36,6 @@
 
 /** Sends, or sends again, the write that a call waits for. */
 export const sendCommit = (turn: Turn, call: OpenCall, commit: Commit): void => {
-  call.commit = commit;
-  call.retryAtMs = null;
+  awaitCommit(turn.work, call, commit);
   turn.effects.push({ type: "store/commit", ...commit });
 };
--- a/packages/core/src/work/callResults.ts
+++ b/packages/core/src/work/callResults.ts
@@ -2,6 +2,7 @@
 import { ANSWER_KIND, CALL_KIND, STORE, SUBMISSION_STATE } from "./constants.js";
 import { lookedAt } from "./effort.js";
 import type { WorkEvent } from "./events.js";
+import { retryCallAt } from "./openCalls.js";
 import type { OpenCall } from "./state.js";
 import { adoptHandIn, cancelOwned } from "./submissions.js";
 import { logLine, newCommitId, type Turn } from "./turn.js";
@@ -47,10 +48,7 @@
   turn: Turn,
   event: Extract<WorkEvent, { type: "store/commitSettled" }>,
 ): boolean => {
-  lookedAt(turn, turn.work.calls.size);
-  const call = [...turn.work.calls.values()].find(
-    ({ commit }) => commit?.commitId === event.commitId,
-  );
+  const call = turn.work.callOfCommit.get(event.commitId);
   if (call === undefined) {
     return false;
   }
@@ -102,7 +100,7 @@
     reason,
   });
   if (call.uncertain) {
-    call.retryAtMs = turn.nowMs + STORE.COMMIT_RETRY_MS;
+    retryCallAt(turn.work, call, turn.nowMs + STORE.COMMIT_RETRY_MS);
   } else {
     unavailable(turn, call.arrival.callId, `the store refused the write: ${reason}`);
   }
@@ -169,7 +167,8 @@
 /** Sends unsettled writes again and gives up calls whose time is over. */
 export const tickCalls = (turn: Turn): void => {
   const { work, nowMs } = turn;
-  for (const call of work.calls.values()) {
+  for (const call of work.callsDue.takeDue(nowMs)) {
+    lookedAt(turn, 1);
     if (nowMs >= call.answerByMs) {
       const { callId } = call.arrival;
       const problem = "the store did not confirm the write in time";
@@ -178,7 +177,7 @@
       } else {
         answer(turn, { callId, kind: ANSWER_KIND.UNKNOWN, problem }, { submission: call.id ?? "" });
       }
-    } else if (call.retryAtMs !== null && nowMs >= call.retryAtMs && call.commit !== null) {
+    } else if (call.commit !== null) {
       sendCommit(turn, call, call.commit);
     }
   }
--- a/packages/core/src/work/calls.ts
+++ b/packages/core/src/work/calls.ts
@@ -3,6 +3,7 @@
 import { findQueue, mayHonourKeys, teamOfKey } from "./catalog.js";
 import { ANSWER_KIND, CALL, CALL_KIND } from "./constants.js";
 import type { CallArrival } from "./events.js";
+import { addCall, closeCall } from "./openCalls.js";
 import { knownPending } from "./pending.js";
 import type { OpenCall } from "./state.js";
 import { logLine, newCommitId, type Turn } from "./turn.js";
@@ -51,7 +52,7 @@
     uncertain: false,
     retryAtMs: null,
   };
-  turn.work.calls.set(arrival.callId, call);
+  addCall(turn.work, call);
   return call;
 };
 
@@ -189,9 +190,8 @@
 
 /** The caller hung up; a write under way is settled by itself. */
 export const callAbandoned = (turn: Turn, callId: string): void => {
-  const call = turn.work.calls.get(callId);
+  const call = closeCall(turn.work, callId);
   if (call !== undefined) {
-    turn.work.calls.delete(callId);
     logLine(turn, "info", "call.abandoned", { call: callId, submission: call.id });
   }
 };
--- /dev/null
+++ b/packages/core/src/work/openCalls.ts
@@ -0,0 +1,41 @@
+import type { Commit } from "./events.js";
+import type { OpenCall, WorkloadState } from "./state.js";
+
+const dueAtMs = ({ answerByMs, retryAtMs }: OpenCall): number =>
+  Math.min(answerByMs, retryAtMs ?? Infinity);
+
+/** Takes a call in that waits for the store. */
+export const addCall = (work: WorkloadState, call: OpenCall): void => {
+  work.calls.set(call.arrival.callId, call);
+  work.callsDue.set(call, dueAtMs(call));
+};
+
+/** @returns The call, which is open no more; undefined where it was not. */
+export const closeCall = (work: WorkloadState, callId: string): OpenCall | undefined => {
+  const call = work.calls.get(callId);
+  if (call !== undefined) {
+    work.calls.delete(callId);
+    work.callsDue.delete(call);
+    if (call.commit !== null) {
+      work.callOfCommit.delete(call.commit.commitId);
+    }
+  }
+  return call;
+};
+
+/** Has a call wait for a write. */
+export const awaitCommit = (work: WorkloadState, call: OpenCall, commit: Commit): void => {
+  call.commit = commit;
+  work.callOfCommit.set(commit.commitId, call);
+  retryCallAt(work, call, null);
+};
+
+/**
+ * Sets when the write of a call is sent again.
+ *
+ * @param atMs - Null to wait for its answer.
+ */
+export const retryCallAt = (work: WorkloadState, call: OpenCall, atMs: number | null): void => {
+  call.retryAtMs = atMs;
+  work.callsDue.set(call, dueAtMs(call));
+};
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -1,4 +1,5 @@
 import type { HostId, PoolId, TeamId } from "@heatherferry/common";
+import { DueQueue } from "@heatherferry/coordination";
 import type { HeldCharge, HeldItems } from "./heldItems.js";
 import type { Allowance } from "./allowance.js";
 import type { Effort } from "./effort.js";
@@ -203,6 +204,10 @@
   readonly feeds: Record<Feed, FeedState>;
   readonly waveRequests: Map<number, WaveRequest>;
   readonly calls: Map<string, OpenCall>;
+  /** Open calls by the write that they wait for. */
+  readonly callOfCommit: Map<string, OpenCall>;
+  /** Open calls by the time when they are answered at the latest, or their write is sent again. */
+  readonly callsDue: DueQueue<OpenCall>;
   ownerView: OwnerView;
   /** It does not claim the work before. */
   claimsFromMs: number;
@@ -252,6 +257,8 @@
   feeds: { operators: newFeed(), workers: newFeed(), handIns: newFeed() },
   waveRequests: new Map(),
   calls: new Map(),
+  callOfCommit: new Map(),
+  callsDue: new DueQueue(),
   claimsFromMs: -Infinity,
   ownerView: {
     row: null,
