Slopes: work that the owner before began ends at an even rate from the start

The inherited work ends from one second after the start on now, spread evenly over the time that an item takes.

--- a/bench/src/slopes/siteFleet.ts
+++ b/bench/src/slopes/siteFleet.ts
@@ -13,6 +13,8 @@
 
 const RUN = 1;
 const START_MS = 1_000;
+/** Work that the owner before began ends from then on, at an even rate. */
+const TAKE_OVER_MS = 1_000;
 
 /** What an owner before has left: submissions, and what runs on which worker. */
 class Inheritance {
@@ -123,7 +125,7 @@
   left.running.forEach(({ worker, item, lasts }, index) => {
     if (!lasts) {
       const share = (index * 0.618) % 1;
-      owner.endLater(workMs * (1 + share), worker, item, RUN);
+      owner.endLater(TAKE_OVER_MS + workMs * share, worker, item, RUN);
     }
   });
   return { owner, nextSubmission: left.handIns.length };
