--- a/packages/core/src/work/runResults.ts
+++ b/packages/core/src/work/runResults.ts
@@ -9,6 +9,7 @@
 import type { OwnedWork, Run, Worker } from "./state.js";
 import { itemBegan } from "./submissions.js";
 import { logLine, wakeAfter, type Turn } from "./turn.js";
+import { workerChanged } from "./workerTimers.js";
 
 /** Takes a worker's answer to a start. */
 export const startAnswered = (
@@ -58,6 +59,9 @@
         startRefused(turn, owned, worker, run, event);
       }
       return;
+    case "heldUp":
+      startHeldUp(turn, owned, worker, run);
+      return;
     case "unanswered":
       startUnanswered(turn, owned, worker, run);
       return;
@@ -68,10 +72,20 @@
   if (!repeatStart(turn, owned, worker, run)) {
     run.unansweredAtMs = turn.nowMs;
     worker.nextLookAtMs = turn.nowMs;
+    workerChanged(owned, worker);
     wakeAfter(turn, 1);
   }
 };
 
+/** It says nothing of the worker, so the order is sent again, and other work may go there. */
+const startHeldUp = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run): void => {
+  if (hasLooseStart(run)) {
+    startUnanswered(turn, owned, worker, run);
+  } else if (!repeatStart(turn, owned, worker, run)) {
+    giveUpRun(turn, owned, worker, run, "the start was held up");
+  }
+};
+
 const startRefused = (
   turn: Turn,
   owned: OwnedWork,
@@ -117,6 +131,7 @@
   } else if (event.settled) {
     run.stopConfirmedAtMs ??= turn.nowMs;
     worker.nextLookAtMs = turn.nowMs;
+    workerChanged(owned, worker);
     wakeAfter(turn, 1);
   }
 };
