--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -1,5 +1,5 @@
 import type { HostId, PoolId, QueueId, TeamId } from "@heatherferry/common";
-import type { DueQueue } from "@heatherferry/coordination";
+import { DueQueue } from "@heatherferry/coordination";
 import type { HeldCharge, HeldItems } from "./heldItems.js";
 import type { Allowance } from "./allowance.js";
 import { indexCatalog, type CatalogIndex } from "./catalog.js";
@@ -220,6 +220,10 @@
   readonly feeds: Record<Feed, FeedState>;
   readonly waveRequests: Map<number, WaveRequest>;
   readonly calls: Map<string, OpenCall>;
+  /** Open calls by the write that they wait for. */
+  readonly callOfCommit: Map<string, OpenCall>;
+  /** Open calls by the time when they are answered at the latest, or their write is sent again. */
+  readonly callsDue: DueQueue<OpenCall>;
   ownerView: OwnerView;
   /** It does not claim the work before. */
   claimsFromMs: number;
@@ -269,6 +273,8 @@
   feeds: { operators: newFeed(), workers: newFeed(), handIns: newFeed() },
   waveRequests: new Map(),
   calls: new Map(),
+  callOfCommit: new Map(),
+  callsDue: new DueQueue(),
   claimsFromMs: -Infinity,
   ownerView: {
     row: null,
