Find a place by free room, not by asking each worker of a pool

Change: workers of a pool lie on shelves by free processor, those with lasting work before the others; a search begins at the first shelf that may do and ends at the first worker that nothing speaks against. The pause between looks stays below the time for which ends may be acknowledged.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -161,7 +161,7 @@
   /** Pause between two looks at a worker. */
   LOOK_GAP_MS: 100,
   /** The same at most, where the owner is late: one look then tells of more ends. */
-  MOST_LOOK_GAP_MS: 400,
+  MOST_LOOK_GAP_MS: 250,
   /** What a ms that the owner is late adds to the pause, in ms. */
   GAP_FOR_LAG: 3,
   LOOK_RETRY_MS: 300,
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -5,7 +5,7 @@
 import { planGang } from "./gangs.js";
 import { isSure } from "./certainty.js";
 import { poolOf } from "./pools.js";
-import { findRoom, keepRoom, keptPlace, usableWorkers } from "./places.js";
+import { findRoom, keepRoom, keptPlace } from "./places.js";
 import { withinCeiling } from "./placement.js";
 import { RESOURCES, roomOf, withdrawRoom } from "./room.js";
 import { nextRunNumber, planStart } from "./starts.js";
@@ -17,7 +17,7 @@
 
 /** What a pass over a pool's waiting work has found out so far. */
 interface PlacingPass {
-  readonly workers: readonly Worker[];
+  readonly pool: PoolWork;
   /** Room that no worker has, whatever else an item asks for; it only grows less in a pass. */
   readonly tooMuch: Resources[];
   /** The same for what comes free when work ends. */
@@ -51,7 +51,7 @@
   if (kept !== null || fitsNowhere(pass.tooMuch, item.spec)) {
     return kept;
   }
-  const worker = findRoom(turn, pass.workers, item);
+  const worker = findRoom(turn, owned, pass.pool, item);
   if (worker === null) {
     noteMiss(pass, pass.tooMuch, item.spec);
   }
@@ -67,7 +67,7 @@
     return true;
   }
   const keeps = spec.lasting && item.place === null && !fitsNowhere(pass.tooMuchLater, spec);
-  if (keeps && !keepRoom(turn, owned, pass.workers, item)) {
+  if (keeps && !keepRoom(turn, owned, pass.pool, item)) {
     noteMiss(pass, pass.tooMuchLater, spec);
   }
   return false;
@@ -86,7 +86,7 @@
   for (const item of [...submission.ready]) {
     const step = `${item.occurrence}.${item.step}`;
     if (item.spec.gang) {
-      if (!gangSteps.has(step) && !planGang(turn, owned, pass.workers, item)) {
+      if (!gangSteps.has(step) && !planGang(turn, owned, pass.pool, item)) {
         fullSteps.add(step);
       }
       gangSteps.add(step);
@@ -124,15 +124,12 @@
   pool.dirty = false;
   pool.waiting.refresh(turn, hostRoom(pool));
   const pass: PlacingPass = {
-    workers: usableWorkers(turn, owned, pool),
+    pool,
     tooMuch: [],
     tooMuchLater: [],
     misses: 0,
     capped: new Map(),
   };
-  if (pass.workers.length === 0) {
-    return;
-  }
   const inLine = new LinePass(pool.waiting);
   let tried = 0;
   let submission = inLine.next();
--- a/packages/core/src/work/emptying.ts
+++ b/packages/core/src/work/emptying.ts
@@ -1,7 +1,7 @@
 import { LEASE, RUN_PHASE } from "./constants.js";
 import { hostRoom, shareOf } from "./arrivals.js";
 import { isSilent } from "./leases.js";
-import { reserveNextPlace, usableWorkers } from "./places.js";
+import { reserveNextPlace } from "./places.js";
 import { poolOf } from "./pools.js";
 import { stopRun } from "./runs.js";
 import type { Item, OwnedWork, Run, Worker } from "./state.js";
@@ -52,13 +52,12 @@
     return;
   }
   const pool = poolOf(owned, worker.report.pool);
-  const others = usableWorkers(turn, owned, pool).filter((other) => other !== worker);
   for (const run of worker.runs.values()) {
     const moves = run.item.spec.lasting && run.phase === RUN_PHASE.RUNNING;
     if (!moves || !mayStop(turn, owned, run)) {
       continue;
     }
-    if (reserveNextPlace(turn, owned, others, run.item) || last) {
+    if (reserveNextPlace(turn, owned, pool, run.item) || last) {
       stopRun(turn, owned, run, why);
     } else {
       pool.displacedHosts += shareOf(run.room, hostRoom(pool));
--- a/packages/core/src/work/gangs.ts
+++ b/packages/core/src/work/gangs.ts
@@ -1,12 +1,11 @@
 import { ITEM_PHASE } from "./constants.js";
-import { lookedAt } from "./effort.js";
 import { giveUpRun } from "./lostRuns.js";
-import { roomOf } from "./room.js";
-import type { Item, OwnedWork, Worker } from "./state.js";
+import type { Item, OwnedWork, PoolWork } from "./state.js";
 import { itemDone } from "./submissions.js";
 import type { Turn } from "./turn.js";
 import { nextRunNumber, planStart } from "./starts.js";
-import { chooseWorker, withinCeiling } from "./placement.js";
+import { withinCeiling } from "./placement.js";
+import { findRoom } from "./places.js";
 
 /** @returns All items that work together with this one. */
 const membersOf = (item: Item): readonly Item[] =>
@@ -27,12 +26,7 @@
  *
  * @returns Whether there was room for all, or some member cannot start yet for another reason.
  */
-export const planGang = (
-  turn: Turn,
-  owned: OwnedWork,
-  workers: readonly Worker[],
-  first: Item,
-): boolean => {
+export const planGang = (turn: Turn, owned: OwnedWork, pool: PoolWork, first: Item): boolean => {
   const members = membersOf(first);
   if (!members.every(({ phase, key }) => phase === ITEM_PHASE.READY && !owned.heldItems.has(key))) {
     return true;
@@ -41,9 +35,8 @@
   const checkpoint = members.find((item) => item.checkpoint !== null)?.checkpoint ?? null;
   const planned: Item[] = [];
   for (const item of members) {
-    lookedAt(turn, workers.length);
     const allowed = withinCeiling(turn, owned, item.submission, item.spec);
-    const worker = allowed ? chooseWorker(workers, item, roomOf(item.spec)) : null;
+    const worker = allowed ? findRoom(turn, owned, pool, item) : null;
     if (worker === null) {
       giveBack(turn, owned, planned);
       return !allowed;
--- a/packages/core/src/work/lives.ts
+++ b/packages/core/src/work/lives.ts
@@ -74,6 +74,7 @@
 export const updateReport = (turn: Turn, worker: Worker, report: WorkerReport): void => {
   const { address, bornWallMs } = worker.report;
   worker.report = { ...report, bornWallMs: report.bornWallMs ?? bornWallMs };
+  worker.roomIndex?.changed(worker);
   if (worker.report.address !== address || worker.report.bornWallMs !== bornWallMs) {
     worker.lookOrder = null;
     worker.nextLookAtMs = turn.nowMs;
--- a/packages/core/src/work/placement.ts
+++ b/packages/core/src/work/placement.ts
@@ -1,6 +1,6 @@
 import { teamById } from "./catalog.js";
 import { STORE } from "./constants.js";
-import { NO_ROOM } from "./room.js";
+import { NO_ROOM, roomOf } from "./room.js";
 import type { Item, OwnedWork, Submission, Worker } from "./state.js";
 import type { Turn } from "./turn.js";
 import { stepNameOf, type Resources, type StepSpec } from "./types.js";
@@ -53,44 +53,68 @@
   return false;
 };
 
-/** @returns How little a worker suits an item; null where it must not run there. */
-const cost = (worker: Worker, item: Item, room: Resources): number | null => {
+/** What speaks against a worker, in points. */
+const AGAINST = {
+  /** Its data is elsewhere. */
+  OTHER_RACK: 10,
+  /** A run of the item has just failed there. */
+  FAILED_THERE: 5,
+  /** It slows others down there, or others do it. */
+  DISTURBED: 3,
+} as const;
+
+/** @returns What speaks against an item on a worker; null where it must not run there. */
+const against = (worker: Worker, item: Item, room: Resources): number | null => {
   const { spec } = item;
   const { report } = worker;
   if (!fits(worker, room) || !mayRunOn(worker, item)) {
     return null;
   }
-  // Full workers first: empty ones can be lent or turned off. Work that lasts keeps its host on.
-  let points = 1 - worker.usedCpuMilli / Math.max(1, report.capacity.cpuMilli);
-  if (worker.lastingRuns > 0) {
-    points -= 1;
-  }
+  let points = 0;
   if (spec.preferredRack !== null && report.rack !== spec.preferredRack) {
-    points += 10;
+    points += AGAINST.OTHER_RACK;
   }
-  if (worker.report.id === item.avoid) {
-    points += 5;
+  if (report.id === item.avoid) {
+    points += AGAINST.FAILED_THERE;
   }
   const sensitive = spec.filler || spec.tailTargetMs !== null;
-  return sensitive && disturbs(worker, item) ? points + 3 : points;
+  return sensitive && disturbs(worker, item) ? points + AGAINST.DISTURBED : points;
 };
 
-/** @returns The worker that suits an item best, or null where none has room. */
+/** The worker that a search has found, and how many it has looked at. */
+export interface Search {
+  readonly worker: Worker | null;
+  readonly lookedAt: number;
+}
+
+/**
+ * Looks for the worker that suits an item best: full ones first, since empty ones can be lent or
+ * turned off.
+ *
+ * @param workers - Those that may have room, the fullest first.
+ * @param takesWork - Whether a worker takes new work now.
+ */
 export const chooseWorker = (
-  workers: readonly Worker[],
+  workers: Iterable<Worker>,
   item: Item,
-  room: Resources,
-): Worker | null => {
+  takesWork: (worker: Worker) => boolean,
+): Search => {
+  const room = roomOf(item.spec);
   let best: Worker | null = null;
   let least = Infinity;
+  let lookedAt = 0;
   for (const worker of workers) {
-    const points = cost(worker, item, room);
-    if (points !== null && points < least) {
+    lookedAt += 1;
+    const points = against(worker, item, room);
+    if (points !== null && points < least && takesWork(worker)) {
       least = points;
       best = worker;
+      if (points === 0) {
+        break;
+      }
     }
   }
-  return best;
+  return { worker: best, lookedAt };
 };
 
 /** @returns Whether a team may have an item of the step running beside what it has. */
--- a/packages/core/src/work/places.ts
+++ b/packages/core/src/work/places.ts
@@ -21,7 +21,7 @@
   !isSilent(turn, worker);
 
 /** @returns Workers of a pool that take new work now. */
-export const usableWorkers = (turn: Turn, owned: OwnedWork, pool: PoolWork): Worker[] => {
+const usableWorkers = (turn: Turn, owned: OwnedWork, pool: PoolWork): Worker[] => {
   lookedAt(turn, pool.workers.size);
   return [...pool.workers].filter((worker) => isUsable(turn, owned, worker));
 };
@@ -89,10 +89,17 @@
   return promised !== null && roomIsFree(promised) ? promised : null;
 };
 
-/** @returns The worker that suits an item best now, or null where none of them has room. */
-export const findRoom = (turn: Turn, workers: readonly Worker[], item: Item): Worker | null => {
-  lookedAt(turn, workers.length);
-  return chooseWorker(workers, item, roomOf(item.spec));
+/** @returns The worker of a pool that suits an item best now, or null where none has room. */
+export const findRoom = (
+  turn: Turn,
+  owned: OwnedWork,
+  pool: PoolWork,
+  item: Item,
+): Worker | null => {
+  const mayFit = pool.room.from(roomOf(item.spec).cpuMilli);
+  const search = chooseWorker(mayFit, item, (worker) => isUsable(turn, owned, worker));
+  lookedAt(turn, 1 + search.lookedAt);
+  return search.worker;
 };
 
 /**
@@ -101,14 +108,8 @@
  *
  * @returns Whether a worker will have room for it.
  */
-export const keepRoom = (
-  turn: Turn,
-  owned: OwnedWork,
-  workers: readonly Worker[],
-  item: Item,
-): boolean => {
-  lookedAt(turn, workers.length);
-  const later = chooseLater(workers, item);
+export const keepRoom = (turn: Turn, owned: OwnedWork, pool: PoolWork, item: Item): boolean => {
+  const later = chooseLater(usableWorkers(turn, owned, pool), item);
   if (later !== null) {
     promise(turn, owned, later, item);
   }
@@ -118,19 +119,19 @@
 /**
  * Keeps room elsewhere for an item that is to be moved.
  *
- * @param workers - Those that take work.
+ * @param pool - Of which another worker is to have it; its own takes no new work.
  * @returns Whether it can start there at once.
  */
 export const reserveNextPlace = (
   turn: Turn,
   owned: OwnedWork,
-  workers: readonly Worker[],
+  pool: PoolWork,
   item: Item,
 ): boolean => {
   if (promisedPlace(turn, owned, item) === null) {
-    const worker = findRoom(turn, workers, item);
+    const worker = findRoom(turn, owned, pool, item);
     if (worker === null) {
-      return keepRoom(turn, owned, workers, item) && keptPlace(turn, owned, item) !== null;
+      return keepRoom(turn, owned, pool, item) && keptPlace(turn, owned, item) !== null;
     }
     promise(turn, owned, worker, item);
   }
--- a/packages/core/src/work/pools.ts
+++ b/packages/core/src/work/pools.ts
@@ -1,5 +1,6 @@
 import type { PoolId } from "@heatherferry/common";
 import type { OwnedWork, PoolWork } from "./state.js";
+import { RoomIndex } from "./roomIndex.js";
 import { WaitingLine } from "./waitingLine.js";
 
 /** @returns The owner's view of a pool, made when first asked for. */
@@ -10,6 +11,7 @@
       id,
       workers: new Set(),
       waiting: new WaitingLine(),
+      room: new RoomIndex(),
       dirty: true,
       arrivals: [],
       steadyHosts: 0,
--- a/packages/core/src/work/room.ts
+++ b/packages/core/src/work/room.ts
@@ -15,14 +15,15 @@
   worker.usedCpuMilli += sign * room.cpuMilli;
   worker.usedMemoryMb += sign * room.memoryMb;
   worker.usedGpus += sign * room.gpus;
+  worker.roomIndex?.changed(worker);
 };
 
 /** Takes a run's room of a worker, or gives it back. */
 export const chargeRun = (worker: Worker, { room, share, item }: Run, sign: 1 | -1): void => {
   const { lasting } = item.spec;
   const use = lasting ? worker.lastingUse : worker.endingUse;
-  chargeRoom(worker, room, sign);
   worker.lastingRuns += lasting ? sign : 0;
+  chargeRoom(worker, room, sign);
   worker.endingHosts += lasting ? 0 : sign * share;
   for (const resource of RESOURCES) {
     use[resource] += sign * room[resource];
--- a/packages/core/src/work/workerSet.ts
+++ b/packages/core/src/work/workerSet.ts
@@ -8,6 +8,7 @@
   const { id, pool } = worker.report;
   owned.workers.set(id, worker);
   poolOf(owned, pool).workers.add(worker);
+  poolOf(owned, pool).room.add(worker);
   workerChanged(owned, worker);
   noteLeaving(owned, worker);
 };
@@ -30,5 +31,6 @@
   owned.leavingWorkers.delete(worker);
   owned.endsToWrite.delete(worker);
   poolOf(owned, pool).workers.delete(worker);
+  poolOf(owned, pool).room.delete(worker);
   leaseChanged(owned, id);
 };
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -2,6 +2,7 @@
 import type { RESERVATION } from "./constants.js";
 import type { ItemKey, Resources, WorkerId, WorkerReport } from "./types.js";
 import type { Item, Run } from "./itemState.js";
+import type { RoomIndex } from "./roomIndex.js";
 import type { WaitingLine } from "./waitingLine.js";
 
 /** Names one life of a worker. */
@@ -82,6 +83,8 @@
   usedCpuMilli: number;
   usedMemoryMb: number;
   usedGpus: number;
+  /** Where its free room is kept account of. */
+  roomIndex: RoomIndex | null;
   /** What runs there take that end by themselves, and those that last. */
   readonly endingUse: UsedRoom;
   readonly lastingUse: UsedRoom;
@@ -133,6 +136,7 @@
   readonly workers: Set<Worker>;
   /** Submissions with ready items. */
   readonly waiting: WaitingLine;
+  readonly room: RoomIndex;
   dirty: boolean;
   /** What was handed in of late, oldest first. */
   arrivals: Arrival[];
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -48,6 +48,7 @@
   usedCpuMilli: 0,
   usedMemoryMb: 0,
   usedGpus: 0,
+  roomIndex: null,
   endingUse: { ...NO_ROOM },
   lastingUse: { ...NO_ROOM },
   endingHosts: 0,
