Send a start again that this node held up, and let its worker have other work

Cause: a start whose call found a connection free only after its 600 ms was taken for a refusal of the worker. The run was given up, the worker rested for a second, and the item was placed, written and ordered anew: more work for an owner that was late, and no worker to place on.

A connection was there, so the worker is not at fault: it takes other work, and the order is sent again as one without an answer is, three times at most. What is held up after that is given up without a rest.

It is no cure.

--- a/packages/core/src/work/answerKinds.ts
+++ b/packages/core/src/work/answerKinds.ts
@@ -14,6 +14,8 @@
   WRONG_LIFE: "wrongLife",
   /** The order never left this node. */
   NOT_SENT: "notSent",
+  /** It never left this node either, which was too busy to send it in time. */
+  HELD_UP: "heldUp",
   UNANSWERED: "unanswered",
 } as const;
 
--- a/packages/core/src/work/runResults.ts
+++ b/packages/core/src/work/runResults.ts
@@ -58,6 +58,9 @@
         startRefused(turn, owned, worker, run, event);
       }
       return;
+    case "heldUp":
+      startHeldUp(turn, owned, worker, run);
+      return;
     case "unanswered":
       startUnanswered(turn, owned, worker, run);
       return;
@@ -72,6 +75,15 @@
   }
 };
 
+/** It says nothing of the worker, so the order is sent again, and other work may go there. */
+const startHeldUp = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run): void => {
+  if (hasLooseStart(run)) {
+    startUnanswered(turn, owned, worker, run);
+  } else if (!repeatStart(turn, owned, worker, run)) {
+    giveUpRun(turn, owned, worker, run, "the start was held up");
+  }
+};
+
 const startRefused = (
   turn: Turn,
   owned: OwnedWork,
--- /dev/null
+++ b/packages/core/tests/work/lateStarts.test.ts
@@ -0,0 +1,27 @@
+import test from "ava";
+import { START_RESULT } from "../../src/index.js";
+import { OwnerNode, reportOf } from "./ownerNode.js";
+import { stepOf, workOf } from "./workSpecs.js";
+
+const BORN = { bornWallMs: 100 };
+
+/** Work is planned, written and ordered within this time. */
+const ORDER_MS = 80;
+
+test("a worker gets no work for a second since its owner was too busy to send an order", (t) => {
+  const node = new OwnerNode();
+  node.list(reportOf("w0", 100));
+  node.answerLook(node.lookAt("w0"), BORN);
+  node.submit("00000000000000aa", workOf([stepOf(1, 500, [])]));
+  node.run(ORDER_MS);
+  const [start] = node.starts;
+  t.truthy(start);
+  if (start !== undefined) {
+    node.answerStart(start, START_RESULT.HELD_UP);
+  }
+  node.run(ORDER_MS);
+  t.is(node.starts.length, 2);
+  node.submit("00000000000000bb", workOf([stepOf(1, 500, [])]));
+  node.run(ORDER_MS);
+  t.is(node.starts.length, 3);
+});
--- a/packages/core/tests/work/ownerNode.ts
+++ b/packages/core/tests/work/ownerNode.ts
@@ -201,7 +201,7 @@
 
   answerStart(
     start: StartEffect,
-    result: "started" | "unanswered" | "unhealthy" | "refused",
+    result: "started" | "unanswered" | "unhealthy" | "refused" | "heldUp",
     answeredClockMs = this.nowMs,
   ): void {
     const { item, run } = start;
@@ -212,7 +212,7 @@
       run,
       result,
       reason: null,
-      clockMs: result === "unanswered" ? null : answeredClockMs,
+      clockMs: result === "unanswered" || result === "heldUp" ? null : answeredClockMs,
     });
   }
 
