--- a/packages/core/tests/work/workSite.ts
+++ b/packages/core/tests/work/workSite.ts
@@ -26,6 +26,8 @@
   readonly wallAheadMs = new Map<string, number>();
   /** Times that events cost what they usually do, on nodes that have a share of a processor. */
   processorPrice = 1;
+  /** Hears of an event that was waiting once its node has come to it. */
+  protected eventTaken: ((event: Event) => void) | null = null;
 
   constructor(
     seed: number,
@@ -162,6 +164,7 @@
     if (event === null) {
       return;
     }
+    this.eventTaken?.(event);
     const stepsBefore = stepsOf(node);
     const effects = this.reduced(node, event);
     const forMs = processor.charge(event, stepsOf(node) - stepsBefore, effects);
