--- a/packages/core/tests/work/grownDay.ts
+++ b/packages/core/tests/work/grownDay.ts
@@ -2,13 +2,21 @@
 import { GrownSite, type Fate } from "./grownSite.js";
 import { RoomWatch } from "./roomWatch.js";
 
+/** The owner of the work loses power, or all nodes that are strong enough for it do. */
+export interface PowerLoss {
+  readonly of: "owner" | "strongNodes";
+  readonly atMs: number;
+  /** Infinite where they do not come back. */
+  readonly forMs: number;
+}
+
 /** What a day is made of. */
 export interface GrownDay {
   readonly seed: number;
   /** In the order of time. */
   readonly loads: readonly Load[];
-  /** When the owner loses power for good; null where it does not. */
-  readonly ownerLostAtMs: number | null;
+  /** Null where no node loses power. */
+  readonly powerLoss: PowerLoss | null;
   /** Submissions that wait beside room are looked for from then on. */
   readonly watchFromMs: number;
 }
@@ -39,6 +47,15 @@
   return fates.filter(isInTime).length / fates.length;
 };
 
+const losePower = (site: GrownSite, { of, atMs, forMs }: PowerLoss): void => {
+  site.at(atMs, () => {
+    const lost = of === "owner" ? [site.ownerIndex()] : site.strongNodes;
+    lost.forEach((node) => {
+      site.kill(node, forMs);
+    });
+  });
+};
+
 /**
  * Plays a day of a site of the size that is stated.
  *
@@ -49,10 +66,8 @@
   const site = new GrownSite(day.seed, processorPrice);
   site.expect(demandOf(day.seed, day.loads));
   const watch = new RoomWatch(site, day.watchFromMs);
-  if (day.ownerLostAtMs !== null) {
-    site.at(day.ownerLostAtMs, () => {
-      site.kill(site.ownerIndex(), Infinity);
-    });
+  if (day.powerLoss !== null) {
+    losePower(site, day.powerLoss);
   }
   const fromMs = day.loads[0]?.fromMs ?? 0;
   const untilMs = day.loads.at(-1)?.untilMs ?? 0;
--- a/packages/core/tests/work/grownSite.ts
+++ b/packages/core/tests/work/grownSite.ts
@@ -85,6 +85,11 @@
 /** A site of 250 hosts in four pools and one on standby, as large as it is stated. */
 export class GrownSite extends WorkSite {
   readonly fates = new Map<string, Fate>();
+  /** Nodes with more of a processor than those at the door. */
+  readonly strongNodes: readonly number[] = Array.from(
+    { length: STRONG_NODES },
+    (_, index) => index,
+  );
   /** Runs that ended since nobody extended their worker's lease. */
   lapses = 0;
   /** Times that the work went from one node to another. */
--- a/packages/core/tests/work/overload.test.ts
+++ b/packages/core/tests/work/overload.test.ts
@@ -25,7 +25,7 @@
 const STEADY_DAY: GrownDay = {
   seed: SEED,
   loads: [{ ...ALL_TURNS, times: 1 }],
-  ownerLostAtMs: null,
+  powerLoss: null,
   watchFromMs: ALL_TURNS.fromMs,
 };
 
@@ -41,7 +41,7 @@
     { fromMs: 9_500, untilMs: BURST_ENDS_MS, times: 3 },
     { fromMs: BURST_ENDS_MS, untilMs: LATER_TURN_ENDS_MS, times: 1 },
   ],
-  ownerLostAtMs: null,
+  powerLoss: null,
   watchFromMs: BURST_ENDS_MS + RECOVERY_MS,
 };
 
@@ -55,17 +55,31 @@
     { fromMs: 13_000, untilMs: 13_500, times: 11 },
     { fromMs: 13_500, untilMs: LATER_TURN_ENDS_MS, times: 1 },
   ],
-  ownerLostAtMs: OWNER_LOST_AT_MS,
+  powerLoss: { of: "owner", atMs: OWNER_LOST_AT_MS, forMs: Infinity },
   watchFromMs: OWNER_LOST_AT_MS + RECOVERY_MS,
 };
 
+const STRONG_LOST_MS = 3_000;
+
+/** Meanwhile a node at the door owns the work, with a quarter of the processor. */
+const WEAK_OWNER_DAY: GrownDay = {
+  seed: SEED,
+  loads: [{ fromMs: 9_000, untilMs: LATER_TURN_ENDS_MS, times: 1 }],
+  powerLoss: {
+    of: "strongNodes",
+    atMs: BURST_ENDS_MS - STRONG_LOST_MS,
+    forMs: STRONG_LOST_MS,
+  },
+  watchFromMs: BURST_ENDS_MS + RECOVERY_MS,
+};
+
 const SHORT_BURST_DAY: GrownDay = {
   seed: SEED,
   loads: [
     { fromMs: 9_000, untilMs: 9_500, times: 1 },
     { fromMs: 9_500, untilMs: BURST_ENDS_MS, times: 3 },
   ],
-  ownerLostAtMs: null,
+  powerLoss: null,
   watchFromMs: LATER_TURN_ENDS_MS,
 };
 
@@ -94,18 +108,31 @@
   t.true(day.besideRoomMs < BESIDE_ROOM_MS, `LOST: ${day.besideRoomMs} ms beside room`);
 });
 
-for (const { day, trouble } of [
-  { day: BURST_DAY, trouble: "a burst of three times the load" },
-  { day: TAKE_OVER_DAY, trouble: "a take-over with 500 submissions waiting" },
+for (const { day, price, failure } of [
+  {
+    day: BURST_DAY,
+    price: PRICE.TWICE,
+    failure:
+      "a burst of three times the load leaves an owner behind whose events cost twice as much",
+  },
+  {
+    day: TAKE_OVER_DAY,
+    price: PRICE.TWICE,
+    failure: "500 that wait leave a new owner behind whose events cost twice as much",
+  },
+  {
+    day: WEAK_OWNER_DAY,
+    price: PRICE.USUAL,
+    failure: "a weak node keeps the work though strong ones are back",
+  },
 ]) {
-  test(`${trouble} leaves an owner behind whose events cost twice as much`, (t) => {
+  test(failure, (t) => {
     const turn = { fromMs: day.watchFromMs, untilMs: LATER_TURN_ENDS_MS };
-    const free = inTimeShare(playGrownDay(day, PRICE.FREE), turn);
-    const charged = playGrownDay(day, PRICE.TWICE);
-    const share = inTimeShare(charged, turn);
-    t.log({ free, share, besideRoomMs: charged.besideRoomMs });
-    t.true(share >= SERVED_SHARE * free, `${share} in time, ${free} with a free processor`);
-    t.true(charged.besideRoomMs < BESIDE_ROOM_MS, `LOST: ${charged.besideRoomMs} ms beside room`);
+    const played = playGrownDay(day, price);
+    const share = inTimeShare(played, turn);
+    t.log({ share, besideRoomMs: played.besideRoomMs });
+    t.true(share >= SERVED_SHARE, `${share} in time, all of it with a free processor`);
+    t.true(played.besideRoomMs < BESIDE_ROOM_MS, `LOST: ${played.besideRoomMs} ms beside room`);
   });
 }
 
