--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -1,14 +1,14 @@
 import type { HostId, PoolId, QueueId, TeamId } from "@heatherferry/common";
 import { DueQueue } from "@heatherferry/coordination";
+import type { OpenCall } from "./callState.js";
 import type { HeldCharge, HeldItems } from "./heldItems.js";
 import type { Allowance } from "./allowance.js";
 import { indexCatalog, type CatalogIndex } from "./catalog.js";
 import type { Effort } from "./effort.js";
-import type { CallArrival, Commit, Feed, Scan, StoreRow } from "./events.js";
+import type { Commit, Feed, Scan, StoreRow } from "./events.js";
 import type {
   Catalog,
   Fence,
-  HandIn,
   HostListing,
   ItemKey,
   LeasedWorker,
@@ -25,6 +25,7 @@
 import type { GivenUpRuns, Worker, PoolWork, TeamUse } from "./workerState.js";
 
 export type { WaveWork, HostOrder, HostOut, HostReturn, HostDrain, HostMove } from "./hostState.js";
+export type { OpenCall } from "./callState.js";
 export type { Run, Item, Occurrence, Submission } from "./itemState.js";
 export type {
   GivenUpRuns,
@@ -143,18 +144,6 @@
   readonly orders: readonly HostOrder[];
 }
 
-/** A caller's call without an answer yet. */
-export interface OpenCall {
-  readonly arrival: CallArrival;
-  readonly answerByMs: number;
-  readonly id: SubmissionId | null;
-  readonly handIn: HandIn | null;
-  commit: Commit | null;
-  /** A write of this call had no answer, so it may take effect later. */
-  uncertain: boolean;
-  retryAtMs: number | null;
-}
-
 export interface FeedState {
   after: StoreVersion | null;
   /** When the running request was sent. */
