Bound a pass by what it looks at, and let one team's or gang's trouble hold up nobody else

Found by the review, passBounds failed before in all five cases where it says so: runs of a gang without full room stayed among the planned starts and used up the bound of a pass; eight submissions whose items exceed their team's ceiling by themselves kept the rest of the team waiting; twelve searches in vain ended a pass, however little they looked at; the owner's row named every queue that ever had work. widerThanRoom failed as well: items of a lasting step that no worker has room for were searched for one by one.

Beside it: a worker counts as silent only after the pause between looks, which grows with lag, is over too; turns of the clock that nobody waited for say nothing of lag; a team's sums in line stay while a pass has its members out.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -276,6 +276,8 @@
   MOST_TRIED: 512,
   /** Submissions of a team that may meet its ceiling before a pass leaves the team out. */
   MOST_CAPPED: 8,
+  /** The same for a team that is far from its ceiling: single items exceed it. */
+  MOST_CAPPED_FAR: 32,
   /** Pause between two passes over work that waits for workers or ceilings. */
   RECHECK_MS: 100,
 } as const;
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -6,7 +6,7 @@
 import { isSure } from "./certainty.js";
 import { poolOf } from "./pools.js";
 import { findRoom, keepRoom, keptPlace } from "./places.js";
-import { withinCeiling } from "./placement.js";
+import { nearsCeiling, withinCeiling } from "./placement.js";
 import { RESOURCES, roomOf, withdrawRoom } from "./room.js";
 import { nextRunNumber, planStart } from "./starts.js";
 import type { Item, OwnedWork, PoolWork, Submission, Worker } from "./state.js";
@@ -38,22 +38,16 @@
   );
 };
 
-const noteMiss = (pass: PlacingPass, tooMuch: Resources[], spec: StepSpec): void => {
-  pass.misses += 1;
-  if (spec.requiredLabel === null && spec.maxPerWorker === null) {
-    tooMuch.push(roomOf(spec));
-  }
-};
-
 /** @returns The worker to start an item on now, or null where it has to wait. */
 const findPlace = (turn: Turn, owned: OwnedWork, pass: PlacingPass, item: Item): Worker | null => {
   const kept = keptPlace(turn, owned, item);
   if (kept !== null || fitsNowhere(pass.tooMuch, item.spec)) {
     return kept;
   }
-  const worker = findRoom(turn, owned, pass.pool, item);
-  if (worker === null) {
-    noteMiss(pass, pass.tooMuch, item.spec);
+  const { worker, fits } = findRoom(turn, owned, pass.pool, item);
+  pass.misses += worker === null ? 1 : 0;
+  if (!fits) {
+    pass.tooMuch.push(roomOf(item.spec));
   }
   return worker;
 };
@@ -67,51 +61,103 @@
     return true;
   }
   const keeps = spec.lasting && item.place === null && !fitsNowhere(pass.tooMuchLater, spec);
-  if (keeps && !keepRoom(turn, owned, pass.pool, item)) {
-    noteMiss(pass, pass.tooMuchLater, spec);
+  if (keeps && !keepRoom(turn, owned, pass.pool, item) && spec.maxPerWorker === null) {
+    pass.tooMuchLater.push(roomOf(spec));
   }
   return false;
 };
 
+/** Steps of a submission that wait on, whatever else of it is placed. */
+interface ClosedSteps {
+  /** No worker has room now. */
+  readonly full: Set<string>;
+  /** Nor will one have it, for work that lasts. */
+  readonly fullLater: Set<string>;
+  /** Its team has reached its ceiling. */
+  readonly capped: Set<string>;
+  /** Gangs that were tried. */
+  readonly gangs: Set<string>;
+}
+
+const placeOrClose = (
+  turn: Turn,
+  owned: OwnedWork,
+  pass: PlacingPass,
+  closed: ClosedSteps,
+  item: Item,
+): void => {
+  const step = `${item.occurrence}.${item.step}`;
+  if (item.spec.gang) {
+    if (!closed.gangs.has(step) && !planGang(turn, owned, pass.pool, item)) {
+      closed.full.add(step);
+    }
+    closed.gangs.add(step);
+  } else if (owned.heldItems.has(item.key)) {
+    withdrawRoom(owned, item);
+  } else if (closed.capped.has(step) || !withinCeiling(turn, owned, item.submission, item.spec)) {
+    withdrawRoom(owned, item);
+    closed.capped.add(step);
+  } else {
+    const full = item.spec.lasting ? closed.fullLater : closed.full;
+    if ((item.place !== null || !full.has(step)) && !placeItem(turn, owned, pass, item)) {
+      closed.full.add(step);
+      if (item.place === null) {
+        closed.fullLater.add(step);
+      }
+    }
+  }
+};
+
+/** @returns Whether all steps of short work are closed, so that its other items need no look. */
+const allClosed = (submission: Submission, item: Item, { full, capped }: ClosedSteps): boolean => {
+  if (item.spec.lasting || item.spec.gang || submission.occurrences.size > 1) {
+    return false;
+  }
+  const steps = submission.readyInStep.reduce((sum, ready) => sum + (ready > 0 ? 1 : 0), 0);
+  return full.size + capped.size >= steps;
+};
+
 const placeItems = (
   turn: Turn,
   owned: OwnedWork,
   pass: PlacingPass,
   submission: Submission,
 ): Shortage => {
-  const fullSteps = new Set<string>();
-  const gangSteps = new Set<string>();
-  let capped = false;
-  lookedAt(turn, submission.ready.size);
-  for (const item of [...submission.ready]) {
-    const step = `${item.occurrence}.${item.step}`;
-    if (item.spec.gang) {
-      if (!gangSteps.has(step) && !planGang(turn, owned, pass.pool, item)) {
-        fullSteps.add(step);
-      }
-      gangSteps.add(step);
-    } else if (owned.heldItems.has(item.key)) {
-      withdrawRoom(owned, item);
-    } else if (!withinCeiling(turn, owned, submission, item.spec)) {
-      withdrawRoom(owned, item);
-      capped = true;
-    } else if (item.spec.lasting || !fullSteps.has(step)) {
-      if (!placeItem(turn, owned, pass, item)) {
-        fullSteps.add(step);
-      }
+  const closed: ClosedSteps = {
+    full: new Set(),
+    fullLater: new Set(),
+    capped: new Set(),
+    gangs: new Set(),
+  };
+  for (const item of submission.ready) {
+    lookedAt(turn, 1);
+    placeOrClose(turn, owned, pass, closed, item);
+    if (allClosed(submission, item, closed)) {
+      break;
     }
   }
-  if (fullSteps.size > 0) {
+  if (closed.full.size > 0) {
     return "room";
   }
-  return capped ? "ceiling" : null;
+  return closed.capped.size > 0 ? "ceiling" : null;
 };
 
-/** @returns Whether a team has met its ceiling so often in a pass that the rest has to wait too. */
-const isCapped = ({ capped }: PlacingPass, { handIn }: Submission): boolean => {
+/**
+ * A team that is far from its ceiling meets it by single items alone, which its other work must not
+ * wait for.
+ *
+ * @returns Whether a team has met its ceiling so often in a pass that the rest has to wait too.
+ */
+const isCapped = (
+  turn: Turn,
+  owned: OwnedWork,
+  { capped }: PlacingPass,
+  { handIn }: Submission,
+): boolean => {
   const times = (capped.get(handIn.team) ?? 0) + 1;
   capped.set(handIn.team, times);
-  return times >= PLACING.MOST_CAPPED;
+  const near = nearsCeiling(turn, owned, handIn.team);
+  return times >= (near ? PLACING.MOST_CAPPED : PLACING.MOST_CAPPED_FAR);
 };
 
 /**
@@ -143,7 +189,7 @@
     const to = poolOfSubmission(turn, submission.handIn);
     if (to === pool.id) {
       const shortage = placeItems(turn, owned, pass, submission);
-      if (shortage === "ceiling" && isCapped(pass, submission)) {
+      if (shortage === "ceiling" && isCapped(turn, owned, pass, submission)) {
         inLine.skipTeam();
       }
     } else {
@@ -152,7 +198,7 @@
     submission = inLine.next();
   }
   inLine.end();
-  pool.dirty ||= isFull() || tried >= PLACING.MOST_TRIED;
+  pool.dirty = isFull() || tried >= PLACING.MOST_TRIED;
 };
 
 const moveWaiting = (owned: OwnedWork, submission: Submission, to: PoolId): void => {
--- a/packages/core/src/work/gangs.ts
+++ b/packages/core/src/work/gangs.ts
@@ -33,12 +33,14 @@
   }
   const number = Math.max(...members.map((item) => nextRunNumber(owned, item)));
   const checkpoint = members.find((item) => item.checkpoint !== null)?.checkpoint ?? null;
+  const startsBefore = owned.plannedStarts.length;
   const planned: Item[] = [];
   for (const item of members) {
     const allowed = withinCeiling(turn, owned, item.submission, item.spec);
-    const worker = allowed ? findRoom(turn, owned, pool, item) : null;
+    const worker = allowed ? findRoom(turn, owned, pool, item).worker : null;
     if (worker === null) {
       giveBack(turn, owned, planned);
+      owned.plannedStarts.length = startsBefore;
       return !allowed;
     }
     item.checkpoint = checkpoint;
--- a/packages/core/src/work/leases.ts
+++ b/packages/core/src/work/leases.ts
@@ -1,4 +1,5 @@
 import { LEASE } from "./constants.js";
+import { lookGapMs } from "./loopLag.js";
 import type { Worker } from "./state.js";
 import type { Turn } from "./turn.js";
 
@@ -59,7 +60,7 @@
 export const isSilent = (turn: Turn, worker: Worker): boolean =>
   worker.runs.size > 0 &&
   turn.nowMs - Math.max(worker.answeredAtMs ?? 0, worker.busySinceMs) >
-    LEASE.LOOK_WAIT_MS + LEASE.SILENT_MARGIN_MS;
+    LEASE.LOOK_WAIT_MS + LEASE.SILENT_MARGIN_MS + lookGapMs(turn.work) - LEASE.LOOK_GAP_MS;
 
 /** @returns Whether runs are being stopped on a worker. */
 export const hasStops = (worker: Worker): boolean => {
--- a/packages/core/src/work/loopLag.ts
+++ b/packages/core/src/work/loopLag.ts
@@ -29,15 +29,15 @@
  *
  * @param lateMs - How late a regular turn is; what was asked for tells by the time that it was for.
  */
-export const clockTurned = (turn: Turn, lateMs = 0): void => {
+export const clockTurned = (turn: Turn, lateMs: number | undefined): void => {
   const { work, nowMs } = turn;
   const askedForMs = work.wakeAtMs;
-  if (askedForMs === null || nowMs < askedForMs) {
+  if (askedForMs !== null && nowMs >= askedForMs) {
+    work.wakeAtMs = null;
+    noteLag(turn, Math.max(lateMs ?? 0, nowMs - askedForMs));
+  } else if (lateMs !== undefined) {
     noteLag(turn, lateMs);
-    return;
   }
-  work.wakeAtMs = null;
-  noteLag(turn, Math.max(lateMs, nowMs - askedForMs));
 };
 
 /** @returns How long a worker is not looked at after a look, in ms. */
--- a/packages/core/src/work/placement.ts
+++ b/packages/core/src/work/placement.ts
@@ -1,6 +1,7 @@
+import type { TeamId } from "@heatherferry/common";
 import { teamById } from "./catalog.js";
 import { STORE } from "./constants.js";
-import { NO_ROOM, roomOf } from "./room.js";
+import { NO_ROOM, RESOURCES, roomOf } from "./room.js";
 import type { Item, OwnedWork, Submission, Worker } from "./state.js";
 import type { Turn } from "./turn.js";
 import { stepNameOf, type Resources, type StepSpec } from "./types.js";
@@ -64,10 +65,10 @@
 } as const;
 
 /** @returns What speaks against an item on a worker; null where it must not run there. */
-const against = (worker: Worker, item: Item, room: Resources): number | null => {
+const against = (worker: Worker, item: Item): number | null => {
   const { spec } = item;
   const { report } = worker;
-  if (!fits(worker, room) || !mayRunOn(worker, item)) {
+  if (!mayRunOn(worker, item)) {
     return null;
   }
   let points = 0;
@@ -84,6 +85,8 @@
 /** The worker that a search has found, and how many it has looked at. */
 export interface Search {
   readonly worker: Worker | null;
+  /** Some worker that takes work has room, whether or not the item may run there. */
+  readonly fits: boolean;
   readonly lookedAt: number;
 }
 
@@ -103,10 +106,15 @@
   let best: Worker | null = null;
   let least = Infinity;
   let lookedAt = 0;
+  let anyFits = false;
   for (const worker of workers) {
     lookedAt += 1;
-    const points = against(worker, item, room);
-    if (points !== null && points < least && takesWork(worker)) {
+    if (!fits(worker, room) || !takesWork(worker)) {
+      continue;
+    }
+    anyFits = true;
+    const points = against(worker, item);
+    if (points !== null && points < least) {
       least = points;
       best = worker;
       if (points === 0) {
@@ -114,7 +122,7 @@
       }
     }
   }
-  return { worker: best, lookedAt };
+  return { worker: best, fits: anyFits, lookedAt };
 };
 
 /** @returns Whether a team may have an item of the step running beside what it has. */
@@ -136,3 +144,14 @@
     use[resource] + held[resource] + needs[resource] <= ceiling[resource];
   return within("cpuMilli") && within("memoryMb") && within("gpus");
 };
+
+/** @returns Whether a team has half of what it may have running, or more. */
+export const nearsCeiling = (turn: Turn, owned: OwnedWork, team: TeamId | null): boolean => {
+  const ceiling = teamById(turn.work, team)?.ceiling;
+  const use = team === null ? undefined : owned.teams.get(team);
+  return (
+    ceiling !== undefined &&
+    use !== undefined &&
+    RESOURCES.some((resource) => ceiling[resource] > 0 && use[resource] >= ceiling[resource] / 2)
+  );
+};
--- a/packages/core/src/work/places.ts
+++ b/packages/core/src/work/places.ts
@@ -1,7 +1,7 @@
 import { lookedAt } from "./effort.js";
 import { isReplaced } from "./hostWorkers.js";
 import { isSilent } from "./leases.js";
-import { chooseWorker, mayRunOn } from "./placement.js";
+import { chooseWorker, mayRunOn, type Search } from "./placement.js";
 import { promiseRoom, RESOURCES, roomOf, withdrawRoom } from "./room.js";
 import type { Item, OwnedWork, PoolWork, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
@@ -89,17 +89,12 @@
   return promised !== null && roomIsFree(promised) ? promised : null;
 };
 
-/** @returns The worker of a pool that suits an item best now, or null where none has room. */
-export const findRoom = (
-  turn: Turn,
-  owned: OwnedWork,
-  pool: PoolWork,
-  item: Item,
-): Worker | null => {
+/** @returns The worker of a pool that suits an item best now. */
+export const findRoom = (turn: Turn, owned: OwnedWork, pool: PoolWork, item: Item): Search => {
   const mayFit = pool.room.from(roomOf(item.spec).cpuMilli);
   const search = chooseWorker(mayFit, item, (worker) => isUsable(turn, owned, worker));
   lookedAt(turn, 1 + search.lookedAt);
-  return search.worker;
+  return search;
 };
 
 /**
@@ -129,7 +124,7 @@
   item: Item,
 ): boolean => {
   if (promisedPlace(turn, owned, item) === null) {
-    const worker = findRoom(turn, owned, pool, item);
+    const { worker } = findRoom(turn, owned, pool, item);
     if (worker === null) {
       return keepRoom(turn, owned, pool, item) && keptPlace(turn, owned, item) !== null;
     }
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -99,7 +99,12 @@
 const countQueued = (owned: OwnedWork, { state, handIn }: Submission, sign: 1 | -1): void => {
   if (state === SUBMISSION_STATE.QUEUED) {
     const { queue } = handIn;
-    owned.queuedCounts.set(queue, (owned.queuedCounts.get(queue) ?? 0) + sign);
+    const count = (owned.queuedCounts.get(queue) ?? 0) + sign;
+    if (count === 0) {
+      owned.queuedCounts.delete(queue);
+    } else {
+      owned.queuedCounts.set(queue, count);
+    }
   }
 };
 
--- a/packages/core/src/work/waitingLine.ts
+++ b/packages/core/src/work/waitingLine.ts
@@ -29,6 +29,8 @@
   hosts = 0;
   inTimeHosts = 0;
   worthlessHosts = 0;
+  /** Those that have a place, also while a pass has them out. */
+  members = 0;
 }
 
 interface PlaceInLine {
@@ -122,6 +124,7 @@
       team.worthlessItems.set(submission, wanted.largest);
     }
     count(team, standing, wanted, 1);
+    team.members += 1;
     if (Number.isFinite(standing.changesAtMs)) {
       this.rankChanges.set(submission, standing.changesAtMs + 1);
     } else {
@@ -139,8 +142,9 @@
     team.spreads.delete(submission);
     team.worthlessItems.delete(submission);
     count(team, standing, wanted, -1);
+    team.members -= 1;
     this.members.set(submission, null);
-    if (team.heap.size === 0) {
+    if (team.members === 0) {
       Object.assign(team, { hosts: 0, inTimeHosts: 0, worthlessHosts: 0 });
     }
   }
