Let answers of workers wait for the owner's write, not the other way round

What callers saw: starts late. Cause: an order leaves after a write of the owner, and the answer of that write stood behind all answers of workers that the runtime read in the same turn, each with its decisions.

Change: once a turn of the runtime has handled events for 5 ms, answers of workers wait in their order until the runtime has read what else came in, and go on for 5 ms a turn; all other events are handled as they come. EventUrgency says which may wait; other daemons keep the order in which events come.

Tests: 'the answer of the owner's write waits behind answers of many workers' fails where nothing waits; 'answers of workers overtake each other' guards their order.

--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -31,6 +31,7 @@
   newIncarnation,
   newSeed,
   WorkEffects,
+  WorkersWait,
   type RunningDaemon,
 } from "@heatherferry/runners";
 import { BoundedSink } from "./boundedSink.js";
@@ -105,7 +106,7 @@
   const processor = new CountedProcessorTime();
   const lines = new LoadLines(load, processor, log);
   watchLoad(metrics.registry, load, lines, processor);
-  const loop = new EventLoop(state, defaultPolicies(), [metrics, load, lines]);
+  const loop = new EventLoop(state, defaultPolicies(), [metrics, load, lines], new WorkersWait());
   const store = new PlatformStore(settings.storeAddress, settings.linkMbps, log);
   const workers = new PlatformWorkers();
   const hosts = new PlatformHosts(settings.hostsAddress, settings.nodeName);
--- a/packages/runners/src/loop/eventLoop.ts
+++ b/packages/runners/src/loop/eventLoop.ts
@@ -7,6 +7,7 @@
   type Policies,
   type State,
 } from "@heatherferry/core";
+import { AsTheyCome, type EventUrgency } from "./eventUrgency.js";
 
 /** An event before the loop gives it its time. */
 export type UntimedEvent = Event extends infer Each
@@ -42,6 +43,9 @@
   ): void;
 }
 
+/** Events that may wait do so once a turn of the runtime has handled events for so long. */
+export const TURN_MS = 5;
+
 interface WaitingEvent {
   readonly event: UntimedEvent;
   readonly aroseAtMs: number;
@@ -53,6 +57,10 @@
 /** Hands events to the reducer one at a time and its effects to the runner, in the same turn. */
 export class EventLoop {
   private readonly waiting: WaitingEvent[] = [];
+  private readonly deferred: WaitingEvent[] = [];
+  private turnUsedMs = 0;
+  /** Set once this turn of the runtime is used up. */
+  private nextTurn: NodeJS.Immediate | null = null;
   private running = false;
   private timer: NodeJS.Timeout | null = null;
   private turnDueAtMs = 0;
@@ -61,11 +69,13 @@
    * @param state - The node's state; from here on the loop's alone.
    * @param policies - The node's policies.
    * @param observers - Hear of each event after it was reduced.
+   * @param urgency - Which events may wait while there is much to do.
    */
   constructor(
     readonly state: State,
     private readonly policies: Policies,
     private readonly observers: readonly EventObserver[],
+    private readonly urgency: EventUrgency = new AsTheyCome(),
   ) {}
 
   /** Set once the parts that carry effects out are made. */
@@ -110,18 +120,44 @@
    * @param event - What happened; it is the loop's from here on, and given the present time.
    */
   handle(event: UntimedEvent): void {
-    const nowMs = EventLoop.nowMs();
+    const aroseAtMs = EventLoop.nowMs();
     if (this.running) {
-      this.waiting.push({ event, aroseAtMs: nowMs });
-      return;
+      this.waiting.push({ event, aroseAtMs });
+    } else if (this.nextTurn !== null && this.urgency.mayWait(event)) {
+      this.deferred.push({ event, aroseAtMs });
+    } else {
+      this.handleNow({ event, aroseAtMs });
     }
+  }
+
+  private handleNow({ event, aroseAtMs }: WaitingEvent): void {
+    const fromMs = EventLoop.nowMs();
     this.running = true;
     try {
-      this.handleOne(event, nowMs);
+      this.handleOne(event, aroseAtMs);
       this.drainWaiting();
     } finally {
       this.running = false;
     }
+    this.turnUsedMs += EventLoop.nowMs() - fromMs;
+    if (this.turnUsedMs >= TURN_MS) {
+      this.nextTurn ??= setImmediate(() => {
+        this.beginTurn();
+      });
+    }
+  }
+
+  /** The runtime has read what had come in; what is urgent among it was handled. */
+  private beginTurn(): void {
+    this.nextTurn = null;
+    this.turnUsedMs = 0;
+    while (this.turnUsedMs < TURN_MS) {
+      const next = this.deferred.shift();
+      if (next === undefined) {
+        return;
+      }
+      this.handleNow(next);
+    }
   }
 
   private drainWaiting(): void {
--- a/packages/runners/tests/eventLoop.test.ts
+++ b/packages/runners/tests/eventLoop.test.ts
@@ -15,6 +15,8 @@
   EventLoop,
   EventObserver,
   LoopLoad,
+  TURN_MS,
+  WorkersWait,
   type EventTiming,
   type UntimedEvent,
 } from "../src/index.js";
@@ -171,3 +173,82 @@
   loop.handle({ type: "clock/ticked", lateMs: 300 });
   t.true((observer.timings[0]?.waitedMs ?? 0) >= 300);
 });
+
+const LOOK_FAILED = {
+  type: "worker/lookFailed",
+  wrongLife: false,
+  reason: "",
+} as unknown as UntimedEvent;
+
+/** Each event takes a while. */
+class SlowObserver extends EventObserver {
+  readonly types: Event["type"][] = [];
+
+  constructor(private readonly pass: () => void) {
+    super();
+  }
+
+  override observe({ type }: Event): void {
+    this.types.push(type);
+    this.pass();
+  }
+}
+
+const MOST_TURNS = 20;
+
+const turnOfRuntime = async (): Promise<void> =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
+test.serial("the answer of the owner's write waits behind answers of many workers", async (t) => {
+  const clock = install({ toFake: ["performance"] });
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const observer = new SlowObserver(() => {
+    clock.tick(TURN_MS);
+  });
+  const loop = new EventLoop(newState(), defaultPolicies(), [observer], new WorkersWait());
+  const looks = 10;
+  for (let look = 0; look < looks; look += 1) {
+    loop.handle({ ...LOOK_FAILED });
+  }
+  loop.handle({ type: "node/shutdownRequested" });
+  t.deepEqual(observer.types, ["worker/lookFailed", "node/shutdownRequested"]);
+  await turnOfRuntime();
+  loop.handle({ type: "clock/ticked" });
+  const early = observer.types.length;
+  t.true(early < looks, `${early} events before the turn of the clock`);
+  for (let turn = 0; turn < MOST_TURNS; turn += 1) {
+    await turnOfRuntime();
+  }
+  t.is(observer.types.filter((type) => type === "worker/lookFailed").length, looks);
+});
+
+test.serial("answers of workers overtake each other", async (t) => {
+  const clock = install({ toFake: ["performance"] });
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const seen: string[] = [];
+  class ReasonObserver extends EventObserver {
+    override observe(event: Event): void {
+      seen.push(event.type === "worker/lookFailed" ? event.reason : "");
+      clock.tick(TURN_MS / 2);
+    }
+  }
+  const observer = new ReasonObserver();
+  const loop = new EventLoop(newState(), defaultPolicies(), [observer], new WorkersWait());
+  const reasons = Array.from({ length: 9 }, (_unused, index) => `${index}`);
+  for (const reason of reasons) {
+    loop.handle({ ...LOOK_FAILED, reason } as UntimedEvent);
+    if (reason === "5") {
+      await turnOfRuntime();
+    }
+  }
+  for (let turn = 0; turn < MOST_TURNS; turn += 1) {
+    await turnOfRuntime();
+  }
+  t.deepEqual(seen, reasons);
+});
