Bound a pass by the workers that it looks at in vain; lengthen pauses less by lag

Cause: a pass ended after twelve searches, cheap ones too (passBounds, two cases); a pause between looks that grew three times as fast as the lag delayed ends by more than the looks that it saved were worth.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -163,7 +163,7 @@
   /** The same at most, where the owner is late: one look then tells of more ends. */
   MOST_LOOK_GAP_MS: 250,
   /** What a ms that the owner is late adds to the pause, in ms. */
-  GAP_FOR_LAG: 3,
+  GAP_FOR_LAG: 1,
   LOOK_RETRY_MS: 300,
   /** Ends are acknowledged to a life that answered a look so lately; a new one numbers its own. */
   SAME_LIFE_MS: 300,
@@ -270,8 +270,8 @@
 } as const;
 
 export const PLACING = {
-  /** Searches of all workers of a pool that may find no room before a pass ends. */
-  MOST_MISSES: 12,
+  /** Workers that searches of a pass may look at in vain before it ends. */
+  MOST_IN_VAIN: 512,
   /** Submissions that a pass looks at. */
   MOST_TRIED: 512,
   /** Submissions of a team that may meet its ceiling before a pass leaves the team out. */
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -22,8 +22,8 @@
   readonly tooMuch: Resources[];
   /** The same for what comes free when work ends. */
   readonly tooMuchLater: Resources[];
-  /** Searches of all workers that found none. */
-  misses: number;
+  /** Workers that were looked at by searches that found none. */
+  inVain: number;
   /** Submissions that have met the ceiling of their team, by team. */
   readonly capped: Map<TeamId | null, number>;
 }
@@ -44,8 +44,8 @@
   if (kept !== null || fitsNowhere(pass.tooMuch, item.spec)) {
     return kept;
   }
-  const { worker, fits } = findRoom(turn, owned, pass.pool, item);
-  pass.misses += worker === null ? 1 : 0;
+  const { worker, fits, lookedAt: searched } = findRoom(turn, owned, pass.pool, item);
+  pass.inVain += worker === null ? searched : 0;
   if (!fits) {
     pass.tooMuch.push(roomOf(item.spec));
   }
@@ -173,7 +173,7 @@
     pool,
     tooMuch: [],
     tooMuchLater: [],
-    misses: 0,
+    inVain: 0,
     capped: new Map(),
   };
   const inLine = new LinePass(pool.waiting);
@@ -182,7 +182,7 @@
   while (
     submission !== null &&
     !isFull() &&
-    pass.misses < PLACING.MOST_MISSES &&
+    pass.inVain < PLACING.MOST_IN_VAIN &&
     tried < PLACING.MOST_TRIED
   ) {
     tried += 1;
