--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -1,4 +1,4 @@
-import type { PoolId, TeamId } from "@heatherferry/common";
+import type { PoolId, TeamId, ValueOf } from "@heatherferry/common";
 import { hostRoom } from "./arrivals.js";
 import { PLACING, STORE } from "./constants.js";
 import { lookedAt } from "./effort.js";
@@ -28,8 +28,14 @@
   readonly capped: Map<TeamId | null, number>;
 }
 
-/** Why some items of a submission were not placed; null where all were. */
-type Shortage = "room" | "ceiling" | null;
+/** Why some items of a submission were not placed. */
+const SHORTAGE = {
+  NONE: "none",
+  ROOM: "room",
+  CEILING: "ceiling",
+} as const;
+
+type Shortage = ValueOf<typeof SHORTAGE>;
 
 const fitsNowhere = (tooMuch: readonly Resources[], spec: StepSpec): boolean => {
   const room = roomOf(spec);
@@ -137,9 +143,9 @@
     }
   }
   if (closed.full.size > 0) {
-    return "room";
+    return SHORTAGE.ROOM;
   }
-  return closed.capped.size > 0 ? "ceiling" : null;
+  return closed.capped.size > 0 ? SHORTAGE.CEILING : SHORTAGE.NONE;
 };
 
 /**
@@ -189,7 +195,7 @@
     const to = poolOfSubmission(turn, submission.handIn);
     if (to === pool.id) {
       const shortage = placeItems(turn, owned, pass, submission);
-      if (shortage === "ceiling" && isCapped(turn, owned, pass, submission)) {
+      if (shortage === SHORTAGE.CEILING && isCapped(turn, owned, pass, submission)) {
         inLine.skipTeam();
       }
     } else {
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -7,6 +7,7 @@
 import { type KnownWork, lastWritten, makeOccurrence, stepIsDone } from "./occurrences.js";
 import { poolOf } from "./pools.js";
 import { withdrawRoom } from "./room.js";
+import { countQueued, enterState } from "./submissionStates.js";
 import { addReady, clearReady, removeReady } from "./readyItems.js";
 import { stopRun } from "./runs.js";
 import type { Item, Occurrence, OwnedWork, Submission } from "./state.js";
@@ -95,25 +96,6 @@
   return !takeAllowance(allowance, team.weight, turn.nowMs);
 };
 
-/** Counts a submission among those that have not begun, while it is one. */
-const countQueued = (owned: OwnedWork, { state, handIn }: Submission, sign: 1 | -1): void => {
-  if (state === SUBMISSION_STATE.QUEUED) {
-    const { queue } = handIn;
-    const count = (owned.queuedCounts.get(queue) ?? 0) + sign;
-    if (count === 0) {
-      owned.queuedCounts.delete(queue);
-    } else {
-      owned.queuedCounts.set(queue, count);
-    }
-  }
-};
-
-const enterState = (owned: OwnedWork, submission: Submission, state: SubmissionState): void => {
-  countQueued(owned, submission, -1);
-  submission.state = state;
-  countQueued(owned, submission, 1);
-};
-
 /** Marks a submission for the owner's next write. */
 export const markDirty = (owned: OwnedWork, submission: Submission): void => {
   submission.dirty = true;
