--- a/packages/core/src/work/waitingLine.ts
+++ b/packages/core/src/work/backlog.ts
@@ -4,7 +4,7 @@
 import { goesBefore, RANK, standingOf, type Standing } from "./ranking.js";
 import type { Submission } from "./state.js";
 import type { Turn } from "./turn.js";
-import { hostsToWant, NO_WANT, type HostsWanted } from "./waitingWork.js";
+import { hostsToWant, type HostsWanted } from "./waitingWork.js";
 import type { Resources } from "./types.js";
 
 class StandingHeap extends KeyedHeap<Submission, Standing> {
@@ -20,7 +20,7 @@
 }
 
 /** What waits of one team. */
-export class TeamLine {
+export class TeamBacklog {
   readonly heap = new StandingHeap();
   /** Workers that a step with a bound a worker misses, the widest step first. */
   readonly spreads = new LargestFirst();
@@ -31,18 +31,25 @@
   worthlessHosts = 0;
   /** Those that have a place, also while a pass has them out. */
   members = 0;
+
+  /** Ends what rounding has left of sums over nothing. */
+  clearSums(): void {
+    this.hosts = 0;
+    this.inTimeHosts = 0;
+    this.worthlessHosts = 0;
+  }
 }
 
-interface PlaceInLine {
-  readonly team: TeamLine;
+interface BacklogPlace {
+  readonly team: TeamBacklog;
   readonly standing: Standing;
   readonly wanted: HostsWanted;
 }
 
 /** The submissions that wait for room in a pool, in the order in which they get it. */
-export class WaitingLine {
-  private readonly members = new Map<Submission, PlaceInLine | null>();
-  private readonly teams = new Map<TeamId | null, TeamLine>();
+export class Backlog {
+  private readonly members = new Map<Submission, BacklogPlace | null>();
+  private readonly teams = new Map<TeamId | null, TeamBacklog>();
   /** Members whose place or wants may be others by now. */
   private readonly changes = new Set<Submission>();
   private readonly rankChanges = new DueQueue<Submission>();
@@ -54,8 +61,8 @@
 
   add(submission: Submission): void {
     if (!this.members.has(submission)) {
-      submission.line?.remove(submission);
-      submission.line = this;
+      submission.backlog?.remove(submission);
+      submission.backlog = this;
       this.members.set(submission, null);
     }
     this.changes.add(submission);
@@ -66,7 +73,7 @@
     this.members.delete(submission);
     this.changes.delete(submission);
     this.rankChanges.delete(submission);
-    submission.line = null;
+    submission.backlog = null;
   }
 
   /** Notes that other items of a member wait, or that it has begun. */
@@ -106,14 +113,14 @@
   }
 
   /** @returns What waits, by team. */
-  byTeam(): readonly TeamLine[] {
+  byTeam(): readonly TeamBacklog[] {
     return [...this.teams.values()];
   }
 
   private place(turn: Turn, host: Resources, submission: Submission): void {
     this.leave(submission);
     const standing = standingOf(turn, submission);
-    const team = this.teamLine(submission.handIn.team);
+    const team = this.teamBacklog(submission.handIn.team);
     const wanted = hostsToWant(submission, host, standing.rank);
     this.members.set(submission, { team, standing, wanted });
     team.heap.set(submission, standing);
@@ -145,24 +152,24 @@
     team.members -= 1;
     this.members.set(submission, null);
     if (team.members === 0) {
-      Object.assign(team, { hosts: 0, inTimeHosts: 0, worthlessHosts: 0 });
+      team.clearSums();
     }
   }
 
-  private teamLine(team: TeamId | null): TeamLine {
-    let line = this.teams.get(team);
-    if (line === undefined) {
-      line = new TeamLine();
-      this.teams.set(team, line);
+  private teamBacklog(team: TeamId | null): TeamBacklog {
+    let backlog = this.teams.get(team);
+    if (backlog === undefined) {
+      backlog = new TeamBacklog();
+      this.teams.set(team, backlog);
     }
-    return line;
+    return backlog;
   }
 }
 
 const count = (
-  team: TeamLine,
+  team: TeamBacklog,
   { rank }: Standing,
-  { hosts }: HostsWanted = NO_WANT,
+  { hosts }: HostsWanted,
   sign: 1 | -1,
 ): void => {
   if (rank === RANK.WORTHLESS) {
@@ -174,21 +181,21 @@
 };
 
 /** One pass over what waits; who gets no room in it keeps its place. */
-export class LinePass {
+export class BacklogPass {
   private readonly passed: {
-    readonly team: TeamLine;
+    readonly team: TeamBacklog;
     readonly submission: Submission;
     readonly standing: Standing;
   }[] = [];
-  private readonly teams: Set<TeamLine>;
+  private readonly teams: Set<TeamBacklog>;
 
-  constructor(private readonly line: WaitingLine) {
-    this.teams = new Set(line.byTeam());
+  constructor(private readonly backlog: Backlog) {
+    this.teams = new Set(backlog.byTeam());
   }
 
   /** @returns The next in the order, or null where nobody is left. */
   next(): Submission | null {
-    let best: TeamLine | null = null;
+    let best: TeamBacklog | null = null;
     let bestKey: Standing | null = null;
     for (const team of this.teams) {
       const key = team.heap.firstKey();
@@ -217,7 +224,7 @@
   /** Puts those back that were passed. */
   end(): void {
     for (const { team, submission, standing } of this.passed) {
-      if (submission.line === this.line) {
+      if (submission.backlog === this.backlog) {
         team.heap.set(submission, standing);
       }
     }
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -13,7 +13,7 @@
 import { poolOfSubmission } from "./submissions.js";
 import type { Turn } from "./turn.js";
 import type { Resources, StepSpec } from "./types.js";
-import { LinePass } from "./waitingLine.js";
+import { BacklogPass } from "./backlog.js";
 
 /** What a pass over a pool's waiting work has found out so far. */
 interface PlacingPass {
@@ -182,9 +182,9 @@
     inVain: 0,
     capped: new Map(),
   };
-  const inLine = new LinePass(pool.waiting);
+  const backlogPass = new BacklogPass(pool.waiting);
   let tried = 0;
-  let submission = inLine.next();
+  let submission = backlogPass.next();
   while (
     submission !== null &&
     !isFull() &&
@@ -196,14 +196,14 @@
     if (to === pool.id) {
       const shortage = placeItems(turn, owned, pass, submission);
       if (shortage === SHORTAGE.CEILING && isCapped(turn, owned, pass, submission)) {
-        inLine.skipTeam();
+        backlogPass.skipTeam();
       }
     } else {
       moveWaiting(owned, submission, to);
     }
-    submission = inLine.next();
+    submission = backlogPass.next();
   }
-  inLine.end();
+  backlogPass.end();
   pool.dirty = isFull() || tried >= PLACING.MOST_TRIED;
 };
 
--- a/packages/core/src/work/itemState.ts
+++ b/packages/core/src/work/itemState.ts
@@ -1,4 +1,4 @@
-import type { WaitingLine } from "./waitingLine.js";
+import type { Backlog } from "./backlog.js";
 import type {
   HandIn,
   ItemKey,
@@ -105,5 +105,5 @@
   /** How many of them each step has. */
   readonly readyInStep: number[];
   /** Where it waits for room. */
-  line: WaitingLine | null;
+  backlog: Backlog | null;
 }
--- a/packages/core/src/work/pools.ts
+++ b/packages/core/src/work/pools.ts
@@ -1,7 +1,7 @@
 import type { PoolId } from "@heatherferry/common";
 import type { OwnedWork, PoolWork } from "./state.js";
 import { RoomIndex } from "./roomIndex.js";
-import { WaitingLine } from "./waitingLine.js";
+import { Backlog } from "./backlog.js";
 
 /** @returns The owner's view of a pool, made when first asked for. */
 export const poolOf = (owned: OwnedWork, id: PoolId): PoolWork => {
@@ -10,7 +10,7 @@
     pool = {
       id,
       workers: new Set(),
-      waiting: new WaitingLine(),
+      waiting: new Backlog(),
       room: new RoomIndex(),
       dirty: true,
       arrivals: [],
--- a/packages/core/src/work/readyItems.ts
+++ b/packages/core/src/work/readyItems.ts
@@ -2,7 +2,7 @@
 
 const count = (submission: Submission, step: number, sign: 1 | -1): void => {
   submission.readyInStep[step] = (submission.readyInStep[step] ?? 0) + sign;
-  submission.line?.changed(submission);
+  submission.backlog?.changed(submission);
 };
 
 /** Puts an item among those of its submission that wait for room. */
@@ -25,5 +25,5 @@
 export const clearReady = (submission: Submission): void => {
   submission.ready.clear();
   submission.readyInStep.fill(0);
-  submission.line?.changed(submission);
+  submission.backlog?.changed(submission);
 };
--- a/packages/core/src/work/roomIndex.ts
+++ b/packages/core/src/work/roomIndex.ts
@@ -1,46 +1,46 @@
 import type { Worker } from "./state.js";
 
-/** Workers of one shelf differ in free processor by less than this. */
-const SHELF_MILLI = 1_000;
+/** Workers of one bucket differ in free processor by less than this. */
+const BUCKET_MILLI = 1_000;
 
-const shelfOf = ({ usedCpuMilli, report }: Worker): number =>
-  Math.floor(Math.max(0, report.capacity.cpuMilli - usedCpuMilli) / SHELF_MILLI);
+const bucketOf = ({ usedCpuMilli, report }: Worker): number =>
+  Math.floor(Math.max(0, report.capacity.cpuMilli - usedCpuMilli) / BUCKET_MILLI);
 
 /** Workers by the processor that is free on them. */
-class Shelves {
-  private readonly shelves: Set<Worker>[] = [];
+class Buckets {
+  private readonly buckets: Set<Worker>[] = [];
 
-  add(worker: Worker, shelf: number): void {
-    for (let empty = this.shelves.length; empty <= shelf; empty += 1) {
-      this.shelves.push(new Set());
+  add(worker: Worker, bucket: number): void {
+    for (let empty = this.buckets.length; empty <= bucket; empty += 1) {
+      this.buckets.push(new Set());
     }
-    this.shelves[shelf]?.add(worker);
+    this.buckets[bucket]?.add(worker);
   }
 
-  delete(worker: Worker, shelf: number): void {
-    this.shelves[shelf]?.delete(worker);
+  delete(worker: Worker, bucket: number): void {
+    this.buckets[bucket]?.delete(worker);
   }
 
   /** @returns Workers that may have so much free, the fullest first. */
   *from(cpuMilli: number): Generator<Worker> {
-    const first = Math.floor(cpuMilli / SHELF_MILLI);
-    for (let shelf = first; shelf < this.shelves.length; shelf += 1) {
-      yield* this.shelves[shelf] ?? [];
+    const first = Math.floor(cpuMilli / BUCKET_MILLI);
+    for (let bucket = first; bucket < this.buckets.length; bucket += 1) {
+      yield* this.buckets[bucket] ?? [];
     }
   }
 }
 
 interface Place {
   readonly lasting: boolean;
-  readonly shelf: number;
+  readonly bucket: number;
 }
 
 /** The workers of a pool by the room that is free on them. */
 export class RoomIndex {
   private readonly places = new Map<Worker, Place>();
   /** Hosts that lasting work keeps on anyway are filled first. */
-  private readonly withLasting = new Shelves();
-  private readonly others = new Shelves();
+  private readonly withLasting = new Buckets();
+  private readonly others = new Buckets();
 
   add(worker: Worker): void {
     worker.roomIndex = this;
@@ -54,14 +54,14 @@
 
   /** Notes that other room is free on a worker. */
   changed(worker: Worker): void {
-    const place = { lasting: worker.lastingRuns > 0, shelf: shelfOf(worker) };
+    const place = { lasting: worker.lastingRuns > 0, bucket: bucketOf(worker) };
     const before = this.places.get(worker);
-    if (before?.lasting === place.lasting && before.shelf === place.shelf) {
+    if (before?.lasting === place.lasting && before.bucket === place.bucket) {
       return;
     }
     this.takeOut(worker);
     this.places.set(worker, place);
-    this.shelvesOf(place).add(worker, place.shelf);
+    this.bucketsOf(place).add(worker, place.bucket);
   }
 
   /** @returns Workers that may have so much processor free, those that suit new work best first. */
@@ -74,11 +74,11 @@
     const place = this.places.get(worker);
     if (place !== undefined) {
       this.places.delete(worker);
-      this.shelvesOf(place).delete(worker, place.shelf);
+      this.bucketsOf(place).delete(worker, place.bucket);
     }
   }
 
-  private shelvesOf({ lasting }: Place): Shelves {
+  private bucketsOf({ lasting }: Place): Buckets {
     return lasting ? this.withLasting : this.others;
   }
 }
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -135,7 +135,7 @@
     dirty: false,
     ready: new Set(),
     readyInStep: handIn.work.steps.map(() => 0),
-    line: null,
+    backlog: null,
   };
   owned.submissions.set(handIn.id, submission);
   countQueued(owned, submission, 1);
@@ -257,7 +257,7 @@
 export const itemBegan = (owned: OwnedWork, submission: Submission): void => {
   if (submission.state === SUBMISSION_STATE.QUEUED) {
     enterState(owned, submission, SUBMISSION_STATE.RUNNING);
-    submission.line?.changed(submission);
+    submission.backlog?.changed(submission);
     markDirty(owned, submission);
   }
 };
--- a/packages/core/src/work/waitingWork.ts
+++ b/packages/core/src/work/waitingWork.ts
@@ -6,7 +6,7 @@
 import type { OwnedWork, PoolWork, Submission } from "./state.js";
 import type { Turn } from "./turn.js";
 import type { Resources, StepSpec } from "./types.js";
-import type { TeamLine } from "./waitingLine.js";
+import type { TeamBacklog } from "./backlog.js";
 
 /** Hosts that the waiting items of one submission want. */
 export interface HostsWanted {
@@ -54,7 +54,7 @@
 }
 
 /** @returns Whether a team that has reached its ceiling waits for that, and not for room. */
-const waitsForCeiling = (turn: Turn, owned: OwnedWork, team: TeamLine): boolean => {
+const waitsForCeiling = (turn: Turn, owned: OwnedWork, team: TeamBacklog): boolean => {
   const first = team.heap.first();
   const [item] = first?.ready ?? [];
   return first !== null && item !== undefined && !withinCeiling(turn, owned, first, item.spec);
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -3,7 +3,7 @@
 import type { ItemKey, Resources, WorkerId, WorkerReport } from "./types.js";
 import type { Item, Run } from "./itemState.js";
 import type { RoomIndex } from "./roomIndex.js";
-import type { WaitingLine } from "./waitingLine.js";
+import type { Backlog } from "./backlog.js";
 
 /** Names one life of a worker. */
 export interface WorkerLife {
@@ -135,7 +135,7 @@
   readonly id: PoolId;
   readonly workers: Set<Worker>;
   /** Submissions with ready items. */
-  readonly waiting: WaitingLine;
+  readonly waiting: Backlog;
   readonly room: RoomIndex;
   dirty: boolean;
   /** What was handed in of late, oldest first. */
