--- a/packages/core/src/work/claimDelay.ts
+++ b/packages/core/src/work/claimDelay.ts
@@ -16,6 +16,10 @@
 export const strongestMilli = ({ processorMilli, ownerView }: WorkloadState): number =>
   Math.max(processorMilli, ownerView.row?.strongestMilli ?? 0);
 
+/** @returns Whether a node has much less processor time than the strongest owner so far. */
+export const isWeak = (work: WorkloadState): boolean =>
+  work.processorMilli < OWNERSHIP.STRONG_SHARE * strongestMilli(work);
+
 /**
  * One node decides for all pools and is bound by its processor, so those with the most go first.
  *
@@ -27,6 +31,5 @@
     const coresShort = CORE_MILLI / Math.max(1, processorMilli) - 1;
     return spreadMs(work) + OWNERSHIP.FIRST_CLAIM_MS * Math.max(0, coresShort);
   }
-  const weak = processorMilli < OWNERSHIP.STRONG_SHARE * strongestMilli(work);
-  return spreadMs(work) + (weak ? OWNERSHIP.WEAK_CLAIM_MS : 0);
+  return spreadMs(work) + (isWeak(work) ? OWNERSHIP.WEAK_CLAIM_MS : 0);
 };
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -120,6 +120,11 @@
   /** A node with less than this share of the strongest owner's processor leaves others the lead. */
   STRONG_SHARE: 0.75,
   WEAK_CLAIM_MS: 400,
+  /** A weak owner gives the work back after this time, and after twice as long each time in a row. */
+  YIELD_MS: 2_000,
+  MOST_YIELD_MS: 16_000,
+  /** A weak owner that gave the work back leaves it to others for so long. */
+  YIELD_REST_MS: 1_500,
   /** A node that failed to handle an event leaves the work to others for so long. */
   REST_MS: 3_000,
 } as const;
--- a/packages/core/src/work/keptEvents.ts
+++ b/packages/core/src/work/keptEvents.ts
@@ -12,6 +12,7 @@
   "owner.writeUnsettled",
   "owner.leftBehind",
   "owner.ended",
+  "owner.yielding",
   "store.lost",
   "store.regained",
   "clock.jumped",
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -1,5 +1,6 @@
 import { countPending } from "./pending.js";
 import { strongestMilli } from "./claimDelay.js";
+import { considerYield, yieldsOf } from "./yielding.js";
 import { OWNERSHIP, STORE } from "./constants.js";
 import type { RowToWrite, WorkEvent } from "./events.js";
 import { takeForgotten } from "./forget.js";
@@ -24,6 +25,7 @@
   released,
   orderedHosts: orderedHosts(turn, owned),
   strongestMilli: strongestMilli(turn.work),
+  yields: yieldsOf(turn.work, owned),
   pending: countPending(turn, owned),
 });
 
@@ -98,7 +100,7 @@
   const left = STORE.MAX_ROWS - workers.size - submissions.length;
   const leases = leaseRows(owned, [...workers, ...staleLeases(owned, workers, left)], leavesNone);
   const forgotten = takeForgotten(owned, left - leases.writes.length - leases.removes.length);
-  const releases = isLeaving(turn) && leavesNone && !hasStaleLeases(owned);
+  const releases = owned.releasing && leavesNone && !hasStaleLeases(owned);
   const write: LedgerWrite = {
     commit: {
       commitId: newCommitId(turn.work),
@@ -150,7 +152,8 @@
     return;
   }
   // Nothing is ordered any more once the work is being given back.
-  owned.releasing = isLeaving(turn);
+  considerYield(turn, owned);
+  owned.releasing = isLeaving(turn) || owned.yielding;
   const sinceMs = turn.nowMs - owned.ledgerSentAtMs;
   const due = sinceMs >= OWNERSHIP.RENEW_MS || owned.needsRenewal || owned.releasing;
   const news =
@@ -220,6 +223,7 @@
     dropStarts(turn, owned, write.starts);
   }
   if (write.releases) {
-    endOwning(turn, "given back at shutdown");
+    endOwning(turn, isLeaving(turn) ? "given back at shutdown" : "given back to a stronger node");
+    turn.work.claimsFromMs = turn.nowMs + OWNERSHIP.YIELD_REST_MS;
   }
 };
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -183,6 +183,8 @@
   loadRetries: new Map(),
   active: false,
   releasing: false,
+  yielding: false,
+  yieldsBefore: before?.yields ?? 0,
   leases: new Map(),
   leaseChanges: new Set(),
   unheard: new Map(),
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -54,6 +54,10 @@
   active: boolean;
   /** It is being given back: nothing is ordered any more. */
   releasing: boolean;
+  /** It is given back for a stronger node to take. */
+  yielding: boolean;
+  /** How often in a row weak owners gave it back before. */
+  readonly yieldsBefore: number;
   /** What the store says may run on each worker. */
   readonly leases: Map<WorkerId, LeasedWorker>;
   /** Workers on which other work may run than their rows say. */
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -149,6 +149,8 @@
   readonly pending: PendingCount | null;
   /** The most processor time that an owner had so far, in thousandths of a core. */
   readonly strongestMilli: number;
+  /** How often in a row weak owners have given the work back for a stronger node to take. */
+  readonly yields?: number;
 }
 
 export interface Queue {
