--- a/packages/core/tests/work/workSite.ts
+++ b/packages/core/tests/work/workSite.ts
@@ -79,8 +79,10 @@
   freeze(nodeIndex: number, forMs: number): void {
     const node = this.nodes[nodeIndex];
     if (node !== undefined) {
-      node.frozenUntilMs = this.nowMs + forMs;
-      node.frozenMs += forMs;
+      // Steady clocks never go back, so a freeze within another one only makes it longer.
+      const frozenSoFarMs = Math.max(this.nowMs, node.frozenUntilMs);
+      node.frozenUntilMs = Math.max(frozenSoFarMs, this.nowMs + forMs);
+      node.frozenMs += node.frozenUntilMs - frozenSoFarMs;
     }
   }
 
