--- a/packages/coordination/src/keyedHeap/keyedHeap.ts
+++ b/packages/coordination/src/keyedHeap/keyedHeap.ts
@@ -18,10 +18,6 @@
     return this.entries.length;
   }
 
-  has(item: Item): boolean {
-    return this.places.has(item);
-  }
-
   /** @returns The first item, or null where there is none. */
   first(): Item | null {
     return this.entries[0]?.item ?? null;
@@ -62,11 +58,6 @@
     return true;
   }
 
-  /** @returns All items, in no order. */
-  items(): IterableIterator<Item> {
-    return this.places.keys();
-  }
-
   private precedes(one: Entry<Item, Key>, other: Entry<Item, Key>): boolean {
     if (this.isBefore(one.key, other.key)) {
       return true;
--- a/packages/core/src/work/ledger.ts
+++ b/packages/core/src/work/ledger.ts
@@ -212,12 +212,13 @@
     }
     workerChanged(owned, worker);
   }
-  if (isSure(turn, owned)) {
+  const sure = isSure(turn, owned);
+  if (sure) {
     sendHostOrders(turn, owned, write.orders);
   } else {
     dropHostOrders(turn, owned, write.orders);
   }
-  if (isSure(turn, owned) && hearsHandIns(turn)) {
+  if (sure && hearsHandIns(turn)) {
     sendStarts(turn, owned, write.starts);
   } else {
     dropStarts(turn, owned, write.starts);
--- a/packages/core/src/work/places.ts
+++ b/packages/core/src/work/places.ts
@@ -55,10 +55,7 @@
 const fitsLater = (worker: Worker, item: Item): boolean => {
   const needs = roomOf(item.spec);
   return RESOURCES.every((resource) => {
-    let kept = needs[resource];
-    for (const run of worker.runs.values()) {
-      kept += run.item.spec.lasting ? run.room[resource] : 0;
-    }
+    let kept = needs[resource] + worker.lastingUse[resource];
     for (const other of worker.promised) {
       kept += roomOf(other.spec)[resource];
     }
--- a/packages/core/src/work/waitingWork.ts
+++ b/packages/core/src/work/waitingWork.ts
@@ -18,8 +18,6 @@
   readonly spread: number;
 }
 
-export const NO_WANT: HostsWanted = { hosts: 0, largest: 0, spread: 0 };
-
 /** A host runs short items one after another, long ones take it for as long as they last. */
 const timeShare = ({ lasting, estimateMs }: StepSpec, drainMs: number): number =>
   lasting ? 1 : Math.min(1, estimateMs / drainMs);
@@ -31,7 +29,9 @@
  */
 export const hostsToWant = (submission: Submission, host: Resources, rank: Rank): HostsWanted => {
   const drainMs = rank === RANK.WORTHLESS ? LENDING.WORTHLESS_DRAIN_MS : LENDING.DRAIN_MS;
-  let { hosts, largest, spread } = NO_WANT;
+  let hosts = 0;
+  let largest = 0;
+  let spread = 0;
   submission.handIn.work.steps.forEach((spec, step) => {
     const count = submission.readyInStep[step] ?? 0;
     if (count === 0) {
