--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -165,9 +165,9 @@
 [limits]
 ${tomlOf({ cpuShare: 0.675, cores: 1, memoryMb: 350, maxFds: 4100, linkMbps: 1000, diskMb: 0 })}
 [bounds]
-${tomlOf(BOUNDS)}
+${tomlOf(this.deployment.bounds)}
 [platform]
-${tomlOf({ address: this.deployment.store.address, form: "table", ...STORE, crossPartition: false, historyS: 20 })}
+${tomlOf({ address: this.deployment.store.address, form: "table", ...this.deployment.storeRates, crossPartition: false, historyS: 20 })}
 [cloudApi]
 ${tomlOf({ address: this.deployment.machines.address, ratePerS: 64, duties: [], dutyPerS: 64 })}
 `,
@@ -213,6 +213,8 @@
 export class Deployment {
   executors = new Map();
   executorOptions = {};
+  bounds = BOUNDS;
+  storeRates = STORE;
   lives = 0;
   nodes = [];
   timers = [];
@@ -248,13 +250,16 @@
 
   /** Starts the stand-ins, without processes of the project. */
   async start() {
-    this.store = new Store(STORE);
+    this.store = new Store(this.storeRates);
     await this.store.start();
     this.machineList = new Map();
     this.machines = await startServer((incoming) => this.answerMachines(incoming));
     this.timers.push(
       setInterval(() => {
         for (const executor of this.executors.values()) {
+          if (executor.down === true || executor.silent === true) {
+            continue;
+          }
           this.store.put("servers", executor.options.id, executor.entry());
         }
       }, HEARTBEAT_MS),
@@ -316,7 +321,7 @@
         zone,
         capacity,
       });
-    }, BOUNDS.migrationS * 1_000);
+    }, this.bounds.migrationS * 1_000);
     return { status: 200 };
   }
 
@@ -338,12 +343,14 @@
     setTimeout(() => {
       machine.state = "up";
       this.record({ what: "upkeep ends", machine: machine.machine, wave });
-    }, BOUNDS.maintenanceS * 1_000);
+    }, this.bounds.maintenanceS * 1_000);
     return { status: 200 };
   }
 
   async addExecutor(options) {
-    const executor = new Executor({ bounds: BOUNDS, ...options }, (event) => this.observe(event));
+    const executor = new Executor({ bounds: this.bounds, ...options }, (event) =>
+      this.observe(event),
+    );
     await executor.start();
     this.executors.set(options.id, executor);
     this.store.put("servers", options.id, executor.entry());
--- a/review/lib/executor.mjs
+++ b/review/lib/executor.mjs
@@ -1,6 +1,6 @@
 // Stand-in for an executor, as PROTOCOL.md describes it: fence numbers, leases on its own clock,
 // run numbers, a list of ends that is kept until it is acknowledged.
-import { startServer } from "./http.mjs";
+import { sleep, startServer } from "./http.mjs";
 
 const MAX_LISTED_ENDS = 500;
 const TICK_MS = 20;
@@ -32,6 +32,38 @@
     this.timer = setInterval(() => this.#expire(), TICK_MS);
   }
 
+  /**
+   * Crashes and starts again under the same id at the same address. It then holds and knows nothing
+   * of before, and its clock and counts start anew.
+   *
+   * @param downMs - Time until it answers again.
+   * @param entryAfterMs - Time from then until it writes its entry.
+   */
+  async restart(downMs, entryAfterMs, writeEntry) {
+    this.down = true;
+    this.silent = true;
+    [...this.#running.values()].forEach((entry) => {
+      clearTimeout(entry.timer);
+      this.#running.delete(entry.task);
+      const { task, run } = entry;
+      this.observe({ what: "end", executor: this.options.id, task, run, how: "crash" });
+    });
+    this.server.dropConnections();
+    this.#finished = [];
+    this.#highestOver.clear();
+    this.#nextEnd = 1;
+    this.#sequence = 0;
+    this.#fence = 0;
+    this.#leaseUntil = 0;
+    await sleep(downMs);
+    this.#born = Date.now();
+    this.#startedAt = performance.now();
+    this.down = false;
+    await sleep(entryAfterMs);
+    this.silent = false;
+    writeEntry();
+  }
+
   close() {
     clearInterval(this.timer);
     this.#running.forEach(({ timer }) => clearTimeout(timer));
@@ -99,7 +131,15 @@
     this.#waiters.forEach((wake) => wake());
   }
 
-  async #answer({ path, headers, body }) {
+  async #answer(call) {
+    if (this.down === true || this.isCut === true) {
+      return null;
+    }
+    const reply = await this.#carryOut(call);
+    return this.down === true || this.isCut === true ? null : reply;
+  }
+
+  async #carryOut({ path, headers, body }) {
     if (path === "/healthz") {
       return { status: this.state === "ready" ? 200 : 503 };
     }
--- a/review/lib/http.mjs
+++ b/review/lib/http.mjs
@@ -35,6 +35,7 @@
   await new Promise((resolve) => server.listen(0, "127.0.0.1", resolve));
   return {
     address: `127.0.0.1:${server.address().port}`,
+    dropConnections: () => server.closeAllConnections(),
     close: () => {
       server.closeAllConnections();
       server.close();
