--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -21,7 +21,7 @@
   rowBytes: 65536,
 };
 
-const EXECUTORS = 6;
+const EXECUTORS = 8;
 const WHOLE_EXECUTOR = { cpu: 14_000, memMb: 1_024 };
 /** Time for the clock of the executor's first life to get ahead of that of its second one. */
 const FIRST_LIFE_MS = 15_000;
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -75,7 +75,7 @@
     {
       name: "work",
       host: QUEUE_HOST,
-      prefix: "/work/",
+      prefix: "/queue/",
       service: "pool",
       priority: 0,
       maxAttempts: 3,
@@ -94,12 +94,28 @@
 /** Whether the disruption is to be brought about. */
 export const TROUBLE = process.env.TROUBLE !== "0";
 
-const freePort = async () => {
+/** Ports below those that the system gives to outgoing channels, so that no other call takes one. */
+const PORTS = { FIRST: 15_000, COUNT: 15_000 };
+
+const canListen = async (port) => {
   const server = createServer();
-  await new Promise((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+  const free = await new Promise((resolve) => {
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => resolve(true));
+  });
+  if (free) {
+    await new Promise((resolve) => server.close(resolve));
+  }
+  return free;
+};
+
+const freePort = async () => {
+  for (;;) {
+    const port = PORTS.FIRST + Math.floor(Math.random() * PORTS.COUNT);
+    if (await canListen(port)) {
+      return port;
+    }
+  }
 };
 
 /** Returns program and arguments of the deploy file's role. */
@@ -439,7 +455,7 @@
    *
    * @param path - What follows the queue's prefix.
    */
-  async client(method, path, { body, prefix = "/work/", node, host = QUEUE_HOST } = {}) {
+  async client(method, path, { body, prefix = "/queue/", node, host = QUEUE_HOST } = {}) {
     const usable = this.nodes.filter(({ running }) => running);
     const chosen = node ?? usable[Math.floor(Math.random() * usable.length)];
     if (chosen === undefined) {
