Keep owner commits within the store's limits, and give up rejected ones

Cause: a new owner took every wave of the installation's life for changed and reported all of them in one transaction, with regard to no limit, and repeated it unchanged although the store refuses it for good.

A call whose write is rejected is answered with 413 instead of 503.

--- a/packages/core/src/work/callResults.ts
+++ b/packages/core/src/work/callResults.ts
@@ -68,6 +68,9 @@
     case "conflicted":
       onConflict(turn, call, event.rows);
       return true;
+    case "rejected":
+      onWriteRejected(turn, call, event.reason ?? "");
+      return true;
     case "refused":
     case "unanswered":
       onWriteFailed(turn, call, event.result === "unanswered", event.reason ?? "");
@@ -96,6 +99,13 @@
   }
 };
 
+/** Answers a call whose write the store will never accept, so that the caller doesn't repeat it. */
+const onWriteRejected = (turn: Turn, call: OpenCall, reason: string): void => {
+  const problem = `the store cannot hold this (${reason}); hand it in in smaller parts`;
+  const { callId } = call.arrival;
+  answerCall(turn, { callId, kind: ANSWER_KIND.TOO_LARGE, problem }, { submission: call.id });
+};
+
 const onWriteFailed = (turn: Turn, call: OpenCall, unanswered: boolean, reason: string): void => {
   call.uncertain ||= unanswered;
   logLine(turn, "warn", "submission.writeUnsettled", {
--- /dev/null
+++ b/packages/core/src/work/commitBudget.ts
@@ -0,0 +1,64 @@
+import { STORE } from "./constants.js";
+import type { RowToWrite } from "./events.js";
+import { storedBytes } from "./storedSize.js";
+
+const entriesOf = ({ type }: RowToWrite): number =>
+  type === "waveReport" ? STORE.ENTRIES_PER_WAVE_REPORT : 1;
+
+/** What still fits into a transaction: the store refuses one with too many entries or bytes. */
+export class CommitBudget {
+  private entriesLeft: number = STORE.MAX_ENTRIES;
+  private bytesLeft: number = STORE.MAX_COMMIT_BYTES;
+
+  /** @param rowsLeft - Most rows that the transaction may change. */
+  constructor(private rowsLeft: number) {}
+
+  /**
+   * Takes the space of the owner row, which each commit writes, and of the condition on it.
+   *
+   * @param bytes - Size of the row in the store.
+   */
+  takeOwnerRow(bytes: number): void {
+    this.entriesLeft -= 2;
+    this.bytesLeft -= bytes + 2 * STORE.ENTRY_OVERHEAD_BYTES;
+  }
+
+  /**
+   * Takes the space of a row to write.
+   *
+   * @returns False if the row does not fit.
+   */
+  takeWrite(row: RowToWrite): boolean {
+    return this.take(entriesOf(row), storedBytes(row));
+  }
+
+  /**
+   * Takes the space of a row to write whose size is not known yet.
+   *
+   * @param maxBytes - Most bytes that it will have in the store.
+   * @returns False if the row may not fit.
+   */
+  reserveWrite(maxBytes: number): boolean {
+    return this.take(1, maxBytes);
+  }
+
+  /**
+   * Takes the space of a row to remove.
+   *
+   * @returns False if it does not fit.
+   */
+  takeRemove(): boolean {
+    return this.take(1, 0);
+  }
+
+  private take(entries: number, bytes: number): boolean {
+    const bytesWithName = bytes + STORE.ENTRY_OVERHEAD_BYTES;
+    if (this.rowsLeft < 1 || this.entriesLeft < entries || this.bytesLeft < bytesWithName) {
+      return false;
+    }
+    this.rowsLeft -= 1;
+    this.entriesLeft -= entries;
+    this.bytesLeft -= bytesWithName;
+    return true;
+  }
+}
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -54,6 +54,8 @@
   CONFLICTED: "conflicted",
   /** The store rejected the write without applying it. */
   REFUSED: "refused",
+  /** The store will never accept the write as it is. */
+  REJECTED: "rejected",
   /** No answer: the write may have taken effect or may still do so. */
   UNANSWERED: "unanswered",
 } as const;
@@ -141,10 +143,20 @@
   LOST_MS: 1_300,
   /** Delay before a failed write is retried. */
   COMMIT_RETRY_MS: 100,
-  /** Most rows in one transaction; the store accepts 100 entries, including the owner's row. */
+  /** Most conditions, written and removed rows in one transaction. */
+  MAX_ENTRIES: 100,
+  /** Size limit of a transaction, 1 MB, less a margin. */
+  MAX_COMMIT_BYTES: 900_000,
+  /** Size of an entry beside its value: table, part, key and their names. */
+  ENTRY_OVERHEAD_BYTES: 400,
+  /** The row of a wave, and the report that the operators read. */
+  ENTRIES_PER_WAVE_REPORT: 2,
+  /** Most rows that an owner commit changes beside the owner row. */
   MAX_ROWS: 90,
   /** Most lease rows of workers with new work among them; the rest is left for run ends. */
   MAX_START_ROWS: 50,
+  /** Part of a transaction that lease rows of workers with new work may take. */
+  MAX_START_BYTES: 450_000,
   /** Most runs waiting for a lease row; more starts at once would delay polls and renewals. */
   MAX_PLANNED_STARTS: 96,
   /** Most runs on a worker; its lease row, which lists them all, is limited to 65,536 bytes. */
@@ -153,6 +165,12 @@
   OWNER_COMMIT_GAP_MS: 20,
 } as const;
 
+/** Most bytes of a lease row: beside its items, and for each of them. */
+export const LEASE_ROW = {
+  BASE_BYTES: 400,
+  ITEM_BYTES: 64,
+} as const;
+
 export const CATALOG_VIEW = {
   /** API keys are accepted until the age of the view is this close to the revocation bound. */
   MARGIN_BEFORE_REVOKE_MS: 1_000,
--- a/packages/core/src/work/leaseRows.ts
+++ b/packages/core/src/work/leaseRows.ts
@@ -1,4 +1,6 @@
-import { STORE } from "./constants.js";
+import type { CommitBudget } from "./commitBudget.js";
+import { LEASE_ROW, STORE } from "./constants.js";
+import { base64Bytes } from "./storedSize.js";
 import type { RowName, RowToWrite } from "./events.js";
 import { lateLeaseLeftMs, unknownLeaseEndsAtMs } from "./leaseTimes.js";
 import { isStoppingRuns } from "./leases.js";
@@ -12,6 +14,8 @@
 export interface LeaseRowChanges {
   readonly writes: readonly RowToWrite[];
   readonly removes: readonly RowName[];
+  /** The rows as they were stored before; null for a worker without one. */
+  readonly previous: ReadonlyMap<WorkerId, LeasedWorker | null>;
 }
 
 /** Marks a worker's lease row as outdated: what may run there differs from what the row lists. */
@@ -65,22 +69,48 @@
   readonly deferred: Run[];
 }
 
+/** Returns the number of items that a lease row lists. */
+const itemCount = (lease: LeasedWorker | undefined): number =>
+  lease === undefined
+    ? 0
+    : Object.values(lease.items).reduce((sum, indexes) => sum + indexes.length, 0);
+
+/** Returns the most bytes that the next lease row of a worker has in the store. */
+const maxLeaseBytes = (owned: OwnedWork, id: WorkerId): number => {
+  const worker = owned.workers.get(id);
+  const current = (worker?.runs.size ?? 0) + (worker?.orphanedRuns.size ?? 0);
+  const items = current + itemCount(owned.leases.get(id));
+  return base64Bytes(LEASE_ROW.BASE_BYTES + items * LEASE_ROW.ITEM_BYTES);
+};
+
 /**
  * Selects the runs whose workers' lease rows fit into one commit.
  *
  * @param runs - Planned runs, in the order in which they were planned.
+ * @param budget - What still fits into the commit; the rows of the workers are taken from it.
  */
-export const selectStarts = (runs: readonly Run[]): SelectedStarts => {
+export const selectStarts = (
+  owned: OwnedWork,
+  runs: readonly Run[],
+  budget: CommitBudget,
+): SelectedStarts => {
   const workers = new Set<WorkerId>();
   const selected: Run[] = [];
   const deferred: Run[] = [];
-  for (const run of runs) {
-    if (workers.size < STORE.MAX_START_ROWS || workers.has(run.worker)) {
-      workers.add(run.worker);
-      selected.push(run);
-    } else {
-      deferred.push(run);
+  let bytesLeft: number = STORE.MAX_START_BYTES;
+  const isSelected = (id: WorkerId): boolean => {
+    const bytes = maxLeaseBytes(owned, id);
+    const fits =
+      workers.has(id) ||
+      (workers.size < STORE.MAX_START_ROWS && bytes <= bytesLeft && budget.reserveWrite(bytes));
+    if (fits && !workers.has(id)) {
+      workers.add(id);
+      bytesLeft -= bytes;
     }
+    return fits;
+  };
+  for (const run of runs) {
+    (isSelected(run.worker) ? selected : deferred).push(run);
   }
   return { selected, workers, deferred };
 };
@@ -107,11 +137,27 @@
   return { ...current, items: mergeItems(previous.items, current.items) };
 };
 
+/** Changes the commit's view of a worker's lease row, and returns what was stored before. */
+const recordLease = (
+  owned: OwnedWork,
+  worker: WorkerId,
+  lease: LeasedWorker | null,
+): LeasedWorker | null => {
+  const previous = owned.leases.get(worker) ?? null;
+  if (lease === null) {
+    owned.leases.delete(worker);
+  } else {
+    owned.leases.set(worker, lease);
+  }
+  return previous;
+};
+
 /**
  * Builds the lease rows to write and to remove. The row of an unfenced worker stays as the previous
  * owner left it.
  *
- * @param ids - Workers whose rows are written.
+ * @param starting - Workers with new runs, whose rows the budget already contains.
+ * @param budget - What still fits into the commit.
  * @param writesAllEnds - Whether the commit records every known run end. Otherwise an item whose
  *   end is deferred to the next commit must stay in its lease row, or the next owner would assume
  *   that it never ran.
@@ -119,51 +165,46 @@
 export const leaseRowChanges = (
   turn: Turn,
   owned: OwnedWork,
-  ids: readonly WorkerId[],
+  starting: ReadonlySet<WorkerId>,
+  budget: CommitBudget,
   writesAllEnds: boolean,
 ): LeaseRowChanges => {
   const writes: RowToWrite[] = [];
   const removes: RowName[] = [];
-  for (const worker of ids.filter((id) => !owned.unfencedLeases.has(id))) {
+  const previous = new Map<WorkerId, LeasedWorker | null>();
+  for (const worker of new Set([...starting, ...staleLeases(owned)])) {
+    if (owned.unfencedLeases.has(worker)) {
+      continue;
+    }
     const current = leaseOf(turn, owned, worker);
     const lease = writesAllEnds ? current : mergeLeases(current, owned.leases.get(worker));
+    const row: RowToWrite | null = lease === null ? null : { type: "lease", worker, lease };
+    if (row === null && !owned.leases.has(worker)) {
+      owned.changedLeases.delete(worker);
+      continue;
+    }
+    if (!starting.has(worker) && !(row === null ? budget.takeRemove() : budget.takeWrite(row))) {
+      break;
+    }
     if (writesAllEnds) {
       owned.changedLeases.delete(worker);
     }
-    if (lease !== null) {
-      owned.leases.set(worker, lease);
-      writes.push({ type: "lease", worker, lease });
-    } else if (owned.leases.delete(worker)) {
+    previous.set(worker, recordLease(owned, worker, lease));
+    if (row === null) {
       removes.push({ type: "lease", worker });
+    } else {
+      writes.push(row);
     }
   }
-  return { writes, removes };
+  return { writes, removes, previous };
 };
 
 /**
- * Returns workers whose lease rows are outdated. Unfenced workers are left out, since their rows
- * must not change yet.
- *
- * @param except - Workers whose rows the commit writes anyway.
- * @param maxCount - Most workers to return.
+ * Returns the workers whose lease rows are outdated. Unfenced workers are left out, since their
+ * rows must not change yet.
  */
-export const staleLeases = (
-  owned: OwnedWork,
-  except: ReadonlySet<WorkerId>,
-  maxCount: number,
-): WorkerId[] => {
-  const ids: WorkerId[] = [];
-  for (const id of owned.changedLeases) {
-    if (ids.length >= maxCount) {
-      break;
-    }
-    if (!owned.unfencedLeases.has(id) && !except.has(id)) {
-      ids.push(id);
-    }
-  }
-  return ids;
-};
+const staleLeases = (owned: OwnedWork): WorkerId[] =>
+  [...owned.changedLeases].filter((id) => !owned.unfencedLeases.has(id));
 
 /** Whether any lease row still has to be written. */
-export const hasStaleLeases = (owned: OwnedWork): boolean =>
-  staleLeases(owned, new Set(), 1).length > 0;
+export const hasStaleLeases = (owned: OwnedWork): boolean => staleLeases(owned).length > 0;
--- a/packages/core/src/work/logClasses.ts
+++ b/packages/core/src/work/logClasses.ts
@@ -10,6 +10,7 @@
   "owner.loaded",
   "owner.recovered",
   "owner.writeUnsettled",
+  "owner.commitRejected",
   "owner.commitTruncated",
   "owner.ended",
   "owner.yielding",
--- a/packages/core/src/work/maintenanceWaves.ts
+++ b/packages/core/src/work/maintenanceWaves.ts
@@ -63,6 +63,8 @@
     wave.seenWallMs = Math.min(wave.seenWallMs, report.seenWallMs);
     wave.seenAtMs = turn.nowMs - Math.max(0, turn.wallMs - wave.seenWallMs);
     report.doneHosts.forEach((host) => wave.doneHosts.add(host));
+    wave.completed = report.completed;
+    wave.dirty = false;
   }
 };
 
--- a/packages/core/src/work/ownerCommit.ts
+++ b/packages/core/src/work/ownerCommit.ts
@@ -2,15 +2,17 @@
 import { strongestOwnerMilli } from "./claimDelay.js";
 import { yieldIfDue, yieldCount } from "./ownershipYield.js";
 import { OWNERSHIP, STORE } from "./constants.js";
-import type { RowToWrite, WorkEvent } from "./events.js";
-import { takePurgedRows } from "./purge.js";
+import { CommitBudget } from "./commitBudget.js";
+import { commitAccepted, commitRejected } from "./commitRejection.js";
+import { hasDirtyWaves, takeCommitRows } from "./commitRows.js";
+import type { WorkEvent } from "./events.js";
 import { dropHostOrders, sendHostOrders } from "./hostOrders.js";
 import { recentHostOrders } from "./hosts.js";
 import { isSubmissionViewFresh, isOwnershipConfirmed } from "./ownershipConfirmation.js";
 import { endOwnership, stillOwner } from "./ownership.js";
-import { selectStarts, hasStaleLeases, leaseRowChanges, staleLeases } from "./leaseRows.js";
-import type { OwnerCommit, OwnedWork, Submission } from "./state.js";
-import { progressOf } from "./submissions.js";
+import { hasStaleLeases } from "./leaseRows.js";
+import { storedBytes } from "./storedSize.js";
+import type { OwnerCommit, OwnedWork } from "./state.js";
 import { logLine, roundedMs, newCommitId, validAsOfMs, wakeAfter, type Turn } from "./turn.js";
 import type { OwnerRow } from "./types.js";
 import { cancelPlannedStarts, sendStarts } from "./starts.js";
@@ -29,60 +31,6 @@
   pending: countPending(turn, owned),
 });
 
-const takeDirtySubmissions = (owned: OwnedWork, maxCount: number): Submission[] => {
-  const chosen: Submission[] = [];
-  for (const submission of owned.dirtySubmissions) {
-    if (chosen.length >= maxCount) {
-      break;
-    }
-    chosen.push(submission);
-  }
-  for (const submission of chosen) {
-    submission.dirty = false;
-    owned.dirtySubmissions.delete(submission);
-  }
-  return chosen;
-};
-
-const takeWaveReports = (owned: OwnedWork): RowToWrite[] => {
-  const rows: RowToWrite[] = [];
-  for (const wave of owned.waves.values()) {
-    if (wave.dirty) {
-      wave.dirty = false;
-      rows.push({
-        type: "waveReport",
-        wave: wave.request.wave,
-        completed: wave.completed,
-        seenWallMs: wave.seenWallMs,
-        doneHosts: [...wave.doneHosts],
-      });
-    }
-  }
-  return rows;
-};
-
-const hasDirtyWaves = (owned: OwnedWork): boolean => {
-  for (const wave of owned.waves.values()) {
-    if (wave.dirty) {
-      return true;
-    }
-  }
-  return false;
-};
-
-/** Logs that a commit could not take all dirty submissions, which defers run ends to the next. */
-const logCommitTruncated = (turn: Turn, owned: OwnedWork): void => {
-  let endsDeferred = 0;
-  for (const { seenSequence, durableSequence } of owned.workersWithUnpersistedEnds) {
-    endsDeferred += seenSequence - durableSequence;
-  }
-  logLine(turn, "warn", "owner.commitTruncated", {
-    fence: Number(owned.fence),
-    submissions: owned.dirtySubmissions.size,
-    endsDeferred,
-  });
-};
-
 /**
  * Returns the run ends that workers may discard once the commit succeeds: none while a submission
  * remains dirty, since it may be one that those ends changed.
@@ -97,43 +45,27 @@
 
 /** Commits changed rows together with the owner row; at most one such commit is in flight. */
 const sendCommit = (turn: Turn, owned: OwnedWork): void => {
-  const { selected, workers, deferred } = selectStarts(owned.plannedStarts);
-  const submissions = takeDirtySubmissions(owned, STORE.MAX_ROWS - workers.size);
-  const takesAllDirty = owned.dirtySubmissions.size === 0;
-  if (!takesAllDirty) {
-    logCommitTruncated(turn, owned);
-  }
-  const rowsLeft = STORE.MAX_ROWS - workers.size - submissions.length;
-  const leases = leaseRowChanges(
-    turn,
-    owned,
-    [...workers, ...staleLeases(owned, workers, rowsLeft)],
-    takesAllDirty,
-  );
-  const purged = takePurgedRows(owned, rowsLeft - leases.writes.length - leases.removes.length);
+  const budget = new CommitBudget(owned.commitRowLimit);
+  budget.takeOwnerRow(storedBytes({ type: "owner", owner: ownerRow(turn, owned, false) }));
+  const { writes, removes, changes, starts, takesAllDirty } = takeCommitRows(turn, owned, budget);
   const releases = owned.releasing && takesAllDirty && !hasStaleLeases(owned);
   const ownerCommit: OwnerCommit = {
     commit: {
       commitId: newCommitId(turn.work),
       conditions: [{ row: { type: "owner" }, version: owned.rowVersion }],
-      writes: [
-        { type: "owner", owner: ownerRow(turn, owned, releases) },
-        ...leases.writes,
-        ...submissions.map((submission) => ({
-          type: "progress" as const,
-          progress: progressOf(submission),
-        })),
-        ...takeWaveReports(owned),
-      ],
-      removes: [...leases.removes, ...purged],
+      writes: [{ type: "owner", owner: ownerRow(turn, owned, releases) }, ...writes],
+      removes,
     },
-    submissions: submissions.map((submission) => ({ submission, reportedState: submission.state })),
+    submissions: changes.submissions.map((submission) => ({
+      submission,
+      reportedState: submission.state,
+    })),
     ends: acknowledgeableEnds(owned),
     releases,
-    starts: selected,
+    starts,
     orders: owned.plannedHostOrders,
+    changes,
   };
-  owned.plannedStarts = deferred;
   owned.plannedHostOrders = [];
   owned.commitInFlight = ownerCommit;
   owned.needsRenewal = false;
@@ -204,12 +136,15 @@
     owned.commitInFlight = null;
     owned.rowVersion = event.version;
     owned.confirmedAtMs = Math.max(owned.confirmedAtMs, validAsOfMs(turn, event.sentAtMs));
+    commitAccepted(owned);
     applyCommitted(turn, owned, ownerCommit);
   } else if (event.result === "conflicted") {
     if (stillOwner(turn, owned, event.rows, event.sentAtMs)) {
       owned.commitRetryAtMs = turn.nowMs;
       wakeAfter(turn, 1);
     }
+  } else if (event.result === "rejected") {
+    commitRejected(turn, owned, ownerCommit, event.reason);
   } else {
     logLine(turn, "warn", "owner.writeUnsettled", {
       result: event.result,
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -1,7 +1,7 @@
 import type { HostId } from "@heatherferry/common";
 import { DueQueue } from "@heatherferry/coordination";
 import { claimDelayMs, strongestOwnerMilli } from "./claimDelay.js";
-import { OWNERSHIP, SCAN } from "./constants.js";
+import { OWNERSHIP, SCAN, STORE } from "./constants.js";
 import { logAbandonedRuns } from "./abandonedRunLog.js";
 import { inheritedHostOrders } from "./hosts.js";
 import type { StoreRow, WorkEvent } from "./events.js";
@@ -223,6 +223,7 @@
   queuedCounts: new Map(),
   scheduledSubmissions: new Set(),
   commitInFlight: null,
+  commitRowLimit: STORE.MAX_ROWS,
   commitRetryAtMs: 0,
   commitSentAtMs: nowMs,
   placedAtMs: -Infinity,
--- a/packages/core/src/work/purge.ts
+++ b/packages/core/src/work/purge.ts
@@ -1,4 +1,5 @@
 import { PURGE, STORE, SUBMISSION_STATE } from "./constants.js";
+import type { CommitBudget } from "./commitBudget.js";
 import type { RowName, WorkEvent } from "./events.js";
 import { isOwnershipConfirmed } from "./ownershipConfirmation.js";
 import type { OwnedWork, Submission } from "./state.js";
@@ -52,13 +53,22 @@
  * Takes the progress rows of purged submissions for the next owner commit. Only a commit that is
  * conditional on the owner row may delete them, so that a node which lost ownership cannot.
  *
- * @param maxRows - Most rows that the commit may still delete.
+ * @param budget - What still fits into the commit.
  * @returns The rows to delete; they are returned only once.
  */
-export const takePurgedRows = (owned: OwnedWork, maxRows: number): RowName[] => {
-  const ids = [...owned.purgedSubmissions].slice(0, Math.max(0, maxRows));
+export const takePurgedRows = (
+  owned: OwnedWork,
+  budget: CommitBudget,
+): { rows: RowName[]; ids: SubmissionId[] } => {
+  const ids: SubmissionId[] = [];
+  for (const id of owned.purgedSubmissions) {
+    if (!budget.takeRemove()) {
+      break;
+    }
+    ids.push(id);
+  }
   ids.forEach((id) => owned.purgedSubmissions.delete(id));
-  return ids.map((id) => ({ type: "progress", id }));
+  return { rows: ids.map((id) => ({ type: "progress", id })), ids };
 };
 
 /**
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -105,6 +105,8 @@
   readonly queuedCounts: Map<QueueId, number>;
   readonly scheduledSubmissions: Set<Submission>;
   commitInFlight: OwnerCommit | null;
+  /** Most rows that a commit may change; fewer than usual after the store has rejected one. */
+  commitRowLimit: number;
   commitRetryAtMs: number;
   commitSentAtMs: number;
   /** When items were last placed on workers, and when hosts were last allocated to pools. */
@@ -156,6 +158,17 @@
   /** Runs whose start orders may be sent afterwards. */
   readonly starts: readonly Run[];
   readonly orders: readonly HostOrder[];
+  readonly changes: CommitChanges;
+}
+
+/** What a commit records beside the owner row, so that it can be recorded again. */
+export interface CommitChanges {
+  readonly submissions: readonly Submission[];
+  /** Workers whose lease rows it changes, with those rows before; null if there was none. */
+  readonly previousLeases: ReadonlyMap<WorkerId, LeasedWorker | null>;
+  readonly waves: readonly MaintenanceWave[];
+  /** Purged submissions whose progress rows it deletes. */
+  readonly purged: readonly SubmissionId[];
 }
 
 export interface FeedState {
--- a/packages/core/src/work/storeRows.ts
+++ b/packages/core/src/work/storeRows.ts
@@ -33,6 +33,7 @@
       readonly type: "waveReport";
       readonly version: StoreVersion;
       readonly wave: number;
+      readonly completed: boolean;
       readonly seenWallMs: number;
       readonly doneHosts: readonly HostId[];
     };
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -161,7 +161,7 @@
   submission.occurrences.get(submission.createdOccurrences - 1);
 
 /** Ends a submission: starts no further items and stops those that run. */
-const endSubmission = (
+export const endSubmission = (
   turn: Turn,
   owned: OwnedWork,
   submission: Submission,
--- a/packages/core/tests/work/inheritedLeases.test.ts
+++ b/packages/core/tests/work/inheritedLeases.test.ts
@@ -158,10 +158,10 @@
   node.run(600);
   t.deepEqual(node.writtenLeases("w").at(-1)?.items, {});
   t.is(node.writtenLeases("w").at(-1)?.startWallMs, START_WALL_MS);
-  t.false(node.removedRows().some((row) => row.type === "lease"));
+  t.false(node.removedRows.some((row) => row.type === "lease"));
   node.answerPoll(node.nextPollOf("w"), { startWallMs: START_WALL_MS });
   node.run(1_000);
-  t.true(node.removedRows().some((row) => row.type === "lease"));
+  t.true(node.removedRows.some((row) => row.type === "lease"));
 });
 
 test("the row of a restarted worker does not tell of the lease that a late order may grant", (t) => {
--- a/packages/core/tests/work/memoryStore.ts
+++ b/packages/core/tests/work/memoryStore.ts
@@ -53,14 +53,32 @@
   lease: "leases",
 };
 
-/** Size limit of a row in the platform's store. */
+/** Size limit of a row in the platform's store, which takes values in base64. */
 const MAX_ROW_BYTES = 65_536;
 
-const checkSize = (row: RowToWrite): void => {
-  const bytes = Buffer.byteLength(JSON.stringify(row));
-  if (bytes > MAX_ROW_BYTES) {
-    throw new Error(`ROW: ${nameOf(row)} has ${bytes} bytes, above the limit of the store`);
+/** Limits of a transaction in the platform's store. */
+const MAX_ENTRIES = 100;
+const MAX_TRANSACTION_BYTES = 1_000_000;
+
+const sizeOf = (row: RowToWrite): number =>
+  4 * Math.ceil(Buffer.byteLength(JSON.stringify(row)) / 3);
+
+/** Returns what the platform's store would refuse a transaction for; null if it accepts it. */
+export const refusalOf = ({ conditions, writes, removes }: Commit): string | null => {
+  // The report on a wave is written beside its row.
+  const reports = writes.filter(({ type }) => type === "waveReport").length;
+  const entries = conditions.length + writes.length + reports + removes.length;
+  if (entries > MAX_ENTRIES) {
+    return `TRANSACTION: it has ${entries} entries, above the limit of the store`;
   }
+  const tooLarge = writes.find((row) => sizeOf(row) > MAX_ROW_BYTES);
+  if (tooLarge !== undefined) {
+    return `ROW: ${nameOf(tooLarge)} has ${sizeOf(tooLarge)} bytes, above the limit of the store`;
+  }
+  const bytes = writes.reduce((sum, row) => sum + sizeOf(row), 0);
+  return bytes > MAX_TRANSACTION_BYTES
+    ? `TRANSACTION: it has ${bytes} bytes, above the limit of the store`
+    : null;
 };
 
 /** In-memory model of the platform's store: a single version counter, transactions and feeds. */
@@ -80,8 +98,11 @@
     if (!commit.conditions.every((condition) => this.holds(condition))) {
       return commit.conditions.flatMap(({ row }) => this.read(nameOf(row)));
     }
+    const refusal = refusalOf(commit);
+    if (refusal !== null) {
+      throw new Error(refusal);
+    }
     this.version += 1;
-    commit.writes.forEach(checkSize);
     for (const row of commit.writes) {
       this.set(nameOf(row), row);
     }
--- a/packages/core/tests/work/ownerNode.ts
+++ b/packages/core/tests/work/ownerNode.ts
@@ -17,6 +17,7 @@
   storeVersion,
   echoedTarget,
   workerId,
+  type Commit,
   type Effect,
   type EndLine,
   type Event,
@@ -33,6 +34,7 @@
   type WorkerReport,
   type WorkSpec,
 } from "../../src/index.js";
+import { refusalOf } from "./memoryStore.js";
 import { BOUNDS, CATALOG } from "./siteFixtures.js";
 
 type EffectOf<Type extends Effect["type"]> = Extract<Effect, { type: Type }>;
@@ -75,13 +77,18 @@
   readonly starts: StartEffect[] = [];
   readonly stops: EffectOf<"worker/stop">[] = [];
   private readonly logLines: EffectOf<"log/write">[] = [];
-  private readonly writtenRows: RowToWrite[] = [];
-  private readonly removed: RowName[] = [];
+  /** Rows that commits have written and keys of those that they have removed, oldest first. */
+  readonly writtenRows: RowToWrite[] = [];
+  readonly removedRows: RowName[] = [];
   readonly state: State;
   private readonly feeds = new Map<Feed, EffectOf<"store/feed">>();
   private readonly due: { readonly atMs: number; readonly event: Untimed<Event> }[] = [];
   private readonly settledPolls = new Set<PollEffect>();
   protected version = 1;
+  /** What the store rejects a commit for; null if it accepts it. */
+  rejectionOf: (commit: Commit) => string | null = refusalOf;
+  /** Why commits were rejected, oldest first. */
+  readonly rejections: string[] = [];
 
   /** @param rows - Rows that the store holds when the node acquires ownership. */
   constructor(private readonly rows: Partial<Record<Scan, readonly StoreRow[]>> = {}) {
@@ -150,11 +157,6 @@
     );
   }
 
-  /** Returns the keys of the rows that commits have removed, oldest first. */
-  removedRows(): readonly RowName[] {
-    return this.removed;
-  }
-
   lastPollOf(id: string): PollEffect {
     const poll = this.polls.findLast(({ worker }) => worker === id);
     if (poll === undefined) {
@@ -284,24 +286,28 @@
       case "store/scan":
         this.answerLater({ ...this.scanned(), scan: effect.scan, rows: this.rowsOf(effect.scan) });
         return;
-      case "store/commit":
+      case "store/commit": {
+        const reason = this.rejectionOf(effect);
+        if (reason !== null) {
+          this.rejections.push(reason);
+          this.answerLater({ ...this.settled(effect), result: "rejected", version: null, reason });
+          return;
+        }
         this.version += 1;
         this.writtenRows.push(...effect.writes);
-        this.removed.push(...effect.removes);
-        this.answerLater({
-          type: "store/commitSettled",
-          commitId: effect.commitId,
-          result: "committed",
-          sentAtMs: this.nowMs,
-          version: storeVersion(this.version),
-          rows: [],
-          reason: null,
-        });
+        this.removedRows.push(...effect.removes);
+        const version = storeVersion(this.version);
+        this.answerLater({ ...this.settled(effect), result: "committed", version, reason: null });
         return;
+      }
       default:
     }
   }
 
+  private settled({ commitId }: EffectOf<"store/commit">) {
+    return { type: "store/commitSettled" as const, commitId, sentAtMs: this.nowMs, rows: [] };
+  }
+
   private emptyAnswer({ feed, sentAtMs, waitMs, after }: EffectOf<"store/feed">): Untimed<Event> {
     const storeMs = this.nowMs + waitMs;
     return { type: "store/feedAnswered", feed, rows: [], sentAtMs, version: after, storeMs };
@@ -317,9 +323,8 @@
   }
 
   private rowsOf(scan: Scan): readonly StoreRow[] {
-    return scan === "operators"
-      ? [{ type: "catalog", version: storeVersion(1), catalog: CATALOG }]
-      : (this.rows[scan] ?? []);
+    const catalog: StoreRow = { type: "catalog", version: storeVersion(1), catalog: CATALOG };
+    return [...(scan === "operators" ? [catalog] : []), ...(this.rows[scan] ?? [])];
   }
 
   private answerLater(event: Untimed<Event>): void {
--- a/packages/wire/src/work/rowChecks.ts
+++ b/packages/wire/src/work/rowChecks.ts
@@ -78,7 +78,12 @@
     failures: COUNT_LISTS,
     endedWallMs: nullOr(isNumber),
   }),
-  WAVE: withFields({ wave: isCount, seenWallMs: isNumber, doneHosts: listOf(isString) }),
+  WAVE: withFields({
+    wave: isCount,
+    completed: isBoolean,
+    seenWallMs: isNumber,
+    doneHosts: listOf(isString),
+  }),
   OWNER: withFields({
     holder: isString,
     incarnation: isString,
--- a/packages/wire/src/work/workRows.ts
+++ b/packages/wire/src/work/workRows.ts
@@ -133,8 +133,8 @@
     return { type: "handIn", version: at, submission: body as SubmissionRow };
   }
   if (table === WORK_TABLE.PROGRESS && key.startsWith(WAVE_PREFIX) && ROW_CHECK.WAVE(body)) {
-    const { wave, seenWallMs, doneHosts } = body as WaveProgress;
-    return { type: "waveReport", version: at, wave, seenWallMs, doneHosts };
+    const { wave, completed, seenWallMs, doneHosts } = body as WaveProgress;
+    return { type: "waveReport", version: at, wave, completed, seenWallMs, doneHosts };
   }
   if (table === WORK_TABLE.PROGRESS && ROW_CHECK.PROGRESS(body)) {
     return { type: "progress", version: at, progress: body as Progress };
