Let every waiting submission come up, whatever stands at the head

Cause: each placement pass has a bound and began at the same head, so that submissions which fit nowhere used up every pass.

Change: a pass that ended early goes on with those that no pass has tried for longest; work whose label the pool lacks, or that nothing in the fleet could hold, leaves the order until that changes, draws in no hosts in the latter case, and its state tells callers the reason.

--- a/packages/core/src/work/backlog.ts
+++ b/packages/core/src/work/backlog.ts
@@ -1,9 +1,12 @@
 import type { TeamId } from "@heatherferry/common";
 import { DueQueue, KeyedHeap } from "@heatherferry/coordination";
 import { countSteps } from "./handlingCost.js";
+import type { CapacityIndex } from "./capacityIndex.js";
 import { precedes, RANK, orderKeyOf, type OrderKey } from "./orderKey.js";
 import type { Submission } from "./state.js";
 import type { Turn } from "./turn.js";
+import type { FleetKinds } from "./fleetKinds.js";
+import { findObstacles, hasItemsFor, hasPlaceableItems } from "./obstacles.js";
 import { submissionDemand, type SubmissionDemand } from "./backlogDemand.js";
 import type { Resources } from "./types.js";
 
@@ -61,10 +64,29 @@
   private readonly stale = new Set<Submission>();
   /** Submissions by the time at which their rank changes. */
   private readonly rankChanges = new DueQueue<Submission>();
+  /** Submissions of which no ready item can run on any worker, whatever is free. */
+  private readonly unplaceable = new Set<Submission>();
+  /** Submissions that wait for a worker of the pool with a label that none has now. */
+  private readonly awaitingLabel = new Set<Submission>();
+  /** Which of the pool's labels the submissions were last compared with. */
+  private labelsVersion = 0;
+  /** Submissions that no placement pass of the present round has tried, oldest first. */
+  private readonly untried = new Set<Submission>();
   private host: Resources | null = null;
 
+  /** @param workers - The workers of the pool. */
+  constructor(private readonly workers: CapacityIndex) {}
+
+  /** Number of submissions that wait for capacity. */
   get size(): number {
-    return this.entries.size;
+    return this.entries.size - this.unplaceable.size - this.awaitingLabel.size;
+  }
+
+  /** Whether a placement pass may find a submission to place. */
+  get needsPass(): boolean {
+    return (
+      this.size > 0 || this.stale.size > 0 || this.labelsVersion !== this.workers.labelsVersion
+    );
   }
 
   /** Adds a submission and removes it from the backlog that it was in before. */
@@ -73,6 +95,7 @@
       submission.backlog?.remove(submission);
       submission.backlog = this;
       this.entries.set(submission, null);
+      this.untried.add(submission);
     }
     this.stale.add(submission);
   }
@@ -80,6 +103,9 @@
   remove(submission: Submission): void {
     this.detach(submission);
     this.entries.delete(submission);
+    this.untried.delete(submission);
+    this.unplaceable.delete(submission);
+    this.awaitingLabel.delete(submission);
     this.stale.delete(submission);
     this.rankChanges.delete(submission);
     submission.backlog = null;
@@ -97,16 +123,58 @@
     }
   }
 
+  /** Records that a placement pass has tried a submission. */
+  markTried(submission: Submission): void {
+    this.untried.delete(submission);
+  }
+
+  /** Has the next pass that is ended early go on with a submission. */
+  markUntried(submission: Submission): void {
+    if (this.entries.has(submission)) {
+      this.untried.add(submission);
+    }
+  }
+
+  /**
+   * Returns submissions for a pass that was ended early to go on with: those that have waited
+   * longest since a pass tried them. Once every submission was tried, a new round begins.
+   *
+   * @param maxCount - Most submissions to return.
+   */
+  takeUntried(maxCount: number): Submission[] {
+    if (this.untried.size === 0) {
+      for (const submission of this.entries.keys()) {
+        this.untried.add(submission);
+      }
+    }
+    const taken: Submission[] = [];
+    for (const submission of this.untried) {
+      if (taken.length >= maxCount) {
+        break;
+      }
+      this.untried.delete(submission);
+      if (this.entries.get(submission) !== null && !this.awaitingLabel.has(submission)) {
+        taken.push(submission);
+      }
+    }
+    return taken;
+  }
+
   /**
    * Recomputes the order keys and demands that may have changed.
    *
    * @param host - Capacity of a host of the pool.
+   * @param fleet - The kinds of workers that exist in any pool.
    */
-  refresh(turn: Turn, host: Resources): void {
+  refresh(turn: Turn, host: Resources, fleet: FleetKinds): void {
     if (this.host?.cpuMilli !== host.cpuMilli || this.host.memoryMb !== host.memoryMb) {
       this.host = host;
       this.markAllChanged();
     }
+    if (this.labelsVersion !== this.workers.labelsVersion) {
+      this.labelsVersion = this.workers.labelsVersion;
+      this.awaitingLabel.forEach((submission) => this.stale.add(submission));
+    }
     for (const submission of this.rankChanges.takeDue(turn.nowMs)) {
       this.stale.add(submission);
     }
@@ -115,7 +183,7 @@
       if (submission.ready.size === 0) {
         this.remove(submission);
       } else {
-        this.insert(turn, host, submission);
+        this.insert(turn, host, fleet, submission);
       }
     }
     this.stale.clear();
@@ -126,13 +194,25 @@
     return [...this.teams.values()];
   }
 
-  private insert(turn: Turn, host: Resources, submission: Submission): void {
+  private insert(turn: Turn, host: Resources, fleet: FleetKinds, submission: Submission): void {
     this.detach(submission);
+    findObstacles(turn, fleet, submission);
+    if (!hasPlaceableItems(submission)) {
+      this.unplaceable.add(submission);
+      this.rankChanges.delete(submission);
+      return;
+    }
+    this.unplaceable.delete(submission);
+    this.awaitingLabel.delete(submission);
     const orderKey = orderKeyOf(turn, submission);
     const team = this.teamBacklog(submission.row.team);
     const demand = submissionDemand(submission, host, orderKey.rank);
     this.entries.set(submission, { team, orderKey, demand });
-    team.heap.set(submission, orderKey);
+    if (hasItemsFor(submission, this.workers)) {
+      team.heap.set(submission, orderKey);
+    } else {
+      this.awaitingLabel.add(submission);
+    }
     if (demand.spreadWorkers > 0) {
       team.spreadWorkers.set(submission, demand.spreadWorkers);
     }
@@ -197,6 +277,8 @@
     readonly orderKey: OrderKey;
   }[] = [];
   private readonly teams: Set<TeamBacklog>;
+  /** Whether submissions of a team were left out of the pass. */
+  hasSkipped = false;
 
   constructor(private readonly backlog: Backlog) {
     this.teams = new Set(backlog.byTeam());
@@ -218,6 +300,7 @@
       return null;
     }
     best.heap.delete(submission);
+    this.backlog.markTried(submission);
     this.visited.push({ team: best, submission, orderKey: bestKey });
     return submission;
   }
@@ -227,6 +310,7 @@
     const last = this.visited.at(-1);
     if (last !== undefined) {
       this.teams.delete(last.team);
+      this.hasSkipped = true;
     }
   }
 
--- a/packages/core/src/work/backlogDemand.ts
+++ b/packages/core/src/work/backlogDemand.ts
@@ -44,7 +44,7 @@
   let spread = 0;
   submission.row.work.steps.forEach((spec, step) => {
     const readyCount = submission.readyByStep[step] ?? 0;
-    if (readyCount === 0) {
+    if (readyCount === 0 || submission.obstacles.has(step)) {
       return;
     }
     const fraction = hostFraction(reservedResources(spec), host);
@@ -82,7 +82,7 @@
   let largestExpired = 0;
   let spread = 0;
   for (const team of pool.backlog.byTeam()) {
-    if (team.heap.size > 0 && !isHeldByCeiling(turn, owned, team)) {
+    if (team.submissionCount > 0 && !isHeldByCeiling(turn, owned, team)) {
       hosts += team.hosts;
       onSchedule += team.onScheduleHosts;
       expired += team.expiredHosts;
--- a/packages/core/src/work/callResults.ts
+++ b/packages/core/src/work/callResults.ts
@@ -4,7 +4,7 @@
 import type { WorkEvent } from "./events.js";
 import { retryCallAt } from "./openCalls.js";
 import type { OpenCall } from "./state.js";
-import { adoptSubmission, cancelSubmission } from "./submissions.js";
+import { adoptSubmission, cancelSubmission, hasEnded } from "./submissions.js";
 import { logLine, newCommitId, type Turn } from "./turn.js";
 import { storeVersion, type SubmissionRow, type SubmissionId } from "./types.js";
 
@@ -143,7 +143,17 @@
       (storedState === SUBMISSION_STATE.QUEUED || storedState === SUBMISSION_STATE.RUNNING)
         ? SUBMISSION_STATE.CANCELLED
         : storedState;
-    answerCall(turn, { callId, kind: ANSWER_KIND.STATE, state }, { submission, from: "store" });
+    const obstacle = hasEnded(state) ? undefined : event.progress?.obstacle;
+    answerCall(
+      turn,
+      {
+        callId,
+        kind: ANSWER_KIND.STATE,
+        state,
+        ...(obstacle === undefined ? {} : { reason: obstacle }),
+      },
+      { submission, from: "store" },
+    );
   }
 };
 
--- a/packages/core/src/work/calls.ts
+++ b/packages/core/src/work/calls.ts
@@ -3,9 +3,11 @@
 import { findQueue, areKeysCurrent, teamByKey } from "./catalog.js";
 import { ANSWER_KIND, CALL, CALL_KIND } from "./constants.js";
 import type { CallArrival } from "./events.js";
+import { obstacleOf } from "./obstacles.js";
 import { addCall, closeCall } from "./openCalls.js";
 import { pendingOfQueue } from "./pendingCount.js";
 import type { OpenCall } from "./state.js";
+import { hasEnded } from "./submissions.js";
 import { logLine, newCommitId, type Turn } from "./turn.js";
 import {
   storeVersion,
@@ -105,9 +107,15 @@
     lookUp(turn, arrival, id);
     return;
   }
+  const obstacle = hasEnded(submission.reportedState) ? null : obstacleOf(submission);
   answerCall(
     turn,
-    { callId: arrival.callId, kind: ANSWER_KIND.STATE, state: submission.reportedState },
+    {
+      callId: arrival.callId,
+      kind: ANSWER_KIND.STATE,
+      state: submission.reportedState,
+      ...(obstacle === null ? {} : { reason: obstacle }),
+    },
     {
       submission: id,
       from: "owner",
--- a/packages/core/src/work/capacityIndex.ts
+++ b/packages/core/src/work/capacityIndex.ts
@@ -33,6 +33,7 @@
 interface Slot {
   readonly hasLongRunning: boolean;
   readonly bucket: number;
+  readonly labels: readonly string[];
 }
 
 /** Index of the workers of a pool by free capacity. */
@@ -41,6 +42,15 @@
   /** Filled first, since long-running work keeps the hosts of these workers in use in any case. */
   private readonly withLongRunning = new Buckets();
   private readonly others = new Buckets();
+  /** Number of workers by label. */
+  private readonly labelCounts = new Map<string, number>();
+  /** Rises with each label that no other worker of the pool has. */
+  labelsVersion = 0;
+
+  /** Whether a worker of the pool has a label. */
+  hasLabel(label: string): boolean {
+    return this.labelCounts.has(label);
+  }
 
   add(worker: Worker): void {
     worker.capacityIndex = this;
@@ -54,14 +64,24 @@
 
   /** Updates the position of a worker after its free capacity has changed. */
   update(worker: Worker): void {
-    const slot = { hasLongRunning: worker.longRunningRuns > 0, bucket: bucketOf(worker) };
+    const { labels } = worker.report;
+    const slot = { hasLongRunning: worker.longRunningRuns > 0, bucket: bucketOf(worker), labels };
     const previous = this.slots.get(worker);
-    if (previous?.hasLongRunning === slot.hasLongRunning && previous.bucket === slot.bucket) {
+    if (
+      previous?.hasLongRunning === slot.hasLongRunning &&
+      previous.bucket === slot.bucket &&
+      previous.labels === labels
+    ) {
       return;
     }
     this.removeFromBucket(worker);
     this.slots.set(worker, slot);
     this.bucketsOf(slot).add(worker, slot.bucket);
+    labels.forEach((label) => {
+      const count = this.labelCounts.get(label) ?? 0;
+      this.labelsVersion += count === 0 ? 1 : 0;
+      this.labelCounts.set(label, count + 1);
+    });
   }
 
   /** Iterates over the workers that may have `cpuMilli` free, the best for new work first. */
@@ -75,6 +95,18 @@
     if (slot !== undefined) {
       this.slots.delete(worker);
       this.bucketsOf(slot).delete(worker, slot.bucket);
+      slot.labels.forEach((label) => {
+        this.removeLabel(label);
+      });
+    }
+  }
+
+  private removeLabel(label: string): void {
+    const count = (this.labelCounts.get(label) ?? 0) - 1;
+    if (count > 0) {
+      this.labelCounts.set(label, count);
+    } else {
+      this.labelCounts.delete(label);
     }
   }
 
--- a/packages/core/src/work/commitRejection.ts
+++ b/packages/core/src/work/commitRejection.ts
@@ -1,9 +1,10 @@
 import { STORE, SUBMISSION_STATE } from "./constants.js";
+import { markDirty } from "./dirtySubmissions.js";
 import { dropHostOrders } from "./hostOrders.js";
 import { markLeaseChanged } from "./leaseRows.js";
 import { cancelPlannedStarts } from "./starts.js";
 import type { OwnedWork, OwnerCommit, Submission } from "./state.js";
-import { endSubmission, hasEnded, markDirty } from "./submissions.js";
+import { endSubmission, hasEnded } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
 import type { WorkerId } from "./types.js";
 
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -301,6 +301,9 @@
   MAX_FRUITLESS_CHECKS: 512,
   /** Most submissions that a pass examines. */
   MAX_SUBMISSIONS: 128,
+  /** The same for submissions that earlier passes have left out, which a pass examines last. */
+  MAX_FRUITLESS_CHECKS_LEFT_OUT: 128,
+  MAX_SUBMISSIONS_LEFT_OUT: 32,
   /** Submissions of a team that may hit its ceiling before the pass skips the team. */
   MAX_CAPPED: 8,
   /** MAX_CAPPED for a team far below its ceiling, which only single large items exceed. */
--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -65,6 +65,8 @@
   readonly callId: string;
   readonly kind: AnswerKind;
   readonly state?: SubmissionState;
+  /** Why the submission waits, if no worker can ever hold its next items. */
+  readonly reason?: string;
   readonly pending?: number;
   readonly retryAfterMs?: number;
   readonly problem?: string;
--- a/packages/core/src/work/hosts.ts
+++ b/packages/core/src/work/hosts.ts
@@ -3,7 +3,7 @@
 import type { WorkEvent } from "./events.js";
 import type { OwnedWork } from "./state.js";
 import type { Turn } from "./turn.js";
-import type { OwnerRow } from "./types.js";
+import type { OwnerRow, Resources } from "./types.js";
 
 /**
  * Requests a host list from the platform unless one was requested recently.
@@ -18,6 +18,16 @@
   }
 };
 
+/** Adds a kind of workers; if it is new, work that fitted nowhere is looked at again. */
+export const addKind = (owned: OwnedWork, labels: readonly string[], capacity: Resources): void => {
+  if (owned.fleet.add(labels, capacity)) {
+    for (const pool of owned.pools.values()) {
+      pool.backlog.markAllChanged();
+      pool.dirty = true;
+    }
+  }
+};
+
 /** Replaces the known hosts by those of a new host list, which is always complete. */
 export const applyHostList = (
   turn: Turn,
@@ -34,6 +44,13 @@
       (orderedAfterRequest ? knownHosts.get(listing.host) : null) ?? listing,
     );
   }
+  for (const { labels, capacity } of event.hosts) {
+    if (capacity === null) {
+      owned.fleet.hasUnknownHosts = true;
+    } else {
+      addKind(owned, labels, capacity);
+    }
+  }
   owned.hostListReceivedAtMs = turn.nowMs;
   owned.hostListRequestedAtMs = event.sentAtMs;
 };
--- a/packages/core/src/work/itemState.ts
+++ b/packages/core/src/work/itemState.ts
@@ -113,6 +113,8 @@
   readonly ready: Set<Item>;
   /** Number of ready items in each step. */
   readonly readyByStep: number[];
+  /** Why no worker can ever hold an item, by the number of the step. */
+  readonly obstacles: Map<number, string>;
   /** The backlog in which it waits for capacity. */
   backlog: Backlog | null;
 }
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -3,6 +3,7 @@
 import { claimDelayMs, strongestOwnerMilli } from "./claimDelay.js";
 import { OWNERSHIP, SCAN, STORE } from "./constants.js";
 import { logAbandonedRuns } from "./abandonedRunLog.js";
+import { FleetKinds } from "./fleetKinds.js";
 import { inheritedHostOrders } from "./hosts.js";
 import type { StoreRow, WorkEvent } from "./events.js";
 import type { Claim, OwnedWork, WorkloadState } from "./state.js";
@@ -231,6 +232,7 @@
   needsRenewal: false,
   ordersSent: 0,
   hosts: new Map(),
+  fleet: new FleetKinds(),
   workersByHost: new Map(),
   moves: new Map(),
   drains: new Map(),
--- a/packages/core/src/work/pools.ts
+++ b/packages/core/src/work/pools.ts
@@ -7,11 +7,12 @@
 export const poolOf = (owned: OwnedWork, id: PoolId): PoolWork => {
   let pool = owned.pools.get(id);
   if (pool === undefined) {
+    const capacityIndex = new CapacityIndex();
     pool = {
       id,
       workers: new Set(),
-      backlog: new Backlog(),
-      capacityIndex: new CapacityIndex(),
+      backlog: new Backlog(capacityIndex),
+      capacityIndex,
       dirty: true,
       arrivals: [],
       steadyHosts: 0,
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -4,6 +4,7 @@
 import type { WithheldCharge, WithheldItems } from "./withheldItems.js";
 import type { TokenBucket } from "./tokenBucket.js";
 import { indexCatalog, type CatalogIndex } from "./catalog.js";
+import type { FleetKinds } from "./fleetKinds.js";
 import type { HandlingCost } from "./handlingCost.js";
 import type { Commit, Feed, Scan, StoreRow } from "./events.js";
 import type {
@@ -116,6 +117,7 @@
   /** Number of orders and polls sent to workers so far. */
   ordersSent: number;
   readonly hosts: Map<HostId, HostListing>;
+  readonly fleet: FleetKinds;
   /** Registered workers by host: the one that it runs, and stale registrations of earlier ones. */
   readonly workersByHost: Map<HostId, Set<Worker>>;
   readonly moves: Map<HostId, HostMove>;
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -2,6 +2,7 @@
 import { takeToken } from "./tokenBucket.js";
 import { queueById, teamById } from "./catalog.js";
 import { ITEM_PHASE, SUBMISSION_STATE } from "./constants.js";
+import { markDirty } from "./dirtySubmissions.js";
 import { criticalPathsMs } from "./criticalPaths.js";
 import { recordArrival } from "./arrivals.js";
 import {
@@ -14,6 +15,7 @@
 import { releaseCapacity } from "./workerResources.js";
 import { countQueued, enterState } from "./submissionStates.js";
 import { addReady, clearReady, removeReady } from "./readyItems.js";
+import { obstacleOf } from "./obstacles.js";
 import { stopRun } from "./runs.js";
 import type { Item, Occurrence, OwnedWork, Submission } from "./state.js";
 import { logLine, roundedMs, type Turn } from "./turn.js";
@@ -101,12 +103,6 @@
   return !takeToken(bucket, team.weight, turn.nowMs);
 };
 
-/** Marks a submission to be persisted with the next owner commit. */
-export const markDirty = (owned: OwnedWork, submission: Submission): void => {
-  submission.dirty = true;
-  owned.dirtySubmissions.add(submission);
-};
-
 /**
  * Adds a stored submission to the owner's state, unless it is there already.
  *
@@ -141,6 +137,7 @@
     dirty: false,
     ready: new Set(),
     readyByStep: row.work.steps.map(() => 0),
+    obstacles: new Map(),
     backlog: null,
   };
   owned.submissions.set(row.id, submission);
@@ -288,11 +285,13 @@
   }
   const { state, endedWallMs } = submission;
   const ended = hasEnded(state);
+  const obstacle = ended ? null : obstacleOf(submission);
   return {
     id: submission.row.id,
     state,
     done: ended ? {} : done,
     failures: ended ? {} : failures,
     endedWallMs,
+    ...(obstacle === null ? {} : { obstacle }),
   };
 };
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -111,6 +111,8 @@
   /** Numbers of failed runs, by item key without the submission's id. */
   readonly failures: Readonly<Record<string, readonly number[]>>;
   readonly endedWallMs: number | null;
+  /** Why no worker can ever hold its next items; absent while one can. */
+  readonly obstacle?: string;
 }
 
 /** The lease row of a worker, from which the next owner learns what may run there. */
@@ -246,6 +248,9 @@
   /** Whether the host is down for maintenance in a wave. */
   readonly inMaintenance: boolean;
   readonly worker: WorkerId | null;
+  readonly labels: readonly string[];
+  /** Null if the platform does not report it. */
+  readonly capacity: Resources | null;
 }
 
 /** A maintenance wave that the operators requested. */
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -5,6 +5,7 @@
 import { recordWorkerClock } from "./leases.js";
 import { relateIncarnation, updateReport, answeringWorker } from "./incarnations.js";
 import { logOtherIncarnation } from "./otherIncarnation.js";
+import { addKind } from "./hosts.js";
 import { paceFillers } from "./pacing.js";
 import { poolOf } from "./pools.js";
 import { runEnded, runListed } from "./runEnds.js";
@@ -98,6 +99,9 @@
   const { report } = worker;
   addWorker(owned, worker);
   addHostWorker(owned, worker);
+  if (worker.reportCurrent) {
+    addKind(owned, report.labels, report.capacity);
+  }
   poolOf(owned, report.pool).dirty = true;
   logLine(turn, "info", "worker.registered", {
     worker: report.id,
@@ -138,6 +142,7 @@
   updateReport(turn, worker, report);
   worker.registered = true;
   worker.reportCurrent = true;
+  addKind(owned, report.labels, report.capacity);
   addHostWorker(owned, worker);
   markWorkerChanged(owned, worker);
   updateDraining(owned, worker);
--- a/packages/core/tests/work/eventCost.test.ts
+++ b/packages/core/tests/work/eventCost.test.ts
@@ -30,7 +30,8 @@
 
 /** Submissions that wait, by what they wait for. */
 const WAITING = {
-  "for room": workOf([{ ...step, requiredLabel: "none" }]),
+  "for a label": workOf([{ ...step, requiredLabel: "none" }]),
+  "for room": workOf([{ ...step, needs: { ...step.needs, memoryMb: 20_000 } }]),
   "for their team": workOf([
     { ...step, needs: { ...step.needs, cpuMilli: 2 * TEAM_CEILING.cpuMilli } },
   ]),
@@ -149,6 +150,8 @@
 const SITES: readonly { workers: number; waiting: number; why: Why }[] = [
   { workers: 3_000, waiting: 20, why: "for room" },
   { workers: 300, waiting: 500, why: "for room" },
+  { workers: 3_000, waiting: 20, why: "for a label" },
+  { workers: 300, waiting: 500, why: "for a label" },
   { workers: 300, waiting: 500, why: "for their team" },
   { workers: 3_000, waiting: 500, why: "for their team" },
 ];
--- a/packages/core/tests/work/siteHosts.ts
+++ b/packages/core/tests/work/siteHosts.ts
@@ -86,6 +86,8 @@
       pool,
       up: state === "up",
       inMaintenance: state === "upkeep",
+      labels: [],
+      capacity: null,
       worker: worker === null ? null : workerId(worker),
     }));
     this.answerLater(node, 2, { type: "power/listed", sentAtMs, hosts, atMs: 0 });
