Bound what a submission takes in its row and in memory

Cause: the progress row listed every item done since the first and outgrew the largest row of the store; the owner repeated the refused commit for ever. Items were held in memory without bound too, so that one hand-in of 500,000 items ended each owner in turn.

Change: done items beyond 500 are stored as a window of at most 4,096 items, failed runs only for items that are not done, and starts wait while the row could not hold their failures; items are opened as the window reaches them. Lease rows list a bounded number of items. What can never be held is refused at hand-in with 413.

--- a/packages/core/src/work/callResults.ts
+++ b/packages/core/src/work/callResults.ts
@@ -4,7 +4,8 @@
 import type { WorkEvent } from "./events.js";
 import { retryCallAt } from "./openCalls.js";
 import type { OpenCall } from "./state.js";
-import { adoptSubmission, cancelSubmission, hasEnded } from "./submissions.js";
+import { hasEnded } from "./submissionStates.js";
+import { adoptSubmission, cancelSubmission } from "./submissions.js";
 import { logLine, newCommitId, type Turn } from "./turn.js";
 import { storeVersion, type SubmissionRow, type SubmissionId } from "./types.js";
 
--- a/packages/core/src/work/calls.ts
+++ b/packages/core/src/work/calls.ts
@@ -7,7 +7,8 @@
 import { addCall, closeCall } from "./openCalls.js";
 import { pendingOfQueue } from "./pendingCount.js";
 import type { OpenCall } from "./state.js";
-import { hasEnded } from "./submissions.js";
+import { hasEnded } from "./submissionStates.js";
+import { limitExceededBy } from "./submissionLimits.js";
 import { logLine, newCommitId, type Turn } from "./turn.js";
 import {
   storeVersion,
@@ -72,6 +73,11 @@
     answerCall(turn, { callId, kind: ANSWER_KIND.BAD_REQUEST, problem }, { submission: id });
     return;
   }
+  const problem = limitExceededBy(row);
+  if (problem !== null) {
+    answerCall(turn, { callId, kind: ANSWER_KIND.TOO_LARGE, problem }, { submission: id });
+    return;
+  }
   if (turn.work.storeLost) {
     answerUnavailable(turn, callId, "the store does not answer");
     return;
--- a/packages/core/src/work/commitRejection.ts
+++ b/packages/core/src/work/commitRejection.ts
@@ -4,7 +4,8 @@
 import { markLeaseChanged } from "./leaseRows.js";
 import { cancelPlannedStarts } from "./starts.js";
 import type { OwnedWork, OwnerCommit, Submission } from "./state.js";
-import { endSubmission, hasEnded } from "./submissions.js";
+import { hasEnded } from "./submissionStates.js";
+import { endSubmission } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
 import type { WorkerId } from "./types.js";
 
--- a/packages/core/src/work/commitRows.ts
+++ b/packages/core/src/work/commitRows.ts
@@ -4,7 +4,7 @@
 import { leaseRowChanges, selectStarts } from "./leaseRows.js";
 import { takePurgedRows } from "./purge.js";
 import type { MaintenanceWave, OwnedWork, OwnerCommit, Run, Submission } from "./state.js";
-import { progressOf } from "./submissions.js";
+import { progressOf } from "./progressRows.js";
 import { logLine, type Turn } from "./turn.js";
 
 /** The rows that an owner commit changes beside the owner row, and what they record. */
@@ -25,10 +25,11 @@
   const rows: RowToWrite[] = [];
   const submissions: Submission[] = [];
   for (const submission of owned.dirtySubmissions) {
-    const row: RowToWrite = { type: "progress", progress: progressOf(submission) };
+    const row = { type: "progress" as const, progress: progressOf(submission) };
     if (!budget.takeWrite(row)) {
       break;
     }
+    owned.storesWindows ||= row.progress.window !== undefined;
     rows.push(row);
     submissions.push(submission);
   }
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/dispatch.ts
@@ -12,7 +12,7 @@
   type Shortage,
 } from "./placementPass.js";
 import type { OwnedWork, PoolWork, Submission } from "./state.js";
-import { poolOfSubmission } from "./submissions.js";
+import { poolOfSubmission } from "./submissionStates.js";
 import type { Turn } from "./turn.js";
 import { BacklogPass } from "./backlog.js";
 
--- a/packages/core/src/work/eviction.ts
+++ b/packages/core/src/work/eviction.ts
@@ -24,7 +24,7 @@
 
 /** Returns the number of other items of the run's step that are not available. */
 const unavailableOthers = (turn: Turn, owned: OwnedWork, { item }: Run): number => {
-  const step = item.submission.occurrences.get(item.occurrence)?.steps[item.step] ?? [];
+  const step = item.submission.occurrences.get(item.occurrence)?.steps[item.step]?.items() ?? [];
   return step.filter((other) => other !== item && !isAvailable(turn, owned, other)).length;
 };
 
--- a/packages/core/src/work/gangs.ts
+++ b/packages/core/src/work/gangs.ts
@@ -9,7 +9,7 @@
 
 /** Returns all items of the gang that an item belongs to, including the item itself. */
 const membersOf = (item: Item): readonly Item[] =>
-  item.submission.occurrences.get(item.occurrence)?.steps[item.step] ?? [];
+  item.submission.occurrences.get(item.occurrence)?.steps[item.step]?.items() ?? [];
 
 /** Abandons the runs that were planned for some members of a gang. */
 const abandonRuns = (turn: Turn, owned: OwnedWork, items: readonly Item[]): void => {
--- a/packages/core/src/work/itemLookup.ts
+++ b/packages/core/src/work/itemLookup.ts
@@ -19,12 +19,9 @@
 export const teamOf = (owned: OwnedWork, key: ItemKey): TeamId | null =>
   rowOf(owned, key)?.team ?? null;
 
-/** Returns the item with a key, or null if the owner does not manage its submission. */
+/** Returns the item with a key, or null if it is not open. */
 export const findItem = (owned: OwnedWork, key: ItemKey): Item | null => {
   const [id, occurrence, step, index] = key.split(".");
-  return (
-    owned.submissions.get(id as SubmissionId)?.occurrences.get(Number(occurrence))?.steps[
-      Number(step)
-    ]?.[Number(index)] ?? null
-  );
+  const begun = owned.submissions.get(id as SubmissionId)?.occurrences.get(Number(occurrence));
+  return begun?.steps[Number(step)]?.get(Number(index)) ?? null;
 };
--- a/packages/core/src/work/itemState.ts
+++ b/packages/core/src/work/itemState.ts
@@ -1,4 +1,8 @@
 import type { Backlog } from "./backlog.js";
+import type { DoneItems } from "./doneItems.js";
+import type { UnopenedSteps } from "./openItems.js";
+import type { ProgressLayout } from "./progressLayout.js";
+import type { StepItems } from "./stepItems.js";
 import type {
   SubmissionRow,
   ItemKey,
@@ -85,9 +89,7 @@
   readonly dueAtMs: number;
   /** When its result loses all value, on this node's monotonic clock. */
   readonly expiresAtMs: number;
-  /** Items by step. */
-  readonly steps: readonly (readonly Item[])[];
-  readonly doneByStep: number[];
+  readonly steps: readonly StepItems[];
 }
 
 export interface Submission {
@@ -97,7 +99,22 @@
   readonly overRate: boolean;
   /** Critical path of each step: the longest sum of estimates from its start to the end. */
   readonly criticalPathsMs: readonly number[];
+  readonly layout: ProgressLayout;
+  /** Whether it was stored before this owner acquired ownership, so that items may be running. */
+  readonly inherited: boolean;
+  readonly done: DoneItems;
+  /** Occurrences that have begun and are not done. */
   readonly occurrences: Map<number, Occurrence>;
+  /** Steps that may run and whose items are not all open yet. */
+  unopened: UnopenedSteps;
+  /** Number of items in memory. */
+  openCount: number;
+  /** Items with failed runs that are not done, in the order in which they failed first. */
+  readonly failing: Set<Item>;
+  /** Size of their failed runs in the progress row. */
+  failureBytes: number;
+  /** Number of booked runs. */
+  bookedRuns: number;
   /** Occurrences created so far, done or not. */
   createdOccurrences: number;
   doneOccurrences: number;
--- a/packages/core/src/work/leaseRows.ts
+++ b/packages/core/src/work/leaseRows.ts
@@ -70,16 +70,14 @@
 }
 
 /** Returns the number of items that a lease row lists. */
-const itemCount = (lease: LeasedWorker | undefined): number =>
-  lease === undefined
-    ? 0
-    : Object.values(lease.items).reduce((sum, indexes) => sum + indexes.length, 0);
+const itemCount = (lease: LeasedWorker | null): number =>
+  lease === null ? 0 : Object.values(lease.items).reduce((sum, indexes) => sum + indexes.length, 0);
 
 /** Returns the most bytes that the next lease row of a worker has in the store. */
 const maxLeaseBytes = (owned: OwnedWork, id: WorkerId): number => {
   const worker = owned.workers.get(id);
   const current = (worker?.runs.size ?? 0) + (worker?.orphanedRuns.size ?? 0);
-  const items = current + itemCount(owned.leases.get(id));
+  const items = current + itemCount(owned.leases.get(id) ?? null);
   return base64Bytes(LEASE_ROW.BASE_BYTES + items * LEASE_ROW.ITEM_BYTES);
 };
 
@@ -190,6 +188,10 @@
       owned.changedLeases.delete(worker);
     }
     previous.set(worker, recordLease(owned, worker, lease));
+    const known = owned.workers.get(worker);
+    if (known !== undefined) {
+      known.recordedItems = itemCount(lease);
+    }
     if (row === null) {
       removes.push({ type: "lease", worker });
     } else {
--- a/packages/core/src/work/occurrences.ts
+++ b/packages/core/src/work/occurrences.ts
@@ -2,6 +2,8 @@
 import { ITEM_PHASE, ORDERING } from "./constants.js";
 import type { Item, Occurrence, Submission } from "./state.js";
 import type { Turn } from "./turn.js";
+import type { ItemPlace } from "./progressLayout.js";
+import { StepItems } from "./stepItems.js";
 import { itemKeyOf, type Progress } from "./types.js";
 
 /** Returns the deadline and the expiry of an occurrence, on this node's monotonic clock. */
@@ -22,13 +24,12 @@
   };
 };
 
-const newItem = (
-  submission: Submission,
-  occurrence: number,
-  step: number,
-  index: number,
-  inherited: boolean,
-): Item => {
+/**
+ * Creates an item.
+ *
+ * @throws RangeError if the submission has no such step.
+ */
+export const newItem = (submission: Submission, { occurrence, step, index }: ItemPlace): Item => {
   const spec = submission.row.work.steps[step];
   if (spec === undefined) {
     throw new RangeError(
@@ -49,29 +50,10 @@
     checkpoint: null,
     avoidWorker: null,
     reservedWorker: null,
-    inherited,
+    inherited: submission.inherited,
   };
 };
 
-/** What previous owners have recorded of a submission. */
-export interface SubmissionHistory {
-  /** Its persisted progress, or null if there is none. */
-  readonly progress: Progress | null;
-  /** Whether it was stored before this owner acquired ownership. */
-  readonly inherited: boolean;
-  /**
-   * Number of the last occurrence that has begun, or -1. The wall clocks of nodes differ, so it may
-   * lie in the future on this node.
-   */
-  readonly lastStartedOccurrence: number;
-}
-
-export const NO_HISTORY: SubmissionHistory = {
-  progress: null,
-  inherited: false,
-  lastStartedOccurrence: -1,
-};
-
 /** Returns the number of the last occurrence with persisted progress, or -1 if there is none. */
 export const lastPersistedOccurrence = (progress: Progress | null): number =>
   Math.max(
@@ -81,30 +63,31 @@
     ),
   );
 
-/** Creates an occurrence of a submission with its items, as far as previous owners got with it. */
-export const makeOccurrence = (
-  turn: Turn,
-  submission: Submission,
-  number: number,
-  { progress, inherited }: SubmissionHistory,
-): Occurrence => {
-  const doneInStep: number[] = [];
-  const steps = submission.row.work.steps.map((spec, step) => {
-    const done = new Set(progress?.done[`${number}.${step}`] ?? []);
-    doneInStep.push(done.size);
-    return Array.from({ length: spec.count }, (_, index) => {
-      const item = newItem(submission, number, step, index, inherited);
-      item.phase = done.has(index) ? ITEM_PHASE.DONE : ITEM_PHASE.BLOCKED;
-      for (const run of progress?.failures[`${number}.${step}.${index}`] ?? []) {
-        item.failedRuns.add(run);
-        item.lastRun = Math.max(item.lastRun, run);
-      }
-      return item;
-    });
-  });
-  return { number, ...timesOf(turn, submission, number), steps, doneByStep: doneInStep };
+/** Returns the items of a step, of which those that are done are known. */
+const stepItems = (
+  { layout, done }: Submission,
+  occurrence: number,
+  step: number,
+  count: number,
+): StepItems => {
+  const items = new StepItems(count);
+  const first = layout.numberOf({ occurrence, step, index: 0 });
+  if (first !== null) {
+    items.nextIndex = Math.min(count, Math.max(0, done.firstOpen - first));
+    items.doneCount = done.countBetween(first, first + count);
+  }
+  return items;
 };
 
-/** Whether all items of a step are done. */
-export const stepIsDone = (occurrence: Occurrence, step: number): boolean =>
-  occurrence.doneByStep[step] === occurrence.steps[step]?.length;
+/** Creates an occurrence of a submission, as far as previous owners got with it. */
+export const makeOccurrence = (turn: Turn, submission: Submission, number: number): Occurrence => ({
+  number,
+  ...timesOf(turn, submission, number),
+  steps: submission.row.work.steps.map(({ count }, step) =>
+    stepItems(submission, number, step, count),
+  ),
+});
+
+/** Whether all steps of an occurrence are done. */
+export const isOccurrenceDone = ({ steps }: Occurrence): boolean =>
+  steps.every(({ isDone }) => isDone);
--- a/packages/core/src/work/ownerCommit.ts
+++ b/packages/core/src/work/ownerCommit.ts
@@ -29,6 +29,7 @@
   strongestMilli: strongestOwnerMilli(turn.work),
   yields: yieldCount(turn.work, owned),
   pending: countPending(turn, owned),
+  ...(owned.storesWindows ? { storesWindows: true } : {}),
 });
 
 /**
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -100,6 +100,7 @@
     orderedHosts: view.row?.orderedHosts ?? {},
     pending: null,
     strongestMilli: strongestOwnerMilli(work),
+    ...(view.row?.storesWindows === true ? { storesWindows: true } : {}),
   };
   logLine(turn, "info", "owner.claiming", {
     fence: Number(owner.fence),
@@ -223,6 +224,9 @@
   dirtySubmissions: new Set(),
   queuedCounts: new Map(),
   scheduledSubmissions: new Set(),
+  openItemCount: 0,
+  awaitingItemRoom: new Set(),
+  storesWindows: previousRow?.storesWindows === true,
   commitInFlight: null,
   commitRowLimit: STORE.MAX_ROWS,
   commitRetryAtMs: 0,
--- a/packages/core/src/work/placement.ts
+++ b/packages/core/src/work/placement.ts
@@ -9,7 +9,8 @@
 const fits = (worker: Worker, needs: Resources): boolean => {
   const { capacity } = worker.report;
   return (
-    worker.runs.size < STORE.MAX_RUNS_PER_WORKER &&
+    worker.runs.size + worker.orphanedRuns.size < STORE.MAX_RUNS_PER_WORKER &&
+    worker.recordedItems < STORE.MAX_RUNS_PER_WORKER &&
     worker.usedCpuMilli + needs.cpuMilli <= capacity.cpuMilli &&
     worker.usedMemoryMb + needs.memoryMb <= capacity.memoryMb &&
     worker.usedGpus + needs.gpus <= capacity.gpus
--- a/packages/core/src/work/placementPass.ts
+++ b/packages/core/src/work/placementPass.ts
@@ -1,5 +1,6 @@
 import type { TeamId, ValueOf } from "@heatherferry/common";
 import { countSteps } from "./handlingCost.js";
+import { hasRoomForFailure } from "./failedRuns.js";
 import { planGang } from "./gangs.js";
 import { findWorker, reserveFutureCapacity, freeReservedWorker } from "./capacityReservations.js";
 import { withinCeiling } from "./placement.js";
@@ -165,6 +166,10 @@
   return full.size + atCeiling.size >= steps;
 };
 
+/** Whether the progress row of a submission has room for what comes of an item. */
+const mayFail = (submission: Submission, item: Item): boolean =>
+  item.spec.lasting || hasRoomForFailure(submission, item, item.spec.gang ? item.spec.count : 1);
+
 /**
  * Places the ready items of a submission.
  *
@@ -184,7 +189,7 @@
   };
   for (const item of submission.ready) {
     countSteps(turn, 1);
-    if (submission.obstacles.has(item.step)) {
+    if (submission.obstacles.has(item.step) || !mayFail(submission, item)) {
       continue;
     }
     placeOrSkip(turn, owned, pass, skipped, item);
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -31,7 +31,7 @@
 import { startAnswered, stopAnswered } from "./orderAnswers.js";
 import { resendStops } from "./runs.js";
 import type { OwnedWork, WorkloadState } from "./state.js";
-import { NO_HISTORY } from "./occurrences.js";
+import { openWaitingItems } from "./openItems.js";
 import { makeDueOccurrences } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
 import { handleMaintenanceAnswer } from "./hostMaintenance.js";
@@ -185,10 +185,14 @@
   }
 };
 
+/** Stands for the last started occurrence where all that have started exist already. */
+const NONE_STARTED = -1;
+
 const tickOwned = (turn: Turn, owned: OwnedWork): void => {
   for (const submission of [...owned.scheduledSubmissions]) {
-    makeDueOccurrences(turn, owned, submission, NO_HISTORY);
+    makeDueOccurrences(turn, owned, submission, NONE_STARTED);
   }
+  openWaitingItems(turn, owned);
   resendStops(turn, owned);
   tickPurge(turn, owned);
   logAbandonedRuns(turn, owned);
--- a/packages/core/src/work/runEnds.ts
+++ b/packages/core/src/work/runEnds.ts
@@ -4,8 +4,9 @@
 import { addRun, removeRun, stopRun } from "./runs.js";
 import type { Item, OwnedWork, Worker } from "./state.js";
 import { removeOrphan, orphanListed } from "./orphanedRuns.js";
-import { hasEnded, itemStarted, itemDone, itemFailed, requeueItem } from "./submissions.js";
-import { findItem } from "./itemLookup.js";
+import { itemForRun } from "./openItems.js";
+import { hasEnded } from "./submissionStates.js";
+import { itemStarted, itemDone, itemFailed, requeueItem } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
 import type { EndLine, RunningLine } from "./types.js";
 
@@ -25,7 +26,7 @@
 export const runEnded = (turn: Turn, owned: OwnedWork, worker: Worker, end: EndLine): void => {
   const booked = worker.runs.get(end.item);
   const run = booked?.number === end.run ? booked : undefined;
-  const item = run?.item ?? findItem(owned, end.item);
+  const item = run?.item ?? itemForRun(turn, owned, end.item);
   logDuplicateEnd(turn, worker, item, end);
   if (run !== undefined) {
     removeRun(turn, owned, worker, run);
@@ -126,7 +127,7 @@
   line: RunningLine,
   poll: AnsweredPoll,
 ): void => {
-  const item = findItem(owned, line.item);
+  const item = itemForRun(turn, owned, line.item);
   if (item?.run === null) {
     adoptRun(turn, owned, worker, item, line, poll);
     return;
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -13,6 +13,7 @@
 
 const charge = (owned: OwnedWork, worker: Worker, run: Run, sign: 1 | -1): void => {
   const { submission, spec } = run.item;
+  submission.bookedRuns += sign;
   chargeRun(worker, run, sign);
   chargeTeam(owned.teams, submission.row.team, spec.needs, sign);
 };
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -105,6 +105,11 @@
   /** Accepted submissions without a started item, by queue. */
   readonly queuedCounts: Map<QueueId, number>;
   readonly scheduledSubmissions: Set<Submission>;
+  /** Number of items in memory, and submissions that wait for others to make room for theirs. */
+  openItemCount: number;
+  readonly awaitingItemRoom: Set<Submission>;
+  /** Whether progress rows may hold windows. */
+  storesWindows: boolean;
   commitInFlight: OwnerCommit | null;
   /** Most rows that a commit may change; fewer than usual after the store has rejected one. */
   commitRowLimit: number;
--- a/packages/core/src/work/submissionStates.ts
+++ b/packages/core/src/work/submissionStates.ts
@@ -1,6 +1,17 @@
+import type { PoolId } from "@heatherferry/common";
+import { queueById } from "./catalog.js";
 import { SUBMISSION_STATE } from "./constants.js";
 import type { OwnedWork, Submission } from "./state.js";
-import type { SubmissionState } from "./types.js";
+import type { Turn } from "./turn.js";
+import type { SubmissionRow, SubmissionState } from "./types.js";
+
+/** Returns the pool that runs a submission's work, by the current catalog. */
+export const poolOfSubmission = (turn: Turn, row: SubmissionRow): PoolId =>
+  queueById(turn.work, row.queue)?.pool ?? row.pool;
+
+/** Whether a state is final. */
+export const hasEnded = (state: SubmissionState): boolean =>
+  state !== SUBMISSION_STATE.QUEUED && state !== SUBMISSION_STATE.RUNNING;
 
 /**
  * Adds a submission to the count of queued ones of its queue, or removes it, if it is queued.
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -1,95 +1,96 @@
-import type { PoolId } from "@heatherferry/common";
 import { takeToken } from "./tokenBucket.js";
 import { queueById, teamById } from "./catalog.js";
-import { ITEM_PHASE, SUBMISSION_STATE } from "./constants.js";
+import { ITEM_PHASE, ITEM_WINDOW, SUBMISSION_STATE } from "./constants.js";
 import { markDirty } from "./dirtySubmissions.js";
 import { criticalPathsMs } from "./criticalPaths.js";
+import { DoneItems } from "./doneItems.js";
+import { addFailedRun, forgetFailedRuns } from "./failedRuns.js";
+import { findItem } from "./itemLookup.js";
 import { recordArrival } from "./arrivals.js";
+import { isOccurrenceDone, lastPersistedOccurrence, makeOccurrence } from "./occurrences.js";
 import {
-  type SubmissionHistory,
-  lastPersistedOccurrence,
-  makeOccurrence,
-  stepIsDone,
-} from "./occurrences.js";
+  closeAllItems,
+  closeItem,
+  isUnblocked,
+  itemForRun,
+  makeReady,
+  unblockSteps,
+  UnopenedSteps,
+} from "./openItems.js";
 import { poolOf } from "./pools.js";
+import { ProgressLayout } from "./progressLayout.js";
 import { releaseCapacity } from "./workerResources.js";
-import { countQueued, enterState } from "./submissionStates.js";
-import { addReady, clearReady, removeReady } from "./readyItems.js";
-import { obstacleOf } from "./obstacles.js";
+import { countQueued, enterState, hasEnded, poolOfSubmission } from "./submissionStates.js";
+import { clearReady, removeReady } from "./readyItems.js";
 import { stopRun } from "./runs.js";
 import type { Item, Occurrence, OwnedWork, Submission } from "./state.js";
 import { logLine, roundedMs, type Turn } from "./turn.js";
-import {
-  type SubmissionRow,
-  type Progress,
-  type StoreVersion,
-  type SubmissionId,
-  type SubmissionState,
+import type {
+  ItemKey,
+  SubmissionRow,
+  Progress,
+  StoreVersion,
+  SubmissionId,
+  SubmissionState,
 } from "./types.js";
 
-/** Returns the pool that runs a submission's work, by the current catalog. */
-export const poolOfSubmission = (turn: Turn, row: SubmissionRow): PoolId =>
-  queueById(turn.work, row.queue)?.pool ?? row.pool;
-
-/** Whether a state is final. */
-export const hasEnded = (state: SubmissionState): boolean =>
-  state !== SUBMISSION_STATE.QUEUED && state !== SUBMISSION_STATE.RUNNING;
-
-/** Adds an item to the backlog of its pool, where it waits for capacity. */
-export const makeReady = (turn: Turn, owned: OwnedWork, item: Item): void => {
-  const { submission } = item;
-  item.phase = ITEM_PHASE.READY;
-  addReady(item);
-  const pool = poolOf(owned, poolOfSubmission(turn, submission.row));
-  pool.backlog.add(submission);
-  pool.dirty = true;
-};
-
-/** Whether all steps that an item depends on are done. */
-const isUnblocked = (occurrence: Occurrence, item: Item | undefined): boolean =>
-  item?.spec.after.every((earlier) => stepIsDone(occurrence, earlier)) ?? true;
-
-const unblockSteps = (turn: Turn, owned: OwnedWork, occurrence: Occurrence): void => {
-  occurrence.steps.forEach((items) => {
-    if (!isUnblocked(occurrence, items[0])) {
-      return;
-    }
-    for (const item of items) {
-      if (item.phase === ITEM_PHASE.BLOCKED) {
-        makeReady(turn, owned, item);
-      }
-    }
-  });
-};
+/** Whether an occurrence lies too far ahead of the first item that is not done. */
+const isBeyondWindow = ({ layout, done }: Submission, number: number): boolean =>
+  number * layout.itemsPerOccurrence >= done.firstOpen + ITEM_WINDOW.MAX_SPAN;
 
-/** Creates the occurrences that are due and those that a previous owner has started. */
+/**
+ * Creates the occurrences that are due and those that a previous owner has started.
+ *
+ * @param lastStarted - Number of the last occurrence that has begun, or -1. The wall clocks of nodes
+ *   differ, so it may lie in the future on this node.
+ */
 export const makeDueOccurrences = (
   turn: Turn,
   owned: OwnedWork,
   submission: Submission,
-  history: SubmissionHistory,
+  lastStarted: number,
 ): void => {
   const { work } = submission.row;
   const total = Math.max(1, work.occurrences);
   while (submission.createdOccurrences < total && !hasEnded(submission.state)) {
     const number = submission.createdOccurrences;
     const dueWallMs = work.occurrences === 0 ? 0 : work.firstDueWallMs + number * work.intervalMs;
-    if (turn.wallMs < dueWallMs && number > history.lastStartedOccurrence) {
+    const waits = turn.wallMs < dueWallMs || isBeyondWindow(submission, number);
+    if (waits && number > lastStarted) {
       owned.scheduledSubmissions.add(submission);
       return;
     }
     submission.createdOccurrences += 1;
-    const occurrence = makeOccurrence(turn, submission, number, history);
-    submission.occurrences.set(number, occurrence);
-    if (occurrence.steps.every((_, step) => stepIsDone(occurrence, step))) {
+    const occurrence = makeOccurrence(turn, submission, number);
+    if (isOccurrenceDone(occurrence)) {
       submission.doneOccurrences += 1;
     } else {
-      unblockSteps(turn, owned, occurrence);
+      submission.occurrences.set(number, occurrence);
+      unblockSteps(turn, owned, submission, occurrence);
     }
   }
   owned.scheduledSubmissions.delete(submission);
 };
 
+/** Restores the failed runs that previous owners recorded. */
+const restoreFailures = (
+  turn: Turn,
+  owned: OwnedWork,
+  submission: Submission,
+  failures: Progress["failures"],
+): void => {
+  for (const [place, runs] of Object.entries(failures)) {
+    const key = `${submission.row.id}.${place}` as ItemKey;
+    const item = findItem(owned, key) ?? itemForRun(turn, owned, key);
+    for (const run of item === null ? [] : runs) {
+      if (item !== null) {
+        addFailedRun(item, run);
+        item.lastRun = Math.max(item.lastRun, run);
+      }
+    }
+  }
+};
+
 const exceedsRate = (turn: Turn, owned: OwnedWork, row: SubmissionRow): boolean => {
   const team = teamById(turn.work, row.team);
   if (team === null) {
@@ -122,14 +123,27 @@
     return;
   }
   const state = progress?.state ?? SUBMISSION_STATE.QUEUED;
+  const layout = new ProgressLayout(row.work);
+  const done = DoneItems.restore(layout, progress);
+  const doneOccurrences = layout.isFinite
+    ? Math.floor(done.firstOpen / layout.itemsPerOccurrence)
+    : 0;
   const submission: Submission = {
     row,
     version,
+    layout,
+    inherited,
+    done,
+    unopened: new UnopenedSteps(),
+    openCount: 0,
+    failing: new Set(),
+    failureBytes: 0,
+    bookedRuns: 0,
     overRate: !inherited && exceedsRate(turn, owned, row),
     criticalPathsMs: criticalPathsMs(row.work),
     occurrences: new Map(),
-    createdOccurrences: 0,
-    doneOccurrences: 0,
+    createdOccurrences: doneOccurrences,
+    doneOccurrences,
     state,
     reportedState: state,
     cancelled: state === SUBMISSION_STATE.CANCELLED,
@@ -147,11 +161,8 @@
   }
   const recorded = owned.startedOccurrences.get(row.id) ?? -1;
   const lastStarted = Math.max(recorded, lastPersistedOccurrence(progress));
-  makeDueOccurrences(turn, owned, submission, {
-    progress,
-    inherited,
-    lastStartedOccurrence: lastStarted,
-  });
+  makeDueOccurrences(turn, owned, submission, lastStarted);
+  restoreFailures(turn, owned, submission, progress?.failures ?? {});
 };
 
 const lastOccurrence = (submission: Submission): Occurrence | undefined =>
@@ -171,7 +182,7 @@
   owned.scheduledSubmissions.delete(submission);
   markDirty(owned, submission);
   for (const occurrence of submission.occurrences.values()) {
-    for (const item of occurrence.steps.flat()) {
+    for (const item of occurrence.steps.flatMap((items) => items.items())) {
       releaseCapacity(owned, item);
       if (item.run !== null) {
         stopRun(turn, owned, item.run, reason);
@@ -184,6 +195,7 @@
     reason,
     lateMs: roundedMs(turn.nowMs - (lastOccurrence(submission)?.dueAtMs ?? Infinity)),
   });
+  closeAllItems(owned, submission);
 };
 
 /** Ends a submission whose cancel has been stored. */
@@ -209,22 +221,36 @@
     stopRun(turn, owned, item.run, "the item is done");
   }
   const occurrence = submission.occurrences.get(item.occurrence);
-  if (occurrence === undefined || item.phase === ITEM_PHASE.DONE) {
+  const items = occurrence?.steps[item.step];
+  if (occurrence === undefined || items === undefined || item.phase === ITEM_PHASE.DONE) {
     return;
   }
   item.phase = ITEM_PHASE.DONE;
   removeReady(item);
-  occurrence.doneByStep[item.step] = (occurrence.doneByStep[item.step] ?? 0) + 1;
+  forgetFailedRuns(item);
+  closeItem(owned, items, item);
+  const number = submission.layout.numberOf(item);
+  if (number !== null) {
+    submission.done.add(number);
+  }
   markDirty(owned, submission);
-  if (hasEnded(submission.state)) {
-    return;
+  unblockSteps(turn, owned, submission, occurrence);
+  if (isOccurrenceDone(occurrence)) {
+    occurrenceDone(turn, owned, submission, occurrence);
   }
-  unblockSteps(turn, owned, occurrence);
-  if (occurrence.steps.every((_, step) => stepIsDone(occurrence, step))) {
-    submission.doneOccurrences += 1;
-    if (submission.doneOccurrences === Math.max(1, submission.row.work.occurrences)) {
-      endSubmission(turn, owned, submission, SUBMISSION_STATE.COMPLETED, "all items are done");
-    }
+};
+
+const occurrenceDone = (
+  turn: Turn,
+  owned: OwnedWork,
+  submission: Submission,
+  { number }: Occurrence,
+): void => {
+  submission.doneOccurrences += 1;
+  if (submission.doneOccurrences === Math.max(1, submission.row.work.occurrences)) {
+    endSubmission(turn, owned, submission, SUBMISSION_STATE.COMPLETED, "all items are done");
+  } else {
+    submission.occurrences.delete(number);
   }
 };
 
@@ -235,7 +261,7 @@
     return;
   }
   if (!spec.lasting) {
-    item.failedRuns.add(run);
+    addFailedRun(item, run);
     markDirty(owned, submission);
     const queue = queueById(turn.work, submission.row.queue);
     if (queue !== null && item.failedRuns.size >= queue.maxAttempts) {
@@ -253,7 +279,7 @@
     return;
   }
   const occurrence = submission.occurrences.get(item.occurrence);
-  if (occurrence !== undefined && isUnblocked(occurrence, item)) {
+  if (occurrence !== undefined && isUnblocked(occurrence, item.spec)) {
     makeReady(turn, owned, item);
   } else {
     item.phase = ITEM_PHASE.BLOCKED;
@@ -268,30 +294,3 @@
     markDirty(owned, submission);
   }
 };
-
-/** Returns the progress row of a submission. Item details are omitted once it has ended. */
-export const progressOf = (submission: Submission): Progress => {
-  const done: Record<string, number[]> = {};
-  const failures: Record<string, number[]> = {};
-  for (const occurrence of submission.occurrences.values()) {
-    for (const item of occurrence.steps.flat()) {
-      if (item.phase === ITEM_PHASE.DONE) {
-        (done[`${item.occurrence}.${item.step}`] ??= []).push(item.index);
-      }
-      if (item.failedRuns.size > 0) {
-        failures[`${item.occurrence}.${item.step}.${item.index}`] = [...item.failedRuns];
-      }
-    }
-  }
-  const { state, endedWallMs } = submission;
-  const ended = hasEnded(state);
-  const obstacle = ended ? null : obstacleOf(submission);
-  return {
-    id: submission.row.id,
-    state,
-    done: ended ? {} : done,
-    failures: ended ? {} : failures,
-    endedWallMs,
-    ...(obstacle === null ? {} : { obstacle }),
-  };
-};
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -102,15 +102,24 @@
   readonly work: WorkSpec;
 }
 
+/** The completed items of a submission: all below the first open one, and single ones above it. */
+export interface ProgressWindow {
+  readonly firstOpen: number;
+  /** A bit for each item from the first open one on, as hexadecimal digits, lowest bit first. */
+  readonly done: string;
+}
+
 /** The durable progress of a submission, which the owner stores before it is shown to callers. */
 export interface Progress {
   readonly id: SubmissionId;
   readonly state: SubmissionState;
-  /** Completed items: `occurrence.step` to item indexes. */
+  /** Completed items: `occurrence.step` to item indexes; empty if `window` tells of them. */
   readonly done: Readonly<Record<string, readonly number[]>>;
   /** Numbers of failed runs, by item key without the submission's id. */
   readonly failures: Readonly<Record<string, readonly number[]>>;
   readonly endedWallMs: number | null;
+  /** Completed items of a submission with many, by their numbers in its `ProgressLayout`. */
+  readonly window?: ProgressWindow;
   /** Why no worker can ever hold its next items; absent while one can. */
   readonly obstacle?: string;
 }
@@ -162,6 +171,11 @@
   readonly pending: PendingCount | null;
   /** Most processor time that any owner so far had, in thousandths of a core. */
   readonly strongestMilli: number;
+  /**
+   * Whether progress rows may hold windows. Versions that would take them for no progress cannot
+   * read this row then, so they never become the owner.
+   */
+  readonly storesWindows?: boolean;
   /** How often in a row underpowered owners have yielded ownership to a stronger node. */
   readonly yields?: number;
 }
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -99,6 +99,8 @@
    * answer, since the answer may have been on its way for long.
    */
   polledAtMs: number | null;
+  /** Number of items in its last lease row, which may list ended ones until they are stored. */
+  recordedItems: number;
   /** Number of runs in the last poll answer. */
   listedRuns: number;
   /**
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -46,6 +46,7 @@
   acknowledgedSequence: 0,
   pollWaitMs: 0,
   polledAtMs: null,
+  recordedItems: 0,
   listedRuns: 0,
   acknowledgementWithheld: false,
   runs: new Map(),
--- a/packages/core/tests/work/withheldUse.test.ts
+++ b/packages/core/tests/work/withheldUse.test.ts
@@ -76,7 +76,8 @@
     const unbooked = [...owned.withheldItems.keys()].filter((key) => {
       const index = Number(key.slice(key.lastIndexOf(".") + 1));
       return (
-        owned.submissions.get(submissionId(ID))?.occurrences.get(0)?.steps[0]?.[index]?.run === null
+        owned.submissions.get(submissionId(ID))?.occurrences.get(0)?.steps[0]?.get(index)?.run ===
+        null
       );
     });
     t.is(withheldCpuMilli(owned), unbooked.length * CPU_MILLI);
--- a/packages/wire/src/work/rowChecks.ts
+++ b/packages/wire/src/work/rowChecks.ts
@@ -11,6 +11,7 @@
 const isString: Check = (value) => typeof value === "string";
 const isNumber: Check = (value) => typeof value === "number" && Number.isFinite(value);
 const isCount: Check = (value) => Number.isInteger(value) && Number(value) >= 0;
+const isHex: Check = (value) => typeof value === "string" && /^[0-9a-f]*$/u.test(value);
 const isBoolean: Check = (value) => typeof value === "boolean";
 
 const nullOr =
@@ -18,6 +19,12 @@
   (value) =>
     value === null || check(value);
 
+/** Allows a field that earlier versions do not write. */
+const optional =
+  (check: Check): Check =>
+  (value) =>
+    value === undefined || check(value);
+
 const listOf =
   (check: Check): Check =>
   (value) =>
@@ -77,6 +84,8 @@
     done: COUNT_LISTS,
     failures: COUNT_LISTS,
     endedWallMs: nullOr(isNumber),
+    window: optional(withFields({ firstOpen: isCount, done: isHex })),
+    obstacle: optional(isString),
   }),
   WAVE: withFields({
     wave: isCount,
@@ -92,6 +101,13 @@
     orderedHosts: recordOf(nullOr(isNumber)),
     pending: nullOr(withFields({ asOfStoreMs: isNumber, byQueue: recordOf(isNumber) })),
     strongestMilli: isNumber,
+    storesWindows: optional(isBoolean),
+  }),
+  LEASE: withFields({
+    pool: isString,
+    items: COUNT_LISTS,
+    stopping: isBoolean,
+    startWallMs: optional(nullOr(isNumber)),
+    lateLeaseMs: optional(isNumber),
   }),
-  LEASE: withFields({ pool: isString, items: COUNT_LISTS, stopping: isBoolean }),
 } as const;
--- a/packages/wire/src/work/workRows.ts
+++ b/packages/wire/src/work/workRows.ts
@@ -77,6 +77,18 @@
   }
 };
 
+/**
+ * Encodes the owner row. Versions that do not know of windows in progress rows cannot read the
+ * nested form, so they never claim ownership and run again what such a window records as done.
+ */
+const encodeOwner = (owner: OwnerRow): string =>
+  JSON.stringify(owner.storesWindows === true ? { owner } : owner);
+
+const decodeOwner = (body: unknown): OwnerRow | null => {
+  const { owner = body } = body as { readonly owner?: unknown };
+  return ROW_CHECK.OWNER(owner) ? (owner as OwnerRow) : null;
+};
+
 /** Encodes a row for the store. */
 export const encodeRow = (row: RowToWrite): EncodedRow => {
   switch (row.type) {
@@ -93,7 +105,7 @@
         text: JSON.stringify(row.progress),
       };
     case "owner":
-      return { ...locateRow({ type: "owner" }), text: JSON.stringify(row.owner) };
+      return { ...locateRow({ type: "owner" }), text: encodeOwner(row.owner) };
     case "lease":
       return { ...locateRow(row), text: JSON.stringify(row.lease) };
     case "waveReport": {
@@ -139,8 +151,9 @@
   if (table === WORK_TABLE.PROGRESS && ROW_CHECK.PROGRESS(body)) {
     return { type: "progress", version: at, progress: body as Progress };
   }
-  if (table === WORK_TABLE.OWNER && ROW_CHECK.OWNER(body)) {
-    return { type: "owner", version: at, owner: body as OwnerRow };
+  if (table === WORK_TABLE.OWNER) {
+    const owner = decodeOwner(body);
+    return owner === null ? null : { type: "owner", version: at, owner };
   }
   if (table === WORK_TABLE.LEASES && ROW_CHECK.LEASE(body)) {
     return { type: "lease", version: at, worker: workerId(key), lease: body as LeasedWorker };
