Suspend a worker only for failures that are not the work's own

Cause: three failed runs in a row suspended a worker for 4 s, whoever was at fault, so poison that is retried on one worker after the other closed the whole pool, again and again.

Change: an item that has failed elsewhere is at fault itself; a submission of which nothing is done counts once; at most half of a pool's workers are suspended at once.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -293,8 +293,10 @@
 } as const;
 
 export const HEALTH = {
-  /** Consecutive failures after which a worker is suspended. */
+  /** Failures without a success in between after which a worker is suspended. */
   MAX_FAILURES: 3,
+  /** Most workers of a pool that are suspended at once. */
+  MAX_SUSPENDED_SHARE: 0.5,
   SUSPEND_MS: 4_000,
   /** A run without progress for this long is restarted on another worker. */
   STALL_MS: 2_500,
--- a/packages/core/src/work/runEnds.ts
+++ b/packages/core/src/work/runEnds.ts
@@ -1,4 +1,4 @@
-import { END_KIND, HEALTH, ITEM_PHASE, RUN_PHASE } from "./constants.js";
+import { END_KIND, ITEM_PHASE, RUN_PHASE } from "./constants.js";
 import { markGangDone } from "./gangs.js";
 import { logDuplicateEnd } from "./duplicateRuns.js";
 import { addRun, removeRun, stopRun } from "./runs.js";
@@ -8,20 +8,9 @@
 import { hasEnded } from "./submissionStates.js";
 import { itemStarted, itemDone, itemFailed, requeueItem } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
+import { recordFailure, recordSuccess } from "./workerHealth.js";
 import type { EndLine, RunningLine } from "./types.js";
 
-const recordFailure = (turn: Turn, worker: Worker): void => {
-  worker.failuresInRow += 1;
-  if (worker.failuresInRow >= HEALTH.MAX_FAILURES) {
-    worker.suspendedUntilMs = turn.nowMs + HEALTH.SUSPEND_MS;
-    logLine(turn, "warn", "worker.suspended", {
-      worker: worker.report.id,
-      failuresInRow: worker.failuresInRow,
-      forMs: HEALTH.SUSPEND_MS,
-    });
-  }
-};
-
 /** Handles the end of a run that a worker lists for the first time. */
 export const runEnded = (turn: Turn, owned: OwnedWork, worker: Worker, end: EndLine): void => {
   const booked = worker.runs.get(end.item);
@@ -59,7 +48,7 @@
   wasBooked: boolean,
 ): void => {
   if (end.kind === END_KIND.DONE) {
-    worker.failuresInRow = 0;
+    recordSuccess(worker);
     if (item.spec.gang) {
       markGangDone(turn, owned, item, end.run);
     } else {
@@ -68,7 +57,7 @@
     return;
   }
   if (end.kind === END_KIND.FAILED) {
-    recordFailure(turn, worker);
+    recordFailure(turn, owned, worker, item);
     item.avoidWorker = worker.report.id;
     itemFailed(turn, owned, item, end.run);
     return;
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -132,7 +132,8 @@
   busySinceMs: number;
   /** Since when no tail latency on it has been near its target. */
   latencyCalmSinceMs: number;
-  failuresInRow: number;
+  /** Items and submissions that have failed there since a run was done, and nowhere else. */
+  readonly suspicions: Set<string>;
   /** When it may get new work again after failures or a refused order. */
   suspendedUntilMs: number;
   /**
