--- a/packages/core/src/work/backlog.ts
+++ b/packages/core/src/work/backlog.ts
@@ -196,14 +196,14 @@
 
   private insert(turn: Turn, host: Resources, fleet: FleetKinds, submission: Submission): void {
     this.detach(submission);
+    this.unplaceable.delete(submission);
+    this.awaitingLabel.delete(submission);
     findObstacles(turn, fleet, submission);
     if (!hasPlaceableItems(submission)) {
       this.unplaceable.add(submission);
       this.rankChanges.delete(submission);
       return;
     }
-    this.unplaceable.delete(submission);
-    this.awaitingLabel.delete(submission);
     const orderKey = orderKeyOf(turn, submission);
     const team = this.teamBacklog(submission.row.team);
     const demand = submissionDemand(submission, host, orderKey.rank);
--- a/packages/core/tests/work/unplaceable.test.ts
+++ b/packages/core/tests/work/unplaceable.test.ts
@@ -98,6 +98,19 @@
   t.regex(row?.type === "progress" ? (row.progress.obstacle ?? "") : "", /label none/u);
 });
 
+test("work that first waited for a label and then for good is taken off the backlog twice", (t) => {
+  const node = nodeWith(["plain"]);
+  for (let number = 0; number < 4; number += 1) {
+    node.submit(idOf(number), lasting(100, "none"));
+  }
+  node.run(PASSES_MS);
+  node.handle({ type: "power/listed", sentAtMs: node.nowMs, hosts: [] });
+  node.register({ ...reportOf("new", 100, "10.0.0.9:1"), labels: [LABEL] });
+  node.run(PASSES_MS);
+  const pools = [...(node.state.work?.owned?.pools.values() ?? [])];
+  t.true(pools.every(({ backlog }) => backlog.size === 0));
+});
+
 test("work that no worker could hold waits although a worker that can has come", (t) => {
   const node = nodeWith(["plain"]);
   node.handle({ type: "power/listed", sentAtMs: node.nowMs, hosts: [] });
