Count maintenance for the wave that it was ordered for

Cause: every pass adopted any host in maintenance for each open wave that names it.

Change: only hosts that the first host list of an ownership shows in maintenance are adopted, and only where no other open wave can be meant; otherwise the host is ordered again once it is back.

--- a/packages/core/src/work/hostMaintenance.ts
+++ b/packages/core/src/work/hostMaintenance.ts
@@ -57,15 +57,43 @@
   return reserved;
 };
 
-/** Adopts hosts that a previous owner ordered to maintenance and that are still in it. */
+/** Whether another open wave may be what a host of a wave is in maintenance for. */
+const isNeededElsewhere = (owned: OwnedWork, wave: MaintenanceWave, host: HostId): boolean =>
+  [...owned.waves.values()].some(
+    (other) =>
+      other !== wave &&
+      !other.completed &&
+      !other.doneHosts.has(host) &&
+      other.request.hosts.includes(host),
+  );
+
+/** Whether a host is in maintenance for a wave of this owner. */
+const isInWave = (owned: OwnedWork, host: HostId): boolean =>
+  [...owned.waves.values()].some(({ hostsInMaintenance }) => hostsInMaintenance.has(host));
+
+/**
+ * Whether a host is in maintenance by an order of a previous owner that may belong to several waves.
+ * The platform does not tell which, so the host is ordered again once it is back; for the wave that
+ * it has had, this has no effect.
+ */
+export const isInUnknownMaintenance = (owned: OwnedWork, host: HostId): boolean =>
+  owned.inheritedMaintenance.has(host) && !isInWave(owned, host);
+
+/**
+ * Adopts hosts that a previous owner ordered to maintenance and that are still in it, if it can only
+ * have been for this wave.
+ */
 export const adoptHostsInMaintenance = (
   turn: Turn,
   owned: OwnedWork,
   wave: MaintenanceWave,
 ): void => {
   for (const host of wave.request.hosts) {
-    const inMaintenance = owned.hosts.get(host)?.inMaintenance === true;
-    if (inMaintenance && !wave.doneHosts.has(host) && !wave.hostsInMaintenance.has(host)) {
+    const isOurs =
+      isInUnknownMaintenance(owned, host) &&
+      !wave.doneHosts.has(host) &&
+      !isNeededElsewhere(owned, wave, host);
+    if (isOurs) {
       const worker = incarnationOf(workerOn(owned, host));
       wave.hostsInMaintenance.set(host, {
         worker,
--- a/packages/core/src/work/hosts.ts
+++ b/packages/core/src/work/hosts.ts
@@ -3,7 +3,7 @@
 import type { WorkEvent } from "./events.js";
 import type { OwnedWork } from "./state.js";
 import type { Turn } from "./turn.js";
-import type { OwnerRow, Resources } from "./types.js";
+import type { HostListing, OwnerRow, Resources } from "./types.js";
 
 /**
  * Requests a host list from the platform unless one was requested recently.
@@ -28,6 +28,21 @@
   }
 };
 
+/**
+ * Notes which hosts are in maintenance by an order of a previous owner: those that the first list
+ * shows, as long as later ones still do. This owner orders none before its first list.
+ */
+const noteInheritedMaintenance = (owned: OwnedWork, listed: readonly HostListing[]): void => {
+  const isFirstList = owned.hostListReceivedAtMs === null;
+  for (const { host, inMaintenance } of listed) {
+    if (!inMaintenance) {
+      owned.inheritedMaintenance.delete(host);
+    } else if (isFirstList) {
+      owned.inheritedMaintenance.add(host);
+    }
+  }
+};
+
 /** Replaces the known hosts by those of a new host list, which is always complete. */
 export const applyHostList = (
   turn: Turn,
@@ -51,6 +66,7 @@
       addKind(owned, labels, capacity);
     }
   }
+  noteInheritedMaintenance(owned, event.hosts);
   owned.hostListReceivedAtMs = turn.nowMs;
   owned.hostListRequestedAtMs = event.sentAtMs;
 };
--- a/packages/core/src/work/maintenanceWaves.ts
+++ b/packages/core/src/work/maintenanceWaves.ts
@@ -13,6 +13,7 @@
 import {
   adoptHostsInMaintenance,
   completeReturnedHosts,
+  isInUnknownMaintenance,
   isKnownIdle,
   isReservedForWave,
   reserveForWave,
@@ -68,11 +69,11 @@
   }
 };
 
-/** Returns the number of hosts that the previous owner may just have ordered to maintenance. */
+/** Returns the number of hosts that previous owners may have ordered to maintenance for a wave. */
 const inheritedOrderCount = (turn: Turn, owned: OwnedWork, wave: MaintenanceWave): number =>
   wave.request.hosts.filter(
     (host) =>
-      !mayOrderHost(turn, owned, host) &&
+      (!mayOrderHost(turn, owned, host) || isInUnknownMaintenance(owned, host)) &&
       !wave.doneHosts.has(host) &&
       !wave.hostsInMaintenance.has(host),
   ).length;
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -247,6 +247,7 @@
   hostListPollSentAtMs: null,
   hostListRequestedAtMs: null,
   waves: new Map(),
+  inheritedMaintenance: new Set(),
   demandLoggedAtMs: nowMs,
   abandonedRuns: new Map(),
   nextPurgeAtMs: nowMs,
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -139,6 +139,8 @@
   /** When the newest host list that arrived was requested. */
   hostListRequestedAtMs: number | null;
   readonly waves: Map<number, MaintenanceWave>;
+  /** Hosts that previous owners ordered to maintenance and that are still in it. */
+  readonly inheritedMaintenance: Set<HostId>;
   demandLoggedAtMs: number;
   /** Runs abandoned since the last periodic tick, by worker and reason. */
   readonly abandonedRuns: Map<string, AbandonedRuns>;
--- a/packages/core/tests/work/hosts.test.ts
+++ b/packages/core/tests/work/hosts.test.ts
@@ -19,12 +19,24 @@
   needs: { cpuMilli: 1_000, memoryMb: 6_000, gpus: 0 },
 });
 
-const requestWave = (site: WorkSite, pool: string, hosts: number, maxHostsOut: number): void => {
+const requestWave = (
+  site: WorkSite,
+  pool: string,
+  hosts: number,
+  maxHostsOut: number,
+  wave = 1,
+): void => {
   const hostIds = Array.from({ length: hosts }, (_, index) => hostId(`m-${pool}-${index}`));
-  const request = { wave: 1, hosts: hostIds, durationMs: 30_000, maxHostsOut };
-  site.store.put("wave 1", { type: "wave", version: storeVersion(0), request });
+  const request = { wave, hosts: hostIds, durationMs: 30_000, maxHostsOut };
+  site.store.put(`wave ${wave}`, { type: "wave", version: storeVersion(0), request });
 };
 
+/** Returns the waves that were reported as completed. */
+const completedWaves = (site: WorkSite): number[] =>
+  site.store
+    .scan("progress")
+    .flatMap((row) => (row.type === "waveReport" && row.completed ? [row.wave] : []));
+
 const maintenancesOf = (site: WorkSite, pool: string): number[] =>
   [...site.hosts]
     .filter(([host]) => host.includes(pool))
@@ -66,6 +78,33 @@
   t.is(site.maxInMaintenance, 1);
 });
 
+// Guards against MIXED: a wave is reported as completed although hosts of it were in maintenance for
+// another wave only.
+for (const killsOwners of [false, true]) {
+  const owners = killsOwners ? " of changing owners" : "";
+  test(`the maintenance of a host for one wave${owners} counts for another one, too`, (t) => {
+    const site = new WorkSite(5, 3, 6);
+    site.run(2_000);
+    requestWave(site, "mills", 4, 2);
+    site.run(1_000);
+    requestWave(site, "mills", 4, 2, 2);
+    for (let second = 0; second < 60; second += 1) {
+      site.run(1_000);
+      if (killsOwners && second % 3 === 0 && second < 30) {
+        site.kill(
+          site.nodes.findIndex(({ state }) => state.work?.owned != null),
+          500,
+        );
+      }
+      for (const wave of completedWaves(site)) {
+        const hosts = [...site.hosts].filter(([host]) => /mills-[0-3]$/u.test(host));
+        t.true(hosts.every(([, { waves }]) => waves.has(wave)));
+      }
+    }
+    t.deepEqual(completedWaves(site), [1, 2]);
+  });
+}
+
 test("a maintenance wave stalls after all nodes are killed halfway through it", (t) => {
   const site = new WorkSite(5, 3, 3);
   site.run(2_000);
