--- a/packages/core/src/work/commitBudget.ts
+++ b/packages/core/src/work/commitBudget.ts
@@ -2,6 +2,9 @@
 import type { RowToWrite } from "./events.js";
 import { storedBytes } from "./storedSize.js";
 
+/** Entries of the owner row: the row itself and the condition on its version. */
+const OWNER_ROW_ENTRIES = 2;
+
 const entriesOf = ({ type }: RowToWrite): number =>
   type === "waveReport" ? STORE.ENTRIES_PER_WAVE_REPORT : 1;
 
@@ -19,8 +22,8 @@
    * @param bytes - Size of the row in the store.
    */
   takeOwnerRow(bytes: number): void {
-    this.entriesLeft -= 2;
-    this.bytesLeft -= bytes + 2 * STORE.ENTRY_OVERHEAD_BYTES;
+    this.entriesLeft -= OWNER_ROW_ENTRIES;
+    this.bytesLeft -= bytes + OWNER_ROW_ENTRIES * STORE.ENTRY_OVERHEAD_BYTES;
   }
 
   /**
--- a/packages/core/src/work/earlierLeases.ts
+++ b/packages/core/src/work/earlierLeases.ts
@@ -11,6 +11,7 @@
 import type { LeasedWorker, WorkerId } from "./types.js";
 
 /**
+ * @packageDocumentation
  * Leases on a worker that don't follow from this owner's orders to the known incarnation: a worker
  * measures a lease on its own clock, which starts anew with each incarnation. An order by the clock
  * of an earlier incarnation thus grants a later one the longest lease that a worker accepts,
--- a/packages/core/src/work/openItems.ts
+++ b/packages/core/src/work/openItems.ts
@@ -36,6 +36,7 @@
 export const isUnblocked = (occurrence: Occurrence, { after }: StepSpec): boolean =>
   after.every((earlier) => occurrence.steps[earlier]?.isDone ?? true);
 
+/** Opens an item, which is in memory then; returns null if it is open already, or done. */
 const open = (
   owned: OwnedWork,
   submission: Submission,
