Say why nothing of a submission runs beside a worker with room

Operators saw submissions stand and no line that says why: suspended or reserved workers, withheld items, ceilings and work that no pass comes to looked the same. A check looks at a few submissions without a booked run four times a second and logs submission.starved once a reason; the gauge heatherferry_starved_submissions counts them. What makes a worker usable is a list of closures with names now; no decision changes.

--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -38,6 +38,7 @@
 import { LoopLoadReporter } from "./loopLoadReporter.js";
 import { registerLoadMetrics } from "./loadMetrics.js";
 import { OsProcessorTime } from "./processorTime.js";
+import { registerStarvationMetrics } from "./starvationMetrics.js";
 import { WorkMetrics } from "./workMetrics.js";
 
 const NO_ADDRESS = address("");
@@ -105,6 +106,7 @@
   const load = new LoopLoad();
   const processor = new OsProcessorTime();
   const loadReporter = new LoopLoadReporter(load, processor, log);
+  registerStarvationMetrics(metrics.registry, state);
   registerLoadMetrics(metrics.registry, load, loadReporter, processor);
   const loop = new EventLoop(
     state,
--- a/packages/core/src/work/capacityReservations.ts
+++ b/packages/core/src/work/capacityReservations.ts
@@ -1,6 +1,4 @@
 import { countSteps } from "./handlingCost.js";
-import { isReplaced } from "./hostWorkers.js";
-import { isUnresponsive } from "./leases.js";
 import { chooseWorker, mayRunOn, type WorkerSearch } from "./placement.js";
 import {
   reserveCapacity,
@@ -10,21 +8,7 @@
 } from "./workerResources.js";
 import type { Item, OwnedWork, PoolWork, Worker } from "./state.js";
 import { logLine, type Turn } from "./turn.js";
-
-/** Whether a worker accepts new work now. */
-const isUsable = (turn: Turn, owned: OwnedWork, worker: Worker): boolean =>
-  worker.registered &&
-  worker.reportCurrent &&
-  worker.fenced &&
-  !worker.unreachable &&
-  worker.clock !== null &&
-  !worker.report.draining &&
-  worker.reservedFor === null &&
-  !worker.hostReclaimed &&
-  !isReplaced(owned, worker) &&
-  worker.suspendedUntilMs <= turn.nowMs &&
-  worker.capacityKnownAtMs <= turn.nowMs &&
-  !isUnresponsive(turn, worker);
+import { isUsable } from "./workerAvailability.js";
 
 /** Returns the workers of a pool that accept new work now. */
 const usableWorkers = (turn: Turn, owned: OwnedWork, pool: PoolWork): Worker[] => {
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -243,6 +243,17 @@
   LAG_SMOOTHING: 0.8,
 } as const;
 
+export const STARVATION = {
+  /** How long nothing of a submission runs before the reason is determined. */
+  AFTER_MS: 3_000,
+  CHECK_INTERVAL_MS: 250,
+  /** Most submissions that one check looks at, and most workers for each of them. */
+  MAX_SUBMISSIONS: 16,
+  MAX_WORKERS: 8,
+  /** Most log lines of one check. */
+  MAX_LINES: 4,
+} as const;
+
 export const ABANDONED_RUNS = {
   /** Most runs that one log line lists. */
   MAX_LISTED: 5,
--- a/packages/core/src/work/logClasses.ts
+++ b/packages/core/src/work/logClasses.ts
@@ -30,6 +30,7 @@
   "wave.upkeepOrdered",
   "wave.hostDone",
   "wave.completed",
+  "submission.starved",
   "runs.abandoned",
   "run.duplicate",
   "run.orphanStopped",
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -226,6 +226,8 @@
   scheduledSubmissions: new Set(),
   openItemCount: 0,
   awaitingItemRoom: new Set(),
+  idleSubmissions: new Map(),
+  starvationCheckedAtMs: nowMs,
   storesWindows: previousRow?.storesWindows === true,
   commitInFlight: null,
   commitRowLimit: STORE.MAX_ROWS,
--- a/packages/core/src/work/placement.ts
+++ b/packages/core/src/work/placement.ts
@@ -6,7 +6,8 @@
 import type { Turn } from "./turn.js";
 import { stepKeyOf, type Resources, type StepSpec } from "./types.js";
 
-const fits = (worker: Worker, needs: Resources): boolean => {
+/** Whether a worker has the capacity for an item now, whether it accepts work or not. */
+export const hasRoomFor = (worker: Worker, needs: Resources): boolean => {
   const { capacity } = worker.report;
   return (
     worker.runs.size + worker.orphanedRuns.size < STORE.MAX_RUNS_PER_WORKER &&
@@ -113,7 +114,7 @@
   let anyFits = false;
   for (const worker of workers) {
     checked += 1;
-    if (!fits(worker, needs) || !acceptsWork(worker)) {
+    if (!hasRoomFor(worker, needs) || !acceptsWork(worker)) {
       continue;
     }
     anyFits = true;
--- a/packages/core/src/work/placementPass.ts
+++ b/packages/core/src/work/placementPass.ts
@@ -167,7 +167,7 @@
 };
 
 /** Whether the progress row of a submission has room for what comes of an item. */
-const mayFail = (submission: Submission, item: Item): boolean =>
+export const mayFail = (submission: Submission, item: Item): boolean =>
   item.spec.lasting || hasRoomForFailure(submission, item, item.spec.gang ? item.spec.count : 1);
 
 /**
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -31,6 +31,7 @@
 import { startAnswered, stopAnswered } from "./orderAnswers.js";
 import { resendStops } from "./runs.js";
 import type { OwnedWork, WorkloadState } from "./state.js";
+import { checkStarvation } from "./starvation.js";
 import { openWaitingItems } from "./openItems.js";
 import { makeDueOccurrences } from "./submissions.js";
 import { logLine, type Turn } from "./turn.js";
@@ -196,6 +197,7 @@
   resendStops(turn, owned);
   tickPurge(turn, owned);
   logAbandonedRuns(turn, owned);
+  checkStarvation(turn, owned);
 };
 
 /** Closes the front end and then exits, within the grace period after a shutdown request. */
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/runs.ts
@@ -1,6 +1,7 @@
 import { hostFraction } from "./arrivals.js";
 import { ITEM_PHASE, ORDER, RUN_PHASE } from "./constants.js";
 import { countSteps } from "./handlingCost.js";
+import { noteBookedRuns } from "./idleSubmissions.js";
 import { markLeaseChanged } from "./leaseRows.js";
 import { isOwnershipConfirmed } from "./ownershipConfirmation.js";
 import { poolOf } from "./pools.js";
@@ -11,9 +12,10 @@
 import { logLine, type Turn } from "./turn.js";
 import { targetOf } from "./incarnations.js";
 
-const charge = (owned: OwnedWork, worker: Worker, run: Run, sign: 1 | -1): void => {
+const charge = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run, sign: 1 | -1): void => {
   const { submission, spec } = run.item;
   submission.bookedRuns += sign;
+  noteBookedRuns(turn, owned, submission);
   chargeRun(worker, run, sign);
   chargeTeam(owned.teams, submission.row.team, spec.needs, sign);
 };
@@ -66,7 +68,7 @@
   }
   worker.runs.set(item.key, run);
   markLeaseChanged(owned, worker.report.id);
-  charge(owned, worker, run, 1);
+  charge(turn, owned, worker, run, 1);
   return run;
 };
 
@@ -77,7 +79,7 @@
   }
   worker.runs.delete(run.item.key);
   markLeaseChanged(owned, worker.report.id);
-  charge(owned, worker, run, -1);
+  charge(turn, owned, worker, run, -1);
   if (run.item.run === run) {
     run.item.run = null;
   }
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -6,6 +6,7 @@
 import { indexCatalog, type CatalogIndex } from "./catalog.js";
 import type { FleetKinds } from "./fleetKinds.js";
 import type { HandlingCost } from "./handlingCost.js";
+import type { IdleSubmission } from "./idleSubmissions.js";
 import type { Commit, Feed, Scan, StoreRow } from "./events.js";
 import type {
   Catalog,
@@ -108,6 +109,9 @@
   /** Number of items in memory, and submissions that wait for others to make room for theirs. */
   openItemCount: number;
   readonly awaitingItemRoom: Set<Submission>;
+  /** Submissions without a booked run; those that a check has looked at last are at the end. */
+  readonly idleSubmissions: Map<Submission, IdleSubmission>;
+  starvationCheckedAtMs: number;
   /** Whether progress rows may hold windows. */
   storesWindows: boolean;
   commitInFlight: OwnerCommit | null;
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -5,6 +5,7 @@
 import { criticalPathsMs } from "./criticalPaths.js";
 import { DoneItems } from "./doneItems.js";
 import { addFailedRun, forgetFailedRuns } from "./failedRuns.js";
+import { noteBookedRuns } from "./idleSubmissions.js";
 import { findItem } from "./itemLookup.js";
 import { recordArrival } from "./arrivals.js";
 import { isOccurrenceDone, lastPersistedOccurrence, makeOccurrence } from "./occurrences.js";
@@ -155,6 +156,7 @@
     backlog: null,
   };
   owned.submissions.set(row.id, submission);
+  noteBookedRuns(turn, owned, submission);
   countQueued(owned, submission, 1);
   if (!inherited) {
     recordArrival(turn, poolOf(owned, poolOfSubmission(turn, row)), row.work);
@@ -196,6 +198,7 @@
     lateMs: roundedMs(turn.nowMs - (lastOccurrence(submission)?.dueAtMs ?? Infinity)),
   });
   closeAllItems(owned, submission);
+  noteBookedRuns(turn, owned, submission);
 };
 
 /** Ends a submission whose cancel has been stored. */
