Let an item start that ended before its step was known to be due

Cause: unblockSteps opens the items of a step that became due and passes over those that are open already. A new owner opens one when a worker lists its end before another worker lists the end that its step waits for; the progress row lacks that end if the last commit of the previous owner was truncated after the starts in it.

Test: blockedItems, 2 of 2 failed before (no start order where one is wanted), 2 of 2 pass. workChaos and progressBounds pass.

--- a/packages/core/src/work/openItems.ts
+++ b/packages/core/src/work/openItems.ts
@@ -82,7 +82,12 @@
   index: number,
   submission: Submission,
 ): void => {
-  const item = open(owned, submission, occurrence, step, index);
+  const known = occurrence.steps[step]?.get(index) ?? null;
+  // An item that was opened out of its order, for a run of it, has waited for its step.
+  const item =
+    known?.phase === ITEM_PHASE.BLOCKED && known.run === null
+      ? known
+      : open(owned, submission, occurrence, step, index);
   if (item !== null) {
     makeReady(turn, owned, item);
   }
