Run real processes under drawn loads and faults, with the users' rule checked

heatherferry-standins soak starts the binary of a deploy file beside stand-ins of store, workers and hosts, by a file with the shape of the site (zones, nodes, pools, teams, kinds of work, faults). Callers keep their connections; faults come from outside by signal, by a proxy before the store and at the workers. It checks while it runs and at the end: nothing running although it could (LOST), submissions that are unknown, failed or completed without cause, two runs at once, workers over their capacity.

--- a/apps/standins/src/main.ts
+++ b/apps/standins/src/main.ts
@@ -4,6 +4,7 @@
 import { PROGRAM } from "./cli/constants.js";
 import { LoadCommand } from "./cli/loadCommand.js";
 import { PlatformCommand } from "./cli/platformCommand.js";
+import { SoakCommand } from "./cli/soakCommand.js";
 import { TargetCommand } from "./cli/targetCommand.js";
 
 const cli = new Cli({
@@ -14,6 +15,7 @@
 cli.register(PlatformCommand);
 cli.register(TargetCommand);
 cli.register(LoadCommand);
+cli.register(SoakCommand);
 
 const run = async (): Promise<number> => {
   const args = process.argv.slice(2);
--- /dev/null
+++ b/apps/standins/src/soak/faults/storeFaults.ts
@@ -0,0 +1,60 @@
+import type { PlannedFault } from "../types.js";
+import { PassingFault, SoakFault } from "./soakFault.js";
+
+export class SilenceStore extends SoakFault {
+  override begin(): void {
+    this.site.store.isSilent = true;
+  }
+
+  override end(): void {
+    this.site.store.isSilent = false;
+  }
+}
+
+export class SlowStore extends SoakFault {
+  override begin({ strength }: PlannedFault): void {
+    this.site.store.answerDelayMs = strength;
+  }
+
+  override end(): void {
+    this.site.store.answerDelayMs = 0;
+  }
+}
+
+export class DropHistory extends PassingFault {
+  override begin(): void {
+    this.site.store.dropHistory();
+  }
+}
+
+/** Writes configurations with idle queues, some ten in a second. */
+export class ChangeConfig extends PassingFault {
+  override begin({ atMs, untilMs, strength }: PlannedFault): void {
+    const times = Math.max(1, Math.round(strength));
+    for (let index = 0; index < times; index += 1) {
+      setTimeout(
+        () => {
+          this.site.writeConfig({ idleQueues: index });
+        },
+        (index * (untilMs - atMs)) / times,
+      );
+    }
+  }
+}
+
+export class LowerCeilings extends SoakFault {
+  override begin({ strength }: PlannedFault): void {
+    this.site.writeConfig({ ceilingFactor: strength });
+  }
+
+  override end(): void {
+    this.site.writeConfig({});
+  }
+}
+
+/** Asks for the maintenance of hosts within the fault's time. */
+export class RequestWave extends PassingFault {
+  override begin({ atMs, untilMs, strength, draw }: PlannedFault): void {
+    this.site.requestWave(strength, draw, untilMs - atMs);
+  }
+}
--- a/apps/standins/src/work/jsonServer.ts
+++ b/apps/standins/src/work/jsonServer.ts
@@ -54,6 +54,11 @@
     });
   }
 
+  /** Breaks all connections, as a crash does. */
+  protected dropConnections(): void {
+    this.server.closeAllConnections();
+  }
+
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const text = await readText(request);
     const body: unknown = text === "" ? null : JSON.parse(text);
--- a/apps/standins/src/work/storeStandIn.ts
+++ b/apps/standins/src/work/storeStandIn.ts
@@ -41,6 +41,11 @@
     this.table(table).remove({ part: "", key }, this.version);
   }
 
+  /** Answers 410 to every reader of a feed that asks for changes up to now. */
+  dropHistory(): void {
+    this.compactedUpToVersion = this.version;
+  }
+
   /** Returns the value of a row as text, or null if there is no such row. */
   readText(table: string, part: string, key: string): string | null {
     const value = this.table(table).get({ part, key })?.value;
--- a/packages/core/src/work/idleSubmissions.ts
+++ b/packages/core/src/work/idleSubmissions.ts
@@ -9,6 +9,8 @@
   readonly sinceMs: number;
   /** Why nothing of it runs although a worker has room, as last checked; null if that is not so. */
   starvation: StarvationReason | null;
+  /** The reason that was logged last. */
+  loggedStarvation: StarvationReason | null;
 }
 
 /** Notes whether any run of a submission is booked, after their number or its state has changed. */
@@ -16,6 +18,10 @@
   if (submission.bookedRuns > 0 || hasEnded(submission.state)) {
     owned.idleSubmissions.delete(submission);
   } else if (!owned.idleSubmissions.has(submission)) {
-    owned.idleSubmissions.set(submission, { sinceMs: turn.nowMs, starvation: null });
+    owned.idleSubmissions.set(submission, {
+      sinceMs: turn.nowMs,
+      starvation: null,
+      loggedStarvation: null,
+    });
   }
 };
--- a/packages/core/src/work/starvation.ts
+++ b/packages/core/src/work/starvation.ts
@@ -167,7 +167,8 @@
 
 /**
  * Determines of some submissions why nothing of them has run for `STARVATION.AFTER_MS`, and logs a
- * reason that is new. The next check goes on with the others.
+ * reason that is new and that two checks in a row have found. The next check goes on with the
+ * others.
  */
 export const checkStarvation = (turn: Turn, owned: OwnedWork): void => {
   if (turn.nowMs - owned.starvationCheckedAtMs < STARVATION.CHECK_INTERVAL_MS) {
@@ -181,8 +182,10 @@
     const idleMs = turn.nowMs - idle.sinceMs;
     const starvation = idleMs < STARVATION.AFTER_MS ? null : starvationOf(turn, owned, submission);
     const reason = starvation?.reason ?? null;
-    if (starvation !== null && reason !== idle.starvation && linesLeft > 0) {
+    const isNew = reason === idle.starvation && reason !== idle.loggedStarvation;
+    if (starvation !== null && isNew && linesLeft > 0) {
       linesLeft -= 1;
+      idle.loggedStarvation = reason;
       logStarvation(turn, owned, submission, starvation, idleMs);
     }
     idle.starvation = reason;
