--- a/apps/standins/src/cli/soakSettings.ts
+++ b/apps/standins/src/cli/soakSettings.ts
@@ -90,6 +90,7 @@
     kind: z.enum(Object.values(FAULT)),
     chance: SHARE.default(1),
     times: z.int().min(1).default(1),
+    at_ms: MS.nullable().default(null),
     for_ms: MS.default(4_000),
     strength: z.number().min(0).default(1),
   })
@@ -97,6 +98,7 @@
     kind: fault.kind,
     chance: fault.chance,
     times: fault.times,
+    atMs: fault.at_ms,
     forMs: fault.for_ms,
     strength: fault.strength,
   }));
--- a/apps/standins/src/soak/initialSoakState.ts
+++ b/apps/standins/src/soak/initialSoakState.ts
@@ -11,10 +11,10 @@
   const { faults, trafficMs } = state.plan;
   const spanMs = Math.max(0, trafficMs * FAULT_WINDOW_SHARE - SOAK.FIRST_FAULT_MS);
   const drawn = faults.filter(({ chance }) => nextFraction(state.random) < chance);
-  return drawn.flatMap(({ kind, times, forMs, strength }) =>
+  return drawn.flatMap(({ kind, times, atMs: fixedMs, forMs, strength }) =>
     Array.from({ length: times }, () => {
-      const laterMs = SOAK.FIRST_FAULT_MS + nextFraction(state.random) * spanMs;
-      const atMs = state.startedAtMs + laterMs;
+      const drawnMs = SOAK.FIRST_FAULT_MS + nextFraction(state.random) * spanMs;
+      const atMs = state.startedAtMs + (fixedMs ?? drawnMs);
       return { kind, atMs, untilMs: atMs + forMs, strength, draw: nextFraction(state.random) };
     }),
   );
--- a/apps/standins/src/soak/types.ts
+++ b/apps/standins/src/soak/types.ts
@@ -63,6 +63,8 @@
   /** Probability that a seed has it. */
   readonly chance: number;
   readonly times: number;
+  /** When it strikes, from the start of the traffic; null to draw the time. */
+  readonly atMs: number | null;
   readonly forMs: number;
   /** Its strength: a share, a factor or a number, by kind. */
   readonly strength: number;
--- a/apps/standins/tests/soakRule.test.ts
+++ b/apps/standins/tests/soakRule.test.ts
@@ -179,7 +179,7 @@
 test("the same seed hands in other work or draws other faults", (t) => {
   const plan: SoakPlan = {
     ...PLAN,
-    faults: [{ kind: "killOwner", chance: 0.5, times: 3, forMs: 100, strength: 1 }],
+    faults: [{ kind: "killOwner", chance: 0.5, times: 3, atMs: null, forMs: 100, strength: 1 }],
   };
   const [one, other] = [new SoakRun(plan), new SoakRun(plan)];
   one.run(900);
