--- a/apps/standins/src/cli/soakCommand.ts
+++ b/apps/standins/src/cli/soakCommand.ts
@@ -26,7 +26,7 @@
   static override usage = Command.Usage({
     description: "runs real processes of the product beside stand-ins and checks the users' rules",
     details:
-      "Settings: [site] zones, nodes_per_zone, commit_ms, lead_ms, traffic_ms, settle_ms, turn_ms, turn_factor, rest_factor; [[pools]], [[teams]], [[kinds]], [[faults]]. Writes one JSON report a seed to standard output and exits with 1 after a finding; the logs of such a run are kept.",
+      "Settings: [site] zones, nodes_per_zone, cores_per_node, commit_ms, lead_ms, traffic_ms, settle_ms, turn_ms, turn_factor, rest_factor; [[pools]], [[teams]], [[kinds]], [[faults]]. Writes one JSON report a seed to standard output and exits with 1 after a finding; the logs of such a run are kept.",
     examples: [
       [
         "Run seeds 1 to 50",
--- a/apps/standins/src/cli/soakSettings.ts
+++ b/apps/standins/src/cli/soakSettings.ts
@@ -62,6 +62,7 @@
     work_ms: SPREAD.nullable().default(null),
     failure_share: SHARE.default(0),
     hopeless_share: SHARE.default(0),
+    all_items_hopeless: z.boolean().default(false),
     one_by_worker_share: SHARE.default(0),
     cancelled_share: SHARE.default(0),
   })
@@ -81,6 +82,7 @@
     workMs: kind.work_ms,
     failureShare: kind.failure_share,
     hopelessShare: kind.hopeless_share,
+    allItemsHopeless: kind.all_items_hopeless,
     oneByWorkerShare: kind.one_by_worker_share,
     cancelledShare: kind.cancelled_share,
   }));
@@ -109,6 +111,7 @@
     site: z.strictObject({
       zones: z.array(NAME).min(1),
       nodes_per_zone: z.int().min(1),
+      cores_per_node: z.number().positive().nullable().default(null),
       commit_ms: MS.default(6),
       lead_ms: MS.default(1_000),
       traffic_ms: MS.default(30_000),
@@ -125,6 +128,7 @@
   .transform(({ site, pools, teams, kinds, faults }): SoakPlan => ({
     zones: site.zones,
     nodesPerZone: site.nodes_per_zone,
+    coresPerNode: site.cores_per_node,
     commitMs: site.commit_ms,
     leadMs: site.lead_ms,
     trafficMs: site.traffic_ms,
--- a/apps/standins/src/soak/drawWork.ts
+++ b/apps/standins/src/soak/drawWork.ts
@@ -1,4 +1,4 @@
-import { nextFraction } from "../random.js";
+import { nextFraction, nextIndex } from "../random.js";
 import { FAULT } from "./constants.js";
 import type { FaultKind, KindPlan, SoakState, SoakWork, Spread, StepPlan } from "./types.js";
 
@@ -43,7 +43,8 @@
   return {
     text: {
       workMs: kind.workMs === null ? null : Math.round(draw(state, kind.workMs)),
-      failureShare: isHopeless ? 1 : kind.failureShare,
+      failureShare: isHopeless && kind.allItemsHopeless ? 1 : kind.failureShare,
+      hopelessStep: isHopeless ? nextIndex(state.random, stepCount) : null,
       failAfterMs: FAIL_AFTER_MS,
     },
     steps: Array.from({ length: stepCount }, (_, step) => drawStep(state, kind, step)),
--- a/apps/standins/src/soak/faults/nodeFaults.ts
+++ b/apps/standins/src/soak/faults/nodeFaults.ts
@@ -46,11 +46,11 @@
 
 export class SuspendOwner extends OwnerFault {
   protected override strike(node: WorkNode): void {
-    node.signal("SIGSTOP");
+    node.suspend(true);
   }
 
   protected override heal(node: WorkNode): void {
-    node.signal("SIGCONT");
+    node.suspend(false);
   }
 }
 
--- a/apps/standins/src/soak/soakSite.ts
+++ b/apps/standins/src/soak/soakSite.ts
@@ -100,6 +100,7 @@
       folder: this.folder,
       storeAddress: await proxy.listen(),
       hostsAddress,
+      cores: this.plan.coresPerNode,
     };
     const node = new WorkNode(program, place, proxy);
     this.nodes.push(node);
--- a/apps/standins/src/soak/types.ts
+++ b/apps/standins/src/soak/types.ts
@@ -50,8 +50,9 @@
   readonly workMs: Spread | null;
   /** Share of the runs that fail by their own fault. */
   readonly failureShare: number;
-  /** Share of the submissions of which every run fails. */
+  /** Share of the submissions that can never be done: every run of one item, or of all, fails. */
   readonly hopelessShare: number;
+  readonly allItemsHopeless: boolean;
   /** Share of the steps of which only one item may run on a worker. */
   readonly oneByWorkerShare: number;
   readonly cancelledShare: number;
@@ -73,6 +74,8 @@
 export interface SoakPlan {
   readonly zones: readonly string[];
   readonly nodesPerZone: number;
+  /** Share of a processor that a node gets, in cores; null for no limit. */
+  readonly coresPerNode: number | null;
   readonly commitMs: number;
   readonly leadMs: number;
   readonly trafficMs: number;
--- a/apps/standins/src/soak/workNode.ts
+++ b/apps/standins/src/soak/workNode.ts
@@ -6,6 +6,7 @@
 import type { DeployedProgram } from "./deployFile.js";
 import { nodeSettings } from "./nodeSettings.js";
 import { endWithThisProcess } from "./ownProcesses.js";
+import { ProcessorLimit } from "./processorLimit.js";
 import type { StoreProxy } from "./storeProxy.js";
 
 const RESTART_DELAY_MS = 300;
@@ -19,6 +20,8 @@
   readonly folder: string;
   readonly storeAddress: string;
   readonly hostsAddress: string;
+  /** Share of a processor that the process gets, in cores; null for no limit. */
+  readonly cores: number | null;
 }
 
 /** A real process of the product, restarted whenever it ends. */
@@ -27,6 +30,8 @@
   private isWanted = true;
   private restartTimer: NodeJS.Timeout | null = null;
   private restartDelayMs: number = RESTART_DELAY_MS;
+  private limit: ProcessorLimit | null = null;
+  private isSuspended = false;
   private readonly log: WriteStream;
   /** `host:port` for callers. */
   callerAddress = "";
@@ -79,6 +84,12 @@
     this.child?.kill(signal);
   }
 
+  /** Lets the process stand still, or go on. */
+  suspend(suspended: boolean): void {
+    this.isSuspended = suspended;
+    this.signal(suspended ? "SIGSTOP" : "SIGCONT");
+  }
+
   /** Kills the process, which starts again after some time. */
   kill(downMs: number): void {
     this.restartDelayMs = Math.max(RESTART_DELAY_MS, downMs);
@@ -114,8 +125,14 @@
     endWithThisProcess(child);
     child.stdout.pipe(this.log, { end: false });
     child.stderr.pipe(this.log, { end: false });
+    const { cores } = this.place;
+    if (cores !== null && child.pid !== undefined) {
+      this.limit = new ProcessorLimit(child.pid, cores, () => !this.isSuspended);
+    }
     child.once("exit", (code, signal) => {
       this.child = null;
+      this.isSuspended = false;
+      this.limit?.end();
       this.log.write(`${JSON.stringify({ event: "soak.processEnded", code, signal })}\n`);
       if (this.isWanted) {
         this.restartTimer = setTimeout(() => {
--- a/apps/standins/src/work/runTimers.ts
+++ b/apps/standins/src/work/runTimers.ts
@@ -22,13 +22,17 @@
   readonly stalls: boolean;
 }
 
+const isHopeless = (item: string, { hopelessStep }: WorkText): boolean =>
+  hopelessStep !== null && item.endsWith(`.0.${hopelessStep}.0`);
+
 /** Times the ends of the runs of a simulated worker. */
 export class RunTimers {
   constructor(private readonly onEnd: (item: string, end: RunEnd) => void) {}
 
   begin(item: string, run: number, conditions: RunConditions, checkpoint: string): SimulatedRun {
     const text = JSON.parse(conditions.spec) as WorkText;
-    const fails = conditions.failsAll || conditions.chance < text.failureShare;
+    const fails =
+      conditions.failsAll || conditions.chance < text.failureShare || isHopeless(item, text);
     const started: SimulatedRun = {
       run,
       startedAtMs: performance.now(),
--- a/apps/standins/src/work/workerTypes.ts
+++ b/apps/standins/src/work/workerTypes.ts
@@ -39,6 +39,8 @@
   readonly workMs: number | null;
   /** Share of the runs that fail by their own fault. */
   readonly failureShare: number;
+  /** Step whose first item fails in every run; null for none. */
+  readonly hopelessStep: number | null;
   /** Time after which such a run of a long-running item fails, in ms. */
   readonly failAfterMs: number;
 }
--- a/apps/standins/tests/soakRule.test.ts
+++ b/apps/standins/tests/soakRule.test.ts
@@ -28,6 +28,7 @@
   workMs: { mean: 100, spread: 0, max: 100 },
   failureShare: 0,
   hopelessShare: 0,
+  allItemsHopeless: false,
   oneByWorkerShare: 0,
   cancelledShare: 0,
 };
@@ -37,6 +38,7 @@
 const PLAN: SoakPlan = {
   zones: ["a"],
   nodesPerZone: 1,
+  coresPerNode: null,
   commitMs: 1,
   leadMs: 0,
   trafficMs: 1_000,
