Give long items the time that a percent of them takes

Operators would see an item of more than some four minutes restarted for ever and never done, and its workers suspended each time.

Cause: a run without a new percent for 2.5 s counted as stalled, and progress comes in whole percent. Now the time is a tenth of the estimate if that is longer, and doubles with each stall of the item, so that an estimate that is far too low costs a few starts only.

Test: slowWork, an item of ten minutes: not done after eleven before, done now.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -272,6 +272,8 @@
   SUSPEND_MS: 4_000,
   /** A run without progress for this long is restarted on another worker. */
   STALL_MS: 2_500,
+  /** The same as a share of the item's estimate, if that is longer. */
+  STALL_SHARE_OF_ESTIMATE: 0.1,
 } as const;
 
 export const PACING = {
--- a/packages/core/src/work/itemState.ts
+++ b/packages/core/src/work/itemState.ts
@@ -74,7 +74,9 @@
   lastRun: number;
   run: Run | null;
   checkpoint: string | null;
-  /** Worker of the last failed run; other workers are preferred. */
+  /** Runs of it that were stopped because they made no progress. */
+  stalls: number;
+  /** Worker of the last failed or stalled run; other workers are preferred. */
   avoidWorker: WorkerId | null;
   /** The worker on which capacity is reserved for it. */
   reservedWorker: WorkerId | null;
--- a/packages/core/src/work/occurrences.ts
+++ b/packages/core/src/work/occurrences.ts
@@ -48,6 +48,7 @@
     lastRun: 0,
     run: null,
     checkpoint: null,
+    stalls: 0,
     avoidWorker: null,
     reservedWorker: null,
     inherited: submission.inherited,
--- a/packages/core/src/work/stalledRuns.ts
+++ b/packages/core/src/work/stalledRuns.ts
@@ -1,22 +1,33 @@
 import { HEALTH, RUN_PHASE } from "./constants.js";
 import { stopRun } from "./runs.js";
-import type { OwnedWork, Worker } from "./state.js";
+import type { Item, OwnedWork, Run, Worker } from "./state.js";
 import type { Turn } from "./turn.js";
 
+/**
+ * Returns how long a run of an item may go without progress. Progress is reported in whole percent,
+ * so a long item makes none for a while. The estimate may be far too low: each stall doubles the
+ * time.
+ */
+const stallAfterMs = ({ spec, stalls }: Item): number => {
+  const expectedMs = spec.lasting ? 0 : HEALTH.STALL_SHARE_OF_ESTIMATE * spec.estimateMs;
+  return Math.max(HEALTH.STALL_MS * 2 ** stalls, expectedMs);
+};
+
+const isStalled = (worker: Worker, run: Run): boolean =>
+  run.phase === RUN_PHASE.RUNNING &&
+  run.pacePercent === 100 &&
+  !(run.item.spec.lasting && run.percent >= 100) &&
+  (worker.polledAtMs ?? 0) > Math.max(run.percentSinceMs, run.orderedAtMs) + stallAfterMs(run.item);
+
 /**
  * Stops runs of a worker that polls show without progress, so that they restart on other workers.
  */
 export const stopStalledRuns = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
   for (const run of worker.runs.values()) {
-    const sinceMs = Math.max(run.percentSinceMs, run.orderedAtMs);
-    const stalled =
-      run.phase === RUN_PHASE.RUNNING &&
-      run.pacePercent === 100 &&
-      !(run.item.spec.lasting && run.percent >= 100) &&
-      (worker.polledAtMs ?? 0) > sinceMs + HEALTH.STALL_MS;
-    if (stalled) {
-      run.item.avoidWorker = worker.report.id;
+    if (isStalled(worker, run)) {
       worker.suspendedUntilMs = Math.max(worker.suspendedUntilMs, turn.nowMs + HEALTH.SUSPEND_MS);
+      run.item.stalls += 1;
+      run.item.avoidWorker = worker.report.id;
       stopRun(turn, owned, run, "no progress");
     }
   }
