Keep half of a pool open when runs make no progress

Callers would see nothing start in a pool: each run without progress suspended its worker for 4 s, whoever was at fault and however many workers were suspended already.

Now a stall is handled like a failure: an item that failed or stalled on another worker before is at fault itself, and at most half of the workers of a pool are suspended. worker.suspended says why.

Test: slowWork, twelve long items on three workers: all suspended at once before (share 1), not now. workerHealth and stalledRuns pass.

--- a/packages/core/src/work/stalledRuns.ts
+++ b/packages/core/src/work/stalledRuns.ts
@@ -2,6 +2,7 @@
 import { stopRun } from "./runs.js";
 import type { Item, OwnedWork, Run, Worker } from "./state.js";
 import type { Turn } from "./turn.js";
+import { recordStall } from "./workerHealth.js";
 
 /**
  * Returns how long a run of an item may go without progress. Progress is reported in whole percent,
@@ -25,7 +26,7 @@
 export const stopStalledRuns = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
   for (const run of worker.runs.values()) {
     if (isStalled(worker, run)) {
-      worker.suspendedUntilMs = Math.max(worker.suspendedUntilMs, turn.nowMs + HEALTH.SUSPEND_MS);
+      recordStall(turn, owned, worker, run.item);
       run.item.stalls += 1;
       run.item.avoidWorker = worker.report.id;
       stopRun(turn, owned, run, "no progress");
--- a/packages/core/src/work/workerHealth.ts
+++ b/packages/core/src/work/workerHealth.ts
@@ -22,24 +22,44 @@
   return suspended + 1 <= workers.size * HEALTH.MAX_SUSPENDED_SHARE;
 };
 
+/** Gives a worker a pause, unless its pool cannot spare it. */
+const suspend = (turn: Turn, owned: OwnedWork, worker: Worker, reason: string): void => {
+  if (!canSpare(turn, owned, worker)) {
+    return;
+  }
+  worker.suspendedUntilMs = turn.nowMs + HEALTH.SUSPEND_MS;
+  logLine(turn, "warn", "worker.suspended", {
+    worker: worker.report.id,
+    reason,
+    failures: worker.suspicions.size,
+    forMs: HEALTH.SUSPEND_MS,
+  });
+};
+
+/** Whether an item has failed or stalled on another worker before, so that it is at fault itself. */
+const isAtFault = ({ avoidWorker }: Item, worker: Worker): boolean =>
+  avoidWorker !== null && avoidWorker !== worker.report.id;
+
 /**
  * Records a failed run, and gives its worker a pause once runs fail there that would not fail
- * elsewhere. An item that has failed on another worker before is at fault itself.
+ * elsewhere.
  */
 export const recordFailure = (turn: Turn, owned: OwnedWork, worker: Worker, item: Item): void => {
   const suspicion = suspicionBy(item);
-  if (item.avoidWorker !== null && item.avoidWorker !== worker.report.id) {
+  if (item.avoidWorker !== null && isAtFault(item, worker)) {
     owned.workers.get(item.avoidWorker)?.suspicions.delete(suspicion);
     return;
   }
   worker.suspicions.add(suspicion);
-  if (worker.suspicions.size >= HEALTH.MAX_FAILURES && canSpare(turn, owned, worker)) {
-    worker.suspendedUntilMs = turn.nowMs + HEALTH.SUSPEND_MS;
-    logLine(turn, "warn", "worker.suspended", {
-      worker: worker.report.id,
-      failures: worker.suspicions.size,
-      forMs: HEALTH.SUSPEND_MS,
-    });
+  if (worker.suspicions.size >= HEALTH.MAX_FAILURES) {
+    suspend(turn, owned, worker, "runs fail");
+  }
+};
+
+/** Records a run without progress, and gives its worker a pause unless the item is at fault. */
+export const recordStall = (turn: Turn, owned: OwnedWork, worker: Worker, item: Item): void => {
+  if (!isAtFault(item, worker)) {
+    suspend(turn, owned, worker, "a run makes no progress");
   }
 };
 
