--- a/apps/standins/src/soak/constants.ts
+++ b/apps/standins/src/soak/constants.ts
@@ -74,8 +74,8 @@
   MAX_STARVED_MS: 3_000,
   /** The same for a long-running item, from its last run. */
   MAX_ITEM_IDLE_MS: 6_000,
-  /** Time for which submissions are watched at the end. */
-  WATCH_MS: 4_000,
+  /** Time for which submissions are watched at the end; longer than the rule's 3 s. */
+  WATCH_MS: 6_000,
   /** Faults strike from here on after the start of the traffic, and not in its last part. */
   FIRST_FAULT_MS: 2_000,
   /** Earliest time after its acceptance at which a submission is cancelled. */
--- a/apps/standins/src/soak/reduceSoak.ts
+++ b/apps/standins/src/soak/reduceSoak.ts
@@ -51,7 +51,6 @@
     state.phase === SOAK_PHASE.WATCHING &&
     elapsedMs >= trafficMs + settleMs + SOAK.WATCH_MS
   ) {
-    reportStarvation(state, atMs);
     beginReading(state, effects);
   }
 };
@@ -63,6 +62,9 @@
     cancelDue(state, atMs, effects);
   }
   watchStarvation(state, atMs);
+  if (state.phase === SOAK_PHASE.WATCHING) {
+    reportStarvation(state, atMs);
+  }
   advancePhase(state, atMs, effects);
   state.tickedAtMs = atMs;
   finishIfRead(state, effects);
--- a/apps/standins/src/soak/starvationRule.ts
+++ b/apps/standins/src/soak/starvationRule.ts
@@ -146,11 +146,13 @@
   }
 };
 
-/** Adds a finding for each submission that is starved for longer than the rule allows. */
+/** Adds a finding for each submission that is starved for longer than the rule allows, once. */
 export const reportStarvation = (state: SoakState, atMs: number): void => {
   for (const submission of state.submissions.values()) {
-    const { id, starvedSinceMs, kind, team } = submission;
-    if (starvedSinceMs !== null && atMs - starvedSinceMs >= SOAK.MAX_STARVED_MS) {
+    const { id, starvedSinceMs, kind, team, isReported } = submission;
+    const forMs = atMs - (starvedSinceMs ?? atMs);
+    if (!isReported && forMs >= SOAK.MAX_STARVED_MS) {
+      submission.isReported = true;
       const runs = [...submission.items.values()].reduce((sum, item) => sum + item.runs, 0);
       const steps = dueSteps(submission, atMs).join(", ");
       addFinding(
--- a/apps/standins/src/soak/traffic.ts
+++ b/apps/standins/src/soak/traffic.ts
@@ -20,6 +20,7 @@
   exhausted: false,
   starvedSinceMs: null,
   longestStarvedMs: 0,
+  isReported: false,
 });
 
 /** Returns the factor on the rate of a kind: high in its turn, low in that of the others. */
--- a/apps/standins/src/soak/types.ts
+++ b/apps/standins/src/soak/types.ts
@@ -143,6 +143,8 @@
   /** Since when nothing of it runs although it could; null if that is not so. */
   starvedSinceMs: number | null;
   longestStarvedMs: number;
+  /** Whether there is a finding on it. */
+  isReported: boolean;
 }
 
 export interface WorkerRecord {
--- a/apps/standins/tests/soakRule.test.ts
+++ b/apps/standins/tests/soakRule.test.ts
@@ -118,7 +118,7 @@
 
 test("a submission with nothing running beside an empty worker is no finding", (t) => {
   const { soak } = soakWithOne();
-  soak.run(6_500);
+  soak.run(8_500);
   t.is(soak.state.phase, SOAK_PHASE.READING);
   t.deepEqual(soak.findings, [FINDING.STARVED]);
 });
@@ -141,7 +141,7 @@
   if (worker !== undefined) {
     worker.used.cpu = CAPACITY.cpu / 2;
   }
-  soak.run(6_500);
+  soak.run(8_500);
   t.deepEqual(soak.findings, []);
 });
 
@@ -151,7 +151,7 @@
     soak.start(`${submission.id}.0.0.0`);
     soak.end(`${submission.id}.0.0.0`, RUN_END.FAILED);
   }
-  soak.run(6_500);
+  soak.run(8_500);
   t.deepEqual(soak.findings, []);
 });
 
