Let failures of a worker count for ten seconds

Operators would see workers that run long-running work only suspended at each failure once three had occurred there, however long ago: such work ends in no success that clears what counts against the worker.

Test: workerHealth, four failures of long-running items twelve seconds apart: worker.suspended before, none now.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -267,6 +267,8 @@
 export const HEALTH = {
   /** Failures without a success in between after which a worker is suspended. */
   MAX_FAILURES: 3,
+  /** A failure counts for this long; long-running work ends in no success that would clear it. */
+  SUSPICION_MS: 10_000,
   /** Most workers of a pool that are suspended at once. */
   MAX_SUSPENDED_SHARE: 0.5,
   SUSPEND_MS: 4_000,
--- a/packages/core/src/work/workerHealth.ts
+++ b/packages/core/src/work/workerHealth.ts
@@ -40,6 +40,14 @@
 const isAtFault = ({ avoidWorker }: Item, worker: Worker): boolean =>
   avoidWorker !== null && avoidWorker !== worker.report.id;
 
+const forgetOldSuspicions = (turn: Turn, { suspicions }: Worker): void => {
+  for (const [suspicion, failedAtMs] of suspicions) {
+    if (turn.nowMs - failedAtMs > HEALTH.SUSPICION_MS) {
+      suspicions.delete(suspicion);
+    }
+  }
+};
+
 /**
  * Records a failed run, and gives its worker a pause once runs fail there that would not fail
  * elsewhere.
@@ -50,7 +58,8 @@
     owned.workers.get(item.avoidWorker)?.suspicions.delete(suspicion);
     return;
   }
-  worker.suspicions.add(suspicion);
+  worker.suspicions.set(suspicion, turn.nowMs);
+  forgetOldSuspicions(turn, worker);
   if (worker.suspicions.size >= HEALTH.MAX_FAILURES) {
     suspend(turn, owned, worker, "runs fail");
   }
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workerState.ts
@@ -132,8 +132,11 @@
   busySinceMs: number;
   /** Since when no tail latency on it has been near its target. */
   latencyCalmSinceMs: number;
-  /** Items and submissions that have failed there since a run was done, and nowhere else. */
-  readonly suspicions: Set<string>;
+  /**
+   * Items and submissions that have failed there since a run was done, and nowhere else, by the time
+   * of the failure.
+   */
+  readonly suspicions: Map<string, number>;
   /** When it may get new work again after failures or a refused order. */
   suspendedUntilMs: number;
   /**
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers.ts
@@ -63,7 +63,7 @@
   idleSinceMs: turn.nowMs,
   busySinceMs: turn.nowMs,
   latencyCalmSinceMs: 0,
-  suspicions: new Set(),
+  suspicions: new Map(),
   suspendedUntilMs: 0,
   capacityKnownAtMs: 0,
   reservedFor: null,
--- a/packages/core/tests/work/blockedItems.test.ts
+++ b/packages/core/tests/work/blockedItems.test.ts
@@ -40,8 +40,7 @@
 };
 
 for (const kind of [END_KIND.FAILED, END_KIND.LEASE_EXPIRED]) {
-  // Guards against LOST: a successor hears of an item's end before it knows that the item's step
-  // may run, and never starts it again.
+  // Guards against LOST: a successor hears of an item's end before that of the step before it.
   test(`an item that ended as ${kind} before its step was known to be due never starts again`, (t) => {
     const node = successor();
     node.answerPoll(node.nextPollOf("w1"), { ...BORN, ends: [endOf(SECOND, kind)] });
--- a/packages/core/tests/work/slowWork.test.ts
+++ b/packages/core/tests/work/slowWork.test.ts
@@ -18,8 +18,7 @@
   return site;
 };
 
-// Guards against LOST: an item whose percent rises more slowly than that of a stalled run is
-// stopped again and again, and never done.
+// Guards against LOST: an item whose percent rises slowly is stopped again and again.
 test("an item that takes ten minutes is never done", (t) => {
   const site = slowSite(1);
   site.run(LONG_RUN_MS + 60_000);
--- a/packages/core/tests/work/workerHealth.test.ts
+++ b/packages/core/tests/work/workerHealth.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { END_KIND, type EndLine } from "../../src/index.js";
+import { END_KIND, type EndLine, type RunningLine } from "../../src/index.js";
 import { OwnerNode, reportOf } from "./ownerNode.js";
 import { stepOf, workOf } from "./workSpecs.js";
 
@@ -8,11 +8,13 @@
 
 const idOf = (number: number): string => `a${number.toString(16).padStart(15, "0")}`;
 
-type EndOf = (item: string, worker: string) => EndLine["kind"];
+/** How a run ends; null for one that goes on. */
+type EndOf = (item: string, worker: string, run: number) => EndLine["kind"] | null;
 
-/** Workers whose runs end with the next poll. */
+/** Workers whose runs end with the next poll, or go on. */
 class PromptWorkers {
   private readonly ends = new Map<string, EndLine[]>();
+  private readonly running = new Map<string, RunningLine[]>();
   private started = 0;
 
   constructor(
@@ -26,8 +28,13 @@
     while (node.nowMs < untilMs) {
       for (const { item, run, worker } of node.starts.slice(this.started)) {
         const list = this.endsOn(worker);
-        const kind = this.endOf(item, worker);
-        list.push({ sequence: list.length + 1, item, run, kind, checkpoint: "" });
+        const kind = this.endOf(item, worker, run);
+        if (kind === null) {
+          const line = { item, run, checkpoint: "", percent: 100, load: null };
+          this.running.set(worker, [...(this.running.get(worker) ?? []), line]);
+        } else {
+          list.push({ sequence: list.length + 1, item, run, kind, checkpoint: "" });
+        }
       }
       node.starts.slice(this.started).forEach((start) => {
         node.answerStart(start, "started");
@@ -35,7 +42,8 @@
       this.started = node.starts.length;
       for (const poll of node.openPolls()) {
         const listed = this.endsOn(poll.worker).slice(poll.acknowledgedSequence);
-        node.answerPoll(poll, { ...BORN, ends: listed });
+        const running = this.running.get(poll.worker) ?? [];
+        node.answerPoll(poll, { ...BORN, ends: listed, running });
       }
       node.run(40);
     }
@@ -96,3 +104,15 @@
     t.true(node.starts.filter(({ worker }) => worker === "sick").length < 20);
   });
 }
+
+// Guards against LOST: on workers that run long-running work only, failures count for ever.
+test("a failure of long-running work suspends a worker because of failures long ago", (t) => {
+  const node = nodeWith(["w1", "w2"]);
+  const workers = new PromptWorkers(node, (_, __, run) => (run === 1 ? END_KIND.FAILED : null));
+  for (let number = 0; number < 4; number += 1) {
+    node.submit(idOf(number), workOf([{ ...stepOf(1, 500, []), lasting: true }]));
+    workers.serve(12_000);
+  }
+  t.is(node.starts.length, 8);
+  t.deepEqual(node.logged("worker.suspended"), []);
+});
