--- a/apps/standins/tests/soak.test.ts
+++ b/apps/standins/tests/soak.test.ts
@@ -6,10 +6,10 @@
 import type { SoakReport } from "../src/soak/types.js";
 
 const PROGRAM = fileURLToPath(new URL("../src/main.js", import.meta.url));
-const SETTINGS = fileURLToPath(new URL("../../soaks/twoPools.toml", import.meta.url));
 
-const soakReport = async (seed: number): Promise<SoakReport> => {
-  const args = [PROGRAM, "soak", "--settings", SETTINGS, "--seed", String(seed)];
+const soakReport = async (settings: string, seed: number): Promise<SoakReport> => {
+  const path = fileURLToPath(new URL(`../../soaks/${settings}`, import.meta.url));
+  const args = [PROGRAM, "soak", "--settings", path, "--seed", String(seed)];
   const child = spawn(process.execPath, args, { stdio: ["ignore", "pipe", "inherit"] });
   const exited = once(child, "exit");
   const output = await text(child.stdout);
@@ -17,12 +17,17 @@
   return JSON.parse(output) as SoakReport;
 };
 
-/** Seeds of the short soak; one that ever failed stays. */
-const SEEDS: readonly number[] = [1, 2];
+/** Soaks of the suite; a seed that ever failed stays, with its cause. */
+const CASES = [
+  { settings: "twoPools.toml", seed: 1, failure: "lose, double or starve accepted work" },
+  { settings: "twoPools.toml", seed: 2, failure: "lose, double or starve accepted work" },
+  // Starved 110 submissions on db27e81: failures suspended all workers of the pool.
+  { settings: "failingWork.toml", seed: 1, failure: "starve work beside work that fails" },
+] as const;
 
-for (const seed of SEEDS) {
-  test.serial(`seed ${seed}: real processes lose, double or starve accepted work`, async (t) => {
-    const report = await soakReport(seed);
+for (const { settings, seed, failure } of CASES) {
+  test.serial(`${settings}, seed ${seed}: real processes ${failure}`, async (t) => {
+    const report = await soakReport(settings, seed);
     t.log(report.faults.join(", "));
     t.deepEqual(report.findings, []);
     t.true(report.accepted > 20);
