--- a/packages/core/src/work/starvation.ts
+++ b/packages/core/src/work/starvation.ts
@@ -111,13 +111,23 @@
   return found;
 };
 
+/** Returns the first ready item that some worker can hold; null if there is none. */
+const firstPlaceable = ({ ready, obstacles }: Submission): Item | null => {
+  for (const item of ready) {
+    if (!obstacles.has(item.step)) {
+      return item;
+    }
+  }
+  return null;
+};
+
 /** Returns what keeps a submission without a booked run; null if it waits for room or for its time. */
 const starvationOf = (turn: Turn, owned: OwnedWork, submission: Submission): Starvation | null => {
   if (submission.ready.size === 0) {
     return starvationUnready(owned, submission);
   }
-  const item = [...submission.ready].find(({ step }) => !submission.obstacles.has(step));
-  if (item === undefined) {
+  const item = firstPlaceable(submission);
+  if (item === null) {
     return null;
   }
   const withRoom = workersWithRoom(turn, owned, item);
