Keep the limit of attempts of a submission whose route is dropped

Cause: the limit was looked up in the catalog in force; without the queue there was none. A submission's row now keeps the limit of its hand-in, which counts when the queue is gone. The field is optional: rows of earlier versions are read and have no limit then, as before, and earlier versions ignore it.

--- a/packages/core/src/work/calls.ts
+++ b/packages/core/src/work/calls.ts
@@ -36,6 +36,7 @@
         pool: queue.pool,
         team: team?.id ?? null,
         acceptedWallMs: Math.round(turn.wallMs),
+        maxAttempts: queue.maxAttempts,
         work: arrival.work,
       };
 
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -257,6 +257,10 @@
   }
 };
 
+/** Returns how many runs of an item of a submission may fail; Infinity if that is not known. */
+const maxAttemptsOf = (turn: Turn, { queue, maxAttempts }: SubmissionRow): number =>
+  queueById(turn.work, queue)?.maxAttempts ?? maxAttempts ?? Infinity;
+
 /** Records a failed run. The submission fails once the queue's limit of attempts is reached. */
 export const itemFailed = (turn: Turn, owned: OwnedWork, item: Item, run: number): void => {
   const { submission, spec } = item;
@@ -266,8 +270,7 @@
   if (!spec.lasting) {
     addFailedRun(item, run);
     markDirty(owned, submission);
-    const queue = queueById(turn.work, submission.row.queue);
-    if (queue !== null && item.failedRuns.size >= queue.maxAttempts) {
+    if (item.failedRuns.size >= maxAttemptsOf(turn, submission.row)) {
       endSubmission(turn, owned, submission, SUBMISSION_STATE.FAILED, `item ${item.key} failed`);
       return;
     }
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -99,6 +99,11 @@
   /** Null on queues that are open to callers without a key. */
   readonly team: TeamId | null;
   readonly acceptedWallMs: number;
+  /**
+   * Runs of an item that could fail when it was accepted; counts once the catalog has dropped its
+   * queue. Earlier versions do not store it.
+   */
+  readonly maxAttempts?: number;
   readonly work: WorkSpec;
 }
 
--- a/packages/wire/src/work/rowChecks.ts
+++ b/packages/wire/src/work/rowChecks.ts
@@ -70,6 +70,7 @@
     pool: isString,
     team: nullOr(isString),
     acceptedWallMs: isNumber,
+    maxAttempts: optional(isCount),
     work: withFields({
       payload: isString,
       steps: (value) => listOf(STEP)(value) && dependOnEarlierSteps(value),
