--- a/apps/standins/src/soak/drawWork.ts
+++ b/apps/standins/src/soak/drawWork.ts
@@ -2,7 +2,7 @@
 import { FAULT } from "./constants.js";
 import type { FaultKind, KindPlan, SoakState, SoakWork, Spread, StepPlan } from "./types.js";
 
-/** A long-running item that fails by its own fault does so after this part of a minute. */
+/** Time until a long-running item fails by its own fault. */
 const FAIL_AFTER_MS = 4_000;
 const ID_DIGITS = 16;
 
--- a/apps/standins/src/soak/faults/storeFaults.ts
+++ b/apps/standins/src/soak/faults/storeFaults.ts
@@ -27,7 +27,7 @@
   }
 }
 
-/** Writes configurations with idle queues, some ten in a second. */
+/** Writes new configurations with ever more idle queues; the strength is how many. */
 export class ChangeConfig extends PassingFault {
   override begin({ atMs, untilMs, strength }: PlannedFault): void {
     const times = Math.max(1, Math.round(strength));
--- a/apps/standins/src/soak/processorLimit.ts
+++ b/apps/standins/src/soak/processorLimit.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from "node:fs";
 
 const CHECK_INTERVAL_MS = 10;
-/** The platform lets a process use its share of this time at once. */
+/** A process may use its share of this time at once. */
 const PERIOD_MS = 100;
 /** Linux counts processor time in ticks of this length by default. */
 const TICK_MS = 10;
