--- a/apps/standins/src/work/leasedWorker.ts
+++ b/apps/standins/src/work/leasedWorker.ts
@@ -1,19 +1,9 @@
 import type { IncomingMessage } from "node:http";
+import { ChangeSignal } from "./changeSignal.js";
 import { JsonServer, type Reply } from "./jsonServer.js";
 import { RunTimers, type SimulatedRun } from "./runTimers.js";
 import { RUN_END, WORKER_BOUND } from "./workerConstants.js";
-import type { RunEnd, WorkerIdentity, WorkerTraits } from "./workerTypes.js";
-
-interface Order {
-  readonly task: string;
-  readonly run: number;
-  readonly spec: string;
-  readonly fencingToken: number;
-  readonly deadlineMs?: number;
-  readonly lastSeen?: number;
-  readonly waitMs?: number;
-  readonly checkpoint?: string;
-}
+import type { RunEnd, WorkerIdentity, WorkerOrder, WorkerTraits } from "./workerTypes.js";
 
 /** Hears what really runs on a worker, whoever ordered it. */
 export abstract class RunObserver {
@@ -34,7 +24,7 @@
   private nextEnd = 1;
   private ends: [number, string, number, RunEnd, string][] = [];
   private readonly highestEnded = new Map<string, number>();
-  private readonly waiters = new Set<() => void>();
+  private readonly endSignal = new ChangeSignal();
   private readonly running = new Map<string, SimulatedRun>();
   private readonly timers: RunTimers;
   private readonly leaseTimer: NodeJS.Timeout;
@@ -137,7 +127,7 @@
     if (this.traits.down) {
       return { status: 503, lost: true };
     }
-    const order = body as Order;
+    const order = body as WorkerOrder;
     if (url.pathname !== "/api/hold" && this.isLate(order)) {
       setTimeout(() => {
         void this.carryOut(url.pathname, order, headers);
@@ -154,14 +144,14 @@
     return this.traits.down;
   }
 
-  private isLate({ task, run }: Order): boolean {
+  private isLate({ task, run }: WorkerOrder): boolean {
     const { lateOrderShare } = this.traits;
     return lateOrderShare > 0 && this.fraction(`late ${task} ${run}`) < lateOrderShare;
   }
 
   private carryOut(
     path: string,
-    order: Order,
+    order: WorkerOrder,
     headers: IncomingMessage["headers"],
   ): Promise<Reply> | Reply {
     if (headers["expected-instance"] !== this.identity.id) {
@@ -208,7 +198,7 @@
     }
   }
 
-  private start({ task, run, spec, deadlineMs, checkpoint }: Order): Reply {
+  private start({ task, run, spec, deadlineMs, checkpoint }: WorkerOrder): Reply {
     const present = this.running.get(task);
     if (present?.run === run) {
       this.extendLease(deadlineMs);
@@ -229,7 +219,7 @@
     return { status: 200, body: this.withClock({}) };
   }
 
-  private stop({ task, run }: Order): Reply {
+  private stop({ task, run }: WorkerOrder): Reply {
     const present = this.running.get(task);
     if (present?.run === run) {
       this.timers.stop(task, present);
@@ -239,11 +229,11 @@
     return { status: 200, body: this.withClock({}) };
   }
 
-  private async hold({ deadlineMs, lastSeen, waitMs }: Order): Promise<Reply> {
+  private async hold({ deadlineMs, lastSeen, waitMs }: WorkerOrder): Promise<Reply> {
     this.extendLease(deadlineMs);
     this.ends = this.ends.filter(([sequence]) => sequence > (lastSeen ?? 0));
     if (this.ends.length === 0 && waitMs !== undefined) {
-      await this.nextRunEnd(waitMs);
+      await this.endSignal.next(waitMs);
     }
     const running = [...this.running]
       .filter(([, { stopping }]) => !stopping)
@@ -252,18 +242,6 @@
     return { status: 200, body: this.withClock({ running, finished }) };
   }
 
-  private async nextRunEnd(waitMs: number): Promise<void> {
-    await new Promise<void>((resolve) => {
-      const wake = (): void => {
-        clearTimeout(timer);
-        this.waiters.delete(wake);
-        resolve();
-      };
-      const timer = setTimeout(wake, waitMs);
-      this.waiters.add(wake);
-    });
-  }
-
   private recordEnded(item: string, run: number): void {
     this.highestEnded.set(item, Math.max(this.highestEnded.get(item) ?? 0, run));
   }
@@ -279,9 +257,7 @@
     this.ends.push([this.nextEnd, item, run.run, end, run.checkpoint]);
     this.nextEnd += 1;
     this.observer.runEnded(this.identity.id, item, end);
-    [...this.waiters].forEach((wake) => {
-      wake();
-    });
+    this.endSignal.notify();
   }
 
   private killAll(): void {
--- a/apps/standins/src/work/storeTable.ts
+++ b/apps/standins/src/work/storeTable.ts
@@ -1,3 +1,5 @@
+import { ChangeSignal } from "./changeSignal.js";
+
 /** Location of a row within its table. */
 export interface RowLocation {
   readonly part: string;
@@ -16,7 +18,7 @@
 export class StoreTable {
   private readonly parts = new Map<string, Map<string, StandInRow>>();
   private readonly changes: StandInRow[] = [];
-  private readonly waiters = new Set<() => void>();
+  private readonly changeSignal = new ChangeSignal();
 
   get({ part, key }: RowLocation): StandInRow | null {
     return this.parts.get(part)?.get(key) ?? null;
@@ -67,21 +69,11 @@
 
   /** Waits for the next change, at most `waitMs`. */
   async nextChange(waitMs: number): Promise<void> {
-    await new Promise<void>((resolve) => {
-      const wake = (): void => {
-        clearTimeout(timer);
-        this.waiters.delete(wake);
-        resolve();
-      };
-      const timer = setTimeout(wake, waitMs);
-      this.waiters.add(wake);
-    });
+    await this.changeSignal.next(waitMs);
   }
 
   private recordChange(row: StandInRow): void {
     this.changes.push(row);
-    [...this.waiters].forEach((wake) => {
-      wake();
-    });
+    this.changeSignal.notify();
   }
 }
--- a/apps/standins/src/work/workerStandIn.ts
+++ b/apps/standins/src/work/workerStandIn.ts
@@ -1,15 +1,7 @@
 import type { IncomingMessage } from "node:http";
+import { ChangeSignal } from "./changeSignal.js";
 import { JsonServer, type Reply } from "./jsonServer.js";
-
-interface Order {
-  readonly task: string;
-  readonly run: number;
-  readonly spec: string;
-  readonly fencingToken: number;
-  readonly deadlineMs?: number;
-  readonly lastSeen?: number;
-  readonly waitMs?: number;
-}
+import type { WorkerOrder } from "./workerTypes.js";
 
 interface RunningItem {
   readonly run: number;
@@ -35,7 +27,7 @@
   private readonly startedAtMs = Date.now();
   private readonly running = new Map<string, RunningItem>();
   private runEnds: [number, string, number, string, string][] = [];
-  private readonly waiters = new Set<() => void>();
+  private readonly endSignal = new ChangeSignal();
   private nextEndSequence = 1;
   private fence = 0;
   private registrationSequence = 0;
@@ -93,7 +85,7 @@
     if (headers["expected-instance"] !== this.id) {
       return { status: 421 };
     }
-    const order = body as Order;
+    const order = body as WorkerOrder;
     if (order.fencingToken < this.fence) {
       return { status: 409, body: { clockMs: this.clockMs(), reason: "fence" } };
     }
@@ -115,7 +107,7 @@
     return Date.now() - this.startedAtMs;
   }
 
-  private start({ task, run, spec }: Order): Reply {
+  private start({ task, run, spec }: WorkerOrder): Reply {
     if (this.startRefusal !== null) {
       return this.startRefusal;
     }
@@ -131,10 +123,10 @@
     return { status: 200, body: { clockMs: this.clockMs(), born: this.startedAtMs } };
   }
 
-  private async reportStatus({ lastSeen, waitMs }: Order): Promise<Reply> {
+  private async reportStatus({ lastSeen, waitMs }: WorkerOrder): Promise<Reply> {
     this.runEnds = this.runEnds.filter(([sequence]) => sequence > (lastSeen ?? 0));
     if (this.runEnds.length === 0 && waitMs !== undefined) {
-      await this.nextRunEnd(waitMs);
+      await this.endSignal.next(waitMs);
     }
     const running = [...this.running].map(([task, item]) => [
       task,
@@ -149,16 +141,6 @@
     };
   }
 
-  private async nextRunEnd(waitMs: number): Promise<void> {
-    await new Promise<void>((resolve) => {
-      const timer = setTimeout(resolve, waitMs);
-      this.waiters.add(() => {
-        clearTimeout(timer);
-        resolve();
-      });
-    });
-  }
-
   private endRun(task: string, outcome: string): void {
     const item = this.running.get(task);
     if (item === undefined) {
@@ -168,9 +150,6 @@
     this.running.delete(task);
     this.runEnds.push([this.nextEndSequence, task, item.run, outcome, ""]);
     this.nextEndSequence += 1;
-    this.waiters.forEach((wake) => {
-      wake();
-    });
-    this.waiters.clear();
+    this.endSignal.notify();
   }
 }
--- a/apps/standins/src/work/workerTypes.ts
+++ b/apps/standins/src/work/workerTypes.ts
@@ -44,3 +44,16 @@
   /** Time after which such a run of a long-running item fails, in ms. */
   readonly failAfterMs: number;
 }
+
+/** Body of a call to a worker: a start, a stop or a poll. */
+export interface WorkerOrder {
+  readonly task: string;
+  readonly run: number;
+  readonly spec: string;
+  readonly fencingToken: number;
+  /** End of the lease, on the worker's clock, in ms. */
+  readonly deadlineMs?: number;
+  readonly lastSeen?: number;
+  readonly waitMs?: number;
+  readonly checkpoint?: string;
+}
