--- a/apps/standins/src/soak/faults/nodeFaults.ts
+++ b/apps/standins/src/soak/faults/nodeFaults.ts
@@ -2,7 +2,7 @@
 import type { WorkNode } from "../workNode.js";
 import { PassingFault, SoakFault } from "./soakFault.js";
 
-/** Sends the owner a signal; the strength is how often, each time to the owner of that moment. */
+/** Sends a signal to whichever node owns the work, as often as the strength says. */
 export class OwnerSignal extends PassingFault {
   constructor(
     site: SoakFault["site"],
@@ -19,7 +19,7 @@
   }
 }
 
-/** Strikes the owner of the moment, and that node alone until the end. */
+/** Strikes the node that owns the work when the fault begins, also once another one owns it. */
 abstract class OwnerFault extends SoakFault {
   private readonly struck = new Map<PlannedFault, WorkNode>();
 
