Review: report a script that fails itself as one that couldn't run

Cause: an uncaught error ended the script with 1, which means a broken rule, and left processes behind.

Added: the shared stand-ins end what they started and exit with 2.

--- a/review/stand-ins-2/site.mjs
+++ b/review/stand-ins-2/site.mjs
@@ -15,6 +15,7 @@
 export const HEARTBEAT_MS = 1_500;
 const RESTART_DELAY_MS = 300;
 const METRICS_OFFSET = 10;
+const LONGEST_CASE_MS = 110_000;
 export const QUEUE_HOST = "queues.example";
 export const KEY = "key-of-the-tenant";
 
@@ -426,6 +427,14 @@
     return answer;
   }
 
+  /** Kills every process that this site started, without waiting for their ends. */
+  endProcesses() {
+    for (const node of this.nodes.values()) {
+      node.wanted = false;
+      node.child?.kill("SIGKILL");
+    }
+  }
+
   /** Ends every process and server that this site started. */
   async close(keepLogs = process.env.KEEP_LOGS === "1") {
     this.timers.forEach((timer) => {
@@ -495,10 +504,23 @@
   const site = new Site(options);
   const trouble = process.env.TROUBLE !== "0";
   let code = 2;
+  const giveUp = (problem) => {
+    process.stderr.write(`${problem}\n`);
+    site.endProcesses();
+    process.exit(2);
+  };
+  process.on("uncaughtException", (error) => {
+    giveUp(error.stack);
+  });
+  process.on("SIGTERM", () => {
+    giveUp("stopped by a signal");
+  });
+  process.on("SIGINT", () => {
+    giveUp("stopped by a signal");
+  });
   const limit = setTimeout(() => {
-    site.note("verdict", { result: "could not run", problem: "it took too long" });
-    void site.close().finally(() => process.exit(2));
-  }, 110_000);
+    giveUp("it took too long");
+  }, LONGEST_CASE_MS);
   try {
     const broken = await play(site, trouble);
     code = broken === null ? 0 : 1;
