Review: show that an item runs twice after a hand-over, on a worker whose clock is slow

Cause: the lease of a start on a worker that was idle for long is reckoned from an old reading of its clock at full rate, and the next owner doesn't allow for that.

--- a/review/stand-ins-2/site.mjs
+++ b/review/stand-ins-2/site.mjs
@@ -8,7 +8,7 @@
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { serveJson } from "./server.mjs";
+import { NO_ANSWER, serveJson } from "./server.mjs";
 import { Store } from "./store.mjs";
 import { Worker } from "./worker.mjs";
 
@@ -122,6 +122,7 @@
   store = new Store();
   nodes = new Map();
   workers = [];
+  silent = [];
   hosts = new Map();
   timers = [];
   runs = [];
@@ -200,6 +201,7 @@
   }
 
   register(worker) {
+    worker.registeredAtMs = performance.now();
     this.store.put("servers", worker.id, worker.entry());
   }
 
@@ -250,6 +252,23 @@
     return pairs;
   }
 
+  /** Ends a worker for good; nothing answers any more, and its entry goes when it lapses. */
+  silenceWorker(worker) {
+    this.note("worker silent", { worker: worker.id });
+    this.workers = this.workers.filter((other) => other !== worker);
+    this.silent.push(worker);
+    worker.fault = () => NO_ANSWER;
+    for (const task of [...worker.running.keys()]) {
+      worker.end(task, "gone");
+    }
+    this.hosts.delete(worker.machine);
+    const lapsesInMs = worker.registeredAtMs + 3 * HEARTBEAT_MS - performance.now();
+    setTimeout(() => {
+      this.note("entry removed", { worker: worker.id });
+      this.store.drop("servers", worker.id);
+    }, lapsesInMs);
+  }
+
   serveHosts(url, body) {
     if (url.pathname === "/api/machines") {
       return { status: 200, body: { machines: [...this.hosts.values()], nextToken: null } };
@@ -454,7 +473,7 @@
     this.clients.forEach((agent) => {
       agent.destroy();
     });
-    this.workers.forEach((worker) => {
+    [...this.workers, ...this.silent].forEach((worker) => {
       worker.close();
     });
     this.hostsServer?.close();
--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -19,6 +19,8 @@
   sequence = 0;
   draining = false;
   waiting = new Set();
+  /** Rate of its steady clock, which may be up to 2% slow. */
+  clockRate = 1;
   /** Whether a run of an item that lasts ends by itself, if its text says when. */
   endsByItself = () => false;
   /** If set, receives path, body and `carryOut`, and returns the reply to an order. */
@@ -54,7 +56,7 @@
   }
 
   clockMs() {
-    return Math.round(performance.now() - this.clockStartMs);
+    return Math.round((performance.now() - this.clockStartMs) * this.clockRate);
   }
 
   /** Returns its entry in the store. */
