--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -1,22 +1,21 @@
 /**
- * An executor whose steady clock is 2% slow has had nothing to do for a while. It is given a work
- * item and is then cut off; the machine that leads is restarted as planned.
+ * One of several work items that last ends by itself, as `done`. It has to be restarted, however it
+ * ended.
  */
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { configOf, pause, runCase, until } from "../stand-ins-2/site.mjs";
-import { NO_ANSWER } from "../stand-ins-2/server.mjs";
 
 const here = dirname(fileURLToPath(import.meta.url));
 const POOL = "desk";
-const ID = "00000000000000d1";
-const IDLE_MS = 80_000;
-const CLOCK_RATE = 0.98;
-/** From the start of the work item. */
-const TROUBLE_AFTER_MS = 200;
-/** The site's dose: node_cut, how = "servers", for_s = 5.5. */
-const CUT_MS = 5_500;
-const WORK_MS = 8_000;
+const ID = "00000000000000b1";
+const ITEMS = 4;
+const ENDING = `${ID}.0.0.1`;
+const DONE_AFTER_MS = 3_000;
+
+/** The rule asks for a run from 6 s after the last one on, and looks at spans of 3 s. */
+const RESTART_WITHIN_MS = 9_000;
+const WATCHED_MS = 20_000;
 
 const options = {
   root: join(here, "../.."),
@@ -27,31 +26,31 @@
 await runCase(options, async (site, trouble) => {
   await site.start({
     config: configOf([POOL]),
-    workers: [1, 2, 3].map((number) => ({ id: `i-${number}`, pool: POOL, clockRate: CLOCK_RATE })),
+    workers: [1, 2, 3].map((number) => ({
+      id: `i-${number}`,
+      pool: POOL,
+      endsByItself: (task) =>
+        trouble && task === ENDING && site.runs.every((run) => run.task !== ENDING),
+    })),
   });
-  await pause(IDLE_MS);
   const work = {
-    spec: JSON.stringify({ workMs: WORK_MS }),
-    phases: [{ count: 1, cpu: 1_000, memMb: 512, estimateMs: WORK_MS }],
+    spec: JSON.stringify({ workMs: null, doneAfterMs: DONE_AFTER_MS }),
+    phases: [{ count: ITEMS, cpu: 2_000, memMb: 1_024, estimateMs: 500, longRunning: true }],
   };
   const { status } = await site.call("node-a", "POST", `/${POOL}/${ID}`, work);
   if (status !== 200) {
     throw new Error(`the submission was answered with ${status}`);
   }
-  const first = await until(() => site.runs[0], 5_000, "the work item runs");
-  if (trouble) {
-    await pause(TROUBLE_AFTER_MS);
-    const worker = site.workers.find(({ id }) => id === first.worker);
-    site.note("worker is cut off", { worker: worker.id });
-    worker.fault = () => NO_ANSWER;
-    setTimeout(() => {
-      worker.fault = null;
-      worker.server.dropConnections();
-      site.note("worker is reachable", { worker: worker.id });
-    }, CUT_MS);
-    site.signal(site.store.leader(), "SIGTERM");
+  await until(() => site.runs.length >= ITEMS, 10_000, "all work items run");
+  await pause(DONE_AFTER_MS + WATCHED_MS);
+  await site.call("node-b", "GET", `/${POOL}/${ID}`, null);
+
+  const [first, second] = site.runs.filter(({ task }) => task === ENDING);
+  if (trouble && first.how !== "done") {
+    throw new Error("the work item did not end by itself");
   }
-  await pause(WORK_MS + 4_000);
-  const [overlap] = site.overlaps();
-  return overlap === undefined ? null : { rule: "TWICE", ...overlap };
+  const waitedMs = (second?.fromMs ?? site.nowMs()) - (first.toMs ?? site.nowMs());
+  return waitedMs > RESTART_WITHIN_MS
+    ? { rule: "LOST", task: ENDING, endedAtMs: first.toMs, restarted: second ?? null, waitedMs }
+    : null;
 });
