Review: show that an order reaches a worker's next life and its item runs twice

An owner that reaches neither the worker nor its entry waits for a lease of 4.2 s, though the next life takes an order by the old clock for a longer one.

--- a/review/stand-ins-2/site.mjs
+++ b/review/stand-ins-2/site.mjs
@@ -8,7 +8,7 @@
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { NO_ANSWER, serveJson } from "./server.mjs";
+import { serveJson } from "./server.mjs";
 import { Store } from "./store.mjs";
 import { Worker } from "./worker.mjs";
 
@@ -252,23 +252,27 @@
     return pairs;
   }
 
-  /** Ends a worker for good; nothing answers any more, and its entry goes when it lapses. */
-  silenceWorker(worker) {
-    this.note("worker silent", { worker: worker.id });
+  /** Keeps a worker's status reports from the store; its entry goes when it lapses. */
+  cutOff(worker) {
+    this.note("worker is cut off", { worker: worker.id });
     this.workers = this.workers.filter((other) => other !== worker);
     this.silent.push(worker);
-    worker.fault = () => NO_ANSWER;
-    for (const task of [...worker.running.keys()]) {
-      worker.end(task, "gone");
-    }
-    this.hosts.delete(worker.machine);
     const lapsesInMs = worker.registeredAtMs + 3 * HEARTBEAT_MS - performance.now();
-    setTimeout(() => {
+    this.entryTimer = setTimeout(() => {
       this.note("entry removed", { worker: worker.id });
       this.store.drop("servers", worker.id);
     }, lapsesInMs);
   }
 
+  /** Lets a worker that was cut off report to the store again. */
+  comeBack(worker) {
+    clearTimeout(this.entryTimer);
+    this.silent = this.silent.filter((other) => other !== worker);
+    this.workers.push(worker);
+    this.register(worker);
+    this.note("worker reports", { worker: worker.id });
+  }
+
   serveHosts(url, body) {
     if (url.pathname === "/api/machines") {
       return { status: 200, body: { machines: [...this.hosts.values()], nextToken: null } };
--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -2,7 +2,7 @@
  * Stand-in of an executor, as PROTOCOL.md describes one: fence numbers, leases on its own clock,
  * run numbers, and ends that it lists until they are acknowledged.
  */
-import { serveJson } from "./server.mjs";
+import { NO_ANSWER, serveJson } from "./server.mjs";
 
 const LEASE_CHECK_MS = 20;
 const MAX_LISTED_ENDS = 500;
@@ -18,6 +18,7 @@
   leaseUntilMs = 0;
   sequence = 0;
   draining = false;
+  down = false;
   waiting = new Set();
   /** Rate of its steady clock, which may be up to 2% slow. */
   clockRate = 1;
@@ -55,6 +56,26 @@
     this.server.close();
   }
 
+  /** Crashes, and starts again under its id: it then holds and knows nothing of before. */
+  restart(downMs) {
+    this.down = true;
+    for (const task of [...this.running.keys()]) {
+      this.end(task, "crashed");
+    }
+    this.server.dropConnections();
+    setTimeout(() => {
+      this.born = Date.now();
+      this.clockStartMs = performance.now();
+      this.fence = 0;
+      this.leaseUntilMs = 0;
+      this.sequence = 0;
+      this.ends = [];
+      this.nextEnd = 1;
+      this.highestEnded.clear();
+      this.down = false;
+    }, downMs);
+  }
+
   clockMs() {
     return Math.round((performance.now() - this.clockStartMs) * this.clockRate);
   }
@@ -81,6 +102,9 @@
   }
 
   carryOut(path, body, headers) {
+    if (this.down) {
+      return NO_ANSWER;
+    }
     if (headers["expected-instance"] !== this.id) {
       return { status: 421 };
     }
