--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -12,8 +12,8 @@
 /** The day's doses: `platform_lost`, x = 0.35, for_s = 4.5, how = "late". */
 const LOST_SHARE = 0.35;
 const LOST_FOR_MS = 4_500;
-const SUBMISSIONS = 180;
-const GAP_MS = 25;
+const SUBMISSIONS = 450;
+const GAP_MS = 10;
 const WORK_MS = 25_000;
 /** Writes are done 6 s late at most. */
 const LATEST_WRITE_MS = 6_000;
@@ -43,7 +43,7 @@
   const { nodeNames } = options;
   const work = {
     spec: JSON.stringify({ workMs: WORK_MS }),
-    phases: [{ count: 1, cpu: 200, memMb: 64, estimateMs: WORK_MS }],
+    phases: [{ count: 1, cpu: 100, memMb: 64, estimateMs: WORK_MS }],
   };
   /** Cancels that were answered, by id. */
   const acknowledged = new Map();
