--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -24,10 +24,17 @@
   nodeNames: ["node-a", "node-b", "node-c"],
 };
 
-await runCase(options, async (site, trouble) => {
+/** With TROUBLE=0 the case is played without its disruption. */
+const trouble = process.env.TROUBLE !== "0";
+
+await runCase(options, trouble, async (site) => {
   await site.start({
     config: configOf([POOL]),
-    workers: [1, 2, 3].map((number) => ({ id: `i-${number}`, pool: POOL, clockRate: CLOCK_RATE })),
+    workers: [1, 2, 3, 4, 5, 6].map((number) => ({
+      id: `i-${number}`,
+      pool: POOL,
+      clockRate: CLOCK_RATE,
+    })),
   });
   await pause(IDLE_MS);
   const work = {
--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,68 +1,93 @@
 /**
- * An executor is lost for good, and the machines of the system are stopped and started in turn, each
- * time the one that leads. A work item that lasts ran on that executor and has to run again.
+ * The store loses answers for some seconds. A client whose hand-in has no answer within its time
+ * budget cancels it at another machine, and is told that there is no such submission.
  */
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { configOf, pause, runCase, until } from "../stand-ins-2/site.mjs";
+import { BOUNDS, configOf, pause, runCase } from "../stand-ins-2/site.mjs";
 
 const here = dirname(fileURLToPath(import.meta.url));
 const POOL = "desk";
-const ID = "00000000000000a1";
-const ITEMS = 3;
-const RESTARTS = 4;
-const GAP_MS = 3_000;
-const FIRST_RESTART_AFTER_MS = 1_000;
-/** A work item that lasts may be without a run for 6 s, and for 3 s after them. */
-const MOST_MS = 9_000;
-
-/** The worker is lost without restarts, to tell what they add. */
-const ONLY_LOSS = process.env.RESTARTS === "0";
+const TIME_BUDGET_MS = 3_000;
+/** The day's doses: `platform_lost`, x = 0.35, for_s = 4.5, how = "late". */
+const LOST_SHARE = 0.35;
+const LOST_FOR_MS = 4_500;
+const SUBMISSIONS = 450;
+const GAP_MS = 10;
+const WORK_MS = 25_000;
+/** Writes are done 6 s late at most. */
+const LATEST_WRITE_MS = 6_000;
 
 const options = {
   root: join(here, "../.."),
   recordFile: join(here, "record.txt"),
-  nodeNames: ["node-a", "node-b", "node-c", "node-d"],
+  nodeNames: ["node-a", "node-b", "node-c"],
+};
+
+/** Draws of one sequence, the same in each run. */
+const newDraw = (seed) => {
+  let state = seed;
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+    return state / 2 ** 32;
+  };
 };
 
-await runCase(options, async (site, trouble) => {
+const idOf = (number) => number.toString(16).padStart(16, "0");
+
+/** With TROUBLE=0 the case is played without its disruption. */
+const trouble = process.env.TROUBLE !== "0";
+
+await runCase(options, trouble, async (site) => {
   await site.start({
-    config: configOf([POOL]),
-    workers: [1, 2, 3, 4, 5].map((number) => ({ id: `i-${number}`, pool: POOL })),
+    config: configOf([POOL], { weight: 200 }),
+    workers: [1, 2, 3, 4].map((number) => ({ id: `i-${number}`, pool: POOL })),
   });
-  const phase = {
-    count: ITEMS,
-    cpu: 1_000,
-    memMb: 1_024,
-    estimateMs: 500,
-    longRunning: true,
-    antiAffinity: 1,
+  const { nodeNames } = options;
+  const work = {
+    spec: JSON.stringify({ workMs: WORK_MS }),
+    phases: [{ count: 1, cpu: 100, memMb: 64, estimateMs: WORK_MS }],
   };
-  const work = { spec: JSON.stringify({ workMs: null }), phases: [phase] };
-  const { status } = await site.call("node-a", "POST", `/${POOL}/${ID}`, work);
-  if (status !== 200) {
-    throw new Error(`the submission was answered with ${status}`);
-  }
-  await until(() => site.runs.length === ITEMS, 10_000, "all work items run");
-  await pause(3_000);
-  const [lostRun] = site.runs;
-  if (trouble) {
-    site.loseWorker(site.workers.find(({ id }) => id === lostRun.worker));
-    await pause(FIRST_RESTART_AFTER_MS);
-    for (let restart = 0; restart < RESTARTS; restart += 1) {
-      if (!ONLY_LOSS) {
-        site.signal(site.store.leader(), "SIGTERM");
-      }
-      await pause(GAP_MS);
+  /** Cancels that were answered, by id. */
+  const acknowledged = new Map();
+  const client = async (number) => {
+    const path = `/${POOL}/${idOf(number)}`;
+    const node = nodeNames[number % nodeNames.length];
+    const other = nodeNames[(number + 1) % nodeNames.length];
+    const { status } = await site.call(node, "POST", path, work, { waitMs: TIME_BUDGET_MS });
+    if (status !== 0 && status !== 504) {
+      return;
+    }
+    const cancel = await site.call(other, "DELETE", path, null, { waitMs: TIME_BUDGET_MS });
+    if (cancel.status === 200 || cancel.status === 410) {
+      acknowledged.set(idOf(number), { status: cancel.status, atMs: site.nowMs() });
     }
+  };
+
+  if (trouble) {
+    site.note("the store loses answers", { share: LOST_SHARE, forMs: LOST_FOR_MS });
+    site.store.loseAnswers(LOST_SHARE, LOST_FOR_MS, newDraw(7));
+  }
+  const clients = [];
+  for (let number = 1; number <= SUBMISSIONS; number += 1) {
+    clients.push(client(number));
+    await pause(GAP_MS);
   }
-  await pause(12_000);
-  if (!trouble) {
-    return site.runs.every(({ toMs }) => toMs === null) ? null : { rule: "LOST", runs: site.runs };
+  await Promise.all(clients);
+  site.note("clients are done", { cancelled: Object.fromEntries(acknowledged) });
+  // Until the store has been calm for the time that a cancelled work item may take to be gone.
+  await pause(LATEST_WRITE_MS + BOUNDS.contactMs + BOUNDS.cancel_ms + BOUNDS.stopMs);
+  const running = site.runs.filter(
+    ({ task, toMs }) => toMs === null && acknowledged.has(task.split(".")[0]),
+  );
+  for (const { task } of running) {
+    await site.call(nodeNames[0], "GET", `/${POOL}/${task.split(".")[0]}`, null);
   }
-  const next = site.runs.find(({ task, run }) => task === lostRun.task && run > lostRun.run);
-  const waitedMs = (next?.fromMs ?? site.nowMs()) - lostRun.toMs;
-  return waitedMs > MOST_MS
-    ? { rule: "LOST", task: lostRun.task, lostAtMs: lostRun.toMs, next: next ?? null, waitedMs }
-    : null;
+  return running.length === 0
+    ? null
+    : {
+        rule: "UNASKED",
+        running: running.length,
+        first: { ...running[0], cancel: acknowledged.get(running[0].task.split(".")[0]) },
+      };
 });
--- a/review/stand-ins-2/site.mjs
+++ b/review/stand-ins-2/site.mjs
@@ -8,7 +8,7 @@
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { serveJson } from "./server.mjs";
+import { NO_ANSWER, serveJson } from "./server.mjs";
 import { Store } from "./store.mjs";
 import { Worker } from "./worker.mjs";
 
@@ -205,20 +205,6 @@
     this.store.put("servers", worker.id, worker.entry());
   }
 
-  /** Ends a worker for good, silently; its entry goes after three status report intervals. */
-  loseWorker(worker) {
-    this.note("worker lost", { worker: worker.id });
-    this.workers = this.workers.filter((other) => other !== worker);
-    for (const task of [...worker.running.keys()]) {
-      worker.end(task, "gone");
-    }
-    worker.close();
-    this.hosts.delete(worker.machine);
-    setTimeout(() => {
-      this.store.drop("servers", worker.id);
-    }, 3 * HEARTBEAT_MS);
-  }
-
   observe({ kind, ...fields }) {
     this.note(`run ${kind}`, fields);
     const { worker, task, run } = fields;
@@ -252,6 +238,23 @@
     return pairs;
   }
 
+  /** Ends a worker for good; nothing answers any more, and its entry goes when it lapses. */
+  silenceWorker(worker) {
+    this.note("worker silent", { worker: worker.id });
+    this.workers = this.workers.filter((other) => other !== worker);
+    this.silent.push(worker);
+    worker.fault = () => NO_ANSWER;
+    for (const task of [...worker.running.keys()]) {
+      worker.end(task, "gone");
+    }
+    this.hosts.delete(worker.machine);
+    const lapsesInMs = worker.registeredAtMs + 3 * HEARTBEAT_MS - performance.now();
+    setTimeout(() => {
+      this.note("entry removed", { worker: worker.id });
+      this.store.drop("servers", worker.id);
+    }, lapsesInMs);
+  }
+
   /** Keeps a worker's status reports from the store; its entry goes when it lapses. */
   cutOff(worker) {
     this.note("worker is cut off", { worker: worker.id });
@@ -491,7 +494,10 @@
 }
 
 /** Returns a config with one queue for each pool, and one tenant. */
-export const configOf = (pools, { version = 1, ceilingCpu = 0, maxAttempts = 4 } = {}) => ({
+export const configOf = (
+  pools,
+  { version = 1, ceilingCpu = 0, maxAttempts = 4, weight = 20 } = {},
+) => ({
   version,
   routes: pools.map((pool, index) => ({
     name: `r-${pool}`,
@@ -511,7 +517,7 @@
     {
       name: "tenant-1",
       apiKeys: [KEY],
-      weight: 20,
+      weight,
       ceiling: { cpu: ceilingCpu, memMb: 0, gpu: 0 },
     },
   ],
@@ -521,11 +527,11 @@
 /**
  * Runs a case and exits with 1 if its rule was broken, 0 if it held and 2 if it couldn't run.
  *
+ * @param trouble - Whether the disruption takes place; for the record.
  * @param play - Plays the case on the site; returns what broke the rule, or null.
  */
-export const runCase = async (options, play) => {
+export const runCase = async (options, trouble, play) => {
   const site = new Site(options);
-  const trouble = process.env.TROUBLE !== "0";
   let code = 2;
   const giveUp = (problem) => {
     process.stderr.write(`${problem}\n`);
@@ -545,7 +551,7 @@
     giveUp("it took too long");
   }, LONGEST_CASE_MS);
   try {
-    const broken = await play(site, trouble);
+    const broken = await play(site);
     code = broken === null ? 0 : 1;
     site.note("verdict", { result: broken === null ? "held" : "broken", trouble, broken });
     process.stdout.write(
