Count a lease from the earliest time of the worker's clock

Cause: the end of a lease was the last reading of the worker's clock, plus the time since at full rate, plus 4 s. A worker with nothing to do is not polled, so the reading may be of any age, and a clock that is 2% slow grants 2% of that age more than the next owner waits for.

Change: the reading counts at the slowest rate. Since such a lease is too short on a clock that is right, a worker whose clock was read more than 20 s ago is polled while the lease row is written, and the start order waits for the answer. Lease rows say how long the leases of their owner last; a row without that field is of an earlier version, and counts as the longest lease. Two tests that mean rows of this version name the field now (inheritedLeases "work waits for the longest lease", orphanedRuns "a team exceeds its ceiling"); their bounds are unchanged.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -195,6 +195,8 @@
   UNRESPONSIVE_MARGIN_MS: 300,
   /** Slowest rate of a worker's clock; a lease may last longer by its inverse. */
   MIN_CLOCK_RATE: 0.98,
+  /** A worker whose clock was last read longer ago is polled before it gets work. */
+  MAX_CLOCK_AGE_MS: 20_000,
   END_MARGIN_MS: 100,
   /** Long-running items stop this long before a worker exits, or their end is noticed late. */
   EVICT_BEFORE_EXIT_MS: 1_000,
--- a/packages/core/src/work/earlierLeases.ts
+++ b/packages/core/src/work/earlierLeases.ts
@@ -2,7 +2,7 @@
 import { markLeaseChanged } from "./leaseRows.js";
 import {
   durationOnOwnerMs,
-  grantedLeaseMs,
+  inheritedLeaseMs,
   longestLeaseMs,
   unknownLeaseEndsAtMs,
 } from "./leaseTimes.js";
@@ -88,7 +88,7 @@
   row: LeasedWorker,
 ): void => {
   worker.hadPreviousOwner = true;
-  const grantedUntilMs = owned.acquiredAtMs + grantedLeaseMs(turn);
+  const grantedUntilMs = owned.acquiredAtMs + inheritedLeaseMs(turn, row);
   worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs ?? -Infinity, grantedUntilMs);
   if (row.startWallMs === undefined || row.startWallMs !== worker.report.startWallMs) {
     expectLateLease(owned, worker, turn.nowMs + longestLeaseMs(turn));
@@ -113,7 +113,7 @@
   const hasRestarted = known !== null && row.startWallMs !== undefined && row.startWallMs !== known;
   return hasRestarted
     ? owned.acquiredAtMs + ORDER.MAX_DELAY_MS + longestLeaseMs(turn)
-    : owned.acquiredAtMs + Math.max(grantedLeaseMs(turn), row.lateLeaseMs ?? 0);
+    : owned.acquiredAtMs + Math.max(inheritedLeaseMs(turn, row), row.lateLeaseMs ?? 0);
 };
 
 /** Records that a poll has shown that the known incarnation received the last order. */
--- a/packages/core/src/work/leaseRows.ts
+++ b/packages/core/src/work/leaseRows.ts
@@ -2,7 +2,7 @@
 import { LEASE_ROW, STORE } from "./constants.js";
 import { base64Bytes } from "./storedSize.js";
 import type { RowName, RowToWrite } from "./events.js";
-import { lateLeaseLeftMs, unknownLeaseEndsAtMs } from "./leaseTimes.js";
+import { lateLeaseLeftMs, leaseTermMs, unknownLeaseEndsAtMs } from "./leaseTimes.js";
 import { isStoppingRuns } from "./leases.js";
 import { runsNothing } from "./workerResources.js";
 import { markWorkerChanged } from "./workerTimers.js";
@@ -59,6 +59,7 @@
     stopping: isStoppingRuns(worker),
     startWallMs: worker.report.startWallMs,
     lateLeaseMs: lateLeaseLeftMs(turn, worker),
+    leaseTermMs: leaseTermMs(turn),
   };
 };
 
--- a/packages/core/src/work/leaseTimes.ts
+++ b/packages/core/src/work/leaseTimes.ts
@@ -1,6 +1,7 @@
 import { LEASE, ORDER } from "./constants.js";
 import type { Worker } from "./state.js";
 import type { Turn } from "./turn.js";
+import type { LeasedWorker } from "./types.js";
 
 /** Returns the longest time that a duration on a worker's clock takes on this node's, in ms. */
 export const durationOnOwnerMs = (onWorkerMs: number): number => onWorkerMs / LEASE.MIN_CLOCK_RATE;
@@ -9,9 +10,24 @@
 export const longestLeaseMs = ({ work }: Turn): number =>
   durationOnOwnerMs(work.bounds.holdMaxMs) + LEASE.END_MARGIN_MS;
 
+/** Returns the longest lease that this owner grants, on the worker's clock, in ms. */
+export const leaseTermMs = ({ work }: Turn): number =>
+  Math.min(LEASE.TERM_MS, work.bounds.holdMaxMs);
+
 /** Returns the longest time that a lease by the known clock lasts after its order, in ms. */
-export const grantedLeaseMs = ({ work }: Turn): number =>
-  durationOnOwnerMs(Math.min(LEASE.TERM_MS, work.bounds.holdMaxMs)) + LEASE.END_MARGIN_MS;
+export const grantedLeaseMs = (turn: Turn): number =>
+  durationOnOwnerMs(leaseTermMs(turn)) + LEASE.END_MARGIN_MS;
+
+/**
+ * Returns the longest time that a lease by the known clock lasts after an order of a previous owner,
+ * in ms.
+ *
+ * @param row - The lease row that this owner left.
+ */
+export const inheritedLeaseMs = (turn: Turn, { leaseTermMs: termMs }: LeasedWorker): number =>
+  termMs === undefined
+    ? longestLeaseMs(turn)
+    : Math.min(longestLeaseMs(turn), durationOnOwnerMs(termMs) + LEASE.END_MARGIN_MS);
 
 /**
  * Returns when no order that this owner sent can matter to the worker's next incarnation any more:
--- a/packages/core/src/work/leases.ts
+++ b/packages/core/src/work/leases.ts
@@ -1,4 +1,5 @@
 import { LEASE } from "./constants.js";
+import { leaseTermMs } from "./leaseTimes.js";
 import { pollGapMs } from "./loopLag.js";
 import type { Worker } from "./state.js";
 import type { Turn } from "./turn.js";
@@ -14,11 +15,17 @@
   }
 };
 
-const leaseTermMs = (turn: Turn): number => Math.min(LEASE.TERM_MS, turn.work.bounds.holdMaxMs);
+/**
+ * Whether a worker's clock was read so recently that a lease by this reading is long enough for new
+ * work.
+ */
+export const isClockCurrent = (turn: Turn, { clock }: Worker): boolean =>
+  clock !== null && turn.nowMs - clock.atMs <= LEASE.MAX_CLOCK_AGE_MS;
 
 /**
  * Extends the lease within which everything on a worker may run, by an order that is about to be
- * sent.
+ * sent. The lease is counted from the earliest time that the worker's clock may show: by a later
+ * one it would last longer than the next owner, which doesn't know the reading, waits for it.
  *
  * @returns The lease end on the worker's clock, or null while that clock is unknown.
  */
@@ -27,7 +34,8 @@
   if (clock === null) {
     return null;
   }
-  const untilClockMs = Math.round(clock.clockMs + (turn.nowMs - clock.atMs) + leaseTermMs(turn));
+  const earliestClockMs = clock.clockMs + (turn.nowMs - clock.atMs) * LEASE.MIN_CLOCK_RATE;
+  const untilClockMs = Math.floor(earliestClockMs + leaseTermMs(turn));
   worker.leaseUntilClockMs = Math.max(worker.leaseUntilClockMs, untilClockMs);
   worker.leaseSentAtMs = turn.nowMs;
   const remainingMs = (worker.leaseUntilClockMs - clock.clockMs) / LEASE.MIN_CLOCK_RATE;
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -244,6 +244,7 @@
   drains: new Map(),
   hostOrders: new Map(),
   plannedStarts: [],
+  startsAwaitingClock: new Set(),
   plannedHostOrders: [],
   hostListReceivedAtMs: null,
   hostListPollSentAtMs: null,
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -30,6 +30,7 @@
 import { tableLoaded, tableLoadFailed, retryTableLoads, tickRecovery } from "./recovery.js";
 import { startAnswered, stopAnswered } from "./orderAnswers.js";
 import { resendStops } from "./runs.js";
+import { sendAwaitingStarts } from "./starts.js";
 import type { OwnedWork, WorkloadState } from "./state.js";
 import { checkStarvation } from "./starvation.js";
 import { openWaitingItems } from "./openItems.js";
@@ -243,6 +244,7 @@
         tickOwned(turn, owned);
       }
       tickRecovery(turn, owned);
+      sendAwaitingStarts(turn, owned);
       tickWorkers(turn, owned);
       placeAndAllocate(turn, owned);
     } else {
--- a/packages/core/src/work/starts.ts
+++ b/packages/core/src/work/starts.ts
@@ -1,11 +1,12 @@
 import { ORDER, RUN_PHASE } from "./constants.js";
-import { isOwnershipConfirmed } from "./ownershipConfirmation.js";
+import { isOwnershipConfirmed, isSubmissionViewFresh } from "./ownershipConfirmation.js";
 import { abandonRun } from "./abandonedRuns.js";
+import { countSteps } from "./handlingCost.js";
 import { hasCapacityForRuns } from "./workerResources.js";
 import { addRun } from "./runs.js";
 import type { Item, OwnedWork, Run, Worker } from "./state.js";
 import { logLine, roundedMs, type Turn } from "./turn.js";
-import { extendLease } from "./leases.js";
+import { extendLease, isClockCurrent } from "./leases.js";
 import { targetOf } from "./incarnations.js";
 import { pollGapMs } from "./loopLag.js";
 import { markWorkerChanged } from "./workerTimers.js";
@@ -117,22 +118,50 @@
   });
 };
 
+/**
+ * Sends the start order of a planned run, or has it wait until the worker has answered the poll that
+ * reads its clock.
+ */
+const sendPlannedStart = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run): void => {
+  const clockCurrent = isClockCurrent(turn, worker);
+  if (!clockCurrent && acceptsWork(worker) && !worker.unreachable) {
+    owned.startsAwaitingClock.add(run);
+    return;
+  }
+  const untilClockMs = clockCurrent ? leaseForStart(turn, worker) : null;
+  if (untilClockMs === null) {
+    cancelPlannedStart(turn, owned, run);
+  } else {
+    sendFirstStart(turn, owned, worker, run, untilClockMs);
+  }
+};
+
 /** Sends the start orders of planned runs that the workers' lease rows record now. */
 export const sendStarts = (turn: Turn, owned: OwnedWork, runs: readonly Run[]): void => {
   for (const run of runs) {
     const worker = owned.workers.get(run.worker);
     const planned = worker?.runs.get(run.item.key) === run && run.phase === RUN_PHASE.PLANNED;
     if (worker !== undefined && planned) {
-      const untilClockMs = leaseForStart(turn, worker);
-      if (untilClockMs === null) {
-        cancelPlannedStart(turn, owned, run);
-      } else {
-        sendFirstStart(turn, owned, worker, run, untilClockMs);
-      }
+      sendPlannedStart(turn, owned, worker, run);
     }
   }
 };
 
+/** Sends the start orders that waited for a poll of their worker, or cancels their runs. */
+export const sendAwaitingStarts = (turn: Turn, owned: OwnedWork): void => {
+  if (owned.startsAwaitingClock.size === 0) {
+    return;
+  }
+  const runs = [...owned.startsAwaitingClock];
+  countSteps(turn, runs.length);
+  owned.startsAwaitingClock.clear();
+  if (isOwnershipConfirmed(turn, owned) && isSubmissionViewFresh(turn)) {
+    sendStarts(turn, owned, runs);
+  } else {
+    cancelPlannedStarts(turn, owned, runs);
+  }
+};
+
 /**
  * Sends the start order of a run again after an unanswered one. Starts are idempotent: a worker
  * starts a run number once, however often it receives the order.
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -136,6 +136,8 @@
   readonly hostOrders: Map<HostId, number>;
   /** Runs whose start orders wait until their lease rows are committed. */
   plannedStarts: Run[];
+  /** Planned runs that lease rows record, whose workers are polled before they get the order. */
+  readonly startsAwaitingClock: Set<Run>;
   /** Host orders that wait until the owner row lists their hosts. */
   plannedHostOrders: HostOrder[];
   hostListReceivedAtMs: number | null;
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -149,6 +149,11 @@
    * incarnation grants; 0 if there is none.
    */
   readonly lateLeaseMs?: number;
+  /**
+   * Longest time, on the worker's clock, that a lease lasts after the order of the owner that grants
+   * it. Earlier versions write no such field: their leases may be as long as the worker accepts.
+   */
+  readonly leaseTermMs?: number;
 }
 
 /** Numbers of pending submissions, and the time that they hold for. */
--- a/packages/core/src/work/workerPolls.ts
+++ b/packages/core/src/work/workerPolls.ts
@@ -3,7 +3,13 @@
 import { countSteps } from "./handlingCost.js";
 import { forgetEndedLeases } from "./earlierLeases.js";
 import { unknownLeaseEndsAtMs } from "./leaseTimes.js";
-import { extendLease, isStoppingRuns, isUnresponsive, mayExtendByPoll } from "./leases.js";
+import {
+  extendLease,
+  isClockCurrent,
+  isStoppingRuns,
+  isUnresponsive,
+  mayExtendByPoll,
+} from "./leases.js";
 import { targetOf } from "./incarnations.js";
 import { leaseExpired } from "./abandonedRuns.js";
 import { runsNothing } from "./workerResources.js";
@@ -94,7 +100,11 @@
     return false;
   }
   const mayWait =
-    worker.fenced && worker.runs.size > 0 && !worker.unreachable && !isUnresponsive(turn, worker);
+    worker.fenced &&
+    worker.runs.size > 0 &&
+    !worker.unreachable &&
+    isClockCurrent(turn, worker) &&
+    !isUnresponsive(turn, worker);
   worker.lastPollAtMs = turn.nowMs;
   const acknowledged = sequenceToAcknowledge(turn, worker);
   worker.acknowledgementWithheld = acknowledged < worker.durableSequence;
--- a/packages/core/tests/work/inheritedLeases.test.ts
+++ b/packages/core/tests/work/inheritedLeases.test.ts
@@ -9,7 +9,10 @@
 const START_WALL_MS = 100;
 const NEXT_START_WALL_MS = 200;
 
-/** Longer than any lease that an owner grants by the clock of the incarnation that it knows. */
+/** Lease that an owner grants by the clock of the incarnation that it knows. */
+const LEASE_TERM_MS = 4_000;
+
+/** Longer than such a lease on a worker whose clock is 2% slow. */
 const GRANTED_LEASE_MS = 4_500;
 
 /** Longer than the longest lease of a worker whose clock is 2% slow. */
@@ -98,12 +101,21 @@
 });
 
 test("work waits for the longest lease although its worker has not restarted", (t) => {
-  const node = successorWith(leaseRow({ startWallMs: START_WALL_MS }));
+  const node = successorWith(leaseRow({ startWallMs: START_WALL_MS, leaseTermMs: LEASE_TERM_MS }));
   startAndLose(node, START_WALL_MS);
   failPolls(node, GRANTED_LEASE_MS);
   t.is(startsOn(node, "other"), 1);
 });
 
+test("a row without a lease term lets a successor give up a run too early", (t) => {
+  const node = successorWith(leaseRow({ startWallMs: START_WALL_MS }));
+  startAndLose(node, START_WALL_MS);
+  failPolls(node, LONGEST_LEASE_MS - 1_000);
+  t.is(startsOn(node, "other"), 0);
+  failPolls(node, 2_000);
+  t.is(startsOn(node, "other"), 1);
+});
+
 test("an item is started elsewhere while it may run on a restarted worker that is out of reach", (t) => {
   const node = successorWith(leaseRow({ startWallMs: START_WALL_MS }));
   node.register({ ...reportOf("w", NEXT_START_WALL_MS), clockMs: 0 });
--- a/packages/core/tests/work/orphanedRuns.test.ts
+++ b/packages/core/tests/work/orphanedRuns.test.ts
@@ -220,7 +220,12 @@
 
 test("a team exceeds its ceiling beside ended work that an unfenced worker may run", (t) => {
   const version = storeVersion(1);
-  const lease = { pool: poolId("mills"), items: { [`${OTHER_ID}.0.0`]: [0] }, stopping: true };
+  const lease = {
+    pool: poolId("mills"),
+    items: { [`${OTHER_ID}.0.0`]: [0] },
+    stopping: true,
+    leaseTermMs: 4_000,
+  };
   const node = new OwnerNode({
     ...endedRows(OTHER_ID, WITHHELD_CPU_MILLI),
     leases: [{ type: "lease", version, worker: workerId("x"), lease }],
--- a/packages/wire/src/work/rowChecks.ts
+++ b/packages/wire/src/work/rowChecks.ts
@@ -110,5 +110,6 @@
     stopping: isBoolean,
     startWallMs: optional(nullOr(isNumber)),
     lateLeaseMs: optional(isNumber),
+    leaseTermMs: optional(isNumber),
   }),
 } as const;
