Store the cancel of a submission that is not stored yet

Cause: the store may carry out a write that it has not answered seconds later. A hand-in was written on the sole condition that its row does not exist, and a cancel that found no row left nothing behind.

Change: such a cancel is stored, on the condition that there is still no row, before it is answered 410; a hand-in is written on the condition that its id has neither a row nor a cancel. If a row has come in between, it is cancelled like any other. The owner applies a cancel without a submission to one that an earlier version stores all the same, and deletes it after the retention time of ended submissions. A repeated hand-in of a cancelled id is answered 410.

--- a/packages/core/src/work/callResults.ts
+++ b/packages/core/src/work/callResults.ts
@@ -7,7 +7,13 @@
 import { hasEnded } from "./submissionStates.js";
 import { adoptSubmission, cancelSubmission } from "./submissions.js";
 import { logLine, newCommitId, type Turn } from "./turn.js";
-import { storeVersion, type SubmissionRow, type SubmissionId } from "./types.js";
+import {
+  NO_ROW,
+  storeVersion,
+  type StoreVersion,
+  type SubmissionRow,
+  type SubmissionId,
+} from "./types.js";
 
 const sameWork = (one: SubmissionRow, other: SubmissionRow): boolean =>
   one.queue === other.queue && JSON.stringify(one.work) === JSON.stringify(other.work);
@@ -37,11 +43,8 @@
   if (call.id !== null) {
     cancelSubmission(turn, call.id);
   }
-  answerCall(
-    turn,
-    { callId: call.arrival.callId, kind: ANSWER_KIND.CANCELLED },
-    { submission: call.id ?? "" },
-  );
+  const kind = call.cancelsUnstored ? ANSWER_KIND.GONE : ANSWER_KIND.CANCELLED;
+  answerCall(turn, { callId: call.arrival.callId, kind }, { submission: call.id ?? "" });
 };
 
 /**
@@ -86,20 +89,40 @@
 ): void => {
   const stored = rows.find((row) => row.type === "handIn");
   if (call.arrival.kind === CALL_KIND.CANCEL) {
-    // The only condition is that the submission row exists at its single version, so the row has
-    // been purged.
-    answerCall(
-      turn,
-      { callId: call.arrival.callId, kind: ANSWER_KIND.GONE },
-      { submission: call.id ?? "" },
-    );
+    onCancelConflict(turn, call, stored?.version ?? null);
   } else if (stored !== undefined) {
     onAlreadyStored(turn, call, stored.submission);
+  } else if (rows.some((row) => row.type === "cancel")) {
+    onCancelledBefore(turn, call);
   } else {
     onWriteFailed(turn, call, true, "the stored row cannot be read");
   }
 };
 
+/** Answers a hand-in under an id that was cancelled before its submission was stored. */
+const onCancelledBefore = (turn: Turn, call: OpenCall): void => {
+  const problem = "this id was cancelled before its work was stored; hand it in under a new id";
+  const { callId } = call.arrival;
+  answerCall(turn, { callId, kind: ANSWER_KIND.GONE, problem }, { submission: call.id });
+};
+
+/**
+ * Cancels a submission that was stored after it had been looked up. Otherwise the only condition was
+ * that its row exists at its single version, so the row has been purged.
+ *
+ * @param version - Version of its row; null if the store has none.
+ */
+const onCancelConflict = (turn: Turn, call: OpenCall, version: StoreVersion | null): void => {
+  const { callId } = call.arrival;
+  if (!call.cancelsUnstored || call.id === null) {
+    answerCall(turn, { callId, kind: ANSWER_KIND.GONE }, { submission: call.id });
+  } else if (version === null) {
+    onWriteFailed(turn, call, true, "the stored row cannot be read");
+  } else {
+    sendCancel(turn, call, call.id, version);
+  }
+};
+
 /** Answers a call whose write the store will never accept, so that the caller doesn't repeat it. */
 const onWriteRejected = (turn: Turn, call: OpenCall, reason: string): void => {
   const problem = `the store cannot hold this (${reason}); hand it in in smaller parts`;
@@ -133,10 +156,10 @@
   }
   const { callId } = event;
   const submission = call.id;
-  if (event.stored === null) {
-    answerCall(turn, { callId, kind: ANSWER_KIND.GONE }, { submission });
-  } else if (call.arrival.kind === CALL_KIND.CANCEL) {
+  if (call.arrival.kind === CALL_KIND.CANCEL) {
     storeCancel(turn, call, submission, event);
+  } else if (event.stored === null) {
+    answerCall(turn, { callId, kind: ANSWER_KIND.GONE }, { submission });
   } else {
     const storedState = event.progress?.state ?? SUBMISSION_STATE.QUEUED;
     const state =
@@ -158,30 +181,36 @@
   }
 };
 
+/**
+ * Sends the write of a cancel.
+ *
+ * @param version - Version of the submission's row; `NO_ROW` if it is not stored. A hand-in of it may
+ *   still be on its way to the store then, which accepts none after the cancel.
+ */
+const sendCancel = (turn: Turn, call: OpenCall, id: SubmissionId, version: StoreVersion): void => {
+  call.cancelsUnstored = version === NO_ROW;
+  sendCallCommit(turn, call, {
+    commitId: newCommitId(turn.work),
+    conditions: [{ row: { type: "handIn", id }, version }],
+    writes: [{ type: "cancel", id }],
+    removes: [],
+  });
+};
+
+/** Stores a cancel, unless the store holds it already or the submission has ended. */
 const storeCancel = (
   turn: Turn,
   call: OpenCall,
   id: SubmissionId,
-  event: Extract<WorkEvent, { type: "store/lookedUp" }>,
+  { callId, stored, cancelled, progress }: Extract<WorkEvent, { type: "store/lookedUp" }>,
 ): void => {
-  const ended =
-    event.progress !== null &&
-    event.progress.state !== SUBMISSION_STATE.QUEUED &&
-    event.progress.state !== SUBMISSION_STATE.RUNNING;
-  if (event.cancelled || ended || event.stored === null) {
-    answerCall(
-      turn,
-      { callId: event.callId, kind: ANSWER_KIND.CANCELLED },
-      { submission: id, repeated: 1 },
-    );
-    return;
+  const ended = progress !== null && hasEnded(progress.state);
+  if (cancelled || (ended && stored !== null)) {
+    const kind = stored === null ? ANSWER_KIND.GONE : ANSWER_KIND.CANCELLED;
+    answerCall(turn, { callId, kind }, { submission: id, repeated: 1 });
+  } else {
+    sendCancel(turn, call, id, stored?.version ?? NO_ROW);
   }
-  sendCallCommit(turn, call, {
-    commitId: newCommitId(turn.work),
-    conditions: [{ row: { type: "handIn", id }, version: event.stored.version }],
-    writes: [{ type: "cancel", id }],
-    removes: [],
-  });
 };
 
 /** Answers a call whose submission could not be read from the store. */
--- a/packages/core/src/work/callState.ts
+++ b/packages/core/src/work/callState.ts
@@ -9,6 +9,8 @@
   readonly id: SubmissionId | null;
   /** Row that a submit call stores; null for other calls. */
   readonly row: SubmissionRow | null;
+  /** Whether the write stores the cancel of a submission that is not stored itself. */
+  cancelsUnstored: boolean;
   /** Write that the call waits for. */
   commit: Commit | null;
   /** Whether a write of this call was not answered and may still take effect. */
--- a/packages/core/src/work/calls.ts
+++ b/packages/core/src/work/calls.ts
@@ -11,7 +11,7 @@
 import { limitExceededBy } from "./submissionLimits.js";
 import { logLine, newCommitId, type Turn } from "./turn.js";
 import {
-  storeVersion,
+  NO_ROW,
   submissionId,
   type SubmissionRow,
   type Queue,
@@ -52,6 +52,7 @@
     answerByMs: turn.nowMs + Math.max(CALL.ANSWER_MARGIN_MS, waitMs - CALL.ANSWER_MARGIN_MS),
     id,
     row,
+    cancelsUnstored: false,
     commit: null,
     uncertain: false,
     retryAtMs: null,
@@ -92,7 +93,11 @@
   });
   sendCallCommit(turn, openCall(turn, arrival, id, row), {
     commitId: newCommitId(turn.work),
-    conditions: [{ row: { type: "handIn", id }, version: storeVersion(0) }],
+    // A write that the store carries out late must not revive a submission that was cancelled.
+    conditions: [
+      { row: { type: "handIn", id }, version: NO_ROW },
+      { row: { type: "cancel", id }, version: NO_ROW },
+    ],
     writes: [{ type: "handIn", submission: row }],
     removes: [],
   });
--- a/packages/core/src/work/openCalls.ts
+++ b/packages/core/src/work/openCalls.ts
@@ -27,8 +27,11 @@
   return call;
 };
 
-/** Records the write that a call waits for. */
+/** Records the write that a call waits for, instead of an earlier one. */
 export const awaitCommit = (work: WorkloadState, call: OpenCall, commit: Commit): void => {
+  if (call.commit !== null) {
+    work.callOfCommit.delete(call.commit.commitId);
+  }
   call.commit = commit;
   work.callOfCommit.set(commit.commitId, call);
   retryCallAt(work, call, null);
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership.ts
@@ -255,6 +255,7 @@
   abandonedRuns: new Map(),
   nextPurgeAtMs: nowMs,
   purgeCommits: new Map(),
+  unmatchedCancels: new Map(),
   purgedSubmissions: new Set(),
   loadedRows: [],
 });
--- a/packages/core/src/work/purge.ts
+++ b/packages/core/src/work/purge.ts
@@ -1,20 +1,55 @@
 import { PURGE, STORE, SUBMISSION_STATE } from "./constants.js";
 import type { CommitBudget } from "./commitBudget.js";
-import type { RowName, WorkEvent } from "./events.js";
+import type { Commit, RowName, WorkEvent } from "./events.js";
 import { isOwnershipConfirmed } from "./ownershipConfirmation.js";
 import type { OwnedWork, Submission } from "./state.js";
 import { logLine, newCommitId, type Turn } from "./turn.js";
-import type { SubmissionId } from "./types.js";
+import { NO_ROW, type SubmissionId } from "./types.js";
+
+/** Returns how long rows are kept that only the answers to callers need. */
+const retentionMs = ({ work }: Turn): number => work.bounds.statusRetentionMs + PURGE.MARGIN_MS;
 
 const isPurgeable = (turn: Turn, submission: Submission): boolean => {
-  const keptMs = turn.work.bounds.statusRetentionMs + PURGE.MARGIN_MS;
   const ended =
     submission.reportedState !== SUBMISSION_STATE.QUEUED &&
     submission.reportedState !== SUBMISSION_STATE.RUNNING;
-  return ended && turn.wallMs - (submission.endedWallMs ?? turn.wallMs) > keptMs;
+  return ended && turn.wallMs - (submission.endedWallMs ?? turn.wallMs) > retentionMs(turn);
+};
+
+/** Deletes rows of a submission in a commit of their own. */
+const sendPurge = (
+  turn: Turn,
+  owned: OwnedWork,
+  id: SubmissionId,
+  rows: Pick<Commit, "conditions" | "removes">,
+): void => {
+  const commitId = newCommitId(turn.work);
+  owned.purgeCommits.set(commitId, id);
+  turn.effects.push({ type: "store/commit", commitId, writes: [], ...rows });
+};
+
+/**
+ * Deletes cancels of submissions that were never stored, once no hand-in of these can be on its way
+ * to the store any more.
+ */
+const purgeUnmatchedCancels = (turn: Turn, owned: OwnedWork): void => {
+  for (const [id, sinceMs] of owned.unmatchedCancels) {
+    if (owned.purgeCommits.size >= STORE.MAX_ROWS) {
+      return;
+    }
+    if (turn.nowMs - sinceMs > retentionMs(turn)) {
+      sendPurge(turn, owned, id, {
+        conditions: [{ row: { type: "handIn", id }, version: NO_ROW }],
+        removes: [{ type: "cancel", id }],
+      });
+    }
+  }
 };
 
-/** Deletes the rows of submissions whose status has been kept long enough since they ended. */
+/**
+ * Deletes the rows of submissions whose status has been kept long enough since they ended, and
+ * cancels of submissions that were never stored.
+ */
 export const tickPurge = (turn: Turn, owned: OwnedWork): void => {
   if (turn.nowMs < owned.nextPurgeAtMs || !isOwnershipConfirmed(turn, owned)) {
     return;
@@ -27,13 +62,8 @@
     }
     if (isPurgeable(turn, submission)) {
       const { id } = submission.row;
-      const commitId = newCommitId(turn.work);
-      owned.purgeCommits.set(commitId, id);
-      turn.effects.push({
-        type: "store/commit",
-        commitId,
+      sendPurge(turn, owned, id, {
         conditions: [],
-        writes: [],
         removes: [
           { type: "handIn", id },
           { type: "cancel", id },
@@ -41,6 +71,7 @@
       });
     }
   }
+  purgeUnmatchedCancels(turn, owned);
 };
 
 const purge = (turn: Turn, owned: OwnedWork, id: SubmissionId): void => {
@@ -72,8 +103,8 @@
 };
 
 /**
- * Handles the result of a commit that deletes a submission's rows; the next sweep retries a failed
- * one. The submission also stays in the state while all submissions are being read anew,
+ * Handles the result of a commit that deletes a submission's rows, or a cancel without one; the next
+ * sweep retries a failed one. The submission also stays in the state while all submissions are being read anew,
  * since that read may still return its row and would start it again.
  *
  * @returns Whether the settled commit was one of these.
@@ -89,7 +120,10 @@
   }
   owned.purgeCommits.delete(event.commitId);
   const deleted = event.result === "committed" && isOwnershipConfirmed(turn, owned);
-  if (deleted && !turn.work.feeds.handIns.scanning) {
+  if (!deleted || turn.work.feeds.handIns.scanning) {
+    return true;
+  }
+  if (!owned.unmatchedCancels.delete(id)) {
     purge(turn, owned, id);
   }
   return true;
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -153,6 +153,8 @@
   nextPurgeAtMs: number;
   /** Submissions whose rows are being deleted, by the id of the commit that does so. */
   readonly purgeCommits: Map<string, SubmissionId>;
+  /** Cancels of submissions that are not stored, by the time when this owner first saw them. */
+  readonly unmatchedCancels: Map<SubmissionId, number>;
   /** Submissions whose rows are deleted; the next owner commit deletes their progress rows. */
   readonly purgedSubmissions: Set<SubmissionId>;
   /** Rows that are collected until all tables are loaded. */
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions.ts
@@ -165,6 +165,9 @@
   const lastStarted = Math.max(recorded, lastPersistedOccurrence(progress));
   makeDueOccurrences(turn, owned, submission, lastStarted);
   restoreFailures(turn, owned, submission, progress?.failures ?? {});
+  if (owned.unmatchedCancels.delete(row.id)) {
+    cancelSubmission(turn, row.id);
+  }
 };
 
 const lastOccurrence = (submission: Submission): Occurrence | undefined =>
@@ -201,11 +204,21 @@
   noteBookedRuns(turn, owned, submission);
 };
 
-/** Ends a submission whose cancel has been stored. */
+/**
+ * Ends a submission whose cancel has been stored. The cancel of an unknown one is remembered: an
+ * earlier version of this system stores a hand-in although the store holds a cancel of it.
+ */
 export const cancelSubmission = (turn: Turn, id: SubmissionId): void => {
   const { owned } = turn.work;
-  const submission = owned?.submissions.get(id);
-  if (owned === null || submission === undefined || hasEnded(submission.state)) {
+  if (owned === null) {
+    return;
+  }
+  const submission = owned.submissions.get(id);
+  if (submission === undefined) {
+    owned.unmatchedCancels.set(id, owned.unmatchedCancels.get(id) ?? turn.nowMs);
+    return;
+  }
+  if (hasEnded(submission.state)) {
     return;
   }
   submission.cancelled = true;
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -41,6 +41,9 @@
 export const fence = (value: number): Fence => value as Fence;
 export const storeVersion = (value: number): StoreVersion => value as StoreVersion;
 
+/** Version in a condition on a row that must not exist. */
+export const NO_ROW = storeVersion(0);
+
 export type SubmissionState = ValueOf<typeof SUBMISSION_STATE>;
 export type ItemPhase = ValueOf<typeof ITEM_PHASE>;
 export type RunPhase = ValueOf<typeof RUN_PHASE>;
--- a/packages/core/tests/work/siteCallers.ts
+++ b/packages/core/tests/work/siteCallers.ts
@@ -84,6 +84,11 @@
     submitted.cancelAsked ||= sent;
   }
 
+  /** Cancels a submission whose hand-in has not been answered. */
+  cancelUnanswered(id: string, pool: string, nodeIndex: number): void {
+    this.call(nodeIndex, `cancel ${id}`, "cancel", `/${pool}/${id}`, null, () => undefined);
+  }
+
   /** Asks a node for the number of pending submissions of a queue. */
   askPending(queue: string, nodeIndex: number): void {
     this.call(nodeIndex, `pending ${queue}`, "pending", `/${queue}/`, null, (answer) => {
--- a/packages/core/tests/work/siteStore.ts
+++ b/packages/core/tests/work/siteStore.ts
@@ -49,6 +49,8 @@
   storeDownUntilMs = 0;
   /** Until when writes are refused while reads are served. */
   writesRefusedUntilMs = 0;
+  /** How late hand-ins are stored, without an answer; null if they are stored at once. */
+  handInDelayMs: number | null = null;
   /** Latency of the answer to a write. */
   writeAnswerMs = 4;
   /** Until when feeds fail, by table. */
@@ -184,6 +186,13 @@
       this.answerLater(node, 1_000, { ...settled, ...noResult, result: "unanswered" });
       return;
     }
+    if (this.handInDelayMs !== null && commit.writes.some(({ type }) => type === "handIn")) {
+      this.schedule(this.handInDelayMs, () => {
+        this.store.commit(commit);
+      });
+      this.answerLater(node, 1_000, { ...settled, ...noResult, result: "unanswered" });
+      return;
+    }
     const rows = this.store.commit(commit);
     const version = storeVersion(this.store.version);
     this.answerLater(
