Start long-running work again that ends as done

Cause: an end as done was applied without a look at the step, so the item counted as done and was closed. Only ends that are not done queued it again.

Change: an end as done of work that lasts queues its item again; it never counts as done.

--- a/packages/core/src/work/runEnds.ts
+++ b/packages/core/src/work/runEnds.ts
@@ -39,6 +39,21 @@
   applyEnd(turn, owned, worker, item, end, run !== undefined);
 };
 
+/**
+ * Applies the end of a run that was done. Long-running work is never done: it runs until its
+ * submission is cancelled, so it is started again however its runs end.
+ */
+const runDone = (turn: Turn, owned: OwnedWork, worker: Worker, item: Item, run: number): void => {
+  recordSuccess(worker);
+  if (item.spec.lasting) {
+    requeueItem(turn, owned, item);
+  } else if (item.spec.gang) {
+    markGangDone(turn, owned, item, run);
+  } else {
+    itemDone(turn, owned, item, run);
+  }
+};
+
 const applyEnd = (
   turn: Turn,
   owned: OwnedWork,
@@ -48,12 +63,7 @@
   wasBooked: boolean,
 ): void => {
   if (end.kind === END_KIND.DONE) {
-    recordSuccess(worker);
-    if (item.spec.gang) {
-      markGangDone(turn, owned, item, end.run);
-    } else {
-      itemDone(turn, owned, item, end.run);
-    }
+    runDone(turn, owned, worker, item, end.run);
     return;
   }
   if (end.kind === END_KIND.FAILED) {
--- a/packages/core/tests/work/siteCallers.ts
+++ b/packages/core/tests/work/siteCallers.ts
@@ -57,7 +57,9 @@
       acceptedWallMs: 0,
       work,
     };
-    this.submissionRows.set(id, row);
+    if (!this.submissionRows.has(id)) {
+      this.submissionRows.set(id, row);
+    }
     this.call(nodeIndex, id, "submit", `/${pool}/${id}`, work, ({ kind }) => {
       if (kind === "accepted" && !this.accepted.has(row.id)) {
         this.accepted.set(row.id, {
