Split files that have grown: adoption of submissions, stored rows, worker constants

What adopts a submission, the types of stored rows, the state of an owner's commit and the constants about workers have files of their own now; the old ones re-export them. The soak's worker keeps its ends in a class of its own. No decision changes.

--- a/apps/standins/src/soak/soakFleet.ts
+++ b/apps/standins/src/soak/soakFleet.ts
@@ -1,5 +1,6 @@
 import { HostInterface, HostWorkers, HOST_STATE, type StandInHost } from "../work/hostInterface.js";
-import { LeasedWorker, RunObserver } from "../work/leasedWorker.js";
+import { LeasedWorker } from "../work/leasedWorker.js";
+import { RunObserver } from "../work/runObserver.js";
 import type { RunEnd } from "../work/workerTypes.js";
 import type { PacedStore } from "./pacedStore.js";
 import type { SoakEvents } from "./soakEvents.js";
--- a/apps/standins/src/work/leasedWorker.ts
+++ b/apps/standins/src/work/leasedWorker.ts
@@ -1,22 +1,13 @@
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import { ChangeSignal } from "./changeSignal.js";
+import { EndList, type ListedEnd } from "./endList.js";
 import { JsonServer, type Reply } from "./jsonServer.js";
+import type { RunObserver } from "./runObserver.js";
 import { RunTimers, type SimulatedRun } from "./runTimers.js";
 import { RUN_END, WORKER_BOUND } from "./workerConstants.js";
 import type { RunEnd, WorkerIdentity, WorkerOrder, WorkerTraits } from "./workerTypes.js";
 
-/** Hears what really runs on a worker, whoever ordered it. */
-export abstract class RunObserver {
-  abstract runStarted(worker: string, item: string): void;
-  abstract runEnded(worker: string, item: string, run: number, end: RunEnd): void;
-  /** An end was acknowledged, before or after it came, and the worker forgets it. */
-  abstract endAcknowledged(worker: string, item: string, run: number, end: RunEnd): void;
-}
-
-/** A run end that the worker lists. */
-type ListedEnd = [sequence: number, item: string, run: number, end: RunEnd, checkpoint: string];
-
 /**
  * Worker that keeps the platform's protocol in full: fencing tokens, leases on its own clock, run
  * numbers, and ends that it lists until they are acknowledged.
@@ -27,12 +18,7 @@
   private fence = 0;
   private leaseUntilMs = 0;
   private sequence = 0;
-  private nextEnd = 1;
-  private ends: ListedEnd[] = [];
-  /** Highest end that any call has acknowledged, also if it hasn't come yet. */
-  private acknowledged = 0;
-  /** Ends from before the lease expired, whose acknowledgement no longer counts. */
-  private outdatedUpTo = 0;
+  private ends = new EndList();
   private readonly highestEnded = new Map<string, number>();
   private readonly endSignal = new ChangeSignal();
   private readonly reachableSignal = new ChangeSignal();
@@ -124,10 +110,7 @@
     this.fence = 0;
     this.leaseUntilMs = 0;
     this.sequence = 0;
-    this.nextEnd = 1;
-    this.ends = [];
-    this.acknowledged = 0;
-    this.outdatedUpTo = 0;
+    this.ends = new EndList();
     this.highestEnded.clear();
     this.traits.down = false;
     this.downSinceMs = null;
@@ -234,7 +217,7 @@
 
   private expireLease(): void {
     if (this.clockMs() > this.leaseUntilMs) {
-      this.outdatedUpTo = this.nextEnd - 1;
+      this.ends.outdate();
       for (const item of [...this.running.keys()]) {
         this.endRun(item, RUN_END.LEASE_EXPIRED);
       }
@@ -274,15 +257,14 @@
 
   private async hold({ deadlineMs, lastSeen, waitMs }: WorkerOrder): Promise<Reply> {
     this.extendLease(deadlineMs);
-    this.acknowledged = Math.max(this.acknowledged, lastSeen ?? 0);
-    this.forgetAcknowledged();
-    if (this.ends.length === 0 && waitMs !== undefined) {
+    this.observeAcknowledged(this.ends.acknowledge(lastSeen ?? 0));
+    if (this.ends.isEmpty && waitMs !== undefined) {
       await this.endSignal.next(waitMs);
     }
     const running = [...this.running]
       .filter(([, { stopping }]) => !stopping)
       .map(([task, run]) => [task, run.run, run.checkpoint, this.timers.percentOf(run), 100]);
-    const finished = this.ends.slice(0, WORKER_BOUND.MAX_LISTED_ENDS);
+    const finished = this.ends.rows(WORKER_BOUND.MAX_LISTED_ENDS);
     return { status: 200, body: this.withClock({ running, finished }) };
   }
 
@@ -298,21 +280,14 @@
     this.timers.cancel(run);
     this.running.delete(item);
     this.recordEnded(item, run.run);
-    this.ends.push([this.nextEnd, item, run.run, end, run.checkpoint]);
-    this.nextEnd += 1;
     this.observer.runEnded(this.identity.id, item, run.run, end);
-    this.forgetAcknowledged();
+    this.observeAcknowledged(this.ends.add(item, run.run, end, run.checkpoint));
     this.endSignal.notify();
   }
 
-  /** Forgets acknowledged ends, also those that came after their acknowledgement. */
-  private forgetAcknowledged(): void {
-    const forgotten = this.ends.filter(([sequence]) => sequence <= this.acknowledged);
-    this.ends = this.ends.filter(([sequence]) => sequence > this.acknowledged);
-    for (const [sequence, item, run, end] of forgotten) {
-      if (sequence > this.outdatedUpTo) {
-        this.observer.endAcknowledged(this.identity.id, item, run, end);
-      }
+  private observeAcknowledged(ends: readonly ListedEnd[]): void {
+    for (const { item, run, end } of ends) {
+      this.observer.endAcknowledged(this.identity.id, item, run, end);
     }
   }
 
--- a/packages/core/src/work/callResults.ts
+++ b/packages/core/src/work/callResults.ts
@@ -5,7 +5,8 @@
 import { retryCallAt } from "./openCalls.js";
 import type { OpenCall } from "./state.js";
 import { hasEnded } from "./submissionStates.js";
-import { adoptSubmission, cancelSubmission } from "./submissions.js";
+import { adoptSubmission } from "./adoption.js";
+import { cancelSubmission } from "./submissions.js";
 import { logLine, newCommitId, type Turn } from "./turn.js";
 import {
   NO_ROW,
--- a/packages/core/src/work/recovery.ts
+++ b/packages/core/src/work/recovery.ts
@@ -7,7 +7,8 @@
 import { markLeaseChanged } from "./leaseRows.js";
 import { poolOf } from "./pools.js";
 import type { OwnedWork } from "./state.js";
-import { adoptSubmission, cancelSubmission } from "./submissions.js";
+import { adoptSubmission } from "./adoption.js";
+import { cancelSubmission } from "./submissions.js";
 import { logLine, validAsOfMs, wakeAfter, type Turn } from "./turn.js";
 import type { Progress, SubmissionId, WorkerId } from "./types.js";
 import { restoreWave } from "./maintenanceWaves.js";
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -34,7 +34,7 @@
 import type { OwnedWork, WorkloadState } from "./state.js";
 import { checkStarvation } from "./starvation.js";
 import { openWaitingItems } from "./openItems.js";
-import { makeDueOccurrences } from "./submissions.js";
+import { makeDueOccurrences } from "./adoption.js";
 import { logLine, type Turn } from "./turn.js";
 import { handleMaintenanceAnswer } from "./hostMaintenance.js";
 import { tickWorkers } from "./workerPolls.js";
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -1,13 +1,14 @@
 import type { HostId, PoolId, QueueId, TeamId } from "@heatherferry/common";
 import { DueQueue } from "@heatherferry/coordination";
 import type { OpenCall } from "./callState.js";
+import type { OwnerCommit } from "./commitState.js";
 import type { WithheldCharge, WithheldItems } from "./withheldItems.js";
 import type { TokenBucket } from "./tokenBucket.js";
 import { indexCatalog, type CatalogIndex } from "./catalog.js";
 import type { FleetKinds } from "./fleetKinds.js";
 import type { HandlingCost } from "./handlingCost.js";
 import type { IdleSubmission } from "./idleSubmissions.js";
-import type { Commit, Feed, Scan, StoreRow } from "./events.js";
+import type { Feed, Scan, StoreRow } from "./events.js";
 import type {
   Catalog,
   Fence,
@@ -17,7 +18,6 @@
   OwnerRow,
   StoreVersion,
   SubmissionId,
-  SubmissionState,
   WaveRequest,
   WorkBounds,
   WorkerId,
@@ -35,6 +35,7 @@
   HostMove,
 } from "./hostState.js";
 export type { OpenCall } from "./callState.js";
+export type { CommitChanges, OwnerCommit } from "./commitState.js";
 export type { Run, Item, Occurrence, Submission } from "./itemState.js";
 export type {
   AbandonedRuns,
@@ -161,33 +162,6 @@
   loadedRows: StoreRow[];
 }
 
-/** A commit by which the owner renews its row and persists its changes. */
-export interface OwnerCommit {
-  readonly commit: Commit;
-  /** Submissions that it records, each with the state that becomes durable with it. */
-  readonly submissions: readonly {
-    readonly submission: Submission;
-    reportedState: SubmissionState;
-  }[];
-  /** Up to which run end each worker may be acknowledged afterwards. */
-  readonly ends: readonly { readonly worker: Worker; readonly sequence: number }[];
-  readonly releases: boolean;
-  /** Runs whose start orders may be sent afterwards. */
-  readonly starts: readonly Run[];
-  readonly orders: readonly HostOrder[];
-  readonly changes: CommitChanges;
-}
-
-/** What a commit records beside the owner row, so that it can be recorded again. */
-export interface CommitChanges {
-  readonly submissions: readonly Submission[];
-  /** Workers whose lease rows it changes, with those rows before; null if there was none. */
-  readonly previousLeases: ReadonlyMap<WorkerId, LeasedWorker | null>;
-  readonly waves: readonly MaintenanceWave[];
-  /** Purged submissions whose progress rows it deletes. */
-  readonly purged: readonly SubmissionId[];
-}
-
 export interface FeedState {
   after: StoreVersion | null;
   /** When the request in flight was sent. */
