--- a/apps/standins/tests/soakRule.test.ts
+++ b/apps/standins/tests/soakRule.test.ts
@@ -105,6 +105,11 @@
     this.handle({ type: "run/ended", atMs: this.nowMs, worker: "w0", item, run: 1, end });
   }
 
+  acknowledge(item: string, end: (typeof RUN_END)[keyof typeof RUN_END]): void {
+    const ended = { atMs: this.nowMs, worker: "w0", item, run: 1, end };
+    this.handle({ type: "run/endAcknowledged", ...ended });
+  }
+
   get findings(): string[] {
     return this.state.findings.map(({ kind }) => kind);
   }
@@ -168,6 +173,37 @@
   t.deepEqual(soak.findings, [FINDING.TWICE]);
 });
 
+for (const startsFirst of [false, true]) {
+  const when = startsFirst ? "before" : "after";
+  test(`a start ${when} an end as done is acknowledged is no finding`, (t) => {
+    const { soak, submission } = soakWithOne();
+    const item = `${submission.id}.0.0.0`;
+    soak.start(item);
+    soak.end(item, RUN_END.DONE);
+    if (startsFirst) {
+      soak.start(item);
+      soak.acknowledge(item, RUN_END.DONE);
+    } else {
+      soak.acknowledge(item, RUN_END.DONE);
+      soak.start(item);
+    }
+    t.deepEqual(soak.findings, [FINDING.TWICE]);
+  });
+}
+
+test("a start after an end that is never acknowledged, or not as done, is a finding", (t) => {
+  const { soak, submission } = soakWithOne();
+  const [done, failed] = [`${submission.id}.0.0.0`, `${submission.id}.0.0.1`];
+  soak.start(done);
+  soak.end(done, RUN_END.DONE);
+  soak.start(done);
+  soak.start(failed);
+  soak.end(failed, RUN_END.FAILED);
+  soak.acknowledge(failed, RUN_END.FAILED);
+  soak.start(failed);
+  t.deepEqual(soak.findings, []);
+});
+
 test("a submission that is not known, or failed or completed without cause, is no finding", (t) => {
   const { soak, submission } = soakWithOne();
   const { id } = submission;
