--- a/packages/core/src/work/callAnswers.ts
+++ b/packages/core/src/work/calls/callAnswers.ts
@@ -1,9 +1,9 @@
-import { catalogAgeMs } from "./catalog.js";
-import { ANSWER_KIND, CALL } from "./constants.js";
-import type { CallAnswer, Commit } from "./events.js";
+import { catalogAgeMs } from "../store/catalog.js";
+import { ANSWER_KIND, CALL } from "../constants.js";
+import type { CallAnswer, Commit } from "../events.js";
 import { awaitCommit, closeCall } from "./openCalls.js";
-import type { OpenCall } from "./state.js";
-import { logLine, roundedMs, type Turn } from "./turn.js";
+import type { OpenCall } from "../state.js";
+import { logLine, roundedMs, type Turn } from "../turn.js";
 
 /**
  * Answers a call, closes it and logs the outcome.
--- a/packages/core/src/work/callResults.ts
+++ b/packages/core/src/work/calls/callResults.ts
@@ -1,20 +1,20 @@
 import { answerCall, sendCallCommit, answerUnavailable } from "./callAnswers.js";
-import { ANSWER_KIND, CALL_KIND, STORE, SUBMISSION_STATE } from "./constants.js";
-import { countSteps } from "./handlingCost.js";
-import type { WorkEvent } from "./events.js";
+import { ANSWER_KIND, CALL_KIND, STORE, SUBMISSION_STATE } from "../constants.js";
+import { countSteps } from "../handlingCost.js";
+import type { WorkEvent } from "../events.js";
 import { retryCallAt } from "./openCalls.js";
-import type { OpenCall } from "./state.js";
-import { hasEnded } from "./submissionStates.js";
-import { adoptSubmission } from "./adoption.js";
-import { cancelSubmission } from "./submissions.js";
-import { logLine, newCommitId, type Turn } from "./turn.js";
+import type { OpenCall } from "../state.js";
+import { hasEnded } from "../submissions/submissionStates.js";
+import { adoptSubmission } from "../submissions/adoption.js";
+import { cancelSubmission } from "../submissions/submissions.js";
+import { logLine, newCommitId, type Turn } from "../turn.js";
 import {
   NO_ROW,
   storeVersion,
   type StoreVersion,
   type SubmissionRow,
   type SubmissionId,
-} from "./types.js";
+} from "../types.js";
 
 const sameWork = (one: SubmissionRow, other: SubmissionRow): boolean =>
   one.queue === other.queue && JSON.stringify(one.work) === JSON.stringify(other.work);
--- a/packages/core/src/work/callState.ts
+++ b/packages/core/src/work/calls/callState.ts
@@ -1,5 +1,5 @@
-import type { CallArrival, Commit } from "./events.js";
-import type { SubmissionRow, SubmissionId } from "./types.js";
+import type { CallArrival, Commit } from "../events.js";
+import type { SubmissionRow, SubmissionId } from "../types.js";
 
 /** A call that has not been answered yet. */
 export interface OpenCall {
--- a/packages/core/src/work/calls.ts
+++ b/packages/core/src/work/calls/calls.ts
@@ -1,15 +1,15 @@
 import type { QueueId } from "@heatherferry/common";
 import { answerCall, sendCallCommit, answerUnavailable } from "./callAnswers.js";
-import { findQueue, areKeysCurrent, teamByKey } from "./catalog.js";
-import { ANSWER_KIND, CALL, CALL_KIND } from "./constants.js";
-import type { CallArrival } from "./events.js";
-import { obstacleOf } from "./obstacles.js";
+import { findQueue, areKeysCurrent, teamByKey } from "../store/catalog.js";
+import { ANSWER_KIND, CALL, CALL_KIND } from "../constants.js";
+import type { CallArrival } from "../events.js";
+import { obstacleOf } from "../submissions/obstacles.js";
 import { addCall, closeCall } from "./openCalls.js";
 import { pendingOfQueue } from "./pendingCount.js";
-import type { OpenCall } from "./state.js";
-import { hasEnded } from "./submissionStates.js";
+import type { OpenCall } from "../state.js";
+import { hasEnded } from "../submissions/submissionStates.js";
 import { limitExceededBy } from "./submissionLimits.js";
-import { logLine, newCommitId, type Turn } from "./turn.js";
+import { logLine, newCommitId, type Turn } from "../turn.js";
 import {
   NO_ROW,
   submissionId,
@@ -17,7 +17,7 @@
   type Queue,
   type SubmissionId,
   type Team,
-} from "./types.js";
+} from "../types.js";
 
 const ID_PATTERN = /^[0-9a-f]{16}$/u;
 
--- a/packages/core/src/work/openCalls.ts
+++ b/packages/core/src/work/calls/openCalls.ts
@@ -1,5 +1,5 @@
-import type { Commit } from "./events.js";
-import type { OpenCall, WorkloadState } from "./state.js";
+import type { Commit } from "../events.js";
+import type { OpenCall, WorkloadState } from "../state.js";
 
 const dueAtMs = ({ answerByMs, retryAtMs }: OpenCall): number =>
   Math.min(answerByMs, retryAtMs ?? Infinity);
--- a/packages/core/src/work/pendingCount.ts
+++ b/packages/core/src/work/calls/pendingCount.ts
@@ -1,9 +1,9 @@
 import type { QueueId } from "@heatherferry/common";
-import { isSubmissionViewFresh } from "./ownershipConfirmation.js";
-import { PENDING_COUNT } from "./constants.js";
-import type { OwnedWork } from "./state.js";
-import type { Turn } from "./turn.js";
-import type { PendingCount } from "./types.js";
+import { isSubmissionViewFresh } from "../ownership/ownershipConfirmation.js";
+import { PENDING_COUNT } from "../constants.js";
+import type { OwnedWork } from "../state.js";
+import type { Turn } from "../turn.js";
+import type { PendingCount } from "../types.js";
 
 /** Returns the counts for the owner's row; null until the owner has loaded the submissions. */
 export const countPending = (turn: Turn, owned: OwnedWork): PendingCount | null => {
--- a/packages/core/src/work/submissionLimits.ts
+++ b/packages/core/src/work/calls/submissionLimits.ts
@@ -1,7 +1,7 @@
-import { SUBMISSION_LIMIT } from "./constants.js";
-import { ProgressLayout } from "./progressLayout.js";
-import { storedBytes } from "./storedSize.js";
-import type { SubmissionRow, WorkSpec } from "./types.js";
+import { SUBMISSION_LIMIT } from "../constants.js";
+import { ProgressLayout } from "../submissions/progressLayout.js";
+import { storedBytes } from "../store/storedSize.js";
+import type { SubmissionRow, WorkSpec } from "../types.js";
 
 const lastingItems = ({ steps, occurrences }: WorkSpec): number =>
   Math.max(1, occurrences) *
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -1,7 +1,7 @@
-export { END_KIND, INCARNATION_RELATION, START_RESULT } from "./workerResults.js";
-export { ITEM_WINDOW, LEASE_ROW, PROGRESS, SUBMISSION_LIMIT } from "./rowBounds.js";
-export { HOST_TIMING, HOST_ALLOCATION, WAVE_TIMING } from "./hostConstants.js";
-export { ABANDONED_RUNS, HEALTH, LEASE, ORDER, PACING } from "./workerConstants.js";
+export { END_KIND, INCARNATION_RELATION, START_RESULT } from "./workers/workerResults.js";
+export { ITEM_WINDOW, LEASE_ROW, PROGRESS, SUBMISSION_LIMIT } from "./store/rowBounds.js";
+export { HOST_TIMING, HOST_ALLOCATION, WAVE_TIMING } from "./hosts/hostConstants.js";
+export { ABANDONED_RUNS, HEALTH, LEASE, ORDER, PACING } from "./workers/workerConstants.js";
 
 /** Tables that this system keeps in the platform's store. */
 export const WORK_TABLE = {
--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -9,7 +9,7 @@
   SCAN,
   START_RESULT,
 } from "./constants.js";
-import type { Commit, StoreRow } from "./storeRows.js";
+import type { Commit, StoreRow } from "./store/storeRows.js";
 import type {
   EndLine,
   Fence,
@@ -34,7 +34,7 @@
   RowName,
   CommitCondition,
   Commit,
-} from "./storeRows.js";
+} from "./store/storeRows.js";
 
 export type CallKind = ValueOf<typeof CALL_KIND>;
 export type AnswerKind = ValueOf<typeof ANSWER_KIND>;
--- a/packages/core/src/work/arrivals.ts
+++ b/packages/core/src/work/hosts/arrivals.ts
@@ -1,8 +1,8 @@
-import { HOST_ALLOCATION } from "./constants.js";
-import { batchSteps } from "./criticalPaths.js";
-import type { PoolWork } from "./state.js";
-import type { Turn } from "./turn.js";
-import type { Resources, WorkSpec } from "./types.js";
+import { HOST_ALLOCATION } from "../constants.js";
+import { batchSteps } from "../submissions/criticalPaths.js";
+import type { PoolWork } from "../state.js";
+import type { Turn } from "../turn.js";
+import type { Resources, WorkSpec } from "../types.js";
 
 /** Returns the capacity of a host of the pool, or a default if the pool has no workers. */
 export const hostCapacity = (pool: PoolWork): Resources => {
--- a/packages/core/src/work/demand.ts
+++ b/packages/core/src/work/hosts/demand.ts
@@ -1,11 +1,11 @@
 import type { PoolId } from "@heatherferry/common";
 import { arrivingHosts, hostCapacity } from "./arrivals.js";
-import { HOST_ALLOCATION } from "./constants.js";
+import { HOST_ALLOCATION } from "../constants.js";
 import { isReplaced } from "./hostWorkers.js";
 import { batchFraction, runningWorkIn, runningOnScheduleHosts } from "./runningWork.js";
-import type { OwnedWork, PoolWork, Worker } from "./state.js";
-import { logLine, type Turn } from "./turn.js";
-import { backlogDemand } from "./backlogDemand.js";
+import type { OwnedWork, PoolWork, Worker } from "../state.js";
+import { logLine, type Turn } from "../turn.js";
+import { backlogDemand } from "../placement/backlogDemand.js";
 
 /** Demand and supply of a pool, in hosts. An item counts by the resource that it needs most of. */
 export interface PoolDemand {
--- a/packages/core/src/work/hostAllocation.ts
+++ b/packages/core/src/work/hosts/hostAllocation.ts
@@ -1,7 +1,7 @@
 import type { HostId, PoolId } from "@heatherferry/common";
 import { decayArrivals } from "./arrivals.js";
-import { isStandby } from "./catalog.js";
-import { HOST_TIMING, HOST_ALLOCATION } from "./constants.js";
+import { isStandby } from "../store/catalog.js";
+import { HOST_TIMING, HOST_ALLOCATION } from "../constants.js";
 import {
   poolDemand,
   isSchedulable,
@@ -14,10 +14,10 @@
 import { requestHostList, mayOrderHost } from "./hosts.js";
 import { workerOn } from "./hostWorkers.js";
 import { moveHost, settleMoves, type AvailableHost } from "./hostMoves.js";
-import { isOwnershipConfirmed } from "./ownershipConfirmation.js";
+import { isOwnershipConfirmed } from "../ownership/ownershipConfirmation.js";
 import { poolOf } from "./pools.js";
-import type { OwnedWork, Worker } from "./state.js";
-import type { Turn } from "./turn.js";
+import type { OwnedWork, Worker } from "../state.js";
+import type { Turn } from "../turn.js";
 
 const isHostAvailable = (turn: Turn, owned: OwnedWork, host: HostId): boolean => {
   if (
--- a/packages/core/src/work/hostDrains.ts
+++ b/packages/core/src/work/hosts/hostDrains.ts
@@ -1,5 +1,5 @@
 import type { PoolId } from "@heatherferry/common";
-import { HOST_ALLOCATION, RESERVATION } from "./constants.js";
+import { HOST_ALLOCATION, RESERVATION } from "../constants.js";
 import { neededHosts, type PoolDemand } from "./demand.js";
 import { maxMinShares } from "./maxMinShares.js";
 import {
@@ -11,9 +11,9 @@
 } from "./hostWorkers.js";
 import { mayOrderHost } from "./hosts.js";
 import { moveHost } from "./hostMoves.js";
-import { runsNothing } from "./workerResources.js";
-import type { HostDrain, OwnedWork, Reservation, Worker } from "./state.js";
-import { logLine, newHostOrderId, type Turn } from "./turn.js";
+import { runsNothing } from "../workers/workerResources.js";
+import type { HostDrain, OwnedWork, Reservation, Worker } from "../state.js";
+import { logLine, newHostOrderId, type Turn } from "../turn.js";
 
 const drainReservation = ({ order }: HostDrain): Reservation => ({
   purpose: RESERVATION.DRAIN,
--- a/packages/core/src/work/hostMaintenance.ts
+++ b/packages/core/src/work/hosts/hostMaintenance.ts
@@ -1,7 +1,7 @@
 import type { HostId } from "@heatherferry/common";
-import { HOST_ORDER_RESULT, HOST_TIMING, RESERVATION } from "./constants.js";
-import { evictLongRunning } from "./eviction.js";
-import type { WorkEvent } from "./events.js";
+import { HOST_ORDER_RESULT, HOST_TIMING, RESERVATION } from "../constants.js";
+import { evictLongRunning } from "../workers/eviction.js";
+import type { WorkEvent } from "../events.js";
 import { planHostOrder } from "./hostOrders.js";
 import {
   findIncarnation,
@@ -12,10 +12,10 @@
   reserveWorker,
   workerOn,
 } from "./hostWorkers.js";
-import { runsNothing } from "./workerResources.js";
-import type { HostMaintenance, OwnedWork, Reservation, MaintenanceWave, Worker } from "./state.js";
-import { logLine, newHostOrderId, type Turn } from "./turn.js";
-import type { HostOrderId } from "./types.js";
+import { runsNothing } from "../workers/workerResources.js";
+import type { HostMaintenance, OwnedWork, Reservation, MaintenanceWave, Worker } from "../state.js";
+import { logLine, newHostOrderId, type Turn } from "../turn.js";
+import type { HostOrderId } from "../types.js";
 
 /**
  * Whether a worker is known to run nothing. What a previous owner left running there is unknown
--- a/packages/core/src/work/hostMoves.ts
+++ b/packages/core/src/work/hosts/hostMoves.ts
@@ -1,7 +1,7 @@
 import type { HostId, PoolId } from "@heatherferry/common";
-import { isStandby } from "./catalog.js";
-import { HOST_TIMING } from "./constants.js";
-import type { WorkEvent } from "./events.js";
+import { isStandby } from "../store/catalog.js";
+import { HOST_TIMING } from "../constants.js";
+import type { WorkEvent } from "../events.js";
 import { releaseMovedWorker, planHostOrder, moveReservation } from "./hostOrders.js";
 import {
   findIncarnation,
@@ -11,8 +11,8 @@
   markHostReclaimed,
   workerOn,
 } from "./hostWorkers.js";
-import type { HostMove, OwnedWork, Worker } from "./state.js";
-import { logLine, newHostOrderId, type Turn } from "./turn.js";
+import type { HostMove, OwnedWork, Worker } from "../state.js";
+import { logLine, newHostOrderId, type Turn } from "../turn.js";
 
 /** A host that can move to another pool, and its idle worker; null if the host is off. */
 export interface AvailableHost {
--- a/packages/core/src/work/hostOrders.ts
+++ b/packages/core/src/work/hosts/hostOrders.ts
@@ -1,10 +1,10 @@
-import { RESERVATION } from "./constants.js";
-import { confirmedUntilMs } from "./ownershipConfirmation.js";
+import { RESERVATION } from "../constants.js";
+import { confirmedUntilMs } from "../ownership/ownershipConfirmation.js";
 import { findIncarnation, isIncarnation, releaseWorker, workerOn } from "./hostWorkers.js";
-import { runsNothing } from "./workerResources.js";
-import type { HostMove, HostOrder, HostMaintenance, OwnedWork, Reservation } from "./state.js";
-import { logLine, type Turn } from "./turn.js";
-import type { HostOrderId } from "./types.js";
+import { runsNothing } from "../workers/workerResources.js";
+import type { HostMove, HostOrder, HostMaintenance, OwnedWork, Reservation } from "../state.js";
+import { logLine, type Turn } from "../turn.js";
+import type { HostOrderId } from "../types.js";
 
 /** Returns the reservation of a worker whose host is to be moved. */
 export const moveReservation = (order: HostOrderId): Reservation => ({
--- a/packages/core/src/work/hostState.ts
+++ b/packages/core/src/work/hosts/hostState.ts
@@ -1,7 +1,7 @@
 import type { HostId, PoolId } from "@heatherferry/common";
-import type { MoveOrder, MaintenanceOrder } from "./events.js";
-import type { HostOrderId, WaveRequest } from "./types.js";
-import type { WorkerIncarnation } from "./workerState.js";
+import type { MoveOrder, MaintenanceOrder } from "../events.js";
+import type { HostOrderId, WaveRequest } from "../types.js";
+import type { WorkerIncarnation } from "../workers/workerState.js";
 
 /** The progress of a maintenance wave. */
 export interface MaintenanceWave {
--- a/packages/core/src/work/hostWorkers.ts
+++ b/packages/core/src/work/hosts/hostWorkers.ts
@@ -1,8 +1,8 @@
 import type { HostId } from "@heatherferry/common";
-import { abandonRuns } from "./abandonedRuns.js";
-import type { OwnedWork, Reservation, Worker, WorkerIncarnation } from "./state.js";
-import { removeOrphans } from "./orphanedRuns.js";
-import type { Turn } from "./turn.js";
+import { abandonRuns } from "../workers/abandonedRuns.js";
+import type { OwnedWork, Reservation, Worker, WorkerIncarnation } from "../state.js";
+import { removeOrphans } from "../workers/orphanedRuns.js";
+import type { Turn } from "../turn.js";
 
 /** Returns the incarnation of a worker; null if there is no worker. */
 export const incarnationOf = (worker: Worker | null): WorkerIncarnation | null =>
--- a/packages/core/src/work/hosts.ts
+++ b/packages/core/src/work/hosts/hosts.ts
@@ -1,9 +1,9 @@
 import type { HostId } from "@heatherferry/common";
-import { HOST_TIMING, OWNERSHIP } from "./constants.js";
-import type { WorkEvent } from "./events.js";
-import type { OwnedWork } from "./state.js";
-import type { Turn } from "./turn.js";
-import type { HostListing, OwnerRow, Resources } from "./types.js";
+import { HOST_TIMING, OWNERSHIP } from "../constants.js";
+import type { WorkEvent } from "../events.js";
+import type { OwnedWork } from "../state.js";
+import type { Turn } from "../turn.js";
+import type { HostListing, OwnerRow, Resources } from "../types.js";
 
 /**
  * Requests a host list from the platform unless one was requested recently.
--- a/packages/core/src/work/maintenanceWaves.ts
+++ b/packages/core/src/work/hosts/maintenanceWaves.ts
@@ -1,15 +1,15 @@
 import type { HostId } from "@heatherferry/common";
-import { HOST_TIMING, WAVE_TIMING } from "./constants.js";
+import { HOST_TIMING, WAVE_TIMING } from "../constants.js";
 import { isSchedulable } from "./demand.js";
 import { requestHostList, mayOrderHost } from "./hosts.js";
 import { workerOn } from "./hostWorkers.js";
 import { poolOf } from "./pools.js";
-import type { StoreRow } from "./events.js";
-import { isOwnershipConfirmed } from "./ownershipConfirmation.js";
-import { isStandby } from "./catalog.js";
-import type { OwnedWork, MaintenanceWave, Worker } from "./state.js";
-import { logLine, type Turn } from "./turn.js";
-import type { WaveRequest } from "./types.js";
+import type { StoreRow } from "../events.js";
+import { isOwnershipConfirmed } from "../ownership/ownershipConfirmation.js";
+import { isStandby } from "../store/catalog.js";
+import type { OwnedWork, MaintenanceWave, Worker } from "../state.js";
+import { logLine, type Turn } from "../turn.js";
+import type { WaveRequest } from "../types.js";
 import {
   adoptHostsInMaintenance,
   completeReturnedHosts,
--- a/packages/core/src/work/pools.ts
+++ b/packages/core/src/work/hosts/pools.ts
@@ -1,7 +1,7 @@
 import type { PoolId } from "@heatherferry/common";
-import type { OwnedWork, PoolWork } from "./state.js";
-import { CapacityIndex } from "./capacityIndex.js";
-import { Backlog } from "./backlog.js";
+import type { OwnedWork, PoolWork } from "../state.js";
+import { CapacityIndex } from "../placement/capacityIndex.js";
+import { Backlog } from "../placement/backlog.js";
 
 /** Returns the owner's state of a pool, which is created on first use. */
 export const poolOf = (owned: OwnedWork, id: PoolId): PoolWork => {
--- a/packages/core/src/work/runningWork.ts
+++ b/packages/core/src/work/hosts/runningWork.ts
@@ -1,8 +1,8 @@
-import { countSteps } from "./handlingCost.js";
-import { RESOURCES } from "./workerResources.js";
-import type { Item, PoolWork, Worker } from "./state.js";
-import type { Turn } from "./turn.js";
-import type { Resources } from "./types.js";
+import { countSteps } from "../handlingCost.js";
+import { RESOURCES } from "../workers/workerResources.js";
+import type { Item, PoolWork, Worker } from "../state.js";
+import type { Turn } from "../turn.js";
+import type { Resources } from "../types.js";
 
 /** Use of each resource by batch work, relative to the resource that it uses most of. */
 type ResourceMix = Readonly<Record<(typeof RESOURCES)[number], number>>;
--- a/packages/core/src/work/claimDelay.ts
+++ b/packages/core/src/work/ownership/claimDelay.ts
@@ -1,5 +1,5 @@
-import { OWNERSHIP } from "./constants.js";
-import type { WorkloadState } from "./state.js";
+import { OWNERSHIP } from "../constants.js";
+import type { WorkloadState } from "../state.js";
 
 const CORE_MILLI = 1_000;
 
--- a/packages/core/src/work/commitBudget.ts
+++ b/packages/core/src/work/ownership/commitBudget.ts
@@ -1,6 +1,6 @@
-import { STORE } from "./constants.js";
-import type { RowToWrite } from "./events.js";
-import { storedBytes } from "./storedSize.js";
+import { STORE } from "../constants.js";
+import type { RowToWrite } from "../events.js";
+import { storedBytes } from "../store/storedSize.js";
 
 /** Entries of the owner row: the row itself and the condition on its version. */
 const OWNER_ROW_ENTRIES = 2;
--- a/packages/core/src/work/commitRejection.ts
+++ b/packages/core/src/work/ownership/commitRejection.ts
@@ -1,13 +1,13 @@
-import { STORE, SUBMISSION_STATE } from "./constants.js";
-import { markDirty } from "./dirtySubmissions.js";
-import { dropHostOrders } from "./hostOrders.js";
-import { markLeaseChanged } from "./leaseRows.js";
-import { cancelPlannedStarts } from "./starts.js";
-import type { OwnedWork, OwnerCommit, Submission } from "./state.js";
-import { hasEnded } from "./submissionStates.js";
-import { endSubmission } from "./submissions.js";
-import { logLine, type Turn } from "./turn.js";
-import type { WorkerId } from "./types.js";
+import { STORE, SUBMISSION_STATE } from "../constants.js";
+import { markDirty } from "../submissions/dirtySubmissions.js";
+import { dropHostOrders } from "../hosts/hostOrders.js";
+import { markLeaseChanged } from "../store/leaseRows.js";
+import { cancelPlannedStarts } from "../placement/starts.js";
+import type { OwnedWork, OwnerCommit, Submission } from "../state.js";
+import { hasEnded } from "../submissions/submissionStates.js";
+import { endSubmission } from "../submissions/submissions.js";
+import { logLine, type Turn } from "../turn.js";
+import type { WorkerId } from "../types.js";
 
 type Changes = OwnerCommit["changes"];
 
--- a/packages/core/src/work/commitState.ts
+++ b/packages/core/src/work/ownership/commitState.ts
@@ -1,8 +1,8 @@
-import type { Commit } from "./events.js";
-import type { HostOrder, MaintenanceWave } from "./hostState.js";
-import type { Run, Submission } from "./itemState.js";
-import type { LeasedWorker, SubmissionId, SubmissionState, WorkerId } from "./types.js";
-import type { Worker } from "./workerState.js";
+import type { Commit } from "../events.js";
+import type { HostOrder, MaintenanceWave } from "../hosts/hostState.js";
+import type { Run, Submission } from "../submissions/itemState.js";
+import type { LeasedWorker, SubmissionId, SubmissionState, WorkerId } from "../types.js";
+import type { Worker } from "../workers/workerState.js";
 
 /** A commit by which the owner renews its row and persists its changes. */
 export interface OwnerCommit {
--- a/packages/core/src/work/ownerCommit.ts
+++ b/packages/core/src/work/ownership/ownerCommit.ts
@@ -1,22 +1,22 @@
-import { countPending } from "./pendingCount.js";
+import { countPending } from "../calls/pendingCount.js";
 import { strongestOwnerMilli } from "./claimDelay.js";
 import { yieldIfDue, yieldCount } from "./ownershipYield.js";
-import { OWNERSHIP, STORE } from "./constants.js";
+import { OWNERSHIP, STORE } from "../constants.js";
 import { CommitBudget } from "./commitBudget.js";
 import { commitAccepted, commitRejected } from "./commitRejection.js";
-import { hasDirtyWaves, takeCommitRows } from "./commitRows.js";
-import type { WorkEvent } from "./events.js";
-import { dropHostOrders, sendHostOrders } from "./hostOrders.js";
-import { recentHostOrders } from "./hosts.js";
+import { hasDirtyWaves, takeCommitRows } from "../store/commitRows.js";
+import type { WorkEvent } from "../events.js";
+import { dropHostOrders, sendHostOrders } from "../hosts/hostOrders.js";
+import { recentHostOrders } from "../hosts/hosts.js";
 import { isSubmissionViewFresh, isOwnershipConfirmed } from "./ownershipConfirmation.js";
 import { endOwnership, stillOwner } from "./ownership.js";
-import { hasStaleLeases } from "./leaseRows.js";
-import { storedBytes } from "./storedSize.js";
-import type { OwnerCommit, OwnedWork } from "./state.js";
-import { logLine, roundedMs, newCommitId, validAsOfMs, wakeAfter, type Turn } from "./turn.js";
-import type { OwnerRow } from "./types.js";
-import { cancelPlannedStarts, sendStarts } from "./starts.js";
-import { markWorkerChanged } from "./workerTimers.js";
+import { hasStaleLeases } from "../store/leaseRows.js";
+import { storedBytes } from "../store/storedSize.js";
+import type { OwnerCommit, OwnedWork } from "../state.js";
+import { logLine, roundedMs, newCommitId, validAsOfMs, wakeAfter, type Turn } from "../turn.js";
+import type { OwnerRow } from "../types.js";
+import { cancelPlannedStarts, sendStarts } from "../placement/starts.js";
+import { markWorkerChanged } from "../workers/workerTimers.js";
 
 const isShuttingDown = ({ work }: Turn): boolean => work.shutdownRequestedAtMs !== null;
 
--- a/packages/core/src/work/ownership.ts
+++ b/packages/core/src/work/ownership/ownership.ts
@@ -1,14 +1,14 @@
 import type { HostId } from "@heatherferry/common";
 import { DueQueue } from "@heatherferry/coordination";
 import { claimDelayMs, strongestOwnerMilli } from "./claimDelay.js";
-import { OWNERSHIP, SCAN, STORE } from "./constants.js";
-import { logAbandonedRuns } from "./abandonedRunLog.js";
-import { FleetKinds } from "./fleetKinds.js";
-import { inheritedHostOrders } from "./hosts.js";
-import type { StoreRow, WorkEvent } from "./events.js";
-import type { Claim, OwnedWork, WorkloadState } from "./state.js";
-import { logLine, roundedMs, newCommitId, validAsOfMs, type Turn } from "./turn.js";
-import { fence, storeVersion, type OwnerRow, type StoreVersion } from "./types.js";
+import { OWNERSHIP, SCAN, STORE } from "../constants.js";
+import { logAbandonedRuns } from "../workers/abandonedRunLog.js";
+import { FleetKinds } from "../placement/fleetKinds.js";
+import { inheritedHostOrders } from "../hosts/hosts.js";
+import type { StoreRow, WorkEvent } from "../events.js";
+import type { Claim, OwnedWork, WorkloadState } from "../state.js";
+import { logLine, roundedMs, newCommitId, validAsOfMs, type Turn } from "../turn.js";
+import { fence, storeVersion, type OwnerRow, type StoreVersion } from "../types.js";
 
 type OwnerStoreRow = Extract<StoreRow, { type: "owner" }>;
 
--- a/packages/core/src/work/ownershipConfirmation.ts
+++ b/packages/core/src/work/ownership/ownershipConfirmation.ts
@@ -1,6 +1,6 @@
-import { OWNERSHIP } from "./constants.js";
-import type { OwnedWork } from "./state.js";
-import type { Turn } from "./turn.js";
+import { OWNERSHIP } from "../constants.js";
+import type { OwnedWork } from "../state.js";
+import type { Turn } from "../turn.js";
 
 /** Returns until when no other node can acquire ownership, on this node's monotonic clock. */
 export const confirmedUntilMs = (owned: OwnedWork): number =>
--- a/packages/core/src/work/ownershipYield.ts
+++ b/packages/core/src/work/ownership/ownershipYield.ts
@@ -1,7 +1,7 @@
 import { isUnderpowered } from "./claimDelay.js";
-import { OWNERSHIP } from "./constants.js";
-import type { OwnedWork, WorkloadState } from "./state.js";
-import { logLine, wakeAfter, type Turn } from "./turn.js";
+import { OWNERSHIP } from "../constants.js";
+import type { OwnedWork, WorkloadState } from "../state.js";
+import { logLine, wakeAfter, type Turn } from "../turn.js";
 
 /** Returns how long an underpowered owner keeps ownership; it doubles with each yield in a row. */
 const maxTenureMs = ({ previousYields }: OwnedWork): number =>
--- a/packages/core/src/work/recovery.ts
+++ b/packages/core/src/work/ownership/recovery.ts
@@ -1,18 +1,18 @@
-import { STORE } from "./constants.js";
-import { countSteps } from "./handlingCost.js";
-import { previousLeasesEndAtMs } from "./earlierLeases.js";
-import { grantedLeaseMs } from "./leaseTimes.js";
-import type { Scan, StoreRow, WorkEvent } from "./events.js";
+import { STORE } from "../constants.js";
+import { countSteps } from "../handlingCost.js";
+import { previousLeasesEndAtMs } from "../workers/earlierLeases.js";
+import { grantedLeaseMs } from "../workers/leaseTimes.js";
+import type { Scan, StoreRow, WorkEvent } from "../events.js";
 import { updateWithheldCharges, leasedItems, releaseItems, adoptLeases } from "./withheldItems.js";
-import { markLeaseChanged } from "./leaseRows.js";
-import { poolOf } from "./pools.js";
-import type { OwnedWork } from "./state.js";
-import { adoptSubmission } from "./adoption.js";
-import { cancelSubmission } from "./submissions.js";
-import { logLine, validAsOfMs, wakeAfter, type Turn } from "./turn.js";
-import type { Progress, SubmissionId, WorkerId } from "./types.js";
-import { restoreWave } from "./maintenanceWaves.js";
-import { workerRegistered } from "./workers.js";
+import { markLeaseChanged } from "../store/leaseRows.js";
+import { poolOf } from "../hosts/pools.js";
+import type { OwnedWork } from "../state.js";
+import { adoptSubmission } from "../submissions/adoption.js";
+import { cancelSubmission } from "../submissions/submissions.js";
+import { logLine, validAsOfMs, wakeAfter, type Turn } from "../turn.js";
+import type { Progress, SubmissionId, WorkerId } from "../types.js";
+import { restoreWave } from "../hosts/maintenanceWaves.js";
+import { workerRegistered } from "../workers/workers.js";
 
 /** Stores one of the tables that a new owner loads; once all are loaded, it starts to decide. */
 export const tableLoaded = (
--- a/packages/core/src/work/withheldItems.ts
+++ b/packages/core/src/work/ownership/withheldItems.ts
@@ -1,9 +1,9 @@
 import type { TeamId } from "@heatherferry/common";
-import { findItem, specOf, teamOf } from "./itemLookup.js";
-import type { StoreRow } from "./events.js";
-import type { OwnedWork } from "./state.js";
-import { chargeTeam } from "./teamUse.js";
-import type { ItemKey, LeasedWorker, Resources, SubmissionId, WorkerId } from "./types.js";
+import { findItem, specOf, teamOf } from "../submissions/itemLookup.js";
+import type { StoreRow } from "../events.js";
+import type { OwnedWork } from "../state.js";
+import { chargeTeam } from "../placement/teamUse.js";
+import type { ItemKey, LeasedWorker, Resources, SubmissionId, WorkerId } from "../types.js";
 
 /**
  * Items that are not started because they may still run on unfenced workers, with those workers.
--- a/packages/core/src/work/backlog.ts
+++ b/packages/core/src/work/placement/backlog.ts
@@ -1,14 +1,14 @@
 import type { TeamId } from "@heatherferry/common";
 import { DueQueue, KeyedHeap } from "@heatherferry/coordination";
-import { countSteps } from "./handlingCost.js";
+import { countSteps } from "../handlingCost.js";
 import type { CapacityIndex } from "./capacityIndex.js";
 import { precedes, RANK, orderKeyOf, type OrderKey } from "./orderKey.js";
-import type { Submission } from "./state.js";
-import type { Turn } from "./turn.js";
+import type { Submission } from "../state.js";
+import type { Turn } from "../turn.js";
 import type { FleetKinds } from "./fleetKinds.js";
-import { findObstacles, hasItemsFor, hasPlaceableItems } from "./obstacles.js";
+import { findObstacles, hasItemsFor, hasPlaceableItems } from "../submissions/obstacles.js";
 import { submissionDemand, type SubmissionDemand } from "./backlogDemand.js";
-import type { Resources } from "./types.js";
+import type { Resources } from "../types.js";
 
 class OrderHeap extends KeyedHeap<Submission, OrderKey> {
   protected override isBefore(one: OrderKey, other: OrderKey): boolean {
--- a/packages/core/src/work/backlogDemand.ts
+++ b/packages/core/src/work/placement/backlogDemand.ts
@@ -1,11 +1,11 @@
-import { hostFraction } from "./arrivals.js";
-import { HOST_ALLOCATION } from "./constants.js";
+import { hostFraction } from "../hosts/arrivals.js";
+import { HOST_ALLOCATION } from "../constants.js";
 import { withinCeiling } from "./placement.js";
 import { RANK, type Rank } from "./orderKey.js";
-import { reservedResources } from "./workerResources.js";
-import type { OwnedWork, PoolWork, Submission } from "./state.js";
-import type { Turn } from "./turn.js";
-import type { Resources, StepSpec } from "./types.js";
+import { reservedResources } from "../workers/workerResources.js";
+import type { OwnedWork, PoolWork, Submission } from "../state.js";
+import type { Turn } from "../turn.js";
+import type { Resources, StepSpec } from "../types.js";
 import type { TeamBacklog } from "./backlog.js";
 
 /** Demand of the ready items of one submission. */
--- a/packages/core/src/work/capacityIndex.ts
+++ b/packages/core/src/work/placement/capacityIndex.ts
@@ -1,4 +1,4 @@
-import type { Worker } from "./state.js";
+import type { Worker } from "../state.js";
 
 /** Range of free processor time that one bucket covers, in thousandths of a core. */
 const BUCKET_MILLI = 1_000;
--- a/packages/core/src/work/capacityReservations.ts
+++ b/packages/core/src/work/placement/capacityReservations.ts
@@ -1,14 +1,14 @@
-import { countSteps } from "./handlingCost.js";
+import { countSteps } from "../handlingCost.js";
 import { chooseWorker, mayRunOn, type WorkerSearch } from "./placement.js";
 import {
   reserveCapacity,
   RESOURCES,
   reservedResources,
   releaseCapacity,
-} from "./workerResources.js";
-import type { Item, OwnedWork, PoolWork, Worker } from "./state.js";
-import { logLine, type Turn } from "./turn.js";
-import { isUsable } from "./workerAvailability.js";
+} from "../workers/workerResources.js";
+import type { Item, OwnedWork, PoolWork, Worker } from "../state.js";
+import { logLine, type Turn } from "../turn.js";
+import { isUsable } from "../workers/workerAvailability.js";
 
 /** Returns the workers of a pool that accept new work now. */
 const usableWorkers = (turn: Turn, owned: OwnedWork, pool: PoolWork): Worker[] => {
--- a/packages/core/src/work/dispatch.ts
+++ b/packages/core/src/work/placement/dispatch.ts
@@ -1,8 +1,8 @@
 import type { PoolId } from "@heatherferry/common";
-import { hostCapacity } from "./arrivals.js";
-import { PLACEMENT, STORE } from "./constants.js";
-import { isSubmissionViewFresh, isOwnershipConfirmed } from "./ownershipConfirmation.js";
-import { poolOf } from "./pools.js";
+import { hostCapacity } from "../hosts/arrivals.js";
+import { PLACEMENT, STORE } from "../constants.js";
+import { isSubmissionViewFresh, isOwnershipConfirmed } from "../ownership/ownershipConfirmation.js";
+import { poolOf } from "../hosts/pools.js";
 import { nearsCeiling } from "./placement.js";
 import {
   newPlacementPass,
@@ -11,9 +11,9 @@
   type PlacementPass,
   type Shortage,
 } from "./placementPass.js";
-import type { OwnedWork, PoolWork, Submission } from "./state.js";
-import { poolOfSubmission } from "./submissionStates.js";
-import type { Turn } from "./turn.js";
+import type { OwnedWork, PoolWork, Submission } from "../state.js";
+import { poolOfSubmission } from "../submissions/submissionStates.js";
+import type { Turn } from "../turn.js";
 import { BacklogPass } from "./backlog.js";
 
 /**
--- a/packages/core/src/work/fleetKinds.ts
+++ b/packages/core/src/work/placement/fleetKinds.ts
@@ -1,8 +1,8 @@
-import { teamById } from "./catalog.js";
-import { RESOURCES, reservedResources } from "./workerResources.js";
-import type { Submission } from "./state.js";
-import type { Turn } from "./turn.js";
-import type { Resources, StepSpec } from "./types.js";
+import { teamById } from "../store/catalog.js";
+import { RESOURCES, reservedResources } from "../workers/workerResources.js";
+import type { Submission } from "../state.js";
+import type { Turn } from "../turn.js";
+import type { Resources, StepSpec } from "../types.js";
 
 /** What workers of one kind offer: their labels, and their capacity when nothing runs there. */
 interface WorkerKind {
--- a/packages/core/src/work/gangs.ts
+++ b/packages/core/src/work/placement/gangs.ts
@@ -1,8 +1,8 @@
-import { ITEM_PHASE } from "./constants.js";
-import { abandonRun } from "./abandonedRuns.js";
-import type { Item, OwnedWork, PoolWork } from "./state.js";
-import { itemDone } from "./submissions.js";
-import type { Turn } from "./turn.js";
+import { ITEM_PHASE } from "../constants.js";
+import { abandonRun } from "../workers/abandonedRuns.js";
+import type { Item, OwnedWork, PoolWork } from "../state.js";
+import { itemDone } from "../submissions/submissions.js";
+import type { Turn } from "../turn.js";
 import { nextRunNumber, planStart } from "./starts.js";
 import { withinCeiling } from "./placement.js";
 import { findWorker } from "./capacityReservations.js";
--- a/packages/core/src/work/orderKey.ts
+++ b/packages/core/src/work/placement/orderKey.ts
@@ -1,7 +1,7 @@
-import { queueById } from "./catalog.js";
-import { ORDERING, SUBMISSION_STATE } from "./constants.js";
-import type { Submission } from "./state.js";
-import type { Turn } from "./turn.js";
+import { queueById } from "../store/catalog.js";
+import { ORDERING, SUBMISSION_STATE } from "../constants.js";
+import type { Submission } from "../state.js";
+import type { Turn } from "../turn.js";
 import type { ValueOf } from "@heatherferry/common";
 
 /** Urgency of a submission. Lower ranks get capacity first, in the order of value to callers. */
--- a/packages/core/src/work/placement.ts
+++ b/packages/core/src/work/placement/placement.ts
@@ -1,10 +1,10 @@
 import type { TeamId } from "@heatherferry/common";
-import { teamById } from "./catalog.js";
-import { STORE } from "./constants.js";
-import { NO_RESOURCES, RESOURCES, reservedResources } from "./workerResources.js";
-import type { Item, OwnedWork, Submission, Worker } from "./state.js";
-import type { Turn } from "./turn.js";
-import { stepKeyOf, type Resources, type StepSpec } from "./types.js";
+import { teamById } from "../store/catalog.js";
+import { STORE } from "../constants.js";
+import { NO_RESOURCES, RESOURCES, reservedResources } from "../workers/workerResources.js";
+import type { Item, OwnedWork, Submission, Worker } from "../state.js";
+import type { Turn } from "../turn.js";
+import { stepKeyOf, type Resources, type StepSpec } from "../types.js";
 
 /** Whether a worker has the capacity for an item now, whether it accepts work or not. */
 export const hasRoomFor = (worker: Worker, needs: Resources): boolean => {
--- a/packages/core/src/work/placementPass.ts
+++ b/packages/core/src/work/placement/placementPass.ts
@@ -1,14 +1,14 @@
 import type { TeamId, ValueOf } from "@heatherferry/common";
-import { countSteps } from "./handlingCost.js";
-import { hasRoomForFailure } from "./failedRuns.js";
+import { countSteps } from "../handlingCost.js";
+import { hasRoomForFailure } from "../submissions/failedRuns.js";
 import { planGang } from "./gangs.js";
 import { findWorker, reserveFutureCapacity, freeReservedWorker } from "./capacityReservations.js";
 import { withinCeiling } from "./placement.js";
-import { RESOURCES, reservedResources, releaseCapacity } from "./workerResources.js";
+import { RESOURCES, reservedResources, releaseCapacity } from "../workers/workerResources.js";
 import { nextRunNumber, planStart } from "./starts.js";
-import type { Item, OwnedWork, PoolWork, Submission, Worker } from "./state.js";
-import type { Turn } from "./turn.js";
-import type { Resources, StepSpec } from "./types.js";
+import type { Item, OwnedWork, PoolWork, Submission, Worker } from "../state.js";
+import type { Turn } from "../turn.js";
+import type { Resources, StepSpec } from "../types.js";
 
 /** Resources that no worker with a label has free; a null label stands for any worker. */
 interface Unavailable {
--- a/packages/core/src/work/planning.ts
+++ b/packages/core/src/work/placement/planning.ts
@@ -1,11 +1,11 @@
-import { PLACEMENT, STORE } from "./constants.js";
+import { PLACEMENT, STORE } from "../constants.js";
 import { dispatch, hasWorkToPlace, markBacklogsChanged } from "./dispatch.js";
-import { evictFromDrainingWorkers } from "./eviction.js";
-import { nextCommitDelayMs } from "./ownerCommit.js";
-import { tickHostAllocation } from "./hostAllocation.js";
-import type { OwnedWork } from "./state.js";
-import { wakeAfter, type Turn } from "./turn.js";
-import { tickWaves } from "./maintenanceWaves.js";
+import { evictFromDrainingWorkers } from "../workers/eviction.js";
+import { nextCommitDelayMs } from "../ownership/ownerCommit.js";
+import { tickHostAllocation } from "../hosts/hostAllocation.js";
+import type { OwnedWork } from "../state.js";
+import { wakeAfter, type Turn } from "../turn.js";
+import { tickWaves } from "../hosts/maintenanceWaves.js";
 
 /** Evicts work from draining workers, advances maintenance waves and allocates hosts to pools. */
 const allocateHosts = (turn: Turn, owned: OwnedWork): void => {
--- a/packages/core/src/work/starts.ts
+++ b/packages/core/src/work/placement/starts.ts
@@ -1,15 +1,15 @@
-import { ORDER, RUN_PHASE } from "./constants.js";
-import { isOwnershipConfirmed, isSubmissionViewFresh } from "./ownershipConfirmation.js";
-import { abandonRun } from "./abandonedRuns.js";
-import { countSteps } from "./handlingCost.js";
-import { hasCapacityForRuns } from "./workerResources.js";
-import { addRun } from "./runs.js";
-import type { Item, OwnedWork, Run, Worker } from "./state.js";
-import { logLine, roundedMs, type Turn } from "./turn.js";
-import { extendLease, isClockCurrent } from "./leases.js";
-import { targetOf } from "./incarnations.js";
-import { pollGapMs } from "./loopLag.js";
-import { markWorkerChanged } from "./workerTimers.js";
+import { ORDER, RUN_PHASE } from "../constants.js";
+import { isOwnershipConfirmed, isSubmissionViewFresh } from "../ownership/ownershipConfirmation.js";
+import { abandonRun } from "../workers/abandonedRuns.js";
+import { countSteps } from "../handlingCost.js";
+import { hasCapacityForRuns } from "../workers/workerResources.js";
+import { addRun } from "../workers/runs.js";
+import type { Item, OwnedWork, Run, Worker } from "../state.js";
+import { logLine, roundedMs, type Turn } from "../turn.js";
+import { extendLease, isClockCurrent } from "../workers/leases.js";
+import { targetOf } from "../workers/incarnations.js";
+import { pollGapMs } from "../loopLag.js";
+import { markWorkerChanged } from "../workers/workerTimers.js";
 
 /** Most runs of an item under one fencing token; run numbers of the next token start above them. */
 const MAX_RUNS_PER_FENCE = 1_000;
--- a/packages/core/src/work/teamUse.ts
+++ b/packages/core/src/work/placement/teamUse.ts
@@ -1,7 +1,7 @@
 import type { TeamId } from "@heatherferry/common";
-import { RESOURCES } from "./workerResources.js";
-import type { TeamUse } from "./state.js";
-import type { Resources } from "./types.js";
+import { RESOURCES } from "../workers/workerResources.js";
+import type { TeamUse } from "../state.js";
+import type { Resources } from "../types.js";
 
 /** Adds resources to those that a team uses, or subtracts them. Ignores work without a team. */
 export const chargeTeam = (
--- a/packages/core/src/work/tokenBucket.ts
+++ b/packages/core/src/work/placement/tokenBucket.ts
@@ -1,4 +1,4 @@
-import { TOKEN_BUCKET } from "./constants.js";
+import { TOKEN_BUCKET } from "../constants.js";
 
 /** Token bucket that limits the submission rate of a team. */
 export interface TokenBucket {
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -1,9 +1,14 @@
 import type { Effect } from "../effect.js";
 import type { Event } from "../event.js";
-import { callCommitSettled, callLookedUp, callLookUpFailed, tickCalls } from "./callResults.js";
-import { callAbandoned, callArrived } from "./calls.js";
+import {
+  callCommitSettled,
+  callLookedUp,
+  callLookUpFailed,
+  tickCalls,
+} from "./calls/callResults.js";
+import { callAbandoned, callArrived } from "./calls/calls.js";
 import { CLOCK_JUMP, CLOCK_TICK, SHUTDOWN, OWNERSHIP, SCAN, STORE } from "./constants.js";
-import { placeAndAllocate } from "./planning.js";
+import { placeAndAllocate } from "./placement/planning.js";
 import type { WorkEvent } from "./events.js";
 import {
   feedAnswered,
@@ -12,33 +17,38 @@
   isFeed,
   storeAnswered,
   tickFeeds,
-} from "./feeds.js";
-import { purgeSettled, tickPurge } from "./purge.js";
-import { logAbandonedRuns } from "./abandonedRunLog.js";
-import { applyHostList } from "./hosts.js";
-import { ownerCommitSettled, tickOwnerCommit } from "./ownerCommit.js";
+} from "./store/feeds.js";
+import { purgeSettled, tickPurge } from "./submissions/purge.js";
+import { logAbandonedRuns } from "./workers/abandonedRunLog.js";
+import { applyHostList } from "./hosts/hosts.js";
+import { ownerCommitSettled, tickOwnerCommit } from "./ownership/ownerCommit.js";
 import { clockTicked } from "./loopLag.js";
-import { handleMoveAnswer } from "./hostMoves.js";
+import { handleMoveAnswer } from "./hosts/hostMoves.js";
 import {
   claimSettled,
   endOwnership,
   ownerScanFailed,
   ownerScanned,
   tickOwnership,
-} from "./ownership.js";
-import { paceFailed } from "./pacing.js";
-import { tableLoaded, tableLoadFailed, retryTableLoads, tickRecovery } from "./recovery.js";
-import { startAnswered, stopAnswered } from "./orderAnswers.js";
-import { resendStops } from "./runs.js";
-import { sendAwaitingStarts } from "./starts.js";
+} from "./ownership/ownership.js";
+import { paceFailed } from "./workers/pacing.js";
+import {
+  tableLoaded,
+  tableLoadFailed,
+  retryTableLoads,
+  tickRecovery,
+} from "./ownership/recovery.js";
+import { startAnswered, stopAnswered } from "./workers/orderAnswers.js";
+import { resendStops } from "./workers/runs.js";
+import { sendAwaitingStarts } from "./placement/starts.js";
 import type { OwnedWork, WorkloadState } from "./state.js";
-import { checkStarvation } from "./starvation.js";
-import { openWaitingItems } from "./openItems.js";
-import { makeDueOccurrences } from "./adoption.js";
+import { checkStarvation } from "./submissions/starvation.js";
+import { openWaitingItems } from "./submissions/openItems.js";
+import { makeDueOccurrences } from "./submissions/adoption.js";
 import { logLine, type Turn } from "./turn.js";
-import { handleMaintenanceAnswer } from "./hostMaintenance.js";
-import { tickWorkers } from "./workerPolls.js";
-import { workerPolled, workerPollFailed } from "./workers.js";
+import { handleMaintenanceAnswer } from "./hosts/hostMaintenance.js";
+import { tickWorkers } from "./workers/workerPolls.js";
+import { workerPolled, workerPollFailed } from "./workers/workers.js";
 
 /**
  * Detects a suspension of the machine as a jump between the wall clock and the monotonic clock,
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -1,13 +1,13 @@
 import type { HostId, PoolId, QueueId, TeamId } from "@heatherferry/common";
 import { DueQueue } from "@heatherferry/coordination";
-import type { OpenCall } from "./callState.js";
-import type { OwnerCommit } from "./commitState.js";
-import type { WithheldCharge, WithheldItems } from "./withheldItems.js";
-import type { TokenBucket } from "./tokenBucket.js";
-import { indexCatalog, type CatalogIndex } from "./catalog.js";
-import type { FleetKinds } from "./fleetKinds.js";
+import type { OpenCall } from "./calls/callState.js";
+import type { OwnerCommit } from "./ownership/commitState.js";
+import type { WithheldCharge, WithheldItems } from "./ownership/withheldItems.js";
+import type { TokenBucket } from "./placement/tokenBucket.js";
+import { indexCatalog, type CatalogIndex } from "./store/catalog.js";
+import type { FleetKinds } from "./placement/fleetKinds.js";
 import type { HandlingCost } from "./handlingCost.js";
-import type { IdleSubmission } from "./idleSubmissions.js";
+import type { IdleSubmission } from "./submissions/idleSubmissions.js";
 import type { Feed, Scan, StoreRow } from "./events.js";
 import type {
   Catalog,
@@ -22,9 +22,9 @@
   WorkBounds,
   WorkerId,
 } from "./types.js";
-import type { HostDrain, HostMove, HostOrder, MaintenanceWave } from "./hostState.js";
-import type { Run, Submission } from "./itemState.js";
-import type { AbandonedRuns, Worker, PoolWork, TeamUse } from "./workerState.js";
+import type { HostDrain, HostMove, HostOrder, MaintenanceWave } from "./hosts/hostState.js";
+import type { Run, Submission } from "./submissions/itemState.js";
+import type { AbandonedRuns, Worker, PoolWork, TeamUse } from "./workers/workerState.js";
 
 export type {
   MaintenanceWave,
@@ -33,10 +33,10 @@
   ExpectedReturn,
   HostDrain,
   HostMove,
-} from "./hostState.js";
-export type { OpenCall } from "./callState.js";
-export type { CommitChanges, OwnerCommit } from "./commitState.js";
-export type { Run, Item, Occurrence, Submission } from "./itemState.js";
+} from "./hosts/hostState.js";
+export type { OpenCall } from "./calls/callState.js";
+export type { CommitChanges, OwnerCommit } from "./ownership/commitState.js";
+export type { Run, Item, Occurrence, Submission } from "./submissions/itemState.js";
 export type {
   AbandonedRuns,
   Worker,
@@ -46,7 +46,7 @@
   Arrival,
   PoolWork,
   TeamUse,
-} from "./workerState.js";
+} from "./workers/workerState.js";
 
 /** State of the owner; created anew each time that this node acquires ownership. */
 export interface OwnedWork {
--- a/packages/core/src/work/catalog.ts
+++ b/packages/core/src/work/store/catalog.ts
@@ -1,8 +1,8 @@
 import type { PoolId, QueueId, TeamId } from "@heatherferry/common";
-import { CATALOG_VIEW } from "./constants.js";
-import type { WorkloadState } from "./state.js";
-import { logLine, type Turn } from "./turn.js";
-import type { Catalog, Pool, Queue, Team } from "./types.js";
+import { CATALOG_VIEW } from "../constants.js";
+import type { WorkloadState } from "../state.js";
+import { logLine, type Turn } from "../turn.js";
+import type { Catalog, Pool, Queue, Team } from "../types.js";
 
 /** Lookup tables of a catalog. */
 export interface CatalogIndex {
--- a/packages/core/src/work/commitRows.ts
+++ b/packages/core/src/work/store/commitRows.ts
@@ -1,11 +1,11 @@
-import { STORE } from "./constants.js";
-import type { CommitBudget } from "./commitBudget.js";
-import type { RowName, RowToWrite } from "./events.js";
+import { STORE } from "../constants.js";
+import type { CommitBudget } from "../ownership/commitBudget.js";
+import type { RowName, RowToWrite } from "../events.js";
 import { leaseRowChanges, selectStarts } from "./leaseRows.js";
-import { takePurgedRows } from "./purge.js";
-import type { MaintenanceWave, OwnedWork, OwnerCommit, Run, Submission } from "./state.js";
+import { takePurgedRows } from "../submissions/purge.js";
+import type { MaintenanceWave, OwnedWork, OwnerCommit, Run, Submission } from "../state.js";
 import { progressOf } from "./progressRows.js";
-import { logLine, type Turn } from "./turn.js";
+import { logLine, type Turn } from "../turn.js";
 
 /** The rows that an owner commit changes beside the owner row, and what they record. */
 export interface CommitRows {
--- a/packages/core/src/work/feeds.ts
+++ b/packages/core/src/work/store/feeds.ts
@@ -1,12 +1,12 @@
 import { catalogAgeMs, applyCatalog } from "./catalog.js";
-import { FEED, STORE, CATALOG_VIEW } from "./constants.js";
-import type { Feed, Scan, StoreRow, WorkEvent } from "./events.js";
-import type { FeedState } from "./state.js";
-import { adoptSubmission } from "./adoption.js";
-import { cancelSubmission } from "./submissions.js";
-import { logLine, roundedMs, validAsOfMs, wakeAfter, type Turn } from "./turn.js";
-import { handleWaveRequest } from "./maintenanceWaves.js";
-import { workerRegistered, workerDeregistered } from "./workers.js";
+import { FEED, STORE, CATALOG_VIEW } from "../constants.js";
+import type { Feed, Scan, StoreRow, WorkEvent } from "../events.js";
+import type { FeedState } from "../state.js";
+import { adoptSubmission } from "../submissions/adoption.js";
+import { cancelSubmission } from "../submissions/submissions.js";
+import { logLine, roundedMs, validAsOfMs, wakeAfter, type Turn } from "../turn.js";
+import { handleWaveRequest } from "../hosts/maintenanceWaves.js";
+import { workerRegistered, workerDeregistered } from "../workers/workers.js";
 
 /** Whether changes of a table are followed, unlike tables that only a new owner reads. */
 export const isFeed = (scan: Scan): scan is Feed => Object.values<Scan>(FEED).includes(scan);
--- a/packages/core/src/work/leaseRows.ts
+++ b/packages/core/src/work/store/leaseRows.ts
@@ -1,14 +1,14 @@
-import type { CommitBudget } from "./commitBudget.js";
-import { LEASE_ROW, STORE } from "./constants.js";
+import type { CommitBudget } from "../ownership/commitBudget.js";
+import { LEASE_ROW, STORE } from "../constants.js";
 import { base64Bytes } from "./storedSize.js";
-import type { RowName, RowToWrite } from "./events.js";
-import { lateLeaseLeftMs, leaseTermMs, unknownLeaseEndsAtMs } from "./leaseTimes.js";
-import { isStoppingRuns } from "./leases.js";
-import { runsNothing } from "./workerResources.js";
-import { markWorkerChanged } from "./workerTimers.js";
-import type { OwnedWork, Run, Worker } from "./state.js";
-import type { Turn } from "./turn.js";
-import { itemIndexOf, stepKeyOf, type LeasedWorker, type WorkerId } from "./types.js";
+import type { RowName, RowToWrite } from "../events.js";
+import { lateLeaseLeftMs, leaseTermMs, unknownLeaseEndsAtMs } from "../workers/leaseTimes.js";
+import { isStoppingRuns } from "../workers/leases.js";
+import { runsNothing } from "../workers/workerResources.js";
+import { markWorkerChanged } from "../workers/workerTimers.js";
+import type { OwnedWork, Run, Worker } from "../state.js";
+import type { Turn } from "../turn.js";
+import { itemIndexOf, stepKeyOf, type LeasedWorker, type WorkerId } from "../types.js";
 
 /** Changes to the lease rows of workers that one commit makes. */
 export interface LeaseRowChanges {
--- a/packages/core/src/work/progressRows.ts
+++ b/packages/core/src/work/store/progressRows.ts
@@ -1,8 +1,8 @@
-import { PROGRESS } from "./constants.js";
-import { obstacleOf } from "./obstacles.js";
-import type { Submission } from "./state.js";
-import { hasEnded } from "./submissionStates.js";
-import type { Progress } from "./types.js";
+import { PROGRESS } from "../constants.js";
+import { obstacleOf } from "../submissions/obstacles.js";
+import type { Submission } from "../state.js";
+import { hasEnded } from "../submissions/submissionStates.js";
+import type { Progress } from "../types.js";
 
 /** Whether what is done is stored as a window, since a list of it would grow without bound. */
 export const storesWindow = ({ state, done }: Submission): boolean =>
--- a/packages/core/src/work/rowTypes.ts
+++ b/packages/core/src/work/store/rowTypes.ts
@@ -1,5 +1,5 @@
 import type { HostId, PoolId, QueueId, TeamId } from "@heatherferry/common";
-import type { Fence, SubmissionId, SubmissionState, WorkSpec } from "./types.js";
+import type { Fence, SubmissionId, SubmissionState, WorkSpec } from "../types.js";
 
 /** The stored row of a submission, written once, before the caller is told of its acceptance. */
 export interface SubmissionRow {
--- a/packages/core/src/work/storeRows.ts
+++ b/packages/core/src/work/store/storeRows.ts
@@ -10,7 +10,7 @@
   WaveRequest,
   WorkerId,
   WorkerReport,
-} from "./types.js";
+} from "../types.js";
 
 /** A worker and what may run on it. */
 export interface WorkerLease {
--- a/packages/core/src/work/storedSize.ts
+++ b/packages/core/src/work/store/storedSize.ts
@@ -1,4 +1,4 @@
-import type { RowToWrite } from "./events.js";
+import type { RowToWrite } from "../events.js";
 
 const ASCII = /^[\0-\u007f]*$/u;
 
--- a/packages/core/src/work/adoption.ts
+++ b/packages/core/src/work/submissions/adoption.ts
@@ -1,6 +1,6 @@
-import { recordArrival } from "./arrivals.js";
-import { teamById } from "./catalog.js";
-import { ITEM_WINDOW, SUBMISSION_STATE } from "./constants.js";
+import { recordArrival } from "../hosts/arrivals.js";
+import { teamById } from "../store/catalog.js";
+import { ITEM_WINDOW, SUBMISSION_STATE } from "../constants.js";
 import { criticalPathsMs } from "./criticalPaths.js";
 import { DoneItems } from "./doneItems.js";
 import { addFailedRun } from "./failedRuns.js";
@@ -8,14 +8,14 @@
 import { findItem } from "./itemLookup.js";
 import { isOccurrenceDone, lastPersistedOccurrence, makeOccurrence } from "./occurrences.js";
 import { itemForRun, unblockSteps, UnopenedSteps } from "./openItems.js";
-import { poolOf } from "./pools.js";
+import { poolOf } from "../hosts/pools.js";
 import { ProgressLayout } from "./progressLayout.js";
-import type { OwnedWork, Submission } from "./state.js";
+import type { OwnedWork, Submission } from "../state.js";
 import { countQueued, hasEnded, poolOfSubmission } from "./submissionStates.js";
 import { cancelSubmission } from "./submissions.js";
-import { takeToken } from "./tokenBucket.js";
-import type { Turn } from "./turn.js";
-import type { ItemKey, SubmissionRow, Progress, StoreVersion } from "./types.js";
+import { takeToken } from "../placement/tokenBucket.js";
+import type { Turn } from "../turn.js";
+import type { ItemKey, SubmissionRow, Progress, StoreVersion } from "../types.js";
 
 /** Whether an occurrence lies too far ahead of the first item that is not done. */
 const isBeyondWindow = ({ layout, done }: Submission, number: number): boolean =>
--- a/packages/core/src/work/criticalPaths.ts
+++ b/packages/core/src/work/submissions/criticalPaths.ts
@@ -1,4 +1,4 @@
-import type { StepSpec, WorkSpec } from "./types.js";
+import type { StepSpec, WorkSpec } from "../types.js";
 
 /**
  * Computes the critical path of each step: the longest sum of estimated run times from the start of
--- a/packages/core/src/work/doneItems.ts
+++ b/packages/core/src/work/submissions/doneItems.ts
@@ -1,5 +1,5 @@
 import type { ProgressLayout } from "./progressLayout.js";
-import type { Progress } from "./types.js";
+import type { Progress } from "../types.js";
 
 const BITS_PER_DIGIT = 4;
 const HEX_RADIX = 16;
--- a/packages/core/src/work/failedRuns.ts
+++ b/packages/core/src/work/submissions/failedRuns.ts
@@ -1,5 +1,5 @@
-import { PROGRESS } from "./constants.js";
-import type { Item, Submission } from "./state.js";
+import { PROGRESS } from "../constants.js";
+import type { Item, Submission } from "../state.js";
 
 const runBytes = (item: Item): number =>
   item.failedRuns.size === 0
--- a/packages/core/src/work/idleSubmissions.ts
+++ b/packages/core/src/work/submissions/idleSubmissions.ts
@@ -1,7 +1,7 @@
-import type { OwnedWork, Submission } from "./state.js";
+import type { OwnedWork, Submission } from "../state.js";
 import type { StarvationReason } from "./starvation.js";
 import { hasEnded } from "./submissionStates.js";
-import type { Turn } from "./turn.js";
+import type { Turn } from "../turn.js";
 
 /** A submission that has not ended and of which no run is booked. */
 export interface IdleSubmission {
--- a/packages/core/src/work/itemLookup.ts
+++ b/packages/core/src/work/submissions/itemLookup.ts
@@ -1,6 +1,6 @@
 import type { TeamId } from "@heatherferry/common";
-import type { Item, OwnedWork } from "./state.js";
-import type { SubmissionRow, ItemKey, StepSpec, SubmissionId } from "./types.js";
+import type { Item, OwnedWork } from "../state.js";
+import type { SubmissionRow, ItemKey, StepSpec, SubmissionId } from "../types.js";
 
 const rowOf = (owned: OwnedWork, key: ItemKey): SubmissionRow | null =>
   owned.submissions.get(key.split(".")[0] as SubmissionId)?.row ?? null;
--- a/packages/core/src/work/itemState.ts
+++ b/packages/core/src/work/submissions/itemState.ts
@@ -1,4 +1,4 @@
-import type { Backlog } from "./backlog.js";
+import type { Backlog } from "../placement/backlog.js";
 import type { DoneItems } from "./doneItems.js";
 import type { UnopenedSteps } from "./openItems.js";
 import type { ProgressLayout } from "./progressLayout.js";
@@ -13,7 +13,7 @@
   StoreVersion,
   SubmissionState,
   WorkerId,
-} from "./types.js";
+} from "../types.js";
 
 /** A run of an item on a worker, from its planned start until its end is known. */
 export interface Run {
--- a/packages/core/src/work/obstacles.ts
+++ b/packages/core/src/work/submissions/obstacles.ts
@@ -1,8 +1,8 @@
 import { markDirty } from "./dirtySubmissions.js";
-import type { CapacityIndex } from "./capacityIndex.js";
-import type { FleetKinds } from "./fleetKinds.js";
-import type { Submission } from "./state.js";
-import { logLine, type Turn } from "./turn.js";
+import type { CapacityIndex } from "../placement/capacityIndex.js";
+import type { FleetKinds } from "../placement/fleetKinds.js";
+import type { Submission } from "../state.js";
+import { logLine, type Turn } from "../turn.js";
 
 /**
  * Determines for each step with ready items whether no worker can ever hold one, and logs the
--- a/packages/core/src/work/occurrences.ts
+++ b/packages/core/src/work/submissions/occurrences.ts
@@ -1,10 +1,10 @@
-import { queueById } from "./catalog.js";
-import { ITEM_PHASE, ORDERING } from "./constants.js";
-import type { Item, Occurrence, Submission } from "./state.js";
-import type { Turn } from "./turn.js";
+import { queueById } from "../store/catalog.js";
+import { ITEM_PHASE, ORDERING } from "../constants.js";
+import type { Item, Occurrence, Submission } from "../state.js";
+import type { Turn } from "../turn.js";
 import type { ItemPlace } from "./progressLayout.js";
 import { StepItems } from "./stepItems.js";
-import { itemKeyOf, type Progress } from "./types.js";
+import { itemKeyOf, type Progress } from "../types.js";
 
 /** Returns the deadline and the expiry of an occurrence, on this node's monotonic clock. */
 const timesOf = (
--- a/packages/core/src/work/openItems.ts
+++ b/packages/core/src/work/submissions/openItems.ts
@@ -1,13 +1,13 @@
 import { KeyedHeap } from "@heatherferry/coordination";
-import { ITEM_PHASE, ITEM_WINDOW } from "./constants.js";
+import { ITEM_PHASE, ITEM_WINDOW } from "../constants.js";
 import { newItem } from "./occurrences.js";
-import { poolOf } from "./pools.js";
+import { poolOf } from "../hosts/pools.js";
 import { addReady } from "./readyItems.js";
 import { hasEnded, poolOfSubmission } from "./submissionStates.js";
-import type { Item, Occurrence, OwnedWork, Submission } from "./state.js";
+import type { Item, Occurrence, OwnedWork, Submission } from "../state.js";
 import type { StepItems } from "./stepItems.js";
-import type { Turn } from "./turn.js";
-import type { ItemKey, StepSpec, SubmissionId } from "./types.js";
+import type { Turn } from "../turn.js";
+import type { ItemKey, StepSpec, SubmissionId } from "../types.js";
 
 /** A step whose items may run and are not all open yet. */
 export interface UnopenedStep {
--- a/packages/core/src/work/progressLayout.ts
+++ b/packages/core/src/work/submissions/progressLayout.ts
@@ -1,4 +1,4 @@
-import type { WorkSpec } from "./types.js";
+import type { WorkSpec } from "../types.js";
 
 /** An item of a submission that ends by itself, by its place. */
 export interface ItemPlace {
--- a/packages/core/src/work/purge.ts
+++ b/packages/core/src/work/submissions/purge.ts
@@ -1,10 +1,10 @@
-import { PURGE, STORE, SUBMISSION_STATE } from "./constants.js";
-import type { CommitBudget } from "./commitBudget.js";
-import type { Commit, RowName, WorkEvent } from "./events.js";
-import { isOwnershipConfirmed } from "./ownershipConfirmation.js";
-import type { OwnedWork, Submission } from "./state.js";
-import { logLine, newCommitId, type Turn } from "./turn.js";
-import { NO_ROW, type SubmissionId } from "./types.js";
+import { PURGE, STORE, SUBMISSION_STATE } from "../constants.js";
+import type { CommitBudget } from "../ownership/commitBudget.js";
+import type { Commit, RowName, WorkEvent } from "../events.js";
+import { isOwnershipConfirmed } from "../ownership/ownershipConfirmation.js";
+import type { OwnedWork, Submission } from "../state.js";
+import { logLine, newCommitId, type Turn } from "../turn.js";
+import { NO_ROW, type SubmissionId } from "../types.js";
 
 /** Returns how long rows are kept that only the answers to callers need. */
 const retentionMs = ({ work }: Turn): number => work.bounds.statusRetentionMs + PURGE.MARGIN_MS;
--- a/packages/core/src/work/readyItems.ts
+++ b/packages/core/src/work/submissions/readyItems.ts
@@ -1,4 +1,4 @@
-import type { Item, Submission } from "./state.js";
+import type { Item, Submission } from "../state.js";
 
 const adjustReadyCount = (submission: Submission, step: number, sign: 1 | -1): void => {
   submission.readyByStep[step] = (submission.readyByStep[step] ?? 0) + sign;
--- a/packages/core/src/work/starvation.ts
+++ b/packages/core/src/work/submissions/starvation.ts
@@ -1,16 +1,16 @@
 import type { ValueOf } from "@heatherferry/common";
-import { STARVATION } from "./constants.js";
-import { countSteps } from "./handlingCost.js";
+import { STARVATION } from "../constants.js";
+import { countSteps } from "../handlingCost.js";
 import type { IdleSubmission } from "./idleSubmissions.js";
-import { isOwnershipConfirmed, isSubmissionViewFresh } from "./ownershipConfirmation.js";
-import { hasRoomFor, mayRunOn, withinCeiling } from "./placement.js";
-import { mayFail } from "./placementPass.js";
-import { poolOf } from "./pools.js";
-import type { Item, OwnedWork, Submission, Worker } from "./state.js";
+import { isOwnershipConfirmed, isSubmissionViewFresh } from "../ownership/ownershipConfirmation.js";
+import { hasRoomFor, mayRunOn, withinCeiling } from "../placement/placement.js";
+import { mayFail } from "../placement/placementPass.js";
+import { poolOf } from "../hosts/pools.js";
+import type { Item, OwnedWork, Submission, Worker } from "../state.js";
 import { poolOfSubmission } from "./submissionStates.js";
-import { logLine, type Turn } from "./turn.js";
-import { closureOf, type WorkerClosure } from "./workerAvailability.js";
-import { reservedResources } from "./workerResources.js";
+import { logLine, type Turn } from "../turn.js";
+import { closureOf, type WorkerClosure } from "../workers/workerAvailability.js";
+import { reservedResources } from "../workers/workerResources.js";
 
 /** Why nothing of a submission runs although a worker of its pool has room for an item of it. */
 export const STARVATION_REASON = {
--- a/packages/core/src/work/submissionStates.ts
+++ b/packages/core/src/work/submissions/submissionStates.ts
@@ -1,9 +1,9 @@
 import type { PoolId } from "@heatherferry/common";
-import { queueById } from "./catalog.js";
-import { SUBMISSION_STATE } from "./constants.js";
-import type { OwnedWork, Submission } from "./state.js";
-import type { Turn } from "./turn.js";
-import type { SubmissionRow, SubmissionState } from "./types.js";
+import { queueById } from "../store/catalog.js";
+import { SUBMISSION_STATE } from "../constants.js";
+import type { OwnedWork, Submission } from "../state.js";
+import type { Turn } from "../turn.js";
+import type { SubmissionRow, SubmissionState } from "../types.js";
 
 /** Returns the pool that runs a submission's work, by the current catalog. */
 export const poolOfSubmission = (turn: Turn, row: SubmissionRow): PoolId =>
--- a/packages/core/src/work/submissions.ts
+++ b/packages/core/src/work/submissions/submissions.ts
@@ -1,17 +1,17 @@
-import { queueById } from "./catalog.js";
-import { ITEM_PHASE, SUBMISSION_STATE } from "./constants.js";
+import { queueById } from "../store/catalog.js";
+import { ITEM_PHASE, SUBMISSION_STATE } from "../constants.js";
 import { markDirty } from "./dirtySubmissions.js";
 import { addFailedRun, forgetFailedRuns } from "./failedRuns.js";
 import { noteBookedRuns } from "./idleSubmissions.js";
 import { isOccurrenceDone } from "./occurrences.js";
 import { closeAllItems, closeItem, isUnblocked, makeReady, unblockSteps } from "./openItems.js";
 import { clearReady, removeReady } from "./readyItems.js";
-import { stopRun } from "./runs.js";
-import type { Item, Occurrence, OwnedWork, Submission } from "./state.js";
+import { stopRun } from "../workers/runs.js";
+import type { Item, Occurrence, OwnedWork, Submission } from "../state.js";
 import { enterState, hasEnded } from "./submissionStates.js";
-import { logLine, roundedMs, type Turn } from "./turn.js";
-import type { SubmissionRow, SubmissionId, SubmissionState } from "./types.js";
-import { releaseCapacity } from "./workerResources.js";
+import { logLine, roundedMs, type Turn } from "../turn.js";
+import type { SubmissionRow, SubmissionId, SubmissionState } from "../types.js";
+import { releaseCapacity } from "../workers/workerResources.js";
 
 const lastOccurrence = (submission: Submission): Occurrence | undefined =>
   submission.occurrences.get(submission.createdOccurrences - 1);
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -18,7 +18,7 @@
   Progress,
   ProgressWindow,
   SubmissionRow,
-} from "./rowTypes.js";
+} from "./store/rowTypes.js";
 
 export type SubmissionId = Brand<string, "SubmissionId">;
 /** Permanent key of an item of work: submission, occurrence, step and index. */
--- a/packages/core/src/work/abandonedRunLog.ts
+++ b/packages/core/src/work/workers/abandonedRunLog.ts
@@ -1,6 +1,6 @@
-import { ABANDONED_RUNS } from "./constants.js";
-import type { AbandonedRuns, OwnedWork, Run, Worker } from "./state.js";
-import { logLine, roundedMs, type Turn } from "./turn.js";
+import { ABANDONED_RUNS } from "../constants.js";
+import type { AbandonedRuns, OwnedWork, Run, Worker } from "../state.js";
+import { logLine, roundedMs, type Turn } from "../turn.js";
 
 const newGroup = (turn: Turn, worker: Worker, reason: string): AbandonedRuns => ({
   worker: worker.report.id,
--- a/packages/core/src/work/abandonedRuns.ts
+++ b/packages/core/src/work/workers/abandonedRuns.ts
@@ -1,11 +1,11 @@
-import { ORDER, RUN_PHASE } from "./constants.js";
+import { ORDER, RUN_PHASE } from "../constants.js";
 import { recordAbandonedRun } from "./abandonedRunLog.js";
 import { expectLateLeases } from "./earlierLeases.js";
 import { chargeRun } from "./workerResources.js";
 import { removeRun, hasUnresolvedStart } from "./runs.js";
-import type { OwnedWork, Run, Worker } from "./state.js";
-import { requeueItem } from "./submissions.js";
-import { logLine, type Turn } from "./turn.js";
+import type { OwnedWork, Run, Worker } from "../state.js";
+import { requeueItem } from "../submissions/submissions.js";
+import { logLine, type Turn } from "../turn.js";
 
 /**
  * Abandons a run that no longer runs on a worker or was never ordered: frees its resources and
--- a/packages/core/src/work/duplicateRuns.ts
+++ b/packages/core/src/work/workers/duplicateRuns.ts
@@ -1,7 +1,7 @@
-import { END_KIND, ITEM_PHASE } from "./constants.js";
-import type { Item, Worker } from "./state.js";
-import { logLine, type Turn } from "./turn.js";
-import type { EndLine, RunningLine } from "./types.js";
+import { END_KIND, ITEM_PHASE } from "../constants.js";
+import type { Item, Worker } from "../state.js";
+import { logLine, type Turn } from "../turn.js";
+import type { EndLine, RunningLine } from "../types.js";
 
 const logDuplicate = (
   turn: Turn,
--- a/packages/core/src/work/earlierLeases.ts
+++ b/packages/core/src/work/workers/earlierLeases.ts
@@ -1,14 +1,14 @@
-import { LEASE, ORDER } from "./constants.js";
-import { markLeaseChanged } from "./leaseRows.js";
+import { LEASE, ORDER } from "../constants.js";
+import { markLeaseChanged } from "../store/leaseRows.js";
 import {
   durationOnOwnerMs,
   inheritedLeaseMs,
   longestLeaseMs,
   unknownLeaseEndsAtMs,
 } from "./leaseTimes.js";
-import type { OwnedWork, Worker } from "./state.js";
-import type { Turn } from "./turn.js";
-import type { LeasedWorker, WorkerId } from "./types.js";
+import type { OwnedWork, Worker } from "../state.js";
+import type { Turn } from "../turn.js";
+import type { LeasedWorker, WorkerId } from "../types.js";
 
 /**
  * @packageDocumentation
--- a/packages/core/src/work/eviction.ts
+++ b/packages/core/src/work/workers/eviction.ts
@@ -1,11 +1,11 @@
-import { LEASE, RUN_PHASE } from "./constants.js";
-import { hostCapacity, hostFraction } from "./arrivals.js";
+import { LEASE, RUN_PHASE } from "../constants.js";
+import { hostCapacity, hostFraction } from "../hosts/arrivals.js";
 import { isUnresponsive } from "./leases.js";
-import { reserveForMove } from "./capacityReservations.js";
-import { poolOf } from "./pools.js";
+import { reserveForMove } from "../placement/capacityReservations.js";
+import { poolOf } from "../hosts/pools.js";
 import { stopRun } from "./runs.js";
-import type { Item, OwnedWork, Run, Worker } from "./state.js";
-import type { Turn } from "./turn.js";
+import type { Item, OwnedWork, Run, Worker } from "../state.js";
+import type { Turn } from "../turn.js";
 
 /**
  * Whether an item's run has finished starting up. The last progress that a worker reported counts
--- a/packages/core/src/work/incarnations.ts
+++ b/packages/core/src/work/workers/incarnations.ts
@@ -1,10 +1,10 @@
-import { confirmedUntilMs } from "./ownershipConfirmation.js";
-import { INCARNATION_RELATION, RUN_PHASE } from "./constants.js";
-import type { IncarnationRelation, OrderTarget, WorkerTarget } from "./events.js";
+import { confirmedUntilMs } from "../ownership/ownershipConfirmation.js";
+import { INCARNATION_RELATION, RUN_PHASE } from "../constants.js";
+import type { IncarnationRelation, OrderTarget, WorkerTarget } from "../events.js";
 import { logOtherIncarnation, type WorkerRequest } from "./otherIncarnation.js";
-import type { OwnedWork, Worker } from "./state.js";
-import type { Turn } from "./turn.js";
-import type { WorkerReport } from "./types.js";
+import type { OwnedWork, Worker } from "../state.js";
+import type { Turn } from "../turn.js";
+import type { WorkerReport } from "../types.js";
 
 /**
  * Returns the target fields of a new order or poll: the worker's known incarnation and a new order
--- a/packages/core/src/work/leaseTimes.ts
+++ b/packages/core/src/work/workers/leaseTimes.ts
@@ -1,7 +1,7 @@
-import { LEASE, ORDER } from "./constants.js";
-import type { Worker } from "./state.js";
-import type { Turn } from "./turn.js";
-import type { LeasedWorker } from "./types.js";
+import { LEASE, ORDER } from "../constants.js";
+import type { Worker } from "../state.js";
+import type { Turn } from "../turn.js";
+import type { LeasedWorker } from "../types.js";
 
 /** Returns the longest time that a duration on a worker's clock takes on this node's, in ms. */
 export const durationOnOwnerMs = (onWorkerMs: number): number => onWorkerMs / LEASE.MIN_CLOCK_RATE;
--- a/packages/core/src/work/leases.ts
+++ b/packages/core/src/work/workers/leases.ts
@@ -1,8 +1,8 @@
-import { LEASE } from "./constants.js";
+import { LEASE } from "../constants.js";
 import { leaseTermMs } from "./leaseTimes.js";
-import { pollGapMs } from "./loopLag.js";
-import type { Worker } from "./state.js";
-import type { Turn } from "./turn.js";
+import { pollGapMs } from "../loopLag.js";
+import type { Worker } from "../state.js";
+import type { Turn } from "../turn.js";
 
 /** Records that a worker answered, and its clock unless a later reading is already known. */
 export const recordWorkerClock = (turn: Turn, worker: Worker, clockMs: number | null): void => {
--- a/packages/core/src/work/missingRuns.ts
+++ b/packages/core/src/work/workers/missingRuns.ts
@@ -1,13 +1,13 @@
-import { LEASE, RUN_PHASE } from "./constants.js";
-import type { WorkEvent } from "./events.js";
+import { LEASE, RUN_PHASE } from "../constants.js";
+import type { WorkEvent } from "../events.js";
 import { abandonRun } from "./abandonedRuns.js";
 import type { AnsweredPoll } from "./runEnds.js";
 import { recordAbandonedRun } from "./abandonedRunLog.js";
-import { markLeaseChanged } from "./leaseRows.js";
+import { markLeaseChanged } from "../store/leaseRows.js";
 import { stopRun } from "./runs.js";
-import type { OwnedWork, Worker } from "./state.js";
+import type { OwnedWork, Worker } from "../state.js";
 import { removeOrphan } from "./orphanedRuns.js";
-import type { Turn } from "./turn.js";
+import type { Turn } from "../turn.js";
 
 /** A run that polls should list. */
 interface ExpectedRun {
--- a/packages/core/src/work/orderAnswers.ts
+++ b/packages/core/src/work/workers/orderAnswers.ts
@@ -1,14 +1,14 @@
-import { ORDER, RUN_PHASE, START_RESULT } from "./constants.js";
-import type { StartResult, WorkEvent } from "./events.js";
+import { ORDER, RUN_PHASE, START_RESULT } from "../constants.js";
+import type { StartResult, WorkEvent } from "../events.js";
 import { abandonRun } from "./abandonedRuns.js";
 import { recordWorkerClock } from "./leases.js";
 import { answeringWorker } from "./incarnations.js";
 import { logOtherIncarnation } from "./otherIncarnation.js";
 import { hasUnresolvedStart, stopRun } from "./runs.js";
-import { resendStart } from "./starts.js";
-import type { OwnedWork, Run, Worker } from "./state.js";
-import { itemStarted } from "./submissions.js";
-import { logLine, wakeAfter, type Turn } from "./turn.js";
+import { resendStart } from "../placement/starts.js";
+import type { OwnedWork, Run, Worker } from "../state.js";
+import { itemStarted } from "../submissions/submissions.js";
+import { logLine, wakeAfter, type Turn } from "../turn.js";
 import { markWorkerChanged } from "./workerTimers.js";
 
 /** Handles a worker's answer to a start order, or the lack of one. */
--- a/packages/core/src/work/orphanedRuns.ts
+++ b/packages/core/src/work/workers/orphanedRuns.ts
@@ -1,15 +1,15 @@
-import { isOwnershipConfirmed } from "./ownershipConfirmation.js";
-import { LEASE, ORDER } from "./constants.js";
-import { markLeaseChanged } from "./leaseRows.js";
+import { isOwnershipConfirmed } from "../ownership/ownershipConfirmation.js";
+import { LEASE, ORDER } from "../constants.js";
+import { markLeaseChanged } from "../store/leaseRows.js";
 import { targetOf } from "./incarnations.js";
-import { poolOf } from "./pools.js";
+import { poolOf } from "../hosts/pools.js";
 import { chargeResources, NO_RESOURCES, reservedResources } from "./workerResources.js";
 import { logDuplicateRun } from "./duplicateRuns.js";
-import type { OwnedWork, OrphanedRun, Worker } from "./state.js";
-import { findItem, specOf, teamOf } from "./itemLookup.js";
-import { chargeTeam } from "./teamUse.js";
-import { logLine, type Turn } from "./turn.js";
-import type { ItemKey, RunningLine } from "./types.js";
+import type { OwnedWork, OrphanedRun, Worker } from "../state.js";
+import { findItem, specOf, teamOf } from "../submissions/itemLookup.js";
+import { chargeTeam } from "../placement/teamUse.js";
+import { logLine, type Turn } from "../turn.js";
+import type { ItemKey, RunningLine } from "../types.js";
 
 /** Returns the key of a run among a worker's orphaned runs. */
 export const runKeyOf = ({ item, run }: { item: ItemKey; run: number }): string => `${item} ${run}`;
--- a/packages/core/src/work/otherIncarnation.ts
+++ b/packages/core/src/work/workers/otherIncarnation.ts
@@ -1,5 +1,5 @@
-import type { Worker } from "./state.js";
-import { logLine, roundedMs, type Turn } from "./turn.js";
+import type { Worker } from "../state.js";
+import { logLine, roundedMs, type Turn } from "../turn.js";
 
 /** The kind of a request to a worker. */
 export type WorkerRequest = "poll" | "start" | "stop" | "pace";
--- a/packages/core/src/work/overcommitment.ts
+++ b/packages/core/src/work/workers/overcommitment.ts
@@ -1,8 +1,8 @@
 import { RESOURCES, reservedResources } from "./workerResources.js";
-import type { OwnedWork, Worker } from "./state.js";
-import { specOf } from "./itemLookup.js";
-import { logLine, type Turn } from "./turn.js";
-import type { Resources, RunningLine } from "./types.js";
+import type { OwnedWork, Worker } from "../state.js";
+import { specOf } from "../submissions/itemLookup.js";
+import { logLine, type Turn } from "../turn.js";
+import type { Resources, RunningLine } from "../types.js";
 
 /** Resources that the runs listed by a worker use. */
 interface ListedUse {
--- a/packages/core/src/work/pacing.ts
+++ b/packages/core/src/work/workers/pacing.ts
@@ -1,8 +1,8 @@
-import { PACING, RUN_PHASE } from "./constants.js";
-import type { WorkEvent } from "./events.js";
-import { isOwnershipConfirmed } from "./ownershipConfirmation.js";
-import type { OwnedWork, Run, Worker } from "./state.js";
-import { logLine, type Turn } from "./turn.js";
+import { PACING, RUN_PHASE } from "../constants.js";
+import type { WorkEvent } from "../events.js";
+import { isOwnershipConfirmed } from "../ownership/ownershipConfirmation.js";
+import type { OwnedWork, Run, Worker } from "../state.js";
+import { logLine, type Turn } from "../turn.js";
 import { targetOf, answeringWorker } from "./incarnations.js";
 
 /**
--- a/packages/core/src/work/runEnds.ts
+++ b/packages/core/src/work/workers/runEnds.ts
@@ -1,15 +1,15 @@
-import { END_KIND, ITEM_PHASE, RUN_PHASE } from "./constants.js";
-import { markGangDone } from "./gangs.js";
+import { END_KIND, ITEM_PHASE, RUN_PHASE } from "../constants.js";
+import { markGangDone } from "../placement/gangs.js";
 import { logDuplicateEnd } from "./duplicateRuns.js";
 import { addRun, removeRun, stopRun } from "./runs.js";
-import type { Item, OwnedWork, Worker } from "./state.js";
+import type { Item, OwnedWork, Worker } from "../state.js";
 import { removeOrphan, orphanListed } from "./orphanedRuns.js";
-import { itemForRun } from "./openItems.js";
-import { hasEnded } from "./submissionStates.js";
-import { itemStarted, itemDone, itemFailed, requeueItem } from "./submissions.js";
-import { logLine, type Turn } from "./turn.js";
+import { itemForRun } from "../submissions/openItems.js";
+import { hasEnded } from "../submissions/submissionStates.js";
+import { itemStarted, itemDone, itemFailed, requeueItem } from "../submissions/submissions.js";
+import { logLine, type Turn } from "../turn.js";
 import { recordFailure, recordSuccess } from "./workerHealth.js";
-import type { EndLine, RunningLine } from "./types.js";
+import type { EndLine, RunningLine } from "../types.js";
 
 /** Handles the end of a run that a worker lists for the first time. */
 export const runEnded = (turn: Turn, owned: OwnedWork, worker: Worker, end: EndLine): void => {
--- a/packages/core/src/work/runs.ts
+++ b/packages/core/src/work/workers/runs.ts
@@ -1,15 +1,15 @@
-import { hostFraction } from "./arrivals.js";
-import { ITEM_PHASE, ORDER, RUN_PHASE } from "./constants.js";
-import { countSteps } from "./handlingCost.js";
-import { noteBookedRuns } from "./idleSubmissions.js";
-import { markLeaseChanged } from "./leaseRows.js";
-import { isOwnershipConfirmed } from "./ownershipConfirmation.js";
-import { poolOf } from "./pools.js";
-import { removeReady } from "./readyItems.js";
+import { hostFraction } from "../hosts/arrivals.js";
+import { ITEM_PHASE, ORDER, RUN_PHASE } from "../constants.js";
+import { countSteps } from "../handlingCost.js";
+import { noteBookedRuns } from "../submissions/idleSubmissions.js";
+import { markLeaseChanged } from "../store/leaseRows.js";
+import { isOwnershipConfirmed } from "../ownership/ownershipConfirmation.js";
+import { poolOf } from "../hosts/pools.js";
+import { removeReady } from "../submissions/readyItems.js";
 import { chargeRun, reservedResources, releaseCapacity } from "./workerResources.js";
-import type { Item, OwnedWork, Run, Worker } from "./state.js";
-import { chargeTeam } from "./teamUse.js";
-import { logLine, type Turn } from "./turn.js";
+import type { Item, OwnedWork, Run, Worker } from "../state.js";
+import { chargeTeam } from "../placement/teamUse.js";
+import { logLine, type Turn } from "../turn.js";
 import { targetOf } from "./incarnations.js";
 
 const charge = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run, sign: 1 | -1): void => {
--- a/packages/core/src/work/stalledRuns.ts
+++ b/packages/core/src/work/workers/stalledRuns.ts
@@ -1,7 +1,7 @@
-import { HEALTH, RUN_PHASE } from "./constants.js";
+import { HEALTH, RUN_PHASE } from "../constants.js";
 import { stopRun } from "./runs.js";
-import type { Item, OwnedWork, Run, Worker } from "./state.js";
-import type { Turn } from "./turn.js";
+import type { Item, OwnedWork, Run, Worker } from "../state.js";
+import type { Turn } from "../turn.js";
 import { recordStall } from "./workerHealth.js";
 
 /**
--- a/packages/core/src/work/workerAvailability.ts
+++ b/packages/core/src/work/workers/workerAvailability.ts
@@ -1,8 +1,8 @@
 import type { ValueOf } from "@heatherferry/common";
-import { isReplaced } from "./hostWorkers.js";
+import { isReplaced } from "../hosts/hostWorkers.js";
 import { isUnresponsive } from "./leases.js";
-import type { OwnedWork, Worker } from "./state.js";
-import type { Turn } from "./turn.js";
+import type { OwnedWork, Worker } from "../state.js";
+import type { Turn } from "../turn.js";
 
 /** Why a worker accepts no new work. */
 export const WORKER_CLOSURE = {
--- a/packages/core/src/work/workerHealth.ts
+++ b/packages/core/src/work/workers/workerHealth.ts
@@ -1,7 +1,7 @@
-import { HEALTH } from "./constants.js";
-import { poolOf } from "./pools.js";
-import type { Item, OwnedWork, Worker } from "./state.js";
-import { logLine, type Turn } from "./turn.js";
+import { HEALTH } from "../constants.js";
+import { poolOf } from "../hosts/pools.js";
+import type { Item, OwnedWork, Worker } from "../state.js";
+import { logLine, type Turn } from "../turn.js";
 
 /**
  * Returns what a failed run is evidence of. Items of a step of which others are done are known to
--- a/packages/core/src/work/workerPolls.ts
+++ b/packages/core/src/work/workers/workerPolls.ts
@@ -1,6 +1,6 @@
-import { isOwnershipConfirmed } from "./ownershipConfirmation.js";
-import { CLOCK_TICK, LEASE } from "./constants.js";
-import { countSteps } from "./handlingCost.js";
+import { isOwnershipConfirmed } from "../ownership/ownershipConfirmation.js";
+import { CLOCK_TICK, LEASE } from "../constants.js";
+import { countSteps } from "../handlingCost.js";
 import { forgetEndedLeases } from "./earlierLeases.js";
 import { unknownLeaseEndsAtMs } from "./leaseTimes.js";
 import {
@@ -13,9 +13,9 @@
 import { targetOf } from "./incarnations.js";
 import { leaseExpired } from "./abandonedRuns.js";
 import { runsNothing } from "./workerResources.js";
-import type { OwnedWork, Worker } from "./state.js";
+import type { OwnedWork, Worker } from "../state.js";
 import { removeExpiredOrphans } from "./orphanedRuns.js";
-import { wakeAfter, type Turn } from "./turn.js";
+import { wakeAfter, type Turn } from "../turn.js";
 import { needsPoll, setWorkerTimer, takeDueWorkers } from "./workerTimers.js";
 import { removeWorker } from "./workerSet.js";
 
--- a/packages/core/src/work/workerResources.ts
+++ b/packages/core/src/work/workers/workerResources.ts
@@ -1,5 +1,5 @@
-import type { Item, OwnedWork, Run, Worker } from "./state.js";
-import type { Resources, StepSpec } from "./types.js";
+import type { Item, OwnedWork, Run, Worker } from "../state.js";
+import type { Resources, StepSpec } from "../types.js";
 
 /** The resources of a worker that work uses. */
 export const RESOURCES = ["cpuMilli", "memoryMb", "gpus"] as const;
--- a/packages/core/src/work/workerSet.ts
+++ b/packages/core/src/work/workers/workerSet.ts
@@ -1,6 +1,6 @@
-import { markLeaseChanged } from "./leaseRows.js";
-import { poolOf } from "./pools.js";
-import type { OwnedWork, Worker } from "./state.js";
+import { markLeaseChanged } from "../store/leaseRows.js";
+import { poolOf } from "../hosts/pools.js";
+import type { OwnedWork, Worker } from "../state.js";
 import { markWorkerChanged } from "./workerTimers.js";
 
 /** Adds an incarnation of a worker to the owner's state. */
--- a/packages/core/src/work/workerState.ts
+++ b/packages/core/src/work/workers/workerState.ts
@@ -1,9 +1,9 @@
 import type { Address, PoolId, TeamId, ValueOf } from "@heatherferry/common";
-import type { RESERVATION } from "./constants.js";
-import type { ItemKey, Resources, WorkerId, WorkerReport } from "./types.js";
-import type { Item, Run } from "./itemState.js";
-import type { CapacityIndex } from "./capacityIndex.js";
-import type { Backlog } from "./backlog.js";
+import type { RESERVATION } from "../constants.js";
+import type { ItemKey, Resources, WorkerId, WorkerReport } from "../types.js";
+import type { Item, Run } from "../submissions/itemState.js";
+import type { CapacityIndex } from "../placement/capacityIndex.js";
+import type { Backlog } from "../placement/backlog.js";
 
 /** Identifies one incarnation of a worker. */
 export interface WorkerIncarnation {
--- a/packages/core/src/work/workerTimers.ts
+++ b/packages/core/src/work/workers/workerTimers.ts
@@ -1,9 +1,9 @@
-import { isOwnershipConfirmed } from "./ownershipConfirmation.js";
-import { CLOCK_TICK } from "./constants.js";
+import { isOwnershipConfirmed } from "../ownership/ownershipConfirmation.js";
+import { CLOCK_TICK } from "../constants.js";
 import { unknownLeaseEndsAtMs } from "./leaseTimes.js";
 import { runsNothing } from "./workerResources.js";
-import type { OwnedWork, Worker } from "./state.js";
-import type { Turn } from "./turn.js";
+import type { OwnedWork, Worker } from "../state.js";
+import type { Turn } from "../turn.js";
 
 /** Has a worker processed at this tick, after a change that affects its next poll or its lease. */
 export const markWorkerChanged = (owned: OwnedWork, worker: Worker): void => {
--- a/packages/core/src/work/workers.ts
+++ b/packages/core/src/work/workers/workers.ts
@@ -1,26 +1,26 @@
-import { LEASE, INCARNATION_RELATION } from "./constants.js";
-import type { IncarnationRelation, WorkEvent } from "./events.js";
-import { addHostWorker, removeHostWorker } from "./hostWorkers.js";
+import { LEASE, INCARNATION_RELATION } from "../constants.js";
+import type { IncarnationRelation, WorkEvent } from "../events.js";
+import { addHostWorker, removeHostWorker } from "../hosts/hostWorkers.js";
 import { expectPreviousLeases, leaseVerified } from "./earlierLeases.js";
 import { recordWorkerClock } from "./leases.js";
 import { relateIncarnation, updateReport, answeringWorker } from "./incarnations.js";
 import { logOtherIncarnation } from "./otherIncarnation.js";
-import { addKind } from "./hosts.js";
+import { addKind } from "../hosts/hosts.js";
 import { paceFillers } from "./pacing.js";
-import { poolOf } from "./pools.js";
+import { poolOf } from "../hosts/pools.js";
 import { runEnded, runListed } from "./runEnds.js";
 import { logOvercommitment } from "./overcommitment.js";
 import { transferRuns, abandonRuns } from "./abandonedRuns.js";
-import type { OwnedWork, Worker } from "./state.js";
-import { logLine, type Turn } from "./turn.js";
+import type { OwnedWork, Worker } from "../state.js";
+import { logLine, type Turn } from "../turn.js";
 import { removeOrphans } from "./orphanedRuns.js";
 import { abandonMissingRuns } from "./missingRuns.js";
-import { pollGapMs } from "./loopLag.js";
+import { pollGapMs } from "../loopLag.js";
 import { stopStalledRuns } from "./stalledRuns.js";
 import { NO_RESOURCES } from "./workerResources.js";
 import { removeWorker, updateDraining, addWorker } from "./workerSet.js";
 import { markWorkerChanged } from "./workerTimers.js";
-import type { WorkerId, WorkerReport } from "./types.js";
+import type { WorkerId, WorkerReport } from "../types.js";
 
 const newWorker = (turn: Turn, report: WorkerReport, reportCurrent: boolean): Worker => ({
   report,
--- a/packages/core/tests/work/claimDelay.test.ts
+++ b/packages/core/tests/work/claimDelay.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { fence, initialWorkloadState, type OwnerRow, type WorkloadState } from "../../src/index.js";
-import { claimDelayMs, strongestOwnerMilli } from "../../src/work/claimDelay.js";
+import { claimDelayMs, strongestOwnerMilli } from "../../src/work/ownership/claimDelay.js";
 import { BOUNDS } from "./siteFixtures.js";
 
 const nodeWith = (processorMilli: number, strongestOwnerMilli: number | null): WorkloadState => {
--- a/packages/core/tests/work/hostDrains.test.ts
+++ b/packages/core/tests/work/hostDrains.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { maxMinShares } from "../../src/work/maxMinShares.js";
+import { maxMinShares } from "../../src/work/hosts/maxMinShares.js";
 import type { StepSpec, SubmissionId } from "../../src/index.js";
 import { stepOf, workOf } from "./workSpecs.js";
 import { WorkSite } from "./workSite.js";
--- a/packages/core/tests/work/reservations.test.ts
+++ b/packages/core/tests/work/reservations.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { RESERVATION, type Reservation, type Worker } from "../../src/index.js";
-import { releaseWorker, reserveWorker } from "../../src/work/hostWorkers.js";
+import { releaseWorker, reserveWorker } from "../../src/work/hosts/hostWorkers.js";
 import { WorkSite } from "./workSite.js";
 
 const MOVE: Reservation = { purpose: RESERVATION.MOVE, number: 1 };
--- a/packages/core/tests/work/submissionLimits.test.ts
+++ b/packages/core/tests/work/submissionLimits.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import type { WorkSpec } from "../../src/index.js";
-import { limitExceededBy } from "../../src/work/submissionLimits.js";
+import { limitExceededBy } from "../../src/work/calls/submissionLimits.js";
 import { submissionRowOf } from "./ownerNode.js";
 import { stepOf, workOf } from "./workSpecs.js";
 
--- a/packages/core/tests/work/tokenBucket.test.ts
+++ b/packages/core/tests/work/tokenBucket.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { takeToken } from "../../src/work/tokenBucket.js";
+import { takeToken } from "../../src/work/placement/tokenBucket.js";
 
 test("a team that submits at ten times its rate is admitted beyond its rate and burst", (t) => {
   const bucket = { tokens: 10, refilledAtMs: 0 };
--- a/packages/core/tests/work/transferredRuns.test.ts
+++ b/packages/core/tests/work/transferredRuns.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import type { Worker } from "../../src/index.js";
-import { transferRuns } from "../../src/work/abandonedRuns.js";
+import { transferRuns } from "../../src/work/workers/abandonedRuns.js";
 import { stepOf, workOf } from "./workSpecs.js";
 import { WorkSite } from "./workSite.js";
 
--- a/packages/core/tests/work/withheldItems.test.ts
+++ b/packages/core/tests/work/withheldItems.test.ts
@@ -1,6 +1,10 @@
 import test from "ava";
 import { itemKeyOf, submissionId, workerId } from "../../src/index.js";
-import { withholdItem, releaseItems, type WithheldItems } from "../../src/work/withheldItems.js";
+import {
+  withholdItem,
+  releaseItems,
+  type WithheldItems,
+} from "../../src/work/ownership/withheldItems.js";
 
 test("an item that two lease rows list is released together with the first of the workers", (t) => {
   const item = itemKeyOf(submissionId("00000000000000aa"), 0, 0, 1);
