--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -11,3 +11,4 @@
 export * from "./tickets/types.js";
 export * from "./keyedHeap/dueQueue.js";
 export * from "./keyedHeap/keyedHeap.js";
+export * from "./retryBudget.js";
