Let the owner's term follow how fast its writes are confirmed

Change: the owner's row names the term within which the owner acts on a confirmed write: twice the longest recent age of a confirmation, 0.6 to 1.1 s; others claim 0.4 s later. Renewed every 0.2 s. While a write is in flight the shorter of both terms counts.

--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -112,19 +112,28 @@
   /** Interval at which other nodes poll the owner's row. */
   POLL_MS: 200,
   /** The owner renews its row at least this often. */
-  RENEW_MS: 300,
-  /** Without a confirmed write for this long, the owner sends no orders. */
+  RENEW_MS: 200,
+  /** Longest term of an owner: without a confirmed write for this long, it sends no orders. */
   CONFIRMED_MS: 1_100,
-  /** A row unchanged for this long may be claimed; above CONFIRMED_MS by the time of a write. */
-  TAKEOVER_MS: 1_500,
+  /** Shortest term of an owner; time for two renewals, of which the first one gets no answer. */
+  MIN_CONFIRMED_MS: 600,
+  /** The term as a multiple of the longest recent age of a confirmation. */
+  TERM_PER_RENEWAL_AGE: 2,
+  /** Time after which the age of a confirmation counts 1 / e. */
+  RENEWAL_AGE_FADE_MS: 10_000,
+  /** A row unchanged for its term and this long may be claimed. */
+  TAKEOVER_MARGIN_MS: 400,
   /** Largest jitter of claims, so that not all nodes write at once. */
   CLAIM_JITTER_MS: 150,
   /** Delay of the very first claim, times (1 / cores - 1) on a node with less than a core. */
   FIRST_CLAIM_DELAY_MS: 200,
   /** A node with less than this share of the strongest owner's processor is underpowered. */
   MIN_PROCESSOR_SHARE: 0.75,
-  /** Additional claim delay of an underpowered node, so that stronger nodes claim first. */
-  UNDERPOWERED_CLAIM_DELAY_MS: 400,
+  /**
+   * Additional claim delay of an underpowered node, so that stronger nodes claim first, also those
+   * that are just restarting: an underpowered owner has to hand over again.
+   */
+  UNDERPOWERED_CLAIM_DELAY_MS: 900,
   /** An underpowered owner yields after this time, which doubles with each yield in a row. */
   YIELD_AFTER_MS: 2_000,
   MAX_YIELD_AFTER_MS: 16_000,
--- a/packages/core/src/work/ownership/commitState.ts
+++ b/packages/core/src/work/ownership/commitState.ts
@@ -15,6 +15,8 @@
   /** Up to which run end each worker may be acknowledged afterwards. */
   readonly ends: readonly { readonly worker: Worker; readonly sequence: number }[];
   readonly releases: boolean;
+  /** Term that its owner row grants the owner. */
+  readonly termMs: number;
   /** Runs whose start orders may be sent afterwards. */
   readonly starts: readonly Run[];
   readonly orders: readonly HostOrder[];
--- a/packages/core/src/work/ownership/ownerCommit.ts
+++ b/packages/core/src/work/ownership/ownerCommit.ts
@@ -1,6 +1,7 @@
 import { countPending } from "../calls/pendingCount.js";
 import { strongestOwnerMilli } from "./claimDelay.js";
 import { yieldIfDue, yieldCount } from "./ownershipYield.js";
+import { nextTermMs, recordRenewal } from "./ownerTerm.js";
 import { OWNERSHIP, STORE } from "../constants.js";
 import { CommitBudget } from "./commitBudget.js";
 import { commitAccepted, commitRejected } from "./commitRejection.js";
@@ -29,6 +30,7 @@
   strongestMilli: strongestOwnerMilli(turn.work),
   yields: yieldCount(turn.work, owned),
   pending: countPending(turn, owned),
+  termMs: nextTermMs(turn, owned),
   ...(owned.storesWindows ? { storesWindows: true } : {}),
 });
 
@@ -63,6 +65,7 @@
     })),
     ends: acknowledgeableEnds(owned),
     releases,
+    termMs: nextTermMs(turn, owned),
     starts,
     orders: owned.plannedHostOrders,
     changes,
@@ -136,6 +139,8 @@
   if (event.result === "committed" && event.version !== null) {
     owned.commitInFlight = null;
     owned.rowVersion = event.version;
+    owned.termMs = ownerCommit.termMs;
+    recordRenewal(turn, owned);
     owned.confirmedAtMs = Math.max(owned.confirmedAtMs, validAsOfMs(turn, event.sentAtMs));
     commitAccepted(owned);
     applyCommitted(turn, owned, ownerCommit);
--- a/packages/core/src/work/ownership/ownership.ts
+++ b/packages/core/src/work/ownership/ownership.ts
@@ -1,6 +1,7 @@
 import type { HostId } from "@heatherferry/common";
 import { DueQueue } from "@heatherferry/coordination";
 import { claimDelayMs, strongestOwnerMilli } from "./claimDelay.js";
+import { takeoverMs, termMsOf } from "./ownerTerm.js";
 import { OWNERSHIP, SCAN, STORE } from "../constants.js";
 import { logAbandonedRuns } from "../workers/abandonedRunLog.js";
 import { FleetKinds } from "../placement/fleetKinds.js";
@@ -69,7 +70,7 @@
   if (view.row === null || view.row.released || isOwnHolder(work, view.row)) {
     return true;
   }
-  return nowMs - view.unchangedSinceMs >= OWNERSHIP.TAKEOVER_MS;
+  return nowMs - view.unchangedSinceMs >= takeoverMs(view.row);
 };
 
 const claimIfDue = (turn: Turn): void => {
@@ -194,6 +195,8 @@
   acquiredVersion: version,
   rowVersion: version,
   confirmedAtMs,
+  termMs: OWNERSHIP.CONFIRMED_MS,
+  renewalAge: { longestMs: OWNERSHIP.CONFIRMED_MS, atMs: nowMs },
   pendingLoads: new Set([SCAN.WORKERS, SCAN.SUBMISSIONS, SCAN.PROGRESS, SCAN.LEASES]),
   loadRetries: new Map(),
   active: false,
@@ -301,6 +304,7 @@
     return false;
   }
   owned.rowVersion = row.version;
+  owned.termMs = termMsOf(row.owner);
   owned.confirmedAtMs = Math.max(owned.confirmedAtMs, validAsOfMs(turn, sentAtMs));
   return true;
 };
--- a/packages/core/src/work/ownership/ownershipConfirmation.ts
+++ b/packages/core/src/work/ownership/ownershipConfirmation.ts
@@ -1,10 +1,10 @@
-import { OWNERSHIP } from "../constants.js";
+import { presentTermMs } from "./ownerTerm.js";
 import type { OwnedWork } from "../state.js";
 import type { Turn } from "../turn.js";
 
 /** Returns until when no other node can acquire ownership, on this node's monotonic clock. */
 export const confirmedUntilMs = (owned: OwnedWork): number =>
-  owned.confirmedAtMs + OWNERSHIP.CONFIRMED_MS;
+  owned.confirmedAtMs + presentTermMs(owned);
 
 /**
  * Whether this owner may act: its state is loaded, it isn't releasing ownership, and no other node
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -48,6 +48,12 @@
   TeamUse,
 } from "./workers/workerState.js";
 
+/** The longest recent age of a confirmation when the next one arrived, as of a time. */
+export interface RenewalAge {
+  longestMs: number;
+  atMs: number;
+}
+
 /** State of the owner; created anew each time that this node acquires ownership. */
 export interface OwnedWork {
   readonly fence: Fence;
@@ -57,6 +63,9 @@
   rowVersion: StoreVersion;
   /** When the last confirmed commit was sent. */
   confirmedAtMs: number;
+  /** How long the owner acts on that commit. */
+  termMs: number;
+  readonly renewalAge: RenewalAge;
   /** Tables that are not loaded yet; nothing is decided before all are. */
   readonly pendingLoads: Set<Scan>;
   /** When each table whose read failed is read again. */
--- a/packages/core/src/work/store/rowTypes.ts
+++ b/packages/core/src/work/store/rowTypes.ts
@@ -96,6 +96,11 @@
    * read this row then, so they never become the owner.
    */
   readonly storesWindows?: boolean;
+  /**
+   * How long the owner acts on the commit that wrote this row, in ms from when it was sent. Earlier
+   * versions write no such field and act for `OWNERSHIP.CONFIRMED_MS`.
+   */
+  readonly termMs?: number;
   /** How often in a row underpowered owners have yielded ownership to a stronger node. */
   readonly yields?: number;
 }
--- a/packages/wire/src/work/rowChecks.ts
+++ b/packages/wire/src/work/rowChecks.ts
@@ -102,6 +102,7 @@
     orderedHosts: recordOf(nullOr(isNumber)),
     pending: nullOr(withFields({ asOfStoreMs: isNumber, byQueue: recordOf(isNumber) })),
     strongestMilli: isNumber,
+    termMs: optional(isCount),
     storesWindows: optional(isBoolean),
   }),
   LEASE: withFields({
