Evacuate zones: requests in the store close workers, supply and moves

Operators request the evacuation of an availability zone by a row of their table; nothing in the code read it, so starts went on there for as long as the request stood.

The requests are followed with the operators' feed; a full read replaces them. A zone that is being evacuated gets no starts, also none that were planned, awaited a clock or are sent again; its workers are no supply, its hosts take no moves, and long-running work moves as maxUnavailable and room elsewhere allow. An owner whose view of the requests is too old for the bound starts nothing. Without a bound in the settings the age of the view does not count; the row itself still does.

A displaced item that no open worker may take because of the limit per worker of its step now asks for a host.

--- a/apps/work/tests/loopLoadReporter.test.ts
+++ b/apps/work/tests/loopLoadReporter.test.ts
@@ -36,6 +36,7 @@
   impactMs: BOUND_MS,
   moveMs: BOUND_MS,
   maintenanceMs: BOUND_MS,
+  evacuationMs: null,
 };
 
 class FakeProcessorTime extends ProcessorTime {
--- a/bench/src/slopes/siteWorkload.ts
+++ b/bench/src/slopes/siteWorkload.ts
@@ -43,6 +43,7 @@
   impactMs: 5_000,
   moveMs: 1_500,
   maintenanceMs: 2_000,
+  evacuationMs: null,
 };
 
 const numbered = <T>(count: number, make: (index: number) => T): T[] =>
@@ -97,6 +98,7 @@
   drainRemainingMs: null,
   clockMs,
   startWallMs: 1,
+  coldRemainingMs: 0,
 });
 
 const stepOf = (count: number, cpuMilli: number, memoryMb: number): StepSpec => ({
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -151,8 +151,8 @@
   MAX_COMMIT_BYTES: 900_000,
   /** Size of an entry beside its value: table, part, key and their names. */
   ENTRY_OVERHEAD_BYTES: 400,
-  /** The row of a wave, and the report that the operators read. */
-  ENTRIES_PER_WAVE_REPORT: 2,
+  /** The row of a wave or an evacuation, and the report on it that the operators read. */
+  ENTRIES_PER_REPORT: 2,
   /** Most rows that an owner commit changes beside the owner row. */
   MAX_ROWS: 90,
   /** Most lease rows of workers with new work among them; the rest is left for run ends. */
--- a/packages/core/src/work/hosts/demand.ts
+++ b/packages/core/src/work/hosts/demand.ts
@@ -1,10 +1,13 @@
 import type { PoolId } from "@heatherferry/common";
 import { arrivingHosts, hostCapacity } from "./arrivals.js";
 import { HOST_ALLOCATION } from "../constants.js";
+import { isClosedByZone } from "../evacuation/index.js";
+import { isHostEvacuated } from "./hosts.js";
 import { isReplaced } from "./hostWorkers.js";
 import { batchFraction, runningWorkIn, runningOnScheduleHosts } from "./runningWork.js";
 import type { OwnedWork, PoolWork, Worker } from "../state.js";
 import { logLine, type Turn } from "../turn.js";
+import { displacedSpread } from "../workers/eviction.js";
 import { backlogDemand } from "../placement/backlogDemand.js";
 
 /** Demand and supply of a pool, in hosts. An item counts by the resource that it needs most of. */
@@ -20,7 +23,7 @@
   readonly waitingOnScheduleHosts: number;
   /** Hosts that work arriving at the present rate occupies. */
   readonly arrivingHosts: number;
-  /** Workers that the ready items of a step with a limit per worker need. */
+  /** Workers that the ready or displaced items of a step with a limit per worker need. */
   readonly spreadWorkers: number;
   /** Hosts available to batch work, including those that are being moved to the pool. */
   readonly availableHosts: number;
@@ -28,17 +31,11 @@
   readonly incomingHosts: number;
 }
 
-const countIncomingHosts = (owned: OwnedWork, pool: PoolId): number => {
+/** Returns the hosts on their way to a pool. Those in evacuated zones will take no work there. */
+const countIncomingHosts = (turn: Turn, owned: OwnedWork, pool: PoolId): number => {
   let count = 0;
-  for (const move of owned.moves.values()) {
-    if (move.to === pool) {
-      count += 1;
-    }
-  }
-  for (const drain of owned.drains.values()) {
-    if (drain.to === pool) {
-      count += 1;
-    }
+  for (const [host, { to }] of [...owned.moves, ...owned.drains]) {
+    count += to === pool && !isHostEvacuated(turn, owned, host) ? 1 : 0;
   }
   return count;
 };
@@ -58,6 +55,7 @@
   !worker.hostReclaimed &&
   !isReplaced(owned, worker) &&
   !worker.report.draining &&
+  !isClosedByZone(turn.work.evacuations, worker.report, turn.nowMs) &&
   worker.reservedFor === null &&
   isResponsive(turn, worker);
 
@@ -66,7 +64,7 @@
   const host = hostCapacity(pool);
   const waiting = backlogDemand(turn, owned, pool);
   const running = runningWorkIn(turn, pool, host);
-  const incoming = countIncomingHosts(owned, pool.id);
+  const incoming = countIncomingHosts(turn, owned, pool.id);
   const schedulableWorkers = [...pool.workers].filter((worker) =>
     isSchedulable(turn, owned, worker),
   );
@@ -81,7 +79,7 @@
     waitingHosts: waiting.hosts + pool.displacedHosts,
     waitingOnScheduleHosts: waiting.onScheduleHosts + pool.displacedHosts,
     arrivingHosts: arrivingHosts(turn, pool),
-    spreadWorkers: waiting.spreadWorkers,
+    spreadWorkers: Math.max(waiting.spreadWorkers, displacedSpread(turn, owned, pool)),
     availableHosts: incoming + available,
     incomingHosts: incoming,
   };
--- a/packages/core/src/work/hosts/hostAllocation.ts
+++ b/packages/core/src/work/hosts/hostAllocation.ts
@@ -11,7 +11,7 @@
   type PoolDemand,
 } from "./demand.js";
 import { balanceHosts, isEmpty, settleDrains } from "./hostDrains.js";
-import { requestHostList, mayOrderHost } from "./hosts.js";
+import { isHostEvacuated, requestHostList, mayOrderHost } from "./hosts.js";
 import { workerOn } from "./hostWorkers.js";
 import { moveHost, settleMoves, type AvailableHost } from "./hostMoves.js";
 import { isOwnershipConfirmed } from "../ownership/ownershipConfirmation.js";
@@ -22,6 +22,7 @@
 const isHostAvailable = (turn: Turn, owned: OwnedWork, host: HostId): boolean => {
   if (
     !mayOrderHost(turn, owned, host) ||
+    isHostEvacuated(turn, owned, host) ||
     owned.moves.has(host) ||
     owned.drains.has(host) ||
     turn.nowMs - (owned.hostOrders.get(host) ?? -Infinity) < HOST_TIMING.ORDER_RETRY_INTERVAL_MS
--- a/packages/core/src/work/hosts/hostDrains.ts
+++ b/packages/core/src/work/hosts/hostDrains.ts
@@ -9,7 +9,7 @@
   reserveWorker,
   workerOn,
 } from "./hostWorkers.js";
-import { mayOrderHost } from "./hosts.js";
+import { isHostEvacuated, mayOrderHost } from "./hosts.js";
 import { moveHost } from "./hostMoves.js";
 import { runsNothing } from "../workers/workerResources.js";
 import type { HostDrain, OwnedWork, Reservation, Worker } from "../state.js";
@@ -75,8 +75,9 @@
     const worker = findIncarnation(owned, drain.worker);
     const isCurrent = worker !== null && workerOn(owned, host) === worker;
     const timedOut = turn.nowMs - drain.startedAtMs > HOST_ALLOCATION.DRAIN_TIMEOUT_MS;
-    const drained = isCurrent && isDrained(turn, worker);
-    if (!isCurrent || timedOut || drained) {
+    const evacuated = isHostEvacuated(turn, owned, host);
+    const drained = isCurrent && !evacuated && isDrained(turn, worker);
+    if (!isCurrent || timedOut || evacuated || drained) {
       owned.drains.delete(host);
       releaseWorker(worker, drainReservation(drain));
       if (drained) {
--- a/packages/core/src/work/hosts/hostOrders.ts
+++ b/packages/core/src/work/hosts/hostOrders.ts
@@ -1,6 +1,7 @@
 import { RESERVATION } from "../constants.js";
 import { confirmedUntilMs } from "../ownership/ownershipConfirmation.js";
 import { findIncarnation, isIncarnation, releaseWorker, workerOn } from "./hostWorkers.js";
+import { isHostEvacuated } from "./hosts.js";
 import { runsNothing } from "../workers/workerResources.js";
 import type { HostMove, HostOrder, HostMaintenance, OwnedWork, Reservation } from "../state.js";
 import { logLine, type Turn } from "../turn.js";
@@ -39,11 +40,14 @@
 
 /**
  * Whether an order may still be sent: the worker of its host may have changed in the
- * seconds since the order was planned.
+ * seconds since the order was planned, and an evacuation of its zone may have begun.
  */
-const isStillValid = (owned: OwnedWork, order: HostOrder): boolean => {
+const isStillValid = (turn: Turn, owned: OwnedWork, order: HostOrder): boolean => {
   const worker = workerOn(owned, order.host);
   if (order.type === "power/move") {
+    if (isHostEvacuated(turn, owned, order.host)) {
+      return false;
+    }
     const move = moveOf(owned, order);
     return worker === null
       ? move !== null && move.worker === null
@@ -82,11 +86,11 @@
   orders: readonly HostOrder[],
 ): void => {
   for (const order of orders) {
-    if (isStillValid(owned, order)) {
+    if (isStillValid(turn, owned, order)) {
       owned.hostOrders.set(order.host, turn.nowMs);
       turn.effects.push({ ...order, sendDeadlineMs: confirmedUntilMs(owned) });
     } else {
-      dropOrder(turn, owned, order, "the worker on the host has changed or is busy");
+      dropOrder(turn, owned, order, "its worker has changed or is busy, or its zone is evacuated");
     }
   }
 };
--- a/packages/core/src/work/hosts/hosts.ts
+++ b/packages/core/src/work/hosts/hosts.ts
@@ -1,5 +1,7 @@
-import type { HostId } from "@heatherferry/common";
+import type { AvailabilityZoneId, HostId } from "@heatherferry/common";
 import { HOST_TIMING, OWNERSHIP } from "../constants.js";
+import { workerOn } from "./hostWorkers.js";
+import { isEvacuated } from "../evacuation/index.js";
 import type { WorkEvent } from "../events.js";
 import type { OwnedWork } from "../state.js";
 import type { Turn } from "../turn.js";
@@ -122,3 +124,13 @@
 /** Whether enough time has passed since the previous owner's last order to a host. */
 export const mayOrderHost = (turn: Turn, owned: OwnedWork, host: HostId): boolean =>
   turn.nowMs >= (owned.inheritedOrders.get(host) ?? -Infinity);
+
+/** Returns the availability zone of a host; null if neither a list nor its worker tells. */
+export const zoneOfHost = (owned: OwnedWork, host: HostId): AvailabilityZoneId | null =>
+  owned.hosts.get(host)?.availabilityZone ?? workerOn(owned, host)?.report.availabilityZone ?? null;
+
+/** Whether a host is in a zone that is being evacuated, so that it must not change its pool. */
+export const isHostEvacuated = ({ work }: Turn, owned: OwnedWork, host: HostId): boolean => {
+  const zone = work.evacuations.requests.size === 0 ? null : zoneOfHost(owned, host);
+  return zone !== null && isEvacuated(work.evacuations, zone);
+};
--- a/packages/core/src/work/hosts/pools.ts
+++ b/packages/core/src/work/hosts/pools.ts
@@ -17,6 +17,7 @@
       arrivals: [],
       steadyHosts: 0,
       displacedHosts: 0,
+      displacedItems: new Set(),
       averagedAtMs: 0,
     };
     owned.pools.set(id, pool);
--- a/packages/core/src/work/ownership/commitBudget.ts
+++ b/packages/core/src/work/ownership/commitBudget.ts
@@ -6,7 +6,7 @@
 const OWNER_ROW_ENTRIES = 2;
 
 const entriesOf = ({ type }: RowToWrite): number =>
-  type === "waveReport" ? STORE.ENTRIES_PER_WAVE_REPORT : 1;
+  type === "waveReport" || type === "evacuationReport" ? STORE.ENTRIES_PER_REPORT : 1;
 
 /** What still fits into a transaction: the store refuses one with too many entries or bytes. */
 export class CommitBudget {
--- a/packages/core/src/work/ownership/commitRejection.ts
+++ b/packages/core/src/work/ownership/commitRejection.ts
@@ -11,8 +11,8 @@
 
 type Changes = OwnerCommit["changes"];
 
-const rowCount = ({ submissions, previousLeases, waves, purged }: Changes): number =>
-  submissions.length + previousLeases.size + waves.length + purged.length;
+const rowCount = ({ submissions, previousLeases, waves, evacuations, purged }: Changes): number =>
+  submissions.length + previousLeases.size + waves.length + evacuations.length + purged.length;
 
 /** Marks everything that a rejected commit would have recorded as changed again. */
 const restoreChanges = (owned: OwnedWork, changes: Changes): void => {
@@ -30,6 +30,9 @@
   for (const wave of changes.waves) {
     wave.dirty = true;
   }
+  for (const record of changes.evacuations) {
+    record.dirty = true;
+  }
   for (const id of changes.purged) {
     owned.purgedSubmissions.add(id);
   }
@@ -68,6 +71,7 @@
   const [submission] = changes.submissions;
   const [worker] = changes.previousLeases.keys();
   const [wave] = changes.waves;
+  const [evacuation] = changes.evacuations;
   if (submission !== undefined) {
     withdrawSubmission(turn, owned, submission);
     return `progress of ${submission.row.id}`;
@@ -80,6 +84,10 @@
     wave.dirty = false;
     return `report on wave ${wave.request.wave}`;
   }
+  if (evacuation !== undefined) {
+    evacuation.dirty = false;
+    return `report on the evacuation of ${evacuation.report.zone}`;
+  }
   changes.purged.forEach((id) => owned.purgedSubmissions.delete(id));
   return changes.purged.length > 0 ? "removal of a purged submission" : "owner row";
 };
--- a/packages/core/src/work/ownership/commitState.ts
+++ b/packages/core/src/work/ownership/commitState.ts
@@ -1,4 +1,5 @@
 import type { Commit } from "../events.js";
+import type { EvacuationRecord } from "../evacuation/index.js";
 import type { HostOrder, MaintenanceWave } from "../hosts/hostState.js";
 import type { Run, Submission } from "../submissions/itemState.js";
 import type { LeasedWorker, SubmissionId, SubmissionState, WorkerId } from "../types.js";
@@ -27,6 +28,7 @@
   /** Workers whose lease rows it changes, with those rows before; null if there was none. */
   readonly previousLeases: ReadonlyMap<WorkerId, LeasedWorker | null>;
   readonly waves: readonly MaintenanceWave[];
+  readonly evacuations: readonly EvacuationRecord[];
   /** Purged submissions whose progress rows it deletes. */
   readonly purged: readonly SubmissionId[];
 }
--- a/packages/core/src/work/ownership/ownerCommit.ts
+++ b/packages/core/src/work/ownership/ownerCommit.ts
@@ -8,7 +8,7 @@
 import type { WorkEvent } from "../events.js";
 import { dropHostOrders, sendHostOrders } from "../hosts/hostOrders.js";
 import { recentHostOrders } from "../hosts/hosts.js";
-import { isSubmissionViewFresh, isOwnershipConfirmed } from "./ownershipConfirmation.js";
+import { isOwnershipConfirmed, mayStartRuns } from "./ownershipConfirmation.js";
 import { endOwnership, stillOwner } from "./ownership.js";
 import { hasStaleLeases } from "../store/leaseRows.js";
 import { storedBytes } from "../store/storedSize.js";
@@ -168,13 +168,12 @@
     }
     markWorkerChanged(owned, worker);
   }
-  const confirmed = isOwnershipConfirmed(turn, owned);
-  if (confirmed) {
+  if (isOwnershipConfirmed(turn, owned)) {
     sendHostOrders(turn, owned, ownerCommit.orders);
   } else {
     dropHostOrders(turn, owned, ownerCommit.orders);
   }
-  if (confirmed && isSubmissionViewFresh(turn)) {
+  if (mayStartRuns(turn, owned)) {
     sendStarts(turn, owned, ownerCommit.starts);
   } else {
     cancelPlannedStarts(turn, owned, ownerCommit.starts);
--- a/packages/core/src/work/ownership/ownership.ts
+++ b/packages/core/src/work/ownership/ownership.ts
@@ -250,6 +250,8 @@
   hostListPollSentAtMs: null,
   hostListRequestedAtMs: null,
   waves: new Map(),
+  evacuationRecords: new Map(),
+  evacuationsReportedAtMs: -Infinity,
   inheritedMaintenance: new Set(),
   demandLoggedAtMs: nowMs,
   abandonedRuns: new Map(),
--- a/packages/core/src/work/ownership/ownershipConfirmation.ts
+++ b/packages/core/src/work/ownership/ownershipConfirmation.ts
@@ -1,4 +1,6 @@
 import { OWNERSHIP } from "../constants.js";
+import { isViewCurrent } from "../evacuation/index.js";
+import { catalogAgeMs } from "../store/catalog.js";
 import type { OwnedWork } from "../state.js";
 import type { Turn } from "../turn.js";
 
@@ -22,3 +24,13 @@
   const { viewAtMs } = work.feeds.handIns;
   return viewAtMs !== null && nowMs - viewAtMs <= work.bounds.visibleMs;
 };
+
+/**
+ * Whether the owner may start runs: ownership is confirmed, and its views of submissions and of the
+ * zones to evacuate are fresh. Requests to evacuate zones are in the operators' table, as the
+ * catalog is.
+ */
+export const mayStartRuns = (turn: Turn, owned: OwnedWork): boolean =>
+  isOwnershipConfirmed(turn, owned) &&
+  isSubmissionViewFresh(turn) &&
+  isViewCurrent(turn.work.bounds.evacuationMs, catalogAgeMs(turn));
--- a/packages/core/src/work/ownership/recovery.ts
+++ b/packages/core/src/work/ownership/recovery.ts
@@ -69,6 +69,8 @@
       cancels.push(row.id);
     } else if (row.type === "waveReport") {
       restoreWave(turn, owned, row);
+    } else if (row.type === "evacuationReport") {
+      owned.evacuationRecords.set(row.report.zone, { report: row.report, dirty: false });
     }
   }
   for (const row of rows) {
--- a/packages/core/src/work/placement/capacityReservations.ts
+++ b/packages/core/src/work/placement/capacityReservations.ts
@@ -89,7 +89,9 @@
   item: Item,
 ): WorkerSearch => {
   const candidates = pool.capacityIndex.withFreeCpu(reservedResources(item.spec).cpuMilli);
-  const search = chooseWorker(candidates, item, (worker) => isUsable(turn, owned, worker));
+  const search = chooseWorker(candidates, item, turn.nowMs, (worker) =>
+    isUsable(turn, owned, worker),
+  );
   countSteps(turn, 1 + search.workersChecked);
   return search;
 };
--- a/packages/core/src/work/placement/dispatch.ts
+++ b/packages/core/src/work/placement/dispatch.ts
@@ -1,7 +1,7 @@
 import type { PoolId } from "@heatherferry/common";
 import { hostCapacity } from "../hosts/arrivals.js";
 import { PLACEMENT, STORE } from "../constants.js";
-import { isSubmissionViewFresh, isOwnershipConfirmed } from "../ownership/ownershipConfirmation.js";
+import { mayStartRuns } from "../ownership/ownershipConfirmation.js";
 import { poolOf } from "../hosts/pools.js";
 import { nearsCeiling } from "./placement.js";
 import {
@@ -161,7 +161,7 @@
 export const dispatch = (turn: Turn, owned: OwnedWork): void => {
   const pools = poolsToPlaceIn(owned);
   const left = STORE.MAX_PLANNED_STARTS - owned.plannedStarts.length;
-  if (left <= 0 || !isOwnershipConfirmed(turn, owned) || !isSubmissionViewFresh(turn)) {
+  if (left <= 0 || !mayStartRuns(turn, owned)) {
     return;
   }
   for (const pool of pools) {
--- a/packages/core/src/work/placement/placement.ts
+++ b/packages/core/src/work/placement/placement.ts
@@ -65,10 +65,12 @@
   FAILED_BEFORE: 5,
   /** Latency-sensitive and filler runs would share it and slow each other down. */
   INTERFERENCE: 3,
+  /** It is slow for some time after its start. */
+  COLD: 2,
 } as const;
 
 /** Returns the penalty of a worker for an item, or null if the item must not run there. */
-const penaltyFor = (worker: Worker, item: Item): number | null => {
+const penaltyFor = (worker: Worker, item: Item, nowMs: number): number | null => {
   const { spec } = item;
   const { report } = worker;
   if (!mayRunOn(worker, item)) {
@@ -81,6 +83,9 @@
   if (report.id === item.avoidWorker) {
     penalty += PENALTY.FAILED_BEFORE;
   }
+  if (worker.coldUntilMs > nowMs) {
+    penalty += PENALTY.COLD;
+  }
   const sensitive = spec.filler || spec.tailTargetMs !== null;
   return sensitive && interferes(worker, item) ? penalty + PENALTY.INTERFERENCE : penalty;
 };
@@ -100,11 +105,13 @@
  * since empty workers can move to another pool or be turned off.
  *
  * @param workers - Workers that may have the capacity, the fullest first.
+ * @param nowMs - The present time on the owner's monotonic clock.
  * @param acceptsWork - Whether a worker accepts new work now.
  */
 export const chooseWorker = (
   workers: Iterable<Worker>,
   item: Item,
+  nowMs: number,
   acceptsWork: (worker: Worker) => boolean,
 ): WorkerSearch => {
   const needs = reservedResources(item.spec);
@@ -118,7 +125,7 @@
       continue;
     }
     anyFits = true;
-    const penalty = penaltyFor(worker, item);
+    const penalty = penaltyFor(worker, item, nowMs);
     if (penalty !== null && penalty < lowestPenalty) {
       lowestPenalty = penalty;
       best = worker;
--- a/packages/core/src/work/placement/planning.ts
+++ b/packages/core/src/work/placement/planning.ts
@@ -1,21 +1,25 @@
 import { PLACEMENT, STORE } from "../constants.js";
 import { dispatch, hasWorkToPlace, markBacklogsChanged } from "./dispatch.js";
-import { evictFromDrainingWorkers } from "../workers/eviction.js";
+import { evictFromDrainingWorkers, evictFromEvacuatedZones } from "../workers/eviction.js";
+import { reportEvacuations } from "../workers/evacuationReports.js";
 import { nextCommitDelayMs } from "../ownership/ownerCommit.js";
 import { tickHostAllocation } from "../hosts/hostAllocation.js";
 import type { OwnedWork } from "../state.js";
 import { wakeAfter, type Turn } from "../turn.js";
 import { tickWaves } from "../hosts/maintenanceWaves.js";
 
-/** Evicts work from draining workers, advances maintenance waves and allocates hosts to pools. */
+/** Evicts work from draining workers and evacuated zones, advances maintenance waves and allocates hosts to pools. */
 const allocateHosts = (turn: Turn, owned: OwnedWork): void => {
   owned.allocatedAtMs = turn.nowMs;
   for (const pool of owned.pools.values()) {
     pool.displacedHosts = 0;
+    pool.displacedItems.clear();
   }
   evictFromDrainingWorkers(turn, owned);
+  evictFromEvacuatedZones(turn, owned);
   tickWaves(turn, owned);
   tickHostAllocation(turn, owned);
+  reportEvacuations(turn, owned);
 };
 
 /**
--- a/packages/core/src/work/placement/starts.ts
+++ b/packages/core/src/work/placement/starts.ts
@@ -1,5 +1,6 @@
 import { ORDER, RUN_PHASE } from "../constants.js";
-import { isOwnershipConfirmed, isSubmissionViewFresh } from "../ownership/ownershipConfirmation.js";
+import { isClosedByZone } from "../evacuation/index.js";
+import { mayStartRuns } from "../ownership/ownershipConfirmation.js";
 import { abandonRun } from "../workers/abandonedRuns.js";
 import { countSteps } from "../handlingCost.js";
 import { hasCapacityForRuns } from "../workers/workerResources.js";
@@ -49,8 +50,9 @@
   });
 };
 
-const acceptsWork = (worker: Worker): boolean =>
+const acceptsWork = ({ work, nowMs }: Turn, worker: Worker): boolean =>
   worker.registered &&
+  !isClosedByZone(work.evacuations, worker.report, nowMs) &&
   !worker.hostReclaimed &&
   !worker.report.draining &&
   hasCapacityForRuns(worker);
@@ -61,7 +63,7 @@
  * @returns The end of the lease on the worker's clock in ms; null if the worker accepts no work.
  */
 const leaseForStart = (turn: Turn, worker: Worker): number | null =>
-  acceptsWork(worker) ? extendLease(turn, worker) : null;
+  acceptsWork(turn, worker) ? extendLease(turn, worker) : null;
 
 const sendStart = (
   turn: Turn,
@@ -124,7 +126,7 @@
  */
 const sendPlannedStart = (turn: Turn, owned: OwnedWork, worker: Worker, run: Run): void => {
   const clockCurrent = isClockCurrent(turn, worker);
-  if (!clockCurrent && acceptsWork(worker) && !worker.unreachable) {
+  if (!clockCurrent && acceptsWork(turn, worker) && !worker.unreachable) {
     owned.startsAwaitingClock.add(run);
     return;
   }
@@ -155,7 +157,7 @@
   const runs = [...owned.startsAwaitingClock];
   countSteps(turn, runs.length);
   owned.startsAwaitingClock.clear();
-  if (isOwnershipConfirmed(turn, owned) && isSubmissionViewFresh(turn)) {
+  if (mayStartRuns(turn, owned)) {
     sendStarts(turn, owned, runs);
   } else {
     cancelPlannedStarts(turn, owned, runs);
@@ -172,7 +174,7 @@
   const mayResend =
     run.phase === RUN_PHASE.ORDERED &&
     run.startsSent < ORDER.MAX_START_ATTEMPTS &&
-    isOwnershipConfirmed(turn, owned);
+    mayStartRuns(turn, owned);
   const untilClockMs = mayResend ? leaseForStart(turn, worker) : null;
   if (untilClockMs === null) {
     return false;
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -1,10 +1,11 @@
-import type { HostId, PoolId, QueueId, TeamId } from "@heatherferry/common";
+import type { AvailabilityZoneId, HostId, PoolId, QueueId, TeamId } from "@heatherferry/common";
 import { DueQueue } from "@heatherferry/coordination";
 import type { OpenCall } from "./calls/callState.js";
 import type { OwnerCommit } from "./ownership/commitState.js";
 import type { WithheldCharge, WithheldItems } from "./ownership/withheldItems.js";
 import type { TokenBucket } from "./placement/tokenBucket.js";
 import { indexCatalog, type CatalogIndex } from "./store/catalog.js";
+import { newEvacuations, type EvacuationRecord, type Evacuations } from "./evacuation/index.js";
 import type { FleetKinds } from "./placement/fleetKinds.js";
 import type { HandlingCost } from "./handlingCost.js";
 import type { IdleSubmission } from "./submissions/idleSubmissions.js";
@@ -146,6 +147,8 @@
   /** When the newest host list that arrived was requested. */
   hostListRequestedAtMs: number | null;
   readonly waves: Map<number, MaintenanceWave>;
+  readonly evacuationRecords: Map<AvailabilityZoneId, EvacuationRecord>;
+  evacuationsReportedAtMs: number;
   /** Hosts that previous owners ordered to maintenance and that are still in it. */
   readonly inheritedMaintenance: Set<HostId>;
   demandLoggedAtMs: number;
@@ -227,6 +230,7 @@
   catalogIndex: CatalogIndex;
   readonly feeds: Record<Feed, FeedState>;
   readonly waveRequests: Map<number, WaveRequest>;
+  readonly evacuations: Evacuations;
   readonly calls: Map<string, OpenCall>;
   /** Open calls by the id of the commit that they wait for. */
   readonly callOfCommit: Map<string, OpenCall>;
@@ -274,6 +278,7 @@
   catalogIndex: indexCatalog(null),
   feeds: { operators: newFeed(), workers: newFeed(), handIns: newFeed() },
   waveRequests: new Map(),
+  evacuations: newEvacuations(),
   calls: new Map(),
   callOfCommit: new Map(),
   callsDue: new DueQueue(),
--- a/packages/core/src/work/store/commitRows.ts
+++ b/packages/core/src/work/store/commitRows.ts
@@ -1,5 +1,6 @@
 import { STORE } from "../constants.js";
 import type { CommitBudget } from "../ownership/commitBudget.js";
+import type { EvacuationRecord } from "../evacuation/index.js";
 import type { RowName, RowToWrite } from "../events.js";
 import { leaseRowChanges, selectStarts } from "./leaseRows.js";
 import { takePurgedRows } from "../submissions/purge.js";
@@ -69,6 +70,24 @@
   return { rows, waves };
 };
 
+/** Takes changed reports on evacuations, which alone are no reason for a commit. */
+const takeDirtyEvacuations = (
+  { evacuationRecords }: OwnedWork,
+  budget: CommitBudget,
+): { rows: RowToWrite[]; records: EvacuationRecord[] } => {
+  const rows: RowToWrite[] = [];
+  const records: EvacuationRecord[] = [];
+  for (const record of evacuationRecords.values()) {
+    const row: RowToWrite = { type: "evacuationReport", report: record.report };
+    if (record.dirty && budget.takeWrite(row)) {
+      record.dirty = false;
+      rows.push(row);
+      records.push(record);
+    }
+  }
+  return { rows, records };
+};
+
 /** Whether any wave has changed since it was last reported. */
 export const hasDirtyWaves = (owned: OwnedWork): boolean => {
   for (const wave of owned.waves.values()) {
@@ -98,7 +117,7 @@
 
 /**
  * Takes the changed rows that fit into one commit: those of workers with new runs first, then
- * submissions, other workers, purged submissions and waves. The rest waits for the next commit.
+ * submissions, other workers, purged submissions, waves and evacuations. The rest waits for the next commit.
  */
 export const takeCommitRows = (turn: Turn, owned: OwnedWork, budget: CommitBudget): CommitRows => {
   const planned = isIsolating(owned) ? [] : owned.plannedStarts;
@@ -114,13 +133,15 @@
   const leases = leaseRowChanges(turn, owned, workers, budget, takesAllDirty);
   const purged = takePurgedRows(owned, budget);
   const waves = takeDirtyWaves(owned, budget);
+  const evacuations = takeDirtyEvacuations(owned, budget);
   return {
-    writes: [...leases.writes, ...rows, ...waves.rows],
+    writes: [...leases.writes, ...rows, ...waves.rows, ...evacuations.rows],
     removes: [...leases.removes, ...purged.rows],
     changes: {
       submissions,
       previousLeases: leases.previous,
       waves: waves.waves,
+      evacuations: evacuations.records,
       purged: purged.ids,
     },
     starts: selected,
--- a/packages/core/src/work/store/feeds.ts
+++ b/packages/core/src/work/store/feeds.ts
@@ -1,4 +1,10 @@
 import { catalogAgeMs, applyCatalog } from "./catalog.js";
+import {
+  endUnlistedEvacuations,
+  evacuationRemoved,
+  evacuationRequested,
+} from "./evacuationRows.js";
+import { feedWaitMs } from "../evacuation/index.js";
 import { FEED, STORE, CATALOG_VIEW } from "../constants.js";
 import type { Feed, Scan, StoreRow, WorkEvent } from "../events.js";
 import type { FeedState } from "../state.js";
@@ -11,8 +17,16 @@
 /** Whether changes of a table are followed, unlike tables that only a new owner reads. */
 export const isFeed = (scan: Scan): scan is Feed => Object.values<Scan>(FEED).includes(scan);
 
-/** Applies changed rows in the order of their versions. */
-export const applyRows = (turn: Turn, rows: readonly StoreRow[]): void => {
+/**
+ * Applies changed rows in the order of their versions.
+ *
+ * @param previousViewAtMs - When the view before the changes was asked for; null if there was none.
+ */
+const applyRows = (
+  turn: Turn,
+  rows: readonly StoreRow[],
+  previousViewAtMs: number | null,
+): void => {
   const { owned } = turn.work;
   for (const row of rows) {
     switch (row.type) {
@@ -27,6 +41,12 @@
       case "wave":
         handleWaveRequest(turn, row.request);
         break;
+      case "evacuation":
+        evacuationRequested(turn, row.zone, row.version, previousViewAtMs);
+        break;
+      case "evacuationRemoved":
+        evacuationRemoved(turn, row.zone, row.version);
+        break;
       case "worker":
         if (owned?.active === true) {
           workerRegistered(turn, owned, row.report);
@@ -72,11 +92,12 @@
   if (feed.sentAtMs !== event.sentAtMs || feed.after === null) {
     return;
   }
+  const previousViewAtMs = feed.viewAtMs;
   feed.sentAtMs = null;
   feed.after = event.version;
   feed.viewAtMs = validAsOfMs(turn, event.sentAtMs);
   feed.viewStoreMs = event.storeMs;
-  applyRows(turn, event.rows);
+  applyRows(turn, event.rows, previousViewAtMs);
   const gapMs = event.rows.length === 0 ? 0 : STORE.FEED_GAP_MS[event.feed];
   feed.retryAtMs = turn.nowMs + gapMs;
   if (gapMs > 0) {
@@ -113,6 +134,7 @@
   name: Feed,
 ): void => {
   const feed = turn.work.feeds[name];
+  const previousViewAtMs = feed.viewAtMs;
   feed.scanning = false;
   feed.after = event.version;
   feed.viewAtMs = validAsOfMs(turn, event.sentAtMs);
@@ -120,8 +142,10 @@
   feed.retryAtMs = turn.nowMs;
   if (name === FEED.WORKERS) {
     removeMissingWorkers(turn, event.rows);
+  } else if (name === FEED.OPERATORS) {
+    endUnlistedEvacuations(turn, event.rows);
   }
-  applyRows(turn, event.rows);
+  applyRows(turn, event.rows, previousViewAtMs);
 };
 
 const removeMissingWorkers = (turn: Turn, rows: readonly StoreRow[]): void => {
@@ -136,6 +160,12 @@
   }
 };
 
+/** Returns how long a feed waits for a change. */
+const waitOf = (turn: Turn, name: Feed): number =>
+  name === FEED.OPERATORS
+    ? feedWaitMs(turn.work.bounds.evacuationMs, catalogAgeMs(turn), STORE.FEED_WAIT_MS)
+    : STORE.FEED_WAIT_MS;
+
 const requestChanges = (turn: Turn, name: Feed, feed: FeedState): void => {
   if (feed.sentAtMs !== null || feed.scanning || turn.nowMs < feed.retryAtMs) {
     return;
@@ -150,7 +180,7 @@
     type: "store/feed",
     feed: name,
     after: feed.after,
-    waitMs: STORE.FEED_WAIT_MS,
+    waitMs: waitOf(turn, name),
     sentAtMs: turn.nowMs,
   });
 };
--- a/packages/core/src/work/store/storeRows.ts
+++ b/packages/core/src/work/store/storeRows.ts
@@ -1,4 +1,5 @@
-import type { HostId } from "@heatherferry/common";
+import type { AvailabilityZoneId, HostId } from "@heatherferry/common";
+import type { EvacuationReport } from "../evacuation/index.js";
 import type {
   Catalog,
   SubmissionRow,
@@ -22,6 +23,16 @@
 export type StoreRow =
   | { readonly type: "catalog"; readonly version: StoreVersion; readonly catalog: Catalog }
   | { readonly type: "wave"; readonly version: StoreVersion; readonly request: WaveRequest }
+  | {
+      readonly type: "evacuation" | "evacuationRemoved";
+      readonly version: StoreVersion;
+      readonly zone: AvailabilityZoneId;
+    }
+  | {
+      readonly type: "evacuationReport";
+      readonly version: StoreVersion;
+      readonly report: EvacuationReport;
+    }
   | { readonly type: "worker"; readonly version: StoreVersion; readonly report: WorkerReport }
   | { readonly type: "workerGone"; readonly version: StoreVersion; readonly id: WorkerId }
   | { readonly type: "handIn"; readonly version: StoreVersion; readonly submission: SubmissionRow }
@@ -40,6 +51,7 @@
 
 /** A row to write; its content determines its key. */
 export type RowToWrite =
+  | { readonly type: "evacuationReport"; readonly report: EvacuationReport }
   | { readonly type: "handIn"; readonly submission: SubmissionRow }
   | { readonly type: "cancel"; readonly id: SubmissionId }
   | { readonly type: "progress"; readonly progress: Progress }
--- a/packages/core/src/work/submissions/starvation.ts
+++ b/packages/core/src/work/submissions/starvation.ts
@@ -2,7 +2,7 @@
 import { STARVATION } from "../constants.js";
 import { countSteps } from "../handlingCost.js";
 import type { IdleSubmission } from "./idleSubmissions.js";
-import { isOwnershipConfirmed, isSubmissionViewFresh } from "../ownership/ownershipConfirmation.js";
+import { mayStartRuns } from "../ownership/ownershipConfirmation.js";
 import { hasRoomFor, mayRunOn, withinCeiling } from "../placement/placement.js";
 import { mayFail } from "../placement/placementPass.js";
 import { poolOf } from "../hosts/pools.js";
@@ -32,7 +32,7 @@
   STEP_LIMIT: "stepLimit",
   /** Not enough workers have room for a gang at once, or it was not tried yet. */
   GANG: "gang",
-  /** Ownership, or the view of cancelled submissions, is not confirmed at present. */
+  /** Ownership, or a view that starts depend on, is not confirmed at present. */
   UNCONFIRMED: "unconfirmed",
   /** It could start, but no placement pass has come to it. */
   NOT_TRIED: "notTried",
@@ -86,7 +86,7 @@
   if (!open.some((worker) => mayRunOn(worker, item))) {
     return STARVATION_REASON.STEP_LIMIT;
   }
-  if (!isOwnershipConfirmed(turn, owned) || !isSubmissionViewFresh(turn)) {
+  if (!mayStartRuns(turn, owned)) {
     return STARVATION_REASON.UNCONFIRMED;
   }
   return spec.gang ? STARVATION_REASON.GANG : STARVATION_REASON.NOT_TRIED;
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -156,6 +156,8 @@
   readonly clockMs: number | null;
   /** Start of this incarnation; a restarted worker may keep its id. */
   readonly startWallMs: number | null;
+  /** How much longer the worker is slow after its start; 0 if it is not. */
+  readonly coldRemainingMs: number;
 }
 
 /** An entry for a run in the answer to a worker poll. */
@@ -181,6 +183,8 @@
 export interface HostListing {
   readonly host: HostId;
   readonly pool: PoolId;
+  /** Null if the platform does not report it. */
+  readonly availabilityZone: AvailabilityZoneId | null;
   readonly up: boolean;
   /** Whether the host is down for maintenance in a wave. */
   readonly inMaintenance: boolean;
@@ -224,4 +228,9 @@
   readonly moveMs: number;
   /** Time that the maintenance of a host takes. */
   readonly maintenanceMs: number;
+  /**
+   * Time within which starts end in a zone whose evacuation is requested; null where operators don't
+   * evacuate zones.
+   */
+  readonly evacuationMs: number | null;
 }
--- a/packages/core/src/work/workers/incarnations.ts
+++ b/packages/core/src/work/workers/incarnations.ts
@@ -95,6 +95,7 @@
 export const updateReport = (turn: Turn, worker: Worker, report: WorkerReport): void => {
   const { address, startWallMs } = worker.report;
   worker.report = { ...report, startWallMs: report.startWallMs ?? startWallMs };
+  worker.coldUntilMs = turn.nowMs + report.coldRemainingMs;
   worker.capacityIndex?.update(worker);
   if (worker.report.address !== address || worker.report.startWallMs !== startWallMs) {
     worker.pollOrder = null;
--- a/packages/core/src/work/workers/workerAvailability.ts
+++ b/packages/core/src/work/workers/workerAvailability.ts
@@ -1,4 +1,5 @@
 import type { ValueOf } from "@heatherferry/common";
+import { isClosedByZone } from "../evacuation/index.js";
 import { isReplaced } from "../hosts/hostWorkers.js";
 import { isUnresponsive } from "./leases.js";
 import type { OwnedWork, Worker } from "../state.js";
@@ -16,6 +17,8 @@
   UNREACHABLE: "unreachable",
   CLOCK_UNKNOWN: "clockUnknown",
   DRAINING: "draining",
+  /** Its availability zone is being evacuated, or has only begun to return. */
+  ZONE_EVACUATED: "zoneEvacuated",
   /** It is kept free for a move or the maintenance of its host. */
   RESERVED: "reserved",
   HOST_RECLAIMED: "hostReclaimed",
@@ -49,10 +52,13 @@
 };
 
 /** Returns why a worker's host takes no new work; null if it does. */
-const hostClosure = (owned: OwnedWork, worker: Worker): WorkerClosure | null => {
+const hostClosure = (turn: Turn, owned: OwnedWork, worker: Worker): WorkerClosure | null => {
   if (worker.report.draining) {
     return WORKER_CLOSURE.DRAINING;
   }
+  if (isClosedByZone(turn.work.evacuations, worker.report, turn.nowMs)) {
+    return WORKER_CLOSURE.ZONE_EVACUATED;
+  }
   if (worker.reservedFor !== null) {
     return WORKER_CLOSURE.RESERVED;
   }
@@ -75,7 +81,7 @@
 
 /** Returns why a worker accepts no new work now, whatever capacity it has; null if it accepts some. */
 export const closureOf = (turn: Turn, owned: OwnedWork, worker: Worker): WorkerClosure | null =>
-  linkClosure(worker) ?? hostClosure(owned, worker) ?? pauseClosure(turn, worker);
+  linkClosure(worker) ?? hostClosure(turn, owned, worker) ?? pauseClosure(turn, worker);
 
 /** Whether a worker accepts new work now. */
 export const isUsable = (turn: Turn, owned: OwnedWork, worker: Worker): boolean =>
--- a/packages/core/src/work/workers/workerState.ts
+++ b/packages/core/src/work/workers/workerState.ts
@@ -53,6 +53,8 @@
    * A registration with an earlier start time: stale, or written after the wall clock was set back.
    */
   earlierReport: WorkerReport | null;
+  /** When it is no longer slow after its start, on this node's clock. */
+  coldUntilMs: number;
   /** A sample of its clock, which read `clockMs` when this node's clock read `atMs`. */
   clock: { readonly clockMs: number; readonly atMs: number } | null;
   /** When all its runs have ended, on this node's clock; null if no lease was requested. */
@@ -193,6 +195,8 @@
   averagedAtMs: number;
   /** Hosts needed by long-running work that must leave its workers and fits on no others. */
   displacedHosts: number;
+  /** The long-running items that `displacedHosts` counts. */
+  readonly displacedItems: Set<Item>;
 }
 
 /** Resources in use, updated as runs start and end. */
--- a/packages/core/src/work/workers/workers.ts
+++ b/packages/core/src/work/workers/workers.ts
@@ -28,6 +28,7 @@
   registered: true,
   reportCurrent,
   earlierReport: null,
+  coldUntilMs: turn.nowMs + report.coldRemainingMs,
   clock: report.clockMs === null ? null : { clockMs: report.clockMs, atMs: turn.nowMs },
   leaseEndsAtMs: null,
   leaseUntilClockMs: 0,
--- a/packages/core/tests/work/memoryStore.ts
+++ b/packages/core/tests/work/memoryStore.ts
@@ -29,6 +29,8 @@
       return "owner";
     case "lease":
       return `lease ${row.worker}`;
+    case "evacuationReport":
+      return `evacuationReport ${row.report.zone}`;
     case "waveReport":
       return `waveReport ${row.wave}`;
     case "handIn":
@@ -43,6 +45,9 @@
 const TABLE_OF_TYPE: Readonly<Record<RowToWrite["type"] | StoreRow["type"], Scan>> = {
   catalog: "operators",
   wave: "operators",
+  evacuation: "operators",
+  evacuationRemoved: "operators",
+  evacuationReport: "progress",
   worker: "workers",
   workerGone: "workers",
   handIn: "handIns",
@@ -63,10 +68,12 @@
 const sizeOf = (row: RowToWrite): number =>
   4 * Math.ceil(Buffer.byteLength(JSON.stringify(row)) / 3);
 
+const REPORTED_TYPES: readonly RowToWrite["type"][] = ["waveReport", "evacuationReport"];
+
 /** Returns what the platform's store would refuse a transaction for; null if it accepts it. */
 export const refusalOf = ({ conditions, writes, removes }: Commit): string | null => {
-  // The report on a wave is written beside its row.
-  const reports = writes.filter(({ type }) => type === "waveReport").length;
+  // The reports that the operators read are written beside the rows.
+  const reports = writes.filter(({ type }) => REPORTED_TYPES.includes(type)).length;
   const entries = conditions.length + writes.length + reports + removes.length;
   if (entries > MAX_ENTRIES) {
     return `TRANSACTION: it has ${entries} entries, above the limit of the store`;
@@ -81,6 +88,9 @@
     : null;
 };
 
+/** Stand for removed rows in feeds. */
+const REMOVAL_TYPES: readonly StoreRow["type"][] = ["workerGone", "evacuationRemoved"];
+
 /** In-memory model of the platform's store: a single version counter, transactions and feeds. */
 export class MemoryStore {
   version = 1;
@@ -121,7 +131,7 @@
 
   /** Returns all rows of a table. */
   scan(scan: Scan): readonly StoreRow[] {
-    return this.changes(scan, 0).filter(({ type }) => type !== "workerGone");
+    return this.changes(scan, 0).filter(({ type }) => !REMOVAL_TYPES.includes(type));
   }
 
   /** Returns the rows of a table that have changed after a version. */
--- a/packages/core/tests/work/ownerNode.ts
+++ b/packages/core/tests/work/ownerNode.ts
@@ -59,6 +59,7 @@
   drainRemainingMs: null,
   clockMs: 1_000,
   startWallMs,
+  coldRemainingMs: 0,
 });
 
 export const submissionRowOf = (id: string, work: WorkSpec): SubmissionRow => ({
--- a/packages/core/tests/work/siteFixtures.ts
+++ b/packages/core/tests/work/siteFixtures.ts
@@ -16,6 +16,7 @@
   impactMs: 4_000,
   moveMs: 1_500,
   maintenanceMs: 2_000,
+  evacuationMs: null,
 };
 
 /** The standby pool, whose hosts are off. */
--- a/packages/core/tests/work/siteHosts.ts
+++ b/packages/core/tests/work/siteHosts.ts
@@ -84,6 +84,7 @@
     const hosts: HostListing[] = listed.map(([host, { pool, state, worker }]) => ({
       host,
       pool,
+      availabilityZone: this.zoneOf(host),
       up: state === "up",
       inMaintenance: state === "upkeep",
       labels: [],
--- a/packages/core/tests/work/siteInvariants.ts
+++ b/packages/core/tests/work/siteInvariants.ts
@@ -1,3 +1,4 @@
+import type { AvailabilityZoneId } from "@heatherferry/common";
 import {
   END_KIND,
   type EndLine,
@@ -15,6 +16,9 @@
 export abstract class SiteInvariants extends SiteClock {
   readonly workers = new Map<string, MemoryWorker>();
   starts = 0;
+  /** When the evacuation of zones was requested, and how long starts may go on there. */
+  protected readonly evacuatedSinceMs = new Map<AvailabilityZoneId, number>();
+  protected evacuationMs = Infinity;
   protected readonly submissionRows = new Map<string, SubmissionRow>();
   private readonly acknowledgedDone = new Set<ItemKey>();
   private readonly done = new Set<ItemKey>();
@@ -50,9 +54,20 @@
     if (!spec.lasting && (this.failed.get(run.item) ?? 0) >= MAX_ATTEMPTS) {
       throw new Error(`${run.item} was started as run ${run.run} after its last attempt failed`);
     }
+    this.checkZone(worker, run);
     this.checkRunStart(worker, run);
   }
 
+  private checkZone(worker: MemoryWorker, run: WorkerRun): void {
+    const sinceMs = this.evacuatedSinceMs.get(worker.report.availabilityZone) ?? Infinity;
+    if (this.nowMs - sinceMs > this.evacuationMs) {
+      throw new Error(
+        `${run.item} was started on ${worker.report.id}, ${this.nowMs - sinceMs} ms after the ` +
+          `evacuation of ${worker.report.availabilityZone}`,
+      );
+    }
+  }
+
   protected checkRunStart(worker: MemoryWorker, run: WorkerRun): void {
     let teamCpu = this.cpuMilliOf(run.item);
     for (const other of this.workers.values()) {
--- a/packages/core/tests/work/siteWorkers.ts
+++ b/packages/core/tests/work/siteWorkers.ts
@@ -4,6 +4,7 @@
   poolId,
   rackId,
   type Address,
+  type AvailabilityZoneId,
   type HostId,
   type PoolId,
 } from "@heatherferry/common";
@@ -26,12 +27,15 @@
 /** Longest delay until a restarted worker writes its registration. */
 const MAX_REGISTRATION_DELAY_MS = 800;
 
+const DEFAULT_ZONE = availabilityZoneId("a");
+
 const CAPACITY: Resources = { cpuMilli: 4_000, memoryMb: 10_000, gpus: 0 };
 
 /** Simulates workers on their hosts: their capacity, crashes and restarts. */
 export abstract class SiteWorkers extends SiteOrders {
   readonly hosts = new Map<HostId, MemoryHost>();
   private capacities: readonly Resources[] = [CAPACITY];
+  private zones: readonly AvailabilityZoneId[] = [DEFAULT_ZONE];
   /** Whether capacities vary by incarnation of a worker; otherwise they depend on its host only. */
   capacitiesVary = false;
   /** Whether workers forget ends also if they come after their acknowledgement. */
@@ -92,6 +96,18 @@
     }
   }
 
+  /** Spreads the hosts over availability zones in turn. Must be called before the simulation starts. */
+  spreadOverZones(zones: readonly string[]): void {
+    this.zones = zones.map(availabilityZoneId);
+    this.resizeWorkers(this.capacities);
+  }
+
+  protected zoneOf(host: HostId): AvailabilityZoneId {
+    const { length } = this.zones;
+    const index = [...this.hosts.keys()].indexOf(host);
+    return this.zones[index % length] ?? DEFAULT_ZONE;
+  }
+
   crashWorker(id: string): void {
     const worker = this.workers.get(id);
     if (worker?.report.host != null) {
@@ -124,7 +140,7 @@
       host,
       pool: poolId(pool),
       address: at,
-      availabilityZone: availabilityZoneId("a"),
+      availabilityZone: this.zoneOf(host),
       rack: rackId("r"),
       labels: [],
       capacity: this.capacityOf(host),
@@ -132,6 +148,7 @@
       drainRemainingMs: null,
       clockMs: 0,
       startWallMs: this.nowMs,
+      coldRemainingMs: 0,
     };
     const worker = new MemoryWorker(report, this.nowMs, this);
     worker.startupMs = this.startupMs;
--- a/packages/core/tests/work/workSite.ts
+++ b/packages/core/tests/work/workSite.ts
@@ -25,6 +25,7 @@
 export class WorkSite extends SiteCallers {
   /** All effects of all nodes, in order. */
   readonly effects: Effect[] = [];
+  private bounds = BOUNDS;
   /** Time by which the wall clocks of nodes, by name, are ahead of the site's clock. */
   readonly wallClockLeadMs = new Map<string, number>();
   /** Factor on the usual processor time of events; null if events take no time. */
@@ -54,6 +55,32 @@
     }
   }
 
+  /** Lets operators evacuate zones; without it, as by default, nodes know no bound for it. */
+  setEvacuationBound(evacuationMs: number): void {
+    this.evacuationMs = evacuationMs;
+    this.bounds = { ...this.bounds, evacuationMs };
+    for (const { state } of this.nodes) {
+      if (state.work !== null) {
+        state.work.bounds = this.bounds;
+      }
+    }
+  }
+
+  /** Requests the evacuation of a zone; the store acknowledges it at once. */
+  evacuate(name: string): void {
+    const zone = availabilityZoneId(name);
+    this.evacuatedSinceMs.set(zone, this.nowMs);
+    this.store.put(`evacuate ${name}`, { type: "evacuation", version: storeVersion(0), zone });
+  }
+
+  /** Removes the request to evacuate a zone. */
+  takeBack(name: string): void {
+    const zone = availabilityZoneId(name);
+    this.evacuatedSinceMs.delete(zone);
+    const removed = { type: "evacuationRemoved", version: storeVersion(0), zone } as const;
+    this.store.put(`evacuate ${name}`, removed);
+  }
+
   /** Kills a node; it restarts as a new incarnation. */
   kill(nodeIndex: number, downMs: number): void {
     const node = this.nodes[nodeIndex];
@@ -123,7 +150,7 @@
     };
     const state = initialState(identity, 1, 0);
     const self = { holder: name, incarnation: `${name}-${life}` };
-    state.work = initialWorkloadState(self, BOUNDS, MILLI_PER_CORE * cores);
+    state.work = initialWorkloadState(self, this.bounds, MILLI_PER_CORE * cores);
     return state;
   }
 
--- a/packages/runners/tests/eventLoop.test.ts
+++ b/packages/runners/tests/eventLoop.test.ts
@@ -38,6 +38,7 @@
   impactMs: BOUND_MS,
   moveMs: BOUND_MS,
   maintenanceMs: BOUND_MS,
+  evacuationMs: null,
 };
 
 const newState = (): State => {
--- a/packages/wire/src/work/rowChecks.ts
+++ b/packages/wire/src/work/rowChecks.ts
@@ -1,4 +1,4 @@
-import { SUBMISSION_STATE } from "@heatherferry/core";
+import { EVACUATION_STATE, SUBMISSION_STATE } from "@heatherferry/core";
 
 /** Returns whether a stored value has the shape that the code relies on. */
 type Check = (value: unknown) => boolean;
@@ -94,6 +94,17 @@
     seenWallMs: isNumber,
     doneHosts: listOf(isString),
   }),
+  EVACUATION: withFields({
+    zone: isString,
+    state: (value) => Object.values<unknown>(EVACUATION_STATE).includes(value),
+    requestVersion: isCount,
+    sinceWallMs: isNumber,
+    workers: isCount,
+    batchRuns: isCount,
+    movingRuns: isCount,
+    heldRuns: isCount,
+    homelessRuns: isCount,
+  }),
   OWNER: withFields({
     holder: isString,
     incarnation: isString,
--- a/packages/wire/src/work/workRows.ts
+++ b/packages/wire/src/work/workRows.ts
@@ -4,6 +4,7 @@
   workerId,
   WORK_TABLE,
   OWNER_KEY,
+  type EvacuationReport,
   type SubmissionRow,
   type LeasedWorker,
   type OwnerRow,
@@ -48,6 +49,7 @@
  */
 const CANCEL_SUFFIX = "~cancel";
 const WAVE_PREFIX = "wave-";
+const EVACUATION_PREFIX = "evacuation-";
 
 interface WaveProgress {
   readonly wave: number;
@@ -118,6 +120,13 @@
         text: JSON.stringify(body),
       };
     }
+    case "evacuationReport":
+      return {
+        table: WORK_TABLE.PROGRESS,
+        part: OWNER_PART,
+        key: `${EVACUATION_PREFIX}${row.report.zone}`,
+        text: JSON.stringify(row.report),
+      };
   }
 };
 
@@ -148,6 +157,11 @@
     const { wave, completed, seenWallMs, doneHosts } = body as WaveProgress;
     return { type: "waveReport", version: at, wave, completed, seenWallMs, doneHosts };
   }
+  if (table === WORK_TABLE.PROGRESS && key.startsWith(EVACUATION_PREFIX)) {
+    return ROW_CHECK.EVACUATION(body)
+      ? { type: "evacuationReport", version: at, report: body as EvacuationReport }
+      : null;
+  }
   if (table === WORK_TABLE.PROGRESS && ROW_CHECK.PROGRESS(body)) {
     return { type: "progress", version: at, progress: body as Progress };
   }
