--- a/apps/cli/src/operatorCli.ts
+++ b/apps/cli/src/operatorCli.ts
@@ -1,6 +1,7 @@
 import { EXIT_CODE } from "@heatherferry/common";
 import { Builtins, Cli, type Command } from "clipanion";
 import type { CommandEnvironment, OperatorContext } from "./commands/commandEnvironment.js";
+import { EvacuationsCommand } from "./commands/evacuationsCommand.js";
 import {
   DrainCommand,
   ExplainCommand,
@@ -38,6 +39,7 @@
   WavePauseCommand,
   WaveResumeCommand,
   TraceCommand,
+  EvacuationsCommand,
 ] as const;
 
 /** Command-line interface for operators, with all commands. */
--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -36,6 +36,7 @@
 } from "@heatherferry/runners";
 import { BoundedSink } from "./boundedSink.js";
 import { LoopLoadReporter } from "./loopLoadReporter.js";
+import { registerEvacuationMetrics } from "./evacuationMetrics.js";
 import { registerLoadMetrics } from "./loadMetrics.js";
 import { OsProcessorTime } from "./processorTime.js";
 import { registerStarvationMetrics } from "./starvationMetrics.js";
@@ -107,6 +108,7 @@
   const processor = new OsProcessorTime();
   const loadReporter = new LoopLoadReporter(load, processor, log);
   registerStarvationMetrics(metrics.registry, state);
+  registerEvacuationMetrics(metrics.registry, state);
   registerLoadMetrics(metrics.registry, load, loadReporter, processor);
   const loop = new EventLoop(
     state,
--- a/packages/core/src/work/workers/evacuationReports.ts
+++ b/packages/core/src/work/workers/evacuationReports.ts
@@ -47,6 +47,7 @@
   if (state !== EVACUATION_STATE.EMPTYING) {
     logLine(turn, "info", `evacuation.${state}`, {
       zone,
+      since: new Date(sinceWallMs).toISOString(),
       workers,
       afterMs: Math.round(turn.wallMs - sinceWallMs),
     });
@@ -57,6 +58,7 @@
 const logProgress = (turn: Turn, report: EvacuationReport): void => {
   logLine(turn, "info", "evacuation.progress", {
     zone: report.zone,
+    since: new Date(report.sinceWallMs).toISOString(),
     workers: report.workers,
     runs: runsLeft(report),
     batchRuns: report.batchRuns,
