--- a/packages/core/src/work/evacuation/constants.ts
+++ b/packages/core/src/work/evacuation/constants.ts
@@ -1,11 +1,11 @@
 /** Limits on how long requests to evacuate zones may go unnoticed, and how zones return. */
 export const EVACUATION = {
-  /** Time from the sending of a start order until its worker has carried it out or never will. */
-  START_ORDER_LIFETIME_MS: 1_500,
+  /** Longest wait of a start order for a connection, and then for its worker's answer. */
+  START_ORDER_LIFETIME_MS: 2_300,
   /** Part of the bound that a view of the requests may always use up, however short the bound. */
   MIN_VIEW_SHARE: 0.5,
   /** Part of the time until a view is too old that the request for the next one may wait. */
-  FEED_WAIT_SHARE: 0.5,
+  FEED_WAIT_SHARE: 0.6,
   /** Time over which the workers of a zone return, since they may be slow after a pause. */
   RETURN_MS: 2_000,
   /** Least time between two reports on a zone. */
--- a/packages/core/src/work/ownership/ownershipConfirmation.ts
+++ b/packages/core/src/work/ownership/ownershipConfirmation.ts
@@ -26,11 +26,12 @@
 };
 
 /**
- * Whether the owner may start runs: ownership is confirmed, and its views of submissions and of the
- * zones to evacuate are fresh. Requests to evacuate zones are in the operators' table, as the
- * catalog is.
+ * Whether the owner's view of the zones to evacuate is fresh enough to start runs. The requests are
+ * in the operators' table, as the catalog is.
  */
-export const mayStartRuns = (turn: Turn, owned: OwnedWork): boolean =>
-  isOwnershipConfirmed(turn, owned) &&
-  isSubmissionViewFresh(turn) &&
+export const isEvacuationViewFresh = (turn: Turn): boolean =>
   isViewCurrent(turn.work.bounds.evacuationMs, catalogAgeMs(turn));
+
+/** Whether the owner may start runs: ownership is confirmed, and all that it knows is fresh. */
+export const mayStartRuns = (turn: Turn, owned: OwnedWork): boolean =>
+  isOwnershipConfirmed(turn, owned) && isSubmissionViewFresh(turn) && isEvacuationViewFresh(turn);
--- a/packages/core/src/work/placement/starts.ts
+++ b/packages/core/src/work/placement/starts.ts
@@ -1,6 +1,10 @@
 import { ORDER, RUN_PHASE } from "../constants.js";
 import { isClosedByZone } from "../evacuation/index.js";
-import { mayStartRuns } from "../ownership/ownershipConfirmation.js";
+import {
+  isEvacuationViewFresh,
+  isOwnershipConfirmed,
+  mayStartRuns,
+} from "../ownership/ownershipConfirmation.js";
 import { abandonRun } from "../workers/abandonedRuns.js";
 import { countSteps } from "../handlingCost.js";
 import { hasCapacityForRuns } from "../workers/workerResources.js";
@@ -174,7 +178,8 @@
   const mayResend =
     run.phase === RUN_PHASE.ORDERED &&
     run.startsSent < ORDER.MAX_START_ATTEMPTS &&
-    mayStartRuns(turn, owned);
+    isOwnershipConfirmed(turn, owned) &&
+    isEvacuationViewFresh(turn);
   const untilClockMs = mayResend ? leaseForStart(turn, worker) : null;
   if (untilClockMs === null) {
     return false;
