Soak: empty a zone and take it back, with the rule checked

A fault kind evacuates a zone that the seed draws; a start there later than the bound is a finding, and its workers are no room in the starvation rule.

--- a/apps/standins/src/soak/constants.ts
+++ b/apps/standins/src/soak/constants.ts
@@ -39,6 +39,8 @@
   LOWER_CEILINGS: "lowerCeilings",
   /** A share of the hosts is due for maintenance. */
   WAVE: "wave",
+  /** A zone is evacuated, and taken back at the end. */
+  EVACUATE_ZONE: "evacuateZone",
   /** A share of all submissions can never be done. */
   HOPELESS_WORK: "hopelessWork",
   /** One team sends many times its usual. */
@@ -61,6 +63,8 @@
   TWICE: "twice",
   /** A worker runs more than it has room for. */
   LIMIT: "limit",
+  /** An item starts in a zone whose evacuation was requested too long ago. */
+  EVACUATED: "evacuated",
 } as const;
 
 export const SOAK_PHASE = {
@@ -86,6 +90,8 @@
   /** Time for which workers are down that restart and are cut off, and until the cut. */
   RESTART_MS: 600,
   CUT_AFTER_RESTART_MS: 2_000,
+  /** Time within which starts end in a zone whose evacuation is requested. */
+  EVACUATION_MS: 5_000,
   /** Earliest time after its acceptance at which a submission is cancelled. */
   CANCEL_AFTER_MS: 2_000,
 } as const;
--- a/apps/standins/src/soak/faults/faultsOf.ts
+++ b/apps/standins/src/soak/faults/faultsOf.ts
@@ -6,6 +6,7 @@
 import {
   ChangeConfig,
   DropHistory,
+  EvacuateZone,
   LowerCeilings,
   RequestWave,
   SilenceStore,
@@ -40,6 +41,7 @@
   [FAULT.CHANGE_CONFIG]: new ChangeConfig(site),
   [FAULT.LOWER_CEILINGS]: new LowerCeilings(site),
   [FAULT.WAVE]: new RequestWave(site),
+  [FAULT.EVACUATE_ZONE]: new EvacuateZone(site),
   [FAULT.HOPELESS_WORK]: new TrafficFault(site),
   [FAULT.BUSY_TEAM]: new TrafficFault(site),
   [FAULT.SURGE]: new TrafficFault(site),
--- a/apps/standins/src/soak/faults/storeFaults.ts
+++ b/apps/standins/src/soak/faults/storeFaults.ts
@@ -52,6 +52,17 @@
   }
 }
 
+/** Operators empty a zone, and take it back at the end. */
+export class EvacuateZone extends SoakFault {
+  override begin(fault: PlannedFault): void {
+    this.site.setEvacuated(fault, true);
+  }
+
+  override end(fault: PlannedFault): void {
+    this.site.setEvacuated(fault, false);
+  }
+}
+
 /** Asks for the maintenance of hosts within the fault's time. */
 export class RequestWave extends PassingFault {
   override begin({ atMs, untilMs, strength, draw }: PlannedFault): void {
--- a/apps/standins/src/soak/initialSoakState.ts
+++ b/apps/standins/src/soak/initialSoakState.ts
@@ -40,6 +40,7 @@
     teamCpuMilli: new Map(),
     waitingFaults: [],
     activeFaults: [],
+    evacuatedSinceMs: new Map(),
     findings: [],
     unread: new Set(),
     refused: 0,
--- a/apps/standins/src/soak/nodeSettings.ts
+++ b/apps/standins/src/soak/nodeSettings.ts
@@ -1,4 +1,5 @@
 import { WORKER_BOUND } from "../work/workerConstants.js";
+import { SOAK } from "./constants.js";
 import type { NodePlace } from "./workNode.js";
 
 /** Ports before and behind the one for metrics. */
@@ -19,6 +20,7 @@
   impactMs: 4_000,
   migrationS: 1.5,
   maintenanceS: 2,
+  evacuationMs: SOAK.EVACUATION_MS,
 } as const;
 
 const section = (name: string, fields: object): string =>
--- a/apps/standins/src/soak/reduceSoak.ts
+++ b/apps/standins/src/soak/reduceSoak.ts
@@ -1,5 +1,6 @@
 import { assertNever } from "@heatherferry/common";
 import { FAULT, FINDING, SOAK, SOAK_PHASE } from "./constants.js";
+import { noteEvacuation, noteReturn } from "./evacuationRule.js";
 import { addFinding, noteAcknowledgement, noteEnd, noteStart } from "./runRecords.js";
 import { isOwed, reportStarvation, watchStarvation } from "./starvationRule.js";
 import { cancelDue, cancelMany, noteAccepted, sendDue } from "./traffic.js";
@@ -10,7 +11,12 @@
 const strike = (state: SoakState, atMs: number, effects: SoakEffect[]): void => {
   const ended = state.activeFaults.filter(({ untilMs }) => untilMs <= atMs);
   state.activeFaults = state.activeFaults.filter(({ untilMs }) => untilMs > atMs);
-  effects.push(...ended.map((fault) => ({ type: "fault/end" as const, fault })));
+  for (const fault of ended) {
+    effects.push({ type: "fault/end", fault });
+    if (fault.kind === FAULT.EVACUATE_ZONE) {
+      noteReturn(state, fault);
+    }
+  }
   const due = state.waitingFaults.filter((fault) => fault.atMs <= atMs);
   state.waitingFaults = state.waitingFaults.filter((fault) => fault.atMs > atMs);
   for (const fault of due) {
@@ -18,6 +24,8 @@
     effects.push({ type: "fault/begin", fault });
     if (fault.kind === FAULT.CANCEL_MANY) {
       cancelMany(state, fault.strength, effects);
+    } else if (fault.kind === FAULT.EVACUATE_ZONE) {
+      noteEvacuation(state, fault, atMs);
     }
   }
 };
--- a/apps/standins/src/soak/runRecords.ts
+++ b/apps/standins/src/soak/runRecords.ts
@@ -1,6 +1,7 @@
 import { RUN_END } from "../work/workerConstants.js";
 import type { RunEnd } from "../work/workerTypes.js";
 import { FINDING } from "./constants.js";
+import { checkEvacuation } from "./evacuationRule.js";
 import type {
   FindingKind,
   ItemRecord,
@@ -94,6 +95,7 @@
   record.doneRuns.forEach((done) => {
     done.restarted = true;
   });
+  checkEvacuation(state, worker, item, atMs);
   record.running.add(workerId);
   record.runs += 1;
   charge(state, worker, place, 1);
--- a/apps/standins/src/soak/soakSite.ts
+++ b/apps/standins/src/soak/soakSite.ts
@@ -2,13 +2,14 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { DeployedProgram } from "./deployFile.js";
+import { evacuatedZone } from "./evacuationRule.js";
 import { PacedStore } from "./pacedStore.js";
 import { configOf, type ConfigChanges } from "./soakConfig.js";
 import { SoakClient } from "./soakClient.js";
 import type { SoakEvents } from "./soakEvents.js";
 import { SoakFleet } from "./soakFleet.js";
 import { StoreProxy } from "./storeProxy.js";
-import type { SoakPlan } from "./types.js";
+import type { PlannedFault, SoakPlan } from "./types.js";
 import { WorkNode } from "./workNode.js";
 
 const READY_CHECK_MS = 100;
@@ -78,6 +79,16 @@
     this.fleet.requestWave(this.waves, share, draw, forMs);
   }
 
+  /** Requests the evacuation of the zone that a fault names, or removes the request. */
+  setEvacuated(fault: PlannedFault, isRequested: boolean): void {
+    const key = `evacuate/${evacuatedZone(this.plan, fault)}`;
+    if (isRequested) {
+      this.store.put("op", key, {});
+    } else {
+      this.store.remove("op", key);
+    }
+  }
+
   /** Returns the node that owns the work by the row in the store; null if its process is gone. */
   owner(): WorkNode | null {
     const text = this.store.readText(OWNER.TABLE, "", OWNER.KEY);
--- a/apps/standins/src/soak/starvationRule.ts
+++ b/apps/standins/src/soak/starvationRule.ts
@@ -25,9 +25,15 @@
     : Math.max(sum.cpu / sum.cpuCapacity, sum.memMb / sum.memMbCapacity);
 };
 
-/** Returns the sound workers of a pool. */
-export const soundWorkers = ({ workers }: SoakState, pool: string): readonly WorkerRecord[] =>
-  [...workers.values()].filter(({ identity, sound }) => sound && identity.pool === pool);
+/** Returns the sound workers of a pool outside of evacuated zones. */
+export const soundWorkers = (
+  { workers, evacuatedSinceMs }: SoakState,
+  pool: string,
+): readonly WorkerRecord[] =>
+  [...workers.values()].filter(
+    ({ identity, sound }) =>
+      sound && identity.pool === pool && !evacuatedSinceMs.has(identity.zone),
+  );
 
 const roomOf = (state: SoakState, pool: string): PoolRoom => {
   const workers = soundWorkers(state, pool);
--- a/apps/standins/src/soak/types.ts
+++ b/apps/standins/src/soak/types.ts
@@ -181,6 +181,8 @@
   readonly teamCpuMilli: Map<string, number>;
   waitingFaults: PlannedFault[];
   activeFaults: PlannedFault[];
+  /** When the evacuation of each zone was requested whose request is in force. */
+  readonly evacuatedSinceMs: Map<string, number>;
   readonly findings: Finding[];
   readonly unread: Set<string>;
   refused: number;
--- a/apps/standins/tests/soakRule.test.ts
+++ b/apps/standins/tests/soakRule.test.ts
@@ -1,8 +1,9 @@
 import test from "ava";
-import { FINDING, SOAK_PHASE } from "../src/soak/constants.js";
+import { FINDING, SOAK, SOAK_PHASE } from "../src/soak/constants.js";
 import { initialSoakState } from "../src/soak/initialSoakState.js";
 import { reduceSoak } from "../src/soak/reduceSoak.js";
 import type {
+  FaultPlan,
   KindPlan,
   SoakEffect,
   SoakEvent,
@@ -226,3 +227,34 @@
   t.deepEqual(one.state.waitingFaults, other.state.waitingFaults);
   t.true(one.state.submissions.size > 0);
 });
+
+const EVACUATION: FaultPlan = {
+  kind: "evacuateZone",
+  chance: 1,
+  times: 1,
+  atMs: 300,
+  forMs: 7_000,
+  strength: 1,
+};
+
+const EVACUATED_PLAN: SoakPlan = { ...PLAN, trafficMs: 20_000, faults: [EVACUATION] };
+
+test("a start in a zone that was to be empty by then is no finding", (t) => {
+  const soak = new SoakRun(EVACUATED_PLAN);
+  soak.run(200);
+  const { id } = soak.acceptFirst();
+  soak.run(200 + SOAK.EVACUATION_MS);
+  soak.start(`${id}.0.0.0`);
+  t.deepEqual(soak.findings, [FINDING.EVACUATED]);
+});
+
+test("a start in an evacuated zone is a finding within the bound, or after the zone is back", (t) => {
+  const soak = new SoakRun(EVACUATED_PLAN);
+  soak.run(200);
+  const { id } = soak.acceptFirst();
+  soak.run(SOAK.EVACUATION_MS);
+  soak.start(`${id}.0.0.0`);
+  soak.run(2_500);
+  soak.start(`${id}.0.0.1`);
+  t.deepEqual(soak.findings, []);
+});
