--- a/packages/core/src/work/ownership/ownershipConfirmation.ts
+++ b/packages/core/src/work/ownership/ownershipConfirmation.ts
@@ -1,4 +1,6 @@
 import { presentTermMs } from "./ownerTerm.js";
+import { isViewCurrent } from "../evacuation/index.js";
+import { catalogAgeMs } from "../store/catalog.js";
 import type { OwnedWork } from "../state.js";
 import type { Turn } from "../turn.js";
 
@@ -22,3 +24,14 @@
   const { viewAtMs } = work.feeds.handIns;
   return viewAtMs !== null && nowMs - viewAtMs <= work.bounds.visibleMs;
 };
+
+/**
+ * Whether the owner's view of the zones to evacuate is fresh enough to start runs. The requests are
+ * in the operators' table, as the catalog is.
+ */
+export const isEvacuationViewFresh = (turn: Turn): boolean =>
+  isViewCurrent(turn.work.bounds.evacuationMs, catalogAgeMs(turn));
+
+/** Whether the owner may start runs: ownership is confirmed, and all that it knows is fresh. */
+export const mayStartRuns = (turn: Turn, owned: OwnedWork): boolean =>
+  isOwnershipConfirmed(turn, owned) && isSubmissionViewFresh(turn) && isEvacuationViewFresh(turn);
