--- a/apps/cli/src/evacuations/describeEvacuations.ts
+++ b/apps/cli/src/evacuations/describeEvacuations.ts
@@ -11,7 +11,7 @@
   ["batchRuns", "batch runs until they end"],
   ["movingRuns", "long-running about to move"],
   ["heldRuns", "long-running held by maxUnavailable"],
-  ["homelessRuns", "long-running without room elsewhere"],
+  ["unplacedRuns", "long-running without room elsewhere"],
 ] as const;
 
 const describeWork = (fields: LogFields): string => {
--- a/apps/cli/tests/evacuations.test.ts
+++ b/apps/cli/tests/evacuations.test.ts
@@ -14,7 +14,7 @@
 
 const since = new Date(1_000).toISOString();
 
-const work = { batchRuns: 3, movingRuns: 0, heldRuns: 2, homelessRuns: 1 };
+const work = { batchRuns: 3, movingRuns: 0, heldRuns: 2, unplacedRuns: 1 };
 
 test.serial("an older line of another node hides what runs in a zone", async (t) => {
   const owner = tempFile(
--- a/packages/core/src/work/evacuation/reports.ts
+++ b/packages/core/src/work/evacuation/reports.ts
@@ -13,12 +13,12 @@
   batchRuns: 0,
   movingRuns: 0,
   heldRuns: 0,
-  homelessRuns: 0,
+  unplacedRuns: 0,
 };
 
 /** Returns how many runs remain in a zone. */
 export const runsLeft = (work: RemainingWork): number =>
-  work.batchRuns + work.movingRuns + work.heldRuns + work.homelessRuns;
+  work.batchRuns + work.movingRuns + work.heldRuns + work.unplacedRuns;
 
 /** Returns the report on a request; a report on the same request keeps its start. */
 const reportOn = (
--- a/packages/wire/src/work/rowChecks.ts
+++ b/packages/wire/src/work/rowChecks.ts
@@ -103,7 +103,7 @@
     batchRuns: isCount,
     movingRuns: isCount,
     heldRuns: isCount,
-    homelessRuns: isCount,
+    unplacedRuns: isCount,
   }),
   OWNER: withFields({
     holder: isString,
@@ -113,6 +113,7 @@
     orderedHosts: recordOf(nullOr(isNumber)),
     pending: nullOr(withFields({ asOfStoreMs: isNumber, byQueue: recordOf(isNumber) })),
     strongestMilli: isNumber,
+    termMs: optional(isCount),
     storesWindows: optional(isBoolean),
   }),
   LEASE: withFields({
