--- a/apps/work/src/evacuationMetrics.ts
+++ b/apps/work/src/evacuationMetrics.ts
@@ -7,7 +7,7 @@
   batch: ({ batchRuns }) => batchRuns,
   moving: ({ movingRuns }) => movingRuns,
   maxUnavailable: ({ heldRuns }) => heldRuns,
-  room: ({ homelessRuns }) => homelessRuns,
+  room: ({ unplacedRuns }) => unplacedRuns,
 } as const satisfies Record<string, (report: EvacuationReport) => number>;
 
 /**
--- a/packages/core/src/work/evacuation/types.ts
+++ b/packages/core/src/work/evacuation/types.ts
@@ -37,7 +37,7 @@
   /** Long-running work that waits because enough of its step is unavailable already. */
   readonly heldRuns: number;
   /** Long-running work that no worker outside has room for. */
-  readonly homelessRuns: number;
+  readonly unplacedRuns: number;
 }
 
 /** The stored state of an evacuation, which the operators read. */
--- a/packages/core/src/work/ownership/ownershipConfirmation.ts
+++ b/packages/core/src/work/ownership/ownershipConfirmation.ts
@@ -1,5 +1,5 @@
-import { presentTermMs } from "./ownerTerm.js";
 import { isViewCurrent } from "../evacuation/index.js";
+import { presentTermMs } from "./ownerTerm.js";
 import { catalogAgeMs } from "../store/catalog.js";
 import type { OwnedWork } from "../state.js";
 import type { Turn } from "../turn.js";
--- a/packages/core/src/work/workers/evacuationReports.ts
+++ b/packages/core/src/work/workers/evacuationReports.ts
@@ -22,12 +22,12 @@
   if (!mayStop(turn, owned, run)) {
     return "heldRuns";
   }
-  return run.item.reservedWorker === null ? "homelessRuns" : "movingRuns";
+  return run.item.reservedWorker === null ? "unplacedRuns" : "movingRuns";
 };
 
 /** Returns what still runs in a zone, with runs of which the owner knows only that they run. */
 const remainingWork = (turn: Turn, owned: OwnedWork, zone: AvailabilityZoneId): RemainingWork => {
-  const work = { workers: 0, batchRuns: 0, movingRuns: 0, heldRuns: 0, homelessRuns: 0 };
+  const work = { workers: 0, batchRuns: 0, movingRuns: 0, heldRuns: 0, unplacedRuns: 0 };
   countSteps(turn, owned.workers.size);
   for (const worker of owned.workers.values()) {
     if (worker.report.availabilityZone !== zone) {
@@ -64,7 +64,7 @@
     batchRuns: report.batchRuns,
     movingRuns: report.movingRuns,
     heldRuns: report.heldRuns,
-    homelessRuns: report.homelessRuns,
+    unplacedRuns: report.unplacedRuns,
   });
 };
 
--- a/packages/core/tests/work/evacuation.test.ts
+++ b/packages/core/tests/work/evacuation.test.ts
@@ -157,7 +157,7 @@
   t.is(site.starts, starts);
   t.is(site.effects.filter(({ type }) => type === "worker/stop").length, 0);
   t.is(site.longRunningOutside(""), 3);
-  t.true(["a", "b", "c"].some((zone) => (site.reportOn(zone)?.homelessRuns ?? 0) > 0));
+  t.true(["a", "b", "c"].some((zone) => (site.reportOn(zone)?.unplacedRuns ?? 0) > 0));
   for (const zone of ["a", "b", "c"]) {
     site.takeBack(zone);
   }
@@ -206,7 +206,7 @@
   site.run(5_000);
   t.is(site.effects.filter(({ type }) => type === "worker/stop").length, 0);
   t.is(site.longRunningOutside("b"), 2);
-  t.is(site.reportOn("b")?.homelessRuns, 1);
+  t.is(site.reportOn("b")?.unplacedRuns, 1);
   t.is(site.reportOn("b")?.state, "emptying");
 });
 
--- a/packages/wire/src/work/rowChecks.ts
+++ b/packages/wire/src/work/rowChecks.ts
@@ -103,7 +103,7 @@
     batchRuns: isCount,
     movingRuns: isCount,
     heldRuns: isCount,
-    homelessRuns: isCount,
+    unplacedRuns: isCount,
   }),
   OWNER: withFields({
     holder: isString,
