--- /dev/null
+++ b/packages/core/src/work/estimates/runKind.ts
@@ -0,0 +1,68 @@
+import type { RunKind, RunTraits } from "./types.js";
+
+/** A way to group runs of which similar run times are expected. */
+interface Level {
+  readonly name: string;
+  /** Whether a kind may have runs of several teams. */
+  readonly spansTeams: boolean;
+  /** Returns what the runs of a kind have in common; null if the level does not apply. */
+  readonly partsOf: (traits: RunTraits) => readonly (string | number)[] | null;
+}
+
+/** Levels of kinds above the single submission, the most specific first. */
+export const LEVELS: readonly Level[] = [
+  {
+    name: "image",
+    spansTeams: false,
+    partsOf: ({ queue, team, image }) => (image === null ? null : [queue, team ?? "", image]),
+  },
+  {
+    name: "step",
+    spansTeams: false,
+    partsOf: ({ queue, team, step }) => [queue, team ?? "", step],
+  },
+  {
+    name: "team",
+    spansTeams: false,
+    partsOf: ({ queue, team }) => [queue, team ?? ""],
+  },
+  {
+    name: "queue",
+    spansTeams: true,
+    partsOf: ({ queue }) => [queue],
+  },
+];
+
+/** Name of the level of runs of the same step of the same work. */
+export const SUBMISSION_LEVEL = "submission";
+
+/** Name of the level that tells how much longer runs take than those of their step before. */
+export const SPREAD_LEVEL = "spread";
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/** Returns a 32-bit hash (FNV-1a) of a text. */
+export const hashOf = (text: string): number => {
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  return hash >>> 0;
+};
+
+const HEX = 16;
+
+/** Returns the kinds that a run belongs to. Costs a pass over its payload. */
+export const runKindOf = (traits: RunTraits): RunKind => {
+  const { queue, team, step, payload } = traits;
+  return {
+    spreadKey: `${SPREAD_LEVEL} ${queue} ${team ?? ""}`,
+    submissionKey: `${SUBMISSION_LEVEL} ${queue} ${team ?? ""} ${step} ${hashOf(payload).toString(HEX)}`,
+    levelKeys: LEVELS.map(({ name, partsOf }) => {
+      const parts = partsOf(traits);
+      return parts === null ? null : `${name} ${parts.join(" ")}`;
+    }),
+    team: hashOf(team ?? ""),
+  };
+};
--- a/packages/core/src/work/hosts/arrivals.ts
+++ b/packages/core/src/work/hosts/arrivals.ts
@@ -1,5 +1,4 @@
 import { HOST_ALLOCATION } from "../constants.js";
-import { batchSteps } from "../submissions/criticalPaths.js";
 import type { PoolWork } from "../state.js";
 import type { Turn } from "../turn.js";
 import type { Resources, WorkSpec } from "../types.js";
@@ -18,13 +17,22 @@
     host.gpus === 0 ? 0 : needs.gpus / host.gpus,
   );
 
-/** Adds the batch work of a submission to the arrival rates of its pool. */
-export const recordArrival = (turn: Turn, pool: PoolWork, work: WorkSpec): void => {
+/**
+ * Adds the batch work of a submission to the arrival rates of its pool.
+ *
+ * @param runTimesMs - Expected run time of an item of each step.
+ */
+export const recordArrival = (
+  turn: Turn,
+  pool: PoolWork,
+  work: WorkSpec,
+  runTimesMs: readonly number[],
+): void => {
   const host = hostCapacity(pool);
-  const hostMs = batchSteps(work).reduce(
-    (sum, step) => sum + step.count * hostFraction(step.needs, host) * Math.max(1, step.estimateMs),
-    0,
-  );
+  const hostMs = work.steps.reduce((sum, { lasting, count, needs }, step) => {
+    const itemMs = Math.max(1, runTimesMs[step] ?? 0);
+    return lasting ? sum : sum + count * hostFraction(needs, host) * itemMs;
+  }, 0);
   if (hostMs > 0) {
     pool.arrivals.push({ atMs: turn.nowMs, hostMs });
     pool.steadyHosts += hostMs / HOST_ALLOCATION.ARRIVAL_RATE_WINDOW_MS;
--- a/packages/core/src/work/index.ts
+++ b/packages/core/src/work/index.ts
@@ -4,5 +4,6 @@
 export * from "./types.js";
 export { STARVATION_REASON, type StarvationReason } from "./submissions/starvation.js";
 export { WORKER_CLOSURE } from "./workers/workerAvailability.js";
+export * from "./estimates/index.js";
 export { echoedTarget } from "./workers/incarnations.js";
 export { criticalPathsMs } from "./submissions/criticalPaths.js";
--- a/packages/core/src/work/ownership/commitRejection.ts
+++ b/packages/core/src/work/ownership/commitRejection.ts
@@ -11,11 +11,11 @@
 
 type Changes = OwnerCommit["changes"];
 
-const rowCount = ({ submissions, previousLeases, waves, purged }: Changes): number =>
-  submissions.length + previousLeases.size + waves.length + purged.length;
+const rowCount = ({ submissions, previousLeases, waves, purged, runTimes }: Changes): number =>
+  submissions.length + previousLeases.size + waves.length + purged.length + (runTimes ? 1 : 0);
 
 /** Marks everything that a rejected commit would have recorded as changed again. */
-const restoreChanges = (owned: OwnedWork, changes: Changes): void => {
+const restoreChanges = ({ nowMs }: Turn, owned: OwnedWork, changes: Changes): void => {
   for (const submission of changes.submissions) {
     markDirty(owned, submission);
   }
@@ -33,6 +33,9 @@
   for (const id of changes.purged) {
     owned.purgedSubmissions.add(id);
   }
+  if (changes.runTimes) {
+    owned.runTimes.rowRejected(nowMs);
+  }
 };
 
 /**
@@ -81,7 +84,10 @@
     return `report on wave ${wave.request.wave}`;
   }
   changes.purged.forEach((id) => owned.purgedSubmissions.delete(id));
-  return changes.purged.length > 0 ? "removal of a purged submission" : "owner row";
+  if (changes.purged.length > 0) {
+    return "removal of a purged submission";
+  }
+  return changes.runTimes ? "learned run times" : "owner row";
 };
 
 /**
@@ -97,7 +103,7 @@
 ): void => {
   const rows = rowCount(changes);
   owned.commitInFlight = null;
-  restoreChanges(owned, changes);
+  restoreChanges(turn, owned, changes);
   cancelPlannedStarts(turn, owned, starts);
   dropHostOrders(turn, owned, orders);
   owned.commitRowLimit = Math.max(1, Math.floor(rows / 2));
--- a/packages/core/src/work/ownership/commitState.ts
+++ b/packages/core/src/work/ownership/commitState.ts
@@ -29,4 +29,6 @@
   readonly waves: readonly MaintenanceWave[];
   /** Purged submissions whose progress rows it deletes. */
   readonly purged: readonly SubmissionId[];
+  /** Whether it writes the row of the learned run times. */
+  readonly runTimes: boolean;
 }
--- a/packages/core/src/work/ownership/ownership.ts
+++ b/packages/core/src/work/ownership/ownership.ts
@@ -2,6 +2,7 @@
 import { DueQueue } from "@heatherferry/coordination";
 import { claimDelayMs, strongestOwnerMilli } from "./claimDelay.js";
 import { OWNERSHIP, SCAN, STORE } from "../constants.js";
+import { RunTimeEstimates } from "../estimates/index.js";
 import { logAbandonedRuns } from "../workers/abandonedRunLog.js";
 import { FleetKinds } from "../placement/fleetKinds.js";
 import { inheritedHostOrders } from "../hosts/hosts.js";
@@ -208,6 +209,7 @@
   unrecordedStopsPossible: previousRow !== null && !previousRow.released,
   inheritedOrders,
   submissions: new Map(),
+  runTimes: new RunTimeEstimates(),
   workers: new Map(),
   workerTimers: new DueQueue(),
   changedWorkers: new Set(),
--- a/packages/core/src/work/ownership/recovery.ts
+++ b/packages/core/src/work/ownership/recovery.ts
@@ -69,6 +69,8 @@
       cancels.push(row.id);
     } else if (row.type === "waveReport") {
       restoreWave(turn, owned, row);
+    } else if (row.type === "runTimes") {
+      owned.runTimes.restore(row.row, turn.nowMs, turn.wallMs);
     }
   }
   for (const row of rows) {
--- a/packages/core/src/work/placement/backlog.ts
+++ b/packages/core/src/work/placement/backlog.ts
@@ -6,6 +6,7 @@
 import type { Submission } from "../state.js";
 import type { Turn } from "../turn.js";
 import type { FleetKinds } from "./fleetKinds.js";
+import { refreshRunTimes } from "../submissions/expectedRunTimes.js";
 import { findObstacles, hasItemsFor, hasPlaceableItems } from "../submissions/obstacles.js";
 import { submissionDemand, type SubmissionDemand } from "./backlogDemand.js";
 import type { Resources } from "../types.js";
@@ -204,6 +205,7 @@
       this.rankChanges.delete(submission);
       return;
     }
+    refreshRunTimes(turn, submission);
     const orderKey = orderKeyOf(turn, submission);
     const team = this.teamBacklog(submission.row.team);
     const demand = submissionDemand(submission, host, orderKey.rank);
--- a/packages/core/src/work/placement/backlogDemand.ts
+++ b/packages/core/src/work/placement/backlogDemand.ts
@@ -2,6 +2,7 @@
 import { HOST_ALLOCATION } from "../constants.js";
 import { withinCeiling } from "./placement.js";
 import { RANK, type Rank } from "./orderKey.js";
+import { expectedStepMs } from "../submissions/expectedRunTimes.js";
 import { reservedResources } from "../workers/workerResources.js";
 import type { OwnedWork, PoolWork, Submission } from "../state.js";
 import type { Turn } from "../turn.js";
@@ -23,8 +24,8 @@
  * run several short items one after another within that time; a long-running item occupies it
  * throughout.
  */
-const timeFraction = ({ lasting, estimateMs }: StepSpec, targetMs: number): number =>
-  lasting ? 1 : Math.min(1, estimateMs / targetMs);
+const timeFraction = ({ lasting }: StepSpec, runTimeMs: number, targetMs: number): number =>
+  lasting ? 1 : Math.min(1, runTimeMs / targetMs);
 
 /**
  * Returns the demand of a submission's ready items for hosts of a pool. Expired work has a longer
@@ -48,7 +49,8 @@
       return;
     }
     const fraction = hostFraction(reservedResources(spec), host);
-    hosts += readyCount * fraction * timeFraction(spec, targetMs);
+    const runTimeMs = expectedStepMs(submission, step);
+    hosts += readyCount * fraction * timeFraction(spec, runTimeMs, targetMs);
     largest = Math.max(largest, fraction);
     spread = Math.max(spread, readyCount / (spec.maxPerWorker ?? Infinity));
   });
--- a/packages/core/src/work/placement/gangs.ts
+++ b/packages/core/src/work/placement/gangs.ts
@@ -8,7 +8,7 @@
 import { findWorker } from "./capacityReservations.js";
 
 /** Returns all items of the gang that an item belongs to, including the item itself. */
-const membersOf = (item: Item): readonly Item[] =>
+export const gangMembers = (item: Item): readonly Item[] =>
   item.submission.occurrences.get(item.occurrence)?.steps[item.step]?.items() ?? [];
 
 /** Abandons the runs that were planned for some members of a gang. */
@@ -30,7 +30,7 @@
  *   if a member cannot start yet for another reason.
  */
 export const planGang = (turn: Turn, owned: OwnedWork, pool: PoolWork, first: Item): boolean => {
-  const members = membersOf(first);
+  const members = gangMembers(first);
   if (
     !members.every(({ phase, key }) => phase === ITEM_PHASE.READY && !owned.withheldItems.has(key))
   ) {
@@ -57,7 +57,7 @@
 
 /** Marks all members of a gang as done once one of them has ended as done. */
 export const markGangDone = (turn: Turn, owned: OwnedWork, item: Item, run: number): void => {
-  for (const member of membersOf(item)) {
+  for (const member of gangMembers(item)) {
     itemDone(turn, owned, member, run);
   }
 };
--- a/packages/core/src/work/placement/starts.ts
+++ b/packages/core/src/work/placement/starts.ts
@@ -84,6 +84,21 @@
   });
 };
 
+/** Returns what a start was decided by, if that is not the caller's estimate. */
+const learnedFields = (
+  { nowMs }: Turn,
+  { submission: { runTimes }, step }: Item,
+): Readonly<Record<string, number>> => {
+  const expectation = runTimes.expectations[step];
+  return expectation?.ageMs == null
+    ? {}
+    : {
+        expectedMs: Math.round(expectation.expectedMs),
+        estimateEnds: expectation.samples,
+        estimateAgeMs: Math.round(expectation.ageMs + nowMs - runTimes.expectedAtMs),
+      };
+};
+
 const sendFirstStart = (
   turn: Turn,
   owned: OwnedWork,
@@ -115,6 +130,7 @@
     listedRuns: worker.listedRuns,
     orphanedRuns: worker.orphanedRuns.size,
     pollAnswerAgeMs: roundedMs(turn.nowMs - (worker.polledAtMs ?? -Infinity)),
+    ...learnedFields(turn, item),
   });
 };
 
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -6,6 +6,7 @@
 import type { TokenBucket } from "./placement/tokenBucket.js";
 import { indexCatalog, type CatalogIndex } from "./store/catalog.js";
 import type { FleetKinds } from "./placement/fleetKinds.js";
+import type { RunTimeEstimates } from "./estimates/index.js";
 import type { HandlingCost } from "./handlingCost.js";
 import type { IdleSubmission } from "./submissions/idleSubmissions.js";
 import type { Feed, Scan, StoreRow } from "./events.js";
@@ -84,6 +85,8 @@
   /** Hosts to which previous owners may have sent orders, and when this owner may send its own. */
   readonly inheritedOrders: ReadonlyMap<HostId, number>;
   readonly submissions: Map<SubmissionId, Submission>;
+  /** What was learned of run times, by this owner and by those before. */
+  readonly runTimes: RunTimeEstimates;
   readonly workers: Map<WorkerId, Worker>;
   /** Workers by the time of their next check, and those that have changed since the last one. */
   readonly workerTimers: DueQueue<Worker>;
--- a/packages/core/src/work/store/commitRows.ts
+++ b/packages/core/src/work/store/commitRows.ts
@@ -2,6 +2,7 @@
 import type { CommitBudget } from "../ownership/commitBudget.js";
 import type { RowName, RowToWrite } from "../events.js";
 import { leaseRowChanges, selectStarts } from "./leaseRows.js";
+import { takeRunTimesRow } from "./runTimesRows.js";
 import { takePurgedRows } from "../submissions/purge.js";
 import type { MaintenanceWave, OwnedWork, OwnerCommit, Run, Submission } from "../state.js";
 import { progressOf } from "./progressRows.js";
@@ -98,7 +99,8 @@
 
 /**
  * Takes the changed rows that fit into one commit: those of workers with new runs first, then
- * submissions, other workers, purged submissions and waves. The rest waits for the next commit.
+ * submissions, other workers, purged submissions, waves and learned run times. The rest waits for
+ * the next commit.
  */
 export const takeCommitRows = (turn: Turn, owned: OwnedWork, budget: CommitBudget): CommitRows => {
   const planned = isIsolating(owned) ? [] : owned.plannedStarts;
@@ -114,14 +116,16 @@
   const leases = leaseRowChanges(turn, owned, workers, budget, takesAllDirty);
   const purged = takePurgedRows(owned, budget);
   const waves = takeDirtyWaves(owned, budget);
+  const runTimes = isIsolating(owned) ? null : takeRunTimesRow(turn, owned, budget);
   return {
-    writes: [...leases.writes, ...rows, ...waves.rows],
+    writes: [...leases.writes, ...rows, ...waves.rows, ...(runTimes === null ? [] : [runTimes])],
     removes: [...leases.removes, ...purged.rows],
     changes: {
       submissions,
       previousLeases: leases.previous,
       waves: waves.waves,
       purged: purged.ids,
+      runTimes: runTimes !== null,
     },
     starts: selected,
     takesAllDirty,
--- a/packages/core/src/work/store/storeRows.ts
+++ b/packages/core/src/work/store/storeRows.ts
@@ -1,4 +1,5 @@
 import type { HostId } from "@heatherferry/common";
+import type { RunTimesRow } from "../estimates/index.js";
 import type {
   Catalog,
   SubmissionRow,
@@ -28,6 +29,7 @@
   | { readonly type: "cancel"; readonly version: StoreVersion; readonly id: SubmissionId }
   | { readonly type: "progress"; readonly version: StoreVersion; readonly progress: Progress }
   | { readonly type: "owner"; readonly version: StoreVersion; readonly owner: OwnerRow }
+  | { readonly type: "runTimes"; readonly version: StoreVersion; readonly row: RunTimesRow }
   | ({ readonly type: "lease"; readonly version: StoreVersion } & WorkerLease)
   | {
       readonly type: "waveReport";
@@ -44,6 +46,7 @@
   | { readonly type: "cancel"; readonly id: SubmissionId }
   | { readonly type: "progress"; readonly progress: Progress }
   | { readonly type: "owner"; readonly owner: OwnerRow }
+  | { readonly type: "runTimes"; readonly row: RunTimesRow }
   | ({ readonly type: "lease" } & WorkerLease)
   | {
       readonly type: "waveReport";
--- a/packages/core/src/work/submissions/adoption.ts
+++ b/packages/core/src/work/submissions/adoption.ts
@@ -2,6 +2,7 @@
 import { teamById } from "../store/catalog.js";
 import { ITEM_WINDOW, SUBMISSION_STATE } from "../constants.js";
 import { criticalPathsMs } from "./criticalPaths.js";
+import { expectedStepsMs, newRunTimes } from "./expectedRunTimes.js";
 import { DoneItems } from "./doneItems.js";
 import { addFailedRun } from "./failedRuns.js";
 import { noteBookedRuns } from "./idleSubmissions.js";
@@ -111,6 +112,7 @@
   const doneOccurrences = layout.isFinite
     ? Math.floor(done.firstOpen / layout.itemsPerOccurrence)
     : 0;
+  const runTimes = newRunTimes(turn, owned.runTimes, row);
   const submission: Submission = {
     row,
     version,
@@ -123,7 +125,8 @@
     failureBytes: 0,
     bookedRuns: 0,
     overRate: !inherited && exceedsRate(turn, owned, row),
-    criticalPathsMs: criticalPathsMs(row.work),
+    runTimes,
+    criticalPathsMs: criticalPathsMs(row.work, expectedStepsMs(runTimes)),
     occurrences: new Map(),
     createdOccurrences: doneOccurrences,
     doneOccurrences,
@@ -141,7 +144,8 @@
   noteBookedRuns(turn, owned, submission);
   countQueued(owned, submission, 1);
   if (!inherited) {
-    recordArrival(turn, poolOf(owned, poolOfSubmission(turn, row)), row.work);
+    const pool = poolOf(owned, poolOfSubmission(turn, row));
+    recordArrival(turn, pool, row.work, expectedStepsMs(runTimes));
   }
   const recorded = owned.startedOccurrences.get(row.id) ?? -1;
   const lastStarted = Math.max(recorded, lastPersistedOccurrence(progress));
--- a/packages/core/src/work/submissions/criticalPaths.ts
+++ b/packages/core/src/work/submissions/criticalPaths.ts
@@ -1,15 +1,20 @@
-import type { StepSpec, WorkSpec } from "../types.js";
+import type { WorkSpec } from "../types.js";
 
 /**
- * Computes the critical path of each step: the longest sum of estimated run times from the start of
- * the step to the end of the submission, in ms.
+ * Computes the critical path of each step: the longest sum of run times from the start of the step
+ * to the end of the submission, in ms.
+ *
+ * @param runTimesMs - Run time of an item of each step; by default the caller's estimate.
  */
-export const criticalPathsMs = (work: WorkSpec): readonly number[] => {
+export const criticalPathsMs = (
+  work: WorkSpec,
+  runTimesMs: readonly number[] = work.steps.map(({ estimateMs }) => estimateMs),
+): readonly number[] => {
   const pathsMs = work.steps.map(() => 0);
   for (let index = work.steps.length - 1; index >= 0; index -= 1) {
     const step = work.steps[index];
     // All steps that depend on this one are already included, as steps only depend on earlier ones.
-    const pathMs = (pathsMs[index] ?? 0) + (step?.estimateMs ?? 0);
+    const pathMs = (pathsMs[index] ?? 0) + (runTimesMs[index] ?? 0);
     pathsMs[index] = pathMs;
     for (const earlier of step?.after ?? []) {
       pathsMs[earlier] = Math.max(pathsMs[earlier] ?? 0, pathMs);
@@ -17,7 +22,3 @@
   }
   return pathsMs;
 };
-
-/** Returns the batch steps, whose items end by themselves. */
-export const batchSteps = (work: WorkSpec): readonly StepSpec[] =>
-  work.steps.filter(({ lasting }) => !lasting);
--- a/packages/core/src/work/submissions/itemState.ts
+++ b/packages/core/src/work/submissions/itemState.ts
@@ -1,4 +1,5 @@
 import type { Backlog } from "../placement/backlog.js";
+import type { SubmissionRunTimes } from "./expectedRunTimes.js";
 import type { DoneItems } from "./doneItems.js";
 import type { UnopenedSteps } from "./openItems.js";
 import type { ProgressLayout } from "./progressLayout.js";
@@ -87,10 +88,12 @@
 /** One scheduled execution of the steps of a submission. */
 export interface Occurrence {
   readonly number: number;
+  /** When callers count it as begun, on this node's monotonic clock. */
+  readonly startMs: number;
   /** Deadline, on this node's monotonic clock. */
-  readonly dueAtMs: number;
+  dueAtMs: number;
   /** When its result loses all value, on this node's monotonic clock. */
-  readonly expiresAtMs: number;
+  expiresAtMs: number;
   readonly steps: readonly StepItems[];
 }
 
@@ -99,8 +102,9 @@
   readonly version: StoreVersion;
   /** Whether it exceeds its team's submission rate, so that the work of others goes first. */
   readonly overRate: boolean;
-  /** Critical path of each step: the longest sum of estimates from its start to the end. */
-  readonly criticalPathsMs: readonly number[];
+  readonly runTimes: SubmissionRunTimes;
+  /** Critical path of each step: the longest sum of expected run times from its start to the end. */
+  criticalPathsMs: readonly number[];
   readonly layout: ProgressLayout;
   /** Whether it was stored before this owner acquired ownership, so that items may be running. */
   readonly inherited: boolean;
--- a/packages/core/src/work/submissions/occurrences.ts
+++ b/packages/core/src/work/submissions/occurrences.ts
@@ -6,16 +6,20 @@
 import { StepItems } from "./stepItems.js";
 import { itemKeyOf, type Progress } from "../types.js";
 
+/** Returns when an occurrence counts as begun for callers, on this node's monotonic clock. */
+const startOf = (turn: Turn, { row }: Submission, number: number): number => {
+  const { occurrences, firstDueWallMs, intervalMs } = row.work;
+  const startWallMs = occurrences === 0 ? row.acceptedWallMs : firstDueWallMs + number * intervalMs;
+  return turn.nowMs - Math.max(0, turn.wallMs - startWallMs);
+};
+
 /** Returns the deadline and the expiry of an occurrence, on this node's monotonic clock. */
-const timesOf = (
+const deadlinesOf = (
   turn: Turn,
   { row, criticalPathsMs: pathsMs }: Submission,
-  number: number,
+  startMs: number,
 ): { dueAtMs: number; expiresAtMs: number } => {
   const queue = queueById(turn.work, row.queue);
-  const { occurrences, firstDueWallMs, intervalMs } = row.work;
-  const startWallMs = occurrences === 0 ? row.acceptedWallMs : firstDueWallMs + number * intervalMs;
-  const startMs = turn.nowMs - Math.max(0, turn.wallMs - startWallMs);
   const targetDurationMs =
     (queue?.stretchFactor ?? 1) * Math.max(0, ...pathsMs) + (queue?.targetDurationMs ?? 0);
   return {
@@ -81,13 +85,26 @@
 };
 
 /** Creates an occurrence of a submission, as far as previous owners got with it. */
-export const makeOccurrence = (turn: Turn, submission: Submission, number: number): Occurrence => ({
-  number,
-  ...timesOf(turn, submission, number),
-  steps: submission.row.work.steps.map(({ count }, step) =>
-    stepItems(submission, number, step, count),
-  ),
-});
+export const makeOccurrence = (turn: Turn, submission: Submission, number: number): Occurrence => {
+  const startMs = startOf(turn, submission, number);
+  return {
+    number,
+    startMs,
+    ...deadlinesOf(turn, submission, startMs),
+    steps: submission.row.work.steps.map(({ count }, step) =>
+      stepItems(submission, number, step, count),
+    ),
+  };
+};
+
+/** Computes the deadlines of a submission's occurrences anew after its critical paths changed. */
+export const updateDeadlines = (turn: Turn, submission: Submission): void => {
+  for (const occurrence of submission.occurrences.values()) {
+    const { dueAtMs, expiresAtMs } = deadlinesOf(turn, submission, occurrence.startMs);
+    occurrence.dueAtMs = dueAtMs;
+    occurrence.expiresAtMs = expiresAtMs;
+  }
+};
 
 /** Whether all steps of an occurrence are done. */
 export const isOccurrenceDone = ({ steps }: Occurrence): boolean =>
--- a/packages/core/src/work/workers/stalledRuns.ts
+++ b/packages/core/src/work/workers/stalledRuns.ts
@@ -1,4 +1,5 @@
 import { HEALTH, RUN_PHASE } from "../constants.js";
+import { expectedStepMs } from "../submissions/expectedRunTimes.js";
 import { stopRun } from "./runs.js";
 import type { Item, OwnedWork, Run, Worker } from "../state.js";
 import type { Turn } from "../turn.js";
@@ -6,12 +7,12 @@
 
 /**
  * Returns how long a run of an item may go without progress. Progress is reported in whole percent,
- * so a long item makes none for a while. The estimate may be far too low: each stall doubles the
+ * so a long item makes none for a while. The expected run time may be far too low: each stall doubles the
  * time.
  */
-const stallAfterMs = ({ spec, stalls }: Item): number => {
-  const expectedMs = spec.lasting ? 0 : HEALTH.STALL_SHARE_OF_ESTIMATE * spec.estimateMs;
-  return Math.max(HEALTH.STALL_MS * 2 ** stalls, expectedMs);
+const stallAfterMs = ({ spec, stalls, submission, step }: Item): number => {
+  const runTimeMs = spec.lasting ? 0 : expectedStepMs(submission, step);
+  return Math.max(HEALTH.STALL_MS * 2 ** stalls, HEALTH.STALL_SHARE_OF_ESTIMATE * runTimeMs);
 };
 
 const isStalled = (worker: Worker, run: Run): boolean =>
--- a/packages/core/tests/work/memoryStore.ts
+++ b/packages/core/tests/work/memoryStore.ts
@@ -26,7 +26,8 @@
 const nameOf = (row: RowName | RowToWrite): string => {
   switch (row.type) {
     case "owner":
-      return "owner";
+    case "runTimes":
+      return row.type;
     case "lease":
       return `lease ${row.worker}`;
     case "waveReport":
@@ -49,6 +50,7 @@
   cancel: "handIns",
   progress: "progress",
   waveReport: "progress",
+  runTimes: "progress",
   owner: "owner",
   lease: "leases",
 };
--- a/packages/wire/src/work/rowChecks.ts
+++ b/packages/wire/src/work/rowChecks.ts
@@ -94,6 +94,12 @@
     seenWallMs: isNumber,
     doneHosts: listOf(isString),
   }),
+  /** The kinds in it are checked one by one as they are restored. */
+  RUN_TIMES: withFields({
+    form: isCount,
+    writtenWallMs: isNumber,
+    levels: listOf(listOf(withFields({ key: isString }))),
+  }),
   OWNER: withFields({
     holder: isString,
     incarnation: isString,
--- a/packages/wire/src/work/workRows.ts
+++ b/packages/wire/src/work/workRows.ts
@@ -10,6 +10,7 @@
   type Progress,
   type RowName,
   type RowToWrite,
+  type RunTimesRow,
   type StoreRow,
   type SubmissionId,
 } from "@heatherferry/core";
@@ -49,6 +50,9 @@
 const CANCEL_SUFFIX = "~cancel";
 const WAVE_PREFIX = "wave-";
 
+/** Key of the learned run times; versions that do not know it leave the row out. */
+const RUN_TIMES_KEY = "run-times";
+
 interface WaveProgress {
   readonly wave: number;
   readonly completed: boolean;
@@ -108,6 +112,13 @@
       return { ...locateRow({ type: "owner" }), text: encodeOwner(row.owner) };
     case "lease":
       return { ...locateRow(row), text: JSON.stringify(row.lease) };
+    case "runTimes":
+      return {
+        table: WORK_TABLE.PROGRESS,
+        part: OWNER_PART,
+        key: RUN_TIMES_KEY,
+        text: JSON.stringify(row.row),
+      };
     case "waveReport": {
       const { wave, completed, seenWallMs, doneHosts } = row;
       const body: WaveProgress = { wave, completed, seenWallMs, doneHosts };
@@ -148,6 +159,11 @@
     const { wave, completed, seenWallMs, doneHosts } = body as WaveProgress;
     return { type: "waveReport", version: at, wave, completed, seenWallMs, doneHosts };
   }
+  if (table === WORK_TABLE.PROGRESS && key === RUN_TIMES_KEY) {
+    return ROW_CHECK.RUN_TIMES(body)
+      ? { type: "runTimes", version: at, row: body as RunTimesRow }
+      : null;
+  }
   if (table === WORK_TABLE.PROGRESS && ROW_CHECK.PROGRESS(body)) {
     return { type: "progress", version: at, progress: body as Progress };
   }
