--- a/packages/core/src/work/estimates/constants.ts
+++ b/packages/core/src/work/estimates/constants.ts
@@ -4,6 +4,8 @@
   MAX: 24,
   /** Most of them from one team where a kind spans teams, so that no team sets the median alone. */
   MAX_OF_TEAM: 8,
+  /** A prediction may leave out the newest samples, up to one in this many. */
+  PER_MODEL_CHANGE: 8,
   /** Kinds kept on a level; the one whose newest end is oldest makes room. */
   MAX_KINDS: 256,
   /** The same for kinds within a submission, of which there is one for each step under way. */
@@ -30,6 +32,8 @@
   EXPECTED_QUANTILE: 0.5,
   /** Quantile that few runs exceed. */
   UPPER_QUANTILE: 0.9,
+  /** Numbers of ends, each twice the one before, after which medians of a step are compared. */
+  MAX_COMPARED_MEDIANS: 5,
   /** Interval after which the run times of what waits are expected anew. */
   REFRESH_MS: 2_000,
 } as const;
@@ -44,7 +48,7 @@
   RETRY_MS: 60_000,
   /** Largest size of the row as JSON, without the few bytes around its kinds. */
   MAX_BYTES: 16_000,
-  /** Most newest samples of a kind that it holds. */
+  /** Most samples of a kind that it holds. */
   MAX_SAMPLES: 12,
   /** Longest key of a kind that is stored. */
   MAX_KEY_LENGTH: 160,
--- a/packages/core/src/work/estimates/kindHistory.ts
+++ b/packages/core/src/work/estimates/kindHistory.ts
@@ -1,47 +1,19 @@
 import { LEARNING, SAMPLES } from "./constants.js";
-import { logOf, RunTimeModel } from "./runTimeModel.js";
+import { logOf, RunTimeModel, type RunLogs } from "./runTimeModel.js";
+import type { KindLimits } from "./kindLimits.js";
 import type { RunSample } from "./types.js";
 
 const MAX_ERROR = Math.log(LEARNING.MAX_ERROR_FACTOR);
 
-/** Returns the error of a prediction, as the logarithm of the factor that it is off by. */
-const errorOf = (predictedMs: number, durationMs: number): number =>
-  Math.min(MAX_ERROR, Math.abs(logOf(predictedMs) - logOf(durationMs)));
-
-/** When a kind has enough samples to be learned from. */
-export interface KindLimits {
-  /** Whether estimates of runs of the kind may differ, so that durations may follow them. */
-  readonly followsEstimates: boolean;
-  readonly minSamples: number;
-  readonly minScores: number;
-  readonly minTeams: number;
-  readonly maxOfTeam: number;
-}
+/** Returns the error of a prediction: the logarithm of the factor that it is off by. */
+const errorOf = (predicted: number, actual: number): number =>
+  Math.min(MAX_ERROR, Math.abs(predicted - actual));
 
-/** Limits of kinds within a submission, of kinds of one team, and of kinds that span teams. */
-export const KIND_LIMITS = {
-  SUBMISSION: {
-    followsEstimates: false,
-    minSamples: LEARNING.MIN_SUBMISSION_SAMPLES,
-    minScores: LEARNING.MIN_SUBMISSION_SCORES,
-    minTeams: 1,
-    maxOfTeam: SAMPLES.MAX,
-  },
-  TEAM: {
-    followsEstimates: true,
-    minSamples: LEARNING.MIN_SAMPLES,
-    minScores: LEARNING.MIN_SCORES,
-    minTeams: 1,
-    maxOfTeam: SAMPLES.MAX,
-  },
-  SHARED: {
-    followsEstimates: true,
-    minSamples: LEARNING.MIN_SAMPLES,
-    minScores: LEARNING.MIN_SCORES,
-    minTeams: LEARNING.MIN_TEAMS,
-    maxOfTeam: SAMPLES.MAX_OF_TEAM,
-  },
-} as const satisfies Readonly<Record<string, KindLimits>>;
+/** A sample with the logarithms that it is compared by. */
+interface Entry extends RunLogs {
+  readonly sample: RunSample;
+  readonly predicted: number | null;
+}
 
 /** Mean errors of predictions, as logarithms of factors. */
 export interface MeanErrors {
@@ -52,13 +24,18 @@
 
 /** The newest samples of one kind of run. */
 export class KindHistory {
-  private readonly samples: RunSample[] = [];
-  /** Null until it is needed after a change. */
+  private readonly entries: Entry[] = [];
   private model: RunTimeModel | null = null;
-  private errors: MeanErrors | null = null;
-  private decided: boolean | null = null;
-  /** Ends so far, also of samples that were replaced or forgotten. */
+  /** Samples added since the model was built. */
+  private modelAge = 0;
+  /** Sums over the entries with a prediction. */
+  private scored = 0;
+  private learnedErrors = 0;
+  private estimateErrors = 0;
+  /** Run ends so far, also of samples that were replaced or forgotten. */
   ends = 0;
+  /** Median of the run times after 1, 2, 4, ... ends, if the kind is a step of a submission. */
+  readonly mediansMs: number[] = [];
 
   /** @param lastEndAtMs - When the newest end was observed. */
   constructor(
@@ -67,20 +44,22 @@
   ) {}
 
   get size(): number {
-    return this.samples.length;
+    return this.entries.length;
   }
 
-  /** Returns the newest samples, oldest first. */
-  newest(maxCount: number): readonly RunSample[] {
-    return this.samples.slice(-maxCount);
+  /** Returns samples at even distances, the newest among them, oldest first. */
+  evenlySpaced(maxCount: number): readonly RunSample[] {
+    const distance = Math.ceil(this.size / maxCount);
+    return this.entries
+      .filter((_, index) => (this.size - 1 - index) % distance === 0)
+      .map(({ sample }) => sample);
   }
 
   /** Adds a sample, which replaces an earlier one of the same source. */
   observe(sample: Omit<RunSample, "predictedMs">, atMs: number): void {
-    const index = this.samples.findIndex(({ source }) => source === sample.source);
-    const [previous] = index < 0 ? [] : this.samples.splice(index, 1);
+    const index = this.entries.findIndex((entry) => entry.sample.source === sample.source);
     const predictedMs =
-      previous === undefined ? this.predictMs(sample.estimateMs) : previous.predictedMs;
+      index < 0 ? this.predictMs(sample.estimateMs) : this.removeAt(index).predictedMs;
     this.add({ ...sample, predictedMs });
     this.ends += 1;
     this.lastEndAtMs = atMs;
@@ -88,79 +67,95 @@
 
   /** Adds a sample and forgets the oldest one if there are too many. */
   add(sample: RunSample): void {
-    this.samples.push(sample);
-    if (this.countOf(sample.team) > this.limits.maxOfTeam) {
-      this.samples.splice(
-        this.samples.findIndex(({ team }) => team === sample.team),
-        1,
-      );
+    const { durationMs, estimateMs, predictedMs, team } = sample;
+    const entry = {
+      sample,
+      duration: logOf(durationMs),
+      estimate: logOf(estimateMs),
+      predicted: predictedMs === null ? null : logOf(predictedMs),
+    };
+    this.entries.push(entry);
+    this.score(entry, 1);
+    if (this.countOf(team) > this.limits.maxOfTeam) {
+      this.removeAt(this.entries.findIndex((other) => other.sample.team === team));
     } else if (this.size > SAMPLES.MAX) {
-      this.samples.shift();
+      this.removeAt(0);
     }
-    this.model = null;
-    this.errors = null;
-    this.decided = null;
+    this.modelAge += 1;
   }
 
   /** Whether enough is known to tell which predicts better: the estimate or what was learned. */
   get decides(): boolean {
-    this.decided ??= this.hasEnoughSamples();
-    return this.decided;
+    const { minSamples, minScores, minTeams } = this.limits;
+    return (
+      this.size >= minSamples &&
+      this.scored >= minScores &&
+      (minTeams === 1 || this.countTeams() >= minTeams)
+    );
   }
 
   /** Whether what was learned has predicted better than the estimates did. */
   get isBetterThanEstimates(): boolean {
-    const { learned, estimate } = this.meanErrors();
-    return this.decides && learned < LEARNING.MAX_ERROR_SHARE * estimate;
+    return this.learnedErrors < LEARNING.MAX_ERROR_SHARE * this.estimateErrors && this.decides;
   }
 
-  /** Returns the errors of the predictions of the samples. */
+  /** Returns the errors of the predictions of the samples; 0 if there were none. */
   meanErrors(): MeanErrors {
-    this.errors ??= this.computeErrors();
-    return this.errors;
+    const count = Math.max(1, this.scored);
+    return { learned: this.learnedErrors / count, estimate: this.estimateErrors / count };
   }
 
   /** Returns a quantile of the run time of a run with an estimate, as its logarithm. */
   quantile(share: number, estimateMs: number): number {
-    this.model ??= new RunTimeModel(this.samples, this.limits.followsEstimates);
-    return this.model.quantile(share, estimateMs);
+    return this.currentModel().quantile(share, estimateMs);
   }
 
   /** Returns the median of the run times, in ms. */
   medianDurationMs(): number {
-    const durations = this.samples.map(({ durationMs }) => durationMs);
+    const durations = this.entries.map(({ sample }) => sample.durationMs);
     durations.sort((one, other) => one - other);
     return durations[Math.floor(durations.length / 2)] ?? 0;
   }
 
-  private countOf(team: number): number {
-    return this.samples.reduce((count, sample) => count + (sample.team === team ? 1 : 0), 0);
+  /** Returns the model, which is built anew once enough of its samples have changed. */
+  private currentModel(): RunTimeModel {
+    if (this.model === null || this.modelAge > this.size / SAMPLES.PER_MODEL_CHANGE) {
+      this.model = new RunTimeModel(this.entries, this.limits.followsEstimates);
+      this.modelAge = 0;
+    }
+    return this.model;
   }
 
   private predictMs(estimateMs: number): number | null {
     return this.size === 0 ? null : Math.exp(this.quantile(LEARNING.EXPECTED_QUANTILE, estimateMs));
   }
 
-  private hasEnoughSamples(): boolean {
-    const { minSamples, minScores, minTeams } = this.limits;
-    return (
-      this.size >= minSamples &&
-      this.samples.filter(({ predictedMs }) => predictedMs !== null).length >= minScores &&
-      (minTeams === 1 || new Set(this.samples.map(({ team }) => team)).size >= minTeams)
-    );
+  private removeAt(index: number): RunSample {
+    const [entry] = this.entries.splice(index, 1);
+    if (entry === undefined) {
+      throw new RangeError(`there is no sample ${index}; pass the index of one of the samples`);
+    }
+    this.score(entry, -1);
+    return entry.sample;
   }
 
-  private computeErrors(): MeanErrors {
-    let scored = 0;
-    let learned = 0;
-    let estimate = 0;
-    for (const { durationMs, estimateMs, predictedMs } of this.samples) {
-      if (predictedMs !== null) {
-        scored += 1;
-        learned += errorOf(predictedMs, durationMs);
-        estimate += errorOf(estimateMs, durationMs);
-      }
+  private score({ duration, estimate, predicted }: Entry, sign: 1 | -1): void {
+    if (predicted !== null) {
+      this.scored += sign;
+      this.learnedErrors += sign * errorOf(predicted, duration);
+      this.estimateErrors += sign * errorOf(estimate, duration);
     }
-    return { learned: learned / scored, estimate: estimate / scored };
+  }
+
+  private countOf(team: number): number {
+    let count = 0;
+    for (const { sample } of this.entries) {
+      count += sample.team === team ? 1 : 0;
+    }
+    return count;
+  }
+
+  private countTeams(): number {
+    return new Set(this.entries.map(({ sample }) => sample.team)).size;
   }
 }
--- a/packages/core/src/work/estimates/kindTable.ts
+++ b/packages/core/src/work/estimates/kindTable.ts
@@ -1,4 +1,5 @@
-import { KindHistory, type KindLimits } from "./kindHistory.js";
+import { KindHistory } from "./kindHistory.js";
+import type { KindLimits } from "./kindLimits.js";
 
 /** The kinds of one level, of which those without an end for longest make room for others. */
 export class KindTable {
--- a/packages/core/src/work/estimates/runTimeEstimates.ts
+++ b/packages/core/src/work/estimates/runTimeEstimates.ts
@@ -1,5 +1,6 @@
 import { LEARNING, RUN_TIMES_ROW, SAMPLES } from "./constants.js";
-import { KIND_LIMITS, KindHistory } from "./kindHistory.js";
+import type { KindHistory } from "./kindHistory.js";
+import { KIND_LIMITS } from "./kindLimits.js";
 import { KindTable } from "./kindTable.js";
 import { hashOf, LEVELS, SPREAD_LEVEL, SUBMISSION_LEVEL } from "./runKind.js";
 import { logOf } from "./runTimeModel.js";
@@ -48,7 +49,7 @@
     ({ spansTeams }) =>
       new KindTable(spansTeams ? KIND_LIMITS.SHARED : KIND_LIMITS.TEAM, SAMPLES.MAX_KINDS),
   );
-  /** How long runs took, with the median of those of their step before as their estimate. */
+  /** How long runs took, with a median of those of their step before as their estimate. */
   private readonly spreads = new KindTable(KIND_LIMITS.TEAM, SAMPLES.MAX_KINDS);
   private readonly tables = [this.spreads, this.submissions, ...this.levels];
   private ends = 0;
@@ -72,6 +73,9 @@
       return;
     }
     const medianMs = siblings.medianDurationMs();
+    if (siblings.mediansMs.length < LEARNING.MAX_COMPARED_MEDIANS) {
+      siblings.mediansMs.push(medianMs);
+    }
     const sample = { source: hashOf(submissionKey), team, durationMs: medianMs, estimateMs };
     this.levels.forEach((level, index) => {
       const key = levelKeys[index] ?? null;
@@ -89,15 +93,16 @@
    * @param estimateMs - What its caller estimated.
    */
   expect(kind: RunKind, estimateMs: number, nowMs: number): Expectation {
-    const expectation = this.expectByLevels(kind, estimateMs, nowMs);
-    const { submissionKey } = kind;
-    const siblings = this.submissions.get(submissionKey);
-    if (siblings?.isBetterThanEstimates !== true) {
-      return expectation;
+    const byLevels = this.expectByLevels(kind, estimateMs, nowMs);
+    const siblings = this.submissions.get(kind.submissionKey);
+    if (siblings === undefined) {
+      return byLevels;
     }
-    const learned = learnedExpectation(submissionKey, siblings, expectation.expectedMs, nowMs);
-    const upperMs = this.upperMs(kind, learned.expectedMs) ?? expectation.upperMs;
-    return { ...learned, upperMs: Math.max(learned.upperMs, upperMs) };
+    const expectation = siblings.isBetterThanEstimates
+      ? learnedExpectation(kind.submissionKey, siblings, byLevels.expectedMs, nowMs)
+      : byLevels;
+    const upperMs = this.upperMs(kind, siblings) ?? byLevels.upperMs;
+    return { ...expectation, upperMs: Math.max(expectation.upperMs, upperMs) };
   }
 
   /**
@@ -110,18 +115,19 @@
     durationMs: number,
     atMs: number,
   ): void {
-    if (siblings.size > 0) {
-      const estimateMs = siblings.medianDurationMs();
+    siblings.mediansMs.forEach((estimateMs, index) => {
       const sample = { source: this.ends, team, durationMs, estimateMs };
-      this.spreads.touch(spreadKey).observe(sample, atMs);
-    }
+      this.spreads.touch(`${spreadKey} ${index}`).observe(sample, atMs);
+    });
   }
 
-  /** Returns what few runs exceed if those of their step so far took as long as is expected. */
-  private upperMs({ spreadKey }: RunKind, expectedMs: number): number | null {
-    const spread = this.spreads.get(spreadKey);
-    return spread?.decides === true
-      ? Math.exp(spread.quantile(LEARNING.UPPER_QUANTILE, expectedMs))
+  /** Returns what few of the other runs of a step exceed, or null if that is not known. */
+  private upperMs({ spreadKey }: RunKind, siblings: KindHistory): number | null {
+    const index = siblings.mediansMs.length - 1;
+    const medianMs = siblings.mediansMs[index];
+    const spread = this.spreads.get(`${spreadKey} ${index}`);
+    return medianMs !== undefined && spread?.decides === true
+      ? Math.exp(spread.quantile(LEARNING.UPPER_QUANTILE, medianMs))
       : null;
   }
 
@@ -199,10 +205,10 @@
 }
 
 /**
- * Whether the median of a step may have changed noticeably with its latest end: always at first, then
- * ever less often, so that a step with many items costs little.
+ * Whether the median of a step may have changed noticeably: with ever fewer of its ends, so that a
+ * step with many items costs little.
  */
-const changesMedian = (ends: number): boolean => ends <= 3 || Number.isInteger(Math.log2(ends));
+const changesMedian = (ends: number): boolean => Number.isInteger(Math.log2(ends));
 
 const summaryOf = (history: KindHistory, nowMs: number): Omit<KindSummary, "level" | "key"> => {
   const { learned, estimate } = history.meanErrors();
--- a/packages/core/src/work/estimates/runTimeModel.ts
+++ b/packages/core/src/work/estimates/runTimeModel.ts
@@ -1,32 +1,33 @@
 import { LEARNING } from "./constants.js";
-import type { RunSample } from "./types.js";
 
 /** Returns the logarithm in which run times are compared: errors are factors. */
 export const logOf = (ms: number): number => Math.log(Math.max(1, ms));
 
-const meanOf = (values: Float64Array): number => {
-  let sum = 0;
-  for (const value of values) {
-    sum += value;
-  }
-  return sum / values.length;
-};
+/** Logarithms of the duration of a run and of its estimate. */
+export interface RunLogs {
+  readonly duration: number;
+  readonly estimate: number;
+}
 
 /**
  * Returns how far durations follow estimates, from 0 (they are unrelated) to 1 (they are
  * proportional): the slope of the linear regression of their logarithms.
  */
-const slopeOf = (estimates: Float64Array, durations: Float64Array): number => {
-  const meanEstimate = meanOf(estimates);
-  const meanDuration = meanOf(durations);
+const slopeOf = (runs: readonly RunLogs[]): number => {
+  let estimateSum = 0;
+  let durationSum = 0;
+  for (const { estimate, duration } of runs) {
+    estimateSum += estimate;
+    durationSum += duration;
+  }
   let variance = 0;
   let covariance = 0;
-  estimates.forEach((estimate, index) => {
-    const deviation = estimate - meanEstimate;
-    variance += deviation ** 2;
-    covariance += deviation * ((durations[index] ?? meanDuration) - meanDuration);
-  });
-  return variance < LEARNING.MIN_ESTIMATE_VARIANCE * estimates.length
+  for (const { estimate, duration } of runs) {
+    const deviation = estimate - estimateSum / runs.length;
+    variance += deviation * deviation;
+    covariance += deviation * (duration - durationSum / runs.length);
+  }
+  return variance < LEARNING.MIN_ESTIMATE_VARIANCE * runs.length
     ? 1
     : Math.min(1, Math.max(0, covariance / variance));
 };
@@ -41,17 +42,16 @@
   private readonly residuals: Float64Array;
 
   /**
-   * @param samples - At least one.
+   * @param runs - At least one.
    * @param followsEstimates - Whether durations may follow estimates; else these don't count.
    */
-  constructor(samples: readonly RunSample[], followsEstimates: boolean) {
-    const estimates = Float64Array.from(samples, ({ estimateMs }) => logOf(estimateMs));
-    const durations = Float64Array.from(samples, ({ durationMs }) => logOf(durationMs));
-    const slope = followsEstimates ? slopeOf(estimates, durations) : 0;
-    this.slope = slope;
-    this.residuals = durations
-      .map((duration, index) => duration - slope * (estimates[index] ?? 0))
-      .sort();
+  constructor(runs: readonly RunLogs[], followsEstimates: boolean) {
+    this.slope = followsEstimates ? slopeOf(runs) : 0;
+    this.residuals = new Float64Array(runs.length);
+    runs.forEach(({ duration, estimate }, index) => {
+      this.residuals[index] = duration - this.slope * estimate;
+    });
+    this.residuals.sort();
   }
 
   /**
--- a/packages/core/src/work/estimates/runTimesRow.ts
+++ b/packages/core/src/work/estimates/runTimesRow.ts
@@ -1,5 +1,6 @@
 import { RUN_TIMES_ROW } from "./constants.js";
-import { KindHistory, type KindLimits } from "./kindHistory.js";
+import { KindHistory } from "./kindHistory.js";
+import type { KindLimits } from "./kindLimits.js";
 import type { KindTable } from "./kindTable.js";
 import type { RunSample, RunTimesRow, StoredKind, StoredSample } from "./types.js";
 
@@ -16,7 +17,7 @@
 const storedKind = (key: string, history: KindHistory, nowMs: number): StoredKind => ({
   key,
   ageMs: Math.round(nowMs - history.lastEndAtMs),
-  samples: history.newest(RUN_TIMES_ROW.MAX_SAMPLES).map(storedSample),
+  samples: history.evenlySpaced(RUN_TIMES_ROW.MAX_SAMPLES).map(storedSample),
 });
 
 /** Returns the newest kinds of a level that fit into a number of bytes, oldest first. */
--- a/packages/core/src/work/estimates/types.ts
+++ b/packages/core/src/work/estimates/types.ts
@@ -15,7 +15,7 @@
 export interface RunKind {
   /** Key of the runs of the same step of the same work. */
   readonly submissionKey: string;
-  /** Key of the runs of which is known how they differ from others of their step. */
+  /** Key of the runs of which is known how they differ from those of their step that ended first. */
   readonly spreadKey: string;
   /** A key for each level, the most specific first; null where a level does not apply. */
   readonly levelKeys: readonly (string | null)[];
@@ -59,7 +59,7 @@
   readonly key: string;
   /** Age of its newest end when the row was written. */
   readonly ageMs: number;
-  /** Its newest samples, oldest first. */
+  /** Samples of it, oldest first. */
   readonly samples: readonly StoredSample[];
 }
 
