explain run: show the run time that a start was decided by, its age and its ends

run.ordered logs expectedMs and estimateEnds, and if the figure was learned also estimateAgeMs, estimateKind and callerEstimateMs. The parsing of log lines is shared with trace.

--- a/apps/cli/src/operatorCli.ts
+++ b/apps/cli/src/operatorCli.ts
@@ -1,6 +1,7 @@
 import { EXIT_CODE } from "@heatherferry/common";
 import { Builtins, Cli, type Command } from "clipanion";
 import type { CommandEnvironment, OperatorContext } from "./commands/commandEnvironment.js";
+import { ExplainRunCommand } from "./commands/explainRunCommand.js";
 import {
   DrainCommand,
   ExplainCommand,
@@ -32,6 +33,7 @@
   KeysWithdrawCommand,
   StatusCommand,
   ExplainCommand,
+  ExplainRunCommand,
   DrainCommand,
   UndrainCommand,
   WaveCommand,
--- a/apps/cli/src/trace/traceTimeline.ts
+++ b/apps/cli/src/trace/traceTimeline.ts
@@ -1,3 +1,5 @@
+import { parseLogLine, type LogFields } from "./logLine.js";
+
 /** One line of a node's log that contains the id. */
 interface TraceLine {
   readonly atMs: number;
@@ -10,21 +12,7 @@
 const formatValue = (value: unknown): string =>
   typeof value === "string" && !/\s/u.test(value) ? value : JSON.stringify(value);
 
-const parseLine = (line: string): Record<string, unknown> | null => {
-  const start = line.indexOf("{");
-  if (start < 0) {
-    return null;
-  }
-  try {
-    const value: unknown = JSON.parse(line.slice(start));
-    return typeof value === "object" && value !== null ? (value as Record<string, unknown>) : null;
-  } catch {
-    // Truncated lines, as at the end of a file, are counted as unreadable by the caller.
-    return null;
-  }
-};
-
-const formatLine = (fields: Record<string, unknown>): TraceLine => {
+const formatLine = (fields: LogFields): TraceLine => {
   const { at, level, program, event } = fields;
   const rest = Object.entries(fields)
     .filter(([name]) => !LEADING_FIELDS.includes(name))
@@ -49,7 +37,7 @@
  */
 export const timelineOf = (id: string, texts: readonly string[]): Timeline => {
   const matching = texts.flatMap((text) => text.split("\n")).filter((line) => line.includes(id));
-  const parsed = matching.map(parseLine);
+  const parsed = matching.map(parseLogLine);
   const lines = parsed
     .filter((fields) => fields !== null)
     .map(formatLine)
--- a/packages/core/src/work/placement/starts.ts
+++ b/packages/core/src/work/placement/starts.ts
@@ -1,5 +1,6 @@
 import { ORDER, RUN_PHASE } from "../constants.js";
 import { isOwnershipConfirmed, isSubmissionViewFresh } from "../ownership/ownershipConfirmation.js";
+import { callersExpectation } from "../estimates/index.js";
 import { abandonRun } from "../workers/abandonedRuns.js";
 import { countSteps } from "../handlingCost.js";
 import { hasCapacityForRuns } from "../workers/workerResources.js";
@@ -84,18 +85,21 @@
   });
 };
 
-/** Returns what a start was decided by, if that is not the caller's estimate. */
-const learnedFields = (
+/** Returns the run time that a start was decided by, and what it rests on. */
+const expectationFields = (
   { nowMs }: Turn,
-  { submission: { runTimes }, step }: Item,
-): Readonly<Record<string, number>> => {
-  const expectation = runTimes.expectations[step];
-  return expectation?.ageMs == null
-    ? {}
+  { submission: { runTimes }, step, spec }: Item,
+): Readonly<Record<string, string | number>> => {
+  const { expectedMs, samples, ageMs, kind } =
+    runTimes.expectations[step] ?? callersExpectation(spec.estimateMs);
+  const fields = { expectedMs: Math.round(expectedMs), estimateEnds: samples };
+  return kind === null || ageMs === null
+    ? fields
     : {
-        expectedMs: Math.round(expectation.expectedMs),
-        estimateEnds: expectation.samples,
-        estimateAgeMs: Math.round(expectation.ageMs + nowMs - runTimes.expectedAtMs),
+        ...fields,
+        estimateAgeMs: Math.round(ageMs + nowMs - runTimes.expectedAtMs),
+        estimateKind: kind,
+        callerEstimateMs: Math.round(spec.estimateMs),
       };
 };
 
@@ -130,7 +134,7 @@
     listedRuns: worker.listedRuns,
     orphanedRuns: worker.orphanedRuns.size,
     pollAnswerAgeMs: roundedMs(turn.nowMs - (worker.polledAtMs ?? -Infinity)),
-    ...learnedFields(turn, item),
+    ...expectationFields(turn, item),
   });
 };
 
