--- a/packages/core/src/work/estimates/runKind.ts
+++ b/packages/core/src/work/estimates/runKind.ts
@@ -53,12 +53,13 @@
 
 const HEX = 16;
 
-/** Returns the kinds that a run belongs to. Costs a pass over its payload. */
+/** Returns the kinds that a run belongs to. */
 export const runKindOf = (traits: RunTraits): RunKind => {
-  const { queue, team, step, payload } = traits;
+  const { queue, team, step, payloadHash } = traits;
+  const hash = payloadHash.toString(HEX);
   return {
     spreadKey: `${SPREAD_LEVEL} ${queue} ${team ?? ""}`,
-    submissionKey: `${SUBMISSION_LEVEL} ${queue} ${team ?? ""} ${step} ${hashOf(payload).toString(HEX)}`,
+    submissionKey: `${SUBMISSION_LEVEL} ${queue} ${team ?? ""} ${step} ${hash}`,
     levelKeys: LEVELS.map(({ name, partsOf }) => {
       const parts = partsOf(traits);
       return parts === null ? null : `${name} ${parts.join(" ")}`;
--- a/packages/core/src/work/estimates/types.ts
+++ b/packages/core/src/work/estimates/types.ts
@@ -7,8 +7,8 @@
   readonly image: string | null;
   /** Number of the step in its submission. */
   readonly step: number;
-  /** Data that the run gets. */
-  readonly payload: string;
+  /** Hash of the data that the run gets. */
+  readonly payloadHash: number;
 }
 
 /** The kinds that a run belongs to. */
--- a/packages/core/src/work/submissions/adoption.ts
+++ b/packages/core/src/work/submissions/adoption.ts
@@ -112,7 +112,7 @@
   const doneOccurrences = layout.isFinite
     ? Math.floor(done.firstOpen / layout.itemsPerOccurrence)
     : 0;
-  const runTimes = newRunTimes(turn, owned.runTimes, row);
+  const runTimes = newRunTimes(turn, owned.runTimes, row, hasEnded(state));
   const submission: Submission = {
     row,
     version,
--- a/packages/core/src/work/submissions/expectedRunTimes.ts
+++ b/packages/core/src/work/submissions/expectedRunTimes.ts
@@ -1,4 +1,4 @@
-import { callersExpectation, LEARNING, runKindOf } from "../estimates/index.js";
+import { callersExpectation, hashOf, LEARNING, runKindOf } from "../estimates/index.js";
 import type { Expectation, RunKind, RunTimeEstimates } from "../estimates/index.js";
 import { updateDeadlines } from "./occurrences.js";
 import { criticalPathsMs } from "./criticalPaths.js";
@@ -8,7 +8,7 @@
 
 /** How long the items of a submission are expected to run. */
 export interface SubmissionRunTimes {
-  /** Kind of the runs of each step. */
+  /** Kind of the runs of each step; empty if the submission had ended when it was adopted. */
   readonly kinds: readonly RunKind[];
   /** For each step, in the order of the steps. */
   expectations: readonly Expectation[];
@@ -37,16 +37,24 @@
 ): readonly Expectation[] =>
   work.steps.map((spec, step) => expectStep(estimates, kinds[step], spec, nowMs));
 
-/** Returns how long the items of a submission that arrives are expected to run. */
+/** Returns the kinds of the runs of each step. Costs a pass over the payload. */
+const kindsOf = ({ queue, team, work }: SubmissionRow): readonly RunKind[] => {
+  const payloadHash = hashOf(work.payload);
+  return work.steps.map(({ image }, step) => runKindOf({ queue, team, image, step, payloadHash }));
+};
+
+/**
+ * Returns how long the items of a submission are expected to run.
+ *
+ * @param ended - Whether it has ended, so that nothing of it runs any more.
+ */
 export const newRunTimes = (
   { nowMs }: Turn,
   estimates: RunTimeEstimates,
   row: SubmissionRow,
+  ended: boolean,
 ): SubmissionRunTimes => {
-  const { queue, team, work } = row;
-  const kinds = work.steps.map(({ image }, step) =>
-    runKindOf({ queue, team, image, step, payload: work.payload }),
-  );
+  const kinds = ended ? [] : kindsOf(row);
   return {
     kinds,
     expectations: expectationsOf(estimates, row, kinds, nowMs),
--- a/packages/core/tests/work/estimates/runTimeLoads.ts
+++ b/packages/core/tests/work/estimates/runTimeLoads.ts
@@ -17,7 +17,7 @@
     team: teamId(team),
     image: null,
     step,
-    payload: `submission ${submissions}`,
+    payloadHash: submissions,
   });
 };
 
