--- a/packages/core/src/work/estimates/kindHistory.ts
+++ b/packages/core/src/work/estimates/kindHistory.ts
@@ -12,6 +12,8 @@
 /** A sample with the logarithms that it is compared by. */
 interface Entry extends RunLogs {
   readonly sample: RunSample;
+  readonly source: number;
+  readonly team: number;
   readonly predicted: number | null;
 }
 
@@ -57,7 +59,9 @@
 
   /** Adds a sample, which replaces an earlier one of the same source. */
   observe(sample: Omit<RunSample, "predictedMs">, atMs: number): void {
-    const index = this.entries.findIndex((entry) => entry.sample.source === sample.source);
+    const index = this.limits.replacesSamples
+      ? this.entries.findLastIndex(({ source }) => source === sample.source)
+      : -1;
     const predictedMs =
       index < 0 ? this.predictMs(sample.estimateMs) : this.removeAt(index).predictedMs;
     this.add({ ...sample, predictedMs });
@@ -67,17 +71,20 @@
 
   /** Adds a sample and forgets the oldest one if there are too many. */
   add(sample: RunSample): void {
-    const { durationMs, estimateMs, predictedMs, team } = sample;
+    const { durationMs, estimateMs, predictedMs, source, team } = sample;
     const entry = {
       sample,
+      source,
+      team,
       duration: logOf(durationMs),
       estimate: logOf(estimateMs),
       predicted: predictedMs === null ? null : logOf(predictedMs),
     };
     this.entries.push(entry);
     this.score(entry, 1);
-    if (this.countOf(team) > this.limits.maxOfTeam) {
-      this.removeAt(this.entries.findIndex((other) => other.sample.team === team));
+    const { maxOfTeam } = this.limits;
+    if (maxOfTeam < SAMPLES.MAX && this.countOf(team) > maxOfTeam) {
+      this.removeAt(this.entries.findIndex((other) => other.team === team));
     } else if (this.size > SAMPLES.MAX) {
       this.removeAt(0);
     }
@@ -127,7 +134,9 @@
   }
 
   private predictMs(estimateMs: number): number | null {
-    return this.size === 0 ? null : Math.exp(this.quantile(LEARNING.EXPECTED_QUANTILE, estimateMs));
+    return this.size === 0 || !this.limits.scoresPredictions
+      ? null
+      : Math.exp(this.quantile(LEARNING.EXPECTED_QUANTILE, estimateMs));
   }
 
   private removeAt(index: number): RunSample {
@@ -149,13 +158,13 @@
 
   private countOf(team: number): number {
     let count = 0;
-    for (const { sample } of this.entries) {
-      count += sample.team === team ? 1 : 0;
+    for (const entry of this.entries) {
+      count += entry.team === team ? 1 : 0;
     }
     return count;
   }
 
   private countTeams(): number {
-    return new Set(this.entries.map(({ sample }) => sample.team)).size;
+    return new Set(this.entries.map(({ team }) => team)).size;
   }
 }
--- a/packages/core/src/work/estimates/kindLimits.ts
+++ b/packages/core/src/work/estimates/kindLimits.ts
@@ -4,6 +4,10 @@
 export interface KindLimits {
   /** Whether estimates of runs of the kind may differ, so that durations may follow them. */
   readonly followsEstimates: boolean;
+  /** Whether a later sample of a source replaces an earlier one; else each sample has its own. */
+  readonly replacesSamples: boolean;
+  /** Whether predictions are compared with the run time, to tell whether estimates are better. */
+  readonly scoresPredictions: boolean;
   readonly minSamples: number;
   /** Predictions that have been compared with the run time. */
   readonly minScores: number;
@@ -11,10 +15,15 @@
   readonly maxOfTeam: number;
 }
 
-/** Limits of kinds within a submission, of kinds of one team, and of kinds that span teams. */
+/**
+ * Limits of kinds within a submission, of kinds of one team, of kinds that span teams, and of what
+ * tells how runs differ from the first ones of their step.
+ */
 export const KIND_LIMITS = {
   SUBMISSION: {
     followsEstimates: false,
+    replacesSamples: false,
+    scoresPredictions: true,
     minSamples: LEARNING.MIN_SUBMISSION_SAMPLES,
     minScores: LEARNING.MIN_SUBMISSION_SCORES,
     minTeams: 1,
@@ -22,6 +31,8 @@
   },
   TEAM: {
     followsEstimates: true,
+    replacesSamples: true,
+    scoresPredictions: true,
     minSamples: LEARNING.MIN_SAMPLES,
     minScores: LEARNING.MIN_SCORES,
     minTeams: 1,
@@ -29,9 +40,20 @@
   },
   SHARED: {
     followsEstimates: true,
+    replacesSamples: true,
+    scoresPredictions: true,
     minSamples: LEARNING.MIN_SAMPLES,
     minScores: LEARNING.MIN_SCORES,
     minTeams: LEARNING.MIN_TEAMS,
     maxOfTeam: SAMPLES.MAX_OF_TEAM,
   },
+  SPREAD: {
+    followsEstimates: true,
+    replacesSamples: false,
+    scoresPredictions: false,
+    minSamples: LEARNING.MIN_SAMPLES,
+    minScores: 0,
+    minTeams: 1,
+    maxOfTeam: SAMPLES.MAX,
+  },
 } as const satisfies Readonly<Record<string, KindLimits>>;
--- a/packages/core/src/work/estimates/runKind.ts
+++ b/packages/core/src/work/estimates/runKind.ts
@@ -36,8 +36,8 @@
 /** Name of the level of runs of the same step of the same work. */
 export const SUBMISSION_LEVEL = "submission";
 
-/** Name of the level that tells how much longer runs take than those of their step before. */
-export const SPREAD_LEVEL = "spread";
+/** Begins the keys of what tells how much longer runs take than those of their step before. */
+const SPREAD_LEVEL = "spread";
 
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
--- a/packages/core/src/work/estimates/runTimeEstimates.ts
+++ b/packages/core/src/work/estimates/runTimeEstimates.ts
@@ -2,7 +2,7 @@
 import type { KindHistory } from "./kindHistory.js";
 import { KIND_LIMITS } from "./kindLimits.js";
 import { KindTable } from "./kindTable.js";
-import { hashOf, LEVELS, SPREAD_LEVEL, SUBMISSION_LEVEL } from "./runKind.js";
+import { hashOf, LEVELS, SUBMISSION_LEVEL } from "./runKind.js";
 import { logOf } from "./runTimeModel.js";
 import { restoreLevels, storedLevels } from "./runTimesRow.js";
 import type { Expectation, RunKind, RunTimesRow } from "./types.js";
@@ -16,8 +16,8 @@
   ageMs: null,
 });
 
-/** Names of all levels, in the order in which they are stored. */
-const LEVEL_NAMES = [SPREAD_LEVEL, SUBMISSION_LEVEL, ...LEVELS.map(({ name }) => name)];
+/** Names of the levels that predict run times, the most specific first. */
+const LEVEL_NAMES = [SUBMISSION_LEVEL, ...LEVELS.map(({ name }) => name)];
 
 /** What is known of a kind, for operators. */
 export interface KindSummary {
@@ -50,7 +50,7 @@
       new KindTable(spansTeams ? KIND_LIMITS.SHARED : KIND_LIMITS.TEAM, SAMPLES.MAX_KINDS),
   );
   /** How long runs took, with a median of those of their step before as their estimate. */
-  private readonly spreads = new KindTable(KIND_LIMITS.TEAM, SAMPLES.MAX_KINDS);
+  private readonly spreads = new KindTable(KIND_LIMITS.SPREAD, SAMPLES.MAX_KINDS);
   private readonly tables = [this.spreads, this.submissions, ...this.levels];
   private ends = 0;
   private changed = false;
@@ -191,9 +191,9 @@
     this.ends = hashOf(String(row.writtenWallMs));
   }
 
-  /** Returns what is known of each kind, the most specific first. */
+  /** Returns what is known of each kind that predicts run times, the most specific first. */
   summary(nowMs: number): readonly KindSummary[] {
-    return this.tables.flatMap((table, index) => {
+    return [this.submissions, ...this.levels].flatMap((table, index) => {
       const level = LEVEL_NAMES[index] ?? "";
       return table.newestFirst().map(([key, history]) => ({
         level,
