--- a/apps/cli/src/evacuations/describeEvacuations.ts
+++ b/apps/cli/src/evacuations/describeEvacuations.ts
@@ -1,4 +1,4 @@
-import { parseLogLine } from "../trace/parseLogLine.js";
+import { parseLogLine } from "../trace/logLine.js";
 
 const EVENT_PREFIX = "evacuation.";
 
--- a/apps/cli/src/operatorCli.ts
+++ b/apps/cli/src/operatorCli.ts
@@ -2,6 +2,7 @@
 import { Builtins, Cli, type Command } from "clipanion";
 import type { CommandEnvironment, OperatorContext } from "./commands/commandEnvironment.js";
 import { EvacuationsCommand } from "./commands/evacuationsCommand.js";
+import { ExplainRunCommand } from "./commands/explainRunCommand.js";
 import {
   DrainCommand,
   ExplainCommand,
@@ -33,6 +34,7 @@
   KeysWithdrawCommand,
   StatusCommand,
   ExplainCommand,
+  ExplainRunCommand,
   DrainCommand,
   UndrainCommand,
   WaveCommand,
--- a/apps/cli/src/trace/traceTimeline.ts
+++ b/apps/cli/src/trace/traceTimeline.ts
@@ -1,4 +1,4 @@
-import { parseLogLine } from "./parseLogLine.js";
+import { parseLogLine, type LogFields } from "./logLine.js";
 
 /** One line of a node's log that contains the id. */
 interface TraceLine {
@@ -12,7 +12,7 @@
 const formatValue = (value: unknown): string =>
   typeof value === "string" && !/\s/u.test(value) ? value : JSON.stringify(value);
 
-const formatLine = (fields: Record<string, unknown>): TraceLine => {
+const formatLine = (fields: LogFields): TraceLine => {
   const { at, level, program, event } = fields;
   const rest = Object.entries(fields)
     .filter(([name]) => !LEADING_FIELDS.includes(name))
--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -39,6 +39,7 @@
 import { registerEvacuationMetrics } from "./evacuationMetrics.js";
 import { registerLoadMetrics } from "./loadMetrics.js";
 import { OsProcessorTime } from "./processorTime.js";
+import { registerRunTimeMetrics } from "./runTimeMetrics.js";
 import { registerStarvationMetrics } from "./starvationMetrics.js";
 import { WorkMetrics } from "./workMetrics.js";
 
@@ -109,6 +110,7 @@
   const loadReporter = new LoopLoadReporter(load, processor, log);
   registerStarvationMetrics(metrics.registry, state);
   registerEvacuationMetrics(metrics.registry, state);
+  registerRunTimeMetrics(metrics.registry, state);
   registerLoadMetrics(metrics.registry, load, loadReporter, processor);
   const loop = new EventLoop(
     state,
--- a/packages/core/src/work/index.ts
+++ b/packages/core/src/work/index.ts
@@ -5,5 +5,6 @@
 export { STARVATION_REASON, type StarvationReason } from "./submissions/starvation.js";
 export { WORKER_CLOSURE } from "./workers/workerAvailability.js";
 export * from "./evacuation/index.js";
+export * from "./estimates/index.js";
 export { echoedTarget } from "./workers/incarnations.js";
 export { criticalPathsMs } from "./submissions/criticalPaths.js";
--- a/packages/core/src/work/ownership/commitState.ts
+++ b/packages/core/src/work/ownership/commitState.ts
@@ -33,4 +33,6 @@
   readonly evacuations: readonly EvacuationRecord[];
   /** Purged submissions whose progress rows it deletes. */
   readonly purged: readonly SubmissionId[];
+  /** Whether it writes the row of the learned run times. */
+  readonly runTimes: boolean;
 }
--- a/packages/core/src/work/ownership/ownership.ts
+++ b/packages/core/src/work/ownership/ownership.ts
@@ -3,6 +3,7 @@
 import { claimDelayMs, strongestOwnerMilli } from "./claimDelay.js";
 import { takeoverMs, termMsOf } from "./ownerTerm.js";
 import { OWNERSHIP, SCAN, STORE } from "../constants.js";
+import { RunTimeEstimates } from "../estimates/index.js";
 import { logAbandonedRuns } from "../workers/abandonedRunLog.js";
 import { FleetKinds } from "../placement/fleetKinds.js";
 import { inheritedHostOrders } from "../hosts/hosts.js";
@@ -211,6 +212,7 @@
   unrecordedStopsPossible: previousRow !== null && !previousRow.released,
   inheritedOrders,
   submissions: new Map(),
+  runTimes: new RunTimeEstimates(),
   workers: new Map(),
   workerTimers: new DueQueue(),
   changedWorkers: new Set(),
--- a/packages/core/src/work/ownership/recovery.ts
+++ b/packages/core/src/work/ownership/recovery.ts
@@ -71,6 +71,8 @@
       restoreWave(turn, owned, row);
     } else if (row.type === "evacuationReport") {
       owned.evacuationRecords.set(row.report.zone, { report: row.report, dirty: false });
+    } else if (row.type === "runTimes") {
+      owned.runTimes.restore(row.row, turn.nowMs, turn.wallMs);
     }
   }
   for (const row of rows) {
--- a/packages/core/src/work/placement/starts.ts
+++ b/packages/core/src/work/placement/starts.ts
@@ -5,6 +5,7 @@
   isOwnershipConfirmed,
   mayStartRuns,
 } from "../ownership/ownershipConfirmation.js";
+import { callersExpectation } from "../estimates/index.js";
 import { abandonRun } from "../workers/abandonedRuns.js";
 import { countSteps } from "../handlingCost.js";
 import { hasCapacityForRuns } from "../workers/workerResources.js";
@@ -90,6 +91,24 @@
   });
 };
 
+/** Returns the run time that a start was decided by, and what it rests on. */
+const expectationFields = (
+  { nowMs }: Turn,
+  { submission: { runTimes }, step, spec }: Item,
+): Readonly<Record<string, string | number>> => {
+  const { expectedMs, samples, ageMs, kind } =
+    runTimes.expectations[step] ?? callersExpectation(spec.estimateMs);
+  const fields = { expectedMs: Math.round(expectedMs), estimateEnds: samples };
+  return kind === null || ageMs === null
+    ? fields
+    : {
+        ...fields,
+        estimateAgeMs: Math.round(ageMs + nowMs - runTimes.expectedAtMs),
+        estimateKind: kind,
+        callerEstimateMs: Math.round(spec.estimateMs),
+      };
+};
+
 const sendFirstStart = (
   turn: Turn,
   owned: OwnedWork,
@@ -121,6 +140,7 @@
     listedRuns: worker.listedRuns,
     orphanedRuns: worker.orphanedRuns.size,
     pollAnswerAgeMs: roundedMs(turn.nowMs - (worker.polledAtMs ?? -Infinity)),
+    ...expectationFields(turn, item),
   });
 };
 
--- a/packages/core/src/work/store/commitRows.ts
+++ b/packages/core/src/work/store/commitRows.ts
@@ -3,6 +3,7 @@
 import type { EvacuationRecord } from "../evacuation/index.js";
 import type { RowName, RowToWrite } from "../events.js";
 import { leaseRowChanges, selectStarts } from "./leaseRows.js";
+import { takeRunTimesRow } from "./runTimesRows.js";
 import { takePurgedRows } from "../submissions/purge.js";
 import type { MaintenanceWave, OwnedWork, OwnerCommit, Run, Submission } from "../state.js";
 import { progressOf } from "./progressRows.js";
@@ -117,7 +118,8 @@
 
 /**
  * Takes the changed rows that fit into one commit: those of workers with new runs first, then
- * submissions, other workers, purged submissions, waves and evacuations. The rest waits for the next commit.
+ * submissions, other workers, purged submissions, waves, evacuations and learned run times. The
+ * rest waits for the next commit.
  */
 export const takeCommitRows = (turn: Turn, owned: OwnedWork, budget: CommitBudget): CommitRows => {
   const planned = isIsolating(owned) ? [] : owned.plannedStarts;
@@ -134,8 +136,15 @@
   const purged = takePurgedRows(owned, budget);
   const waves = takeDirtyWaves(owned, budget);
   const evacuations = takeDirtyEvacuations(owned, budget);
+  const runTimes = isIsolating(owned) ? null : takeRunTimesRow(turn, owned, budget);
   return {
-    writes: [...leases.writes, ...rows, ...waves.rows, ...evacuations.rows],
+    writes: [
+      ...leases.writes,
+      ...rows,
+      ...waves.rows,
+      ...evacuations.rows,
+      ...(runTimes === null ? [] : [runTimes]),
+    ],
     removes: [...leases.removes, ...purged.rows],
     changes: {
       submissions,
@@ -143,6 +152,7 @@
       waves: waves.waves,
       evacuations: evacuations.records,
       purged: purged.ids,
+      runTimes: runTimes !== null,
     },
     starts: selected,
     takesAllDirty,
--- a/packages/wire/src/work/rowChecks.ts
+++ b/packages/wire/src/work/rowChecks.ts
@@ -105,6 +105,12 @@
     heldRuns: isCount,
     unplacedRuns: isCount,
   }),
+  /** The kinds in it are checked one by one as they are restored. */
+  RUN_TIMES: withFields({
+    form: isCount,
+    writtenWallMs: isNumber,
+    levels: listOf(listOf(withFields({ key: isString }))),
+  }),
   OWNER: withFields({
     holder: isString,
     incarnation: isString,
--- a/packages/wire/src/work/workRows.ts
+++ b/packages/wire/src/work/workRows.ts
@@ -11,6 +11,7 @@
   type Progress,
   type RowName,
   type RowToWrite,
+  type RunTimesRow,
   type StoreRow,
   type SubmissionId,
 } from "@heatherferry/core";
@@ -51,6 +52,9 @@
 const WAVE_PREFIX = "wave-";
 const EVACUATION_PREFIX = "evacuation-";
 
+/** Key of the learned run times; versions that do not know it leave the row out. */
+const RUN_TIMES_KEY = "run-times";
+
 interface WaveProgress {
   readonly wave: number;
   readonly completed: boolean;
@@ -110,6 +114,13 @@
       return { ...locateRow({ type: "owner" }), text: encodeOwner(row.owner) };
     case "lease":
       return { ...locateRow(row), text: JSON.stringify(row.lease) };
+    case "runTimes":
+      return {
+        table: WORK_TABLE.PROGRESS,
+        part: OWNER_PART,
+        key: RUN_TIMES_KEY,
+        text: JSON.stringify(row.row),
+      };
     case "waveReport": {
       const { wave, completed, seenWallMs, doneHosts } = row;
       const body: WaveProgress = { wave, completed, seenWallMs, doneHosts };
@@ -160,6 +171,11 @@
   if (table === WORK_TABLE.PROGRESS && key.startsWith(EVACUATION_PREFIX)) {
     return ROW_CHECK.EVACUATION(body)
       ? { type: "evacuationReport", version: at, report: body as EvacuationReport }
+        : null;
+  }
+  if (table === WORK_TABLE.PROGRESS && key === RUN_TIMES_KEY) {
+    return ROW_CHECK.RUN_TIMES(body)
+      ? { type: "runTimes", version: at, row: body as RunTimesRow }
       : null;
   }
   if (table === WORK_TABLE.PROGRESS && ROW_CHECK.PROGRESS(body)) {
