Refuse at any node what its team submits beyond its rate and no pool gets through in time

Everything was accepted however late it would be, and all refusals during an outage of the store told callers to return after the same second.

The owner publishes, beside its row, the waits behind long lines of teams beyond their rates and the rates at which these teams submit; nothing while there is none. Any node refuses by them (packages/core/src/work/admission), after a look into the store for a submission accepted before. Nodes tell with the next accepted submission of a team which ones they refused, so that the owner goes on counting their time and serves them in that order.

--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -38,6 +38,7 @@
 import { LoopLoadReporter } from "./loopLoadReporter.js";
 import { registerLoadMetrics } from "./loadMetrics.js";
 import { OsProcessorTime } from "./processorTime.js";
+import { registerAdmissionMetrics } from "./admissionMetrics.js";
 import { registerStarvationMetrics } from "./starvationMetrics.js";
 import { WorkMetrics } from "./workMetrics.js";
 
@@ -107,6 +108,7 @@
   const processor = new OsProcessorTime();
   const loadReporter = new LoopLoadReporter(load, processor, log);
   registerStarvationMetrics(metrics.registry, state);
+  registerAdmissionMetrics(metrics.registry, state);
   registerLoadMetrics(metrics.registry, load, loadReporter, processor);
   const loop = new EventLoop(
     state,
--- a/packages/coordination/src/keyedHeap/keyedHeap.ts
+++ b/packages/coordination/src/keyedHeap/keyedHeap.ts
@@ -31,6 +31,13 @@
     return this.entries[0]?.key ?? null;
   }
 
+  /** Iterates over the items and their keys in no particular order. */
+  *[Symbol.iterator](): Iterator<readonly [Item, Key]> {
+    for (const { item, key } of this.entries) {
+      yield [item, key];
+    }
+  }
+
   /** Adds an item under a key, or changes the key of an item that is already there. */
   set(item: Item, key: Key): void {
     const position = this.positions.get(item);
--- /dev/null
+++ b/packages/core/src/work/admission/index.ts
@@ -0,0 +1,29 @@
+export {
+  averagesOf,
+  countRefusal,
+  newAdmissionState,
+  noteRefused,
+  offeredOf,
+  ownerRecords,
+  rememberRefused,
+  takeLogLine,
+  takeRefused,
+  type AdmissionState,
+} from "./admissionState.js";
+export { addArrival, addOffered, addRunTime, RESOURCE_NAMES, runSpeed } from "./averages.js";
+export { ADMISSION, ADMISSION_RESULT, REFUSAL_REASON, STANDING } from "./constants.js";
+export { decideAdmission } from "./decision.js";
+export { forecastWaits } from "./forecast.js";
+export { publishedForecast, publishedPools } from "./publishedFigures.js";
+export { drawOf, isReturnSlot, outageReturn, overloadReturn } from "./returnTimes.js";
+export { isStoreSilent, longestAnswerMs } from "./storeReach.js";
+export type {
+  AdmissionDecision,
+  AdmissionView,
+  Newcomer,
+  PoolRoom,
+  RefusalReason,
+  Resource,
+  Standing,
+  WaitingWork,
+} from "./types.js";
--- a/packages/core/src/work/calls/callAnswers.ts
+++ b/packages/core/src/work/calls/callAnswers.ts
@@ -1,5 +1,6 @@
 import { catalogAgeMs } from "../store/catalog.js";
-import { ANSWER_KIND, CALL } from "../constants.js";
+import { countRefusal, outageReturn, REFUSAL_REASON } from "../admission/index.js";
+import { ANSWER_KIND } from "../constants.js";
 import type { CallAnswer, Commit } from "../events.js";
 import { awaitCommit, closeCall } from "./openCalls.js";
 import type { OpenCall } from "../state.js";
@@ -29,12 +30,25 @@
   });
 };
 
-/** Answers that nothing was stored and that the caller may retry after a delay. */
+/**
+ * Answers that nothing was stored and that the caller may retry after a delay, which grows with the
+ * outage that it is refused for.
+ */
 export const answerUnavailable = (turn: Turn, callId: string, problem: string): void => {
+  const { work, nowMs } = turn;
+  const { admission } = work;
+  const silentSinceMs = work.storeAnsweredAtMs ?? nowMs;
+  const { delayMs, outage } = outageReturn(callId, admission.outage, silentSinceMs, nowMs);
+  admission.outage = outage;
+  countRefusal(admission, REFUSAL_REASON.UNAVAILABLE);
   answerCall(
     turn,
-    { callId, kind: ANSWER_KIND.UNAVAILABLE, retryAfterMs: CALL.RETRY_AFTER_MS, problem },
-    { viewAgeMs: roundedMs(catalogAgeMs(turn)) },
+    { callId, kind: ANSWER_KIND.UNAVAILABLE, retryAfterMs: delayMs, problem },
+    {
+      viewAgeMs: roundedMs(catalogAgeMs(turn)),
+      outageMs: roundedMs(nowMs - outage.sinceMs),
+      retryAfterMs: roundedMs(delayMs),
+    },
   );
 };
 
--- a/packages/core/src/work/calls/callResults.ts
+++ b/packages/core/src/work/calls/callResults.ts
@@ -2,6 +2,7 @@
 import { ANSWER_KIND, CALL_KIND, STORE, SUBMISSION_STATE } from "../constants.js";
 import { countSteps } from "../handlingCost.js";
 import type { WorkEvent } from "../events.js";
+import { answerRefused, type Refusal } from "./refusals.js";
 import { retryCallAt } from "./openCalls.js";
 import type { OpenCall } from "../state.js";
 import { hasEnded } from "../submissions/submissionStates.js";
@@ -146,6 +147,22 @@
   }
 };
 
+/** Answers a hand-in that is refused, or that repeats one that was accepted before. */
+const refuseUnlessStored = (
+  turn: Turn,
+  call: OpenCall,
+  refusal: Refusal,
+  { stored, cancelled }: Extract<WorkEvent, { type: "store/lookedUp" }>,
+): void => {
+  if (stored !== null) {
+    onAlreadyStored(turn, call, stored.row);
+  } else if (cancelled) {
+    onCancelledBefore(turn, call);
+  } else {
+    answerRefused(turn, call, refusal);
+  }
+};
+
 /** Answers a call, or stores its cancel, by the rows that the store holds for its submission. */
 export const callLookedUp = (
   turn: Turn,
@@ -159,6 +176,8 @@
   const submission = call.id;
   if (call.arrival.kind === CALL_KIND.CANCEL) {
     storeCancel(turn, call, submission, event);
+  } else if (call.refusal !== null) {
+    refuseUnlessStored(turn, call, call.refusal, event);
   } else if (event.stored === null) {
     answerCall(turn, { callId, kind: ANSWER_KIND.GONE }, { submission });
   } else {
--- a/packages/core/src/work/calls/callState.ts
+++ b/packages/core/src/work/calls/callState.ts
@@ -1,4 +1,5 @@
 import type { CallArrival, Commit } from "../events.js";
+import type { Refusal } from "./refusals.js";
 import type { SubmissionRow, SubmissionId } from "../types.js";
 
 /** A call that has not been answered yet. */
@@ -11,6 +12,8 @@
   readonly row: SubmissionRow | null;
   /** Whether the write stores the cancel of a submission that is not stored itself. */
   cancelsUnstored: boolean;
+  /** Why the submission is refused unless the store holds it already; null if it is not. */
+  refusal: Refusal | null;
   /** Write that the call waits for. */
   commit: Commit | null;
   /** Whether a write of this call was not answered and may still take effect. */
--- a/packages/core/src/work/calls/calls.ts
+++ b/packages/core/src/work/calls/calls.ts
@@ -7,6 +7,8 @@
 import { addCall, closeCall } from "./openCalls.js";
 import { pendingOfQueue } from "./pendingCount.js";
 import type { OpenCall } from "../state.js";
+import { isStoreUnreachable } from "./storeReach.js";
+import { hasOpenWrite, overloadRefusal, withRefusedBefore } from "./refusals.js";
 import { hasEnded } from "../submissions/submissionStates.js";
 import { limitExceededBy } from "./submissionLimits.js";
 import { logLine, newCommitId, type Turn } from "../turn.js";
@@ -53,6 +55,7 @@
     id,
     row,
     cancelsUnstored: false,
+    refusal: null,
     commit: null,
     uncertain: false,
     retryAtMs: null,
@@ -61,6 +64,51 @@
   return call;
 };
 
+/** Stores a submission, after which its caller is told that it is accepted. */
+const storeSubmission = (turn: Turn, arrival: CallArrival, row: SubmissionRow): void => {
+  const { id } = row;
+  const submission = withRefusedBefore(turn, row);
+  logLine(turn, "info", "submission.arrived", {
+    submission: id,
+    call: arrival.callId,
+    queue: row.queue,
+    team: row.team,
+    steps: row.work.steps.length,
+  });
+  sendCallCommit(turn, openCall(turn, arrival, id, submission), {
+    commitId: newCommitId(turn.work),
+    // A write that the store carries out late must not revive a submission that was cancelled.
+    conditions: [
+      { row: { type: "handIn", id }, version: NO_ROW },
+      { row: { type: "cancel", id }, version: NO_ROW },
+    ],
+    writes: [{ type: "handIn", submission }],
+    removes: [],
+  });
+};
+
+/** Accepts a submission or refuses it, by the state of the store and of the line before it. */
+const admit = (
+  turn: Turn,
+  arrival: CallArrival,
+  row: SubmissionRow,
+  queue: Queue,
+  team: Team | null,
+): void => {
+  const { callId } = arrival;
+  const unreachable = isStoreUnreachable(turn);
+  const refusal = unreachable ? null : overloadRefusal(turn, row, queue, team);
+  // A refusal would be untrue if the store still carries out an earlier write.
+  if ((!unreachable && refusal === null) || hasOpenWrite(turn.work, row.id)) {
+    storeSubmission(turn, arrival, row);
+  } else if (refusal === null) {
+    answerUnavailable(turn, callId, "the store does not answer");
+  } else {
+    openCall(turn, arrival, row.id, row).refusal = refusal;
+    turn.effects.push({ type: "store/lookUp", callId, id: row.id });
+  }
+};
+
 const submit = (
   turn: Turn,
   arrival: CallArrival,
@@ -80,27 +128,7 @@
     answerCall(turn, { callId, kind: ANSWER_KIND.TOO_LARGE, problem }, { submission: id });
     return;
   }
-  if (turn.work.storeLost) {
-    answerUnavailable(turn, callId, "the store does not answer");
-    return;
-  }
-  logLine(turn, "info", "submission.arrived", {
-    submission: id,
-    call: callId,
-    queue: queue.id,
-    team: team?.id ?? null,
-    steps: row.work.steps.length,
-  });
-  sendCallCommit(turn, openCall(turn, arrival, id, row), {
-    commitId: newCommitId(turn.work),
-    // A write that the store carries out late must not revive a submission that was cancelled.
-    conditions: [
-      { row: { type: "handIn", id }, version: NO_ROW },
-      { row: { type: "cancel", id }, version: NO_ROW },
-    ],
-    writes: [{ type: "handIn", submission: row }],
-    removes: [],
-  });
+  admit(turn, arrival, row, queue, team);
 };
 
 const lookUp = (turn: Turn, arrival: CallArrival, id: SubmissionId): void => {
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -183,7 +183,6 @@
   /** Part of the timeout of a caller that is reserved for the transfer of the answer. */
   ANSWER_MARGIN_MS: 200,
   DEFAULT_WAIT_MS: 3_000,
-  RETRY_AFTER_MS: 1_000,
 } as const;
 
 export const CLOCK_TICK = {
--- a/packages/core/src/work/hosts/hostAllocation.ts
+++ b/packages/core/src/work/hosts/hostAllocation.ts
@@ -17,6 +17,7 @@
 import { isOwnershipConfirmed } from "../ownership/ownershipConfirmation.js";
 import { poolOf } from "./pools.js";
 import type { OwnedWork, Worker } from "../state.js";
+import { tickAdmissionFigures } from "../placement/admissionFigures.js";
 import type { Turn } from "../turn.js";
 
 const isHostAvailable = (turn: Turn, owned: OwnedWork, host: HostId): boolean => {
@@ -154,6 +155,7 @@
     .filter(({ standby }) => !standby)
     .map(({ id }) => poolDemand(turn, owned, poolOf(owned, id)));
   logDemand(turn, owned, demands);
+  tickAdmissionFigures(turn, owned, demands);
   if (allocateIdleHosts(turn, owned, demands)) {
     balanceHosts(turn, owned, demands);
   } else {
--- a/packages/core/src/work/ownership/ownerCommit.ts
+++ b/packages/core/src/work/ownership/ownerCommit.ts
@@ -15,6 +15,7 @@
 import type { OwnerCommit, OwnedWork } from "../state.js";
 import { logLine, roundedMs, newCommitId, validAsOfMs, wakeAfter, type Turn } from "../turn.js";
 import type { OwnerRow } from "../types.js";
+import { publishedAdmission } from "../placement/admissionFigures.js";
 import { cancelPlannedStarts, sendStarts } from "../placement/starts.js";
 import { markWorkerChanged } from "../workers/workerTimers.js";
 
@@ -29,6 +30,7 @@
   strongestMilli: strongestOwnerMilli(turn.work),
   yields: yieldCount(turn.work, owned),
   pending: countPending(turn, owned),
+  ...publishedAdmission(turn, owned),
   ...(owned.storesWindows ? { storesWindows: true } : {}),
 });
 
--- a/packages/core/src/work/ownership/ownership.ts
+++ b/packages/core/src/work/ownership/ownership.ts
@@ -1,6 +1,7 @@
 import type { HostId } from "@heatherferry/common";
 import { DueQueue } from "@heatherferry/coordination";
 import { claimDelayMs, strongestOwnerMilli } from "./claimDelay.js";
+import { noteStoreAnswer } from "../calls/storeReach.js";
 import { OWNERSHIP, SCAN, STORE } from "../constants.js";
 import { logAbandonedRuns } from "../workers/abandonedRunLog.js";
 import { FleetKinds } from "../placement/fleetKinds.js";
@@ -37,6 +38,7 @@
   view.nextPollAtMs = nowMs + OWNERSHIP.POLL_MS;
   view.viewAtMs = validAsOfMs(turn, sentAtMs);
   view.viewStoreMs = storeMs;
+  noteStoreAnswer(work, nowMs - sentAtMs);
   const version = row?.version ?? storeVersion(0);
   if (view.row === null || version !== view.version) {
     if (row !== null && row.owner.holder !== view.row?.holder) {
--- a/packages/core/src/work/placement/backlogDemand.ts
+++ b/packages/core/src/work/placement/backlogDemand.ts
@@ -65,7 +65,7 @@
 }
 
 /** Whether a team's resource ceiling, not lack of capacity, holds back its first submission. */
-const isHeldByCeiling = (turn: Turn, owned: OwnedWork, team: TeamBacklog): boolean => {
+export const isHeldByCeiling = (turn: Turn, owned: OwnedWork, team: TeamBacklog): boolean => {
   const first = team.heap.first();
   const [item] = first?.ready ?? [];
   return first !== null && item !== undefined && !withinCeiling(turn, owned, first, item.spec);
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -1,5 +1,6 @@
 import type { HostId, PoolId, QueueId, TeamId } from "@heatherferry/common";
 import { DueQueue } from "@heatherferry/coordination";
+import { newAdmissionState, type AdmissionState } from "./admission/index.js";
 import type { OpenCall } from "./calls/callState.js";
 import type { OwnerCommit } from "./ownership/commitState.js";
 import type { WithheldCharge, WithheldItems } from "./ownership/withheldItems.js";
@@ -248,6 +249,7 @@
   wakeAtMs: number | null;
   lag: LoopLag;
   readonly handlingCost: HandlingCost;
+  readonly admission: AdmissionState;
 }
 
 const newFeed = (): FeedState => ({
@@ -301,4 +303,5 @@
   wakeAtMs: null,
   lag: { smoothedMs: 0, loggedAtMs: -Infinity, lateTicks: 0, worstMs: 0 },
   handlingCost: { steps: 0 },
+  admission: newAdmissionState(),
 });
--- a/packages/core/src/work/store/rowTypes.ts
+++ b/packages/core/src/work/store/rowTypes.ts
@@ -1,5 +1,5 @@
 import type { HostId, PoolId, QueueId, TeamId } from "@heatherferry/common";
-import type { Fence, SubmissionId, SubmissionState, WorkSpec } from "../types.js";
+import type { Fence, Resources, SubmissionId, SubmissionState, WorkSpec } from "../types.js";
 
 /** The stored row of a submission, written once, before the caller is told of its acceptance. */
 export interface SubmissionRow {
@@ -15,6 +15,11 @@
    */
   readonly maxAttempts?: number;
   readonly work: WorkSpec;
+  /**
+   * Other submissions of the team that the node refused before it accepted this one, with the time
+   * since then in ms. Absent if there are none.
+   */
+  readonly refusedBefore?: Readonly<Record<SubmissionId, number>>;
 }
 
 /** The completed items of a submission: all below the first open one, and single ones above it. */
@@ -74,6 +79,42 @@
   readonly byQueue: Readonly<Record<string, number>>;
 }
 
+/** When a newcomer starts whose deadline is this far away or further. */
+export interface WaitPoint {
+  readonly dueInMs: number;
+  readonly waitMs: number;
+}
+
+/** Waiting work of one priority that a team submitted beyond its rate. */
+export interface TeamLine {
+  readonly team: TeamId;
+  readonly priority: number;
+  /** In the order of deadlines. */
+  readonly points: readonly WaitPoint[];
+}
+
+/** Waits for one resource of a pool. */
+export interface ResourceAdmission {
+  /** When all work within the rates of its teams has started. */
+  readonly withinRateMs: number;
+  /** Units of the resource that the pool may have free for work beyond the rates. */
+  readonly freeUnits: number;
+  readonly lines: readonly TeamLine[];
+}
+
+/** Waits in a pool, for the resources that are short. */
+export type PoolAdmission = Readonly<Partial<Record<keyof Resources, ResourceAdmission>>>;
+
+/** Figures by which any node refuses what cannot be done in time, and when they were computed. */
+export interface AdmissionFigures {
+  /** On the store's monotonic clock. */
+  readonly asOfStoreMs: number;
+  /** Pools with a long line. */
+  readonly pools: Readonly<Record<PoolId, PoolAdmission>>;
+  /** Submissions per second of each team beyond its rate, with those that were refused. */
+  readonly offeredPerS: Readonly<Record<TeamId, number>>;
+}
+
 /** The row that identifies the owner, which renews it with every owner commit. */
 export interface OwnerRow {
   readonly holder: string;
@@ -98,4 +139,6 @@
   readonly storesWindows?: boolean;
   /** How often in a row underpowered owners have yielded ownership to a stronger node. */
   readonly yields?: number;
+  /** Absent while no pool has a long line. Earlier versions write no such field. */
+  readonly admission?: AdmissionFigures;
 }
--- a/packages/core/src/work/submissions/adoption.ts
+++ b/packages/core/src/work/submissions/adoption.ts
@@ -13,6 +13,7 @@
 import type { OwnedWork, Submission } from "../state.js";
 import { countQueued, hasEnded, poolOfSubmission } from "./submissionStates.js";
 import { cancelSubmission } from "./submissions.js";
+import { firstRefusedWallMs, recordSubmission } from "../placement/poolAverages.js";
 import { takeToken } from "../placement/tokenBucket.js";
 import type { Turn } from "../turn.js";
 import type { ItemKey, SubmissionRow, Progress, StoreVersion } from "../types.js";
@@ -111,6 +112,7 @@
   const doneOccurrences = layout.isFinite
     ? Math.floor(done.firstOpen / layout.itemsPerOccurrence)
     : 0;
+  const refusedWallMs = firstRefusedWallMs(turn, owned, row);
   const submission: Submission = {
     row,
     version,
@@ -122,7 +124,9 @@
     failing: new Set(),
     failureBytes: 0,
     bookedRuns: 0,
-    overRate: !inherited && exceedsRate(turn, owned, row),
+    // Submissions that were refused go on counting from then, and as beyond the rate.
+    overRate: !inherited && (refusedWallMs !== null || exceedsRate(turn, owned, row)),
+    arrivedWallMs: refusedWallMs ?? row.acceptedWallMs,
     criticalPathsMs: criticalPathsMs(row.work),
     occurrences: new Map(),
     createdOccurrences: doneOccurrences,
@@ -142,6 +146,7 @@
   countQueued(owned, submission, 1);
   if (!inherited) {
     recordArrival(turn, poolOf(owned, poolOfSubmission(turn, row)), row.work);
+    recordSubmission(turn, owned, submission);
   }
   const recorded = owned.startedOccurrences.get(row.id) ?? -1;
   const lastStarted = Math.max(recorded, lastPersistedOccurrence(progress));
--- a/packages/core/src/work/submissions/itemState.ts
+++ b/packages/core/src/work/submissions/itemState.ts
@@ -99,6 +99,8 @@
   readonly version: StoreVersion;
   /** Whether it exceeds its team's submission rate, so that the work of others goes first. */
   readonly overRate: boolean;
+  /** When it was handed in first, also if it was refused then; on the wall clock. */
+  readonly arrivedWallMs: number;
   /** Critical path of each step: the longest sum of estimates from its start to the end. */
   readonly criticalPathsMs: readonly number[];
   readonly layout: ProgressLayout;
--- a/packages/core/src/work/submissions/occurrences.ts
+++ b/packages/core/src/work/submissions/occurrences.ts
@@ -9,12 +9,12 @@
 /** Returns the deadline and the expiry of an occurrence, on this node's monotonic clock. */
 const timesOf = (
   turn: Turn,
-  { row, criticalPathsMs: pathsMs }: Submission,
+  { row, arrivedWallMs, criticalPathsMs: pathsMs }: Submission,
   number: number,
 ): { dueAtMs: number; expiresAtMs: number } => {
   const queue = queueById(turn.work, row.queue);
   const { occurrences, firstDueWallMs, intervalMs } = row.work;
-  const startWallMs = occurrences === 0 ? row.acceptedWallMs : firstDueWallMs + number * intervalMs;
+  const startWallMs = occurrences === 0 ? arrivedWallMs : firstDueWallMs + number * intervalMs;
   const startMs = turn.nowMs - Math.max(0, turn.wallMs - startWallMs);
   const targetDurationMs =
     (queue?.stretchFactor ?? 1) * Math.max(0, ...pathsMs) + (queue?.targetDurationMs ?? 0);
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -12,12 +12,17 @@
 import type { END_KIND, ITEM_PHASE, RUN_PHASE, SUBMISSION_STATE } from "./constants.js";
 
 export type {
+  AdmissionFigures,
   LeasedWorker,
   OwnerRow,
   PendingCount,
+  PoolAdmission,
   Progress,
   ProgressWindow,
+  ResourceAdmission,
   SubmissionRow,
+  TeamLine,
+  WaitPoint,
 } from "./store/rowTypes.js";
 
 export type SubmissionId = Brand<string, "SubmissionId">;
--- a/packages/core/src/work/workers/runEnds.ts
+++ b/packages/core/src/work/workers/runEnds.ts
@@ -3,6 +3,7 @@
 import { logDuplicateEnd } from "./duplicateRuns.js";
 import { addRun, removeRun, stopRun } from "./runs.js";
 import type { Item, OwnedWork, Worker } from "../state.js";
+import { recordRunTime } from "../placement/poolAverages.js";
 import { removeOrphan, orphanListed } from "./orphanedRuns.js";
 import { itemForRun } from "../submissions/openItems.js";
 import { hasEnded } from "../submissions/submissionStates.js";
@@ -18,6 +19,7 @@
   const item = run?.item ?? itemForRun(turn, owned, end.item);
   logDuplicateEnd(turn, worker, item, end);
   if (run !== undefined) {
+    recordRunTime(turn, owned, run, end);
     removeRun(turn, owned, worker, run);
   }
   removeOrphan(owned, worker, end);
--- a/packages/wire/src/work/rowChecks.ts
+++ b/packages/wire/src/work/rowChecks.ts
@@ -62,6 +62,14 @@
 
 const COUNT_LISTS = recordOf(listOf(isCount));
 
+const WAIT_POINT = withFields({ dueInMs: isNumber, waitMs: isNumber });
+
+const RESOURCE_ADMISSION = withFields({
+  withinRateMs: isNumber,
+  freeUnits: isNumber,
+  lines: listOf(withFields({ team: isString, priority: isNumber, points: listOf(WAIT_POINT) })),
+});
+
 /** Checks of the rows that this system stores. */
 export const ROW_CHECK = {
   SUBMISSION: withFields({
@@ -71,6 +79,7 @@
     team: nullOr(isString),
     acceptedWallMs: isNumber,
     maxAttempts: optional(isCount),
+    refusedBefore: optional(recordOf(isNumber)),
     work: withFields({
       payload: isString,
       steps: (value) => listOf(STEP)(value) && dependOnEarlierSteps(value),
@@ -104,6 +113,11 @@
     strongestMilli: isNumber,
     storesWindows: optional(isBoolean),
   }),
+  ADMISSION: withFields({
+    asOfStoreMs: isNumber,
+    pools: recordOf(recordOf(RESOURCE_ADMISSION)),
+    offeredPerS: recordOf(isNumber),
+  }),
   LEASE: withFields({
     pool: isString,
     items: COUNT_LISTS,
--- a/packages/wire/src/work/workRows.ts
+++ b/packages/wire/src/work/workRows.ts
@@ -86,7 +86,12 @@
 
 const decodeOwner = (body: unknown): OwnerRow | null => {
   const { owner = body } = body as { readonly owner?: unknown };
-  return ROW_CHECK.OWNER(owner) ? (owner as OwnerRow) : null;
+  if (!ROW_CHECK.OWNER(owner)) {
+    return null;
+  }
+  const { admission, ...rest } = owner as OwnerRow;
+  // Figures in the form of another version must not hide who the owner is.
+  return ROW_CHECK.ADMISSION(admission) ? (owner as OwnerRow) : rest;
 };
 
 /** Encodes a row for the store. */
