--- a/packages/core/tests/work/admission.test.ts
+++ b/packages/core/tests/work/admission.test.ts
@@ -136,6 +136,39 @@
   t.true(mean(started.slice(0, half)) <= mean(started.slice(half)));
 });
 
+test("a repeat of an accepted submission is told that it never runs", (t) => {
+  const repeats: string[] = [];
+  let inLineAtMs = 0;
+  const day = play({
+    refuses: true,
+    onHot: (site) => {
+      site.run(3_000);
+      inLineAtMs = site.nowMs;
+      for (const outcome of site.outcomesOf("hot").filter(({ acceptedAtMs: at }) => at !== null)) {
+        repeats.push(site.repeat(outcome));
+      }
+    },
+  });
+  const newcomers = day
+    .outcomesOf("hot")
+    .filter(({ firstSentMs }) => firstSentMs > inLineAtMs && firstSentMs < inLineAtMs + 500);
+  t.true(newcomers.some(wasRefused));
+  t.true(repeats.length > 50);
+  const kinds = repeats.map((callId) => day.answers.get(callId));
+  t.deepEqual([...new Set(kinds)], ["accepted"]);
+});
+
+test("the owner accepts what other nodes refuse", (t) => {
+  const day = play({
+    refuses: true,
+    onHot: (site) => {
+      site.callsOwner = true;
+    },
+  });
+  t.true(shareOf(day.outcomesOf("hot"), wasRefused) > 0.25);
+  t.is(shareOf(day.outcomesOf("calm"), wasRefused), 0);
+});
+
 test("nodes refuse by the figures of an owner that is gone", (t) => {
   let goneAtMs = 0;
   const day = play({
--- a/packages/core/tests/work/admissionSite.ts
+++ b/packages/core/tests/work/admissionSite.ts
@@ -65,6 +65,8 @@
   publishesFigures = true;
   /** Until when answers of the store to hand-ins are lost although they are stored. */
   handInAnswersLostUntilMs = 0;
+  /** Whether callers reach the owner and no other node. */
+  callsOwner = false;
   /** Until when the store receives nothing from any node, which gets no answers. */
   cutUntilMs = 0;
   private readonly outcomeOfCall = new Map<string, CallerOutcome>();
@@ -125,7 +127,7 @@
       return;
     }
     outcome.attempts += 1;
-    const fronts = this.nodes.filter(({ state }) => state.work?.owned == null);
+    const fronts = this.fronts();
     const node = fronts[this.randomBelow(fronts.length)];
     const callId = `handIn ${outcome.id} ${outcome.attempts}`;
     this.outcomeOfCall.set(callId, outcome);
@@ -136,22 +138,41 @@
       }
     });
     if (node?.up === true) {
-      this.handle(node, {
-        type: "call/arrived",
-        callId,
-        kind: CALL_KIND.SUBMIT,
-        callerHost: "site.example",
-        path: `/${POOL}/${outcome.id}`,
-        key: outcome.team,
-        waitMs: CALLER.TIMEOUT_MS,
-        bodyBytes: 100,
-        work: outcome.work,
-        problem: null,
-        atMs: 0,
-      });
+      this.sendCall(node, callId, outcome);
     }
   }
 
+  /** Sends a submission once more to a node other than the owner, as the network may repeat it. */
+  repeat(outcome: CallerOutcome): string {
+    const node = this.fronts()[0];
+    const callId = `repeat ${outcome.id}`;
+    if (node !== undefined) {
+      this.sendCall(node, callId, outcome);
+    }
+    return callId;
+  }
+
+  /** Returns the nodes that callers reach. */
+  private fronts(): readonly SiteNode[] {
+    return this.nodes.filter(({ state }) => (state.work?.owned == null) !== this.callsOwner);
+  }
+
+  private sendCall(node: SiteNode, callId: string, { id, team, work }: CallerOutcome): void {
+    this.handle(node, {
+      type: "call/arrived",
+      callId,
+      kind: CALL_KIND.SUBMIT,
+      callerHost: "site.example",
+      path: `/${POOL}/${id}`,
+      key: team,
+      waitMs: CALLER.TIMEOUT_MS,
+      bodyBytes: 100,
+      work,
+      problem: null,
+      atMs: 0,
+    });
+  }
+
   protected override answered(answer: CallAnswer): void {
     super.answered(answer);
     const outcome = this.outcomeOfCall.get(answer.callId);
