Tell the owner which submissions were refused, also those that the store could not take

Callers that return after an outage counted as new: they went before submissions that could still be in time, and used up their team's rate. Any next row of the node now tells their ids; the owner counts their time from the first refusal, and their tokens are those of the outage.

--- a/packages/core/src/work/admission/admissionState.ts
+++ b/packages/core/src/work/admission/admissionState.ts
@@ -1,5 +1,6 @@
 import type { PoolId, TeamId } from "@heatherferry/common";
-import type { AdmissionFigures, Fence, SubmissionId } from "../types.js";
+import type { AdmissionFigures, Fence, RefusedCall, SubmissionId } from "../types.js";
+import type { TokenBucket } from "../placement/tokenBucket.js";
 import { newAverages } from "./averages.js";
 import { ADMISSION, REFUSAL_LOG } from "./constants.js";
 import type {
@@ -7,7 +8,9 @@
   PoolAverages,
   RefusalCounts,
   RefusalReason,
+  RememberedRefusal,
   StoreOutage,
+  UntoldRefusal,
 } from "./types.js";
 
 /** What an owner records of the pools, from the acquisition of ownership on. */
@@ -15,8 +18,10 @@
   readonly fence: Fence;
   readonly averages: Map<PoolId, PoolAverages>;
   readonly offered: Map<TeamId, OfferedRate>;
-  /** When submissions were refused first, oldest first. */
-  readonly refusedAtWallMs: Map<SubmissionId, number>;
+  /** Submissions that nodes refused, those told first at the beginning. */
+  readonly refused: Map<SubmissionId, RememberedRefusal>;
+  /** Buckets for submissions that return after an outage of the store. */
+  readonly returnBuckets: Map<TeamId, TokenBucket>;
   /** The newest figures; null if no pool has a long line. */
   figures: AdmissionFigures | null;
   computedAtMs: number;
@@ -28,8 +33,8 @@
   owner: OwnerRecords | null;
   /** Rates at which this node gets submissions of each team. */
   readonly offered: Map<TeamId, OfferedRate>;
-  /** Submissions that this node refused and has told no owner of, by team, and when. */
-  readonly refusedOfTeam: Map<TeamId, Map<SubmissionId, number>>;
+  /** Submissions that this node refused and that no row has told of. */
+  readonly refused: Map<SubmissionId, UntoldRefusal>;
   /** When callers of each team return next, as refused by this node because of overload. */
   readonly queuedUntilMs: Map<TeamId, number>;
   outage: StoreOutage | null;
@@ -41,7 +46,7 @@
 export const newAdmissionState = (): AdmissionState => ({
   owner: null,
   offered: new Map(),
-  refusedOfTeam: new Map(),
+  refused: new Map(),
   queuedUntilMs: new Map(),
   outage: null,
   longestAnswerMs: 0,
@@ -60,7 +65,8 @@
       fence,
       averages: new Map(),
       offered: new Map(),
-      refusedAtWallMs: new Map(),
+      refused: new Map(),
+      returnBuckets: new Map(),
       figures: null,
       computedAtMs: -Infinity,
     };
@@ -102,45 +108,56 @@
   }
 };
 
-/** Notes a submission that this node refuses, so that the next accepted one of its team tells. */
+/**
+ * Notes a submission that this node refuses, so that the next accepted one tells.
+ *
+ * @param beyondRateOf - The team whose rate it exceeds; null if it could not be stored.
+ */
 export const noteRefused = (
-  { refusedOfTeam }: AdmissionState,
-  team: TeamId,
+  { refused }: AdmissionState,
   id: SubmissionId,
+  beyondRateOf: TeamId | null,
   nowMs: number,
 ): void => {
-  const refused = refusedOfTeam.get(team) ?? new Map<SubmissionId, number>();
-  refusedOfTeam.set(team, refused);
-  if (!refused.has(id)) {
-    refused.set(id, nowMs);
-    limitSize(refused, ADMISSION.MAX_REFUSED_PER_TEAM);
-  }
+  const atMs = refused.get(id)?.atMs ?? nowMs;
+  refused.set(id, { atMs, beyondRateOf });
+  limitSize(refused, ADMISSION.MAX_REFUSED_PER_NODE);
 };
 
-/** Takes submissions of a team that this node refused, with the time since then in ms. */
+/** Takes submissions that this node refused, for the row of one that it accepts. */
 export const takeRefused = (
-  { refusedOfTeam }: AdmissionState,
-  team: TeamId,
+  { refused }: AdmissionState,
   nowMs: number,
-): Readonly<Record<SubmissionId, number>> => {
-  const refused = refusedOfTeam.get(team) ?? new Map<SubmissionId, number>();
+): Readonly<Record<SubmissionId, RefusedCall>> => {
   const taken = [...refused].slice(0, ADMISSION.MAX_REFUSED_PER_ROW);
-  taken.forEach(([id]) => refused.delete(id));
-  return Object.fromEntries(taken.map(([id, atMs]) => [id, Math.round(nowMs - atMs)]));
+  return Object.fromEntries(
+    taken.map(([id, { atMs, beyondRateOf }]) => {
+      refused.delete(id);
+      const agoMs = Math.round(nowMs - atMs);
+      return [id, beyondRateOf === null ? { agoMs } : { agoMs, beyondRateOf }];
+    }),
+  );
 };
 
-/** Has the owner remember when submissions were refused for the first time. */
+/**
+ * Has the owner remember submissions that a node refused, with the time of their first refusal.
+ *
+ * @param toldWallMs - When the node told of them.
+ */
 export const rememberRefused = (
-  { refusedAtWallMs }: OwnerRecords,
-  refused: Readonly<Record<SubmissionId, number>>,
-  untilWallMs: number,
+  records: OwnerRecords,
+  refused: Readonly<Record<SubmissionId, RefusedCall>>,
+  toldWallMs: number,
 ): void => {
-  for (const [id, agoMs] of Object.entries(refused)) {
-    if (!refusedAtWallMs.has(id as SubmissionId)) {
-      refusedAtWallMs.set(id as SubmissionId, untilWallMs - agoMs);
-    }
+  for (const [name, { agoMs, beyondRateOf }] of Object.entries(refused)) {
+    const id = name as SubmissionId;
+    const before = records.refused.get(id);
+    records.refused.set(id, {
+      firstWallMs: Math.min(before?.firstWallMs ?? Infinity, toldWallMs - agoMs),
+      wasBeyondRate: before?.wasBeyondRate === true || beyondRateOf !== undefined,
+    });
   }
-  limitSize(refusedAtWallMs, ADMISSION.MAX_REFUSED);
+  limitSize(records.refused, ADMISSION.MAX_REFUSED);
 };
 
 export const countRefusal = ({ refusals }: AdmissionState, reason: RefusalReason): void => {
--- a/packages/core/src/work/admission/constants.ts
+++ b/packages/core/src/work/admission/constants.ts
@@ -3,10 +3,10 @@
   COMPUTE_INTERVAL_MS: 500,
   /** Nodes accept everything on older figures. */
   MAX_AGE_MS: 2_000,
-  /** Refused calls of a team that a row tells of, and that a node keeps to tell of. */
+  /** Refused submissions that a row tells of, and that a node keeps to tell of. */
   MAX_REFUSED_PER_ROW: 64,
-  MAX_REFUSED_PER_TEAM: 256,
-  /** Refused calls that the owner remembers. */
+  MAX_REFUSED_PER_NODE: 1_024,
+  /** Refused submissions that the owner remembers. */
   MAX_REFUSED: 8_192,
   /** Pools, teams of a pool and teams beyond their rate that the figures name at most. */
   MAX_POOLS: 8,
--- a/packages/core/src/work/admission/index.ts
+++ b/packages/core/src/work/admission/index.ts
@@ -23,6 +23,7 @@
   Newcomer,
   PoolRoom,
   RefusalReason,
+  RememberedRefusal,
   Resource,
   Standing,
   WaitingWork,
--- a/packages/core/src/work/admission/types.ts
+++ b/packages/core/src/work/admission/types.ts
@@ -98,6 +98,20 @@
   atMs: number;
 }
 
+/** A refused submission that a node has not told of yet. */
+export interface UntoldRefusal {
+  readonly atMs: number;
+  /** The team whose rate it exceeded; null if the store could not be reached. */
+  readonly beyondRateOf: TeamId | null;
+}
+
+/** A refused submission as the owner remembers it. */
+export interface RememberedRefusal {
+  /** When it was refused for the first time, on the wall clock. */
+  readonly firstWallMs: number;
+  readonly wasBeyondRate: boolean;
+}
+
 /** Calls that were refused, and the lines logged for them. */
 export interface RefusalCounts {
   readonly byReason: Record<RefusalReason, number>;
--- a/packages/core/src/work/calls/callResults.ts
+++ b/packages/core/src/work/calls/callResults.ts
@@ -1,3 +1,4 @@
+import { noteRefused } from "../admission/index.js";
 import { answerCall, sendCallCommit, answerUnavailable } from "./callAnswers.js";
 import { ANSWER_KIND, CALL_KIND, STORE, SUBMISSION_STATE } from "../constants.js";
 import { countSteps } from "../handlingCost.js";
@@ -143,6 +144,9 @@
   if (call.uncertain) {
     retryCallAt(turn.work, call, turn.nowMs + STORE.COMMIT_RETRY_MS);
   } else {
+    if (call.row !== null) {
+      noteRefused(turn.work.admission, call.row.id, null, turn.nowMs);
+    }
     answerUnavailable(turn, call.arrival.callId, `the store refused the write: ${reason}`);
   }
 };
--- a/packages/core/src/work/calls/calls.ts
+++ b/packages/core/src/work/calls/calls.ts
@@ -1,5 +1,6 @@
 import type { QueueId } from "@heatherferry/common";
 import { answerCall, sendCallCommit, answerUnavailable } from "./callAnswers.js";
+import { noteRefused } from "../admission/index.js";
 import { findQueue, areKeysCurrent, teamByKey } from "../store/catalog.js";
 import { ANSWER_KIND, CALL, CALL_KIND } from "../constants.js";
 import type { CallArrival } from "../events.js";
@@ -102,6 +103,7 @@
   if ((!unreachable && refusal === null) || hasOpenWrite(turn.work, row.id)) {
     storeSubmission(turn, arrival, row);
   } else if (refusal === null) {
+    noteRefused(turn.work.admission, row.id, null, turn.nowMs);
     answerUnavailable(turn, callId, "the store does not answer");
   } else {
     openCall(turn, arrival, row.id, row).refusal = refusal;
--- a/packages/core/src/work/calls/refusals.ts
+++ b/packages/core/src/work/calls/refusals.ts
@@ -129,12 +129,14 @@
   };
 };
 
-/** Adds to a submission that is accepted which others of its team were refused here before. */
+/** Adds to a submission that is accepted which others were refused here before. */
 export const withRefusedBefore = ({ work, nowMs }: Turn, row: SubmissionRow): SubmissionRow => {
-  const refused = row.team === null ? {} : takeRefused(work.admission, row.team, nowMs);
+  if (work.admission.refused.size === 0) {
+    return row;
+  }
+  const refused = takeRefused(work.admission, nowMs);
   const withRefused = { ...row, refusedBefore: refused };
-  const tells = Object.keys(refused).length > 0 && limitExceededBy(withRefused) === null;
-  return tells ? withRefused : row;
+  return limitExceededBy(withRefused) === null ? withRefused : row;
 };
 
 /** Answers that a submission was not accepted, and when the caller may return. */
@@ -155,7 +157,7 @@
   admission.queuedUntilMs.set(team, queuedUntilMs);
   countRefusal(admission, REFUSAL_REASON.OVERLOAD);
   if (call.id !== null) {
-    noteRefused(admission, team, call.id, nowMs);
+    noteRefused(admission, call.id, team, nowMs);
   }
   const leftOut = takeLogLine(admission, nowMs);
   if (leftOut !== null) {
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -235,6 +235,8 @@
 export const TOKEN_BUCKET = {
   /** Capacity of a team's token bucket, as the time that it takes to fill. */
   BURST_S: 1,
+  /** The same for submissions that return after an outage of the store, so that new ones keep theirs. */
+  RETURN_BURST_S: 8,
 } as const;
 
 export const PLACEMENT = {
--- a/packages/core/src/work/placement/poolAverages.ts
+++ b/packages/core/src/work/placement/poolAverages.ts
@@ -6,6 +6,7 @@
   offeredOf,
   ownerRecords,
   rememberRefused,
+  type RememberedRefusal,
 } from "../admission/index.js";
 import { END_KIND } from "../constants.js";
 import type { OwnedWork, Run, Submission } from "../state.js";
@@ -29,16 +30,19 @@
   return work;
 };
 
-/** Adds a submission that was accepted to its team's rate and to the work that arrives in its pool. */
+/**
+ * Adds a submission to its team's rate and to the work that arrives in its pool, and the refused
+ * ones that its row tells of to the rates of theirs.
+ */
 export const recordSubmission = (turn: Turn, owned: OwnedWork, submission: Submission): void => {
   const { row, overRate } = submission;
   const { nowMs, work } = turn;
   const records = ownerRecords(work.admission, owned.fence);
-  if (row.team !== null) {
-    const refused = row.refusedBefore ?? {};
-    rememberRefused(records, refused, row.acceptedWallMs);
-    const submissions = 1 + Object.keys(refused).length;
-    addOffered(offeredOf(records, row.team, nowMs), submissions, nowMs);
+  const refused = Object.values(row.refusedBefore ?? {}).map(({ beyondRateOf }) => beyondRateOf);
+  for (const team of [row.team, ...refused]) {
+    if (team != null) {
+      addOffered(offeredOf(records, team, nowMs), 1, nowMs);
+    }
   }
   if (!overRate) {
     const steps = batchSteps(row.work).map((spec) => ({ spec, count: spec.count }));
@@ -47,12 +51,16 @@
   }
 };
 
-/** Returns when a submission was first refused, on the wall clock; null if it was not. */
-export const firstRefusedWallMs = (
+/** Returns the earlier refusals of a submission, and remembers those that its row tells of. */
+export const earlierRefusal = (
   { work }: Turn,
   { fence }: OwnedWork,
-  { id }: SubmissionRow,
-): number | null => ownerRecords(work.admission, fence).refusedAtWallMs.get(id) ?? null;
+  { id, refusedBefore, acceptedWallMs }: SubmissionRow,
+): RememberedRefusal | null => {
+  const records = ownerRecords(work.admission, fence);
+  rememberRefused(records, refusedBefore ?? {}, acceptedWallMs);
+  return records.refused.get(id) ?? null;
+};
 
 /** Adds the run time of a run to the averages of its pool, if it was done from its beginning. */
 export const recordRunTime = (turn: Turn, owned: OwnedWork, run: Run, end: EndLine): void => {
--- a/packages/core/src/work/placement/tokenBucket.ts
+++ b/packages/core/src/work/placement/tokenBucket.ts
@@ -14,10 +14,16 @@
  * @param bucket - Changed in place.
  * @param weight - Submissions per second that the team is entitled to.
  * @param nowMs - Present time.
+ * @param burstS - Capacity, as the time that it takes to fill.
  * @returns Whether a token was left, so that the submission is within the team's rate.
  */
-export const takeToken = (bucket: TokenBucket, weight: number, nowMs: number): boolean => {
-  const capacity = Math.max(1, weight * TOKEN_BUCKET.BURST_S);
+export const takeToken = (
+  bucket: TokenBucket,
+  weight: number,
+  nowMs: number,
+  burstS: number = TOKEN_BUCKET.BURST_S,
+): boolean => {
+  const capacity = Math.max(1, weight * burstS);
   const refill = ((nowMs - bucket.refilledAtMs) / 1_000) * weight;
   bucket.tokens = Math.min(capacity, bucket.tokens + refill);
   bucket.refilledAtMs = nowMs;
--- a/packages/core/src/work/store/rowTypes.ts
+++ b/packages/core/src/work/store/rowTypes.ts
@@ -1,6 +1,14 @@
 import type { HostId, PoolId, QueueId, TeamId } from "@heatherferry/common";
 import type { Fence, Resources, SubmissionId, SubmissionState, WorkSpec } from "../types.js";
 
+/** A call that a node refused. */
+export interface RefusedCall {
+  /** Time since it was refused for the first time. */
+  readonly agoMs: number;
+  /** The team whose rate it exceeded; absent if the store could not be reached. */
+  readonly beyondRateOf?: TeamId;
+}
+
 /** The stored row of a submission, written once, before the caller is told of its acceptance. */
 export interface SubmissionRow {
   readonly id: SubmissionId;
@@ -15,11 +23,8 @@
    */
   readonly maxAttempts?: number;
   readonly work: WorkSpec;
-  /**
-   * Other submissions of the team that the node refused before it accepted this one, with the time
-   * since then in ms. Absent if there are none.
-   */
-  readonly refusedBefore?: Readonly<Record<SubmissionId, number>>;
+  /** Other submissions that the node refused before it accepted this one; absent if none. */
+  readonly refusedBefore?: Readonly<Record<SubmissionId, RefusedCall>>;
 }
 
 /** The completed items of a submission: all below the first open one, and single ones above it. */
--- a/packages/core/src/work/submissions/adoption.ts
+++ b/packages/core/src/work/submissions/adoption.ts
@@ -1,6 +1,7 @@
 import { recordArrival } from "../hosts/arrivals.js";
 import { teamById } from "../store/catalog.js";
-import { ITEM_WINDOW, SUBMISSION_STATE } from "../constants.js";
+import { ownerRecords, type RememberedRefusal } from "../admission/index.js";
+import { ITEM_WINDOW, SUBMISSION_STATE, TOKEN_BUCKET } from "../constants.js";
 import { criticalPathsMs } from "./criticalPaths.js";
 import { DoneItems } from "./doneItems.js";
 import { addFailedRun } from "./failedRuns.js";
@@ -13,7 +14,7 @@
 import type { OwnedWork, Submission } from "../state.js";
 import { countQueued, hasEnded, poolOfSubmission } from "./submissionStates.js";
 import { cancelSubmission } from "./submissions.js";
-import { firstRefusedWallMs, recordSubmission } from "../placement/poolAverages.js";
+import { earlierRefusal, recordSubmission } from "../placement/poolAverages.js";
 import { takeToken } from "../placement/tokenBucket.js";
 import type { Turn } from "../turn.js";
 import type { ItemKey, SubmissionRow, Progress, StoreVersion } from "../types.js";
@@ -75,17 +76,29 @@
   }
 };
 
-const exceedsRate = (turn: Turn, owned: OwnedWork, row: SubmissionRow): boolean => {
+/**
+ * Whether a submission exceeds its team's rate. One that the store could not take before has a token
+ * from the time of the outage, which new submissions of the team do not use.
+ */
+const exceedsRate = (
+  turn: Turn,
+  owned: OwnedWork,
+  row: SubmissionRow,
+  refusal: RememberedRefusal | null,
+): boolean => {
   const team = teamById(turn.work, row.team);
-  if (team === null) {
-    return false;
-  }
-  let bucket = owned.tokenBuckets.get(team.id);
-  if (bucket === undefined) {
-    bucket = { tokens: team.weight, refilledAtMs: turn.nowMs };
-    owned.tokenBuckets.set(team.id, bucket);
+  if (team === null || refusal?.wasBeyondRate === true) {
+    return refusal?.wasBeyondRate === true;
   }
-  return !takeToken(bucket, team.weight, turn.nowMs);
+  const { returnBuckets } = ownerRecords(turn.work.admission, owned.fence);
+  const buckets = refusal === null ? owned.tokenBuckets : returnBuckets;
+  const burstS = refusal === null ? TOKEN_BUCKET.BURST_S : TOKEN_BUCKET.RETURN_BURST_S;
+  const bucket = buckets.get(team.id) ?? {
+    tokens: team.weight * burstS,
+    refilledAtMs: turn.nowMs,
+  };
+  buckets.set(team.id, bucket);
+  return !takeToken(bucket, team.weight, turn.nowMs, burstS);
 };
 
 /**
@@ -112,7 +125,7 @@
   const doneOccurrences = layout.isFinite
     ? Math.floor(done.firstOpen / layout.itemsPerOccurrence)
     : 0;
-  const refusedWallMs = firstRefusedWallMs(turn, owned, row);
+  const refusal = earlierRefusal(turn, owned, row);
   const submission: Submission = {
     row,
     version,
@@ -124,9 +137,9 @@
     failing: new Set(),
     failureBytes: 0,
     bookedRuns: 0,
-    // Submissions that were refused go on counting from then, and as beyond the rate.
-    overRate: !inherited && (refusedWallMs !== null || exceedsRate(turn, owned, row)),
-    arrivedWallMs: refusedWallMs ?? row.acceptedWallMs,
+    // One that was refused goes on counting from then, and as beyond the rate if it was.
+    overRate: !inherited && exceedsRate(turn, owned, row, refusal),
+    arrivedWallMs: refusal?.firstWallMs ?? row.acceptedWallMs,
     criticalPathsMs: criticalPathsMs(row.work),
     occurrences: new Map(),
     createdOccurrences: doneOccurrences,
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -19,6 +19,7 @@
   PoolAdmission,
   Progress,
   ProgressWindow,
+  RefusedCall,
   ResourceAdmission,
   SubmissionRow,
   TeamLine,
--- a/packages/core/tests/work/admission.test.ts
+++ b/packages/core/tests/work/admission.test.ts
@@ -263,3 +263,30 @@
   );
   t.deepEqual(refusedButRan, []);
 });
+
+/** Share of the submissions after an outage, by teams within their rates, that are in time. */
+const inTimeAfterOutage = (tellsRefusals: boolean): number => {
+  const OUTAGE_MS = 4_000;
+  let backAtMs = 0;
+  const day = play({
+    refuses: true,
+    hotPerS: TEAMS.hot,
+    onHot: (site) => {
+      site.tellsRefusals = tellsRefusals;
+      backAtMs = site.nowMs + OUTAGE_MS;
+      site.storeDownUntilMs = backAtMs;
+    },
+  });
+  const later = [...day.outcomesOf("calm"), ...day.outcomesOf("cool")].filter(
+    ({ firstSentMs, refused }) =>
+      firstSentMs > backAtMs + 2_500 && firstSentMs < backAtMs + 8_000 && refused.length === 0,
+  );
+  return shareOf(later, isInTime);
+};
+
+test("callers that an outage has made late go before those that can still be in time", (t) => {
+  const told = inTimeAfterOutage(true);
+  const untold = inTimeAfterOutage(false);
+  t.log({ told, untold });
+  t.true(told > untold);
+});
--- a/packages/core/tests/work/admissionSite.ts
+++ b/packages/core/tests/work/admissionSite.ts
@@ -13,6 +13,7 @@
   type WorkSpec,
 } from "../../src/index.js";
 import { TARGET, type CallerOutcome } from "./admissionOutcomes.js";
+import { withoutFigures, withoutRefusals, type CommitEffect } from "./admissionRows.js";
 import { partsOf, type MemoryWorker, type WorkerRun } from "./memoryWorker.js";
 import type { SiteNode } from "./siteStore.js";
 import { WorkSite } from "./workSite.js";
@@ -65,6 +66,8 @@
   publishesFigures = true;
   /** Until when answers of the store to hand-ins are lost although they are stored. */
   handInAnswersLostUntilMs = 0;
+  /** Whether nodes tell the owner which submissions they have refused. */
+  tellsRefusals = true;
   /** Whether callers reach the owner and no other node. */
   callsOwner = false;
   /** Until when the store receives nothing from any node, which gets no answers. */
@@ -233,11 +236,7 @@
     return this.submissionRows.get(id)?.work.steps[step]?.estimateMs ?? 0;
   };
 
-  protected override commit(
-    node: SiteNode,
-    commit: Extract<Effect, { type: "store/commit" }>,
-    sentAtMs: number,
-  ): void {
+  protected override commit(node: SiteNode, commit: CommitEffect, sentAtMs: number): void {
     if (this.nowMs < this.cutUntilMs) {
       this.answerUnanswered(node, commit.commitId, sentAtMs);
       return;
@@ -248,7 +247,8 @@
       this.answerUnanswered(node, commit.commitId, sentAtMs);
       return;
     }
-    super.commit(node, this.publishesFigures ? commit : withoutFigures(commit), sentAtMs);
+    const stored = this.publishesFigures ? commit : withoutFigures(commit);
+    super.commit(node, this.tellsRefusals ? stored : withoutRefusals(stored), sentAtMs);
   }
 
   protected override scan(
@@ -277,17 +277,3 @@
     });
   }
 }
-
-const withoutFigures = (
-  commit: Extract<Effect, { type: "store/commit" }>,
-): Extract<Effect, { type: "store/commit" }> => ({
-  ...commit,
-  writes: commit.writes.map((row) => {
-    if (row.type !== "owner") {
-      return row;
-    }
-    const owner: { admission?: unknown } & typeof row.owner = { ...row.owner };
-    delete owner.admission;
-    return { ...row, owner };
-  }),
-});
--- a/packages/wire/src/work/rowChecks.ts
+++ b/packages/wire/src/work/rowChecks.ts
@@ -79,7 +79,9 @@
     team: nullOr(isString),
     acceptedWallMs: isNumber,
     maxAttempts: optional(isCount),
-    refusedBefore: optional(recordOf(isNumber)),
+    refusedBefore: optional(
+      recordOf(withFields({ agoMs: isNumber, beyondRateOf: optional(isString) })),
+    ),
     work: withFields({
       payload: isString,
       steps: (value) => listOf(STEP)(value) && dependOnEarlierSteps(value),
