Bound the figures for admission in the owner's row

Eight pools of eight teams and three resources came to 46 KB; 18 lines in six pools stay below 3,000 bytes (admissionDecision.test.ts), which every node reads five times a second.

--- a/apps/work/src/admissionMetrics.ts
+++ b/apps/work/src/admissionMetrics.ts
@@ -36,10 +36,10 @@
       const { owned, admission } = state.work ?? {};
       const figures = owned == null ? null : (admission?.owner?.figures ?? null);
       for (const [pool, resources] of Object.entries(figures?.pools ?? {})) {
-        const points = Object.values(resources).flatMap(({ lines }) =>
-          lines.flatMap((line) => line.points),
+        const waitsMs = Object.values(resources).flatMap(({ lines }) =>
+          lines.flatMap((line) => line.waitsMs),
         );
-        waits.set({ pool }, Math.max(0, ...points.map(({ waitMs }) => waitMs)) / MS_PER_S);
+        waits.set({ pool }, Math.max(0, ...waitsMs) / MS_PER_S);
       }
     },
   });
--- a/packages/core/src/work/admission/constants.ts
+++ b/packages/core/src/work/admission/constants.ts
@@ -8,10 +8,12 @@
   MAX_REFUSED_PER_NODE: 1_024,
   /** Refused submissions that the owner remembers. */
   MAX_REFUSED: 8_192,
-  /** Pools, teams of a pool and teams beyond their rate that the figures name at most. */
-  MAX_POOLS: 8,
-  MAX_TEAMS: 8,
-  MAX_TEAMS_BEYOND_RATE: 32,
+  /** Most pools, lines in a pool and lines in all that the figures name. All nodes read them often. */
+  MAX_POOLS: 6,
+  MAX_LINES_PER_RESOURCE: 4,
+  MAX_LINES: 18,
+  /** Most teams beyond their rate that they name. */
+  MAX_TEAMS_BEYOND_RATE: 16,
   /** Submissions of a pool that a forecast looks at; it takes the others for absent. */
   MAX_ENTRIES: 4_096,
   /** Shorter waits refuse nobody and are not published. */
--- a/packages/core/src/work/admission/decision.ts
+++ b/packages/core/src/work/admission/decision.ts
@@ -13,8 +13,8 @@
   offeredPerS === null || draw * offeredPerS < rate * ROOM.RATE_SLACK;
 
 /** Returns the wait behind those entries of a line that are due before a newcomer. */
-const waitInLine = ({ points }: TeamLine, dueInMs: number): number =>
-  points.findLast((point) => point.dueInMs <= dueInMs)?.waitMs ?? 0;
+const waitInLine = ({ duesMs, waitsMs }: TeamLine, dueInMs: number): number =>
+  waitsMs[duesMs.findLastIndex((dueMs) => dueMs <= dueInMs)] ?? 0;
 
 const waitFor = (
   pool: PoolAdmission,
--- a/packages/core/src/work/admission/forecast.ts
+++ b/packages/core/src/work/admission/forecast.ts
@@ -1,5 +1,5 @@
 import type { TeamId } from "@heatherferry/common";
-import type { TeamLine, WaitPoint } from "../types.js";
+import type { TeamLine } from "../types.js";
 import { ADMISSION, ROOM, STANDING } from "./constants.js";
 import type { PoolRoom, Resource, WaitingWork } from "./types.js";
 
@@ -49,22 +49,24 @@
 };
 
 /** Returns the waits behind parts of a line of one team, which is sorted by deadline. */
-const waitPoints = (
+const waitsBehind = (
   line: readonly WaitingWork[],
   resource: Resource,
   fromMs: number,
   rate: number,
-): readonly WaitPoint[] => {
-  const points: WaitPoint[] = [];
+): Pick<TeamLine, "duesMs" | "waitsMs"> => {
+  const duesMs: number[] = [];
+  const waitsMs: number[] = [];
   const stride = Math.ceil(line.length / ADMISSION.POINTS_PER_LINE);
   let waitMs = fromMs;
   line.forEach(({ dueInMs, work }, index) => {
     waitMs += work[resource] / rate;
     if ((index + 1) % stride === 0 || index === line.length - 1) {
-      points.push({ dueInMs, waitMs });
+      duesMs.push(dueInMs);
+      waitsMs.push(waitMs);
     }
   });
-  return points;
+  return { duesMs, waitsMs };
 };
 
 /** Returns the units that a pool may have free beside the work that keeps arriving within rates. */
@@ -112,8 +114,7 @@
     const [{ team, priority }] = line;
     if (team !== null) {
       const ownRate = Math.min(rate, ceilingOf(team) === 0 ? Infinity : ceilingOf(team));
-      const points = waitPoints(line, resource, withinRateMs, ownRate);
-      lines.push({ team, priority, points });
+      lines.push({ team, priority, ...waitsBehind(line, resource, withinRateMs, ownRate) });
     }
   }
   return { withinRateMs, freeUnits: rate, lines };
--- a/packages/core/src/work/admission/publishedFigures.ts
+++ b/packages/core/src/work/admission/publishedFigures.ts
@@ -3,16 +3,14 @@
 import { ADMISSION } from "./constants.js";
 import type { Forecast } from "./forecast.js";
 
-const longestWait = ({ points }: TeamLine): number => points.at(-1)?.waitMs ?? 0;
+const longestWait = ({ waitsMs }: TeamLine): number => waitsMs.at(-1) ?? 0;
 
 /** Rounds the figures of a line so that no wait becomes longer. */
-const rounded = ({ team, priority, points }: TeamLine): TeamLine => ({
+const rounded = ({ team, priority, duesMs, waitsMs }: TeamLine): TeamLine => ({
   team,
   priority,
-  points: points.map(({ dueInMs, waitMs }) => ({
-    dueInMs: Math.ceil(dueInMs),
-    waitMs: Math.floor(waitMs),
-  })),
+  duesMs: duesMs.map(Math.ceil),
+  waitsMs: waitsMs.map(Math.floor),
 });
 
 /** Returns what is published of a forecast; null if its waits refuse nobody. */
@@ -24,7 +22,7 @@
   const long = lines
     .filter((line) => longestWait(line) >= ADMISSION.MIN_PUBLISHED_WAIT_MS)
     .sort((one, other) => longestWait(other) - longestWait(one))
-    .slice(0, ADMISSION.MAX_TEAMS)
+    .slice(0, ADMISSION.MAX_LINES_PER_RESOURCE)
     .map(rounded);
   return long.length === 0 && withinRateMs < ADMISSION.MIN_PUBLISHED_WAIT_MS
     ? null
@@ -38,12 +36,23 @@
     ),
   );
 
-/** Returns the pools with the longest waits, as many as the figures name. */
+const countLines = (pool: PoolAdmission): number =>
+  Object.values(pool).reduce((sum, { lines }: ResourceAdmission) => sum + lines.length, 0);
+
+/** Returns the pools with the longest waits, as many as the figures have room for. */
 export const publishedPools = (
   pools: readonly (readonly [PoolId, PoolAdmission])[],
-): Readonly<Record<PoolId, PoolAdmission>> =>
-  Object.fromEntries(
-    [...pools]
-      .sort(([, one], [, other]) => longestWaitIn(other) - longestWaitIn(one))
-      .slice(0, ADMISSION.MAX_POOLS),
+): Readonly<Record<PoolId, PoolAdmission>> => {
+  const published: (readonly [PoolId, PoolAdmission])[] = [];
+  let lines = 0;
+  const longestFirst = [...pools].sort(
+    ([, one], [, other]) => longestWaitIn(other) - longestWaitIn(one),
   );
+  for (const [id, pool] of longestFirst.slice(0, ADMISSION.MAX_POOLS)) {
+    lines += countLines(pool);
+    if (lines <= ADMISSION.MAX_LINES) {
+      published.push([id, pool]);
+    }
+  }
+  return Object.fromEntries(published);
+};
--- a/packages/core/src/work/store/rowTypes.ts
+++ b/packages/core/src/work/store/rowTypes.ts
@@ -84,18 +84,14 @@
   readonly byQueue: Readonly<Record<string, number>>;
 }
 
-/** When a newcomer starts whose deadline is this far away or further. */
-export interface WaitPoint {
-  readonly dueInMs: number;
-  readonly waitMs: number;
-}
-
 /** Waiting work of one priority that a team submitted beyond its rate. */
 export interface TeamLine {
   readonly team: TeamId;
   readonly priority: number;
-  /** In the order of deadlines. */
-  readonly points: readonly WaitPoint[];
+  /** Times until some of its deadlines, in ascending order. */
+  readonly duesMs: readonly number[];
+  /** For each of them, when a newcomer starts whose deadline is as far away or further. */
+  readonly waitsMs: readonly number[];
 }
 
 /** Waits for one resource of a pool. */
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -23,7 +23,6 @@
   ResourceAdmission,
   SubmissionRow,
   TeamLine,
-  WaitPoint,
 } from "./store/rowTypes.js";
 
 export type SubmissionId = Brand<string, "SubmissionId">;
--- a/packages/core/tests/work/admissionDecision.test.ts
+++ b/packages/core/tests/work/admissionDecision.test.ts
@@ -15,6 +15,9 @@
 } from "../../src/work/admission/index.js";
 import { publishedPools } from "../../src/work/admission/publishedFigures.js";
 
+/** Bound on the figures in the owner's row, which every node reads five times a second. */
+const MAX_FIGURES_BYTES = 3_000;
+
 const HOT = teamId("hot");
 const CALM = teamId("calm");
 
@@ -169,14 +172,14 @@
   fc.assert(
     fc.property(entries, fc.integer({ min: -5_000, max: 10_000 }), (waiting, dueInMs) => {
       const { freeUnits, lines } = forecastWaits(waiting, "cpuMilli", ROOM, NO_CEILING);
-      for (const { team, priority, points } of lines) {
+      for (const { team, priority, duesMs, waitsMs } of lines) {
         const ahead = waiting.filter(
           (entry) =>
             entry.standing !== STANDING.OVER_RATE ||
             (entry.team === team && entry.priority === priority && entry.dueInMs <= dueInMs),
         );
         const workMs = ahead.reduce((sum, { work }) => sum + work.cpuMilli, 0) / freeUnits;
-        const waitMs = points.findLast((point) => point.dueInMs <= dueInMs)?.waitMs ?? 0;
+        const waitMs = waitsMs[duesMs.findLastIndex((dueMs) => dueMs <= dueInMs)] ?? 0;
         t.true(waitMs <= workMs + 1e-6);
       }
     }),
@@ -188,12 +191,17 @@
   const teams = Array.from({ length: 85 }, (_, index) => teamId(`team-${index}`));
   const waiting = teams.flatMap((team) => lineOf(2_000, { team }));
   const cpuMilli = publishedForecast(forecastWaits(waiting, "cpuMilli", ROOM, NO_CEILING));
-  t.is(cpuMilli?.lines.length, ADMISSION.MAX_TEAMS);
-  t.true(cpuMilli?.lines.every(({ points }) => points.length <= ADMISSION.POINTS_PER_LINE));
-  const pools = Array.from(
-    { length: 52 },
-    (_, index) => [poolId(`pool-${index}`), cpuMilli === null ? {} : { cpuMilli }] as const,
-  );
-  t.is(Object.keys(publishedPools(pools)).length, ADMISSION.MAX_POOLS);
+  t.is(cpuMilli?.lines.length, ADMISSION.MAX_LINES_PER_RESOURCE);
+  t.true(cpuMilli?.lines.every(({ duesMs }) => duesMs.length <= ADMISSION.POINTS_PER_LINE));
+  if (cpuMilli === null) {
+    return;
+  }
+  const pool = { cpuMilli, memoryMb: cpuMilli, gpus: cpuMilli };
+  const ids = Array.from({ length: 52 }, (_, index) => poolId(`pool-${index}`));
+  const published = publishedPools(ids.map((id) => [id, pool]));
+  t.true(JSON.stringify(published).length < MAX_FIGURES_BYTES);
+  const smallPools = publishedPools(ids.map((id) => [id, { cpuMilli }]));
+  t.true(Object.keys(smallPools).length > 1);
+  t.true(JSON.stringify(smallPools).length < MAX_FIGURES_BYTES);
   t.is(publishedForecast(forecastWaits(lineOf(100), "cpuMilli", ROOM, NO_CEILING)), null);
 });
--- a/packages/wire/src/work/rowChecks.ts
+++ b/packages/wire/src/work/rowChecks.ts
@@ -62,12 +62,17 @@
 
 const COUNT_LISTS = recordOf(listOf(isCount));
 
-const WAIT_POINT = withFields({ dueInMs: isNumber, waitMs: isNumber });
-
 const RESOURCE_ADMISSION = withFields({
   withinRateMs: isNumber,
   freeUnits: isNumber,
-  lines: listOf(withFields({ team: isString, priority: isNumber, points: listOf(WAIT_POINT) })),
+  lines: listOf(
+    withFields({
+      team: isString,
+      priority: isNumber,
+      duesMs: listOf(isNumber),
+      waitsMs: listOf(isNumber),
+    }),
+  ),
 });
 
 /** Checks of the rows that this system stores. */
