--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -40,6 +40,7 @@
 import { registerLoadMetrics } from "./loadMetrics.js";
 import { OsProcessorTime } from "./processorTime.js";
 import { registerRunTimeMetrics } from "./runTimeMetrics.js";
+import { registerAdmissionMetrics } from "./admissionMetrics.js";
 import { registerStarvationMetrics } from "./starvationMetrics.js";
 import { WorkMetrics } from "./workMetrics.js";
 
@@ -111,6 +112,7 @@
   registerStarvationMetrics(metrics.registry, state);
   registerEvacuationMetrics(metrics.registry, state);
   registerRunTimeMetrics(metrics.registry, state);
+  registerAdmissionMetrics(metrics.registry, state);
   registerLoadMetrics(metrics.registry, load, loadReporter, processor);
   const loop = new EventLoop(
     state,
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -192,7 +192,6 @@
   /** Part of the timeout of a caller that is reserved for the transfer of the answer. */
   ANSWER_MARGIN_MS: 200,
   DEFAULT_WAIT_MS: 3_000,
-  RETRY_AFTER_MS: 1_000,
 } as const;
 
 export const CLOCK_TICK = {
@@ -245,6 +244,8 @@
 export const TOKEN_BUCKET = {
   /** Capacity of a team's token bucket, as the time that it takes to fill. */
   BURST_S: 1,
+  /** The same for submissions that return after an outage of the store, so that new ones keep theirs. */
+  RETURN_BURST_S: 8,
 } as const;
 
 export const PLACEMENT = {
--- a/packages/core/src/work/ownership/ownerCommit.ts
+++ b/packages/core/src/work/ownership/ownerCommit.ts
@@ -16,6 +16,7 @@
 import type { OwnerCommit, OwnedWork } from "../state.js";
 import { logLine, roundedMs, newCommitId, validAsOfMs, wakeAfter, type Turn } from "../turn.js";
 import type { OwnerRow } from "../types.js";
+import { publishedAdmission } from "../placement/admissionFigures.js";
 import { cancelPlannedStarts, sendStarts } from "../placement/starts.js";
 import { markWorkerChanged } from "../workers/workerTimers.js";
 
@@ -31,6 +32,7 @@
   yields: yieldCount(turn.work, owned),
   pending: countPending(turn, owned),
   termMs: nextTermMs(turn, owned),
+  ...publishedAdmission(turn, owned),
   ...(owned.storesWindows ? { storesWindows: true } : {}),
 });
 
--- a/packages/core/src/work/ownership/ownership.ts
+++ b/packages/core/src/work/ownership/ownership.ts
@@ -2,6 +2,7 @@
 import { DueQueue } from "@heatherferry/coordination";
 import { claimDelayMs, strongestOwnerMilli } from "./claimDelay.js";
 import { takeoverMs, termMsOf } from "./ownerTerm.js";
+import { noteStoreAnswer } from "../calls/storeReach.js";
 import { OWNERSHIP, SCAN, STORE } from "../constants.js";
 import { RunTimeEstimates } from "../estimates/index.js";
 import { logAbandonedRuns } from "../workers/abandonedRunLog.js";
@@ -39,6 +40,7 @@
   view.nextPollAtMs = nowMs + OWNERSHIP.POLL_MS;
   view.viewAtMs = validAsOfMs(turn, sentAtMs);
   view.viewStoreMs = storeMs;
+  noteStoreAnswer(work, nowMs - sentAtMs);
   const version = row?.version ?? storeVersion(0);
   if (view.row === null || version !== view.version) {
     if (row !== null && row.owner.holder !== view.row?.holder) {
--- a/packages/core/src/work/submissions/adoption.ts
+++ b/packages/core/src/work/submissions/adoption.ts
@@ -1,6 +1,7 @@
 import { recordArrival } from "../hosts/arrivals.js";
 import { teamById } from "../store/catalog.js";
-import { ITEM_WINDOW, SUBMISSION_STATE } from "../constants.js";
+import { ownerRecords, type RememberedRefusal } from "../admission/index.js";
+import { ITEM_WINDOW, SUBMISSION_STATE, TOKEN_BUCKET } from "../constants.js";
 import { criticalPathsMs } from "./criticalPaths.js";
 import { expectedStepsMs, newRunTimes } from "./expectedRunTimes.js";
 import { DoneItems } from "./doneItems.js";
@@ -14,6 +15,7 @@
 import type { OwnedWork, Submission } from "../state.js";
 import { countQueued, hasEnded, poolOfSubmission } from "./submissionStates.js";
 import { cancelSubmission } from "./submissions.js";
+import { earlierRefusal, recordSubmission } from "../placement/poolAverages.js";
 import { takeToken } from "../placement/tokenBucket.js";
 import type { Turn } from "../turn.js";
 import type { ItemKey, SubmissionRow, Progress, StoreVersion } from "../types.js";
@@ -75,17 +77,29 @@
   }
 };
 
-const exceedsRate = (turn: Turn, owned: OwnedWork, row: SubmissionRow): boolean => {
+/**
+ * Whether a submission exceeds its team's rate. One that the store could not take before has a token
+ * from the time of the outage, which new submissions of the team do not use.
+ */
+const exceedsRate = (
+  turn: Turn,
+  owned: OwnedWork,
+  row: SubmissionRow,
+  refusal: RememberedRefusal | null,
+): boolean => {
   const team = teamById(turn.work, row.team);
-  if (team === null) {
-    return false;
-  }
-  let bucket = owned.tokenBuckets.get(team.id);
-  if (bucket === undefined) {
-    bucket = { tokens: team.weight, refilledAtMs: turn.nowMs };
-    owned.tokenBuckets.set(team.id, bucket);
+  if (team === null || refusal?.wasBeyondRate === true) {
+    return refusal?.wasBeyondRate === true;
   }
-  return !takeToken(bucket, team.weight, turn.nowMs);
+  const { returnBuckets } = ownerRecords(turn.work.admission, owned.fence);
+  const buckets = refusal === null ? owned.tokenBuckets : returnBuckets;
+  const burstS = refusal === null ? TOKEN_BUCKET.BURST_S : TOKEN_BUCKET.RETURN_BURST_S;
+  const bucket = buckets.get(team.id) ?? {
+    tokens: team.weight * burstS,
+    refilledAtMs: turn.nowMs,
+  };
+  buckets.set(team.id, bucket);
+  return !takeToken(bucket, team.weight, turn.nowMs, burstS);
 };
 
 /**
@@ -113,6 +127,7 @@
     ? Math.floor(done.firstOpen / layout.itemsPerOccurrence)
     : 0;
   const runTimes = newRunTimes(turn, owned.runTimes, row, hasEnded(state));
+  const refusal = earlierRefusal(turn, owned, row);
   const submission: Submission = {
     row,
     version,
@@ -124,7 +139,9 @@
     failing: new Set(),
     failureBytes: 0,
     bookedRuns: 0,
-    overRate: !inherited && exceedsRate(turn, owned, row),
+    // One that was refused goes on counting from then, and as beyond the rate if it was.
+    overRate: !inherited && exceedsRate(turn, owned, row, refusal),
+    arrivedWallMs: refusal?.firstWallMs ?? row.acceptedWallMs,
     runTimes,
     criticalPathsMs: criticalPathsMs(row.work, expectedStepsMs(runTimes)),
     occurrences: new Map(),
@@ -146,6 +163,7 @@
   if (!inherited) {
     const pool = poolOf(owned, poolOfSubmission(turn, row));
     recordArrival(turn, pool, row.work, expectedStepsMs(runTimes));
+    recordSubmission(turn, owned, submission);
   }
   const recorded = owned.startedOccurrences.get(row.id) ?? -1;
   const lastStarted = Math.max(recorded, lastPersistedOccurrence(progress));
--- a/packages/core/src/work/submissions/occurrences.ts
+++ b/packages/core/src/work/submissions/occurrences.ts
@@ -7,9 +7,9 @@
 import { itemKeyOf, type Progress } from "../types.js";
 
 /** Returns when an occurrence counts as begun for callers, on this node's monotonic clock. */
-const startOf = (turn: Turn, { row }: Submission, number: number): number => {
+const startOf = (turn: Turn, { row, arrivedWallMs }: Submission, number: number): number => {
   const { occurrences, firstDueWallMs, intervalMs } = row.work;
-  const startWallMs = occurrences === 0 ? row.acceptedWallMs : firstDueWallMs + number * intervalMs;
+  const startWallMs = occurrences === 0 ? arrivedWallMs : firstDueWallMs + number * intervalMs;
   return turn.nowMs - Math.max(0, turn.wallMs - startWallMs);
 };
 
--- a/packages/core/src/work/workers/runEnds.ts
+++ b/packages/core/src/work/workers/runEnds.ts
@@ -4,6 +4,7 @@
 import { addRun, removeRun, stopRun } from "./runs.js";
 import type { Item, OwnedWork, Worker } from "../state.js";
 import { learnFromEnd } from "./learnedRuns.js";
+import { recordRunTime } from "../placement/poolAverages.js";
 import { removeOrphan, orphanListed } from "./orphanedRuns.js";
 import { itemForRun } from "../submissions/openItems.js";
 import { hasEnded } from "../submissions/submissionStates.js";
@@ -20,6 +21,7 @@
   logDuplicateEnd(turn, worker, item, end);
   if (run !== undefined) {
     learnFromEnd(turn, owned, worker, run, end.kind);
+    recordRunTime(turn, owned, run, end);
     removeRun(turn, owned, worker, run);
   }
   removeOrphan(owned, worker, end);
--- a/packages/wire/src/work/rowChecks.ts
+++ b/packages/wire/src/work/rowChecks.ts
@@ -62,6 +62,19 @@
 
 const COUNT_LISTS = recordOf(listOf(isCount));
 
+const RESOURCE_ADMISSION = withFields({
+  withinRateMs: isNumber,
+  freeUnits: isNumber,
+  lines: listOf(
+    withFields({
+      team: isString,
+      priority: isNumber,
+      duesMs: listOf(isNumber),
+      waitsMs: listOf(isNumber),
+    }),
+  ),
+});
+
 /** Checks of the rows that this system stores. */
 export const ROW_CHECK = {
   SUBMISSION: withFields({
@@ -71,6 +84,9 @@
     team: nullOr(isString),
     acceptedWallMs: isNumber,
     maxAttempts: optional(isCount),
+    refusedBefore: optional(
+      recordOf(withFields({ agoMs: isNumber, beyondRateOf: optional(isString) })),
+    ),
     work: withFields({
       payload: isString,
       steps: (value) => listOf(STEP)(value) && dependOnEarlierSteps(value),
@@ -122,6 +138,11 @@
     termMs: optional(isCount),
     storesWindows: optional(isBoolean),
   }),
+  ADMISSION: withFields({
+    asOfStoreMs: isNumber,
+    pools: recordOf(recordOf(RESOURCE_ADMISSION)),
+    offeredPerS: recordOf(isNumber),
+  }),
   LEASE: withFields({
     pool: isString,
     items: COUNT_LISTS,
--- a/packages/wire/src/work/workRows.ts
+++ b/packages/wire/src/work/workRows.ts
@@ -92,7 +92,12 @@
 
 const decodeOwner = (body: unknown): OwnerRow | null => {
   const { owner = body } = body as { readonly owner?: unknown };
-  return ROW_CHECK.OWNER(owner) ? (owner as OwnerRow) : null;
+  if (!ROW_CHECK.OWNER(owner)) {
+    return null;
+  }
+  const { admission, ...rest } = owner as OwnerRow;
+  // Figures in the form of another version must not hide who the owner is.
+  return ROW_CHECK.ADMISSION(admission) ? (owner as OwnerRow) : rest;
 };
 
 /** Encodes a row for the store. */
@@ -171,7 +176,7 @@
   if (table === WORK_TABLE.PROGRESS && key.startsWith(EVACUATION_PREFIX)) {
     return ROW_CHECK.EVACUATION(body)
       ? { type: "evacuationReport", version: at, report: body as EvacuationReport }
-        : null;
+      : null;
   }
   if (table === WORK_TABLE.PROGRESS && key === RUN_TIMES_KEY) {
     return ROW_CHECK.RUN_TIMES(body)
