A new owner waits for stops of the previous one before it starts their items again

Room on that worker already waited for the stop; its items now do, too: up to stopMs where the lease row tells of stops, or after a crash.

--- a/packages/core/src/work/ownership/recovery.ts
+++ b/packages/core/src/work/ownership/recovery.ts
@@ -98,20 +98,39 @@
   });
 };
 
+/**
+ * Whether runs that a previous owner stopped may still be ending on a worker. They are in no list, so
+ * their items must not start elsewhere yet.
+ */
+const mayBeStopping = (turn: Turn, owned: OwnedWork, id: WorkerId): boolean =>
+  (owned.workers.get(id)?.capacityKnownAtMs ?? 0) > turn.nowMs;
+
+/** Takes the newly fenced workers of which all runs are known. */
+const takeResolvedWorkers = (turn: Turn, owned: OwnedWork): Set<WorkerId> => {
+  const resolved = new Set<WorkerId>();
+  for (const id of owned.newlyFenced) {
+    if (!mayBeStopping(turn, owned, id)) {
+      owned.newlyFenced.delete(id);
+      resolved.add(id);
+    }
+  }
+  return resolved;
+};
+
 /**
  * Releases withheld items once this owner would know of their runs: their worker has confirmed this
- * owner's fencing token and listed its runs, or every lease of previous owners has expired.
+ * owner's fencing token and listed its runs, and stops by previous owners are over, or every lease of
+ * theirs has expired.
  */
 export const tickRecovery = (turn: Turn, owned: OwnedWork): void => {
   if (owned.unfencedLeases.size === 0) {
     return;
   }
   const leasesExpired = turn.nowMs - owned.acquiredAtMs > grantedLeaseMs(turn);
-  const resolved = new Set(owned.newlyFenced);
+  const resolved = takeResolvedWorkers(turn, owned);
   if (leasesExpired) {
     expiredLeases(turn, owned).forEach((id) => resolved.add(id));
   }
-  owned.newlyFenced.clear();
   countSteps(turn, resolved.size);
   for (const id of resolved) {
     releaseLease(turn, owned, id);
