--- a/packages/core/src/work/admission/constants.ts
+++ b/packages/core/src/work/admission/constants.ts
@@ -15,7 +15,7 @@
   /** Most teams beyond their rate that they name. */
   MAX_TEAMS_BEYOND_RATE: 16,
   /** Submissions of a pool that a forecast looks at; it takes the others for absent. */
-  MAX_ENTRIES: 4_096,
+  MAX_ENTRIES: 2_048,
   /** Shorter waits refuse nobody and are not published. */
   MIN_PUBLISHED_WAIT_MS: 2_000,
   /** Deadlines for which the wait behind a line is published. */
--- a/packages/core/src/work/admission/forecast.ts
+++ b/packages/core/src/work/admission/forecast.ts
@@ -91,12 +91,26 @@
   return lines;
 };
 
+/** Returns waiting work in the order in which it gets capacity. */
+export const inOrder = (waiting: readonly WaitingWork[]): readonly WaitingWork[] =>
+  [...waiting].sort(compare);
+
+/** Whether newcomers may have to wait for long, so that a forecast is worth its cost. */
+export const mayWaitLong = (
+  waiting: readonly WaitingWork[],
+  resource: Resource,
+  room: PoolRoom,
+): boolean => {
+  const workMs = waiting.reduce((sum, { work }) => sum + work[resource], 0);
+  return workMs / freeUnitsOf(room) >= ADMISSION.MIN_PUBLISHED_WAIT_MS;
+};
+
 /**
  * Forecasts the waits of work beyond the rates of teams. It starts after all work within the rates,
  * and by deadline among work of its own team and priority. Lines of other teams beyond their rates
  * do not count, since teams may take turns.
  *
- * @param waiting - Waiting work of the pool.
+ * @param waiting - Waiting work of the pool, in order.
  */
 export const forecastWaits = (
   waiting: readonly WaitingWork[],
@@ -105,12 +119,11 @@
   ceilingOf: CeilingOf,
 ): Forecast => {
   const rate = freeUnitsOf(room);
-  const sorted = [...waiting].sort(compare);
   const isOverRate = ({ standing }: WaitingWork): boolean => standing === STANDING.OVER_RATE;
-  const withinRate = sorted.filter((entry) => !isOverRate(entry));
+  const withinRate = waiting.filter((entry) => !isOverRate(entry));
   const withinRateMs = startOfAll(withinRate, resource, rate, ceilingOf);
   const lines: TeamLine[] = [];
-  for (const line of linesBeyondRate(sorted.filter(isOverRate)).values()) {
+  for (const line of linesBeyondRate(waiting.filter(isOverRate)).values()) {
     const [{ team, priority }] = line;
     if (team !== null) {
       const ownRate = Math.min(rate, ceilingOf(team) === 0 ? Infinity : ceilingOf(team));
--- a/packages/core/src/work/admission/index.ts
+++ b/packages/core/src/work/admission/index.ts
@@ -13,7 +13,7 @@
 export { addArrival, addOffered, addRunTime, RESOURCE_NAMES, runSpeed } from "./averages.js";
 export { ADMISSION, ADMISSION_RESULT, REFUSAL_REASON, STANDING } from "./constants.js";
 export { decideAdmission } from "./decision.js";
-export { forecastWaits } from "./forecast.js";
+export { forecastWaits, inOrder, mayWaitLong } from "./forecast.js";
 export { publishedForecast, publishedPools } from "./publishedFigures.js";
 export { drawOf, isReturnSlot, outageReturn, overloadReturn } from "./returnTimes.js";
 export { isStoreSilent, longestAnswerMs } from "./storeReach.js";
--- a/packages/core/src/work/placement/admissionFigures.ts
+++ b/packages/core/src/work/placement/admissionFigures.ts
@@ -5,6 +5,8 @@
   ADMISSION,
   averagesOf,
   forecastWaits,
+  inOrder,
+  mayWaitLong,
   ownerRecords,
   publishedForecast,
   publishedPools,
@@ -122,30 +124,27 @@
   movableHosts: number,
 ): PoolAdmission | null => {
   const { pool } = demand;
-  const entries = waitingWorkIn(turn, owned, pool);
+  const waiting = waitingWorkIn(turn, owned, pool);
   const averages = averagesOf(ownerRecords(turn.work.admission, owned.fence), pool.id, turn.nowMs);
   addArrival(averages, NO_RESOURCES, turn.nowMs);
   const capacity = capacityOf(demand, movableHosts);
+  const roomFor = (resource: Resource): PoolRoom => ({
+    capacity: capacity[resource],
+    speed: runSpeed(averages),
+    arriving: averages.arriving[resource],
+  });
+  const short = RESOURCE_NAMES.filter(
+    (resource) => capacity[resource] > 0 && mayWaitLong(waiting, resource, roomFor(resource)),
+  );
+  const sorted = short.length === 0 ? [] : inOrder(waiting);
   const published: Partial<Record<Resource, PoolAdmission[Resource]>> = {};
-  for (const resource of RESOURCE_NAMES) {
-    const room: PoolRoom = {
-      capacity: capacity[resource],
-      speed: runSpeed(averages),
-      arriving: averages.arriving[resource],
-    };
-    const forecast =
-      room.capacity <= 0
-        ? null
-        : publishedForecast(
-            forecastWaits(
-              entries,
-              resource,
-              room,
-              (team) => teamById(turn.work, team)?.ceiling[resource] ?? 0,
-            ),
-          );
-    if (forecast !== null) {
-      published[resource] = forecast;
+  for (const resource of short) {
+    const ceilingOf = (team: TeamId | null): number =>
+      teamById(turn.work, team)?.ceiling[resource] ?? 0;
+    const forecast = forecastWaits(sorted, resource, roomFor(resource), ceilingOf);
+    const figures = publishedForecast(forecast);
+    if (figures !== null) {
+      published[resource] = figures;
     }
   }
   return Object.keys(published).length === 0 ? null : published;
--- a/packages/core/tests/work/admissionDecision.test.ts
+++ b/packages/core/tests/work/admissionDecision.test.ts
@@ -6,6 +6,7 @@
   decideAdmission,
   drawOf,
   forecastWaits,
+  inOrder,
   publishedForecast,
   STANDING,
   type AdmissionView,
@@ -53,7 +54,7 @@
   entries: readonly WaitingWork[],
   view: Partial<AdmissionView> = {},
 ): AdmissionView => {
-  const cpuMilli = publishedForecast(forecastWaits(entries, "cpuMilli", ROOM, NO_CEILING));
+  const cpuMilli = publishedForecast(forecastWaits(inOrder(entries), "cpuMilli", ROOM, NO_CEILING));
   return {
     ageMs: 0,
     pool: cpuMilli === null ? null : { cpuMilli },
@@ -171,7 +172,7 @@
   );
   fc.assert(
     fc.property(entries, fc.integer({ min: -5_000, max: 10_000 }), (waiting, dueInMs) => {
-      const { freeUnits, lines } = forecastWaits(waiting, "cpuMilli", ROOM, NO_CEILING);
+      const { freeUnits, lines } = forecastWaits(inOrder(waiting), "cpuMilli", ROOM, NO_CEILING);
       for (const { team, priority, duesMs, waitsMs } of lines) {
         const ahead = waiting.filter(
           (entry) =>
@@ -190,7 +191,7 @@
 test("the owner's row grows with the number of teams and pools", (t) => {
   const teams = Array.from({ length: 85 }, (_, index) => teamId(`team-${index}`));
   const waiting = teams.flatMap((team) => lineOf(2_000, { team }));
-  const cpuMilli = publishedForecast(forecastWaits(waiting, "cpuMilli", ROOM, NO_CEILING));
+  const cpuMilli = publishedForecast(forecastWaits(inOrder(waiting), "cpuMilli", ROOM, NO_CEILING));
   t.is(cpuMilli?.lines.length, ADMISSION.MAX_LINES_PER_RESOURCE);
   t.true(cpuMilli?.lines.every(({ duesMs }) => duesMs.length <= ADMISSION.POINTS_PER_LINE));
   if (cpuMilli === null) {
