--- a/packages/core/tests/work/admissionSite.ts
+++ b/packages/core/tests/work/admissionSite.ts
@@ -145,9 +145,12 @@
     }
   }
 
-  /** Sends a submission once more to a node other than the owner, as the network may repeat it. */
-  repeat(outcome: CallerOutcome): string {
-    const node = this.fronts()[0];
+  /**
+   * Sends a submission once more, as the network may repeat it.
+   *
+   * @returns The id of the call.
+   */
+  repeat(outcome: CallerOutcome, node = this.fronts()[0]): string {
     const callId = `repeat ${outcome.id}`;
     if (node !== undefined) {
       this.sendCall(node, callId, outcome);
@@ -264,6 +267,15 @@
     }
   }
 
+  protected override lookUp(node: SiteNode, callId: string, id: SubmissionId): void {
+    if (this.nowMs < this.cutUntilMs) {
+      const failed = { type: "store/lookUpFailed" as const, callId, reason: "cut", atMs: 0 };
+      this.answerLater(node, MS_PER_S, failed);
+    } else {
+      super.lookUp(node, callId, id);
+    }
+  }
+
   private answerUnanswered(node: SiteNode, commitId: string, sentAtMs: number): void {
     this.answerLater(node, MS_PER_S, {
       type: "store/commitSettled",
