--- a/packages/core/src/work/estimates/runTimeEstimates.ts
+++ b/packages/core/src/work/estimates/runTimeEstimates.ts
@@ -10,6 +10,7 @@
 /** Returns the expectation that rests on the caller's estimate alone. */
 export const callersExpectation = (estimateMs: number): Expectation => ({
   expectedMs: estimateMs,
+  meanMs: estimateMs,
   upperMs: estimateMs,
   kind: null,
   samples: 0,
@@ -240,8 +241,10 @@
   const weight = weightOf(history);
   const blendedMs = (share: number): number =>
     Math.exp(weight * history.quantile(share, estimateMs) + (1 - weight) * logOf(estimateMs));
+  const expectedMs = blendedMs(LEARNING.EXPECTED_QUANTILE);
   return {
-    expectedMs: blendedMs(LEARNING.EXPECTED_QUANTILE),
+    expectedMs,
+    meanMs: expectedMs * history.meanToMedian(),
     upperMs: blendedMs(LEARNING.UPPER_QUANTILE),
     kind,
     samples: history.size,
