Tests: crowds of clients outside the limits, against the programs' own processes

Cause: clients that announce or send far more than the limits ended a node: it ran out of memory. No test started a process and such clients.

--- a/apps/entry/tests/helpers/fixture.ts
+++ b/apps/entry/tests/helpers/fixture.ts
@@ -37,8 +37,8 @@
   return path;
 };
 
-export const startEntryProgram = (text: string): Program =>
-  new Program(ENTRY_MAIN, ["--settings", settingsFile(text)]);
+export const startEntryProgram = (text: string, runtimeOptions: readonly string[] = []): Program =>
+  new Program(ENTRY_MAIN, ["--settings", settingsFile(text)], runtimeOptions);
 
 export const addressIn = (record: Readonly<Record<string, unknown>>, name: string): string => {
   const value = record[name];
--- a/apps/entry/tests/helpers/site.ts
+++ b/apps/entry/tests/helpers/site.ts
@@ -58,10 +58,21 @@
   readonly startEntry: (zone: string) => Promise<string>;
 }
 
-export const startSite = async (targetsPerZone = 1): Promise<Site> => {
+/** Options of the processes of a site. */
+export interface SiteOptions {
+  readonly zones?: readonly string[];
+  /** Lines that are added to the settings of the entry hosts. */
+  readonly furtherSettings?: readonly string[];
+  /** Options of the Node.js runtime of the entry hosts. */
+  readonly runtimeOptions?: readonly string[];
+}
+
+export const startSite = async (
+  targetsPerZone = 1,
+  { zones = ["a", "b"], furtherSettings = [], runtimeOptions = [] }: SiteOptions = {},
+): Promise<Site> => {
   const platform = new PlatformStandIn(new InstantHostPower());
   await platform.listen();
-  const zones = ["a", "b"];
   const targetZones = zones.flatMap((zone) => Array.from({ length: targetsPerZone }, () => zone));
   const targets = await Promise.all(targetZones.map(async () => startTarget()));
   await writeFleetRows(
@@ -73,7 +84,8 @@
   );
   const entries: Program[] = [];
   const start = async (zone: string): Promise<{ callers: string; admin: string }> => {
-    const entry = startEntryProgram(settingsText(`e-${zone}1`, zone, platform.origin));
+    const settings = [settingsText(`e-${zone}1`, zone, platform.origin), ...furtherSettings];
+    const entry = startEntryProgram(settings.join("\n"), runtimeOptions);
     entries.push(entry);
     const record = await entry.waitForLog("listening");
     const admin = addressIn(record, "admin");
--- a/apps/standins/src/index.ts
+++ b/apps/standins/src/index.ts
@@ -23,3 +23,6 @@
 export * from "./work/workerStandIn.js";
 export * from "./work/jsonServer.js";
 export * from "./work/storeStandIn.js";
+export * from "./load/clientCrowd.js";
+export * from "./load/clientScripts.js";
+export * from "./processes/processUsage.js";
--- a/apps/standins/src/processes/program.ts
+++ b/apps/standins/src/processes/program.ts
@@ -25,9 +25,12 @@
    *
    * @param path - Path of the built main module.
    * @param args - Command-line arguments.
+   * @param runtimeOptions - Options of the Node.js runtime.
    */
-  constructor(path: string, args: readonly string[]) {
-    this.child = spawn(process.execPath, [path, ...args], { stdio: ["ignore", "ignore", "pipe"] });
+  constructor(path: string, args: readonly string[], runtimeOptions: readonly string[] = []) {
+    this.child = spawn(process.execPath, [...runtimeOptions, path, ...args], {
+      stdio: ["ignore", "ignore", "pipe"],
+    });
     if (this.child.stderr !== null) {
       createInterface({ input: this.child.stderr }).on("line", (line) => {
         this.records.push(parseRecord(line));
@@ -53,7 +56,8 @@
     return this.child.exitCode;
   }
 
-  private get hasExited(): boolean {
+  /** Whether the program has ended, by itself or by a signal. */
+  get hasExited(): boolean {
     return this.child.exitCode !== null || this.child.signalCode !== null;
   }
 
