Keep nothing of bodies outside the limits, and bound bodies and connections by memory

Cause: a node kept up to 1 MB of each body, whatever its queue, key or announced size, and read the rest to its end; an entry host kept 256 KiB of each, and whole bodies that it forwards or that peers send; nothing bounded connections, pipelined requests or the time of a body. Change: queue, size and key are checked by the reducer's own function before the body is read (checkHead, admissionOf). Parts go into one buffer under a budget of bytes (ByteBudget, BodyBuffer); a body too large, too slow or without room is dropped at once and refused with 413 or 503. Open calls have a second budget. ConnectionSlots closes the connection that has waited longest for a whole request when a listener is full. 16 open requests a connection; refused bodies are discarded up to 1 MiB and 16 at once, else the client is disconnected after its answer. The same on readiness, metrics, admin and peers. Limits follow from memoryMb and maxFds, for the entry host from the new [limits]. Metric heatherferry_client_limits_met_total, log line client.limitMet at most once in 10 s a limit. A call without a body no longer passes an asynchronous iterator.

--- a/apps/entry/src/main.ts
+++ b/apps/entry/src/main.ts
@@ -16,6 +16,8 @@
   [admin]     host, port      /metrics, /livez, /readyz
   [platform]  origin          http://host:port of the platform's table
   [log]       level           debug, info, warn or error (optional)
+  [limits]    memory_mb       memory of the machine; 1024 if not set (optional)
+              max_descriptors most descriptors of the process; 4096 if not set (optional)
   [trace]     max_bytes       records events for a replay, served at /trace (optional)
 `;
 
--- a/apps/entry/src/settings.ts
+++ b/apps/entry/src/settings.ts
@@ -12,6 +12,10 @@
   admin: SETTINGS.LISTENER,
   platform: SETTINGS.PLATFORM,
   log: SETTINGS.LOG.optional(),
+  limits: z
+    .strictObject({ memory_mb: z.int().min(64), max_descriptors: z.int().min(256) })
+    .partial()
+    .optional(),
   trace: z.strictObject({ max_bytes: z.int().min(0) }).optional(),
 });
 
--- a/apps/entry/src/wireEntry.ts
+++ b/apps/entry/src/wireEntry.ts
@@ -11,6 +11,7 @@
   constantTimeInvariants,
   defaultPolicies,
   initialState,
+  isRefusedByHead,
   NODE_ROLE,
   type Effect,
   type NodeIdentity,
@@ -20,6 +21,8 @@
   AdminServer,
   ArrivalHandler,
   AttemptRunner,
+  BodyBudgets,
+  clientLimitsOf,
   GracefulExit,
   ConnectPeerLink,
   ConnectPeerServer,
@@ -30,6 +33,7 @@
   HttpPlatformTable,
   HttpTargetLink,
   InvariantWatch,
+  LimitReporter,
   logUnreadableRow,
   LoopPeerHandler,
   newIncarnation,
@@ -53,6 +57,10 @@
     this.loop?.handle({ type: "request/arrived", ...arrival });
   }
 
+  override isRefusedByHead(arrival: ArrivalFields): boolean {
+    return this.loop !== null && isRefusedByHead(this.loop.state, arrival);
+  }
+
   override cancelled(requestId: RequestId): void {
     this.loop?.handle({ type: "request/cancelled", requestId });
   }
@@ -89,6 +97,8 @@
     peerAddress: address(seed.address),
   }));
 
+const DEFAULT_MACHINE = { MEMORY_MB: 1_024, MAX_DESCRIPTORS: 4_096 } as const;
+
 /**
  * Creates, connects and starts the components of an entry host.
  *
@@ -101,12 +111,30 @@
   const incarnation = newIncarnation();
   const arrivals = new EventLoopArrivals();
   const signer = new TicketSigner();
-  const httpCallers = new HttpCallerServer(incarnation, arrivals, signer);
+  const limitReporter = new LimitReporter(log);
+  const limits = clientLimitsOf({
+    memoryMb: settings.limits?.memory_mb ?? DEFAULT_MACHINE.MEMORY_MB,
+    maxDescriptors: settings.limits?.max_descriptors ?? DEFAULT_MACHINE.MAX_DESCRIPTORS,
+  });
+  const bodies = new BodyBudgets(limits.bodyBudgetBytes);
+  const httpCallers = new HttpCallerServer(
+    incarnation,
+    arrivals,
+    signer,
+    limits,
+    bodies,
+    limitReporter,
+  );
   const callerAddress = await httpCallers.listen(settings.callers.host, settings.callers.port);
   const forwardedCallers = new ForwardedCallers(incarnation, signer);
   const callers = new RoutedCallers(httpCallers, forwardedCallers);
   const peerHandler = new LoopPeerHandler(forwardedCallers);
-  const peerServer = new ConnectPeerServer(peerHandler);
+  const peerServer = new ConnectPeerServer(
+    peerHandler,
+    limits.maxPeerConnections,
+    bodies,
+    limitReporter,
+  );
   const peerAddress = await peerServer.listen(settings.peers.host, settings.peers.port);
 
   const identity = {
@@ -120,6 +148,7 @@
   const seed = newSeed();
   const state = initialState(identity, seed, EventLoop.nowMs());
   const metrics = new NodeMetrics(state);
+  limitReporter.register(metrics.registry);
   const watch = new InvariantWatch(constantTimeInvariants(), metrics.registry, log);
   const trace =
     settings.trace === undefined
@@ -131,7 +160,7 @@
   const targets = new HttpTargetLink();
   const peerLink = new ConnectPeerLink(identity);
   const peers = new PeerRunner(peerLink, loop);
-  const admin = new AdminServer(metrics.registry, new NodeHealth(state), trace);
+  const admin = new AdminServer(metrics.registry, new NodeHealth(state), limitReporter, trace);
   const adminAddress = await admin.listen(settings.admin.host, settings.admin.port);
 
   const ended = new Promise<void>((resolve) => {
@@ -155,7 +184,7 @@
       attempts: new AttemptRunner(callers, targets, loop),
       callers,
       peers,
-      forwards: new ForwardRunner(callers, peerLink, loop),
+      forwards: new ForwardRunner(callers, peerLink, loop, bodies),
       tickets: new SigningTicketIssuer(identity, httpCallers),
       exitHandler: exitSwitch,
     });
--- a/apps/entry/tests/uncontrolledClients/entryHost.test.ts
+++ b/apps/entry/tests/uncontrolledClients/entryHost.test.ts
@@ -16,6 +16,12 @@
 
 const CONNECTIONS = { ONE: 1, MANY: 400 } as const;
 
+const SETTINGS = [
+  "[limits]",
+  `memory_mb = ${BOUND.MEMORY_MB}`,
+  `max_descriptors = ${BOUND.DESCRIPTORS}`,
+];
+
 const RUNTIME_OPTIONS = ["--max-old-space-size=110", "--max-semi-space-size=4"];
 
 const scriptsWithKey = (key: string): readonly ClientScript[] => {
@@ -38,6 +44,7 @@
 const startEntryHost = async (t: ExecutionContext): Promise<EntryHost> => {
   const site = await startSite(1, {
     zones: ["a"],
+    furtherSettings: SETTINGS,
     runtimeOptions: RUNTIME_OPTIONS,
   });
   t.teardown(async () => stopSite(site));
--- a/apps/maintainer/src/wireMaintainer.ts
+++ b/apps/maintainer/src/wireMaintainer.ts
@@ -20,6 +20,7 @@
   HttpHostDirectory,
   HttpPlatformTable,
   InvariantWatch,
+  LimitReporter,
   logUnreadableRow,
   newIncarnation,
   newSeed,
@@ -58,7 +59,9 @@
   const loop = new EventLoop(state, defaultPolicies(), [metrics, watch]);
   const table = new HttpPlatformTable(settings.platform.origin, logUnreadableRow(log));
   const directory = new HttpHostDirectory(settings.platform.origin);
-  const admin = new AdminServer(metrics.registry, new NodeHealth(state));
+  const limitReporter = new LimitReporter(log);
+  limitReporter.register(metrics.registry);
+  const admin = new AdminServer(metrics.registry, new NodeHealth(state), limitReporter);
   const adminAddress = await admin.listen(settings.admin.host, settings.admin.port);
 
   const ended = new Promise<void>((resolve) => {
--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -11,7 +11,9 @@
   initialState,
   initialWorkloadState,
   NODE_ROLE,
+  bodyBytesToRead,
   type CallArrival,
+  type CallHead,
   type State,
 } from "@heatherferry/core";
 import {
@@ -27,6 +29,7 @@
   GracefulExit,
   EventLoop,
   HealthSource,
+  LimitReporter,
   LoopLoad,
   newIncarnation,
   newSeed,
@@ -36,6 +39,7 @@
 } from "@heatherferry/runners";
 import { BoundedSink } from "./boundedSink.js";
 import { LoopLoadReporter } from "./loopLoadReporter.js";
+import { registerClientMetrics } from "./clientMetrics.js";
 import { registerLoadMetrics } from "./loadMetrics.js";
 import { OsProcessorTime } from "./processorTime.js";
 import { registerStarvationMetrics } from "./starvationMetrics.js";
@@ -49,6 +53,15 @@
 class LoopCallHandler extends CallHandler {
   loop: EventLoop | null = null;
 
+  constructor(private readonly state: State) {
+    super();
+  }
+
+  override bodyBytesToRead(head: CallHead, announcedBytes: number): number {
+    const { work, nowMs } = this.state;
+    return work === null ? 0 : bodyBytesToRead(work, nowMs, head, announcedBytes);
+  }
+
   override arrived(call: CallArrival): void {
     this.loop?.handle({ type: "call/arrived", ...call });
   }
@@ -80,8 +93,6 @@
   const sink = new BoundedSink(settings.nodeName);
   const log = createLogger(settings.nodeName, new LogThreshold(), sink);
   const incarnation = newIncarnation();
-  const calls = new LoopCallHandler();
-  const front = new PlatformFront(calls, incarnation);
   const state = initialState(
     {
       role: NODE_ROLE.WORK,
@@ -103,6 +114,11 @@
     settings.processorMilli,
   );
   const metrics = new WorkMetrics(state, sink);
+  const limitReporter = new LimitReporter(log);
+  limitReporter.register(metrics.registry);
+  const calls = new LoopCallHandler(state);
+  const front = new PlatformFront(calls, incarnation, settings.clientLimits, limitReporter);
+  registerClientMetrics(metrics.registry, front);
   const load = new LoopLoad();
   const processor = new OsProcessorTime();
   const loadReporter = new LoopLoadReporter(load, processor, log);
@@ -117,7 +133,7 @@
   const store = new PlatformStore(settings.storeAddress, settings.linkMbps, log);
   const workers = new PlatformWorkers();
   const hosts = new PlatformHosts(settings.hostsAddress, settings.nodeName);
-  const admin = new AdminServer(metrics.registry, new WorkHealth(state));
+  const admin = new AdminServer(metrics.registry, new WorkHealth(state), limitReporter);
   await front.listen(settings.callerAddress, settings.readyAddress);
   await admin.listen(settings.ip, settings.ownPorts[0] + METRICS_PORT_OFFSET);
 
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -11,3 +11,5 @@
 export * from "./tickets/types.js";
 export * from "./keyedHeap/dueQueue.js";
 export * from "./keyedHeap/keyedHeap.js";
+export * from "./clientLimits/byteBudget.js";
+export * from "./clientLimits/connectionSlots.js";
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * from "./platform/types.js";
 export * from "./queues/types.js";
 export * from "./requests/constants.js";
+export { isRefusedByHead, type RequestHead } from "./requests/admission.js";
 export * from "./requests/types.js";
 export * from "./revisions/types.js";
 export * from "./routing/types.js";
--- a/packages/core/src/requests/admission.ts
+++ b/packages/core/src/requests/admission.ts
@@ -17,7 +17,16 @@
 
 const RULES_HEAD = rowKey(ROW_PREFIX.RULES_HEAD);
 
-const isRefusal = (value: TeamId | Refusal): value is Refusal => typeof value !== "string";
+/** The part of a request that decides whether it may be queued at all. */
+export type RequestHead = Pick<RequestArrived, "queue" | "keyHash">;
+
+interface Admission {
+  readonly rule: QueueRule;
+  readonly team: TeamId;
+}
+
+const isRefusal = (value: TeamId | Admission | Refusal): value is Refusal =>
+  typeof value !== "string" && "outcome" in value;
 
 /**
  * Whether keys are honoured: this build must have been able to parse the newest rules that it has
@@ -30,7 +39,7 @@
 };
 
 /** Returns the team that the request is charged to, or the refusal where there is none. */
-const teamOrRefusal = (state: State, queue: QueueRule, event: RequestArrived): TeamId | Refusal => {
+const teamOrRefusal = (state: State, queue: QueueRule, event: RequestHead): TeamId | Refusal => {
   if (event.keyHash === null) {
     return queue.openTeam ?? notRunRefusal(REFUSAL_KIND.NO_KEY, null);
   }
@@ -41,6 +50,29 @@
   return holder?.team ?? notRunRefusal(REFUSAL_KIND.UNKNOWN_KEY, null);
 };
 
+const admissionOf = (state: State, head: RequestHead): Admission | Refusal => {
+  if (state.node.shutdownStartedAtMs !== null) {
+    return notRunRefusal(REFUSAL_KIND.LEAVING, REQUEST.MIN_RETRY_AFTER_MS);
+  }
+  const rule = state.revisions.rules.queues.get(head.queue);
+  if (rule === undefined) {
+    const kind =
+      state.revisions.revision === 0 ? REFUSAL_KIND.NO_RULES : REFUSAL_KIND.UNKNOWN_QUEUE;
+    return notRunRefusal(kind, null);
+  }
+  const team = teamOrRefusal(state, rule, head);
+  return isRefusal(team) ? team : { rule, team };
+};
+
+/**
+ * Whether a request is refused whatever its body holds.
+ *
+ * @param state - State of the node.
+ * @param head - The request.
+ */
+export const isRefusedByHead = (state: State, head: RequestHead): boolean =>
+  isRefusal(admissionOf(state, head));
+
 const refusalBeforeQueueing = (state: State, rule: QueueRule, team: TeamId): Refusal | null => {
   if (targetsOf(state, rule.pool).length === 0) {
     return notRunRefusal(REFUSAL_KIND.NO_TARGET, REQUEST.MAX_RETRY_AFTER_MS);
@@ -101,22 +133,12 @@
   const refuseAs = (refusal: Refusal): void => {
     refuse(state, event.requestId, refusal, effects);
   };
-  if (state.node.shutdownStartedAtMs !== null) {
-    refuseAs(notRunRefusal(REFUSAL_KIND.LEAVING, REQUEST.MIN_RETRY_AFTER_MS));
-    return;
-  }
-  const rule = state.revisions.rules.queues.get(event.queue);
-  if (rule === undefined) {
-    const kind =
-      state.revisions.revision === 0 ? REFUSAL_KIND.NO_RULES : REFUSAL_KIND.UNKNOWN_QUEUE;
-    refuseAs(notRunRefusal(kind, null));
-    return;
-  }
-  const team = teamOrRefusal(state, rule, event);
-  if (isRefusal(team)) {
-    refuseAs(team);
+  const admission = admissionOf(state, event);
+  if (isRefusal(admission)) {
+    refuseAs(admission);
     return;
   }
+  const { rule, team } = admission;
   const record = newRecord(state, event, rule, team);
   const { workKey } = record;
   const timeoutMs = record.deadlineAtMs - state.nowMs;
--- a/packages/core/src/requests/constants.ts
+++ b/packages/core/src/requests/constants.ts
@@ -20,6 +20,7 @@
   DEADLINE: "deadline",
   NO_TARGET: "noTarget",
   TOO_LARGE: "tooLarge",
+  BODIES_FULL: "bodiesFull",
   CLAIM_UNAVAILABLE: "claimUnavailable",
   TICKET_INVALID: "ticketInvalid",
   ISSUER_GONE: "issuerGone",
--- a/packages/core/src/work/calls/calls.ts
+++ b/packages/core/src/work/calls/calls.ts
@@ -1,8 +1,8 @@
 import type { QueueId } from "@heatherferry/common";
 import { answerCall, sendCallCommit, answerUnavailable } from "./callAnswers.js";
-import { findQueue, areKeysCurrent, teamByKey } from "../store/catalog.js";
-import { ANSWER_KIND, CALL, CALL_KIND } from "../constants.js";
-import type { CallArrival } from "../events.js";
+import { checkHead, quotedPath, type HeadRefusal } from "./callHead.js";
+import { ANSWER_KIND, CALL, CALL_KIND, UNREAD_BODY } from "../constants.js";
+import type { CallArrival, UnreadBody } from "../events.js";
 import { obstacleOf } from "../submissions/obstacles.js";
 import { addCall, closeCall } from "./openCalls.js";
 import { pendingOfQueue } from "./pendingCount.js";
@@ -21,6 +21,11 @@
 
 const ID_PATTERN = /^[0-9a-f]{16}$/u;
 
+const UNREAD_PROBLEM: Readonly<Record<UnreadBody, string>> = {
+  [UNREAD_BODY.NO_ROOM]: "too many bodies are being read or wait for the store",
+  [UNREAD_BODY.TOO_SLOW]: "the body did not arrive in time",
+};
+
 const newSubmissionRow = (
   turn: Turn,
   arrival: CallArrival,
@@ -145,24 +150,6 @@
   answerCall(turn, { callId, kind: ANSWER_KIND.PENDING, pending }, { queue, from });
 };
 
-const authorise = (turn: Turn, arrival: CallArrival, queue: Queue): Team | null | "refused" => {
-  const { callId } = arrival;
-  if (queue.openToAll) {
-    return teamByKey(turn, arrival.key);
-  }
-  if (!areKeysCurrent(turn)) {
-    answerUnavailable(turn, callId, "the view of the keys is too old");
-    return "refused";
-  }
-  const team = teamByKey(turn, arrival.key);
-  if (team === null) {
-    const problem = arrival.key === null ? "no key" : "unknown key";
-    answerCall(turn, { callId, kind: ANSWER_KIND.NOT_AUTHORISED, problem }, { queue: queue.id });
-    return "refused";
-  }
-  return team;
-};
-
 const serve = (turn: Turn, arrival: CallArrival, queue: Queue, team: Team | null): void => {
   const { callId, kind } = arrival;
   const rest = arrival.path.slice(queue.pathPrefix.length);
@@ -171,7 +158,7 @@
     return;
   }
   if (!ID_PATTERN.test(rest) || kind === CALL_KIND.UNSUPPORTED) {
-    const problem = `${arrival.path} names no submission; an id is 16 hexadecimal digits`;
+    const problem = `${quotedPath(arrival)} names no submission; an id is 16 hexadecimal digits`;
     answerCall(turn, { callId, kind: ANSWER_KIND.BAD_REQUEST, problem });
     return;
   }
@@ -185,27 +172,24 @@
   }
 };
 
+const refuseHead = (turn: Turn, callId: string, refusal: HeadRefusal): void => {
+  if (refusal.type === "unavailable") {
+    answerUnavailable(turn, callId, refusal.problem);
+  } else {
+    answerCall(turn, { ...refusal.answer, callId }, refusal.inputs);
+  }
+};
+
 /** Authorises a call and answers it, or opens it until the store has answered. */
 export const callArrived = (turn: Turn, arrival: CallArrival): void => {
-  const { callId } = arrival;
-  const { catalog } = turn.work;
-  if (catalog === null) {
-    answerUnavailable(turn, callId, "no catalog yet");
-    return;
-  }
-  const queue = findQueue(turn.work, arrival.callerHost, arrival.path);
-  if (queue === null) {
-    answerCall(turn, { callId, kind: ANSWER_KIND.NO_SUCH_QUEUE }, { path: arrival.path });
-    return;
-  }
-  if (arrival.bodyBytes > catalog.maxBodyBytes) {
-    const problem = `the body is larger than ${catalog.maxBodyBytes} bytes`;
-    answerCall(turn, { callId, kind: ANSWER_KIND.TOO_LARGE, problem });
-    return;
-  }
-  const team = authorise(turn, arrival, queue);
-  if (team !== "refused") {
-    serve(turn, arrival, queue, team);
+  const { callId, unread } = arrival;
+  const head = checkHead(turn, arrival, arrival.bodyBytes);
+  if (head.type !== "accepted") {
+    refuseHead(turn, callId, head);
+  } else if (unread !== undefined) {
+    answerUnavailable(turn, callId, UNREAD_PROBLEM[unread]);
+  } else {
+    serve(turn, arrival, head.queue, head.team);
   }
 };
 
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -34,6 +34,13 @@
   UNSUPPORTED: "unsupported",
 } as const;
 
+/** Why a body that a call needs was not read to its end. */
+export const UNREAD_BODY = {
+  /** The bodies of other calls take all the memory that is meant for bodies. */
+  NO_ROOM: "noRoom",
+  TOO_SLOW: "tooSlow",
+} as const;
+
 export const ANSWER_KIND = {
   ACCEPTED: "accepted",
   STATE: "state",
@@ -184,6 +191,8 @@
   ANSWER_MARGIN_MS: 200,
   DEFAULT_WAIT_MS: 3_000,
   RETRY_AFTER_MS: 1_000,
+  /** Part of a caller's path that is logged or returned. */
+  MAX_QUOTED_PATH_CHARS: 200,
 } as const;
 
 export const CLOCK_TICK = {
--- a/packages/core/src/work/events.ts
+++ b/packages/core/src/work/events.ts
@@ -8,6 +8,7 @@
   INCARNATION_RELATION,
   SCAN,
   START_RESULT,
+  UNREAD_BODY,
 } from "./constants.js";
 import type { Commit, StoreRow } from "./store/storeRows.js";
 import type {
@@ -38,6 +39,7 @@
 
 export type CallKind = ValueOf<typeof CALL_KIND>;
 export type AnswerKind = ValueOf<typeof ANSWER_KIND>;
+export type UnreadBody = ValueOf<typeof UNREAD_BODY>;
 export type CommitResult = ValueOf<typeof COMMIT_RESULT>;
 export type Feed = ValueOf<typeof FEED>;
 export type Scan = ValueOf<typeof SCAN>;
@@ -45,15 +47,22 @@
 export type IncarnationRelation = ValueOf<typeof INCARNATION_RELATION>;
 export type HostOrderResult = ValueOf<typeof HOST_ORDER_RESULT>;
 
-/** A call as it arrives. */
-export interface CallArrival {
-  readonly callId: string;
+/** What a call's request line and header fields say. */
+export interface CallHead {
   readonly kind: CallKind;
   readonly callerHost: string;
   readonly path: string;
   readonly key: string | null;
+}
+
+/** A call as it arrives. */
+export interface CallArrival extends CallHead {
+  readonly callId: string;
   readonly waitMs: number | null;
+  /** Size of the body; if it is not read to its end, the announced size or what has come so far. */
   readonly bodyBytes: number;
+  /** Why the body of a call was not read to its end although the call's answer depends on it. */
+  readonly unread?: UnreadBody;
   /** The decoded body of a submit call; null for other calls and for an invalid body. */
   readonly work: WorkSpec | null;
   /** What is wrong with the body; null if it is valid. */
--- a/packages/core/src/work/index.ts
+++ b/packages/core/src/work/index.ts
@@ -6,3 +6,4 @@
 export { WORKER_CLOSURE } from "./workers/workerAvailability.js";
 export { echoedTarget } from "./workers/incarnations.js";
 export { criticalPathsMs } from "./submissions/criticalPaths.js";
+export { bodyBytesToRead } from "./calls/callHead.js";
--- a/packages/core/src/work/store/catalog.ts
+++ b/packages/core/src/work/store/catalog.ts
@@ -84,17 +84,20 @@
 export const isStandby = ({ catalogIndex }: WorkloadState, id: PoolId): boolean =>
   catalogIndex.pools.get(id)?.standby === true;
 
+/** The catalog, and the time that its age is counted to. */
+export type CatalogView = Pick<Turn, "work" | "nowMs">;
+
 /** Returns the age of the newest view of the catalog; infinite without one. */
-export const catalogAgeMs = ({ work, nowMs }: Turn): number =>
+export const catalogAgeMs = ({ work, nowMs }: CatalogView): number =>
   work.feeds.operators.viewAtMs === null ? Infinity : nowMs - work.feeds.operators.viewAtMs;
 
 /**
  * Whether the view of the API keys is recent enough to accept them: a revoked key must be refused
  * within the revocation bound.
  */
-export const areKeysCurrent = (turn: Turn): boolean =>
-  catalogAgeMs(turn) <= turn.work.bounds.revokeMs - CATALOG_VIEW.MARGIN_BEFORE_REVOKE_MS;
+export const areKeysCurrent = (view: CatalogView): boolean =>
+  catalogAgeMs(view) <= view.work.bounds.revokeMs - CATALOG_VIEW.MARGIN_BEFORE_REVOKE_MS;
 
 /** Returns the team that an API key belongs to, or null for an unknown key. */
-export const teamByKey = (turn: Turn, key: string | null): Team | null =>
-  key === null ? null : (turn.work.catalogIndex.teamByKey.get(key) ?? null);
+export const teamByKey = ({ work }: CatalogView, key: string | null): Team | null =>
+  key === null ? null : (work.catalogIndex.teamByKey.get(key) ?? null);
--- a/packages/runners/src/admin/adminServer.ts
+++ b/packages/runners/src/admin/adminServer.ts
@@ -1,6 +1,8 @@
-import { createServer, type Server, type ServerResponse } from "node:http";
+import type { Server, ServerResponse } from "node:http";
 import findMyWay from "find-my-way";
 import type { Registry } from "prom-client";
+import type { LimitObserver } from "../listeners/limitObserver.js";
+import { createProbeServer } from "../listeners/probeServer.js";
 import type { TraceRecorder } from "../trace/traceRecorder.js";
 
 /** Reports whether the process is ready to serve. */
@@ -21,9 +23,15 @@
   /**
    * @param registry - Metrics to serve.
    * @param health - Answers `/readyz`.
+   * @param observer - Learns of clients that meet a limit.
    * @param trace - Recorded events; null if events are not recorded.
    */
-  constructor(registry: Registry, health: HealthSource, trace: TraceRecorder | null = null) {
+  constructor(
+    registry: Registry,
+    health: HealthSource,
+    observer: LimitObserver,
+    trace: TraceRecorder | null = null,
+  ) {
     const router = findMyWay();
     router.on("GET", "/livez", (_request, response) => {
       sendText(response, 200, "ok");
@@ -42,9 +50,9 @@
         sendText(response, 200, trace.text().trimEnd());
       });
     }
-    this.server = createServer((request, response) => {
+    this.server = createProbeServer((request, response) => {
       router.lookup(request, response);
-    });
+    }, observer);
   }
 
   /**
--- a/packages/runners/src/callers/httpCallerServer.ts
+++ b/packages/runners/src/callers/httpCallerServer.ts
@@ -5,7 +5,6 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Readable } from "node:stream";
 import { requestId, type Incarnation, type RequestId } from "@heatherferry/common";
 import { REFUSAL_KIND, REQUEST, OUTCOME, type Refusal } from "@heatherferry/core";
 import findMyWay from "find-my-way";
@@ -14,9 +13,25 @@
 import { CALLER_HEADER, passThroughHeaders } from "./headers.js";
 import { isBadHeader, parseArrival, type ArrivalFields } from "./parseArrival.js";
 import { refusalAnswer } from "./refusalText.js";
-import { readRequestBody } from "./requestBody.js";
+import type { BodyBudgets } from "../listeners/bodyBudgets.js";
+import type { ClientLimits } from "../listeners/clientLimits.js";
+import { ConnectionGuard, GUARDED_SERVER_OPTIONS } from "../listeners/connectionGuard.js";
+import type { LimitObserver } from "../listeners/limitObserver.js";
+import { announcedBytesOf, onceClosed } from "../listeners/requests.js";
+import { CallerBodies } from "./callerBodies.js";
+import { BodyError } from "./errors.js";
+import { RequestBody } from "./requestBody.js";
+import { streamBody, targetPath } from "./responses.js";
 import type { IncomingAnswer, OutgoingRequest } from "./types.js";
 
+/** Options that differ from those of other servers. */
+const CALLER_SERVER_OPTIONS = {
+  /** A body may wait for its turn at a target before it is read to its end. */
+  requestTimeout: 300_000,
+} as const;
+
+const NO_BODY = new RequestBody(Buffer.alloc(0), null, 0);
+
 /** Handles callers' requests. */
 export abstract class ArrivalHandler {
   /** Handles a request whose headers and first body bytes have been received. */
@@ -25,6 +40,9 @@
   /** Handles the disconnection of a caller whose request has no outcome yet. */
   abstract cancelled(requestId: RequestId): void;
 
+  /** Whether a request is refused whatever its body holds, so that the body need not be read. */
+  abstract isRefusedByHead(arrival: ArrivalFields): boolean;
+
   /** Handles a request for a number of tickets. */
   abstract ticketsRequested(requestId: RequestId, count: number): void;
 }
@@ -41,57 +59,22 @@
 const MS_PER_SECOND = 1_000;
 const LISTEN_BACKLOG = 4_096;
 
-const targetPath = (url: string, queue: string): string => {
-  const subpath = url.slice(`/queues/${queue}`.length);
-  return subpath.startsWith("/") ? subpath : `/${subpath}`;
-};
-
-const sendJson = (
-  response: ServerResponse,
-  statusCode: number,
-  headers: OutgoingHttpHeaders,
-  body: unknown,
-): void => {
-  if (response.headersSent || response.destroyed) {
-    return;
-  }
-  // Drains the request body: a caller whose upload is cut off would not read the answer.
-  response.req.resume();
-  const text = `${JSON.stringify(body)}\n`;
-  response.writeHead(statusCode, {
-    "content-type": "application/json",
-    "content-length": Buffer.byteLength(text),
-    ...headers,
-  });
-  response.end(text);
-};
-
-/**
- * Streams a body to the caller. Not `stream.pipeline`, which creates an abort signal and an error
- * for every answer.
- */
-const streamBody = async (body: Readable, response: ServerResponse): Promise<RelayResult> =>
-  new Promise((resolve) => {
-    body.once("error", () => {
-      response.destroy();
-      resolve("answerBrokeOff");
-    });
-    response.once("finish", () => {
-      resolve("whole");
-    });
-    response.once("close", () => {
-      if (!response.writableFinished) {
-        body.destroy();
-      }
-      resolve("callerGone");
-    });
-    body.pipe(response);
-  });
-
 /** The caller API over HTTP/1.1. */
 export class HttpCallerServer extends CallerServer {
   private readonly server: Server;
-  private readonly router = findMyWay({ ignoreTrailingSlash: true });
+  private readonly guard: ConnectionGuard;
+  private readonly bodies: CallerBodies;
+  private readonly router = findMyWay({
+    ignoreTrailingSlash: true,
+    defaultRoute: (_request, response) => {
+      this.bodies.answerUnread(
+        response,
+        404,
+        {},
+        { message: "No such path. Send requests to /queues/" },
+      );
+    },
+  });
   private readonly ticketCalls = new Map<RequestId, ServerResponse>();
   private readonly exchanges = new Map<RequestId, Exchange>();
   private sequence = 0;
@@ -101,21 +84,36 @@
    * @param incarnation - Prefix that keeps request ids unique across restarts.
    * @param handler - Handles requests.
    * @param signer - Signs and verifies the tickets of this process.
+   * @param limits - Limits on the callers.
+   * @param budgets - Memory for the bodies of requests.
+   * @param observer - Learns of callers that meet a limit.
    */
   constructor(
     private readonly incarnation: Incarnation,
     private readonly handler: ArrivalHandler,
     private readonly signer: TicketSigner,
+    limits: ClientLimits,
+    budgets: BodyBudgets,
+    observer: LimitObserver,
   ) {
     super();
+    this.bodies = new CallerBodies(budgets, observer);
     this.router.all("/queues/:queue", this.onQueueRequest.bind(this));
     this.router.all("/queues/:queue/*", this.onQueueRequest.bind(this));
     this.router.on("POST", "/tickets", this.onTicketsRequest.bind(this));
-    this.server = createServer((request, response) => {
-      this.router.lookup(request, response);
-    });
+    this.server = createServer({ ...GUARDED_SERVER_OPTIONS, ...CALLER_SERVER_OPTIONS });
+    this.guard = new ConnectionGuard(this.server, limits.maxConnections, observer);
+    const receive = (request: IncomingMessage, response: ServerResponse): void => {
+      // Requests that were received behind the one that the connection was closed for.
+      if (!request.socket.destroyed) {
+        this.router.lookup(request, response);
+      }
+    };
+    this.server.on("request", receive);
+    this.server.on("checkContinue", receive);
     this.router.on("GET", "/", (_request, response) => {
-      sendJson(response, 200, {}, { service: "heatherferry", queues: "/queues/<queue>/<path>" });
+      const answer = { service: "heatherferry", queues: "/queues/<queue>/<path>" };
+      this.bodies.answerUnread(response, 200, {}, answer);
     });
   }
 
@@ -160,7 +158,7 @@
     this.ticketCalls.delete(id);
     if (response !== undefined) {
       const body = { tickets: tickets.map((ticket) => this.signer.sign(ticket)) };
-      sendJson(response, 200, this.connectionHeaders(), body);
+      this.bodies.answerUnread(response, 200, this.connectionHeaders(), body);
     }
   }
 
@@ -234,7 +232,7 @@
       ...retryAfter,
       ...this.connectionHeaders(),
     };
-    sendJson(response, statusCode, headers, body);
+    this.bodies.answerUnread(response, statusCode, headers, body);
   }
 
   private onQueueRequest(
@@ -264,12 +262,24 @@
     const { searchParams } = new URL(request.url ?? "/", "http://callers");
     const count = Number(searchParams.get("count") ?? "1");
     if (!Number.isSafeInteger(count) || count < 1) {
-      sendJson(response, 400, {}, { message: "count must be a whole number above 0" });
+      this.bodies.answerUnread(
+        response,
+        400,
+        {},
+        { message: "count must be a whole number above 0" },
+      );
+      return;
+    }
+    const { socket } = response.req;
+    if (!this.guard.beginRequest(socket)) {
       return;
     }
     const id = this.nextId();
     this.ticketCalls.set(id, response);
-    response.once("close", () => this.ticketCalls.delete(id));
+    onceClosed(response, () => {
+      this.guard.endRequest(socket);
+      this.ticketCalls.delete(id);
+    });
     this.handler.ticketsRequested(id, count);
   }
 
@@ -277,7 +287,7 @@
     const message = `The header ${header} cannot be understood. ${remedy}. The request has not run.`;
     const body = { outcome: "not-run", kind: "badHeader", message, retryAfterMs: null };
     const headers = { [CALLER_HEADER.OUTCOME]: "not-run", ...this.connectionHeaders() };
-    sendJson(response, 400, headers, body);
+    this.bodies.answerUnread(response, 400, headers, body);
   }
 
   private async acceptRequest(
@@ -286,11 +296,9 @@
     arrival: ArrivalFields,
   ): Promise<void> {
     try {
-      const body = await readRequestBody(
-        request,
-        REQUEST.REPLAY_BODY_BYTES,
-        REQUEST.MAX_BODY_BYTES,
-      );
+      const isBodyNeeded =
+        announcedBytesOf(request) !== 0 && !this.handler.isRefusedByHead(arrival);
+      const body = isBodyNeeded ? await this.bodies.buffer(request, response) : NO_BODY;
       const outgoing: OutgoingRequest = {
         method: request.method ?? "GET",
         path: targetPath(request.url ?? "/", arrival.queue),
@@ -298,15 +306,40 @@
         body,
       };
       const disconnected = new AbortController();
-      this.open(arrival, { arrival, outgoing, response, disconnected, settled: false });
-    } catch {
-      response.destroy();
+      this.open({ arrival, outgoing, response, disconnected, settled: false });
+    } catch (error) {
+      if (error instanceof BodyError) {
+        this.refuseBody(response);
+      } else {
+        response.destroy();
+      }
     }
   }
 
-  private open(arrival: ArrivalFields, exchange: Exchange): void {
+  private refuseBody(response: ServerResponse): void {
+    this.sendRefusal(response, {
+      outcome: OUTCOME.NOT_RUN,
+      kind: REFUSAL_KIND.BODIES_FULL,
+      retryAfterMs: MS_PER_SECOND,
+    });
+  }
+
+  private open(exchange: Exchange): void {
+    const { arrival, outgoing, response } = exchange;
+    const { socket } = response.req;
+    const { bufferedBytes } = outgoing.body;
+    if (!this.bodies.reserve(bufferedBytes)) {
+      this.refuseBody(response);
+      return;
+    }
+    if (!this.guard.beginRequest(socket)) {
+      this.bodies.release(bufferedBytes);
+      return;
+    }
     this.exchanges.set(arrival.requestId, exchange);
-    exchange.response.once("close", () => {
+    onceClosed(response, () => {
+      this.bodies.release(bufferedBytes);
+      this.guard.endRequest(socket);
       this.exchanges.delete(arrival.requestId);
       if (!exchange.settled) {
         exchange.disconnected.abort();
--- a/packages/runners/src/callers/refusalText.ts
+++ b/packages/runners/src/callers/refusalText.ts
@@ -49,6 +49,10 @@
     413,
     "The request body is too large. Send less in one request.",
   ),
+  [REFUSAL_KIND.BODIES_FULL]: refusalText(
+    503,
+    "This entry host holds as many request bodies as it can. Send the request again later.",
+  ),
   [REFUSAL_KIND.CLAIM_UNAVAILABLE]: refusalText(
     503,
     "The request id cannot be claimed now. Send it again later, or use a ticket.",
--- a/packages/runners/src/callers/requestBody.ts
+++ b/packages/runners/src/callers/requestBody.ts
@@ -1,4 +1,6 @@
 import { PassThrough, Readable, type Readable as ReadableStream } from "node:stream";
+import { BODY_ERROR_KIND, BodyError } from "./errors.js";
+import { APPEND_RESULT, type BodyParts } from "../listeners/bodyBuffer.js";
 
 /** The body of a caller's request: buffered whole, or a buffered first part and a stream. */
 export class RequestBody {
@@ -10,7 +12,7 @@
    * @param maxBytes - Limit on the size of the whole body.
    */
   constructor(
-    private readonly buffered: readonly Buffer[],
+    private readonly buffered: Buffer,
     private readonly rest: ReadableStream | null,
     private readonly maxBytes: number,
   ) {}
@@ -20,6 +22,11 @@
     return this.rest === null || !this.consumed;
   }
 
+  /** Number of bytes that are buffered. */
+  get bufferedBytes(): number {
+    return this.buffered.length;
+  }
+
   /**
    * Opens the body for one attempt.
    *
@@ -27,7 +34,7 @@
    */
   open(): Buffer | Readable | null {
     if (this.rest === null) {
-      return this.buffered.length === 0 ? null : Buffer.concat(this.buffered);
+      return this.buffered.length === 0 ? null : this.buffered;
     }
     this.consumed = true;
     return this.joinRest(this.rest);
@@ -35,11 +42,8 @@
 
   private joinRest(rest: ReadableStream): Readable {
     const joined = new PassThrough();
-    let bytes = 0;
-    for (const chunk of this.buffered) {
-      bytes += chunk.length;
-      joined.write(chunk);
-    }
+    let bytes = this.buffered.length;
+    joined.write(this.buffered);
     rest.on("data", (chunk: Buffer) => {
       bytes += chunk.length;
       if (bytes > this.maxBytes) {
@@ -69,26 +73,33 @@
  * @param source - Stream that the body is read from.
  * @param maxBufferedBytes - Number of bytes to buffer at most before the rest is streamed.
  * @param maxBytes - Limit on the size of the whole body.
- * @returns The body, ready to send. Rejects if the stream closes before it is complete.
+ * @param parts - Collects what is buffered.
+ * @returns The body, ready to send. Rejects if the stream closes before it is complete, or with a
+ *   {@link BodyError} if there is no room for it.
  */
 export const readRequestBody = async (
   source: ReadableStream,
   maxBufferedBytes: number,
   maxBytes: number,
+  parts: BodyParts,
 ): Promise<RequestBody> =>
   new Promise((resolve, reject) => {
-    const buffered: Buffer[] = [];
     let bytes = 0;
-    const finish = (rest: ReadableStream | null): void => {
+    const stopReading = (): void => {
       source.off("data", onData);
       source.off("end", onEnd);
       source.off("close", onClose);
-      resolve(new RequestBody(buffered, rest, maxBytes));
+    };
+    const finish = (rest: ReadableStream | null): void => {
+      stopReading();
+      resolve(new RequestBody(parts.take(), rest, maxBytes));
     };
     const onData = (chunk: Buffer): void => {
-      buffered.push(chunk);
       bytes += chunk.length;
-      if (bytes > maxBufferedBytes) {
+      if (parts.append(chunk) !== APPEND_RESULT.KEPT) {
+        stopReading();
+        reject(new BodyError(BODY_ERROR_KIND.NO_ROOM));
+      } else if (bytes > maxBufferedBytes) {
         source.pause();
         finish(source);
       }
@@ -97,6 +108,7 @@
       finish(null);
     };
     const onClose = (): void => {
+      parts.drop();
       reject(new Error("The caller disconnected before the request body was complete"));
     };
     source.on("data", onData);
--- a/packages/runners/src/callers/storedAnswers.ts
+++ b/packages/runners/src/callers/storedAnswers.ts
@@ -1,5 +1,6 @@
 import { Readable } from "node:stream";
 import { STORED_ANSWERS } from "./constants.js";
+import { UnlimitedParts } from "../listeners/bodyBuffer.js";
 import { readRequestBody } from "./requestBody.js";
 import type { HeaderFields, IncomingAnswer } from "./types.js";
 
@@ -37,7 +38,12 @@
    */
   async store(key: string, answer: IncomingAnswer): Promise<RelayableAnswer> {
     const maxBytes = Number.POSITIVE_INFINITY;
-    const body = await readRequestBody(answer.body, STORED_ANSWERS.MAX_ANSWER_BYTES, maxBytes);
+    const body = await readRequestBody(
+      answer.body,
+      STORED_ANSWERS.MAX_ANSWER_BYTES,
+      maxBytes,
+      new UnlimitedParts(),
+    );
     const { statusCode, headers } = answer;
     const content = body.open();
     if (content instanceof Readable) {
--- a/packages/runners/src/peers/connectPeerServer.ts
+++ b/packages/runners/src/peers/connectPeerServer.ts
@@ -1,4 +1,10 @@
-import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
+import {
+  constants,
+  createServer,
+  type Http2Server,
+  type Http2ServerRequest,
+  type ServerHttp2Session,
+} from "node:http2";
 import { Code, ConnectError, type ConnectRouter } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { address, type Address } from "@heatherferry/common";
@@ -11,7 +17,12 @@
   PeerService,
   decodeSender,
 } from "@heatherferry/wire";
+import { ConnectionSlots } from "@heatherferry/coordination";
+import type { BodyBudgets } from "../listeners/bodyBudgets.js";
+import { MET_LIMIT } from "../listeners/constants.js";
+import type { LimitObserver } from "../listeners/limitObserver.js";
 import { PEER_CALL } from "./constants.js";
+import { CountedMessage } from "./countedMessage.js";
 import type { PeerRequestHandler } from "./peerRequestHandler.js";
 import { PeerServer } from "./peerServer.js";
 
@@ -49,12 +60,22 @@
 export class ConnectPeerServer extends PeerServer {
   private readonly server: Http2Server;
   private readonly sessions = new Set<ServerHttp2Session>();
+  private readonly slots: ConnectionSlots<ServerHttp2Session>;
 
   /**
    * @param handler - Handles the calls.
+   * @param maxConnections - Most connections to keep.
+   * @param bodies - Memory for the messages of calls.
+   * @param observer - Learns of peers that meet a limit.
    */
-  constructor(handler: PeerRequestHandler) {
+  constructor(
+    handler: PeerRequestHandler,
+    maxConnections: number,
+    private readonly bodies: BodyBudgets,
+    private readonly observer: LimitObserver,
+  ) {
     super();
+    this.slots = new ConnectionSlots({ maxConnections, maxOpenRequests: PEER_CALL.MAX_OPEN_CALLS });
     const adapter = connectNodeAdapter({
       routes: routesTo(handler),
       connect: true,
@@ -62,10 +83,16 @@
       grpcWeb: false,
       readMaxBytes: PEER_CALL.MAX_MESSAGE_BYTES,
     });
-    this.server = createServer(adapter);
+    this.server = createServer({
+      settings: { maxConcurrentStreams: PEER_CALL.MAX_OPEN_CALLS },
+    });
+    this.server.on("request", (request, response) => {
+      if (this.begin(request)) {
+        adapter(request, response);
+      }
+    });
     this.server.on("session", (session) => {
-      this.sessions.add(session);
-      session.once("close", () => this.sessions.delete(session));
+      this.accept(session);
     });
   }
 
@@ -91,4 +118,34 @@
     }
     await closed;
   }
+
+  private accept(session: ServerHttp2Session): void {
+    this.sessions.add(session);
+    session.once("close", () => {
+      this.sessions.delete(session);
+      this.slots.close(session);
+    });
+    const evicted = this.slots.open(session);
+    if (evicted !== null) {
+      this.observer.met(MET_LIMIT.CONNECTIONS);
+      evicted.destroy();
+    }
+  }
+
+  /** Counts a call and what comes of its message; returns whether the call may be handled. */
+  private begin(request: Http2ServerRequest): boolean {
+    const { stream } = request;
+    const { session } = stream;
+    if (session === undefined || !this.slots.beginRequest(session as ServerHttp2Session)) {
+      this.observer.met(MET_LIMIT.OPEN_REQUESTS);
+      stream.close(constants.NGHTTP2_REFUSED_STREAM);
+      return false;
+    }
+    const message = new CountedMessage(request, this.bodies.read, this.observer);
+    stream.once("close", () => {
+      this.slots.endRequest(session as ServerHttp2Session);
+      message.release();
+    });
+    return true;
+  }
 }
--- a/packages/runners/src/peers/constants.ts
+++ b/packages/runners/src/peers/constants.ts
@@ -5,6 +5,8 @@
   READ_VIEW_TIMEOUT_MS: 1_000,
   /** Messages to one peer that may be in flight at once. */
   MAX_SENDS_IN_FLIGHT: 16,
+  /** Calls of one connection that a server handles at once. */
+  MAX_OPEN_CALLS: 1_024,
   PING_INTERVAL_MS: 5_000,
   PING_TIMEOUT_MS: 1_000,
   IDLE_CONNECTION_TIMEOUT_MS: 60_000,
--- a/packages/runners/src/peers/forwardedCallers.ts
+++ b/packages/runners/src/peers/forwardedCallers.ts
@@ -8,6 +8,7 @@
   type RelayResult,
 } from "../callers/callerServer.js";
 import { RequestBody, readRequestBody } from "../callers/requestBody.js";
+import { UnlimitedParts } from "../listeners/bodyBuffer.js";
 import type { HeaderFields, IncomingAnswer, OutgoingRequest } from "../callers/types.js";
 import type { EventLoop } from "../loop/eventLoop.js";
 
@@ -85,7 +86,12 @@
   override async relay(id: RequestId, answer: IncomingAnswer): Promise<RelayResult> {
     const { statusCode, headers } = answer;
     try {
-      const body = await readRequestBody(answer.body, REQUEST.MAX_BODY_BYTES, 0);
+      const body = await readRequestBody(
+        answer.body,
+        REQUEST.MAX_BODY_BYTES,
+        0,
+        new UnlimitedParts(),
+      );
       const bytes = body.open();
       const isComplete = bytes === null || Buffer.isBuffer(bytes);
       if (!isComplete) {
@@ -125,8 +131,8 @@
     for (const [name, value] of Object.entries(request.headers)) {
       headers[name] = typeof value === "string" ? value : [...value];
     }
-    const chunks = body.length === 0 ? [] : [Buffer.from(body)];
-    const outgoing = { method, path, headers, body: new RequestBody(chunks, null, body.length) };
+    const content = Buffer.from(body);
+    const outgoing = { method, path, headers, body: new RequestBody(content, null, body.length) };
     this.exchanges.set(id, { outgoing, finish });
   }
 
--- a/packages/runners/src/work/workFront.ts
+++ b/packages/runners/src/work/workFront.ts
@@ -1,7 +1,15 @@
-import type { CallAnswer, CallArrival } from "@heatherferry/core";
+import type { CallAnswer, CallArrival, CallHead } from "@heatherferry/core";
 
 /** Handles callers' calls. */
 export abstract class CallHandler {
+  /**
+   * Returns how many bytes of a body to read before the call is handled; 0 if the call's answer
+   * does not depend on its body.
+   *
+   * @param head - The call.
+   * @param announcedBytes - Size of the body; 0 if it is not announced.
+   */
+  abstract bodyBytesToRead(head: CallHead, announcedBytes: number): number;
   /** Handles a new call. */
   abstract arrived(call: CallArrival): void;
   /** Handles the disconnection of a caller that waits for an answer. */
--- a/packages/runners/tests/peerLink.test.ts
+++ b/packages/runners/tests/peerLink.test.ts
@@ -17,7 +17,14 @@
 } from "@heatherferry/common";
 import { OUTCOME, REFUSAL_KIND, type PeerMessage, type PeerView } from "@heatherferry/core";
 import type { ForwardedOutcome, ForwardedRequest, PeerEnvelope } from "@heatherferry/wire";
-import { ConnectPeerLink, ConnectPeerServer, PEER_CALL, PeerRequestHandler } from "../src/index.js";
+import {
+  BodyBudgets,
+  ConnectPeerLink,
+  ConnectPeerServer,
+  NoLimitObserver,
+  PEER_CALL,
+  PeerRequestHandler,
+} from "../src/index.js";
 
 const VIEW: PeerView = {
   ranges: [{ prefix: rowKey("rules/"), afterVersion: tableVersion(3) }],
@@ -76,6 +83,10 @@
   }
 }
 
+const MAX_CONNECTIONS = 16;
+
+const BODY_BUDGET_BYTES = 67_108_864;
+
 const SENDER = { entryHostId: entryHostId("a"), incarnation: incarnation("a-1") };
 
 const open = async (): Promise<{
@@ -85,7 +96,12 @@
   to: Address;
 }> => {
   const handler = new FakeHandler();
-  const server = new ConnectPeerServer(handler);
+  const server = new ConnectPeerServer(
+    handler,
+    MAX_CONNECTIONS,
+    new BodyBudgets(BODY_BUDGET_BYTES),
+    new NoLimitObserver(),
+  );
   const to = await server.listen("127.0.0.1", 0);
   return { handler, server, link: new ConnectPeerLink(SENDER), to };
 };
