--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -12,3 +12,5 @@
 export * from "./keyedHeap/dueQueue.js";
 export * from "./keyedHeap/keyedHeap.js";
 export * from "./retryBudget.js";
+export * from "./clientLimits/byteBudget.js";
+export * from "./clientLimits/connectionSlots.js";
--- a/packages/core/src/work/index.ts
+++ b/packages/core/src/work/index.ts
@@ -8,3 +8,4 @@
 export * from "./estimates/index.js";
 export { echoedTarget } from "./workers/incarnations.js";
 export { criticalPathsMs } from "./submissions/criticalPaths.js";
+export { bodyBytesToRead } from "./calls/callHead.js";
