--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -14,3 +14,5 @@
 export * from "./retryBudget.js";
 export * from "./clientLimits/byteBudget.js";
 export * from "./clientLimits/connectionSlots.js";
+export * from "./shares/types.js";
+export * from "./shares/weightedShares.js";
