One hash of texts for draws, staggered returns and kinds of run

Cause: three parts that were built side by side each had their own FNV-1a. Change: hashOfText and fractionOfText of packages/common. Results are the same. Result: 79 tests of the three parts pass.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -8,3 +8,4 @@
 export * from "./settings/errors.js";
 export * from "./settings/loadSettings.js";
 export * from "./valueOf.js";
+export * from "./textHash.js";
--- a/packages/core/src/work/admission/returnTimes.ts
+++ b/packages/core/src/work/admission/returnTimes.ts
@@ -1,25 +1,15 @@
+import { fractionOfText } from "@heatherferry/common";
 import { RETURN, STORE_OUTAGE } from "./constants.js";
 import type { StoreOutage } from "./types.js";
 
 const MS_PER_S = 1_000;
 
-const HASH = { SEED: 0x81_1c_9d_c5, FACTOR: 0x01_00_01_93 } as const;
-
-/** Returns a hash of an id, between 0 and 1. */
-const hashOf = (id: string): number => {
-  let hash: number = HASH.SEED;
-  for (let index = 0; index < id.length; index += 1) {
-    hash = Math.imul(hash ^ id.charCodeAt(index), HASH.FACTOR) >>> 0;
-  }
-  return hash / 2 ** 32;
-};
-
 /** Returns a draw between 0 and 1 for an id, another one in each slot. */
 export const drawOf = (id: string, storeMs: number): number =>
-  hashOf(`${Math.floor(storeMs / RETURN.SLOT_MS)} ${id}`);
+  fractionOfText(`${Math.floor(storeMs / RETURN.SLOT_MS)} ${id}`);
 
 /** Number of the slots in which callers with an id return, of each round of slots. */
-const slotOf = (id: string): number => Math.floor(hashOf(id) * RETURN.SLOTS);
+const slotOf = (id: string): number => Math.floor(fractionOfText(id) * RETURN.SLOTS);
 
 const slotAt = (storeMs: number): number => Math.floor(storeMs / RETURN.SLOT_MS) % RETURN.SLOTS;
 
@@ -108,7 +98,7 @@
   );
   const turnMs = Math.max(present.nextReturnAtMs, nowMs + expectedMs);
   return {
-    delayMs: turnMs - nowMs + hashOf(id) * STORE_OUTAGE.JITTER_MS,
+    delayMs: turnMs - nowMs + fractionOfText(id) * STORE_OUTAGE.JITTER_MS,
     outage: {
       sinceMs: present.sinceMs,
       lastRefusalAtMs: nowMs,
--- a/packages/core/src/work/estimates/runKind.ts
+++ b/packages/core/src/work/estimates/runKind.ts
@@ -1,3 +1,4 @@
+import { hashOfText } from "@heatherferry/common";
 import type { RunKind, RunTraits } from "./types.js";
 
 /** A way to group runs of which similar run times are expected. */
@@ -39,18 +40,6 @@
 /** Begins the keys of what tells how much longer runs take than those of their step before. */
 const SPREAD_LEVEL = "spread";
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-
-/** Returns a 32-bit hash (FNV-1a) of a text. */
-export const hashOf = (text: string): number => {
-  let hash = FNV_OFFSET;
-  for (let index = 0; index < text.length; index += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
-  }
-  return hash >>> 0;
-};
-
 const HEX = 16;
 
 /** Returns the kinds that a run belongs to. */
@@ -64,6 +53,6 @@
       const parts = partsOf(traits);
       return parts === null ? null : `${name} ${parts.join(" ")}`;
     }),
-    team: hashOf(team ?? ""),
+    team: hashOfText(team ?? ""),
   };
 };
--- a/packages/core/src/work/estimates/runTimeEstimates.ts
+++ b/packages/core/src/work/estimates/runTimeEstimates.ts
@@ -2,7 +2,8 @@
 import type { KindHistory } from "./kindHistory.js";
 import { KIND_LIMITS } from "./kindLimits.js";
 import { KindTable } from "./kindTable.js";
-import { hashOf, LEVELS, SUBMISSION_LEVEL } from "./runKind.js";
+import { hashOfText } from "@heatherferry/common";
+import { LEVELS, SUBMISSION_LEVEL } from "./runKind.js";
 import { logOf } from "./runTimeModel.js";
 import { restoreLevels, storedLevels } from "./runTimesRow.js";
 import type { Expectation, RunKind, RunTimesRow } from "./types.js";
@@ -77,7 +78,7 @@
     if (siblings.mediansMs.length < LEARNING.MAX_COMPARED_MEDIANS) {
       siblings.mediansMs.push(medianMs);
     }
-    const sample = { source: hashOf(submissionKey), team, durationMs: medianMs, estimateMs };
+    const sample = { source: hashOfText(submissionKey), team, durationMs: medianMs, estimateMs };
     this.levels.forEach((level, index) => {
       const key = levelKeys[index] ?? null;
       if (key !== null) {
@@ -189,7 +190,7 @@
   restore(row: RunTimesRow, nowMs: number, wallMs: number): void {
     restoreLevels(row, this.tables, nowMs, wallMs);
     // Sources of ends that this owner observes have to differ from those of the row.
-    this.ends = hashOf(String(row.writtenWallMs));
+    this.ends = hashOfText(String(row.writtenWallMs));
   }
 
   /** Returns what is known of each kind that predicts run times, the most specific first. */
--- a/packages/core/src/work/evacuation/zoneClosure.ts
+++ b/packages/core/src/work/evacuation/zoneClosure.ts
@@ -1,4 +1,4 @@
-import type { AvailabilityZoneId } from "@heatherferry/common";
+import { fractionOfText, type AvailabilityZoneId } from "@heatherferry/common";
 import { EVACUATION } from "./constants.js";
 import type { Evacuations, ZonedWorker } from "./types.js";
 
@@ -6,19 +6,6 @@
 export const isEvacuated = ({ requests }: Evacuations, zone: AvailabilityZoneId): boolean =>
   requests.has(zone);
 
-const HASH_OFFSET = 0x811c9dc5;
-const HASH_PRIME = 0x01000193;
-const HASH_RANGE = 2 ** 32;
-
-/** Returns a fraction from 0 to 1 that depends on the text alone (FNV-1a). */
-const fractionOf = (text: string): number => {
-  let hash = HASH_OFFSET;
-  for (let index = 0; index < text.length; index += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), HASH_PRIME);
-  }
-  return (hash >>> 0) / HASH_RANGE;
-};
-
 /** Whether a worker is held back because its zone has only begun to return. */
 const isReturning = (
   { returns }: Evacuations,
@@ -26,7 +13,7 @@
   nowMs: number,
 ): boolean => {
   const sinceMs = returns.get(availabilityZone);
-  return sinceMs !== undefined && nowMs - sinceMs < fractionOf(id) * EVACUATION.RETURN_MS;
+  return sinceMs !== undefined && nowMs - sinceMs < fractionOfText(id) * EVACUATION.RETURN_MS;
 };
 
 /**
--- a/packages/core/src/work/submissions/expectedRunTimes.ts
+++ b/packages/core/src/work/submissions/expectedRunTimes.ts
@@ -1,4 +1,5 @@
-import { callersExpectation, hashOf, LEARNING, runKindOf } from "../estimates/index.js";
+import { hashOfText } from "@heatherferry/common";
+import { callersExpectation, LEARNING, runKindOf } from "../estimates/index.js";
 import type { Expectation, RunKind, RunTimeEstimates } from "../estimates/index.js";
 import { updateDeadlines } from "./occurrences.js";
 import { criticalPathsMs } from "./criticalPaths.js";
@@ -39,7 +40,7 @@
 
 /** Returns the kinds of the runs of each step. Costs a pass over the payload. */
 const kindsOf = ({ queue, team, work }: SubmissionRow): readonly RunKind[] => {
-  const payloadHash = hashOf(work.payload);
+  const payloadHash = hashOfText(work.payload);
   return work.steps.map(({ image }, step) => runKindOf({ queue, team, image, step, payloadHash }));
 };
 
