--- a/packages/core/src/work/estimates/kindHistory.ts
+++ b/packages/core/src/work/estimates/kindHistory.ts
@@ -117,11 +117,6 @@
     return this.currentModel().quantile(share, estimateMs);
   }
 
-  /** Returns the mean of run times relative to their median; at least 1. */
-  meanToMedian(): number {
-    return this.currentModel().meanToMedian;
-  }
-
   /** Returns the median of the run times, in ms. */
   medianDurationMs(): number {
     const durations = this.entries.map(({ sample }) => sample.durationMs);
--- a/packages/core/src/work/estimates/runTimeEstimates.ts
+++ b/packages/core/src/work/estimates/runTimeEstimates.ts
@@ -11,7 +11,6 @@
 /** Returns the expectation that rests on the caller's estimate alone. */
 export const callersExpectation = (estimateMs: number): Expectation => ({
   expectedMs: estimateMs,
-  meanMs: estimateMs,
   upperMs: estimateMs,
   kind: null,
   samples: 0,
@@ -242,10 +241,8 @@
   const weight = weightOf(history);
   const blendedMs = (share: number): number =>
     Math.exp(weight * history.quantile(share, estimateMs) + (1 - weight) * logOf(estimateMs));
-  const expectedMs = blendedMs(LEARNING.EXPECTED_QUANTILE);
   return {
-    expectedMs,
-    meanMs: expectedMs * history.meanToMedian(),
+    expectedMs: blendedMs(LEARNING.EXPECTED_QUANTILE),
     upperMs: blendedMs(LEARNING.UPPER_QUANTILE),
     kind,
     samples: history.size,
--- a/packages/core/src/work/estimates/runTimeModel.ts
+++ b/packages/core/src/work/estimates/runTimeModel.ts
@@ -37,8 +37,6 @@
  * quantile of what durations were relative to that.
  */
 export class RunTimeModel {
-  /** Mean of durations relative to their median; at least 1. */
-  readonly meanToMedian: number;
   private readonly slope: number;
   /** Sorted logarithms of durations relative to the estimate to the power of the slope. */
   private readonly residuals: Float64Array;
@@ -54,10 +52,6 @@
       this.residuals[index] = duration - this.slope * estimate;
     });
     this.residuals.sort();
-    const mean =
-      this.residuals.reduce((sum, residual) => sum + Math.exp(residual), 0) / runs.length;
-    const median = Math.exp(this.quantileOfResiduals(LEARNING.EXPECTED_QUANTILE));
-    this.meanToMedian = Math.max(1, mean / median);
   }
 
   /**
@@ -66,13 +60,10 @@
    * @param share - Share of the runs that are shorter, from 0 to 1.
    */
   quantile(share: number, estimateMs: number): number {
-    return this.quantileOfResiduals(share) + this.slope * logOf(estimateMs);
-  }
-
-  private quantileOfResiduals(share: number): number {
     const place = share * (this.residuals.length - 1);
     const below = this.residuals[Math.floor(place)] ?? NaN;
     const above = this.residuals[Math.ceil(place)] ?? NaN;
-    return below + (above - below) * (place - Math.floor(place));
+    const residual = below + (above - below) * (place - Math.floor(place));
+    return residual + this.slope * logOf(estimateMs);
   }
 }
--- a/packages/core/src/work/estimates/types.ts
+++ b/packages/core/src/work/estimates/types.ts
@@ -26,8 +26,6 @@
 /** How long a run is expected to take. */
 export interface Expectation {
   readonly expectedMs: number;
-  /** Mean of such run times, by which capacity is reckoned: a few long runs raise it. */
-  readonly meanMs: number;
   /** Run time that few runs like it exceed; at least the expected run time. */
   readonly upperMs: number;
   /** Key of the kind that it was learned from; null for the caller's estimate. */
--- a/packages/core/src/work/hosts/arrivals.ts
+++ b/packages/core/src/work/hosts/arrivals.ts
@@ -20,7 +20,7 @@
 /**
  * Adds the batch work of a submission to the arrival rates of its pool.
  *
- * @param runTimesMs - Mean run time of an item of each step.
+ * @param runTimesMs - Expected run time of an item of each step.
  */
 export const recordArrival = (
   turn: Turn,
--- a/packages/core/src/work/placement/backlogDemand.ts
+++ b/packages/core/src/work/placement/backlogDemand.ts
@@ -2,7 +2,7 @@
 import { HOST_ALLOCATION } from "../constants.js";
 import { withinCeiling } from "./placement.js";
 import { RANK, type Rank } from "./orderKey.js";
-import { meanStepMs } from "../submissions/expectedRunTimes.js";
+import { expectedStepMs } from "../submissions/expectedRunTimes.js";
 import { reservedResources } from "../workers/workerResources.js";
 import type { OwnedWork, PoolWork, Submission } from "../state.js";
 import type { Turn } from "../turn.js";
@@ -49,7 +49,7 @@
       return;
     }
     const fraction = hostFraction(reservedResources(spec), host);
-    const runTimeMs = meanStepMs(submission, step);
+    const runTimeMs = expectedStepMs(submission, step);
     hosts += readyCount * fraction * timeFraction(spec, runTimeMs, targetMs);
     largest = Math.max(largest, fraction);
     spread = Math.max(spread, readyCount / (spec.maxPerWorker ?? Infinity));
--- a/packages/core/src/work/submissions/adoption.ts
+++ b/packages/core/src/work/submissions/adoption.ts
@@ -3,7 +3,7 @@
 import { ownerRecords, type RememberedRefusal } from "../admission/index.js";
 import { ITEM_WINDOW, SUBMISSION_STATE, TOKEN_BUCKET } from "../constants.js";
 import { criticalPathsMs } from "./criticalPaths.js";
-import { expectedStepsMs, meanStepsMs, newRunTimes } from "./expectedRunTimes.js";
+import { expectedStepsMs, newRunTimes } from "./expectedRunTimes.js";
 import { DoneItems } from "./doneItems.js";
 import { addFailedRun } from "./failedRuns.js";
 import { noteBookedRuns } from "./idleSubmissions.js";
@@ -162,7 +162,7 @@
   countQueued(owned, submission, 1);
   if (!inherited) {
     const pool = poolOf(owned, poolOfSubmission(turn, row));
-    recordArrival(turn, pool, row.work, meanStepsMs(runTimes));
+    recordArrival(turn, pool, row.work, expectedStepsMs(runTimes));
     recordSubmission(turn, owned, submission);
   }
   const recorded = owned.startedOccurrences.get(row.id) ?? -1;
--- a/packages/core/src/work/submissions/expectedRunTimes.ts
+++ b/packages/core/src/work/submissions/expectedRunTimes.ts
@@ -67,13 +67,9 @@
 export const expectedStepsMs = ({ expectations }: SubmissionRunTimes): readonly number[] =>
   expectations.map(({ expectedMs }) => expectedMs);
 
-/** Returns the mean run time of an item of each step, in ms. */
-export const meanStepsMs = ({ expectations }: SubmissionRunTimes): readonly number[] =>
-  expectations.map(({ meanMs }) => meanMs);
-
-/** Returns the mean run time of an item of a step, in ms. */
-export const meanStepMs = ({ runTimes, row }: Submission, step: number): number =>
-  runTimes.expectations[step]?.meanMs ?? row.work.steps[step]?.estimateMs ?? 0;
+/** Returns the expected run time of an item of a step, in ms. */
+export const expectedStepMs = ({ runTimes, row }: Submission, step: number): number =>
+  runTimes.expectations[step]?.expectedMs ?? row.work.steps[step]?.estimateMs ?? 0;
 
 /**
  * Expects the run times of a submission that waits anew, unless that was done a short time ago, and
--- a/packages/core/src/work/workers/stalledRuns.ts
+++ b/packages/core/src/work/workers/stalledRuns.ts
@@ -1,5 +1,5 @@
 import { HEALTH, RUN_PHASE } from "../constants.js";
-import { meanStepMs } from "../submissions/expectedRunTimes.js";
+import { expectedStepMs } from "../submissions/expectedRunTimes.js";
 import { stopRun } from "./runs.js";
 import type { Item, OwnedWork, Run, Worker } from "../state.js";
 import type { Turn } from "../turn.js";
@@ -11,7 +11,7 @@
  * time.
  */
 const stallAfterMs = ({ spec, stalls, submission, step }: Item): number => {
-  const runTimeMs = spec.lasting ? 0 : meanStepMs(submission, step);
+  const runTimeMs = spec.lasting ? 0 : expectedStepMs(submission, step);
   return Math.max(HEALTH.STALL_MS * 2 ** stalls, HEALTH.STALL_SHARE_OF_ESTIMATE * runTimeMs);
 };
 
