Say one thing by one name, as a newcomer reads it

No behaviour changes. Measured: build, lint of the files, tests of evacuation, admission and commits pass.

--- a/packages/core/src/work/admission/index.ts
+++ b/packages/core/src/work/admission/index.ts
@@ -16,7 +16,7 @@
 export { forecastWaits, inOrder, mayWaitLong } from "./forecast.js";
 export { publishedForecast, publishedPools } from "./publishedFigures.js";
 export { drawOf, isReturnSlot, outageReturn, overloadReturn } from "./returnTimes.js";
-export { isStoreSilent, longestAnswerMs } from "./storeReach.js";
+export { isStoreSilent, longestAnswerMs } from "./storeSilence.js";
 export type {
   AdmissionDecision,
   AdmissionView,
--- a/packages/core/src/work/ownership/commitBudget.ts
+++ b/packages/core/src/work/ownership/commitBudget.ts
@@ -5,8 +5,11 @@
 /** Entries of the owner row: the row itself and the condition on its version. */
 const OWNER_ROW_ENTRIES = 2;
 
+/** Rows beside which the store gets a report that the operators read. */
+const ROWS_WITH_REPORT: readonly RowToWrite["type"][] = ["waveReport", "evacuationReport"];
+
 const entriesOf = ({ type }: RowToWrite): number =>
-  type === "waveReport" || type === "evacuationReport" ? STORE.ENTRIES_PER_REPORT : 1;
+  ROWS_WITH_REPORT.includes(type) ? STORE.ENTRIES_PER_REPORT : 1;
 
 /** What still fits into a transaction: the store refuses one with too many entries or bytes. */
 export class CommitBudget {
--- a/packages/core/src/work/store/evacuationRows.ts
+++ b/packages/core/src/work/store/evacuationRows.ts
@@ -4,8 +4,8 @@
 import { logLine, roundedMs, type Turn } from "../turn.js";
 import { NO_ROW, type StoreVersion } from "../types.js";
 
-/** Has the placement of waiting work tried again, since workers of a zone have closed or opened. */
-const markBacklogsChanged = ({ work }: Turn): void => {
+/** Has all waiting work placed anew, since workers of a zone have closed or opened. */
+const retryPlacement = ({ work }: Turn): void => {
   work.owned?.pools.forEach((pool) => {
     pool.dirty = true;
   });
@@ -34,7 +34,7 @@
   if (!addRequest(work.evacuations, { zone, version, seenAtMs: nowMs, seenWallMs })) {
     return;
   }
-  markBacklogsChanged(turn);
+  retryPlacement(turn);
   logLine(turn, "info", "evacuation.requested", {
     zone,
     lagAtMostMs: previousViewAtMs === null ? null : roundedMs(nowMs - previousViewAtMs),
@@ -51,7 +51,7 @@
 ): void => {
   const request = removeRequest(turn.work.evacuations, zone, version, turn.nowMs);
   if (request !== null) {
-    markBacklogsChanged(turn);
+    retryPlacement(turn);
     logLine(turn, "info", "evacuation.removed", {
       zone,
       afterMs: roundedMs(turn.nowMs - request.seenAtMs),
--- a/packages/core/src/work/store/feeds.ts
+++ b/packages/core/src/work/store/feeds.ts
@@ -161,7 +161,7 @@
 };
 
 /** Returns how long a feed waits for a change. */
-const waitOf = (turn: Turn, name: Feed): number =>
+const feedWaitOf = (turn: Turn, name: Feed): number =>
   name === FEED.OPERATORS
     ? feedWaitMs(turn.work.bounds.evacuationMs, catalogAgeMs(turn), STORE.FEED_WAIT_MS)
     : STORE.FEED_WAIT_MS;
@@ -180,7 +180,7 @@
     type: "store/feed",
     feed: name,
     after: feed.after,
-    waitMs: waitOf(turn, name),
+    waitMs: feedWaitOf(turn, name),
     sentAtMs: turn.nowMs,
   });
 };
--- a/packages/core/src/work/workers/evacuationReports.ts
+++ b/packages/core/src/work/workers/evacuationReports.ts
@@ -14,8 +14,8 @@
 import { logLine, type Turn } from "../turn.js";
 import { mayStop } from "./eviction.js";
 
-/** Returns what a run in an evacuated zone waits for. */
-const waitOf = (turn: Turn, owned: OwnedWork, run: Run): keyof Omit<RemainingWork, "workers"> => {
+/** Returns the figure that counts a run in an evacuated zone, by what the run waits for. */
+const figureOf = (turn: Turn, owned: OwnedWork, run: Run): keyof Omit<RemainingWork, "workers"> => {
   if (!run.item.spec.lasting) {
     return "batchRuns";
   }
@@ -36,7 +36,7 @@
     work.workers += 1;
     work.batchRuns += worker.orphanedRuns.size;
     for (const run of worker.runs.values()) {
-      work[waitOf(turn, owned, run)] += 1;
+      work[figureOf(turn, owned, run)] += 1;
     }
   }
   return work;
