Read one request at a time from each connection

Callers saw: a process ends (SIGABRT, "Reached heap limit") while clients write requests ahead without waiting for answers, with or without a key; all calls in progress are lost. Cause: the HTTP parser turns everything in one read of a socket, up to 64 KiB, into request and response objects before a handler can close the connection, and all connections that are readable in one iteration of the event loop do so before the first object is free. The limit of 16 open requests applied too late, and 16 times the connections was more than the memory. Change: ConnectionGuard hands each connection to the server as a PacedConnection, which passes on one request and holds back the rest, unread, until its response is complete. What is held back counts toward a budget of the listener; connections that have sent ahead go on in turns. Both programs, all HTTP listeners. The tests first waited for the whole crowd to be served; they now check the process while the crowd goes on and after it has left.

--- a/apps/standins/src/load/clientCrowd.ts
+++ b/apps/standins/src/load/clientCrowd.ts
@@ -60,6 +60,13 @@
     }
   }
 
+  /** Waits until each connection has received the start of an answer, or is closed. */
+  async firstAnswers(): Promise<void> {
+    while (this.sockets.some(({ destroyed, bytesRead }) => !destroyed && bytesRead === 0)) {
+      await sleep(POLL_INTERVAL_MS);
+    }
+  }
+
   /** Closes all connections. */
   close(): void {
     this.timers.forEach((timer) => {
--- a/apps/standins/src/load/clientScripts.ts
+++ b/apps/standins/src/load/clientScripts.ts
@@ -60,6 +60,15 @@
   return announced(head, body.length, "content-encoding: gzip\r\n") + body;
 };
 
+/**
+ * Returns the script of clients that write many requests without waiting for an answer.
+ *
+ * @param request - A whole request.
+ * @param count - Number of requests on each connection.
+ */
+export const requestsAhead = (request: string, count: number): ClientScript =>
+  script(`${count} requests ahead of their answers`, "", Buffer.from(request.repeat(count)), 1);
+
 /**
  * Returns scripts of clients that do not stay within the limits of a server.
  *
--- a/packages/runners/src/callers/httpCallerServer.ts
+++ b/packages/runners/src/callers/httpCallerServer.ts
@@ -102,7 +102,7 @@
     this.router.all("/queues/:queue/*", this.onQueueRequest.bind(this));
     this.router.on("POST", "/tickets", this.onTicketsRequest.bind(this));
     this.server = createServer({ ...GUARDED_SERVER_OPTIONS, ...CALLER_SERVER_OPTIONS });
-    this.guard = new ConnectionGuard(this.server, limits.maxConnections, observer);
+    this.guard = new ConnectionGuard(this.server, limits, observer);
     const receive = (request: IncomingMessage, response: ServerResponse): void => {
       // Requests that were received behind the one that the connection was closed for.
       if (!request.socket.destroyed) {
--- a/packages/runners/src/listeners/clientLimits.ts
+++ b/packages/runners/src/listeners/clientLimits.ts
@@ -13,6 +13,8 @@
   readonly maxPeerConnections: number;
   /** Memory for bodies that are being read, and as much again for those that are open. */
   readonly bodyBudgetBytes: number;
+  /** Memory for what clients send ahead of the answers that they wait for. */
+  readonly aheadBudgetBytes: number;
 }
 
 const BYTES_PER_MB = 1_048_576;
@@ -37,5 +39,6 @@
       Math.floor(sockets * CLIENT_SHARE.PEER_SOCKETS),
     ),
     bodyBudgetBytes: Math.floor(memoryBytes * CLIENT_SHARE.BODY_MEMORY),
+    aheadBudgetBytes: Math.floor(memoryBytes * CLIENT_SHARE.AHEAD_MEMORY),
   };
 };
--- a/packages/runners/src/listeners/connectionGuard.ts
+++ b/packages/runners/src/listeners/connectionGuard.ts
@@ -1,8 +1,11 @@
-import type { Server } from "node:http";
-import { Socket } from "node:net";
-import { ConnectionSlots } from "@heatherferry/coordination";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import { ByteBudget, ConnectionSlots } from "@heatherferry/coordination";
+import { ConnectionTurns } from "./connectionTurns.js";
 import { CLIENT_LIMIT, MET_LIMIT, type MetLimit } from "./constants.js";
 import type { LimitObserver } from "./limitObserver.js";
+import { PacedConnection } from "./pacedConnection.js";
 
 /** Prefix of the codes of the errors that the HTTP parser reports. */
 const PARSER_ERROR_PREFIX = "HPE_";
@@ -24,8 +27,17 @@
   [MET_LIMIT.REQUEST_TIME]: "408 Request Timeout",
 };
 
-/** Each request that waits behind another adds a listener. */
-const MAX_SOCKET_LISTENERS = CLIENT_LIMIT.MAX_OPEN_REQUESTS + 16;
+const EXPECTATION_FAILED = 417;
+
+/** Events by which an HTTP server reports a request. */
+const REQUEST_EVENTS = ["request", "checkContinue", "checkExpectation"] as const;
+
+/** Limits of a listener. */
+export interface ListenerLimits {
+  readonly maxConnections: number;
+  /** Bytes that all clients may have sent ahead of the answer that they wait for. */
+  readonly aheadBudgetBytes: number;
+}
 
 /** Options of an HTTP server whose clients may not keep to any limit. */
 export const GUARDED_SERVER_OPTIONS = {
@@ -36,31 +48,33 @@
   connectionsCheckingInterval: CLIENT_LIMIT.CHECK_INTERVAL_MS,
 } as const;
 
-/** Closes connections of an HTTP server whose clients exceed the limits of connections. */
+/**
+ * Lets an HTTP server read its connections one request at a time, and closes those whose clients
+ * exceed the limits.
+ */
 export class ConnectionGuard {
-  private readonly slots: ConnectionSlots<Socket>;
+  private readonly slots: ConnectionSlots<Duplex>;
+  private readonly aheadBudget: ByteBudget;
+  private readonly turns = new ConnectionTurns();
 
   /**
-   * @param server - The server, before it listens.
-   * @param maxConnections - Most connections to keep.
+   * @param server - The server, before it listens and before it has handlers of requests.
+   * @param limits - Limits of the listener.
    * @param observer - Learns of each connection that is closed.
    */
   constructor(
     server: Server,
-    maxConnections: number,
+    { maxConnections, aheadBudgetBytes }: ListenerLimits,
     private readonly observer: LimitObserver,
   ) {
     this.slots = new ConnectionSlots({
       maxConnections,
       maxOpenRequests: CLIENT_LIMIT.MAX_OPEN_REQUESTS,
     });
-    server.on("connection", (socket) => {
-      this.accept(socket);
-    });
+    this.aheadBudget = new ByteBudget(aheadBudgetBytes);
+    this.paceConnections(server);
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-      if (socket instanceof Socket) {
-        this.reject(error, socket);
-      }
+      this.reject(error, socket);
       socket.destroy();
     });
   }
@@ -76,7 +90,7 @@
    * @param socket - Its connection.
    * @returns Whether the request may be handled; if not, its connection has been closed.
    */
-  beginRequest(socket: Socket): boolean {
+  beginRequest(socket: Duplex): boolean {
     if (socket.destroyed) {
       return false;
     }
@@ -96,12 +110,34 @@
    *
    * @param socket - Connection of the request.
    */
-  endRequest(socket: Socket): void {
+  endRequest(socket: Duplex): void {
     this.slots.endRequest(socket);
   }
 
-  private accept(socket: Socket): void {
-    socket.setMaxListeners(MAX_SOCKET_LISTENERS);
+  /** Hands connections to the server's own handlers in a form that is read request by request. */
+  private paceConnections(server: Server): void {
+    const handlers = server.listeners("connection");
+    server.removeAllListeners("connection");
+    server.on("connection", (socket: Socket) => {
+      const connection = new PacedConnection(socket, this.aheadBudget, this.turns, this.observer);
+      this.accept(connection);
+      handlers.forEach((handle) => {
+        Reflect.apply(handle, server, [connection]);
+      });
+    });
+    const beginRequest = (request: IncomingMessage, response: ServerResponse): void => {
+      const connection: Duplex = request.socket;
+      if (connection instanceof PacedConnection) {
+        connection.beginRequest(request, response);
+      }
+    };
+    REQUEST_EVENTS.forEach((event) => server.on(event, beginRequest));
+    server.on("checkExpectation", (_request: IncomingMessage, response: ServerResponse) => {
+      response.writeHead(EXPECTATION_FAILED, { connection: "close" }).end();
+    });
+  }
+
+  private accept(socket: Duplex): void {
     socket.once("close", () => {
       this.slots.close(socket);
     });
@@ -111,13 +147,13 @@
     }
   }
 
-  private close(socket: Socket, limit: MetLimit): void {
+  private close(socket: Duplex, limit: MetLimit): void {
     this.observer.met(limit);
     this.slots.close(socket);
     socket.destroy();
   }
 
-  private reject({ code = "" }: NodeJS.ErrnoException, socket: Socket): void {
+  private reject({ code = "" }: NodeJS.ErrnoException, socket: Duplex): void {
     const limit = limitOfError(code);
     if (limit !== null && !socket.destroyed) {
       this.observer.met(limit);
--- a/packages/runners/src/listeners/constants.ts
+++ b/packages/runners/src/listeners/constants.ts
@@ -20,12 +20,16 @@
   MAX_HEADER_BYTES: 16_384,
   /** Connections of a listener that only serves probes and metrics. */
   MAX_PROBE_CONNECTIONS: 32,
+  /** Bytes that the clients of such a listener may have sent ahead of their answers. */
+  PROBE_AHEAD_BYTES: 1_048_576,
 } as const;
 
 /** Parts of a machine that clients may use. */
 export const CLIENT_SHARE = {
   /** Memory of the bodies that are being read; as much again for those that wait for an answer. */
   BODY_MEMORY: 1 / 16,
+  /** Memory of what clients send ahead of the answers that they wait for. */
+  AHEAD_MEMORY: 1 / 16,
   CONNECTION_MEMORY: 1 / 8,
   /** Memory that a connection with its buffers and its request takes. */
   BYTES_PER_CONNECTION: 32_768,
@@ -42,6 +46,7 @@
   CONNECTIONS: "connections",
   OPEN_REQUESTS: "openRequests",
   UNREAD_ANSWERS: "unreadAnswers",
+  BYTES_AHEAD: "bytesAhead",
   BODY_MEMORY: "bodyMemory",
   BODY_SIZE: "bodySize",
   BODY_TIME: "bodyTime",
--- a/packages/runners/src/listeners/probeServer.ts
+++ b/packages/runners/src/listeners/probeServer.ts
@@ -13,7 +13,11 @@
  */
 export const createProbeServer = (handle: RequestListener, observer: LimitObserver): Server => {
   const server = createServer(GUARDED_SERVER_OPTIONS);
-  const guard = new ConnectionGuard(server, CLIENT_LIMIT.MAX_PROBE_CONNECTIONS, observer);
+  const limits = {
+    maxConnections: CLIENT_LIMIT.MAX_PROBE_CONNECTIONS,
+    aheadBudgetBytes: CLIENT_LIMIT.PROBE_AHEAD_BYTES,
+  };
+  const guard = new ConnectionGuard(server, limits, observer);
   const receive: RequestListener = (request, response) => {
     const { socket } = request;
     if (!guard.beginRequest(socket)) {
