Refuse submissions that the owner has no memory for

Callers saw: the owner ends ("Reached heap limit") although every call is within the limits: a team hands in within its rate what its pool never gets through. The next owner loads all of it and ends as well. Cause: an owner holds every submission until its end, and nothing bounds how much that is; admission compares waits with use only for teams beyond their rate. Change: the owner counts what it holds in bytes and drops the payload of what has ended. From three quarters of a budget on, its row names the teams that hold more than their share by weight, then that it is full; every node refuses by that row, with 503 and Retry-After, after a look-up that lets repeats pass. Metrics and reason=memory.

--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -41,6 +41,7 @@
 import { LoopLoadReporter } from "./loopLoadReporter.js";
 import { registerEvacuationMetrics } from "./evacuationMetrics.js";
 import { registerClientMetrics } from "./clientMetrics.js";
+import { registerHeldMetrics } from "./heldMetrics.js";
 import { registerLoadMetrics } from "./loadMetrics.js";
 import { OsProcessorTime } from "./processorTime.js";
 import { registerRunTimeMetrics } from "./runTimeMetrics.js";
@@ -115,6 +116,7 @@
     },
     settings.bounds,
     settings.processorMilli,
+    settings.heldBudgetBytes,
   );
   const metrics = new WorkMetrics(state, sink);
   const limitReporter = new LimitReporter(log);
@@ -129,6 +131,7 @@
   registerEvacuationMetrics(metrics.registry, state);
   registerRunTimeMetrics(metrics.registry, state);
   registerAdmissionMetrics(metrics.registry, state);
+  registerHeldMetrics(metrics.registry, state);
   registerLoadMetrics(metrics.registry, load, loadReporter, processor);
   const loop = new EventLoop(
     state,
--- a/packages/core/src/work/admission/admissionState.ts
+++ b/packages/core/src/work/admission/admissionState.ts
@@ -51,7 +51,7 @@
   outage: null,
   longestAnswerMs: 0,
   refusals: {
-    byReason: { overload: 0, unavailable: 0 },
+    byReason: { overload: 0, unavailable: 0, memory: 0 },
     logIntervalStartedAtMs: -Infinity,
     linesInInterval: 0,
     linesLeftOut: 0,
--- a/packages/core/src/work/admission/constants.ts
+++ b/packages/core/src/work/admission/constants.ts
@@ -85,6 +85,8 @@
   OVERLOAD: "overload",
   /** The store does not answer or refuses writes, or the node's view is too old. */
   UNAVAILABLE: "unavailable",
+  /** The owner has no memory for it. */
+  MEMORY: "memory",
 } as const;
 
 export const ADMISSION_RESULT = {
--- a/packages/core/src/work/calls/calls.ts
+++ b/packages/core/src/work/calls/calls.ts
@@ -9,7 +9,7 @@
 import { pendingOfQueue } from "./pendingCount.js";
 import type { OpenCall } from "../state.js";
 import { isStoreUnreachable } from "./storeReach.js";
-import { hasOpenWrite, overloadRefusal, withRefusedBefore } from "./refusals.js";
+import { hasOpenWrite, memoryRefusal, overloadRefusal, withRefusedBefore } from "./refusals.js";
 import { hasEnded } from "../submissions/submissionStates.js";
 import { limitExceededBy } from "./submissionLimits.js";
 import { logLine, newCommitId, type Turn } from "../turn.js";
@@ -103,7 +103,9 @@
 ): void => {
   const { callId } = arrival;
   const unreachable = isStoreUnreachable(turn);
-  const refusal = unreachable ? null : overloadRefusal(turn, row, queue, team);
+  const refusal = unreachable
+    ? null
+    : (overloadRefusal(turn, row, queue, team) ?? memoryRefusal(turn, row));
   // A refusal would be untrue if the store still carries out an earlier write.
   if ((!unreachable && refusal === null) || hasOpenWrite(turn.work, row.id)) {
     storeSubmission(turn, arrival, row);
--- a/packages/core/src/work/calls/refusals.ts
+++ b/packages/core/src/work/calls/refusals.ts
@@ -1,4 +1,4 @@
-import type { PoolId, TeamId } from "@heatherferry/common";
+import { assertNever, fractionOfText, type PoolId, type TeamId } from "@heatherferry/common";
 import {
   addOffered,
   ADMISSION_RESULT,
@@ -14,17 +14,19 @@
   takeRefused,
   type Newcomer,
 } from "../admission/index.js";
-import { ANSWER_KIND, ORDERING } from "../constants.js";
+import { ANSWER_KIND, HELD, ORDERING } from "../constants.js";
 import type { OpenCall, WorkloadState } from "../state.js";
 import { workOfItems } from "../placement/poolAverages.js";
 import { criticalPathsMs } from "../submissions/criticalPaths.js";
+import { heldFigures } from "../submissions/heldSubmissions.js";
 import { logLine, roundedMs, type Turn } from "../turn.js";
 import type { AdmissionFigures, Queue, SubmissionId, SubmissionRow, Team } from "../types.js";
 import { answerCall } from "./callAnswers.js";
 import { limitExceededBy } from "./submissionLimits.js";
 
-/** Why a submission is refused, with the figures behind it. */
-export interface Refusal {
+/** Why a submission is refused because of the line before it, with the figures behind it. */
+export interface OverloadRefusal {
+  readonly type: "overload";
   readonly pool: PoolId;
   readonly team: TeamId;
   readonly waitMs: number;
@@ -34,6 +36,15 @@
   readonly figuresAgeMs: number;
 }
 
+/** Refusal of a submission that the owner has no memory for. */
+export interface MemoryRefusal {
+  readonly type: "memory";
+  readonly team: TeamId | null;
+}
+
+/** Why a submission is refused that the node could store. */
+export type Refusal = OverloadRefusal | MemoryRefusal;
+
 /** Published figures, and their age. */
 interface DatedFigures {
   readonly figures: AdmissionFigures;
@@ -96,7 +107,7 @@
   row: SubmissionRow,
   queue: Queue,
   team: Team | null,
-): Refusal | null => {
+): OverloadRefusal | null => {
   if (team === null) {
     return null;
   }
@@ -120,6 +131,7 @@
   }
   const { waitMs, usefulForMs, returnGapMs } = decision;
   return {
+    type: "overload",
     pool: row.pool,
     team: team.id,
     waitMs,
@@ -129,6 +141,19 @@
   };
 };
 
+/**
+ * Decides whether a submission is refused because the owner would have no memory for it. It is
+ * decided by the owner's last row also while that is old, since the submissions are still there.
+ *
+ * @returns Why it is refused; null if it is admitted.
+ */
+export const memoryRefusal = ({ work }: Turn, { team }: SubmissionRow): MemoryRefusal | null => {
+  const { owned, ownerView } = work;
+  const figures = owned === null ? ownerView.row?.held : heldFigures(work, owned);
+  const isRefused = figures != null && (figures.isFull || figures.teams.includes(team));
+  return isRefused ? { type: "memory", team } : null;
+};
+
 /** Adds to a submission that is accepted which others were refused here before. */
 export const withRefusedBefore = ({ work, nowMs }: Turn, row: SubmissionRow): SubmissionRow => {
   if (work.admission.refused.size === 0) {
@@ -139,8 +164,41 @@
   return limitExceededBy(withRefused) === null ? withRefused : row;
 };
 
-/** Answers that a submission was not accepted, and when the caller may return. */
-export const answerRefused = (turn: Turn, call: OpenCall, refusal: Refusal): void => {
+/** Counts a refused submission, and logs some of them. */
+const recordRefused = (
+  turn: Turn,
+  { id }: OpenCall,
+  team: TeamId | null,
+  fields: Record<string, string | number | null>,
+): void => {
+  const { admission } = turn.work;
+  if (id !== null) {
+    noteRefused(admission, id, team, turn.nowMs);
+  }
+  const leftOut = takeLogLine(admission, turn.nowMs);
+  if (leftOut !== null) {
+    logLine(turn, "info", "call.refused", { submission: id, team, ...fields, leftOut });
+  }
+};
+
+/** Returns when a caller may come back that was refused for want of memory: spread by its id. */
+const memoryReturnMs = (id: string): number =>
+  HELD.MIN_RETURN_MS + fractionOfText(id) * (HELD.MAX_RETURN_MS - HELD.MIN_RETURN_MS);
+
+const answerNoMemory = (turn: Turn, call: OpenCall, refusal: MemoryRefusal): void => {
+  const delayMs = memoryReturnMs(call.id ?? "");
+  countRefusal(turn.work.admission, REFUSAL_REASON.MEMORY);
+  recordRefused(turn, call, null, {
+    reason: refusal.type,
+    team: refusal.team,
+    retryAfterMs: roundedMs(delayMs),
+  });
+  const problem = "the system holds as many submissions as it can; some must end first";
+  const { callId } = call.arrival;
+  answerCall(turn, { callId, kind: ANSWER_KIND.UNAVAILABLE, retryAfterMs: delayMs, problem });
+};
+
+const answerOverload = (turn: Turn, call: OpenCall, refusal: OverloadRefusal): void => {
   const { work, nowMs } = turn;
   const { admission } = work;
   const { team, waitMs, usefulForMs, returnGapMs } = refusal;
@@ -156,23 +214,28 @@
   );
   admission.queuedUntilMs.set(team, queuedUntilMs);
   countRefusal(admission, REFUSAL_REASON.OVERLOAD);
-  if (call.id !== null) {
-    noteRefused(admission, call.id, team, nowMs);
-  }
-  const leftOut = takeLogLine(admission, nowMs);
-  if (leftOut !== null) {
-    logLine(turn, "info", "call.refused", {
-      submission: call.id,
-      pool: refusal.pool,
-      team,
-      waitMs: roundedMs(waitMs),
-      usefulForMs: roundedMs(usefulForMs),
-      figuresAgeMs: roundedMs(refusal.figuresAgeMs),
-      retryAfterMs: roundedMs(delayMs),
-      leftOut,
-    });
-  }
+  recordRefused(turn, call, team, {
+    pool: refusal.pool,
+    waitMs: roundedMs(waitMs),
+    usefulForMs: roundedMs(usefulForMs),
+    figuresAgeMs: roundedMs(refusal.figuresAgeMs),
+    retryAfterMs: roundedMs(delayMs),
+  });
   const problem = "the team is beyond its rate, and this would wait until it is of no use";
   const { callId } = call.arrival;
   answerCall(turn, { callId, kind: ANSWER_KIND.UNAVAILABLE, retryAfterMs: delayMs, problem });
 };
+
+/** Answers that a submission was not accepted, and when the caller may return. */
+export const answerRefused = (turn: Turn, call: OpenCall, refusal: Refusal): void => {
+  switch (refusal.type) {
+    case "overload":
+      answerOverload(turn, call, refusal);
+      break;
+    case "memory":
+      answerNoMemory(turn, call, refusal);
+      break;
+    default:
+      assertNever(refusal);
+  }
+};
--- a/packages/core/src/work/ownership/ownerCommit.ts
+++ b/packages/core/src/work/ownership/ownerCommit.ts
@@ -9,6 +9,7 @@
 import type { WorkEvent } from "../events.js";
 import { dropHostOrders, sendHostOrders } from "../hosts/hostOrders.js";
 import { recentHostOrders } from "../hosts/hosts.js";
+import { heldFigures } from "../submissions/heldSubmissions.js";
 import { isOwnershipConfirmed, mayStartRuns } from "./ownershipConfirmation.js";
 import { endOwnership, stillOwner } from "./ownership.js";
 import { hasStaleLeases } from "../store/leaseRows.js";
@@ -22,6 +23,11 @@
 
 const isShuttingDown = ({ work }: Turn): boolean => work.shutdownRequestedAtMs !== null;
 
+const publishedHeld = (turn: Turn, owned: OwnedWork): Pick<OwnerRow, "held"> => {
+  const held = heldFigures(turn.work, owned);
+  return held === null ? {} : { held };
+};
+
 const ownerRow = (turn: Turn, owned: OwnedWork, released: boolean): OwnerRow => ({
   holder: turn.work.identity.holder,
   incarnation: turn.work.identity.incarnation,
@@ -33,6 +39,7 @@
   pending: countPending(turn, owned),
   termMs: nextTermMs(turn, owned),
   ...publishedAdmission(turn, owned),
+  ...publishedHeld(turn, owned),
   ...(owned.storesWindows ? { storesWindows: true } : {}),
 });
 
--- a/packages/core/src/work/ownership/ownership.ts
+++ b/packages/core/src/work/ownership/ownership.ts
@@ -8,6 +8,7 @@
 import { logAbandonedRuns } from "../workers/abandonedRunLog.js";
 import { FleetKinds } from "../placement/fleetKinds.js";
 import { inheritedHostOrders } from "../hosts/hosts.js";
+import { newHeldSubmissions } from "../submissions/heldSubmissions.js";
 import type { StoreRow, WorkEvent } from "../events.js";
 import type { Claim, OwnedWork, WorkloadState } from "../state.js";
 import { logLine, roundedMs, newCommitId, validAsOfMs, type Turn } from "../turn.js";
@@ -104,6 +105,7 @@
     orderedHosts: view.row?.orderedHosts ?? {},
     pending: null,
     strongestMilli: strongestOwnerMilli(work),
+    ...(view.row?.held === undefined ? {} : { held: view.row.held }),
     ...(view.row?.storesWindows === true ? { storesWindows: true } : {}),
   };
   logLine(turn, "info", "owner.claiming", {
@@ -214,6 +216,7 @@
   unrecordedStopsPossible: previousRow !== null && !previousRow.released,
   inheritedOrders,
   submissions: new Map(),
+  held: newHeldSubmissions(previousRow?.held ?? null),
   runTimes: new RunTimeEstimates(),
   workers: new Map(),
   workerTimers: new DueQueue(),
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -26,6 +26,8 @@
   WorkerId,
 } from "./types.js";
 import type { HostDrain, HostMove, HostOrder, MaintenanceWave } from "./hosts/hostState.js";
+import { HELD } from "./constants.js";
+import type { HeldSubmissions } from "./submissions/heldSubmissions.js";
 import type { Run, Submission } from "./submissions/itemState.js";
 import type { AbandonedRuns, Worker, PoolWork, TeamUse } from "./workers/workerState.js";
 
@@ -96,6 +98,7 @@
   /** Hosts to which previous owners may have sent orders, and when this owner may send its own. */
   readonly inheritedOrders: ReadonlyMap<HostId, number>;
   readonly submissions: Map<SubmissionId, Submission>;
+  readonly held: HeldSubmissions;
   /** What was learned of run times, by this owner and by those before. */
   readonly runTimes: RunTimeEstimates;
   readonly workers: Map<WorkerId, Worker>;
@@ -244,6 +247,8 @@
   readonly feeds: Record<Feed, FeedState>;
   readonly waveRequests: Map<number, WaveRequest>;
   readonly evacuations: Evacuations;
+  /** Memory that submissions may take on this node while it is the owner. */
+  heldBudgetBytes: number;
   readonly calls: Map<string, OpenCall>;
   /** Open calls by the id of the commit that they wait for. */
   readonly callOfCommit: Map<string, OpenCall>;
@@ -282,6 +287,7 @@
   identity: WorkIdentity,
   bounds: WorkBounds,
   processorMilli: number,
+  heldBudgetBytes: number = HELD.DEFAULT_BUDGET_BYTES,
 ): WorkloadState => ({
   identity,
   bounds,
@@ -293,6 +299,7 @@
   feeds: { operators: newFeed(), workers: newFeed(), handIns: newFeed() },
   waveRequests: new Map(),
   evacuations: newEvacuations(),
+  heldBudgetBytes,
   calls: new Map(),
   callOfCommit: new Map(),
   callsDue: new DueQueue(),
--- a/packages/core/src/work/store/rowTypes.ts
+++ b/packages/core/src/work/store/rowTypes.ts
@@ -116,6 +116,14 @@
   readonly offeredPerS: Readonly<Record<TeamId, number>>;
 }
 
+/** Whose submissions the owner has no memory for. */
+export interface HeldFigures {
+  /** Whether it has none for any. */
+  readonly isFull: boolean;
+  /** Teams that have more than their share; null for submissions without a team. */
+  readonly teams: readonly (TeamId | null)[];
+}
+
 /** The row that identifies the owner, which renews it with every owner commit. */
 export interface OwnerRow {
   readonly holder: string;
@@ -147,4 +155,6 @@
   readonly yields?: number;
   /** Absent while no pool has a long line. Earlier versions write no such field. */
   readonly admission?: AdmissionFigures;
+  /** Absent while the owner has memory for all submissions. Earlier versions write no such field. */
+  readonly held?: HeldFigures;
 }
--- a/packages/core/src/work/submissions/adoption.ts
+++ b/packages/core/src/work/submissions/adoption.ts
@@ -6,6 +6,7 @@
 import { expectedStepsMs, newRunTimes } from "./expectedRunTimes.js";
 import { DoneItems } from "./doneItems.js";
 import { addFailedRun } from "./failedRuns.js";
+import { holdEnded, holdOpen } from "./heldSubmissions.js";
 import { noteBookedRuns } from "./idleSubmissions.js";
 import { findItem } from "./itemLookup.js";
 import { isOccurrenceDone, lastPersistedOccurrence, makeOccurrence } from "./occurrences.js";
@@ -130,6 +131,7 @@
   const refusal = earlierRefusal(turn, owned, row);
   const submission: Submission = {
     row,
+    heldBytes: 0,
     version,
     layout,
     inherited,
@@ -158,6 +160,11 @@
     backlog: null,
   };
   owned.submissions.set(row.id, submission);
+  if (hasEnded(state)) {
+    holdEnded(owned, submission);
+  } else {
+    holdOpen(owned, submission);
+  }
   noteBookedRuns(turn, owned, submission);
   countQueued(owned, submission, 1);
   if (!inherited) {
--- a/packages/core/src/work/submissions/itemState.ts
+++ b/packages/core/src/work/submissions/itemState.ts
@@ -98,7 +98,10 @@
 }
 
 export interface Submission {
-  readonly row: SubmissionRow;
+  /** Without its payload once the submission has ended. */
+  row: SubmissionRow;
+  /** Memory that it is counted with. */
+  heldBytes: number;
   readonly version: StoreVersion;
   /** Whether it exceeds its team's submission rate, so that the work of others goes first. */
   readonly overRate: boolean;
--- a/packages/core/src/work/submissions/purge.ts
+++ b/packages/core/src/work/submissions/purge.ts
@@ -2,6 +2,7 @@
 import type { CommitBudget } from "../ownership/commitBudget.js";
 import type { Commit, RowName, WorkEvent } from "../events.js";
 import { isOwnershipConfirmed } from "../ownership/ownershipConfirmation.js";
+import { releaseHeld } from "./heldSubmissions.js";
 import type { OwnedWork, Submission } from "../state.js";
 import { logLine, newCommitId, type Turn } from "../turn.js";
 import { NO_ROW, type SubmissionId } from "../types.js";
@@ -75,6 +76,10 @@
 };
 
 const purge = (turn: Turn, owned: OwnedWork, id: SubmissionId): void => {
+  const submission = owned.submissions.get(id);
+  if (submission !== undefined) {
+    releaseHeld(owned, submission);
+  }
   owned.submissions.delete(id);
   owned.purgedSubmissions.add(id);
   logLine(turn, "info", "submission.purged", { submission: id });
--- a/packages/core/src/work/submissions/submissions.ts
+++ b/packages/core/src/work/submissions/submissions.ts
@@ -2,6 +2,7 @@
 import { ITEM_PHASE, SUBMISSION_STATE } from "../constants.js";
 import { markDirty } from "./dirtySubmissions.js";
 import { addFailedRun, forgetFailedRuns } from "./failedRuns.js";
+import { holdEnded } from "./heldSubmissions.js";
 import { noteBookedRuns } from "./idleSubmissions.js";
 import { isOccurrenceDone } from "./occurrences.js";
 import { closeAllItems, closeItem, isUnblocked, makeReady, unblockSteps } from "./openItems.js";
@@ -45,6 +46,7 @@
   });
   closeAllItems(owned, submission);
   noteBookedRuns(turn, owned, submission);
+  holdEnded(owned, submission);
 };
 
 /**
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -14,6 +14,7 @@
 export type {
   AdmissionFigures,
   LeasedWorker,
+  HeldFigures,
   OwnerRow,
   PendingCount,
   PoolAdmission,
--- a/packages/wire/src/work/workRows.ts
+++ b/packages/wire/src/work/workRows.ts
@@ -95,9 +95,13 @@
   if (!ROW_CHECK.OWNER(owner)) {
     return null;
   }
-  const { admission, ...rest } = owner as OwnerRow;
+  const { admission, held, ...rest } = owner as OwnerRow;
   // Figures in the form of another version must not hide who the owner is.
-  return ROW_CHECK.ADMISSION(admission) ? (owner as OwnerRow) : rest;
+  return {
+    ...rest,
+    ...(ROW_CHECK.ADMISSION(admission) ? { admission } : {}),
+    ...(ROW_CHECK.HELD(held) ? { held } : {}),
+  };
 };
 
 /** Encodes a row for the store. */
