Read peers' connections in slices, and share one number of open calls

Callers saw: an entry host ends ("Reached heap limit") while clients of its peers' listener, which asks for no key, open HTTP/2 calls and hold them. Cause: a call takes some 35 bytes to open and some 10 KB of objects; up to 1,024 calls of each of up to 487 connections were allowed, and one read of a socket opened hundreds before the first could be refused. A connection with a held call was never closed for a new one. All peers share a number of open calls by memory; the call that has waited longest for its message is refused as not run. Connections of peers follow from memory too.

--- a/apps/entry/src/wireEntry.ts
+++ b/apps/entry/src/wireEntry.ts
@@ -129,12 +129,7 @@
   const forwardedCallers = new ForwardedCallers(incarnation, signer);
   const callers = new RoutedCallers(httpCallers, forwardedCallers);
   const peerHandler = new LoopPeerHandler(forwardedCallers);
-  const peerServer = new ConnectPeerServer(
-    peerHandler,
-    limits.maxPeerConnections,
-    bodies,
-    limitReporter,
-  );
+  const peerServer = new ConnectPeerServer(peerHandler, limits, bodies, limitReporter);
   const peerAddress = await peerServer.listen(settings.peers.host, settings.peers.port);
 
   const identity = {
--- a/packages/runners/src/listeners/clientLimits.ts
+++ b/packages/runners/src/listeners/clientLimits.ts
@@ -11,6 +11,8 @@
   readonly maxConnections: number;
   /** Most connections of other processes of the system. */
   readonly maxPeerConnections: number;
+  /** Most calls of all of them that are open at once. */
+  readonly maxPeerCalls: number;
   /** Memory for bodies that are being read, and as much again for those that are open. */
   readonly bodyBudgetBytes: number;
   /** Memory for what clients send ahead of the answers that they wait for. */
@@ -36,7 +38,16 @@
     ),
     maxPeerConnections: Math.max(
       CLIENT_SHARE.MIN_CONNECTIONS,
-      Math.floor(sockets * CLIENT_SHARE.PEER_SOCKETS),
+      Math.floor(
+        Math.min(
+          sockets * CLIENT_SHARE.PEER_SOCKETS,
+          (memoryBytes * CLIENT_SHARE.PEER_MEMORY) / CLIENT_SHARE.BYTES_PER_PEER_CONNECTION,
+        ),
+      ),
+    ),
+    maxPeerCalls: Math.max(
+      CLIENT_SHARE.MIN_CONNECTIONS,
+      Math.floor((memoryBytes * CLIENT_SHARE.PEER_MEMORY) / CLIENT_SHARE.BYTES_PER_PEER_CALL),
     ),
     bodyBudgetBytes: Math.floor(memoryBytes * CLIENT_SHARE.BODY_MEMORY),
     aheadBudgetBytes: Math.floor(memoryBytes * CLIENT_SHARE.AHEAD_MEMORY),
--- a/packages/runners/src/listeners/connectionGuard.ts
+++ b/packages/runners/src/listeners/connectionGuard.ts
@@ -1,10 +1,10 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { ByteBudget, ConnectionSlots } from "@heatherferry/coordination";
 import { ConnectionTurns } from "./connectionTurns.js";
 import { CLIENT_LIMIT, MET_LIMIT, type MetLimit } from "./constants.js";
 import type { LimitObserver } from "./limitObserver.js";
+import { gateConnections } from "./gateConnections.js";
 import { PacedConnection } from "./pacedConnection.js";
 
 /** Prefix of the codes of the errors that the HTTP parser reports. */
@@ -116,14 +116,10 @@
 
   /** Hands connections to the server's own handlers in a form that is read request by request. */
   private paceConnections(server: Server): void {
-    const handlers = server.listeners("connection");
-    server.removeAllListeners("connection");
-    server.on("connection", (socket: Socket) => {
-      const connection = new PacedConnection(socket, this.aheadBudget, this.turns, this.observer);
+    gateConnections(server, (socket) => {
+      const connection = new PacedConnection(socket, this.turns, this.aheadBudget, this.observer);
       this.accept(connection);
-      handlers.forEach((handle) => {
-        Reflect.apply(handle, server, [connection]);
-      });
+      return connection;
     });
     const beginRequest = (request: IncomingMessage, response: ServerResponse): void => {
       const connection: Duplex = request.socket;
--- a/packages/runners/src/listeners/connectionTurns.ts
+++ b/packages/runners/src/listeners/connectionTurns.ts
@@ -1,7 +1,7 @@
-import type { PacedConnection } from "./pacedConnection.js";
+import type { GatedConnection } from "./gatedConnection.js";
 
 /** Turns that are taken before the event loop handles anything else. */
-const MAX_TURNS_PER_ITERATION = 16;
+const TURNS_PER_ITERATION = 8;
 
 /**
  * Lets connections that have more than one request to handle take turns, a few in each iteration of
@@ -9,22 +9,22 @@
  * which hundreds of connections are served would keep new clients waiting.
  */
 export class ConnectionTurns {
-  private readonly waiting = new Set<PacedConnection>();
+  private readonly waiting = new Set<GatedConnection>();
   private scheduled: NodeJS.Immediate | null = null;
 
   /** Adds a connection, unless it waits already. */
-  add(connection: PacedConnection): void {
+  add(connection: GatedConnection): void {
     this.waiting.add(connection);
     this.schedule();
   }
 
   /** Removes a connection that is closed. */
-  remove(connection: PacedConnection): void {
+  remove(connection: GatedConnection): void {
     this.waiting.delete(connection);
   }
 
   /** Whether a connection waits for its turn. */
-  has(connection: PacedConnection): boolean {
+  has(connection: GatedConnection): boolean {
     return this.waiting.has(connection);
   }
 
@@ -38,7 +38,7 @@
     this.scheduled = null;
     let turns = 0;
     for (const connection of this.waiting) {
-      if (turns === MAX_TURNS_PER_ITERATION) {
+      if (turns === TURNS_PER_ITERATION) {
         break;
       }
       turns += 1;
--- a/packages/runners/src/listeners/constants.ts
+++ b/packages/runners/src/listeners/constants.ts
@@ -33,6 +33,10 @@
   CONNECTION_MEMORY: 1 / 8,
   /** Memory that a connection with its buffers and its request takes. */
   BYTES_PER_CONNECTION: 32_768,
+  /** Memory of the connections of peers, and as much again of their open calls. */
+  PEER_MEMORY: 1 / 16,
+  BYTES_PER_PEER_CONNECTION: 65_536,
+  BYTES_PER_PEER_CALL: 32_768,
   /** Descriptors that are not for sockets. */
   RESERVED_DESCRIPTORS: 200,
   /** Parts of the other descriptors; what remains is for connections that this process opens. */
--- a/packages/runners/src/peers/connectPeerServer.ts
+++ b/packages/runners/src/peers/connectPeerServer.ts
@@ -4,6 +4,7 @@
   type Http2Server,
   type Http2ServerRequest,
   type ServerHttp2Session,
+  type ServerHttp2Stream,
 } from "node:http2";
 import { Code, ConnectError, type ConnectRouter } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
@@ -19,8 +20,12 @@
 } from "@heatherferry/wire";
 import { ConnectionSlots } from "@heatherferry/coordination";
 import type { BodyBudgets } from "../listeners/bodyBudgets.js";
+import type { ClientLimits } from "../listeners/clientLimits.js";
+import { ConnectionTurns } from "../listeners/connectionTurns.js";
 import { MET_LIMIT } from "../listeners/constants.js";
+import { gateConnections } from "../listeners/gateConnections.js";
 import type { LimitObserver } from "../listeners/limitObserver.js";
+import { SlicedConnection } from "../listeners/slicedConnection.js";
 import { PEER_CALL } from "./constants.js";
 import { CountedMessage } from "./countedMessage.js";
 import type { PeerRequestHandler } from "./peerRequestHandler.js";
@@ -61,21 +66,25 @@
   private readonly server: Http2Server;
   private readonly sessions = new Set<ServerHttp2Session>();
   private readonly slots: ConnectionSlots<ServerHttp2Session>;
+  /** Open calls of all connections. The one that has waited longest for its message makes room. */
+  private readonly calls: ConnectionSlots<ServerHttp2Stream>;
 
   /**
    * @param handler - Handles the calls.
-   * @param maxConnections - Most connections to keep.
+   * @param limits - Limits on the peers.
    * @param bodies - Memory for the messages of calls.
    * @param observer - Learns of peers that meet a limit.
    */
   constructor(
     handler: PeerRequestHandler,
-    maxConnections: number,
+    { maxPeerConnections, maxPeerCalls }: ClientLimits,
     private readonly bodies: BodyBudgets,
     private readonly observer: LimitObserver,
   ) {
     super();
-    this.slots = new ConnectionSlots({ maxConnections, maxOpenRequests: PEER_CALL.MAX_OPEN_CALLS });
+    const maxOpenRequests = Math.min(PEER_CALL.MAX_OPEN_CALLS, maxPeerCalls);
+    this.slots = new ConnectionSlots({ maxConnections: maxPeerConnections, maxOpenRequests });
+    this.calls = new ConnectionSlots({ maxConnections: maxPeerCalls, maxOpenRequests: 1 });
     const adapter = connectNodeAdapter({
       routes: routesTo(handler),
       connect: true,
@@ -84,8 +93,10 @@
       readMaxBytes: PEER_CALL.MAX_MESSAGE_BYTES,
     });
     this.server = createServer({
-      settings: { maxConcurrentStreams: PEER_CALL.MAX_OPEN_CALLS },
+      settings: { maxConcurrentStreams: maxOpenRequests },
     });
+    const turns = new ConnectionTurns();
+    gateConnections(this.server, (socket) => new SlicedConnection(socket, turns));
     this.server.on("request", (request, response) => {
       if (this.begin(request)) {
         adapter(request, response);
@@ -135,17 +146,34 @@
   /** Counts a call and what comes of its message; returns whether the call may be handled. */
   private begin(request: Http2ServerRequest): boolean {
     const { stream } = request;
-    const { session } = stream;
-    if (session === undefined || !this.slots.beginRequest(session as ServerHttp2Session)) {
-      this.observer.met(MET_LIMIT.OPEN_REQUESTS);
-      stream.close(constants.NGHTTP2_REFUSED_STREAM);
+    const session = stream.session as ServerHttp2Session | undefined;
+    if (session === undefined || !this.takeRoom(stream)) {
       return false;
     }
     const message = new CountedMessage(request, this.bodies.read, this.observer);
+    let isWhole = false;
+    stream.once("end", () => {
+      isWhole = true;
+      this.slots.beginRequest(session);
+      this.calls.beginRequest(stream);
+    });
     stream.once("close", () => {
-      this.slots.endRequest(session as ServerHttp2Session);
+      if (isWhole) {
+        this.slots.endRequest(session);
+      }
+      this.calls.close(stream);
       message.release();
     });
     return true;
   }
+
+  /** Makes room for a call; returns whether there is any. */
+  private takeRoom(stream: ServerHttp2Stream): boolean {
+    const evicted = this.calls.open(stream);
+    if (evicted !== null) {
+      this.observer.met(MET_LIMIT.OPEN_REQUESTS);
+      evicted.close(constants.NGHTTP2_REFUSED_STREAM);
+    }
+    return evicted !== stream;
+  }
 }
--- a/packages/runners/tests/peerLink.test.ts
+++ b/packages/runners/tests/peerLink.test.ts
@@ -19,6 +19,7 @@
 import type { ForwardedOutcome, ForwardedRequest, PeerEnvelope } from "@heatherferry/wire";
 import {
   BodyBudgets,
+  clientLimitsOf,
   ConnectPeerLink,
   ConnectPeerServer,
   NoLimitObserver,
@@ -83,9 +84,10 @@
   }
 }
 
-const MAX_CONNECTIONS = 16;
-
-const BODY_BUDGET_BYTES = 67_108_864;
+const LIMITS = {
+  ...clientLimitsOf({ memoryMb: 1_024, maxDescriptors: 4_096 }),
+  maxPeerConnections: 16,
+};
 
 const SENDER = { entryHostId: entryHostId("a"), incarnation: incarnation("a-1") };
 
@@ -98,8 +100,8 @@
   const handler = new FakeHandler();
   const server = new ConnectPeerServer(
     handler,
-    MAX_CONNECTIONS,
-    new BodyBudgets(BODY_BUDGET_BYTES),
+    LIMITS,
+    new BodyBudgets(LIMITS.bodyBudgetBytes),
     new NoLimitObserver(),
   );
   const to = await server.listen("127.0.0.1", 0);
