Leave a part of the owner's memory to teams that hold little

Callers saw: once one team's submissions fill the owner's memory, everybody's are refused. A team to which the weights give nearly all may take nearly all. Cause: at the whole budget the owner row said that it is full, for all teams alike. Change: from three fifths of the budget on, shares by weight apply as before; from four fifths on, teams are refused that hold more than an equal part of the last fifth. The row names them, at most 96.

--- a/packages/core/src/work/calls/refusals.ts
+++ b/packages/core/src/work/calls/refusals.ts
@@ -150,8 +150,7 @@
 export const memoryRefusal = ({ work }: Turn, { team }: SubmissionRow): MemoryRefusal | null => {
   const { owned, ownerView } = work;
   const figures = owned === null ? ownerView.row?.held : heldFigures(work, owned);
-  const isRefused = figures != null && (figures.isFull || figures.teams.includes(team));
-  return isRefused ? { type: "memory", team } : null;
+  return figures?.teams.includes(team) === true ? { type: "memory", team } : null;
 };
 
 /** Adds to a submission that is accepted which others were refused here before. */
--- a/packages/core/src/work/constants.ts
+++ b/packages/core/src/work/constants.ts
@@ -16,11 +16,13 @@
   /** Budget of a node whose settings name none. */
   DEFAULT_BUDGET_BYTES: 50_331_648,
   /** Part of the budget from which on no team may take more than its share. */
-  SHARES_APPLY_FROM: 0.75,
+  SHARES_APPLY_FROM: 0.6,
+  /** Part from which on teams may only take what is left, in equal parts. */
+  EQUAL_PARTS_FROM: 0.8,
   /** Part of the budget for all submissions without a team. */
   SHARE_WITHOUT_TEAM: 0.25,
   /** Most teams that the owner row names. */
-  MAX_TEAMS: 32,
+  MAX_TEAMS: 96,
   /** Shortest and longest time after which callers are told to return. */
   MIN_RETURN_MS: 10_000,
   MAX_RETURN_MS: 30_000,
--- a/packages/core/src/work/store/rowTypes.ts
+++ b/packages/core/src/work/store/rowTypes.ts
@@ -118,9 +118,7 @@
 
 /** Whose submissions the owner has no memory for. */
 export interface HeldFigures {
-  /** Whether it has none for any. */
-  readonly isFull: boolean;
-  /** Teams that have more than their share; null for submissions without a team. */
+  /** Teams that have more than their part; null for submissions without a team. */
   readonly teams: readonly (TeamId | null)[];
 }
 
--- a/packages/core/src/work/submissions/heldSubmissions.ts
+++ b/packages/core/src/work/submissions/heldSubmissions.ts
@@ -1,7 +1,6 @@
 import type { TeamId } from "@heatherferry/common";
 import { HELD } from "../constants.js";
 import type { OwnedWork, Submission, WorkloadState } from "../state.js";
-import { teamById } from "../store/catalog.js";
 import type { HeldFigures, SubmissionRow, WorkSpec } from "../types.js";
 
 /** Memory that the submissions of an owner take. */
@@ -72,30 +71,42 @@
   setBytes(owned, submission, 0);
 };
 
-/** Returns the part of the memory that a team may take once memory is short. */
-const shareOf = (work: WorkloadState, id: TeamId | null): number => {
-  const team = teamById(work, id);
-  const weights = work.catalog?.teams.reduce((sum, { weight }) => sum + weight, 0) ?? 0;
-  return team === null || weights === 0 ? HELD.SHARE_WITHOUT_TEAM : team.weight / weights;
+/** Returns how much of the memory a team may take once it is short: its share by weight. */
+const shareBytes = (
+  { catalog, catalogIndex, heldBudgetBytes }: WorkloadState,
+  id: TeamId | null,
+): number => {
+  const team = id === null ? undefined : catalogIndex.teams.get(id);
+  const weights = catalog?.teams.reduce((sum, { weight }) => sum + weight, 0) ?? 0;
+  const share =
+    team === undefined || weights === 0 ? HELD.SHARE_WITHOUT_TEAM : team.weight / weights;
+  return share * heldBudgetBytes;
 };
 
+/** Returns how much of the memory each team may take in any case. */
+const equalPartBytes = ({ catalog, heldBudgetBytes }: WorkloadState): number =>
+  (heldBudgetBytes * (1 - HELD.EQUAL_PARTS_FROM)) / ((catalog?.teams.length ?? 0) + 1);
+
 /**
  * Returns whose submissions the owner has no memory for, as its row tells all nodes; null while
- * there is enough. Beyond a part of the memory no team may take more than its share by weight.
+ * there is enough. From a part of the memory on, no team may take more than its share by weight; the
+ * rest is left to teams that have little, so that one team cannot keep the others out.
  */
 export const heldFigures = (work: WorkloadState, owned: OwnedWork): HeldFigures | null => {
   const { held } = owned;
-  const { heldBudgetBytes: budgetBytes } = work;
   if (!owned.active) {
     return held.inherited;
   }
-  if (held.bytes < budgetBytes * HELD.SHARES_APPLY_FROM) {
+  const usedShare = held.bytes / work.heldBudgetBytes;
+  if (usedShare < HELD.SHARES_APPLY_FROM) {
     return null;
   }
-  const overShare = [...held.byTeam]
-    .filter(([team, bytes]) => bytes > shareOf(work, team) * budgetBytes)
+  const isLeftToOthers = usedShare >= HELD.EQUAL_PARTS_FROM;
+  const equalBytes = equalPartBytes(work);
+  const teams = [...held.byTeam]
+    .filter(([team, bytes]) => bytes >= (isLeftToOthers ? equalBytes : shareBytes(work, team)))
     .sort(([, one], [, other]) => other - one)
     .slice(0, HELD.MAX_TEAMS)
     .map(([team]) => team);
-  return { isFull: held.bytes >= budgetBytes, teams: overShare };
+  return { teams };
 };
--- a/packages/wire/src/work/rowChecks.ts
+++ b/packages/wire/src/work/rowChecks.ts
@@ -143,7 +143,7 @@
     pools: recordOf(recordOf(RESOURCE_ADMISSION)),
     offeredPerS: recordOf(isNumber),
   }),
-  HELD: withFields({ isFull: isBoolean, teams: listOf(nullOr(isString)) }),
+  HELD: withFields({ teams: listOf(nullOr(isString)) }),
   LEASE: withFields({
     pool: isString,
     items: COUNT_LISTS,
