--- a/apps/entry/tests/helpers/crowd.ts
+++ b/apps/entry/tests/helpers/crowd.ts
@@ -95,6 +95,24 @@
   t.true(peakMb <= bounds.memoryMb, `peak of ${peakMb} MB`);
 };
 
+/** Connections that all send the same. */
+interface Crowd {
+  readonly script: ClientScript;
+  readonly connections: number;
+}
+
+const openCrowd = (
+  t: ExecutionContext,
+  address: string,
+  { script, connections }: Crowd,
+): ClientCrowd => {
+  const clients = new ClientCrowd(address, connections, script);
+  t.teardown(() => {
+    clients.close();
+  });
+  return clients;
+};
+
 /**
  * Plays a crowd against a listener of an entry host, and checks the entry host afterwards.
  *
@@ -108,21 +126,18 @@
   t: ExecutionContext,
   host: EntryHost,
   bounds: CrowdBounds,
-  { script, connections }: { readonly script: ClientScript; readonly connections: number },
+  crowd: Crowd,
   listener: Listener = "callers",
 ): Promise<void> => {
   const { entry } = host;
-  const clients = new ClientCrowd(host.addresses[listener], connections, script);
-  t.teardown(() => {
-    clients.close();
-  });
+  const clients = openCrowd(t, host.addresses[listener], crowd);
   let descriptors = 0;
   await clients.settle(() => {
     const now = entry.hasExited ? 0 : openDescriptors(entry.pid);
     descriptors = Math.max(descriptors, now);
     return now;
   });
-  await checkEntryHost(t, host, bounds, `${script.title}, ${descriptors} descriptors`);
+  await checkEntryHost(t, host, bounds, `${crowd.script.title}, ${descriptors} descriptors`);
   t.true(descriptors <= bounds.descriptors, `${descriptors} descriptors`);
   clients.close();
 };
@@ -141,18 +156,15 @@
   t: ExecutionContext,
   host: EntryHost,
   bounds: CrowdBounds,
-  { script, connections }: { readonly script: ClientScript; readonly connections: number },
+  crowd: Crowd,
   listener: Listener = "callers",
 ): Promise<void> => {
   const { entry } = host;
-  const clients = new ClientCrowd(host.addresses[listener], connections, script);
-  t.teardown(() => {
-    clients.close();
-  });
+  const clients = openCrowd(t, host.addresses[listener], crowd);
   await clients.firstAnswers();
   const descriptors = entry.hasExited ? 0 : openDescriptors(entry.pid);
-  await checkEntryHost(t, host, bounds, `during ${script.title}`);
+  await checkEntryHost(t, host, bounds, `during ${crowd.script.title}`);
   clients.close();
-  await checkEntryHost(t, host, bounds, `after ${script.title}`);
+  await checkEntryHost(t, host, bounds, `after ${crowd.script.title}`);
   t.true(descriptors <= bounds.descriptors, `${descriptors} descriptors`);
 };
--- a/packages/runners/src/listeners/constants.ts
+++ b/packages/runners/src/listeners/constants.ts
@@ -2,7 +2,10 @@
 
 /** Limits on clients that no setting changes. */
 export const CLIENT_LIMIT = {
-  /** Requests of one connection that wait for their answers; further ones close the connection. */
+  /**
+   * Requests of one connection that wait for their answers; further ones close the connection. One
+   * that is read request by request has a single one.
+   */
   MAX_OPEN_REQUESTS: 16,
   /** Bytes of a refused body that are discarded, so that the client reads its answer. */
   MAX_DISCARDED_BYTES: 1_048_576,
--- a/packages/runners/src/listeners/pacedConnection.ts
+++ b/packages/runners/src/listeners/pacedConnection.ts
@@ -34,8 +34,9 @@
 /**
  * A client's connection that an HTTP server reads one request at a time. What the client sends
  * ahead of an answer stays in the buffer of its socket, which is not read further, and counts toward
- * a budget that all connections share, as do the headers of requests in progress. Otherwise the server would create objects for each request
- * of a read, hundreds on each connection, before any limit could apply.
+ * a budget that all connections share, as do the headers of requests in progress. Otherwise the
+ * server would create objects for each request of a read, hundreds on each connection, before any
+ * limit could apply.
  */
 export class PacedConnection extends GatedConnection {
   private current: RequestInProgress | null = null;
