--- a/packages/core/src/work/index.ts
+++ b/packages/core/src/work/index.ts
@@ -1,5 +1,6 @@
 export * from "./constants.js";
 export * from "./events.js";
+export * from "./initialWorkload.js";
 export * from "./state.js";
 export * from "./types.js";
 export { STARVATION_REASON, type StarvationReason } from "./submissions/starvation.js";
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -1,12 +1,12 @@
 import type { AvailabilityZoneId, HostId, PoolId, QueueId, TeamId } from "@heatherferry/common";
-import { DueQueue } from "@heatherferry/coordination";
-import { newAdmissionState, type AdmissionState } from "./admission/index.js";
+import type { DueQueue } from "@heatherferry/coordination";
+import type { AdmissionState } from "./admission/index.js";
 import type { OpenCall } from "./calls/callState.js";
 import type { OwnerCommit } from "./ownership/commitState.js";
 import type { WithheldCharge, WithheldItems } from "./ownership/withheldItems.js";
 import type { TokenBucket } from "./placement/tokenBucket.js";
-import { indexCatalog, type CatalogIndex } from "./store/catalog.js";
-import { newEvacuations, type EvacuationRecord, type Evacuations } from "./evacuation/index.js";
+import type { CatalogIndex } from "./store/catalog.js";
+import type { EvacuationRecord, Evacuations } from "./evacuation/index.js";
 import type { FleetKinds } from "./placement/fleetKinds.js";
 import type { RunTimeEstimates } from "./estimates/index.js";
 import type { HandlingCost } from "./handlingCost.js";
@@ -26,7 +26,6 @@
   WorkerId,
 } from "./types.js";
 import type { HostDrain, HostMove, HostOrder, MaintenanceWave } from "./hosts/hostState.js";
-import { HELD } from "./constants.js";
 import type { HeldSubmissions } from "./submissions/heldSubmissions.js";
 import type { Run, Submission } from "./submissions/itemState.js";
 import type { AbandonedRuns, Worker, PoolWork, TeamUse } from "./workers/workerState.js";
@@ -272,60 +271,3 @@
   readonly handlingCost: HandlingCost;
   readonly admission: AdmissionState;
 }
-
-const newFeed = (): FeedState => ({
-  after: null,
-  sentAtMs: null,
-  retryAtMs: 0,
-  viewAtMs: null,
-  viewStoreMs: null,
-  scanning: false,
-});
-
-/** Creates the state of a node that has received no events. */
-export const initialWorkloadState = (
-  identity: WorkIdentity,
-  bounds: WorkBounds,
-  processorMilli: number,
-  heldBudgetBytes: number = HELD.DEFAULT_BUDGET_BYTES,
-): WorkloadState => ({
-  identity,
-  bounds,
-  processorMilli,
-  wallOffsetMs: null,
-  clockJumpedAtMs: -Infinity,
-  catalog: null,
-  catalogIndex: indexCatalog(null),
-  feeds: { operators: newFeed(), workers: newFeed(), handIns: newFeed() },
-  waveRequests: new Map(),
-  evacuations: newEvacuations(),
-  heldBudgetBytes,
-  calls: new Map(),
-  callOfCommit: new Map(),
-  callsDue: new DueQueue(),
-  claimsAllowedFromMs: -Infinity,
-  ownerView: {
-    row: null,
-    version: 0 as StoreVersion,
-    unchangedSinceMs: 0,
-    viewAtMs: null,
-    viewStoreMs: null,
-    pollSentAtMs: null,
-    nextPollAtMs: 0,
-    claim: null,
-    claimAtMs: null,
-  },
-  owned: null,
-  ready: false,
-  storeLost: false,
-  storeAnsweredAtMs: null,
-  shutdownRequestedAtMs: null,
-  frontEndClosed: false,
-  nextCommit: 1,
-  nextHostOrder: 1,
-  tickedAtMs: -Infinity,
-  wakeAtMs: null,
-  lag: { smoothedMs: 0, loggedAtMs: -Infinity, lateTicks: 0, worstMs: 0 },
-  handlingCost: { steps: 0 },
-  admission: newAdmissionState(),
-});
