--- a/packages/core/tests/work/heldSubmissions.test.ts
+++ b/packages/core/tests/work/heldSubmissions.test.ts
@@ -1,5 +1,6 @@
 import { teamId } from "@heatherferry/common";
 import test from "ava";
+import { HELD } from "../../src/work/constants.js";
 import { indexCatalog } from "../../src/work/store/catalog.js";
 import { heldFigures, openBytesOf } from "../../src/work/submissions/heldSubmissions.js";
 import type { OwnedWork, Team } from "../../src/index.js";
@@ -137,3 +138,15 @@
   t.deepEqual(figuresWith(50, 900), { teams: ["large"] });
   t.deepEqual(figuresWith(200, 700), { teams: ["large", "small"] });
 });
+
+/** The largest deployment: submissions a second, their size, and how long they wait. */
+const LARGEST = { PER_S: 48, PAYLOAD_BYTES: 2_400, WAIT_S: 20 } as const;
+
+test("a fleet whose teams keep to their rates meets the limit", (t) => {
+  const { OPEN_BYTES, STEP_BYTES, ITEM_BYTES, ENDED_BYTES, MAX_COUNTED_ITEMS } = HELD;
+  const oneOpen =
+    OPEN_BYTES + LARGEST.PAYLOAD_BYTES + 2 * STEP_BYTES + MAX_COUNTED_ITEMS * ITEM_BYTES;
+  const retentionS = BOUNDS.statusRetentionMs / 1_000;
+  const bytes = LARGEST.PER_S * (LARGEST.WAIT_S * oneOpen + retentionS * ENDED_BYTES);
+  t.true(bytes < HELD.SHARES_APPLY_FROM * HELD.DEFAULT_BUDGET_BYTES, `${bytes} bytes`);
+});
--- a/packages/runners/tests/clientLimits.test.ts
+++ b/packages/runners/tests/clientLimits.test.ts
@@ -30,6 +30,26 @@
   t.true(Math.min(BODY_TIMEOUT_MS, REQUEST_TIMEOUT_MS) > CALLER_WAIT_MS);
 });
 
+/** Memory that a header byte counts as, and the header of a caller, rather more than usual. */
+const MEMORY_PER_HEADER_BYTE = 5;
+const HEADER_BYTES = 1_000;
+
+const PEERS = 40;
+
+/** Messages to one peer and requests forwarded to it that are open at once. */
+const CALLS_PER_PEER = 16 + 10;
+
+test("ordinary headers on all connections, or the calls of all peers, meet a limit", (t) => {
+  const { aheadBudgetBytes } = clientLimitsOf(SMALLEST_MACHINE);
+  t.true(CONNECTIONS_PER_NODE * HEADER_BYTES * MEMORY_PER_HEADER_BYTE <= aheadBudgetBytes);
+  const { maxPeerCalls, maxPeerConnections } = clientLimitsOf({
+    memoryMb: 1_024,
+    maxDescriptors: 4_096,
+  });
+  t.true(PEERS <= maxPeerConnections);
+  t.true(PEERS * CALLS_PER_PEER <= maxPeerCalls, `${maxPeerCalls} calls`);
+});
+
 test("the largest body is not kept although nothing else is", (t) => {
   const budget = new ByteBudget(clientLimitsOf(SMALLEST_MACHINE).bodyBudgetBytes);
   const buffer = new BodyBuffer(budget, LARGEST_BODY_BYTES, LARGEST_BODY_BYTES);
