Go on reading a connection whose server took a part late

Cause: a part that the server takes late stays in the buffer of the gated connection. Node calls _read once while it is there, and not again when it is taken, so the turn was lost. Then, without TCP_NODELAY on the client's socket, window updates waited for delayed acknowledgements. Change: GatedConnection adds a turn when such a part is taken, and sets TCP_NODELAY. New test, a body that the server reads late: never ends without the added turn, passes with it, so a large upload to an entry host whose target is busy did stop.

--- a/packages/runners/src/listeners/gatedConnection.ts
+++ b/packages/runners/src/listeners/gatedConnection.ts
@@ -23,6 +23,7 @@
     protected readonly turns: ConnectionTurns,
   ) {
     super({ decodeStrings: false });
+    socket.setNoDelay(true);
     socket.on("readable", () => {
       this.received();
     });
@@ -68,6 +69,15 @@
     }
   }
 
+  /** Goes on once the server has taken a part that had to wait for it; `_read` is not called then. */
+  override read(size?: number): unknown {
+    const part: unknown = super.read(size);
+    if (part !== null && this.readableLength === 0 && this.socket.readableLength > 0) {
+      this.turns.add(this);
+    }
+    return part;
+  }
+
   override _read(): void {
     this.received();
   }
--- a/packages/runners/tests/connectionGuard.test.ts
+++ b/packages/runners/tests/connectionGuard.test.ts
@@ -11,6 +11,9 @@
 
 const LIMITS: ListenerLimits = { maxConnections: 4, aheadBudgetBytes: 1_000_000 };
 
+/** Time after which the server reads the body of a request that asks for it. */
+const LATE_MS = 50;
+
 const requestFor = (path: string): string => `GET ${path} HTTP/1.1\r\nhost: a\r\n\r\n`;
 
 class RecordingObserver extends LimitObserver {
@@ -41,7 +44,12 @@
     response.once("close", () => {
       guard.endRequest(request.socket);
     });
-    request.resume();
+    if (request.headers["x-late"] === undefined) {
+      request.resume();
+    } else {
+      // As a proxy reads whose target is busy.
+      setTimeout(() => request.resume(), LATE_MS);
+    }
     request.once("end", () => {
       paths.push(request.url ?? "");
       responses.push(response);
@@ -140,3 +148,15 @@
   t.regex(received.join(""), /^HTTP\/1\.1 417 /u);
   t.deepEqual(paths, []);
 });
+
+test("a body that the server reads late is never read to its end", async (t) => {
+  const { client, paths } = await startGuarded(t);
+  const content = "x".repeat(1_000_000);
+  const head = "HTTP/1.1\r\nhost: a\r\nx-late: 1\r\n";
+  client().socket.write(`POST /sized ${head}content-length: ${content.length}\r\n\r\n${content}`);
+  const size = content.length.toString(16);
+  const chunk = `${size}\r\n${content}\r\n0\r\n\r\n`;
+  client().socket.write(`POST /chunked ${head}transfer-encoding: chunked\r\n\r\n${chunk}`);
+  await until(() => paths.length === 2);
+  t.deepEqual([...paths].sort(), ["/chunked", "/sized"]);
+});
