Take other ports when one was taken meanwhile

Added: a process that ends for this before it was ready gets new ports. Measured: with the port taken on purpose, it starts on another one.

--- a/review/lib-3/node.mjs
+++ b/review/lib-3/node.mjs
@@ -117,6 +117,7 @@
 export class Node {
   #child = null;
   #wanted = true;
+  #wasReady = false;
   /** Ends of the process that no signal of the script brought about. */
   ownEnds = [];
 
@@ -131,6 +132,7 @@
       control: await freePort(),
       metrics: await freePort(),
     };
+    this.log?.end();
     this.address = `127.0.0.1:${ports.frontend}`;
     this.readyAddress = `127.0.0.1:${ports.ready}`;
     const folder = mkdtempSync(join(tmpdir(), "heatherferry-review-"));
@@ -162,8 +164,15 @@
       killed ||= signal === "SIGKILL" || signal === "SIGTERM";
       child.kill(signal);
     };
-    child.once("exit", (code, signal) => {
+    let messages = "";
+    child.stderr.on("data", (text) => (messages += text));
+    child.once("close", (code, signal) => {
       this.#child = null;
+      if (!this.#wasReady && this.#wanted && messages.includes("EADDRINUSE")) {
+        this.record("portTaken", { node: this.name });
+        void this.start();
+        return;
+      }
       if (!killed) {
         this.ownEnds.push({ code, signal });
         this.record("processEndedByItself", { node: this.name, code, signal });
@@ -193,6 +202,7 @@
 
   async isReady() {
     const { status } = await callJson(this.readyAddress, "GET", "/api/readyz", { timeoutMs: 500 });
+    this.#wasReady ||= status === 200;
     return status === 200;
   }
 }
