--- a/review/12/run.mjs
+++ b/review/12/run.mjs
@@ -3,12 +3,21 @@
 
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { awaitCompleted, deskSite, handIn, idOf, neverBegun } from "../lib-3/desk.mjs";
+import { awaitCompleted, deskSite, handIn, idOf, lostOnes } from "../lib-3/desk.mjs";
 import { freePort } from "../lib-3/http.mjs";
 import { pause, RESULT, runCase, TROUBLE } from "../lib-3/site.mjs";
 
 const SUBMISSIONS = 5;
 const FINISH_S = 14;
+/** Two work items, and two more whose turn comes once these are done. */
+const WORK = {
+  spec: "2500",
+  phases: [
+    { count: 2, cpu: 500, memMb: 256 },
+    { count: 2, cpu: 500, memMb: 256, after: [0] },
+  ],
+};
+const ITEMS = 4;
 /** 32 cores, in billionths of a core. */
 const CPU_IN_BILLIONTHS = 32_000_000_000;
 
@@ -43,9 +52,7 @@
   }
   const accepted = [];
   for (let n = 1; n <= SUBMISSIONS; n += 1) {
-    if (
-      await handIn(site, idOf(n), { spec: "2500", phases: [{ count: 2, cpu: 500, memMb: 256 }] })
-    ) {
+    if (await handIn(site, idOf(n), WORK)) {
       accepted.push(idOf(n));
     }
   }
@@ -57,19 +64,17 @@
   }
   await pause(20_000);
   const open = await awaitCompleted(site, accepted, FINISH_S);
+  const { unanswered, starved } = await lostOnes(site, accepted, ITEMS);
   const ends = site.nodes.flatMap(({ name, ownEnds }) => ownEnds.map((end) => ({ name, ...end })));
   const nodes = new Set(ends.map(({ name }) => name)).size;
-  site.record("summary", { open, neverBegun: neverBegun(site, open), ownEnds: ends.length, nodes });
-  if (open.length > 0) {
-    return {
-      result: RESULT.BROKEN,
-      verdict: `LOST broken: ${open.length} of ${accepted.length} accepted submissions were not done; ${ends.length} times a process ended by itself, on ${nodes} of ${site.nodes.length} nodes`,
-    };
-  }
-  return ends.length >= 3 && nodes >= 2
-    ? { result: RESULT.BROKEN, verdict: `Fault: ${ends.length} times a process ended by itself` }
+  site.record("summary", { open, unanswered, starved, ownEnds: ends.length, nodes });
+  return unanswered.length + starved.length > 0
+    ? {
+        result: RESULT.BROKEN,
+        verdict: `LOST broken: ${starved.length} of ${accepted.length} accepted submissions have had nothing running for 3 s though a work item's turn has come, ${unanswered.length} get no answer; ${ends.length} times a process ended by itself, on ${nodes} of ${site.nodes.length} nodes`,
+      }
     : {
         result: RESULT.HELD,
-        verdict: `all ${accepted.length} accepted submissions were done; ${ends.length} processes ended by themselves`,
+        verdict: `${accepted.length - open.length} of ${accepted.length} accepted submissions were done; ${ends.length} processes ended by themselves`,
       };
 });
--- a/review/lib-3/desk.mjs
+++ b/review/lib-3/desk.mjs
@@ -84,3 +84,38 @@
   const begun = new Set(site.records("started").map(({ task }) => task.split(".")[0]));
   return ids.filter((id) => !begun.has(id));
 };
+
+/** Tells for how long a submission has had nothing running though a work item's turn has come. */
+const idleS = (site, id, items) => {
+  const of = (what) => site.records(what).filter(({ task }) => task.startsWith(id));
+  const [started, ended] = [of("started"), of("ended")];
+  const done = new Set(ended.filter(({ how }) => how === "done").map(({ task }) => task)).size;
+  if (done === items || started.length > ended.length) {
+    return 0;
+  }
+  return site.nowS - Math.max(0, ...ended.map(({ atS }) => atS));
+};
+
+/** Whether any node tells the state of a submission. */
+const isAnswered = async (site, id) => {
+  for (let attempt = 0; attempt < 3; attempt += 1) {
+    const calls = site.nodes.map((node) => site.call("GET", `${PREFIX}${id}`, { key: KEY, node }));
+    if ((await Promise.all(calls)).some(({ status }) => status === 200)) {
+      return true;
+    }
+    await pause(500);
+  }
+  return false;
+};
+
+/**
+ * Submissions that break LOST when they are asked for: no node tells their state, or they have had
+ * nothing running for 3 s while a work item's turn had come. Nothing else runs on the executors.
+ */
+export const lostOnes = async (site, ids, items) => {
+  const answered = await Promise.all(ids.map((id) => isAnswered(site, id)));
+  return {
+    unanswered: ids.filter((_, index) => !answered[index]),
+    starved: ids.filter((id) => idleS(site, id, items) > 3),
+  };
+};
