Let the capacity index cost what its workers cost

Cause: the index was dense by value: it made a set for each 1,000 of the largest capacity, and a search counted up from the processor time that an item needs. Both figures come from others and are read again by the next owner. Change: only buckets with workers are kept, in a sorted list of their numbers; a search begins there by bisection.

--- a/packages/core/src/work/placement/capacityIndex.ts
+++ b/packages/core/src/work/placement/capacityIndex.ts
@@ -6,26 +6,57 @@
 const bucketOf = ({ usedCpuMilli, report }: Worker): number =>
   Math.floor(Math.max(0, report.capacity.cpuMilli - usedCpuMilli) / BUCKET_MILLI);
 
-/** Workers bucketed by their free processor time. */
+/** Returns the index of the first of the ascending numbers that is at least `least`. */
+const firstFrom = (numbers: readonly number[], least: number): number => {
+  let from = 0;
+  let until = numbers.length;
+  while (from < until) {
+    const middle = (from + until) >>> 1;
+    if ((numbers[middle] ?? Infinity) < least) {
+      from = middle + 1;
+    } else {
+      until = middle;
+    }
+  }
+  return from;
+};
+
+/**
+ * Workers bucketed by their free processor time. Only buckets with workers are kept, so the cost
+ * depends on the number of workers and not on the capacity that they report.
+ */
 class Buckets {
-  private readonly buckets: Set<Worker>[] = [];
+  private readonly buckets = new Map<number, Set<Worker>>();
+  /** Numbers of these buckets, in ascending order. */
+  private readonly numbers: number[] = [];
 
   add(worker: Worker, bucket: number): void {
-    for (let empty = this.buckets.length; empty <= bucket; empty += 1) {
-      this.buckets.push(new Set());
+    const workers = this.buckets.get(bucket);
+    if (workers === undefined) {
+      this.buckets.set(bucket, new Set([worker]));
+      this.numbers.splice(firstFrom(this.numbers, bucket), 0, bucket);
+    } else {
+      workers.add(worker);
     }
-    this.buckets[bucket]?.add(worker);
   }
 
   delete(worker: Worker, bucket: number): void {
-    this.buckets[bucket]?.delete(worker);
+    const workers = this.buckets.get(bucket);
+    if (workers?.delete(worker) === true && workers.size === 0) {
+      this.buckets.delete(bucket);
+      this.numbers.splice(firstFrom(this.numbers, bucket), 1);
+    }
   }
 
-  /** Iterates over the workers that may have `cpuMilli` free, the fullest first. */
+  /**
+   * Iterates over the workers that may have `cpuMilli` free, the fullest first. No worker may be
+   * added or deleted meanwhile.
+   */
   *withFreeCpu(cpuMilli: number): Generator<Worker> {
-    const first = Math.floor(cpuMilli / BUCKET_MILLI);
-    for (let bucket = first; bucket < this.buckets.length; bucket += 1) {
-      yield* this.buckets[bucket] ?? [];
+    const { numbers } = this;
+    const first = firstFrom(numbers, Math.floor(cpuMilli / BUCKET_MILLI));
+    for (let index = first; index < numbers.length; index += 1) {
+      yield* this.buckets.get(numbers[index] ?? NaN) ?? [];
     }
   }
 }
