Bound the quantities that others state

Seen: any finite number was taken for a capacity, for what an item needs or for a time: below zero, parts of a thousandth of a core, 1e300. Cause: fields of entries, submissions, poll answers, host lists and the config were read as numbers without bounds. Change: quantities.ts holds the bounds: the largest host, the longest time. Stored submissions still load, brought within the bounds.

--- a/packages/core/src/work/hosts/hosts.ts
+++ b/packages/core/src/work/hosts/hosts.ts
@@ -4,7 +4,7 @@
 import { isEvacuated } from "../evacuation/index.js";
 import type { WorkEvent } from "../events.js";
 import type { OwnedWork } from "../state.js";
-import type { Turn } from "../turn.js";
+import { logLine, type Turn } from "../turn.js";
 import type { HostListing, OwnerRow, Resources } from "../types.js";
 
 /**
@@ -61,11 +61,12 @@
       (orderedAfterRequest ? knownHosts.get(listing.host) : null) ?? listing,
     );
   }
-  for (const { labels, capacity } of event.hosts) {
-    if (capacity === null) {
-      owned.fleet.hasUnknownHosts = true;
-    } else {
+  for (const { host, labels, capacity } of event.hosts) {
+    if (capacity !== null) {
       addKind(owned, labels, capacity);
+    } else if (!owned.fleet.hasUnknownHosts) {
+      owned.fleet.hasUnknownHosts = true;
+      logLine(turn, "warn", "hosts.capacityUnknown", { host });
     }
   }
   noteInheritedMaintenance(owned, event.hosts);
--- a/packages/core/src/work/index.ts
+++ b/packages/core/src/work/index.ts
@@ -9,4 +9,5 @@
 export * from "./estimates/index.js";
 export { echoedTarget } from "./workers/incarnations.js";
 export { criticalPathsMs } from "./submissions/criticalPaths.js";
+export { boundedWork, LARGEST_HOST, LONGEST_MS, UNBOUNDED_RESOURCES } from "./quantities.js";
 export { bodyBytesToRead } from "./calls/callHead.js";
--- a/packages/core/tests/work/unplaceable.test.ts
+++ b/packages/core/tests/work/unplaceable.test.ts
@@ -1,5 +1,6 @@
+import { hostId, poolId } from "@heatherferry/common";
 import test from "ava";
-import type { WorkSpec } from "../../src/index.js";
+import type { HostListing, WorkSpec } from "../../src/index.js";
 import { OwnerNode, reportOf } from "./ownerNode.js";
 import { TEAM_CEILING } from "./siteFixtures.js";
 import { stepOf, workOf } from "./workSpecs.js";
@@ -122,3 +123,24 @@
   node.run(PASSES_MS);
   t.true(node.starts.some(({ worker }) => worker === "new"));
 });
+
+test("a host whose capacity is not known is not named in the log, or at every list", (t) => {
+  const node = nodeWith(["plain"]);
+  const host: HostListing = {
+    host: hostId("m-9"),
+    pool: poolId("spare"),
+    availabilityZone: null,
+    up: true,
+    inMaintenance: false,
+    worker: null,
+    labels: [],
+    capacity: null,
+  };
+  for (let lists = 0; lists < 2; lists += 1) {
+    node.handle({ type: "power/listed", sentAtMs: node.nowMs, hosts: [host] });
+  }
+  t.deepEqual(
+    node.logged("hosts.capacityUnknown").map(({ fields }) => fields),
+    [{ host: "m-9" }],
+  );
+});
--- a/packages/wire/src/work/workRows.ts
+++ b/packages/wire/src/work/workRows.ts
@@ -1,4 +1,5 @@
 import {
+  boundedWork,
   storeVersion,
   submissionId,
   workerId,
@@ -171,7 +172,12 @@
     return { type: "cancel", version: at, id: submissionId(key.slice(0, -CANCEL_SUFFIX.length)) };
   }
   if (table === WORK_TABLE.SUBMISSIONS && ROW_CHECK.SUBMISSION(body)) {
-    return { type: "handIn", version: at, submission: body as SubmissionRow };
+    const submission = body as SubmissionRow;
+    return {
+      type: "handIn",
+      version: at,
+      submission: { ...submission, work: boundedWork(submission.work) },
+    };
   }
   if (table === WORK_TABLE.PROGRESS && key.startsWith(WAVE_PREFIX) && ROW_CHECK.WAVE(body)) {
     const { wave, completed, seenWallMs, doneHosts } = body as WaveProgress;
