Take no worker from an entry that names none

Nothing in the log named the entry before its owner ended. Cause: the service of an entry was compared with nothing, and only the fields that are used were read. One whose pool the catalog does not name is set aside (worker.poolUnnamed, once) and counts from the catalog on that names it; before the first catalog all count, and those that have not answered are set aside with it.

--- a/apps/work/src/wireWork.ts
+++ b/apps/work/src/wireWork.ts
@@ -44,6 +44,7 @@
 import { registerHeldMetrics } from "./heldMetrics.js";
 import { registerLoadMetrics } from "./loadMetrics.js";
 import { OsProcessorTime } from "./processorTime.js";
+import { registerRegistrationMetrics } from "./registrationMetrics.js";
 import { registerRunTimeMetrics } from "./runTimeMetrics.js";
 import { registerAdmissionMetrics } from "./admissionMetrics.js";
 import { registerStarvationMetrics } from "./starvationMetrics.js";
@@ -140,6 +141,7 @@
     new WorkerAnswerDeferral(),
   );
   const store = new PlatformStore(settings.storeAddress, settings.linkMbps, log);
+  registerRegistrationMetrics(metrics.registry, state, store);
   const workers = new PlatformWorkers();
   const hosts = new PlatformHosts(settings.hostsAddress, settings.nodeName);
   const admin = new AdminServer(metrics.registry, new WorkHealth(state), limitReporter);
--- a/packages/core/src/work/logClasses.ts
+++ b/packages/core/src/work/logClasses.ts
@@ -20,6 +20,7 @@
   "loop.lagged",
   "worker.registered",
   "worker.deregistered",
+  "worker.poolUnnamed",
   "worker.otherIncarnation",
   "worker.overcommitted",
   "host.moving",
--- a/packages/core/src/work/ownership/newOwnedWork.ts
+++ b/packages/core/src/work/ownership/newOwnedWork.ts
@@ -49,6 +49,7 @@
   workers: new Map(),
   workerTimers: new DueQueue(),
   changedWorkers: new Set(),
+  setAside: new Map(),
   drainingWorkers: new Set(),
   workersWithUnpersistedEnds: new Set(),
   stoppingRuns: new Set(),
--- a/packages/core/src/work/ownership/recovery.ts
+++ b/packages/core/src/work/ownership/recovery.ts
@@ -12,7 +12,7 @@
 import { logLine, validAsOfMs, wakeAfter, type Turn } from "../turn.js";
 import type { Progress, SubmissionId, WorkerId } from "../types.js";
 import { restoreWave } from "../hosts/maintenanceWaves.js";
-import { workerRegistered } from "../workers/workers.js";
+import { registrationRead } from "../workers/registrations.js";
 
 /** Stores one of the tables that a new owner loads; once all are loaded, it starts to decide. */
 export const tableLoaded = (
@@ -62,7 +62,7 @@
   adoptLeases(owned, rows);
   for (const row of rows) {
     if (row.type === "worker") {
-      workerRegistered(turn, owned, row.report);
+      registrationRead(turn, owned, row.report);
     } else if (row.type === "progress") {
       progress.set(row.progress.id, row.progress);
     } else if (row.type === "cancel") {
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -24,6 +24,7 @@
   WaveRequest,
   WorkBounds,
   WorkerId,
+  WorkerReport,
 } from "./types.js";
 import type { HostDrain, HostMove, HostOrder, MaintenanceWave } from "./hosts/hostState.js";
 import type { HeldSubmissions } from "./submissions/heldSubmissions.js";
@@ -101,6 +102,8 @@
   /** What was learned of run times, by this owner and by those before. */
   readonly runTimes: RunTimeEstimates;
   readonly workers: Map<WorkerId, Worker>;
+  /** Registrations in pools that the catalog does not name, which are no workers. */
+  readonly setAside: Map<WorkerId, WorkerReport>;
   /** Workers by the time of their next check, and those that have changed since the last one. */
   readonly workerTimers: DueQueue<Worker>;
   readonly changedWorkers: Set<Worker>;
--- a/packages/core/src/work/store/feeds.ts
+++ b/packages/core/src/work/store/feeds.ts
@@ -7,16 +7,32 @@
 import { feedWaitMs } from "../evacuation/index.js";
 import { FEED, STORE, CATALOG_VIEW } from "../constants.js";
 import type { Feed, Scan, StoreRow, WorkEvent } from "../events.js";
-import type { FeedState } from "../state.js";
+import type { FeedState, OwnedWork } from "../state.js";
 import { adoptSubmission } from "../submissions/adoption.js";
 import { cancelSubmission } from "../submissions/submissions.js";
 import { logLine, roundedMs, validAsOfMs, wakeAfter, type Turn } from "../turn.js";
 import { handleWaveRequest } from "../hosts/maintenanceWaves.js";
-import { workerRegistered, workerDeregistered } from "../workers/workers.js";
+import {
+  registrationRead,
+  registrationRemoved,
+  registrationsListed,
+  registrationsReviewed,
+} from "../workers/registrations.js";
 
 /** Whether changes of a table are followed, unlike tables that only a new owner reads. */
 export const isFeed = (scan: Scan): scan is Feed => Object.values<Scan>(FEED).includes(scan);
 
+/** Applies a new catalog to what the owner has built from the one before. */
+const catalogChanged = (turn: Turn, owned: OwnedWork): void => {
+  owned.pools.forEach((pool) => {
+    pool.dirty = true;
+    pool.backlog.markAllChanged();
+  });
+  if (owned.active) {
+    registrationsReviewed(turn, owned);
+  }
+};
+
 /**
  * Applies changed rows in the order of their versions.
  *
@@ -31,11 +47,8 @@
   for (const row of rows) {
     switch (row.type) {
       case "catalog":
-        if (applyCatalog(turn, row.catalog)) {
-          owned?.pools.forEach((pool) => {
-            pool.dirty = true;
-            pool.backlog.markAllChanged();
-          });
+        if (applyCatalog(turn, row.catalog) && owned !== null) {
+          catalogChanged(turn, owned);
         }
         break;
       case "wave":
@@ -49,12 +62,12 @@
         break;
       case "worker":
         if (owned?.active === true) {
-          workerRegistered(turn, owned, row.report);
+          registrationRead(turn, owned, row.report);
         }
         break;
       case "workerGone":
         if (owned?.active === true) {
-          workerDeregistered(turn, owned, row.id);
+          registrationRemoved(turn, owned, row.id);
         }
         break;
       case "handIn":
@@ -149,14 +162,10 @@
 };
 
 const removeMissingWorkers = (turn: Turn, rows: readonly StoreRow[]): void => {
-  const listed = new Set(rows.map((row) => (row.type === "worker" ? row.report.id : null)));
-  for (const id of turn.work.owned?.workers.keys() ?? []) {
-    if (!listed.has(id)) {
-      const { owned } = turn.work;
-      if (owned !== null) {
-        workerDeregistered(turn, owned, id);
-      }
-    }
+  const { owned } = turn.work;
+  if (owned !== null) {
+    const listed = rows.flatMap((row) => (row.type === "worker" ? [row.report.id] : []));
+    registrationsListed(turn, owned, new Set(listed));
   }
 };
 
