Take a host's capacity from a worker that has answered

Seen: the first entry of a pool gave the capacity of a host for its demand, for admission and for the hosts to ask for, whether anyone stood behind it or not. One in another unit let the owner ask for a thousandth of the hosts that the work needs, or a thousand times as many. Cause: hostCapacity took the capacity of whichever worker came first. A worker that answers with another capacity than its host's still counts.

--- a/packages/core/src/work/hosts/arrivals.ts
+++ b/packages/core/src/work/hosts/arrivals.ts
@@ -3,10 +3,13 @@
 import type { Turn } from "../turn.js";
 import type { Resources, WorkSpec } from "../types.js";
 
-/** Returns the capacity of a host of the pool, or a default if the pool has no workers. */
-export const hostCapacity = (pool: PoolWork): Resources => {
-  const [anyWorker] = pool.workers;
-  return anyWorker?.report.capacity ?? HOST_ALLOCATION.DEFAULT_HOST_CAPACITY;
+/**
+ * Returns the capacity of a host of the pool, as far as possible of one whose worker has answered;
+ * a default if the pool has no workers.
+ */
+export const hostCapacity = ({ exemplar, workers }: PoolWork): Resources => {
+  const [anyWorker] = workers;
+  return (exemplar ?? anyWorker)?.report.capacity ?? HOST_ALLOCATION.DEFAULT_HOST_CAPACITY;
 };
 
 /** Returns the fraction of a host that work needs, by the resource that it needs most of. */
--- a/packages/core/src/work/hosts/pools.ts
+++ b/packages/core/src/work/hosts/pools.ts
@@ -13,6 +13,7 @@
       workers: new Set(),
       backlog: new Backlog(capacityIndex),
       capacityIndex,
+      exemplar: null,
       dirty: true,
       arrivals: [],
       steadyHosts: 0,
--- a/packages/core/src/work/workers/workerState.ts
+++ b/packages/core/src/work/workers/workerState.ts
@@ -182,6 +182,8 @@
   /** Submissions with ready items. */
   readonly backlog: Backlog;
   readonly capacityIndex: CapacityIndex;
+  /** A worker that has answered, whose capacity stands for that of a host; null if none has. */
+  exemplar: Worker | null;
   /** Whether a change may allow more items to be placed. */
   dirty: boolean;
   /** Recent submissions, oldest first. */
--- a/packages/core/src/work/workers/workers.ts
+++ b/packages/core/src/work/workers/workers.ts
@@ -18,7 +18,7 @@
 import { pollGapMs } from "../loopLag.js";
 import { stopStalledRuns } from "./stalledRuns.js";
 import { NO_RESOURCES } from "./workerResources.js";
-import { removeWorker, updateDraining, addWorker } from "./workerSet.js";
+import { removeWorker, updateDraining, addWorker, noteAnswered } from "./workerSet.js";
 import { markWorkerChanged } from "./workerTimers.js";
 import type { WorkerId, WorkerReport } from "../types.js";
 
@@ -217,6 +217,7 @@
   worker.unreachable = false;
   if (!worker.fenced && event.endsComplete) {
     worker.fenced = true;
+    noteAnswered(owned, worker);
     // Only runs that the previous owner's lease row records can still be stopping there.
     const previousLease = owned.unfencedLeases.get(worker.report.id);
     if (previousLease !== undefined) {
