Keep workers with lease rows when a catalog drops their pool

Seen: a worker that had not answered a new owner yet was set aside with the next catalog if that named its pool no longer, although its lease row says that work runs there. Cause: the review of registrations after a catalog asked for the pool alone. Change: it asks for the lease row as well, as the reading of an entry does. Measured: the extended test failed before and passes now; of the tests of the reducer the known one of eventCost fails, no other.

--- a/packages/core/src/work/workers/registrations.ts
+++ b/packages/core/src/work/workers/registrations.ts
@@ -1,17 +1,24 @@
+import type { PoolId } from "@heatherferry/common";
 import type { OwnedWork } from "../state.js";
 import { logLine, type Turn } from "../turn.js";
 import type { WorkerId, WorkerReport } from "../types.js";
 import { workerDeregistered, workerRegistered } from "./workers.js";
 
+const isPoolNamed = ({ work }: Turn, pool: PoolId): boolean => work.catalogIndex.pools.has(pool);
+
+/** Whether a lease row records what may run on the worker in this pool. */
+const isLeased = (owned: OwnedWork, { id, pool }: WorkerReport): boolean =>
+  owned.leases.get(id)?.pool === pool;
+
 /**
  * Whether a registration is one of a worker: the catalog names its pool, or did when the worker was
  * last used. Without a catalog, the pool of any may be named by the first one.
  */
-const isWorker = ({ work }: Turn, owned: OwnedWork, { id, pool }: WorkerReport): boolean =>
-  work.catalog === null ||
-  work.catalogIndex.pools.has(pool) ||
-  owned.workers.get(id)?.report.pool === pool ||
-  owned.leases.get(id)?.pool === pool;
+const isWorker = (turn: Turn, owned: OwnedWork, report: WorkerReport): boolean =>
+  turn.work.catalog === null ||
+  isPoolNamed(turn, report.pool) ||
+  owned.workers.get(report.id)?.report.pool === report.pool ||
+  isLeased(owned, report);
 
 /** Keeps a registration until a catalog names its pool; what runs there counts until its lease ends. */
 const setAside = (turn: Turn, owned: OwnedWork, report: WorkerReport): void => {
@@ -57,14 +64,14 @@
  * and those that were taken without a catalog are set aside unless their worker has answered.
  */
 export const registrationsReviewed = (turn: Turn, owned: OwnedWork): void => {
-  const { pools } = turn.work.catalogIndex;
   for (const report of [...owned.setAside.values()]) {
-    if (pools.has(report.pool)) {
+    if (isPoolNamed(turn, report.pool)) {
       registrationRead(turn, owned, report);
     }
   }
   for (const { report, registered, fenced } of [...owned.workers.values()]) {
-    if (registered && !fenced && !pools.has(report.pool)) {
+    const isUsed = fenced || isPoolNamed(turn, report.pool) || isLeased(owned, report);
+    if (registered && !isUsed) {
       setAside(turn, owned, report);
     }
   }
--- a/packages/core/tests/work/registrations.test.ts
+++ b/packages/core/tests/work/registrations.test.ts
@@ -103,6 +103,9 @@
   node.run(SETTLE_MS);
   t.deepEqual(workerIds(node), ["w1"]);
   t.is(node.lastPollOf("w1").worker, workerId("w1"));
+  const catalog = { ...CATALOG, revision: 2 };
+  node.readOperators({ type: "catalog", version: storeVersion(2), catalog });
+  t.deepEqual([...(node.state.work?.owned?.setAside.keys() ?? [])], [workerId("w2")]);
 });
 
 // Guards against workers that are lost to an owner whose catalog is read after their registrations.
