--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -7,7 +7,8 @@
   tickCalls,
 } from "./calls/callResults.js";
 import { callAbandoned, callArrived } from "./calls/calls.js";
-import { CLOCK_JUMP, CLOCK_TICK, SHUTDOWN, OWNERSHIP, SCAN, STORE } from "./constants.js";
+import { detectClockJump } from "./clockJump.js";
+import { CLOCK_TICK, SHUTDOWN, OWNERSHIP, SCAN, STORE } from "./constants.js";
 import { placeAndAllocate } from "./placement/planning.js";
 import type { WorkEvent } from "./events.js";
 import {
@@ -50,32 +51,6 @@
 import { tickWorkers } from "./workers/workerPolls.js";
 import { workerPolled, workerPollFailed } from "./workers/workers.js";
 
-/**
- * Detects a suspension of the machine as a jump between the wall clock and the monotonic clock,
- * which stands still during it. After a jump, no view and no ownership counts as fresh until it is
- * confirmed again.
- */
-const detectClockJump = (turn: Turn, wallMs: number): void => {
-  const { work, nowMs } = turn;
-  const offsetMs = wallMs - nowMs;
-  const jumpMs = work.wallOffsetMs === null ? 0 : offsetMs - work.wallOffsetMs;
-  work.wallOffsetMs = offsetMs;
-  if (Math.abs(jumpMs) <= CLOCK_JUMP.TOLERANCE_MS) {
-    return;
-  }
-  logLine(turn, "warn", "clock.jumped", { byMs: Math.round(jumpMs) });
-  work.clockJumpedAtMs = nowMs;
-  work.ownerView.unchangedSinceMs = nowMs;
-  work.ownerView.viewAtMs = null;
-  for (const feed of Object.values(work.feeds)) {
-    feed.viewAtMs = null;
-  }
-  if (work.owned !== null) {
-    work.owned.confirmedAtMs = -Infinity;
-    work.owned.needsRenewal = true;
-  }
-};
-
 /**
  * Whether a scan was requested before this node last acquired ownership: other owners may have
  * changed the rows since.
