--- a/packages/core/tests/work/registrations.test.ts
+++ b/packages/core/tests/work/registrations.test.ts
@@ -3,6 +3,7 @@
 import { storeVersion, workerId, type StoreRow, type WorkerReport } from "../../src/index.js";
 import { OwnerNode, reportOf } from "./ownerNode.js";
 import { CATALOG } from "./siteFixtures.js";
+import { stepOf, workOf } from "./workSpecs.js";
 
 const BORN = { startWallMs: 100 };
 
@@ -89,6 +90,29 @@
   t.deepEqual(workerIds(node), ["w1"]);
 });
 
+// Guards against TWICE: the entry of a clone that kept the id of a worker counts as its restart.
+test("running work is started elsewhere because an entry in an unnamed pool has its worker's id", (t) => {
+  const node = new ReadingOwner();
+  node.register(reportOf("w1", 100));
+  node.answerPoll(node.nextPollOf("w1"), BORN);
+  node.submit("00000000000000aa", workOf([stepOf(1, 500, [])]));
+  node.run(SETTLE_MS);
+  const [start] = node.starts;
+  if (start === undefined) {
+    t.fail();
+    return;
+  }
+  node.answerStart(start, "started");
+  const { item, run } = start;
+  const running = [{ item, run, checkpoint: "", percent: 1, load: null }];
+  node.answerPoll(node.nextPollOf("w1"), { ...BORN, running });
+  node.register(reportOf("w2", 100, "10.0.0.2:1"));
+  node.answerPoll(node.nextPollOf("w2"), BORN);
+  node.register({ ...unnamedReport("w1"), startWallMs: 200 });
+  node.run(SETTLE_MS);
+  t.is(node.starts.length, 1);
+});
+
 // Guards against leases that lapse because a new owner has no catalog yet, or one without the pool.
 test("a worker whose pool is dropped while its work runs is not asked any more", (t) => {
   const lease = { pool: UNNAMED, items: {}, stopping: false };
