Give a host to a worker that has answered, not to the latest entry

Seen: one entry for each host of a service, with a later start than its worker, took all idle workers out of use for as long as it stood; five of five submissions waited for 14 s and more. Also while the owner changed, with work running, with entries that drain, or that nobody answers for. Cause: who stands for a host was decided by `born`, a figure that any writer states, before anyone had answered at the entry's address. Change: a host runs one worker at a time. If a worker answers a poll that was sent after another entry for its host was read, and nobody has answered for that entry, the host is the worker's. Until then, and once somebody has answered for the later entry, that one counts as before, so nothing is ordered at a worker whose host may have restarted; the worker is asked at once, without waiting for a run end. An entry without an answer for 3 s stands for no host, unless a lease row says that work may run there.

--- a/packages/core/src/work/hosts/demand.ts
+++ b/packages/core/src/work/hosts/demand.ts
@@ -53,7 +53,7 @@
 export const isSchedulable = (turn: Turn, owned: OwnedWork, worker: Worker): boolean =>
   worker.registered &&
   !worker.hostReclaimed &&
-  !isReplaced(owned, worker) &&
+  !isReplaced(turn, owned, worker) &&
   !worker.report.draining &&
   !isClosedByZone(turn.work.evacuations, worker.report, turn.nowMs) &&
   worker.reservedFor === null &&
--- a/packages/core/src/work/hosts/hostAllocation.ts
+++ b/packages/core/src/work/hosts/hostAllocation.ts
@@ -47,7 +47,7 @@
       ({ host, pool, up }) =>
         up &&
         isStandby(turn.work, pool) &&
-        workerOn(owned, host) === null &&
+        workerOn(turn, owned, host) === null &&
         isHostAvailable(turn, owned, host),
     )
     .map(({ host }) => ({ host, worker: null }));
@@ -59,7 +59,7 @@
   worker.reservedItems.size === 0 &&
   turn.nowMs - worker.idleSinceMs >= idleMs &&
   worker.report.host !== null &&
-  workerOn(owned, worker.report.host) === worker &&
+  workerOn(turn, owned, worker.report.host) === worker &&
   isHostAvailable(turn, owned, worker.report.host);
 
 /** Returns idle hosts that a pool can spare, longest idle first. */
--- a/packages/core/src/work/hosts/hostConstants.ts
+++ b/packages/core/src/work/hosts/hostConstants.ts
@@ -50,6 +50,8 @@
   MISSING_TIMEOUT_MS: 5_000,
   /** After this long an accepted order counts as carried out even without a new worker. */
   RETURN_TIMEOUT_MS: 8_000,
+  /** A worker that has not answered this long after its registration is not what its host runs. */
+  FIRST_ANSWER_OVERDUE_MS: 3_000,
   /** A worker listed this long after the planned end of maintenance was not affected by it. */
   UNCHANGED_WORKER_TIMEOUT_MS: 1_500,
   /** A sent order is carried out within this time or never, as its connection is then reset. */
--- a/packages/core/src/work/hosts/hostDrains.ts
+++ b/packages/core/src/work/hosts/hostDrains.ts
@@ -38,7 +38,7 @@
         worker.fenced &&
         worker.longRunningRuns === 0 &&
         worker.reservedItems.size === 0 &&
-        workerOn(owned, host) === worker &&
+        workerOn(turn, owned, host) === worker &&
         !owned.moves.has(host) &&
         mayOrderHost(turn, owned, host)
       );
@@ -73,7 +73,7 @@
 export const settleDrains = (turn: Turn, owned: OwnedWork): void => {
   for (const [host, drain] of owned.drains) {
     const worker = findIncarnation(owned, drain.worker);
-    const isCurrent = worker !== null && workerOn(owned, host) === worker;
+    const isCurrent = worker !== null && workerOn(turn, owned, host) === worker;
     const timedOut = turn.nowMs - drain.startedAtMs > HOST_ALLOCATION.DRAIN_TIMEOUT_MS;
     const evacuated = isHostEvacuated(turn, owned, host);
     const drained = isCurrent && !evacuated && isDrained(turn, worker);
--- a/packages/core/src/work/hosts/hostMaintenance.ts
+++ b/packages/core/src/work/hosts/hostMaintenance.ts
@@ -94,7 +94,7 @@
       !wave.doneHosts.has(host) &&
       !isNeededElsewhere(owned, wave, host);
     if (isOurs) {
-      const worker = incarnationOf(workerOn(owned, host));
+      const worker = incarnationOf(workerOn(turn, owned, host));
       wave.hostsInMaintenance.set(host, {
         worker,
         orderedAtMs: turn.nowMs,
@@ -118,7 +118,7 @@
   if (expectedReturn === null) {
     return false;
   }
-  const worker = workerOn(owned, host);
+  const worker = workerOn(turn, owned, host);
   const listing = owned.hosts.get(host);
   const dueSinceMs = turn.nowMs - expectedReturn.trustWorkersFromMs;
   const replaced = worker !== null && !isIncarnation(worker, previousWorker) && dueSinceMs >= 0;
@@ -138,7 +138,7 @@
   wave: MaintenanceWave,
 ): void => {
   for (const [host, maintenance] of wave.hostsInMaintenance) {
-    const worker = workerOn(owned, host);
+    const worker = workerOn(turn, owned, host);
     if (isBack(turn, owned, host, maintenance)) {
       wave.hostsInMaintenance.delete(host);
       wave.doneHosts.add(host);
@@ -215,7 +215,7 @@
   wave: MaintenanceWave,
 ): void => {
   for (const [host, maintenance] of wave.hostsInMaintenance) {
-    const worker = workerOn(owned, host);
+    const worker = workerOn(turn, owned, host);
     if (maintenance.expectedReturn !== null) {
       continue;
     }
--- a/packages/core/src/work/hosts/hostMoves.ts
+++ b/packages/core/src/work/hosts/hostMoves.ts
@@ -63,7 +63,7 @@
 /** Ends moves whose host has joined its pool or is off, and moves that have timed out. */
 export const settleMoves = (turn: Turn, owned: OwnedWork): void => {
   for (const [host, move] of owned.moves) {
-    const worker = workerOn(owned, host);
+    const worker = workerOn(turn, owned, host);
     const waitedMs = turn.nowMs - move.orderedAtMs;
     const arrived =
       worker !== null && !isIncarnation(worker, move.worker) && worker.report.pool === move.to;
--- a/packages/core/src/work/hosts/hostOrders.ts
+++ b/packages/core/src/work/hosts/hostOrders.ts
@@ -43,7 +43,7 @@
  * seconds since the order was planned, and an evacuation of its zone may have begun.
  */
 const isStillValid = (turn: Turn, owned: OwnedWork, order: HostOrder): boolean => {
-  const worker = workerOn(owned, order.host);
+  const worker = workerOn(turn, owned, order.host);
   if (order.type === "power/move") {
     if (isHostEvacuated(turn, owned, order.host)) {
       return false;
--- a/packages/core/src/work/hosts/hostWorkers.ts
+++ b/packages/core/src/work/hosts/hostWorkers.ts
@@ -1,8 +1,10 @@
 import type { HostId } from "@heatherferry/common";
+import { HOST_TIMING } from "../constants.js";
 import { abandonRuns } from "../workers/abandonedRuns.js";
 import type { OwnedWork, Reservation, Worker, WorkerIncarnation } from "../state.js";
 import { removeOrphans } from "../workers/orphanedRuns.js";
 import type { Turn } from "../turn.js";
+import { markWorkerChanged } from "../workers/workerTimers.js";
 
 /** Returns the incarnation of a worker; null if there is no worker. */
 export const incarnationOf = (worker: Worker | null): WorkerIncarnation | null =>
@@ -35,6 +37,9 @@
     owned.workersByHost.set(host, new Set([worker]));
   } else {
     workers.add(worker);
+    workers.forEach((other) => {
+      markWorkerChanged(owned, other);
+    });
   }
 };
 
@@ -66,13 +71,52 @@
 };
 
 /**
- * Returns the worker that a host runs, which is the newest of its registered workers, since
- * registrations of earlier ones expire late; null if there is none.
+ * Whether a worker has shown that a host does not run the other, which never answered: a host runs
+ * one worker at a time, and this one answered a poll that was sent after the other was registered.
  */
-export const workerOn = (owned: OwnedWork, host: HostId): Worker | null => {
+const refutes = (worker: Worker, other: Worker): boolean =>
+  other.aliveAfterMs === null &&
+  worker.aliveAfterMs !== null &&
+  worker.aliveAfterMs >= other.registeredAtMs;
+
+const isRefuted = (worker: Worker, workers: ReadonlySet<Worker>): boolean => {
+  for (const other of workers) {
+    if (refutes(other, worker)) {
+      return true;
+    }
+  }
+  return false;
+};
+
+/**
+ * Whether the first answer of a worker is overdue, so that its registration stands for nobody. One
+ * with a lease row of a previous owner still does, since work may run there.
+ */
+const isUnanswered = ({ nowMs }: Turn, owned: OwnedWork, worker: Worker): boolean =>
+  nowMs - worker.registeredAtMs > HOST_TIMING.FIRST_ANSWER_OVERDUE_MS &&
+  !owned.unfencedLeases.has(worker.report.id);
+
+/** Whether a host may run a worker that is registered there, as far as answers tell. */
+const mayRun = (
+  turn: Turn,
+  owned: OwnedWork,
+  worker: Worker,
+  workers: ReadonlySet<Worker>,
+): boolean =>
+  worker.aliveAfterMs !== null ||
+  !(isUnanswered(turn, owned, worker) || isRefuted(worker, workers));
+
+/**
+ * Returns the worker that a host runs: the newest of its registered workers, since registrations of
+ * earlier ones expire late. A registration without an answer counts until an earlier worker has
+ * answered after it, or until its first answer is overdue. Null if the host runs none.
+ */
+export const workerOn = (turn: Turn, owned: OwnedWork, host: HostId): Worker | null => {
+  const workers = owned.workersByHost.get(host);
   let newest: Worker | null = null;
-  for (const worker of owned.workersByHost.get(host) ?? []) {
-    if (newest === null || isNewer(worker, newest)) {
+  for (const worker of workers ?? []) {
+    const isCandidate = newest === null || isNewer(worker, newest);
+    if (isCandidate && workers !== undefined && mayRun(turn, owned, worker, workers)) {
       newest = worker;
     }
   }
@@ -80,12 +124,27 @@
 };
 
 /** Whether a newer worker runs on a worker's host. */
-export const isReplaced = (owned: OwnedWork, worker: Worker): boolean => {
+export const isReplaced = (turn: Turn, owned: OwnedWork, worker: Worker): boolean => {
   const { host } = worker.report;
   return (
     host !== null &&
     (owned.workersByHost.get(host)?.size ?? 0) > 1 &&
-    workerOn(owned, host) !== worker
+    workerOn(turn, owned, host) !== worker
+  );
+};
+
+/**
+ * Whether only an answer of a worker can tell that its host still runs it: another one is registered
+ * there and has not answered, and this one has answered no poll since.
+ */
+export const isContested = (owned: OwnedWork, worker: Worker): boolean => {
+  const { host } = worker.report;
+  const others = host === null ? undefined : owned.workersByHost.get(host);
+  if (others === undefined || others.size < 2 || !others.has(worker)) {
+    return false;
+  }
+  return [...others].some(
+    (other) => other !== worker && other.aliveAfterMs === null && !refutes(worker, other),
   );
 };
 
--- a/packages/core/src/work/hosts/hosts.ts
+++ b/packages/core/src/work/hosts/hosts.ts
@@ -127,11 +127,14 @@
   turn.nowMs >= (owned.inheritedOrders.get(host) ?? -Infinity);
 
 /** Returns the availability zone of a host; null if neither a list nor its worker tells. */
-export const zoneOfHost = (owned: OwnedWork, host: HostId): AvailabilityZoneId | null =>
-  owned.hosts.get(host)?.availabilityZone ?? workerOn(owned, host)?.report.availabilityZone ?? null;
+export const zoneOfHost = (turn: Turn, owned: OwnedWork, host: HostId): AvailabilityZoneId | null =>
+  owned.hosts.get(host)?.availabilityZone ??
+  workerOn(turn, owned, host)?.report.availabilityZone ??
+  null;
 
 /** Whether a host is in a zone that is being evacuated, so that it must not change its pool. */
-export const isHostEvacuated = ({ work }: Turn, owned: OwnedWork, host: HostId): boolean => {
-  const zone = work.evacuations.requests.size === 0 ? null : zoneOfHost(owned, host);
-  return zone !== null && isEvacuated(work.evacuations, zone);
+export const isHostEvacuated = (turn: Turn, owned: OwnedWork, host: HostId): boolean => {
+  const { evacuations } = turn.work;
+  const zone = evacuations.requests.size === 0 ? null : zoneOfHost(turn, owned, host);
+  return zone !== null && isEvacuated(evacuations, zone);
 };
--- a/packages/core/src/work/hosts/maintenanceWaves.ts
+++ b/packages/core/src/work/hosts/maintenanceWaves.ts
@@ -90,7 +90,7 @@
 ): number => {
   const { durationMs, maxHostsOut } = wave.request;
   const workers = remaining
-    .map((host) => workerOn(owned, host))
+    .map((host) => workerOn(turn, owned, host))
     .filter((worker) => worker !== null);
   const rounds = Math.max(1, Math.ceil(workers.length / Math.max(1, maxHostsOut)));
   const hasLongRunning = workers.some(({ longRunningRuns }) => longRunningRuns > 0);
@@ -144,7 +144,7 @@
   const mustDrainBusy = slackLeftMs <= WAVE_TIMING.DEADLINE_MARGIN_MS;
   const candidates = remaining
     .filter((host) => !owned.moves.has(host) && mayOrderHost(turn, owned, host))
-    .map((host) => ({ host, worker: workerOn(owned, host) }))
+    .map((host) => ({ host, worker: workerOn(turn, owned, host) }))
     .filter(({ host, worker }) =>
       worker === null
         ? isOff(turn, owned, host) || (slackLeftMs <= 0 && !runsOnUnlistedWorker(owned, host))
@@ -192,7 +192,7 @@
     return;
   }
   for (const host of wave.request.hosts) {
-    if (owned.hosts.has(host) || workerOn(owned, host) !== null) {
+    if (owned.hosts.has(host) || workerOn(turn, owned, host) !== null) {
       wave.missingSinceMs.delete(host);
       continue;
     }
--- a/packages/core/src/work/workers/workerAvailability.ts
+++ b/packages/core/src/work/workers/workerAvailability.ts
@@ -65,7 +65,7 @@
   if (worker.hostReclaimed) {
     return WORKER_CLOSURE.HOST_RECLAIMED;
   }
-  return isReplaced(owned, worker) ? WORKER_CLOSURE.REPLACED : null;
+  return isReplaced(turn, owned, worker) ? WORKER_CLOSURE.REPLACED : null;
 };
 
 /** Returns why a worker accepts no new work for the moment; null if it does. */
--- a/packages/core/src/work/workers/workerPolls.ts
+++ b/packages/core/src/work/workers/workerPolls.ts
@@ -1,3 +1,4 @@
+import { isContested } from "../hosts/hostWorkers.js";
 import { isOwnershipConfirmed } from "../ownership/ownershipConfirmation.js";
 import { CLOCK_TICK, LEASE } from "../constants.js";
 import { countSteps } from "../handlingCost.js";
@@ -93,7 +94,11 @@
  * @returns Whether a poll was sent.
  */
 const pollIfDue = (turn: Turn, owned: OwnedWork, worker: Worker): boolean => {
-  if (worker.pollOrder !== null || !needsPoll(worker) || !isOwnershipConfirmed(turn, owned)) {
+  if (
+    worker.pollOrder !== null ||
+    !needsPoll(owned, worker) ||
+    !isOwnershipConfirmed(turn, owned)
+  ) {
     return false;
   }
   if (turn.nowMs < worker.nextPollAtMs) {
@@ -103,6 +108,7 @@
     worker.fenced &&
     worker.runs.size > 0 &&
     !worker.unreachable &&
+    !isContested(owned, worker) &&
     isClockCurrent(turn, worker) &&
     !isUnresponsive(turn, worker);
   worker.lastPollAtMs = turn.nowMs;
--- a/packages/core/src/work/workers/workerState.ts
+++ b/packages/core/src/work/workers/workerState.ts
@@ -101,6 +101,11 @@
    * answer, since the answer may have been on its way for long.
    */
   polledAtMs: number | null;
+  /**
+   * When the last poll that this incarnation has answered was sent: the earliest time at which it
+   * can have written the answer. Null if it has answered none of this owner's.
+   */
+  aliveAfterMs: number | null;
   /** Number of items in its last lease row, which may list ended ones until they are stored. */
   recordedItems: number;
   /** Number of runs in the last poll answer. */
--- a/packages/core/src/work/workers/workerTimers.ts
+++ b/packages/core/src/work/workers/workerTimers.ts
@@ -1,6 +1,7 @@
 import { isOwnershipConfirmed } from "../ownership/ownershipConfirmation.js";
 import { CLOCK_TICK } from "../constants.js";
 import { unknownLeaseEndsAtMs } from "./leaseTimes.js";
+import { isContested } from "../hosts/hostWorkers.js";
 import { runsNothing } from "./workerResources.js";
 import type { OwnedWork, Worker } from "../state.js";
 import type { Turn } from "../turn.js";
@@ -11,9 +12,10 @@
 };
 
 /** Whether a worker has to be polled for what runs there and what has ended. */
-export const needsPoll = (worker: Worker): boolean =>
+export const needsPoll = (owned: OwnedWork, worker: Worker): boolean =>
   !worker.hostReclaimed &&
   (!worker.fenced ||
+    isContested(owned, worker) ||
     worker.unreachable ||
     worker.leaseUnverified ||
     !runsNothing(worker) ||
@@ -22,7 +24,7 @@
 
 /** Returns when a worker's next poll is due; Infinity while one is in flight or none is needed. */
 const nextPollMs = (turn: Turn, owned: OwnedWork, worker: Worker): number => {
-  if (worker.pollOrder !== null || !needsPoll(worker)) {
+  if (worker.pollOrder !== null || !needsPoll(owned, worker)) {
     return Infinity;
   }
   return isOwnershipConfirmed(turn, owned)
--- a/packages/core/src/work/workers/workers.ts
+++ b/packages/core/src/work/workers/workers.ts
@@ -47,6 +47,7 @@
   acknowledgedSequence: 0,
   pollWaitMs: 0,
   polledAtMs: null,
+  aliveAfterMs: null,
   recordedItems: 0,
   listedRuns: 0,
   acknowledgementWithheld: false,
@@ -210,6 +211,7 @@
     return;
   }
   worker.polledAtMs = Math.min(turn.nowMs, event.sentAtMs + worker.pollWaitMs);
+  worker.aliveAfterMs = event.sentAtMs;
   leaseVerified(owned, worker);
   worker.listedRuns = event.running.length;
   updateReport(turn, worker, report);
