Take a worker for restarted once its next incarnation has answered

Cause: a registration alone was a restart, or a change of address. Change: such an entry is a rival. It is polled beside the known incarnation, which is asked at once. Whoever answers a poll sent after the entry was read stands for the id; until then the worker gets no starts, leases or acknowledgements (`contested`), and its runs stay booked until their lease ends, by late orders to the next incarnation as well. The answer of a rival counts as its first poll, so an honest restart takes no poll more. An entry that was refuted is not asked about again; that of the incarnation before an adopted rival counts as refuted. Poll answers move to a file of their own. Tests: a listed run ended with the registration of the next incarnation, its lease row was rewritten then, and it gave up its place as exemplar. Now its answer does all three; these tests let it answer, and hold that nothing happens before.

--- a/packages/core/src/work/hosts/hostWorkers.ts
+++ b/packages/core/src/work/hosts/hostWorkers.ts
@@ -77,7 +77,7 @@
 const refutes = (worker: Worker, other: Worker): boolean =>
   other.aliveAfterMs === null &&
   worker.aliveAfterMs !== null &&
-  worker.aliveAfterMs >= other.registeredAtMs;
+  worker.aliveAfterMs > other.registeredAtMs;
 
 const isRefuted = (worker: Worker, workers: ReadonlySet<Worker>): boolean => {
   for (const other of workers) {
--- a/packages/core/src/work/reduceWork.ts
+++ b/packages/core/src/work/reduceWork.ts
@@ -49,7 +49,7 @@
 import { logLine, type Turn } from "./turn.js";
 import { handleMaintenanceAnswer } from "./hosts/hostMaintenance.js";
 import { tickWorkers } from "./workers/workerPolls.js";
-import { workerPolled, workerPollFailed } from "./workers/workers.js";
+import { workerPolled, workerPollFailed } from "./workers/pollAnswers.js";
 
 /**
  * Whether a scan was requested before this node last acquired ownership: other owners may have
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -51,6 +51,7 @@
   Arrival,
   PoolWork,
   TeamUse,
+  RivalRegistration,
 } from "./workers/workerState.js";
 
 /** The longest recent age of a confirmation when the next one arrived, as of a time. */
--- a/packages/core/src/work/workers/abandonedRuns.ts
+++ b/packages/core/src/work/workers/abandonedRuns.ts
@@ -1,6 +1,6 @@
 import { ORDER, RUN_PHASE } from "../constants.js";
 import { recordAbandonedRun } from "./abandonedRunLog.js";
-import { expectLateLeases } from "./earlierLeases.js";
+import { expectLateLeases, leasesOfRivalEndAtMs } from "./earlierLeases.js";
 import { chargeRun } from "./workerResources.js";
 import { removeRun, hasUnresolvedStart } from "./runs.js";
 import type { OwnedWork, Run, Worker } from "../state.js";
@@ -52,13 +52,20 @@
   }
 };
 
-/** Returns until when a worker may still carry out start orders that it hasn't answered. */
-const unresolvedUntilMs = (worker: Worker): number =>
-  Math.max(
+/**
+ * Returns until when runs may go on by start orders that a worker hasn't answered; -Infinity if it
+ * has answered all. If it may have restarted, a late order can grant its next incarnation a lease.
+ */
+const unresolvedUntilMs = (turn: Turn, owned: OwnedWork, worker: Worker): number => {
+  const untilMs = Math.max(
     ...[...worker.runs.values()]
       .filter((run) => hasUnresolvedStart(run))
       .map(({ startSentAtMs }) => (startSentAtMs ?? -Infinity) + ORDER.MAX_DELAY_MS),
   );
+  return Number.isFinite(untilMs)
+    ? Math.max(untilMs, leasesOfRivalEndAtMs(turn, owned, worker))
+    : untilMs;
+};
 
 /**
  * Abandons the runs of a worker whose lease has expired, since nothing runs there any more. Runs
@@ -66,7 +73,7 @@
  * these out.
  */
 export const leaseExpired = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
-  const untilMs = unresolvedUntilMs(worker);
+  const untilMs = unresolvedUntilMs(turn, owned, worker);
   const mayStartLate = turn.nowMs < untilMs;
   worker.leaseEndsAtMs = mayStartLate ? untilMs : null;
   for (const run of [...worker.runs.values()]) {
--- a/packages/core/src/work/workers/earlierLeases.ts
+++ b/packages/core/src/work/workers/earlierLeases.ts
@@ -18,7 +18,7 @@
  * whichever owner sent it.
  */
 
-const clockNowMs = (turn: Turn, { clock }: Worker): number | null =>
+const clockNowMs = (turn: Turn, { clock }: Pick<Worker, "clock">): number | null =>
   clock === null ? null : clock.clockMs + (turn.nowMs - clock.atMs);
 
 /** Orders to an incarnation that the next one may carry out. */
@@ -44,7 +44,7 @@
 };
 
 /** Returns when the last lease has ended that one of the orders may grant the next incarnation. */
-const lateLeaseEndMs = (turn: Turn, next: Worker, orders: EarlierOrders): number => {
+const lateLeaseEndMs = (turn: Turn, next: Pick<Worker, "clock">, orders: EarlierOrders): number => {
   const lastGrantAtMs = orders.sentAtMs + ORDER.MAX_DELAY_MS;
   const leftMs = Math.max(0, orders.untilClockMs - (clockNowMs(turn, next) ?? 0));
   return Math.min(
@@ -75,6 +75,22 @@
   }
 };
 
+/**
+ * Returns when the last lease has ended that an order to a worker may grant the incarnation that an
+ * open rival registration names; -Infinity if there is none.
+ */
+export const leasesOfRivalEndAtMs = (turn: Turn, owned: OwnedWork, worker: Worker): number => {
+  const { rival } = worker;
+  if (rival?.refuted !== false) {
+    return -Infinity;
+  }
+  const { clockMs } = rival.report;
+  const next = { clock: clockMs === null ? null : { clockMs, atMs: rival.readAtMs } };
+  return Math.max(
+    ...ordersTo(turn, owned, worker).map((orders) => lateLeaseEndMs(turn, next, orders)),
+  );
+};
+
 /**
  * Expects the leases that previous owners have granted a worker, once it has confirmed this owner's
  * fencing token and thus accepts no further order of theirs.
--- a/packages/core/src/work/workers/incarnations.ts
+++ b/packages/core/src/work/workers/incarnations.ts
@@ -6,12 +6,11 @@
 import type { Turn } from "../turn.js";
 import type { WorkerReport } from "../types.js";
 
-/**
- * Returns the target fields of a new order or poll: the worker's known incarnation and a new order
- * number.
- */
-export const targetOf = (owned: OwnedWork, worker: Worker): OrderTarget => {
-  const { id, address, startWallMs } = worker.report;
+/** Returns the target fields of a new poll of the incarnation that a registration names. */
+export const targetNamedBy = (
+  owned: OwnedWork,
+  { id, address, startWallMs }: WorkerReport,
+): OrderTarget => {
   owned.ordersSent += 1;
   return {
     worker: id,
@@ -23,6 +22,13 @@
   };
 };
 
+/**
+ * Returns the target fields of a new order or poll: the worker's known incarnation and a new order
+ * number.
+ */
+export const targetOf = (owned: OwnedWork, worker: Worker): OrderTarget =>
+  targetNamedBy(owned, worker.report);
+
 /** Returns the target fields of an order that its answer repeats. */
 export const echoedTarget = (order: WorkerTarget): WorkerTarget => ({
   worker: order.worker,
--- a/packages/core/src/work/workers/leases.ts
+++ b/packages/core/src/work/workers/leases.ts
@@ -1,6 +1,7 @@
 import { LEASE } from "../constants.js";
 import { leaseTermMs } from "./leaseTimes.js";
 import { pollGapMs } from "../loopLag.js";
+import { hasOpenRival } from "./rivalRegistrations.js";
 import type { Worker } from "../state.js";
 import type { Turn } from "../turn.js";
 
@@ -53,6 +54,7 @@
 export const mayExtendByPoll = (turn: Turn, worker: Worker): boolean =>
   worker.runs.size > 0 &&
   !worker.unreachable &&
+  !hasOpenRival(worker) &&
   worker.polledAtMs !== null &&
   turn.nowMs - worker.polledAtMs <= LEASE.EXTEND_WITHIN_MS &&
   !isUnresponsive(turn, worker);
--- a/packages/core/src/work/workers/workerAvailability.ts
+++ b/packages/core/src/work/workers/workerAvailability.ts
@@ -1,7 +1,8 @@
 import type { ValueOf } from "@heatherferry/common";
 import { isClosedByZone } from "../evacuation/index.js";
-import { isReplaced } from "../hosts/hostWorkers.js";
+import { isContested, isReplaced } from "../hosts/hostWorkers.js";
 import { isUnresponsive } from "./leases.js";
+import { hasOpenRival } from "./rivalRegistrations.js";
 import type { OwnedWork, Worker } from "../state.js";
 import type { Turn } from "../turn.js";
 
@@ -22,6 +23,11 @@
   /** It is kept free for a move or the maintenance of its host. */
   RESERVED: "reserved",
   HOST_RECLAIMED: "hostReclaimed",
+  /**
+   * Another registration names its host, or its id with another start or address, and nobody has
+   * answered since.
+   */
+  CONTESTED: "contested",
   /** A newer worker runs on its host. */
   REPLACED: "replaced",
   /** It pauses after failures or a refused order. */
@@ -65,7 +71,13 @@
   if (worker.hostReclaimed) {
     return WORKER_CLOSURE.HOST_RECLAIMED;
   }
-  return isReplaced(turn, owned, worker) ? WORKER_CLOSURE.REPLACED : null;
+  if (hasOpenRival(worker)) {
+    return WORKER_CLOSURE.CONTESTED;
+  }
+  if (!isReplaced(turn, owned, worker)) {
+    return null;
+  }
+  return isContested(owned, worker) ? WORKER_CLOSURE.CONTESTED : WORKER_CLOSURE.REPLACED;
 };
 
 /** Returns why a worker accepts no new work for the moment; null if it does. */
--- a/packages/core/src/work/workers/workerPolls.ts
+++ b/packages/core/src/work/workers/workerPolls.ts
@@ -18,6 +18,7 @@
 import { removeExpiredOrphans } from "./orphanedRuns.js";
 import { wakeAfter, type Turn } from "../turn.js";
 import { needsPoll, setWorkerTimer, takeDueWorkers } from "./workerTimers.js";
+import { hasOpenRival, pollRivalIfDue } from "./rivalRegistrations.js";
 import { removeWorker } from "./workerSet.js";
 
 /**
@@ -28,7 +29,7 @@
 const removeUnregistered = (turn: Turn, owned: OwnedWork, worker: Worker): boolean => {
   const mayHoldLease =
     worker.leaseEndsAtMs !== null || unknownLeaseEndsAtMs(turn, worker) > turn.nowMs;
-  if (worker.registered || !runsNothing(worker) || mayHoldLease) {
+  if (worker.registered || !runsNothing(worker) || mayHoldLease || hasOpenRival(worker)) {
     return false;
   }
   removeWorker(owned, worker);
@@ -59,6 +60,7 @@
       continue;
     }
     pollsLeft -= pollsLeft > 0 && pollIfDue(turn, owned, worker) ? 1 : 0;
+    pollsLeft -= pollsLeft > 0 && pollRivalIfDue(turn, owned, worker) ? 1 : 0;
     owned.changedWorkers.delete(worker);
     setWorkerTimer(turn, owned, worker);
   }
@@ -81,6 +83,9 @@
  * incarnation.
  */
 const sequenceToAcknowledge = (turn: Turn, worker: Worker): number => {
+  if (hasOpenRival(worker)) {
+    return 0;
+  }
   const { polledAtMs, acknowledgementWithheld, durableSequence } = worker;
   const maxAgeMs = acknowledgementWithheld
     ? LEASE.ACKNOWLEDGE_AFTER_PROBE_MS
@@ -109,6 +114,7 @@
     worker.runs.size > 0 &&
     !worker.unreachable &&
     !isContested(owned, worker) &&
+    !hasOpenRival(worker) &&
     isClockCurrent(turn, worker) &&
     !isUnresponsive(turn, worker);
   worker.lastPollAtMs = turn.nowMs;
--- a/packages/core/src/work/workers/workerState.ts
+++ b/packages/core/src/work/workers/workerState.ts
@@ -37,6 +37,21 @@
   missingSinceMs: number | null;
 }
 
+/**
+ * A registration under the id of a known worker that names another incarnation or another address.
+ * Any writer may have stated it, so it counts once that incarnation has answered.
+ */
+export interface RivalRegistration {
+  readonly report: WorkerReport;
+  /** When it was read. */
+  readonly readAtMs: number;
+  /** Order number of the poll in flight to its address; null if there is none. */
+  pollOrder: number | null;
+  nextPollAtMs: number;
+  /** Whether the known incarnation has answered a poll that was sent after it was read. */
+  refuted: boolean;
+}
+
 /** A worker's incarnation as the owner knows it. */
 export interface Worker {
   report: WorkerReport;
@@ -49,10 +64,8 @@
    * contain the capacity.
    */
   reportCurrent: boolean;
-  /**
-   * A registration with an earlier start time: stale, or written after the wall clock was set back.
-   */
-  earlierReport: WorkerReport | null;
+  /** The latest registration under its id that does not describe it; null if there is none. */
+  rival: RivalRegistration | null;
   /** When it is no longer slow after its start, on this node's clock. */
   coldUntilMs: number;
   /** A sample of its clock, which read `clockMs` when this node's clock read `atMs`. */
--- a/packages/core/src/work/workers/workerTimers.ts
+++ b/packages/core/src/work/workers/workerTimers.ts
@@ -2,6 +2,7 @@
 import { CLOCK_TICK } from "../constants.js";
 import { unknownLeaseEndsAtMs } from "./leaseTimes.js";
 import { isContested } from "../hosts/hostWorkers.js";
+import { hasOpenRival, nextRivalPollMs } from "./rivalRegistrations.js";
 import { runsNothing } from "./workerResources.js";
 import type { OwnedWork, Worker } from "../state.js";
 import type { Turn } from "../turn.js";
@@ -16,19 +17,19 @@
   !worker.hostReclaimed &&
   (!worker.fenced ||
     isContested(owned, worker) ||
+    hasOpenRival(worker) ||
     worker.unreachable ||
     worker.leaseUnverified ||
     !runsNothing(worker) ||
     worker.seenSequence > worker.durableSequence ||
     worker.acknowledgedSequence < worker.durableSequence);
 
-/** Returns when a worker's next poll is due; Infinity while one is in flight or none is needed. */
+/** Returns when the next poll of a worker or of its rival is due; Infinity if none is needed. */
 const nextPollMs = (turn: Turn, owned: OwnedWork, worker: Worker): number => {
-  if (worker.pollOrder !== null || !needsPoll(owned, worker)) {
-    return Infinity;
-  }
-  return isOwnershipConfirmed(turn, owned)
-    ? worker.nextPollAtMs
+  const isNeeded = worker.pollOrder === null && needsPoll(owned, worker);
+  const atMs = Math.min(isNeeded ? worker.nextPollAtMs : Infinity, nextRivalPollMs(worker));
+  return !Number.isFinite(atMs) || isOwnershipConfirmed(turn, owned)
+    ? atMs
     : turn.nowMs + CLOCK_TICK.UNCONFIRMED_RECHECK_MS;
 };
 
--- a/packages/core/src/work/workers/workers.ts
+++ b/packages/core/src/work/workers/workers.ts
@@ -1,24 +1,14 @@
-import { LEASE, INCARNATION_RELATION } from "../constants.js";
-import type { IncarnationRelation, WorkEvent } from "../events.js";
 import { addHostWorker, removeHostWorker } from "../hosts/hostWorkers.js";
-import { expectPreviousLeases, leaseVerified } from "./earlierLeases.js";
-import { recordWorkerClock } from "./leases.js";
-import { relateIncarnation, updateReport, answeringWorker } from "./incarnations.js";
-import { logOtherIncarnation } from "./otherIncarnation.js";
+import { updateReport } from "./incarnations.js";
 import { addKind } from "../hosts/hosts.js";
-import { paceFillers } from "./pacing.js";
 import { poolOf } from "../hosts/pools.js";
-import { runEnded, runListed } from "./runEnds.js";
-import { logOvercommitment } from "./overcommitment.js";
 import { transferRuns, abandonRuns } from "./abandonedRuns.js";
+import { isRivalOf, noteRival } from "./rivalRegistrations.js";
 import type { OwnedWork, Worker } from "../state.js";
 import { logLine, type Turn } from "../turn.js";
 import { removeOrphans } from "./orphanedRuns.js";
-import { abandonMissingRuns } from "./missingRuns.js";
-import { pollGapMs } from "../loopLag.js";
-import { stopStalledRuns } from "./stalledRuns.js";
 import { NO_RESOURCES } from "./workerResources.js";
-import { removeWorker, updateDraining, addWorker, noteAnswered } from "./workerSet.js";
+import { removeWorker, updateDraining, addWorker } from "./workerSet.js";
 import { markWorkerChanged } from "./workerTimers.js";
 import type { WorkerId, WorkerReport } from "../types.js";
 
@@ -27,7 +17,7 @@
   registeredAtMs: turn.nowMs,
   registered: true,
   reportCurrent,
-  earlierReport: null,
+  rival: null,
   coldUntilMs: turn.nowMs + report.coldRemainingMs,
   clock: report.clockMs === null ? null : { clockMs: report.clockMs, atMs: turn.nowMs },
   leaseEndsAtMs: null,
@@ -72,7 +62,13 @@
   hostReclaimed: false,
 });
 
-const discardWorker = (turn: Turn, owned: OwnedWork, worker: Worker, reason: string): void => {
+/** Removes a worker and abandons what is booked on it. */
+export const discardWorker = (
+  turn: Turn,
+  owned: OwnedWork,
+  worker: Worker,
+  reason: string,
+): void => {
   removeWorker(owned, worker);
   abandonRuns(turn, owned, worker, reason);
   removeOrphans(owned, worker);
@@ -85,17 +81,18 @@
  * @param reportCurrent - Whether the report describes the new incarnation; otherwise it is the
  *   previous one's report with a new start time.
  */
-const replaceIncarnation = (
+export const replaceIncarnation = (
   turn: Turn,
   owned: OwnedWork,
   worker: Worker,
   report: WorkerReport,
   reportCurrent: boolean,
-): void => {
+): Worker => {
   const replacement = newWorker(turn, report, reportCurrent);
   transferRuns(turn, owned, worker, replacement);
   discardWorker(turn, owned, worker, "the worker restarted");
   register(turn, owned, replacement);
+  return replacement;
 };
 
 const register = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
@@ -115,23 +112,13 @@
   });
 };
 
-/** Handles a worker's registration, whether new or changed. */
-export const workerRegistered = (turn: Turn, owned: OwnedWork, report: WorkerReport): void => {
-  const worker = owned.workers.get(report.id);
-  if (worker === undefined) {
-    register(turn, owned, newWorker(turn, report, true));
-    return;
-  }
-  const relation = relateIncarnation(worker.report, report.startWallMs);
-  if (relation === INCARNATION_RELATION.NEXT) {
-    replaceIncarnation(turn, owned, worker, report, true);
-  }
-  if (relation === INCARNATION_RELATION.EARLIER) {
-    worker.earlierReport = report;
-  }
-  if (relation !== INCARNATION_RELATION.SAME) {
-    return;
-  }
+/** Replaces the report of a worker by a newer one of the same incarnation. */
+export const applyReport = (
+  turn: Turn,
+  owned: OwnedWork,
+  worker: Worker,
+  report: WorkerReport,
+): void => {
   const changed = worker.report.draining !== report.draining || !worker.registered;
   if (changed) {
     logLine(turn, "info", "worker.changed", {
@@ -152,9 +139,27 @@
   poolOf(owned, report.pool).dirty ||= changed;
 };
 
+/**
+ * Handles a worker's registration, whether new or changed. One that names another incarnation or
+ * address than the known ones counts once that incarnation has answered.
+ */
+export const workerRegistered = (turn: Turn, owned: OwnedWork, report: WorkerReport): void => {
+  const worker = owned.workers.get(report.id);
+  if (worker === undefined) {
+    register(turn, owned, newWorker(turn, report, true));
+  } else if (isRivalOf(worker, report)) {
+    noteRival(turn, owned, worker, report);
+  } else {
+    applyReport(turn, owned, worker, report);
+  }
+};
+
 /** Handles the removal of a worker's registration. Its runs count until its lease expires. */
 export const workerDeregistered = (turn: Turn, owned: OwnedWork, id: WorkerId): void => {
   const worker = owned.workers.get(id);
+  if (worker !== undefined) {
+    worker.rival = null;
+  }
   if (worker?.registered === true) {
     worker.registered = false;
     removeHostWorker(owned, worker);
@@ -166,117 +171,3 @@
     });
   }
 };
-
-/**
- * Returns how the incarnation that answered a poll relates to the known one. An incarnation that
- * answers a poll sent after the known one was registered is the next one, even if its start time is
- * earlier because the host's wall clock was set back in between.
- */
-const answeringIncarnation = (
-  worker: Worker,
-  startWallMs: number | null,
-  sentAtMs: number,
-): IncarnationRelation => {
-  const relation = relateIncarnation(worker.report, startWallMs);
-  return relation === INCARNATION_RELATION.EARLIER && sentAtMs > worker.registeredAtMs
-    ? INCARNATION_RELATION.NEXT
-    : relation;
-};
-
-/** Handles a poll answer: the runs that a worker lists as running and as ended. */
-export const workerPolled = (
-  turn: Turn,
-  owned: OwnedWork,
-  event: Extract<WorkEvent, { type: "worker/looked" }>,
-): void => {
-  const worker = answeringWorker(turn, owned, event, "poll");
-  if (worker?.pollOrder !== event.order) {
-    return;
-  }
-  worker.pollOrder = null;
-  worker.nextPollAtMs = turn.nowMs + pollGapMs(turn.work);
-  markWorkerChanged(owned, worker);
-  const startWallMs = event.reportedStartWallMs ?? worker.report.startWallMs;
-  const report = { ...worker.report, startWallMs, clockMs: event.clockMs };
-  const relation = answeringIncarnation(worker, startWallMs, event.sentAtMs);
-  if (relation !== INCARNATION_RELATION.SAME) {
-    logOtherIncarnation(turn, worker, "poll", startWallMs);
-  }
-  if (relation === INCARNATION_RELATION.NEXT) {
-    const { earlierReport } = worker;
-    const reportCurrent = earlierReport?.startWallMs === startWallMs;
-    replaceIncarnation(turn, owned, worker, reportCurrent ? earlierReport : report, reportCurrent);
-  }
-  if (relation !== INCARNATION_RELATION.SAME) {
-    return;
-  }
-  worker.polledAtMs = Math.min(turn.nowMs, event.sentAtMs + worker.pollWaitMs);
-  worker.aliveAfterMs = event.sentAtMs;
-  leaseVerified(owned, worker);
-  worker.listedRuns = event.running.length;
-  updateReport(turn, worker, report);
-  recordWorkerClock(turn, worker, event.clockMs);
-  worker.unreachable = false;
-  if (!worker.fenced && event.endsComplete) {
-    worker.fenced = true;
-    noteAnswered(owned, worker);
-    // Only runs that the previous owner's lease row records can still be stopping there.
-    const previousLease = owned.unfencedLeases.get(worker.report.id);
-    if (previousLease !== undefined) {
-      owned.newlyFenced.add(worker.report.id);
-      expectPreviousLeases(turn, owned, worker, previousLease);
-    }
-    if (previousLease !== undefined && (previousLease.stopping || owned.unrecordedStopsPossible)) {
-      worker.capacityKnownAtMs = turn.nowMs + turn.work.bounds.stopMs;
-    }
-    poolOf(owned, worker.report.pool).dirty = true;
-  }
-  for (const end of event.ends) {
-    if (end.sequence > worker.seenSequence) {
-      runEnded(turn, owned, worker, end);
-      worker.seenSequence = end.sequence;
-      owned.workersWithUnpersistedEnds.add(worker);
-    }
-  }
-  for (const line of event.running) {
-    runListed(turn, owned, worker, line, event);
-  }
-  logOvercommitment(turn, owned, worker, event.running);
-  if (event.endsComplete) {
-    abandonMissingRuns(turn, owned, worker, event);
-  }
-  paceFillers(turn, owned, worker);
-  stopStalledRuns(turn, owned, worker);
-};
-
-/**
- * Handles a poll without an answer, or one that another incarnation answered at the worker's
- * address.
- */
-export const workerPollFailed = (
-  turn: Turn,
-  owned: OwnedWork,
-  event: Extract<WorkEvent, { type: "worker/lookFailed" }>,
-): void => {
-  const worker = answeringWorker(turn, owned, event, "poll");
-  if (worker?.pollOrder !== event.order) {
-    return;
-  }
-  worker.pollOrder = null;
-  worker.acknowledgedSequence = 0;
-  worker.unreachable = true;
-  worker.leaseUnverified ||= worker.leaseSentAtMs !== null;
-  worker.nextPollAtMs = turn.nowMs + LEASE.POLL_RETRY_MS;
-  markWorkerChanged(owned, worker);
-  logLine(turn, "warn", "worker.pollFailed", {
-    worker: event.worker,
-    pool: worker.report.pool,
-    wrongIncarnation: event.wrongIncarnation,
-    reason: event.reason,
-    silentMs: worker.answeredAtMs === null ? null : Math.round(turn.nowMs - worker.answeredAtMs),
-  });
-  if (event.wrongIncarnation) {
-    logOtherIncarnation(turn, worker, "poll", null);
-    discardWorker(turn, owned, worker, "another incarnation has its address");
-  }
-};
--- a/packages/core/tests/work/hostCapacity.test.ts
+++ b/packages/core/tests/work/hostCapacity.test.ts
@@ -40,5 +40,6 @@
   t.is(capacityOf(node)?.cpuMilli, 16_000);
   node.failPoll(node.nextPollOf("agent"), true);
   node.register({ ...registrationWith("w1", 8_000), startWallMs: 200 });
+  node.answerPoll(node.nextPollOf("w1"), { startWallMs: 200 });
   t.is(capacityOf(node)?.cpuMilli, 32_000);
 });
--- a/packages/core/tests/work/inheritedLeases.test.ts
+++ b/packages/core/tests/work/inheritedLeases.test.ts
@@ -178,8 +178,13 @@
 
 test("the row of a restarted worker does not tell of the lease that a late order may grant", (t) => {
   const node = ownerWithRun();
+  const earlier = node.writtenLeases("w").at(-1);
   node.register({ ...reportOf("w", NEXT_START_WALL_MS), clockMs: 0 });
   node.run(1_000);
+  t.is(earlier?.startWallMs, START_WALL_MS);
+  t.deepEqual(node.writtenLeases("w").at(-1), earlier);
+  node.answerPoll(node.lastPollOf("w"), { startWallMs: NEXT_START_WALL_MS, clockMs: 0 });
+  node.run(1_000);
   const [row] = node.writtenLeases("w").slice(-1);
   t.is(row?.startWallMs, NEXT_START_WALL_MS);
   t.true((row?.lateLeaseMs ?? 0) > 0);
--- a/packages/core/tests/work/nextIncarnation.test.ts
+++ b/packages/core/tests/work/nextIncarnation.test.ts
@@ -98,6 +98,9 @@
   node.answerPoll(node.nextPollOf("w"), { startWallMs: START_WALL_MS, running: [lineOf(start)] });
   node.register(reportOf("w", NEXT_START_WALL_MS));
   node.run(100);
+  t.is(startsOnOther(node), 0);
+  node.answerPoll(node.lastPollOf("w"), { startWallMs: NEXT_START_WALL_MS });
+  node.run(100);
   t.is(startsOnOther(node), 1);
 });
 
