Name the registration that keeps a worker from work

Seen: submission.starved said that the first worker with room was closed, but neither which worker nor by which entry; no line said that an entry is not believed, so the entry was found only by reading the table. Change: submission.starved names the worker and the registration that keeps it closed; worker.registrationRefuted names an entry once a worker's answer has shown that it names nobody, once for each id until it is gone, and not for entries of earlier workers, which expire late. A gauge counts them. While nobody has answered, a worker stays contested also after the first answer of the other is overdue. Measured: three new tests failed before (no such line or field) and pass now.

--- a/apps/work/src/registrationMetrics.ts
+++ b/apps/work/src/registrationMetrics.ts
@@ -21,6 +21,12 @@
     "Registrations in pools that the catalog does not name",
     () => state.work?.owned?.setAside.size ?? 0,
   );
+  registerGauge(
+    registry,
+    "heatherferry_registrations_refuted",
+    "Ids of registrations that name a host or an id whose worker has answered since",
+    () => state.work?.owned?.refutedRegistrations.size ?? 0,
+  );
   registerGauge(
     registry,
     "heatherferry_unreadable_rows",
--- a/packages/core/src/work/hosts/hostWorkers.ts
+++ b/packages/core/src/work/hosts/hostWorkers.ts
@@ -60,12 +60,16 @@
 /** Whether a worker has answered this owner, so that its registration is not one of nobody. */
 export const hasEverAnswered = ({ aliveAfterMs }: Worker): boolean => aliveAfterMs !== null;
 
+/** Whether both workers state when they started, and one did before the other. */
+export const startedBefore = (worker: Worker, other: Worker): boolean =>
+  worker.report.startWallMs !== null &&
+  other.report.startWallMs !== null &&
+  worker.report.startWallMs < other.report.startWallMs;
+
 /** Whether a worker started on its host after the other, as far as is known. */
 const isNewer = (worker: Worker, other: Worker): boolean => {
-  const startWallMs = worker.report.startWallMs;
-  const otherStartWallMs = other.report.startWallMs;
-  if (startWallMs !== null && otherStartWallMs !== null && startWallMs !== otherStartWallMs) {
-    return startWallMs > otherStartWallMs;
+  if (startedBefore(worker, other) || startedBefore(other, worker)) {
+    return startedBefore(other, worker);
   }
   if (hasAnswered(worker) !== hasAnswered(other)) {
     return hasAnswered(worker);
@@ -77,7 +81,7 @@
  * Whether a worker has shown that a host does not run the other, which never answered: a host runs
  * one worker at a time, and this one answered a poll that was sent after the other was registered.
  */
-const refutes = (worker: Worker, other: Worker): boolean =>
+export const refutes = (worker: Worker, other: Worker): boolean =>
   !hasEverAnswered(other) &&
   worker.aliveAfterMs !== null &&
   worker.aliveAfterMs > other.registeredAtMs;
@@ -136,18 +140,34 @@
 };
 
 /**
- * Whether only an answer of a worker can tell that its host still runs it: another one is registered
- * there and has not answered, and this one has answered no poll since.
+ * Returns another registration for a worker's host, perhaps of a newer worker, that nobody has
+ * answered for while this worker has answered no poll that was sent after it was read; null if there
+ * is none.
  */
-export const isContested = (owned: OwnedWork, worker: Worker): boolean => {
+const contenderOf = (owned: OwnedWork, worker: Worker): Worker | null => {
   const { host } = worker.report;
   const others = host === null ? undefined : owned.workersByHost.get(host);
   if (others === undefined || others.size < 2 || !others.has(worker)) {
-    return false;
+    return null;
   }
-  return [...others].some(
-    (other) => other !== worker && !hasEverAnswered(other) && !refutes(worker, other),
-  );
+  for (const other of others) {
+    const isOpen = !hasEverAnswered(other) && !refutes(worker, other);
+    if (other !== worker && isOpen && !startedBefore(other, worker)) {
+      return other;
+    }
+  }
+  return null;
+};
+
+/** Whether only an answer of a worker can tell that its host still runs it. */
+export const isContested = (owned: OwnedWork, worker: Worker): boolean =>
+  contenderOf(owned, worker) !== null;
+
+/** Returns the other worker or registration that keeps a worker's host from it; null if none does. */
+export const otherOnHost = (turn: Turn, owned: OwnedWork, worker: Worker): Worker | null => {
+  const { host } = worker.report;
+  const other = host === null ? null : (contenderOf(owned, worker) ?? workerOn(turn, owned, host));
+  return other === worker ? null : other;
 };
 
 /** Whether a worker is reserved by this reservation. */
--- a/packages/core/src/work/logClasses.ts
+++ b/packages/core/src/work/logClasses.ts
@@ -21,6 +21,7 @@
   "worker.registered",
   "worker.deregistered",
   "worker.poolUnnamed",
+  "worker.registrationRefuted",
   "worker.otherIncarnation",
   "worker.overcommitted",
   "host.moving",
--- a/packages/core/src/work/ownership/newOwnedWork.ts
+++ b/packages/core/src/work/ownership/newOwnedWork.ts
@@ -50,6 +50,7 @@
   workerTimers: new DueQueue(),
   changedWorkers: new Set(),
   setAside: new Map(),
+  refutedRegistrations: new Set(),
   drainingWorkers: new Set(),
   workersWithUnpersistedEnds: new Set(),
   stoppingRuns: new Set(),
--- a/packages/core/src/work/submissions/starvation.ts
+++ b/packages/core/src/work/submissions/starvation.ts
@@ -5,10 +5,13 @@
 import { mayStartRuns } from "../ownership/ownershipConfirmation.js";
 import { hasRoomFor, mayRunOn, withinCeiling } from "../placement/placement.js";
 import { mayFail } from "../placement/placementPass.js";
+import { otherOnHost } from "../hosts/hostWorkers.js";
 import { poolOf } from "../hosts/pools.js";
 import type { Item, OwnedWork, Submission, Worker } from "../state.js";
 import { poolOfSubmission } from "./submissionStates.js";
 import { logLine, type Turn } from "../turn.js";
+import type { WorkerId } from "../types.js";
+import { hasOpenRival } from "../workers/rivalRegistrations.js";
 import { closureOf, type WorkerClosure } from "../workers/workerAvailability.js";
 import { reservedResources } from "../workers/workerResources.js";
 
@@ -46,7 +49,9 @@
   /** Its first item that could run; null if none is ready. */
   readonly item: Item | null;
   readonly workersWithRoom: number;
-  /** Why the first of these workers accepts no new work; null if it does. */
+  /** The first of these workers; null if there is none. */
+  readonly worker: Worker | null;
+  /** Why this worker accepts no new work; null if it does. */
   readonly closure: WorkerClosure | null;
 }
 
@@ -57,7 +62,7 @@
   }
   const waits = owned.awaitingItemRoom.has(submission);
   const reason = waits ? STARVATION_REASON.ITEM_ROOM : STARVATION_REASON.NOT_READY;
-  return { reason, item: null, workersWithRoom: 0, closure: null };
+  return { reason, item: null, workersWithRoom: 0, worker: null, closure: null };
 };
 
 const reasonBesideRoom = (
@@ -139,15 +144,28 @@
     reason: reasonBesideRoom(turn, owned, item, withRoom),
     item,
     workersWithRoom: withRoom.length,
+    worker: first,
     closure: closureOf(turn, owned, first),
   };
 };
 
+/** Returns the id of the registration that keeps a worker closed; null if it is not another one. */
+const otherRegistration = (
+  turn: Turn,
+  owned: OwnedWork,
+  worker: Worker | null,
+): WorkerId | null => {
+  if (worker === null || hasOpenRival(worker)) {
+    return worker?.report.id ?? null;
+  }
+  return otherOnHost(turn, owned, worker)?.report.id ?? null;
+};
+
 const logStarvation = (
   turn: Turn,
   owned: OwnedWork,
   { row }: Submission,
-  { reason, item, workersWithRoom, closure }: Starvation,
+  { reason, item, workersWithRoom, worker, closure }: Starvation,
   idleMs: number,
 ): void => {
   logLine(turn, "warn", "submission.starved", {
@@ -157,6 +175,8 @@
     pool: poolOfSubmission(turn, row),
     reason,
     workersWithRoom,
+    worker: worker?.report.id ?? null,
+    otherRegistration: otherRegistration(turn, owned, worker),
     closure,
     idleMs: Math.round(idleMs),
     fence: Number(owned.fence),
--- a/packages/core/src/work/workers/pollAnswers.ts
+++ b/packages/core/src/work/workers/pollAnswers.ts
@@ -1,5 +1,6 @@
 import { LEASE, INCARNATION_RELATION } from "../constants.js";
 import type { IncarnationRelation, WorkEvent } from "../events.js";
+import { hasEverAnswered } from "../hosts/hostWorkers.js";
 import { poolOf } from "../hosts/pools.js";
 import { pollGapMs } from "../loopLag.js";
 import type { OwnedWork, RivalRegistration, Worker } from "../state.js";
@@ -12,6 +13,7 @@
 import { logOtherIncarnation } from "./otherIncarnation.js";
 import { logOvercommitment } from "./overcommitment.js";
 import { paceFillers } from "./pacing.js";
+import { logRefuted, logRefutedOnHost } from "./refutedRegistrations.js";
 import {
   isAnswerOfKnown,
   isAnswerOfRival,
@@ -61,6 +63,9 @@
   }
   adopted.rival = refutedRival(turn, previous);
   adopted.pollOrder = order;
+  if (!hasEverAnswered(worker)) {
+    logRefuted(turn, owned, previous, adopted);
+  }
 };
 
 /** Handles an answer at the address of a worker's rival. */
@@ -77,7 +82,7 @@
   if (isAnswerOfRival(rival, event)) {
     adoptRival(turn, owned, worker, rival, event.order);
   } else if (isAnswerOfKnown(worker, rival, event)) {
-    refuteRival(worker, event.sentAtMs);
+    refuteRival(turn, owned, worker, event.sentAtMs);
   }
 };
 
@@ -104,6 +109,7 @@
 /** Takes note that a worker accepts no orders of previous owners any more. */
 const fencingConfirmed = (turn: Turn, owned: OwnedWork, worker: Worker): void => {
   worker.fenced = true;
+  owned.refutedRegistrations.delete(worker.report.id);
   noteAnswered(owned, worker);
   // Only runs that the previous owner's lease row records can still be stopping there.
   const previousLease = owned.unfencedLeases.get(worker.report.id);
@@ -143,7 +149,6 @@
   if (relation !== INCARNATION_RELATION.SAME) {
     return;
   }
-  refuteRival(worker, event.sentAtMs);
   worker.polledAtMs = Math.min(turn.nowMs, event.sentAtMs + worker.pollWaitMs);
   worker.aliveAfterMs = event.sentAtMs;
   leaseVerified(owned, worker);
@@ -154,6 +159,8 @@
   if (!worker.fenced && event.endsComplete) {
     fencingConfirmed(turn, owned, worker);
   }
+  refuteRival(turn, owned, worker, event.sentAtMs);
+  logRefutedOnHost(turn, owned, worker);
   for (const end of event.ends) {
     if (end.sequence > worker.seenSequence) {
       runEnded(turn, owned, worker, end);
--- a/packages/core/src/work/workers/rivalRegistrations.ts
+++ b/packages/core/src/work/workers/rivalRegistrations.ts
@@ -5,6 +5,7 @@
 import type { Turn } from "../turn.js";
 import type { WorkerReport } from "../types.js";
 import { relateIncarnation, targetNamedBy } from "./incarnations.js";
+import { logRefuted } from "./refutedRegistrations.js";
 import { markWorkerChanged } from "./workerTimers.js";
 
 /**
@@ -57,9 +58,16 @@
 export const hasOpenRival = ({ rival }: Worker): boolean => rival?.refuted === false;
 
 /** Refutes the rival of a worker that has answered a poll sent after it was read. */
-export const refuteRival = ({ rival }: Worker, sentAtMs: number): void => {
-  if (rival !== null && sentAtMs > rival.readAtMs) {
+export const refuteRival = (
+  turn: Turn,
+  owned: OwnedWork,
+  worker: Worker,
+  sentAtMs: number,
+): void => {
+  const { rival } = worker;
+  if (rival?.refuted === false && sentAtMs > rival.readAtMs) {
     rival.refuted = true;
+    logRefuted(turn, owned, rival.report, worker);
   }
 };
 
--- a/packages/core/src/work/workers/workerAvailability.ts
+++ b/packages/core/src/work/workers/workerAvailability.ts
@@ -71,13 +71,10 @@
   if (worker.hostReclaimed) {
     return WORKER_CLOSURE.HOST_RECLAIMED;
   }
-  if (hasOpenRival(worker)) {
+  if (hasOpenRival(worker) || isContested(owned, worker)) {
     return WORKER_CLOSURE.CONTESTED;
   }
-  if (!isReplaced(turn, owned, worker)) {
-    return null;
-  }
-  return isContested(owned, worker) ? WORKER_CLOSURE.CONTESTED : WORKER_CLOSURE.REPLACED;
+  return isReplaced(turn, owned, worker) ? WORKER_CLOSURE.REPLACED : null;
 };
 
 /** Returns why a worker accepts no new work for the moment; null if it does. */
--- a/packages/core/src/work/workers/workers.ts
+++ b/packages/core/src/work/workers/workers.ts
@@ -157,6 +157,7 @@
 /** Handles the removal of a worker's registration. Its runs count until its lease expires. */
 export const workerDeregistered = (turn: Turn, owned: OwnedWork, id: WorkerId): void => {
   const worker = owned.workers.get(id);
+  owned.refutedRegistrations.delete(id);
   if (worker !== undefined) {
     worker.rival = null;
   }
--- a/packages/core/tests/work/contestedHosts.test.ts
+++ b/packages/core/tests/work/contestedHosts.test.ts
@@ -1,6 +1,6 @@
 import { hostId } from "@heatherferry/common";
 import test, { type ExecutionContext } from "ava";
-import { storeVersion, type WorkerReport } from "../../src/index.js";
+import { storeVersion, WORKER_CLOSURE, type WorkerReport } from "../../src/index.js";
 import { OwnerNode, reportOf, type PollEffect } from "./ownerNode.js";
 import { stepOf, workOf } from "./workSpecs.js";
 
@@ -150,3 +150,26 @@
   submitOne(node, "00000000000000bb");
   t.deepEqual(startedOn(node), ["w1", "w1"]);
 });
+
+test("no line names the registration that keeps a host from its worker, or each poll has one", (t) => {
+  const node = nodeWithWorker();
+  node.register(AGENT);
+  runWithDeadAgent(node, SETTLE_MS);
+  node.register({ ...AGENT, startWallMs: LATER_WALL_MS + 1 });
+  runWithDeadAgent(node, SETTLE_MS);
+  t.like(
+    node.logged("worker.registrationRefuted").map(({ fields }) => fields),
+    [{ registration: AGENT.id, host: AGENT.host, address: AGENT.address, worker: "w1" }],
+  );
+});
+
+test("a submission that waits for a contested worker does not lead to the registration", (t) => {
+  const node = nodeWithWorker();
+  node.register(AGENT);
+  submitOne(node);
+  node.run(4_000);
+  t.like(
+    node.logged("submission.starved").map(({ fields }) => fields),
+    [{ closure: WORKER_CLOSURE.CONTESTED, worker: "w1", otherRegistration: "agent" }],
+  );
+});
--- a/packages/core/tests/work/rivalRegistrations.test.ts
+++ b/packages/core/tests/work/rivalRegistrations.test.ts
@@ -195,3 +195,15 @@
   submitOne(node, "00000000000000bb");
   t.is(node.starts.length, 1);
 });
+
+test("no line names the registration that has a worker's id, or each of its changes has one", (t) => {
+  const node = nodeWithWorker();
+  for (const startWallMs of [LATER_WALL_MS, LATER_WALL_MS + 1]) {
+    node.register({ ...AGENT, startWallMs });
+    runWithDeadAgent(node, SETTLE_MS);
+  }
+  t.like(
+    node.logged("worker.registrationRefuted").map(({ fields }) => fields),
+    [{ registration: "w", address: AGENT.address, worker: "w" }],
+  );
+});
