--- a/packages/core/tests/work/siteWorkers.ts
+++ b/packages/core/tests/work/siteWorkers.ts
@@ -27,6 +27,12 @@
 /** Longest delay until a restarted worker writes its registration. */
 const MAX_REGISTRATION_DELAY_MS = 800;
 
+/** Interval at which workers and other writers register. */
+const HEARTBEAT_MS = 1_500;
+
+/** An address of another writer, which answers no call. */
+const FOREIGN_ADDRESS = address("10.9.0.1:1");
+
 const DEFAULT_ZONE = availabilityZoneId("a");
 
 const CAPACITY: Resources = { cpuMilli: 4_000, memoryMb: 10_000, gpus: 0 };
@@ -102,6 +108,39 @@
     this.resizeWorkers(this.capacities);
   }
 
+  /**
+   * Registers an entry of another writer that names a worker's host and a later start, at an address
+   * where nobody answers. The worker and this writer go on to register in turns.
+   *
+   * @param key - Id of the entry; that of the worker, or another.
+   * @param forMs - Time after which the entry is removed, or the worker alone writes there.
+   */
+  registerForeignEntry(worker: string, key: string, forMs: number): void {
+    const report = this.workers.get(worker)?.report;
+    if (report === undefined) {
+      return;
+    }
+    const entry = {
+      ...report,
+      id: workerId(key),
+      address: FOREIGN_ADDRESS,
+      startWallMs: this.nowMs + 1,
+    };
+    this.store.put(`worker ${key}`, { type: "worker", version: storeVersion(0), report: entry });
+    this.schedule(HEARTBEAT_MS, () => {
+      const current = this.workers.get(key)?.report;
+      if (current !== undefined) {
+        const version = storeVersion(0);
+        this.store.put(`worker ${key}`, { type: "worker", version, report: current });
+      } else if (forMs <= HEARTBEAT_MS) {
+        this.store.removeWorker(workerId(key));
+      }
+      if (forMs > HEARTBEAT_MS) {
+        this.registerForeignEntry(worker, key, forMs - HEARTBEAT_MS);
+      }
+    });
+  }
+
   protected zoneOf(host: HostId): AvailabilityZoneId {
     const { length } = this.zones;
     const index = [...this.hosts.keys()].indexOf(host);
