Let the answer of a restarted worker count for what it never received

Cause: the answer of a rival is its first poll, but runs that go over to it counted as unanswered from then on, so the answer showed nothing of them, and the next poll waited a second for a run end. Change: they count as unanswered since the registration was read, as before. Measured: the new test failed before and passes now.

--- a/packages/core/src/work/workers/abandonedRuns.ts
+++ b/packages/core/src/work/workers/abandonedRuns.ts
@@ -88,11 +88,11 @@
  * Marks a run whose order went to a previous incarnation as unconfirmed: a poll of the next
  * incarnation shows whether it runs there, and if it doesn't, the run is stopped.
  */
-const markUnconfirmed = (turn: Turn, run: Run): void => {
+const markUnconfirmed = (run: Run, sinceMs: number): void => {
   if (run.phase !== RUN_PHASE.STOPPING) {
     run.phase = RUN_PHASE.ORDERED;
   }
-  run.unansweredAtMs = turn.nowMs;
+  run.unansweredAtMs = Math.max(sinceMs, run.startSentAtMs ?? -Infinity);
   run.confirmedAtMs = null;
   run.listed = false;
   run.missingSinceMs = null;
@@ -112,14 +112,23 @@
  * and no ended run of it. It may carry out unresolved start orders, and answers don't say which
  * incarnation sent them. A run that a poll has listed and that has no unresolved start order ended
  * with the previous incarnation and is abandoned.
+ *
+ * @param sinceMs - Since when the worker may have restarted; polls that were sent later show what
+ *   runs on the next incarnation.
  */
-export const transferRuns = (turn: Turn, owned: OwnedWork, from: Worker, to: Worker): void => {
+export const transferRuns = (
+  turn: Turn,
+  owned: OwnedWork,
+  from: Worker,
+  to: Worker,
+  sinceMs: number,
+): void => {
   for (const run of [...from.runs.values()]) {
     if (endedWithIncarnation(run)) {
       abandonRun(turn, owned, from, run, "the worker restarted");
       continue;
     }
-    markUnconfirmed(turn, run);
+    markUnconfirmed(run, sinceMs);
     from.runs.delete(run.item.key);
     to.runs.set(run.item.key, run);
     chargeRun(to, run, 1);
--- a/packages/core/src/work/workers/pollAnswers.ts
+++ b/packages/core/src/work/workers/pollAnswers.ts
@@ -51,7 +51,7 @@
   turn: Turn,
   owned: OwnedWork,
   worker: Worker,
-  { report }: RivalRegistration,
+  { report, readAtMs }: RivalRegistration,
   order: number,
 ): void => {
   const previous = worker.report;
@@ -59,7 +59,7 @@
   if (relateIncarnation(previous, report.startWallMs) === INCARNATION_RELATION.SAME) {
     applyReport(turn, owned, worker, report);
   } else {
-    adopted = replaceIncarnation(turn, owned, worker, report, true);
+    adopted = replaceIncarnation(turn, owned, worker, report, true, readAtMs);
   }
   adopted.rival = refutedRival(turn, previous);
   adopted.pollOrder = order;
--- a/packages/core/src/work/workers/workers.ts
+++ b/packages/core/src/work/workers/workers.ts
@@ -80,6 +80,7 @@
  *
  * @param reportCurrent - Whether the report describes the new incarnation; otherwise it is the
  *   previous one's report with a new start time.
+ * @param sinceMs - Since when the worker may have restarted.
  */
 export const replaceIncarnation = (
   turn: Turn,
@@ -87,9 +88,10 @@
   worker: Worker,
   report: WorkerReport,
   reportCurrent: boolean,
+  sinceMs = turn.nowMs,
 ): Worker => {
   const replacement = newWorker(turn, report, reportCurrent);
-  transferRuns(turn, owned, worker, replacement);
+  transferRuns(turn, owned, worker, replacement, sinceMs);
   discardWorker(turn, owned, worker, "the worker restarted");
   register(turn, owned, replacement);
   return replacement;
--- a/packages/core/tests/work/rivalRegistrations.test.ts
+++ b/packages/core/tests/work/rivalRegistrations.test.ts
@@ -183,6 +183,24 @@
   );
 });
 
+// Guards against a restarted worker that waits a second for a poll, which waits for a run end, before
+// it may start again what an order to it before the restart left open.
+test("the answer of a restarted worker does not show that it never received an order", (t) => {
+  const node = nodeWithWorker();
+  submitOne(node, "00000000000000aa");
+  node.starts.forEach((start) => {
+    node.answerStart(start, "unanswered");
+  });
+  node.register(reportOf("w", LATER_WALL_MS));
+  node.run(20);
+  const poll = node.polls.findLast(({ startWallMs }) => startWallMs === LATER_WALL_MS);
+  t.truthy(poll);
+  if (poll !== undefined) {
+    node.answerPoll(poll, { startWallMs: LATER_WALL_MS, clockMs: 20 });
+  }
+  t.is(node.stops.at(-1)?.startWallMs, LATER_WALL_MS);
+});
+
 test("a restarted worker waits until another process has refused polls at its old address", (t) => {
   const node = nodeWithWorker();
   node.register(AGENT);
--- a/packages/core/tests/work/transferredRuns.test.ts
+++ b/packages/core/tests/work/transferredRuns.test.ts
@@ -23,7 +23,8 @@
     run.listed = false;
     run.confirmedAtMs = null;
   }
-  transferRuns({ work, nowMs: site.nowMs, wallMs: site.nowMs, effects: [] }, owned, from, to);
+  const { nowMs } = site;
+  transferRuns({ work, nowMs, wallMs: nowMs, effects: [] }, owned, from, to, nowMs);
   t.is(to.runs.size, 1);
   t.is(to.longRunningRuns, 1);
 });
