--- a/packages/core/tests/work/rivalRegistrations.test.ts
+++ b/packages/core/tests/work/rivalRegistrations.test.ts
@@ -193,10 +193,12 @@
   });
   node.register(reportOf("w", LATER_WALL_MS));
   node.run(20);
+  const sentAtMs = node.nowMs;
+  node.run(20);
   const poll = node.polls.findLast(({ startWallMs }) => startWallMs === LATER_WALL_MS);
   t.truthy(poll);
   if (poll !== undefined) {
-    node.answerPoll(poll, { startWallMs: LATER_WALL_MS, clockMs: 20 });
+    node.answerPoll(poll, { startWallMs: LATER_WALL_MS, clockMs: 20, sentAtMs });
   }
   t.is(node.stops.at(-1)?.startWallMs, LATER_WALL_MS);
 });
