Say in names and comments which answer a worker has given

Change: isReachable, isFirstAnswerOverdue, the comments; the scenario of foreign entries moves to a file of its own, unchanged.

--- a/packages/core/src/work/hosts/hostWorkers.ts
+++ b/packages/core/src/work/hosts/hostWorkers.ts
@@ -55,9 +55,10 @@
   }
 };
 
-const hasAnswered = ({ fenced, unreachable }: Worker): boolean => fenced && !unreachable;
+/** Whether a worker accepts this owner's fencing token, and its last poll did not fail. */
+const isReachable = ({ fenced, unreachable }: Worker): boolean => fenced && !unreachable;
 
-/** Whether a worker has answered this owner, so that its registration is not one of nobody. */
+/** Whether a worker has answered a poll of this owner, as the incarnation that is registered. */
 export const hasEverAnswered = ({ aliveAfterMs }: Worker): boolean => aliveAfterMs !== null;
 
 /** Whether both workers state when they started, and one did before the other. */
@@ -71,8 +72,8 @@
   if (startedBefore(worker, other) || startedBefore(other, worker)) {
     return startedBefore(other, worker);
   }
-  if (hasAnswered(worker) !== hasAnswered(other)) {
-    return hasAnswered(worker);
+  if (isReachable(worker) !== isReachable(other)) {
+    return isReachable(worker);
   }
   return worker.registeredAtMs > other.registeredAtMs;
 };
@@ -99,7 +100,7 @@
  * Whether the first answer of a worker is overdue, so that its registration stands for nobody. One
  * with a lease row of a previous owner still does, since work may run there.
  */
-const isUnanswered = ({ nowMs }: Turn, owned: OwnedWork, worker: Worker): boolean =>
+const isFirstAnswerOverdue = ({ nowMs }: Turn, owned: OwnedWork, worker: Worker): boolean =>
   nowMs - worker.registeredAtMs > HOST_TIMING.FIRST_ANSWER_OVERDUE_MS &&
   !owned.unfencedLeases.has(worker.report.id);
 
@@ -110,7 +111,8 @@
   worker: Worker,
   workers: ReadonlySet<Worker>,
 ): boolean =>
-  hasEverAnswered(worker) || !(isUnanswered(turn, owned, worker) || isRefuted(worker, workers));
+  hasEverAnswered(worker) ||
+  !(isFirstAnswerOverdue(turn, owned, worker) || isRefuted(worker, workers));
 
 /**
  * Returns the worker that a host runs: the newest of its registered workers, since registrations of
@@ -159,7 +161,7 @@
   return null;
 };
 
-/** Whether only an answer of a worker can tell that its host still runs it. */
+/** Whether another registration for a worker's host leaves open whether the host still runs it. */
 export const isContested = (owned: OwnedWork, worker: Worker): boolean =>
   contenderOf(owned, worker) !== null;
 
--- a/packages/core/src/work/state.ts
+++ b/packages/core/src/work/state.ts
@@ -105,7 +105,7 @@
   readonly workers: Map<WorkerId, Worker>;
   /** Registrations in pools that the catalog does not name, which are no workers. */
   readonly setAside: Map<WorkerId, WorkerReport>;
-  /** Ids of registrations that were logged as refuted by an answer, until they are gone. */
+  /** Ids of registrations that an answer of a worker has refuted, each logged once until it is gone. */
   readonly refutedRegistrations: Set<WorkerId>;
   /** Workers by the time of their next check, and those that have changed since the last one. */
   readonly workerTimers: DueQueue<Worker>;
--- a/packages/core/src/work/submissions/starvation.ts
+++ b/packages/core/src/work/submissions/starvation.ts
@@ -149,7 +149,10 @@
   };
 };
 
-/** Returns the id of the registration that keeps a worker closed; null if it is not another one. */
+/**
+ * Returns the id of another registration that keeps a worker from work, which is the worker's own id
+ * if that has an open rival; null if there is none.
+ */
 const otherRegistration = (
   turn: Turn,
   owned: OwnedWork,
--- a/packages/core/src/work/workers/rivalRegistrations.ts
+++ b/packages/core/src/work/workers/rivalRegistrations.ts
@@ -11,8 +11,9 @@
 /**
  * @packageDocumentation
  * Registrations under the id of a known worker that may be those of its next incarnation, or of
- * another writer. Both the known incarnation and the rival are polled. The worker gets no orders
- * until one of them has answered a poll that was sent after the rival was read.
+ * another writer. Both the known incarnation and the rival are polled. Until one of them has answered
+ * a poll that was sent after the rival was read, the worker gets no starts, no longer lease and no
+ * acknowledgement of run ends.
  */
 
 /** Whether a registration names another incarnation or address than a worker's known ones. */
@@ -23,7 +24,7 @@
 const namesSame = (one: WorkerReport, other: WorkerReport): boolean =>
   one.address === other.address && one.startWallMs === other.startWallMs;
 
-/** Returns a rival that has been refuted already. */
+/** Returns the registration of an incarnation that another one has replaced, as a refuted rival. */
 export const refutedRival = ({ nowMs }: Turn, report: WorkerReport): RivalRegistration => ({
   report,
   readAtMs: nowMs,
@@ -76,7 +77,7 @@
   rival === null || rival.refuted || rival.pollOrder !== null ? Infinity : rival.nextPollAtMs;
 
 /**
- * Polls the rival of a worker if that is due. The poll changes nothing there.
+ * Polls the rival of a worker if that is due. The poll grants no lease and acknowledges no run ends.
  *
  * @returns Whether a poll was sent.
  */
--- a/packages/core/tests/work/chaosScenarios.ts
+++ b/packages/core/tests/work/chaosScenarios.ts
@@ -71,7 +71,8 @@
 
 const POOLS = ["mills", "dies"] as const;
 
-const workerOf = (site: WorkSite): string =>
+/** Returns the name of a random worker. */
+export const workerOf = (site: WorkSite): string =>
   `${POOLS[site.randomBelow(POOLS.length)] ?? "mills"}-${site.randomBelow(3)}`;
 
 /** Faults including workers that restart under their ids. */
@@ -94,24 +95,6 @@
   ...FAULTS,
 ];
 
-/** Entries of other writers for hosts and under ids of workers, and workers that restart meanwhile. */
-export const FOREIGN_FAULTS: readonly Fault[] = [
-  (site) => {
-    const worker = workerOf(site);
-    site.registerForeignEntry(worker, `agent-${worker}`, 1_000 + site.randomBelow(8_000));
-  },
-  (site) => {
-    const worker = workerOf(site);
-    site.registerForeignEntry(worker, worker, 1_000 + site.randomBelow(8_000));
-  },
-  (site) => {
-    const worker = workerOf(site);
-    site.registerForeignEntry(worker, worker, 1_000 + site.randomBelow(4_000));
-    site.restartWorker(worker, 1 + site.randomBelow(2_000), site.randomChance(50));
-  },
-  ...RESTART_FAULTS,
-];
-
 const SUBMISSIONS = 60;
 
 const TRAFFIC_MS = 20_000;
@@ -204,17 +187,6 @@
     prepare(site);
   });
 
-/**
- * Runs a scenario in which other writers register entries for hosts and ids of workers, while workers
- * restart and owners change.
- */
-export const runForeignScenario = (seed: number): WorkSite =>
-  runScenario(seed, 24, FOREIGN_FAULTS, (site) => {
-    site.routesByAddress = true;
-    site.slowAnswerPercent = 20;
-    site.pollsWait = true;
-  });
-
 /** Runs a scenario in which hosts ignore fencing tokens and orders wait before they are sent. */
 export const runUnfencedScenario = (seed: number): WorkSite =>
   runScenario(seed, 10, FAULTS, (site) => {
--- a/packages/core/tests/work/foreignChaos.test.ts
+++ b/packages/core/tests/work/foreignChaos.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { runForeignScenario } from "./chaosScenarios.js";
+import { runForeignScenario } from "./foreignScenario.js";
 
 const SEEDS = Number(process.env.WORK_SEEDS ?? "20");
 const FIRST_SEED = Number(process.env.WORK_FIRST_SEED ?? "1");
